--- /dev/null
+++ b/box/serve.go
@@ -0,0 +1,184 @@
+package box
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/havenrudder/havenrudder/gateway"
+	"github.com/havenrudder/havenrudder/peer"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	leaveGrace = 6 * time.Second // callers may hold an answer to "which box" this long
+	readSlack  = 30 * time.Second
+)
+
+func loadTLS(t wire.TLS) (*tls.Config, error) {
+	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "tls")
+	}
+	out := &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		MinVersion:   tls.VersionTLS12,
+	}
+	if t.ClientCaFile == "" {
+		return out, nil
+	}
+	pem, err := os.ReadFile(t.ClientCaFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "tls")
+	}
+	out.ClientCAs = x509.NewCertPool()
+	if !out.ClientCAs.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("tls: no certificate in %s", t.ClientCaFile)
+	}
+	return out, nil
+}
+
+// secure wraps l in TLS where there is any.
+func secure(l net.Listener, cfg *tls.Config) net.Listener {
+	if cfg == nil {
+		return l
+	}
+	return tls.NewListener(l, cfg)
+}
+
+func (b *Box) httpServer(h http.Handler) *http.Server {
+	limits := b.settings.Limits
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
+		ReadTimeout:       time.Duration(limits.HeaderTimeoutMs)*time.Millisecond + readSlack,
+		IdleTimeout:       time.Duration(limits.IdleTimeoutMs) * time.Millisecond,
+		MaxHeaderBytes:    limits.HeaderBytes,
+	}
+}
+
+// serveCallers answers callers until ctx ends or a planned stop is over.
+func (b *Box) serveCallers(ctx context.Context, cancel context.CancelCauseFunc, cfg *tls.Config) {
+	front := gateway.New(b.settings.Box, b.settings.Region, *b.settings.Limits, newID, b.core(),
+		gateway.WithLog(b.log),
+		gateway.WithTransport(b.upstream.Transport, b.transport(true)))
+	server := b.httpServer(front)
+	l := newBounded(secure(b.listeners[0], cfg), b.settings.Limits.Connections)
+	b.tasks.Go(func() { b.drain(ctx, cancel, server) })
+	err := server.Serve(l)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		cancel(errors.Wrap(err, "callers"))
+	}
+}
+
+// drain waits for a planned stop, or the end of ctx, and stops server.
+func (b *Box) drain(ctx context.Context, cancel context.CancelCauseFunc, server *http.Server) {
+	tick := time.NewTicker(leaveGrace / 12)
+	defer tick.Stop()
+	for !b.leaving.Load() {
+		select {
+		case <-ctx.Done():
+			_ = server.Close()
+			return
+		case <-tick.C:
+		}
+	}
+	wait(ctx, leaveGrace)
+	limit := time.Duration(b.settings.Limits.DrainMs) * time.Millisecond
+	bounded, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	if err := server.Shutdown(bounded); err != nil {
+		b.log.WithError(err).Warn("planned stop cut off requests")
+		_ = server.Close()
+	}
+	cancel(errStopped)
+}
+
+// wait waits for d or the end of ctx.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (b *Box) serveBoxes(ctx context.Context, cancel context.CancelCauseFunc) {
+	if err := peer.Serve(ctx, b.listeners[1], b.handlePeer, b.metrics.countControl); err != nil {
+		cancel(err)
+	}
+}
+
+func (b *Box) serveOperators(ctx context.Context, cancel context.CancelCauseFunc, cfg *tls.Config) {
+	if cfg != nil && cfg.ClientCAs != nil {
+		cfg = cfg.Clone()
+		cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", b.metrics.handler())
+	mux.HandleFunc("GET /debug/state", b.serveDump)
+	server := b.httpServer(mux)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(secure(b.listeners[2], cfg))
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
+		cancel(errors.Wrap(err, "operators"))
+	}
+}
+
+// bounded is a listener that holds no more than so many open connections.
+type bounded struct {
+	net.Listener
+	free chan struct{}
+}
+
+func newBounded(l net.Listener, n int) *bounded {
+	return &bounded{
+		Listener: l,
+		free:     make(chan struct{}, n),
+	}
+}
+
+// Accept waits until a connection may be opened.
+func (l *bounded) Accept() (net.Conn, error) {
+	l.free <- struct{}{}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.free
+		return nil, err
+	}
+	return &boundedConn{
+		Conn: c,
+		free: l.free,
+	}, nil
+}
+
+type boundedConn struct {
+	net.Conn
+	free chan struct{}
+	once sync.Once
+}
+
+// Close closes the connection and lets another one be opened.
+func (c *boundedConn) Close() error {
+	c.once.Do(func() { <-c.free })
+	return c.Conn.Close()
+}
+
+// actorLogger hands the actors' log to logrus.
+func actorLogger(log *logrus.Entry) *slog.Logger {
+	h := slog.NewTextHandler(log.WriterLevel(logrus.WarnLevel), &slog.HandlerOptions{
+		Level: slog.LevelWarn,
+	})
+	return slog.New(h)
+}
--- /dev/null
+++ b/box/watches.go
@@ -0,0 +1,135 @@
+package box
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/havenrudder/havenrudder/peer"
+	"github.com/havenrudder/havenrudder/platform"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// blindAfter is how long the platform may be silent until a box that watches
+// leaves its watches to others.
+const blindAfter = 10 * time.Second
+
+// watches are the keys of the platform that this box reads for its failure
+// domain. Few boxes read each key; the others hear from them.
+type watches struct {
+	ctx     context.Context // of the whole run; a watch may outlive the one that began it
+	box     *Box
+	mu      sync.Mutex
+	cancels map[string]context.CancelFunc
+	heard   atomic.Int64 // our clock when the platform last answered
+}
+
+func newWatches(ctx context.Context, b *Box) *watches {
+	return &watches{
+		ctx:     ctx,
+		box:     b,
+		cancels: make(map[string]context.CancelFunc),
+	}
+}
+
+// blind says whether the platform has been silent for long.
+func (w *watches) blind() bool {
+	longest := time.Duration(w.box.settings.Platform.WaitMs)*time.Millisecond + blindAfter
+	return w.box.now()-time.Duration(w.heard.Load()) > longest
+}
+
+// adjust starts the watches that this box should hold and ends the others.
+func (w *watches) adjust() {
+	wanted := w.wanted()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key, cancel := range w.cancels {
+		if !slices.Contains(wanted, key) {
+			cancel()
+			delete(w.cancels, key)
+		}
+	}
+	for _, key := range wanted {
+		if _, ok := w.cancels[key]; !ok {
+			w.start(key)
+		}
+	}
+}
+
+func (w *watches) start(key string) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	w.cancels[key] = cancel
+	w.box.tasks.Go(func() {
+		w.box.platform.Watch(ctx, key, func(v platform.Value) { w.take(ctx, key, v) })
+	})
+}
+
+// wanted returns the keys this box should watch.
+func (w *watches) wanted() (out []string) {
+	b := w.box
+	_ = b.fleet.Do(func(s *fleetState) {
+		n := b.settings.Platform.Watchers
+		for _, key := range s.keys() {
+			if slices.Contains(s.readers(key, b.settings.Box, n, b.now()), b.settings.Box) {
+				out = append(out, key)
+			}
+		}
+	})
+	return out
+}
+
+// keys returns the keys the failure domain reads: the head, its own list, and
+// the lists of the domains the bundle names.
+func (s *fleetState) keys() []string {
+	out := []string{platform.KeyHead, platform.KeyFleet + s.domain}
+	for _, domain := range slices.Sorted(maps.Keys(s.domains)) {
+		if domain != s.domain {
+			out = append(out, platform.KeyFleet+domain)
+		}
+	}
+	return out
+}
+
+// names returns the keys that are watched now.
+func (w *watches) names() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Sorted(maps.Keys(w.cancels))
+}
+
+func (w *watches) take(ctx context.Context, key string, v platform.Value) {
+	w.heard.Store(int64(w.box.now()))
+	if key == platform.KeyHead {
+		w.box.onHead(ctx, v)
+		return
+	}
+	w.takeList(ctx, v)
+}
+
+// takeList takes a list in and passes it on in the failure domain.
+func (w *watches) takeList(ctx context.Context, v platform.Value) {
+	b := w.box
+	b.metrics.countControl(fleetKind, len(v.Data)+readOverhead)
+	u := wire.FleetUpdate{
+		Index: int(v.Index),
+	}
+	if err := json.Unmarshal(v.Data, &u.Fleet); err != nil {
+		b.log.WithError(err).Warn("list refused")
+		return
+	}
+	if !b.takeFleet(u) {
+		return
+	}
+	_, to := b.heartbeat()
+	for _, addr := range to {
+		b.tasks.Go(func() {
+			short, cancel := context.WithTimeout(ctx, notifyBound)
+			defer cancel()
+			_ = b.peers.Notify(short, addr, peer.Fleet, u)
+		})
+	}
+}
--- /dev/null
+++ b/bundle/tree.go
@@ -0,0 +1,165 @@
+package bundle
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// The shape of the tree. A change of one organisation costs a head, the root,
+// one branch and one leaf: with 600 organisations a leaf holds nine of them.
+const (
+	branches        = 8  // branches of organisations below the root
+	leavesPerBranch = 8  // leaves below a branch
+	maxNodes        = 96 // more than a whole tree has; bounds what a reader fetches
+)
+
+// Hash names a node by its content.
+type Hash string
+
+// HashOf returns the hash of a node's bytes.
+func HashOf(data []byte) Hash {
+	sum := sha256.Sum256(data)
+	return Hash(base64.RawURLEncoding.EncodeToString(sum[:]))
+}
+
+// node is one node of the tree: either kids or a part of the bundle.
+type node struct {
+	Kids          []Hash              `json:"kids,omitempty"`
+	Regions       []wire.Region       `json:"regions,omitempty"`
+	Services      []wire.Service      `json:"services,omitempty"`
+	Priorities    []wire.Priority     `json:"priorities,omitempty"`
+	Organisations []wire.Organisation `json:"organisations,omitempty"`
+}
+
+// Nodes holds the bytes of nodes by their hash.
+type Nodes map[Hash][]byte
+
+func (n Nodes) add(v node) (Hash, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return "", errors.Wrap(err, "bundle: node")
+	}
+	h := HashOf(data)
+	n[h] = data
+	return h, nil
+}
+
+// Split returns the tree of b, by content, and the hash of its root. The
+// version stands in the head alone, so that unchanged parts keep their hash.
+func Split(b wire.Bundle) (Hash, Nodes, error) {
+	nodes := make(Nodes)
+	base, err := nodes.add(node{
+		Regions:    b.Regions,
+		Services:   b.Services,
+		Priorities: b.Priorities,
+	})
+	if err != nil {
+		return "", nil, err
+	}
+	root := node{
+		Kids: []Hash{base},
+	}
+	parts := partition(b.Organisations)
+	for i := 0; i < branches; i++ {
+		h, err := nodes.addBranch(parts[i*leavesPerBranch : (i+1)*leavesPerBranch])
+		if err != nil {
+			return "", nil, err
+		}
+		root.Kids = append(root.Kids, h)
+	}
+	h, err := nodes.add(root)
+	return h, nodes, err
+}
+
+func (n Nodes) addBranch(parts [][]wire.Organisation) (Hash, error) {
+	var branch node
+	for _, part := range parts {
+		h, err := n.add(node{
+			Organisations: part,
+		})
+		if err != nil {
+			return "", err
+		}
+		branch.Kids = append(branch.Kids, h)
+	}
+	return n.add(branch)
+}
+
+func partition(orgs []wire.Organisation) [][]wire.Organisation {
+	parts := make([][]wire.Organisation, branches*leavesPerBranch)
+	for _, org := range orgs {
+		i := xxhash.Sum64String(org.Name) % uint64(len(parts))
+		parts[i] = append(parts[i], org)
+	}
+	for _, part := range parts {
+		slices.SortFunc(part, func(a, b wire.Organisation) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return parts
+}
+
+// Fetch returns the bytes of a node; the caller of Join checks them.
+type Fetch func(h Hash) ([]byte, error)
+
+// Join fetches the nodes below root and returns the bundle and the nodes it is
+// made of. Bytes that don't match their hash are refused.
+func Join(version int, root Hash, fetch Fetch) (wire.Bundle, Nodes, error) {
+	j := joiner{
+		fetch: fetch,
+		nodes: make(Nodes),
+	}
+	j.bundle.Version = version
+	if err := j.walk(root); err != nil {
+		return wire.Bundle{}, nil, err
+	}
+	slices.SortFunc(j.bundle.Organisations, func(a, b wire.Organisation) int { return cmp.Compare(a.Name, b.Name) })
+	return j.bundle, j.nodes, nil
+}
+
+type joiner struct {
+	fetch  Fetch
+	nodes  Nodes
+	bundle wire.Bundle
+}
+
+func (j *joiner) walk(h Hash) error {
+	if _, ok := j.nodes[h]; ok {
+		return nil // an empty leaf stands in many places
+	}
+	if len(j.nodes) >= maxNodes {
+		return errors.New("bundle: too many nodes")
+	}
+	data, err := j.fetch(h)
+	if err != nil {
+		return errors.Wrapf(err, "bundle: node %s", h)
+	}
+	if HashOf(data) != h {
+		return errors.Newf("bundle: node %s: bytes of another hash", h)
+	}
+	var n node
+	if err := json.Unmarshal(data, &n); err != nil {
+		return errors.Wrapf(err, "bundle: node %s", h)
+	}
+	j.nodes[h] = data
+	j.add(n)
+	for _, kid := range n.Kids {
+		if err := j.walk(kid); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (j *joiner) add(n node) {
+	j.bundle.Regions = append(j.bundle.Regions, n.Regions...)
+	j.bundle.Services = append(j.bundle.Services, n.Services...)
+	j.bundle.Priorities = append(j.bundle.Priorities, n.Priorities...)
+	j.bundle.Organisations = append(j.bundle.Organisations, n.Organisations...)
+}
--- /dev/null
+++ b/common/rendezvous/rendezvous.go
@@ -0,0 +1,37 @@
+// Package rendezvous ranks names for a key by highest random weight, so that
+// boxes with the same view agree without talking, and one name more or less
+// moves only its own share of keys.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the weight of name for key.
+func Score(key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+// Rank returns names ordered by their weight for key, highest first. The
+// argument is left as it is.
+func Rank(key string, names []string) []string {
+	out := slices.Clone(names)
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(Score(key, b), Score(key, a)), cmp.Compare(a, b))
+	})
+	return out
+}
+
+// Top returns the first n names of Rank, or all where there are fewer.
+func Top(key string, names []string, n int) []string {
+	ranked := Rank(key, names)
+	return ranked[:min(n, len(ranked))]
+}
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/admission"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// serveAway sends a request that found no replica here to another region, when
+// its data may go there and it was not forwarded before; else it refuses.
+func (s *Server) serveAway(ctx context.Context, w http.ResponseWriter, q *query, refused *Refused) {
+	if len(q.path) == 0 && refused.Code != codeRetries {
+		for _, box := range s.core.Away(q.org, q.service, q.homeOnly) {
+			if !q.policy.Allowed(q.org, q.service, box.Region, q.homeOnly) {
+				continue
+			}
+			if s.forward(ctx, w, q, box) == nil {
+				return
+			}
+		}
+	}
+	f := *refusal(refused.Code, "no replica can take the request in time", admission.RetryAfter(refused.Wait, q.spread()))
+	if q.explain {
+		w.Header().Set(HeaderExplain, explain(refused.Choice))
+	}
+	s.refuse(w, q, f)
+}
+
+// forward relays a request to another box and its answer back. An error means
+// that nothing was sent to the caller yet.
+func (s *Server) forward(ctx context.Context, w http.ResponseWriter, q *query, box Box) error {
+	target := "http://" + box.Addr + q.target
+	if q.service.Kind == wire.ServiceKindPlain {
+		target = "http://" + box.Addr + "/s/" + q.service.Name + q.target
+	}
+	r, err := http.NewRequestWithContext(ctx, q.method, target, bytes.NewReader(q.body))
+	if err != nil {
+		return errors.Wrap(err, "gateway: forward")
+	}
+	q.fillForward(r.Header, s.hop())
+	resp, err := s.http.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "gateway: forward")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get(HeaderRequest) != q.id && resp.StatusCode == http.StatusOK {
+		return errCrossed
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderRan) == string(wire.RanNotRun) && q.header.Get(HeaderTicket) == "" {
+		return errors.New("gateway: forward refused")
+	}
+	return s.passBack(w, q, resp)
+}
+
+// forwarded are the headers of callers that the next box gets.
+var forwarded = []string{
+	"Content-Type", "Accept", "Accept-Language", "Authorization", headerKey,
+	HeaderOrg, HeaderService, HeaderResidency, HeaderTicket, HeaderPrefix, HeaderExplain,
+}
+
+func (q *query) fillForward(h http.Header, hop string) {
+	for _, name := range forwarded {
+		if v := q.header.Get(name); v != "" {
+			h.Set(name, v)
+		}
+	}
+	h.Set(HeaderService, q.service.Name)
+	h.Set(HeaderRequest, q.id)
+	h.Set(HeaderPath, strings.Join(append(q.path[:len(q.path):len(q.path)], hop), ","))
+	left := max(time.Until(q.deadline).Milliseconds(), 1)
+	h.Set(HeaderDeadline, itoa(int(left)))
+}
+
+// backed are the headers of the next box that callers get.
+var backed = []string{
+	"Content-Type", "Content-Language", "Location", "ETag", "Cache-Control", "Retry-After",
+	HeaderRequest, HeaderBox, HeaderUpstream, HeaderRan, HeaderTicket, HeaderExplain,
+}
+
+// passBack relays an answer as it comes. Where it breaks off, the connection to
+// the caller is cut, so that no part is taken for the whole.
+func (s *Server) passBack(w http.ResponseWriter, q *query, resp *http.Response) error {
+	for _, name := range backed {
+		if v := resp.Header.Get(name); v != "" {
+			w.Header().Set(name, v)
+		}
+	}
+	if resp.ContentLength >= 0 {
+		w.Header().Set("Content-Length", itoa(int(resp.ContentLength)))
+	}
+	w.WriteHeader(resp.StatusCode)
+	if err := copyFlushing(w, resp.Body); err != nil {
+		s.core.Observe.Request(q.service.Name, codeBroken, time.Since(q.start))
+		panic(http.ErrAbortHandler) // the library's way to cut a connection
+	}
+	s.core.Observe.Request(q.service.Name, codeForwarded, time.Since(q.start))
+	return nil
+}
+
+const (
+	codeForwarded = "forwarded"
+	copyBuffer    = 16 << 10
+)
+
+func copyFlushing(w http.ResponseWriter, body io.Reader) error {
+	flush, _ := w.(http.Flusher)
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return errors.Wrap(werr, "gateway: caller")
+			}
+			if flush != nil {
+				flush.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "gateway: forward")
+		}
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,199 @@
+// Package gateway is the HTTP front of a box: it tells callers which box to
+// use, relays their requests to upstreams, and never presents part of an answer
+// as the whole.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/routing"
+	"github.com/havenrudder/havenrudder/ticket"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// Placement is a replica that a request was counted into.
+type Placement struct {
+	Upstream string
+	URL      string
+	Gen      int // tells apart processes of the same name
+	Choice   routing.Choice
+	Org      wire.Organisation
+	Service  string
+}
+
+// PlaceRequest asks for a replica.
+type PlaceRequest struct {
+	Org     wire.Organisation
+	Service wire.Service
+	Policy  *bundle.Policy
+	Routing routing.Request
+	Tried   []string
+	Retry   bool // counts against the retry budget
+	Explain bool
+}
+
+// Refused says why there is no replica.
+type Refused struct {
+	Code   string
+	Wait   time.Duration // when to come back
+	Choice routing.Choice
+}
+
+// Finish is what became of a placement.
+type Finish struct {
+	Failed bool
+	First  time.Duration // to the first byte or token; 0 for none
+	Hold   time.Duration // the whole time
+	Load   *wire.Load    // the upstream's own word, nil for none
+}
+
+// Claim is what the owner's side of a ticket says.
+type Claim struct {
+	Step   ticket.Step
+	Result ticket.Result
+}
+
+// Observe is told of what callers saw.
+type Observe struct {
+	Request func(service, code string, took time.Duration)
+	First   func(service string, d time.Duration)
+	Between func(service string, d time.Duration)
+}
+
+// Core is the box behind the front. Its fields are the seams between them.
+type Core struct {
+	Policy   func() *bundle.Policy // nil until the box serves
+	Leaving  func() bool
+	Place    func(PlaceRequest) (Placement, *Refused)
+	Finish   func(Placement, Finish)
+	WhichBox func(org wire.Organisation, service wire.Service, prefix string) []string
+	Away     func(org wire.Organisation, service wire.Service, homeOnly bool) []Box
+	Owner    func(name string) (Box, bool)
+
+	IssueTicket  func(service, org string, life time.Duration) (wire.Ticket, bool)
+	ClaimTicket  func(ctx context.Context, t wire.Ticket, fingerprint uint64) Claim
+	FinishTicket func(id string, ran wire.Ran, result ticket.Result)
+	SealTicket   func(ctx context.Context, t wire.Ticket) wire.Ran
+
+	Observe Observe
+}
+
+// Box is where another box answers callers.
+type Box struct {
+	Name   string
+	Region string
+	Addr   string
+}
+
+// Server is the front of one box.
+type Server struct {
+	name   string
+	region string
+	limits wire.Limits
+	core   Core
+	log    logrus.FieldLogger
+	http   *http.Client // keeps connections, for calls that may be repeated
+	once   *http.Client // a connection a call, so that nothing is sent twice below us
+	newID  func() string
+	mux    *http.ServeMux
+}
+
+// Option changes a Server.
+type Option func(*Server)
+
+// WithTransport sets the transports; once must not reuse connections.
+func WithTransport(shared, once http.RoundTripper) Option {
+	return func(s *Server) {
+		s.http = &http.Client{
+			Transport:     shared,
+			CheckRedirect: noRedirect,
+		}
+		s.once = &http.Client{
+			Transport:     once,
+			CheckRedirect: noRedirect,
+		}
+	}
+}
+
+// noRedirect hands redirects on to the caller: following one would send data to
+// a place no rule was asked about.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// WithLog sets the logger.
+func WithLog(log logrus.FieldLogger) Option { return func(s *Server) { s.log = log } }
+
+// New returns the front of box name in region.
+func New(name, region string, limits wire.Limits, newID func() string, core Core, opts ...Option) *Server {
+	s := &Server{
+		name:   name,
+		region: region,
+		limits: limits,
+		core:   core,
+		log:    logrus.StandardLogger(),
+		newID:  newID,
+		mux:    http.NewServeMux(),
+	}
+	WithTransport(http.DefaultTransport, &http.Transport{
+		DisableKeepAlives: true,
+	})(s)
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.mux.HandleFunc("GET /healthz", s.serveHealth)
+	s.mux.HandleFunc("GET /v1/box", s.serveWhichBox)
+	s.mux.HandleFunc("POST /v1/chat/completions", s.serveChat)
+	s.mux.HandleFunc("/s/{service}/", s.servePlain)
+	return s
+}
+
+var _ http.Handler = (*Server)(nil)
+
+// ServeHTTP answers callers and other boxes.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderBox, s.name)
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if s.core.Policy() == nil || s.core.Leaving() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveWhichBox answers the question which box to use, and gives a ticket when
+// one is asked for.
+func (s *Server) serveWhichBox(w http.ResponseWriter, r *http.Request) {
+	q, refusal := s.identify(r, r.URL.Query().Get("service"))
+	if refusal != nil {
+		s.refuse(w, q, *refusal)
+		return
+	}
+	out := wire.WhichBox{
+		Boxes: s.core.WhichBox(q.org, q.service, r.Header.Get(HeaderPrefix)),
+		TtlMs: whichBoxTTL,
+	}
+	if r.URL.Query().Get("ticket") != "" {
+		t, ok := s.issue(q)
+		if !ok {
+			s.refuse(w, q, refuseTicketsFull(q))
+			return
+		}
+		out.Ticket = ticket.Encode(t)
+	}
+	w.Header().Set("Content-Type", typeJSON)
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+const (
+	whichBoxTTL = 5000 // milliseconds
+	typeJSON    = "application/json"
+	typeStream  = "text/event-stream"
+)
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,263 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/routing"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	maxTries  = 3       // tries of one request in all
+	maxAnswer = 8 << 20 // bytes of an answer that is held until it is whole
+)
+
+// serveChat relays a chat completion.
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
+	early := &query{
+		header: r.Header,
+		start:  time.Now(),
+	}
+	if f := s.readBody(w, r, early); f != nil {
+		s.refuse(w, early, *f)
+		return
+	}
+	c, err := parseChat(early.body)
+	if err != nil {
+		s.refuse(w, early, *refusal(codeBody, err.Error(), 0))
+		return
+	}
+	q, f := s.identify(r, serviceOf(s.core.Policy(), r.Header.Get(HeaderService), c.Model))
+	if f != nil {
+		s.refuse(w, q, *f)
+		return
+	}
+	q.body = early.body
+	q.stream = c.Stream
+	q.target = "/v1/chat/completions"
+	s.serveRepeatable(w, r, q)
+}
+
+// servePlain relays a call of a plain service.
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request) {
+	service := r.PathValue("service")
+	q, f := s.identify(r, service)
+	if f == nil {
+		f = s.readBody(w, r, q)
+	}
+	if f != nil {
+		s.refuse(w, q, *f)
+		return
+	}
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/s/"+service)
+	q.target = path
+	if r.URL.RawQuery != "" {
+		q.target += "?" + r.URL.RawQuery
+	}
+	q.once = bundle.Once(q.service, r.Method, path) || !repeatable(r)
+	if q.once {
+		s.serveOnce(w, r, q)
+		return
+	}
+	s.serveRepeatable(w, r, q)
+}
+
+// repeatable says whether a call may be repeated as far as its method tells; a
+// caller that brings a ticket says that it may not.
+func repeatable(r *http.Request) bool {
+	return r.Header.Get(HeaderTicket) == ""
+}
+
+// serveRepeatable tries replicas, then other regions, until there is a whole
+// answer or nothing left to try.
+func (s *Server) serveRepeatable(w http.ResponseWriter, r *http.Request, q *query) {
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	if q.stream {
+		s.serveStream(ctx, w, q)
+		return
+	}
+	var tried []string
+	f := *refusal(codeUpstream, "no upstream gave a whole answer", retrySoon)
+	for len(tried) < maxTries && ctx.Err() == nil {
+		p, refused := s.place(q, tried)
+		if refused != nil {
+			if len(tried) == 0 {
+				s.serveAway(ctx, w, q, refused)
+				return
+			}
+			break
+		}
+		a, err := s.call(ctx, s.http, q, p, 0)
+		if err == nil {
+			s.answer(w, q, p, a)
+			return
+		}
+		f.Ran = wire.RanUnknown // it may be repeated, so this only informs
+		tried = append(tried, p.Upstream)
+	}
+	if ctx.Err() != nil {
+		f = *refusal(codeDeadline, "the deadline passed", retrySoon)
+		f.Ran = wire.RanUnknown
+	}
+	s.refuse(w, q, f)
+}
+
+func (s *Server) place(q *query, tried []string) (Placement, *Refused) {
+	return s.core.Place(PlaceRequest{
+		Org:     q.org,
+		Service: q.service,
+		Policy:  q.policy,
+		Routing: q.routingRequest(),
+		Tried:   tried,
+		Retry:   len(tried) > 0,
+		Explain: q.explain,
+	})
+}
+
+// answer is a whole answer of an upstream.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// ErrCrossed marks an answer that belongs to another request.
+var errCrossed = errors.New("gateway: answer to another request")
+
+// call sends q to a placement and returns its whole answer.
+func (s *Server) call(ctx context.Context, client *http.Client, q *query, p Placement, resume int) (answer, error) {
+	start := time.Now()
+	done := Finish{
+		Failed: true,
+	}
+	defer func() {
+		done.Hold = time.Since(start)
+		s.core.Finish(p, done)
+	}()
+	resp, err := s.send(ctx, client, q, p, resume)
+	if err != nil {
+		done.Failed = ctx.Err() == nil
+		return answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	done.First = time.Since(start)
+	done.Load = loadOf(resp.Header)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = errors.New("gateway: answer too large")
+	}
+	if err == nil && resp.StatusCode >= http.StatusInternalServerError {
+		err = errors.Newf("gateway: upstream status %d", resp.StatusCode)
+	}
+	done.Failed = err != nil && ctx.Err() == nil
+	return answer{
+		status: resp.StatusCode,
+		header: resp.Header,
+		body:   body,
+	}, err
+}
+
+// send starts a call and checks that its answer belongs to it.
+func (s *Server) send(ctx context.Context, client *http.Client, q *query, p Placement, resume int) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, q.method, p.URL+q.target, bytes.NewReader(q.body))
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway")
+	}
+	q.fillHeader(r.Header, resume)
+	resp, err := client.Do(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway")
+	}
+	if id := resp.Header.Get(HeaderRequestID); id != q.id && (id != "" || q.service.Kind == wire.ServiceKindEngine) {
+		_ = resp.Body.Close()
+		s.log.WithField("request", q.id).WithField("upstream", p.Upstream).Error("answer to another request")
+		return nil, errCrossed
+	}
+	return resp, nil
+}
+
+// passed are the headers of callers that upstreams get.
+var passed = []string{"Content-Type", "Accept", "Accept-Language", "Authorization", headerKey}
+
+func (q *query) fillHeader(h http.Header, resume int) {
+	for _, name := range passed {
+		if v := q.header.Get(name); v != "" {
+			h.Set(name, v)
+		}
+	}
+	h.Set(HeaderRequestID, q.id)
+	h.Set(HeaderOrg, q.org.Name)
+	if pr, ok := q.policy.Priority(q.org.Priority); ok {
+		h.Set(HeaderPriority, string(rune('0'+pr.Rank)))
+	}
+	if resume > 0 {
+		h.Set(HeaderResume, itoa(resume))
+	}
+}
+
+func loadOf(h http.Header) *wire.Load {
+	value := h.Get(HeaderLoad)
+	if value == "" {
+		return nil
+	}
+	var load wire.Load
+	if json.Unmarshal([]byte(value), &load) != nil {
+		return nil
+	}
+	return &load
+}
+
+// returned are the headers of upstreams that callers get.
+var returned = []string{"Content-Type", "Content-Language", "Location", "ETag", "Cache-Control"}
+
+func (s *Server) answer(w http.ResponseWriter, q *query, p Placement, a answer) {
+	h := w.Header()
+	for _, name := range returned {
+		if v := a.header.Get(name); v != "" {
+			h.Set(name, v)
+		}
+	}
+	s.describe(h, q, p)
+	h.Set("Content-Length", itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
+	s.core.Observe.Request(q.service.Name, codeOK, time.Since(q.start))
+}
+
+const codeOK = "ok"
+
+// describe says where a request went and, when asked, why.
+func (s *Server) describe(h http.Header, q *query, p Placement) {
+	h.Set(HeaderRequest, q.id)
+	h.Set(HeaderUpstream, p.Upstream)
+	h.Set(HeaderRan, string(wire.RanRan))
+	if q.explain {
+		h.Set(HeaderExplain, explain(p.Choice))
+	}
+}
+
+func explain(c routing.Choice) string {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
+
+// unreached says whether err proves that no byte of a request left: the
+// connection was never made.
+func unreached(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+var (
+	dataPrefix = []byte("data: ")
+	dataDone   = []byte("[DONE]")
+	newLine    = []byte("\n")
+)
+
+const (
+	maxLine     = 1 << 20 // bytes of one event
+	lineBuffer  = 16 << 10
+	eventFailed = "event: error\ndata: %s\n\n"
+)
+
+// stream is one streamed answer, which may come from several replicas in turn.
+// A caller knows that it is whole by the event [DONE]; when no replica can
+// finish it, an event named error says so instead.
+type stream struct {
+	server *Server
+	q      *query
+	w      http.ResponseWriter
+	flush  http.Flusher
+	sent   int // tokens sent to the caller
+	last   time.Time
+}
+
+// serveStream relays a streamed chat completion. When a replica breaks off,
+// another resumes at the exact token.
+func (s *Server) serveStream(ctx context.Context, w http.ResponseWriter, q *query) {
+	flush, ok := w.(http.Flusher)
+	if !ok {
+		panic("gateway: a response that can't be flushed")
+	}
+	st := &stream{
+		server: s,
+		q:      q,
+		w:      w,
+		flush:  flush,
+	}
+	var tried []string
+	for len(tried) < maxTries && ctx.Err() == nil {
+		p, refused := s.place(q, tried)
+		if refused != nil {
+			if len(tried) == 0 {
+				s.serveAway(ctx, w, q, refused)
+				return
+			}
+			break
+		}
+		if st.relay(ctx, p) == nil {
+			s.core.Observe.Request(q.service.Name, codeOK, time.Since(q.start))
+			return
+		}
+		tried = append(tried, p.Upstream)
+	}
+	st.fail(ctx)
+}
+
+// fail ends a stream that can't be finished.
+func (st *stream) fail(ctx context.Context) {
+	f := *refusal(codeBroken, "the answer broke off and no replica could resume it", retrySoon)
+	if ctx.Err() != nil {
+		f = *refusal(codeDeadline, "the deadline passed", retrySoon)
+	}
+	f.Ran = wire.RanUnknown
+	f.Request = st.q.id
+	if st.sent == 0 {
+		st.server.refuse(st.w, st.q, f)
+		return
+	}
+	data, err := json.Marshal(f)
+	if err != nil {
+		panic(errors.Wrap(err, "gateway: refusal"))
+	}
+	_, _ = fmt.Fprintf(st.w, eventFailed, data)
+	st.flush.Flush()
+	st.server.core.Observe.Request(st.q.service.Name, f.Code, time.Since(st.q.start))
+}
+
+// relay sends the request to p and its tokens to the caller; nil means that the
+// stream is whole.
+func (st *stream) relay(ctx context.Context, p Placement) error {
+	start := time.Now()
+	done := Finish{
+		Failed: true,
+	}
+	defer func() {
+		done.Hold = time.Since(start)
+		st.server.core.Finish(p, done)
+	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // a caller that leaves cancels the upstream's work
+	resp, err := st.server.send(ctx, st.server.http, st.q, p, st.sent)
+	if err != nil {
+		done.Failed = ctx.Err() == nil
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	done.Load = loadOf(resp.Header)
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("gateway: upstream status %d", resp.StatusCode)
+	}
+	before := st.sent
+	first, err := st.copy(resp, p, start)
+	done.First = first
+	done.Failed = err != nil && ctx.Err() == nil
+	if before > 0 {
+		done.First = 0 // a resumed stream says nothing of a first token
+	}
+	return err
+}
+
+// copy sends events on until the end. It returns the time to the first token.
+func (st *stream) copy(resp *http.Response, p Placement, start time.Time) (time.Duration, error) {
+	var first time.Duration
+	in := bufio.NewReaderSize(resp.Body, lineBuffer)
+	for {
+		line, err := readLine(in)
+		if err != nil {
+			return first, err
+		}
+		data, ok := bytes.CutPrefix(line, dataPrefix)
+		if !ok {
+			continue
+		}
+		if first == 0 {
+			first = time.Since(start)
+			st.begin(p)
+		}
+		if bytes.Equal(data, dataDone) {
+			return first, st.write(dataDone, true)
+		}
+		st.observe()
+		st.sent++
+		if err := st.write(data, in.Buffered() == 0); err != nil {
+			return first, err
+		}
+	}
+}
+
+// readLine returns a line without its end. Events longer than maxLine end the
+// stream.
+func readLine(in *bufio.Reader) ([]byte, error) {
+	line, err := in.ReadSlice('\n')
+	if err == nil {
+		return bytes.TrimRight(line, "\r\n"), nil
+	}
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return nil, err
+	}
+	long := bytes.Clone(line)
+	for errors.Is(err, bufio.ErrBufferFull) && len(long) <= maxLine {
+		line, err = in.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(long, "\r\n"), nil
+}
+
+func (st *stream) begin(p Placement) {
+	if st.sent > 0 {
+		return
+	}
+	h := st.w.Header()
+	h.Set("Content-Type", typeStream)
+	h.Set("Cache-Control", "no-store")
+	st.server.describe(h, st.q, p)
+	st.w.WriteHeader(http.StatusOK)
+}
+
+func (st *stream) observe() {
+	now := time.Now()
+	if st.sent == 0 {
+		st.server.core.Observe.First(st.q.service.Name, now.Sub(st.q.start))
+	} else {
+		st.server.core.Observe.Between(st.q.service.Name, now.Sub(st.last))
+	}
+	st.last = now
+}
+
+func (st *stream) write(data []byte, flush bool) error {
+	for _, part := range [][]byte{dataPrefix, data, newLine, newLine} {
+		if _, err := st.w.Write(part); err != nil {
+			return errors.Wrap(err, "gateway: caller")
+		}
+	}
+	if flush {
+		st.flush.Flush()
+	}
+	return nil
+}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,234 @@
+// Package routing decides where a request goes. It is pure: it does no I/O,
+// reads no clock and draws no random numbers, so the same view and request
+// always give the same choice, and every choice can be explained.
+package routing
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/havenrudder/havenrudder/common/rendezvous"
+)
+
+// Reason says why a replica was not chosen.
+type Reason string
+
+// Reasons.
+const (
+	Leaving Reason = "leaving" // it takes no new work
+	Out     Reason = "out"     // it failed several times in a row
+	Tried   Reason = "tried"   // this request was there before
+	Full    Reason = "full"    // its limit is reached
+	Late    Reason = "late"    // the first token would come after the contract
+	Slower  Reason = "slower"  // another is expected to answer sooner
+)
+
+// Replica is one candidate, as believed now.
+type Replica struct {
+	Name    string
+	Load    int           // requests running and waiting there, own ones since the report included
+	Slots   int           // requests it runs at once
+	First   time.Duration // smoothed time to its first token when not queueing
+	Hold    time.Duration // smoothed time a request holds a slot
+	Warm    bool          // it holds the request's prefix, as far as is known
+	Leaving bool
+	Out     bool
+	Tried   bool
+}
+
+// Request is what a decision needs of a request.
+type Request struct {
+	Affinity string        // key of the prompt's prefix; empty for none
+	Prefill  time.Duration // expected time to compute the prompt when it is not cached
+	Bound    time.Duration // latest first token; 0 for none
+	Queue    float64       // requests that may wait at a replica, as a share of its slots
+}
+
+// Rejected names a replica that was not chosen, and why.
+type Rejected struct {
+	Name   string `json:"name"`
+	Reason Reason `json:"reason"`
+}
+
+// Choice is the outcome of a decision. Name is empty when there is none; then
+// Wait says when a slot is expected to be free.
+type Choice struct {
+	Name     string        `json:"name"`
+	Expect   time.Duration `json:"expect_ns"` // expected time to the first token
+	Wait     time.Duration `json:"wait_ns"`
+	Rejected []Rejected    `json:"rejected,omitempty"`
+}
+
+const (
+	defaultHold  = 500 * time.Millisecond // until a replica's own is known
+	affinityBias = 0.15                   // share of prefill that the first in rank is favoured by while nobody is known to be warm
+)
+
+// Decide returns the replica with the least expected time to the first token.
+// With explain it also says why each other was rejected.
+func Decide(req Request, replicas []Replica, explain bool) Choice {
+	d := decision{
+		req:     req,
+		best:    -1,
+		explain: explain,
+	}
+	d.rank(replicas)
+	d.learn(replicas)
+	for i := range replicas {
+		d.consider(i, &replicas[i])
+	}
+	if d.best < 0 {
+		d.choice.Wait = d.soonest
+		return d.choice
+	}
+	d.choice.Name = replicas[d.best].Name
+	d.choice.Expect = d.expect
+	d.explainSlower(replicas)
+	return d.choice
+}
+
+type decision struct {
+	req     Request
+	ranked  int           // index of the replica that affinity prefers, -1 for none
+	first   time.Duration // mean time to the first token
+	hold    time.Duration // mean time a request holds a slot
+	best    int
+	cost    time.Duration // expected time, with the bias of affinity
+	expect  time.Duration
+	soonest time.Duration // soonest expected answer among the rejected
+	explain bool
+	choice  Choice
+}
+
+// rank finds the usable replica with the highest weight for the prefix.
+func (d *decision) rank(replicas []Replica) {
+	d.ranked = -1
+	if d.req.Affinity == "" {
+		return
+	}
+	var top uint64
+	for i := range replicas {
+		r := &replicas[i]
+		if r.Leaving || r.Out {
+			continue
+		}
+		if s := rendezvous.Score(d.req.Affinity, r.Name); d.ranked < 0 || s > top {
+			d.ranked = i
+			top = s
+		}
+	}
+}
+
+// learn finds the means that stand for what is not known of a replica, so that
+// a new one looks neither fast nor slow.
+func (d *decision) learn(replicas []Replica) {
+	d.first = mean(replicas, func(r *Replica) time.Duration { return r.First })
+	d.hold = cmp.Or(mean(replicas, func(r *Replica) time.Duration { return r.Hold }), defaultHold)
+}
+
+func mean(replicas []Replica, of func(r *Replica) time.Duration) time.Duration {
+	var sum time.Duration
+	n := 0
+	for i := range replicas {
+		if v := of(&replicas[i]); v > 0 {
+			sum += v
+			n++
+		}
+	}
+	return sum / time.Duration(max(n, 1))
+}
+
+func (d *decision) consider(i int, r *Replica) {
+	if reason := unusable(r); reason != "" {
+		d.reject(r, reason)
+		return
+	}
+	queueing := Queueing(r, cmp.Or(r.Hold, d.hold))
+	expect := queueing + cmp.Or(r.First, d.first) + d.prefill(r)
+	if r.Load >= Limit(r.Slots, d.req.Queue) {
+		d.rejectFor(r, Full, queueing)
+		return
+	}
+	if d.req.Bound > 0 && expect > d.req.Bound {
+		d.rejectFor(r, Late, expect-d.req.Bound)
+		return
+	}
+	cost := expect
+	if i == d.ranked {
+		cost -= time.Duration(affinityBias * float64(d.req.Prefill))
+	}
+	if d.best < 0 || cost < d.cost {
+		d.best = i
+		d.cost = cost
+		d.expect = expect
+	}
+}
+
+func unusable(r *Replica) Reason {
+	switch {
+	case r.Leaving:
+		return Leaving
+	case r.Tried:
+		return Tried
+	case r.Out:
+		return Out
+	}
+	return ""
+}
+
+func (d *decision) reject(r *Replica, reason Reason) {
+	if d.explain {
+		d.choice.Rejected = append(d.choice.Rejected, Rejected{
+			Name:   r.Name,
+			Reason: reason,
+		})
+	}
+}
+
+func (d *decision) rejectFor(r *Replica, reason Reason, wait time.Duration) {
+	if d.soonest == 0 || wait < d.soonest {
+		d.soonest = wait
+	}
+	d.reject(r, reason)
+}
+
+func (d *decision) explainSlower(replicas []Replica) {
+	if !d.explain {
+		return
+	}
+	named := make(map[string]bool, len(replicas))
+	for _, r := range d.choice.Rejected {
+		named[r.Name] = true
+	}
+	for i := range replicas {
+		if i != d.best && !named[replicas[i].Name] {
+			d.reject(&replicas[i], Slower)
+		}
+	}
+}
+
+// Limit returns how many requests a replica with slots is given at most.
+func Limit(slots int, queue float64) int {
+	return slots + int(queue*float64(slots))
+}
+
+// prefill returns the time that computing the prompt adds at r.
+func (d *decision) prefill(r *Replica) time.Duration {
+	if r.Warm {
+		return 0
+	}
+	return d.req.Prefill
+}
+
+// Queueing returns the expected wait for a slot at r, where a request holds one
+// for so long. Below its slots it still grows a little with load, for requests
+// share the replica's steps.
+func Queueing(r *Replica, hold time.Duration) time.Duration {
+	slots := max(r.Slots, 1)
+	if r.Load < slots {
+		share := float64(r.Load) / float64(slots)
+		return time.Duration(share * float64(hold) / float64(4*slots))
+	}
+	ahead := float64(r.Load-slots+1) / float64(slots)
+	return time.Duration(ahead * float64(hold))
+}
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,219 @@
+// Package upstream is the inventory of the replicas of one region: their load
+// with its age, what is in flight there, and who is leaving. It is pure: time
+// comes in as an argument.
+package upstream
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	failuresOut = 3               // failures in a row until a replica is out
+	outFor      = 5 * time.Second // how long it stays out before one more try
+	slowWeight  = 0.2             // weight of the newest observation of speed
+	minHold     = 500 * time.Millisecond
+	roundUp     = 0.5
+)
+
+// Replica is what is known of one upstream.
+type Replica struct {
+	Name     string
+	Service  string
+	URL      string
+	Slots    int           // requests it runs at once; 0 when not known
+	Running  int           // as reported
+	Waiting  int           // as reported
+	Reported time.Duration // our clock at the report; 0 for never
+	Probed   time.Duration // our clock when a probe was last considered
+	Others   int           // requests of others there at the report
+	InFlight int           // own requests in flight
+	Leaving  bool
+	Failures int           // failures in a row
+	FailedAt time.Duration // our clock at the last failure
+	First    time.Duration // smoothed time to its first byte; 0 when not known
+	Hold     time.Duration // smoothed time of a whole request; 0 when not known
+	Domain   string        // failure domain it stands in
+
+	gen  int  // tells processes apart that had the same name
+	gone bool // the list no longer names it
+}
+
+// Load returns the requests believed to be there at now: the box's own, and
+// those of others, which are believed to end with the time that requests take.
+// Without that, a replica that was full when it last told would stay so for a
+// box that therefore sends it nothing more.
+func (r *Replica) Load(now time.Duration) int {
+	halves := float64(now-r.Reported) / float64(max(r.Hold, minHold))
+	return r.InFlight + int(float64(r.Others)*math.Exp2(-halves)+roundUp)
+}
+
+// Out says whether the replica gets no work at now for its failures.
+func (r *Replica) Out(now time.Duration) bool {
+	return r.Failures >= failuresOut && now-r.FailedAt < outFor
+}
+
+// Inventory holds the replicas of one region. It belongs to one actor.
+type Inventory struct {
+	replicas map[string]*Replica
+	gens     int
+}
+
+// NewInventory returns an empty inventory.
+func NewInventory() *Inventory {
+	return &Inventory{
+		replicas: make(map[string]*Replica),
+	}
+}
+
+// List takes the platform's list of one failure domain in. A replica that is
+// gone from it and has nothing in flight is forgotten. A leaving one comes back only as a new
+// process: under another URL, or after it was gone from the list.
+func (v *Inventory) List(domain string, entries []wire.UpstreamEntry) {
+	named := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		named[e.Name] = true
+		v.take(domain, e)
+	}
+	for name, r := range v.replicas {
+		if named[name] || r.Domain != domain {
+			continue
+		}
+		r.Leaving = true
+		r.gone = true
+		if r.InFlight == 0 {
+			delete(v.replicas, name)
+		}
+	}
+}
+
+func (v *Inventory) take(domain string, e wire.UpstreamEntry) {
+	r, ok := v.replicas[e.Name]
+	if !ok || r.gone || r.URL != e.URL {
+		v.gens++
+		r = &Replica{
+			Name: e.Name,
+			URL:  e.URL,
+			gen:  v.gens,
+		}
+		v.replicas[e.Name] = r
+	}
+	r.Service = e.Service
+	r.Domain = domain
+	if e.Slots > 0 {
+		r.Slots = e.Slots
+	}
+	if e.State == wire.ServingStateLeaving {
+		r.Leaving = true
+	}
+}
+
+// Report takes a replica's own word of its load in at now.
+func (v *Inventory) Report(name string, load wire.Load, now time.Duration) {
+	r, ok := v.replicas[name]
+	if !ok {
+		return
+	}
+	r.Running = load.Running
+	r.Waiting = load.Waiting
+	r.Reported = now
+	r.Others = max(load.Running+load.Waiting-r.InFlight, 0)
+	if load.Slots > 0 {
+		r.Slots = load.Slots
+	}
+	if load.Leaving {
+		r.Leaving = true
+	}
+}
+
+// Leave marks a replica as leaving, from whatever source. It returns true when
+// that is news.
+func (v *Inventory) Leave(name string) bool {
+	r, ok := v.replicas[name]
+	if !ok || r.Leaving {
+		return false
+	}
+	r.Leaving = true
+	return true
+}
+
+// Begin counts a request into a replica and returns what End needs to count it
+// out of that very process.
+func (v *Inventory) Begin(name string) (gen int) {
+	r, ok := v.replicas[name]
+	if !ok {
+		return 0
+	}
+	r.InFlight++
+	return r.gen
+}
+
+// Ended is what became of a request.
+type Ended struct {
+	Failed bool
+	First  time.Duration // time to the first byte; 0 for none
+	Hold   time.Duration // the whole time
+}
+
+// End counts a request out of the replica that it was begun on.
+func (v *Inventory) End(name string, gen int, e Ended, now time.Duration) {
+	r, ok := v.replicas[name]
+	if !ok || r.gen != gen {
+		return
+	}
+	r.InFlight--
+	if e.Failed {
+		r.Failures++
+		r.FailedAt = now
+		return
+	}
+	r.Failures = 0
+	if e.First > 0 {
+		r.First = smooth(r.First, e.First)
+		r.Hold = smooth(r.Hold, e.Hold)
+	}
+}
+
+func smooth(old, now time.Duration) time.Duration {
+	if old == 0 {
+		return now
+	}
+	return old + time.Duration(slowWeight*float64(now-old))
+}
+
+// Get returns a replica, nil when there is none of that name.
+func (v *Inventory) Get(name string) *Replica { return v.replicas[name] }
+
+// Of returns the replicas of a service, by name. They belong to the inventory.
+func (v *Inventory) Of(service string) []*Replica {
+	var out []*Replica
+	for _, name := range slices.Sorted(maps.Keys(v.replicas)) {
+		if r := v.replicas[name]; r.Service == service {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Names returns the names of the replicas for which keep holds, in order.
+func (v *Inventory) Names(keep func(r *Replica) bool) []string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(v.replicas)) {
+		if keep(v.replicas[name]) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Fail counts a failed probe against a replica.
+func (v *Inventory) Fail(name string, now time.Duration) {
+	if r, ok := v.replicas[name]; ok {
+		r.Failures++
+		r.FailedAt = now
+	}
+}
