--- a/admission/admission.go
+++ b/admission/admission.go
@@ -20,10 +20,12 @@
 	NoCapacity   Code = "no_capacity"   // no slot is free
 	ShareReached Code = "share_reached" // the organisation holds its share while others wait
 	Reserved     Code = "reserved"      // what is left is kept for other priorities
+	NotInvited   Code = "not_invited"   // what is left is kept for the region's own callers
 )
 
 const (
 	contended  = 0.7                    // share of capacity in use from which shares of organisations bind
+	invited    = 0.8                    // share of slots in use up to which other regions' requests are taken
 	minRetry   = 100 * time.Millisecond // shortest time a refused caller is told to stay away
 	maxRetry   = 5 * time.Second
 	retryShare = 0.1 // retries as a share of first tries
@@ -32,9 +34,11 @@
 
 // Capacity is what a box believes of the replicas of a service.
 type Capacity struct {
-	Limit int // requests that all replicas together are given
-	Used  int // requests there now, as believed
-	Boxes int // serving boxes that share them, this one included
+	Limit   int  // requests that all replicas together are given
+	Slots   int  // requests they run at once
+	Used    int  // requests there now, as believed
+	Boxes   int  // serving boxes that share them, this one included
+	Foreign bool // the request comes from another region
 }
 
 // Limiter counts the requests of one service on one box. It belongs to one
@@ -61,6 +65,9 @@
 	if c.Used >= c.Limit {
 		return NoCapacity
 	}
+	if c.Foreign && float64(c.Used) >= invited*float64(c.Slots) {
+		return NotInvited
+	}
 	if c.Used+1 > c.Limit-l.keptFromOthers(org.Priority, priorities, c.Limit, boxes) {
 		return Reserved
 	}
--- a/box/box.go
+++ b/box/box.go
@@ -18,6 +18,7 @@
 
 	"github.com/havenrudder/havenrudder/bundle"
 	"github.com/havenrudder/havenrudder/common/cell"
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/gateway"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/platform"
@@ -39,7 +40,7 @@
 	listeners [3]net.Listener
 
 	system   *cell.System
-	fleet    *cell.Cell[fleetState]
+	fleet    *cell.Cell[fleet.Fleet]
 	bundles  *cell.Cell[bundleState]
 	tickets  *cell.Cell[ticketState]
 	policy   atomic.Pointer[bundle.Policy] // in force, nil until the box serves
@@ -49,6 +50,8 @@
 	upstream *http.Client
 	metrics  *metrics
 	watch    *watches
+	seq      atomic.Int64             // of heartbeats
+	domains  atomic.Pointer[[]string] // failure domains that the bundle names
 	tasks    sync.WaitGroup
 	ready    chan struct{} // closed when the box serves
 	once     sync.Once
@@ -180,7 +183,7 @@
 	broken := func(reason any) { cancel(errors.Newf("broken invariant: %v", reason)) }
 	b.metrics = newMetrics()
 	b.system = cell.NewSystem(actorLogger(b.log), broken)
-	b.fleet = cell.New(ctx, b.system, "fleet", newFleetState(b.settings))
+	b.fleet = cell.New(ctx, b.system, "fleet", fleet.New(b.settings.Box, b.addrs.Callers, b.settings.Region, b.settings.FailureDomain))
 	b.bundles = cell.New(ctx, b.system, "bundles", newBundleState(keys))
 	b.tickets = cell.New(ctx, b.system, "tickets", newTicketState(b.settings, b.inc))
 	b.peers = peer.NewPool(ctx, b.dial, b.metrics.countControl)
@@ -233,9 +236,12 @@
 		Policy:       b.policy.Load,
 		Leaving:      b.leaving.Load,
 		Place:        b.place,
+		Start:        b.start,
 		Finish:       b.finish,
 		WhichBox:     b.whichBox,
 		Away:         b.away,
+		RegionLoad:   b.regionLoad,
+		LearnLoad:    b.learnLoad,
 		Owner:        b.ownerBox,
 		IssueTicket:  b.issueTicket,
 		ClaimTicket:  b.claimTicket,
--- a/box/bundles.go
+++ b/box/bundles.go
@@ -88,16 +88,14 @@
 	})
 }
 
-// nameDomains tells the fleet's actor which failure domains the bundle names.
+// nameDomains notes which failure domains the bundle names; their lists are
+// watched.
 func (b *Box) nameDomains(regions []wire.Region) {
-	b.fleet.Post(func(s *fleetState) {
-		s.domains = make(map[string]bool)
-		for _, r := range regions {
-			for _, d := range r.FailureDomains {
-				s.domains[d] = true
-			}
-		}
-	})
+	var domains []string
+	for _, r := range regions {
+		domains = append(domains, r.FailureDomains...)
+	}
+	b.domains.Store(&domains)
 }
 
 // publish lets requests see the policy, once the box knows that no higher
--- a/box/dump.go
+++ b/box/dump.go
@@ -5,31 +5,28 @@
 	"net/http"
 	"time"
 
-	"github.com/havenrudder/havenrudder/membership"
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/upstream"
 )
 
 // Dump is the state of a box, for operators. It holds no secrets and no text of
 // callers.
 type Dump struct {
-	Box      string              `json:"box"`
-	Region   string              `json:"region"`
-	Domain   string              `json:"failure_domain"`
-	Inc      int                 `json:"incarnation"`
-	UptimeS  float64             `json:"uptime_s"`
-	State    string              `json:"state"`
-	Bundle   BundleDump          `json:"bundle"`
-	Platform PlatformDump        `json:"platform"`
-	Lists    []ListDump          `json:"lists"`
-	Peers    []PeerDump          `json:"peers"`
-	Replicas []ReplicaDump       `json:"upstreams"`
-	Services map[string]InFlight `json:"services"`
-	Tickets  TicketDump          `json:"tickets"`
+	Box      string         `json:"box"`
+	Region   string         `json:"region"`
+	Domain   string         `json:"failure_domain"`
+	Inc      int            `json:"incarnation"`
+	UptimeS  float64        `json:"uptime_s"`
+	State    string         `json:"state"`
+	Bundle   BundleDump     `json:"bundle"`
+	Platform PlatformDump   `json:"platform"`
+	Lists    []ListDump     `json:"lists"`
+	Peers    []PeerDump     `json:"peers"`
+	Replicas []ReplicaDump  `json:"upstreams"`
+	Services map[string]int `json:"services"`
+	Tickets  TicketDump     `json:"tickets"`
 }
 
-// InFlight is how many requests of a service are in flight from this box.
-type InFlight int
-
 // BundleDump is what a box knows of bundles.
 type BundleDump struct {
 	Version int     `json:"version"`
@@ -74,7 +71,8 @@
 	InFlight int     `json:"in_flight"`
 	Leaving  bool    `json:"leaving"`
 	Out      bool    `json:"out"`
-	FirstMs  float64 `json:"first_ms"`
+	Slow     float64 `json:"slow"`
+	HoldMs   float64 `json:"hold_ms"`
 	AgeS     float64 `json:"age_s"` // -1 when it never told its load
 }
 
@@ -105,10 +103,9 @@
 			Blind:   b.watch.blind(),
 			Watches: b.watch.names(),
 		},
-		Services: make(map[string]InFlight),
 	}
 	_ = b.bundles.Do(func(s *bundleState) { d.Bundle = s.dump(b.now()) })
-	_ = b.fleet.Do(func(s *fleetState) { s.dump(&d, b.now()) })
+	_ = b.fleet.Do(func(f *fleet.Fleet) { d.addFleet(f, b.now()) })
 	_ = b.tickets.Do(func(s *ticketState) {
 		_, bytes := s.owner.Len()
 		d.Tickets = TicketDump{
@@ -142,35 +139,29 @@
 	}
 }
 
-func (s *fleetState) dump(d *Dump, now time.Duration) {
-	for domain, l := range s.lists {
+func (d *Dump) addFleet(f *fleet.Fleet, now time.Duration) {
+	for _, l := range f.Lists() {
 		d.Lists = append(d.Lists, ListDump{
-			Domain: domain,
-			Index:  l.index,
-			AgeS:   (now - l.taken).Seconds(),
+			Domain: l.Domain,
+			Index:  l.Index,
+			AgeS:   (now - l.Taken).Seconds(),
 		})
 	}
-	for _, m := range s.table.Members() {
-		d.Peers = append(d.Peers, s.dumpPeer(m, now))
-	}
-	for _, name := range s.inventory.Names(func(*upstream.Replica) bool { return true }) {
-		d.Replicas = append(d.Replicas, dumpReplica(s.inventory.Get(name), now))
-	}
-	for service, l := range s.limiters {
-		d.Services[service] = InFlight(l.InFlight())
+	for _, m := range f.Table().Members() {
+		d.Peers = append(d.Peers, PeerDump{
+			Name:    m.Name,
+			State:   string(m.State),
+			Alive:   f.Table().Alive(m.Name, now),
+			Listed:  m.Listed,
+			Inc:     m.Inc,
+			Version: m.Version,
+			AgeS:    (now - m.Heard).Seconds(),
+		})
 	}
-}
-
-func (s *fleetState) dumpPeer(m membership.Member, now time.Duration) PeerDump {
-	return PeerDump{
-		Name:    m.Name,
-		State:   string(m.State),
-		Alive:   s.table.Alive(m.Name, now),
-		Listed:  m.Listed,
-		Inc:     m.Inc,
-		Version: m.Version,
-		AgeS:    (now - m.Heard).Seconds(),
+	for _, name := range f.Inventory().Names(func(*upstream.Replica) bool { return true }) {
+		d.Replicas = append(d.Replicas, dumpReplica(f.Inventory().Get(name), now))
 	}
+	d.Services = f.InFlight()
 }
 
 func dumpReplica(r *upstream.Replica, now time.Duration) ReplicaDump {
@@ -187,7 +178,8 @@
 		InFlight: r.InFlight,
 		Leaving:  r.Leaving,
 		Out:      r.Out(now),
-		FirstMs:  float64(r.First.Microseconds()) / 1000,
+		Slow:     r.Slow(now),
+		HoldMs:   float64(r.Hold.Microseconds()) / 1000,
 		AgeS:     age,
 	}
 }
--- a/box/peers.go
+++ b/box/peers.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/havenrudder/havenrudder/common/rendezvous"
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/upstream"
 	"github.com/havenrudder/havenrudder/wire"
@@ -67,14 +67,14 @@
 // hear takes a heartbeat in. A box that has a higher version is asked for it.
 func (b *Box) hear(ctx context.Context, h wire.Heartbeat) {
 	addr := ""
-	_ = b.fleet.Do(func(s *fleetState) {
-		if !s.table.Hear(h, b.now()) {
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
+		if !f.Table().Hear(h, b.now()) {
 			return
 		}
 		for _, name := range h.Leaving {
-			s.inventory.Leave(name)
+			f.Inventory().Leave(name)
 		}
-		if m, ok := s.table.Get(h.Box); ok {
+		if m, ok := f.Table().Get(h.Box); ok {
 			addr = m.Peers
 		}
 	})
@@ -91,7 +91,7 @@
 
 func (b *Box) takeFleet(u wire.FleetUpdate) bool {
 	taken := false
-	_ = b.fleet.Do(func(s *fleetState) { taken = s.takeList(u.Index, u.Fleet, b.now()) })
+	_ = b.fleet.Do(func(f *fleet.Fleet) { taken = f.TakeList(u.Index, u.Fleet, b.now()) })
 	return taken
 }
 
@@ -103,9 +103,9 @@
 	for ctx.Err() == nil {
 		var interval time.Duration
 		paused := false
-		_ = b.fleet.Do(func(s *fleetState) {
-			paused = s.table.Tick(b.now())
-			interval = s.table.Interval()
+		_ = b.fleet.Do(func(f *fleet.Fleet) {
+			paused = f.Table().Tick(b.now())
+			interval = f.Table().Interval()
 		})
 		if paused {
 			b.log.Warn("this box was paused")
@@ -140,8 +140,8 @@
 
 func (b *Box) startPeers() []string {
 	out := slices.Clone(b.settings.Seeds)
-	_ = b.fleet.Do(func(s *fleetState) {
-		for _, m := range s.table.Members() {
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
+		for _, m := range f.Table().Members() {
 			out = append(out, m.Peers)
 		}
 	})
@@ -178,17 +178,18 @@
 	case b.policy.Load() == nil:
 		h.State = string(wire.ServingStateStarting)
 	}
-	_ = b.fleet.Do(func(s *fleetState) {
-		s.seq++
-		h.Seq = s.seq
-		if s.seq%addressEvery == 1 {
-			h.Callers = b.addrs.Callers
-			h.Peers = b.addrs.Peers
-		}
-		h.Load = s.load()
-		h.Leaving = s.inventory.Names(func(r *upstream.Replica) bool { return r.Leaving && r.Domain == s.domain })
+	h.Seq = int(b.seq.Add(1))
+	if h.Seq%addressEvery == 1 {
+		h.Callers = b.addrs.Callers
+		h.Peers = b.addrs.Peers
+	}
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
+		h.Load = round(f.Summarize(b.now()).Load)
+		h.Leaving = f.Inventory().Names(func(r *upstream.Replica) bool {
+			return r.Leaving && r.Domain == b.settings.FailureDomain
+		})
 		h.Leaving = h.Leaving[:min(len(h.Leaving), maxLeaving)]
-		for _, m := range s.table.Members() {
+		for _, m := range f.Table().Members() {
 			if m.Peers != "" {
 				to = append(to, m.Peers)
 			}
@@ -197,62 +198,23 @@
 	return h, to
 }
 
-// load returns the requests of this box in flight over the slots it knows of,
-// to two digits.
-func (s *fleetState) load() float64 {
-	inFlight := 0
-	slots := 0
-	for _, name := range s.inventory.Names(func(*upstream.Replica) bool { return true }) {
-		r := s.inventory.Get(name)
-		inFlight += r.InFlight
-		slots += r.Slots
-	}
-	if slots == 0 {
-		return 0
-	}
-	return math.Round(loadDigits*float64(inFlight)/float64(slots)) / loadDigits
-}
+// round returns a load to two digits.
+func round(load float64) float64 { return math.Round(loadDigits*load) / loadDigits }
 
-// exchange compares versions with one box of another failure domain, so that a
-// domain which can't read the platform still hears of new bundles. One box of a
-// domain does so at a time.
+// exchange compares versions and loads with one box of another failure domain,
+// so that a domain which can't read the platform still hears of new bundles, and
+// regions know of each other's room. One box of a domain does so at a time.
 func (b *Box) exchange(ctx context.Context) {
 	addr := ""
-	_ = b.fleet.Do(func(s *fleetState) {
-		if !slices.Contains(s.readers("exchange", b.settings.Box, 1, b.now()), b.settings.Box) {
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
+		if !f.Reads("exchange", 1, b.now()) {
 			return
 		}
-		others := s.otherPeers()
-		if len(others) > 0 {
-			addr = others[s.seq%len(others)]
+		if others := f.OtherPeers(); len(others) > 0 {
+			addr = others[int(b.seq.Load())%len(others)]
 		}
 	})
 	if addr != "" {
 		b.tasks.Go(func() { b.askFloor(ctx, addr) })
 	}
 }
-
-// otherPeers returns the listed boxes of other failure domains.
-func (s *fleetState) otherPeers() []string {
-	var out []string
-	for domain, l := range s.lists {
-		if domain == s.domain {
-			continue
-		}
-		for _, e := range l.fleet.Boxes {
-			out = append(out, e.Peers)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// readers returns the n boxes of the failure domain that read key for the
-// others, among those alive that can read at all.
-func (s *fleetState) readers(key, self string, n int, now time.Duration) []string {
-	names := s.table.Names(func(name string) bool {
-		m, _ := s.table.Get(name)
-		return s.table.Alive(name, now) && !m.Blind
-	})
-	return rendezvous.Top(key, append(names, self), n)
-}
--- a/box/route.go
+++ b/box/route.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 	"net/http"
-	"slices"
-	"strconv"
 	"time"
 
-	"github.com/havenrudder/havenrudder/gateway"
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/upstream"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
 const (
-	awayBoxes     = 2                // boxes of one other region that are tried
 	probeEvery    = time.Second      // how often the box looks whom to probe
 	silentFor     = 10 * time.Second // a replica that told nothing for so long is probed
 	probeTimeout  = time.Second
@@ -22,10 +19,10 @@
 	probeOverhead = 180  // bytes of request and answer headers, measured on the stand-in
 )
 
-func (b *Box) place(req gateway.PlaceRequest) (p gateway.Placement, refused *gateway.Refused) {
-	err := b.fleet.Do(func(s *fleetState) { p, refused = s.place(req, b.now()) })
+func (b *Box) place(req fleet.Request) (p fleet.Placement, refused *fleet.Refused) {
+	err := b.fleet.Do(func(f *fleet.Fleet) { p, refused = f.Place(req, b.now()) })
 	if err != nil {
-		return gateway.Placement{}, &gateway.Refused{
+		return fleet.Placement{}, &fleet.Refused{
 			Code: "leaving",
 			Wait: time.Second,
 		}
@@ -33,46 +30,50 @@
 	return p, refused
 }
 
-func (b *Box) finish(p gateway.Placement, f gateway.Finish) {
-	b.fleet.Post(func(s *fleetState) { s.end(p, f, b.now()) })
-	if f.Load != nil {
-		b.learnFromUpstream(f.Load.Version)
+func (b *Box) start(p fleet.Placement, first time.Duration) {
+	b.fleet.Post(func(f *fleet.Fleet) { f.Start(p, first, b.now()) })
+}
+
+func (b *Box) finish(p fleet.Placement, e fleet.Finish) {
+	b.fleet.Post(func(f *fleet.Fleet) { f.End(p, e, b.now()) })
+	if e.Load != nil {
+		b.learnFromUpstream(e.Load.Version)
 	}
 }
 
-func (b *Box) whichBox(org wire.Organisation, _ wire.Service, prefix string) (out []string) {
-	_ = b.fleet.Do(func(s *fleetState) {
-		key := org.Name + "/" + prefix
-		if prefix == "" {
-			s.turn++
-			key += strconv.Itoa(s.turn)
-		}
-		out = s.namedBoxes(b.settings.Box, b.addrs.Callers, key, b.leaving.Load(), b.now())
-	})
+func (b *Box) whichBox(org wire.Organisation, service wire.Service, prefix string) (out []string) {
+	if prefix != "" {
+		prefix = org.Name + "/" + prefix
+	}
+	_ = b.fleet.Do(func(f *fleet.Fleet) { out = f.Name(service.Name, prefix, b.leaving.Load(), b.now()) })
 	return out
 }
 
-// away returns boxes of other regions that data of org may enter, the nearest
-// allowed region of the organisation's own list first.
-func (b *Box) away(org wire.Organisation, service wire.Service, homeOnly bool) (out []gateway.Box) {
+func (b *Box) away(org wire.Organisation, service wire.Service, homeOnly bool) (out []fleet.Box) {
 	policy := b.policy.Load()
 	if policy == nil {
 		return nil
 	}
-	_ = b.fleet.Do(func(s *fleetState) {
-		for _, region := range org.Regions {
-			if region == b.settings.Region || !policy.Allowed(org, service, region, homeOnly) {
-				continue
-			}
-			boxes := s.regionBoxes(region, org.Name)
-			out = append(out, boxes[:min(awayBoxes, len(boxes))]...)
-		}
-	})
+	_ = b.fleet.Do(func(f *fleet.Fleet) { out = f.Away(policy, org, service, homeOnly, b.now()) })
 	return out
 }
 
-func (b *Box) ownerBox(name string) (box gateway.Box, ok bool) {
-	_ = b.fleet.Do(func(s *fleetState) { box, ok = s.find(name) })
+func (b *Box) regionLoad() (load float64) {
+	_ = b.fleet.Do(func(f *fleet.Fleet) { load = f.Summarize(b.now()).Load })
+	return load
+}
+
+func (b *Box) learnLoad(region string, load float64) {
+	b.fleet.Post(func(f *fleet.Fleet) {
+		f.TakeSummary(region, fleet.Summary{
+			Load: load,
+			At:   b.now(),
+		})
+	})
+}
+
+func (b *Box) ownerBox(name string) (box fleet.Box, ok bool) {
+	_ = b.fleet.Do(func(f *fleet.Fleet) { box, ok = f.Find(name) })
 	return box, ok
 }
 
@@ -98,15 +99,15 @@
 // silent returns the replicas this box has to probe: its own share of those
 // that are silent, by rendezvous among the boxes alive.
 func (b *Box) silent() (out []probeTarget) {
-	_ = b.fleet.Do(func(s *fleetState) {
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
 		now := b.now()
-		names := s.inventory.Names(func(r *upstream.Replica) bool {
-			return r.Domain == s.domain && !r.Leaving && now-max(r.Reported, r.Probed) > silentFor
+		names := f.Inventory().Names(func(r *upstream.Replica) bool {
+			return r.Domain == b.settings.FailureDomain && !r.Leaving && now-max(r.Reported, r.Probed) > silentFor
 		})
 		for _, name := range names {
-			r := s.inventory.Get(name)
+			r := f.Inventory().Get(name)
 			r.Probed = now
-			if slices.Contains(s.readers(name, b.settings.Box, 1, now), b.settings.Box) {
+			if f.Reads(name, 1, now) {
 				out = append(out, probeTarget{
 					name: name,
 					url:  r.URL,
@@ -122,12 +123,12 @@
 	defer cancel()
 	load, size, err := fetchLoad(ctx, b.upstream, t.url)
 	b.metrics.countControl(probeKind, size+probeOverhead)
-	_ = b.fleet.Do(func(s *fleetState) {
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
 		if err != nil {
-			s.inventory.Fail(t.name, b.now())
+			f.Inventory().Fail(t.name, b.now())
 			return
 		}
-		s.inventory.Report(t.name, load, b.now())
+		f.Inventory().Report(t.name, load, b.now())
 	})
 	if err == nil {
 		b.learnFromUpstream(load.Version)
--- a/box/tickets.go
+++ b/box/tickets.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/common/rendezvous"
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/gateway"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/ticket"
@@ -36,13 +37,12 @@
 // witnessFor chooses the box that witnesses a ticket: one of this failure domain
 // that serves, spread by key.
 func (b *Box) witnessFor(key string) (w ticket.Witnessed) {
-	_ = b.fleet.Do(func(s *fleetState) {
-		now := b.now()
-		names := s.table.Names(func(name string) bool { return s.table.Serving(name, now) })
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
+		names := f.Serving(b.now())
 		if len(names) == 0 {
 			return
 		}
-		m, _ := s.table.Get(rendezvous.Top(key, names, 1)[0])
+		m, _ := f.Table().Get(rendezvous.Top(key, names, 1)[0])
 		w = ticket.Witnessed{
 			Name:  m.Name,
 			Inc:   m.Inc,
@@ -124,8 +124,8 @@
 }
 
 func (b *Box) peerAddr(name string) (addr string) {
-	_ = b.fleet.Do(func(s *fleetState) {
-		if m, ok := s.table.Get(name); ok {
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
+		if m, ok := f.Table().Get(name); ok {
 			addr = m.Peers
 		}
 	})
--- a/box/watches.go
+++ b/box/watches.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/platform"
 	"github.com/havenrudder/havenrudder/wire"
@@ -71,10 +72,9 @@
 // wanted returns the keys this box should watch.
 func (w *watches) wanted() (out []string) {
 	b := w.box
-	_ = b.fleet.Do(func(s *fleetState) {
-		n := b.settings.Platform.Watchers
-		for _, key := range s.keys() {
-			if slices.Contains(s.readers(key, b.settings.Box, n, b.now()), b.settings.Box) {
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
+		for _, key := range w.keys() {
+			if f.Reads(key, b.settings.Platform.Watchers, b.now()) {
 				out = append(out, key)
 			}
 		}
@@ -84,10 +84,15 @@
 
 // keys returns the keys the failure domain reads: the head, its own list, and
 // the lists of the domains the bundle names.
-func (s *fleetState) keys() []string {
-	out := []string{platform.KeyHead, platform.KeyFleet + s.domain}
-	for _, domain := range slices.Sorted(maps.Keys(s.domains)) {
-		if domain != s.domain {
+func (w *watches) keys() []string {
+	own := w.box.settings.FailureDomain
+	out := []string{platform.KeyHead, platform.KeyFleet + own}
+	domains := w.box.domains.Load()
+	if domains == nil {
+		return out
+	}
+	for _, domain := range *domains {
+		if domain != own {
 			out = append(out, platform.KeyFleet+domain)
 		}
 	}
--- /dev/null
+++ b/fleet/place.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/havenrudder/havenrudder/admission"
+	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/routing"
+	"github.com/havenrudder/havenrudder/upstream"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// RetriesUsed is the code of a retry that the budget doesn't cover.
+const RetriesUsed = "retries"
+
+// Request asks for a replica.
+type Request struct {
+	Org     wire.Organisation
+	Service wire.Service
+	Policy  *bundle.Policy
+	Routing routing.Request
+	Tried   []string
+	Retry   bool // counts against the retry budget
+	Foreign bool // it came from another region
+	Explain bool
+}
+
+// Placement is a replica that a request was counted into.
+type Placement struct {
+	Upstream string
+	URL      string
+	Choice   routing.Choice
+
+	org      wire.Organisation
+	service  string
+	gen      int // tells apart processes of the same name
+	prefill  time.Duration
+	affinity string
+}
+
+// Refused says why there is no replica.
+type Refused struct {
+	Code   string
+	Wait   time.Duration // when a slot is expected to be free
+	Choice routing.Choice
+}
+
+// Finish is what became of a placement.
+type Finish struct {
+	Failed  bool
+	Started bool          // Start was called
+	Hold    time.Duration // the whole time
+	Load    *wire.Load    // the upstream's own word, nil for none
+}
+
+// Place admits a request and counts it into the replica that is chosen for it.
+func (f *Fleet) Place(req Request, now time.Duration) (Placement, *Refused) {
+	limiter := f.limiter(req.Service.Name)
+	if req.Retry && !limiter.Retry() {
+		return Placement{}, &Refused{
+			Code: RetriesUsed,
+		}
+	}
+	replicas := f.candidates(req, now)
+	choice := routing.Decide(req.Routing, replicas, req.Explain)
+	code := limiter.Admit(req.Org, req.Policy.Bundle().Priorities, f.capacity(req, replicas, now))
+	if code == admission.None && choice.Name == "" {
+		code = admission.NoCapacity
+	}
+	if code != admission.None {
+		return Placement{}, &Refused{
+			Code:   string(code),
+			Wait:   choice.Wait,
+			Choice: choice,
+		}
+	}
+	limiter.Begin(req.Org)
+	return f.begin(req, choice), nil
+}
+
+func (f *Fleet) begin(req Request, choice routing.Choice) Placement {
+	p := Placement{
+		Upstream: choice.Name,
+		URL:      f.inventory.Get(choice.Name).URL,
+		Choice:   choice,
+		org:      req.Org,
+		service:  req.Service.Name,
+		affinity: req.Routing.Affinity,
+	}
+	if !choice.Warm {
+		p.prefill = req.Routing.Prefill
+	}
+	p.gen = f.inventory.Begin(choice.Name, p.prefill)
+	f.remember(p.affinity, choice.Name)
+	return p
+}
+
+// remember notes that a replica computes a prefix.
+func (f *Fleet) remember(prefix, replica string) {
+	if prefix == "" {
+		return
+	}
+	old, _ := f.warm.Get(prefix)
+	list := make([]string, 1, warmReplicas)
+	list[0] = replica
+	for _, name := range old {
+		if name != replica && len(list) < warmReplicas {
+			list = append(list, name)
+		}
+	}
+	f.warm.Add(prefix, list)
+}
+
+func (f *Fleet) candidates(req Request, now time.Duration) []routing.Replica {
+	all := f.inventory.Of(req.Service.Name)
+	warm, _ := f.warm.Get(req.Routing.Affinity)
+	out := make([]routing.Replica, 0, len(all))
+	for _, r := range all {
+		out = append(out, routing.Replica{
+			Name:    r.Name,
+			Load:    r.Load(now),
+			Slots:   cmp.Or(r.Slots, req.Service.InFlight),
+			Pending: r.Pending(now),
+			Slow:    r.Slow(now),
+			Hold:    r.Hold,
+			Warm:    slices.Contains(warm, r.Name),
+			Leaving: r.Leaving,
+			Out:     r.Out(now),
+			Tried:   slices.Contains(req.Tried, r.Name),
+		})
+	}
+	return out
+}
+
+func (f *Fleet) capacity(req Request, replicas []routing.Replica, now time.Duration) admission.Capacity {
+	c := admission.Capacity{
+		Boxes:   f.boxes(now),
+		Foreign: req.Foreign,
+	}
+	for i := range replicas {
+		r := &replicas[i]
+		if r.Leaving || r.Out {
+			continue
+		}
+		c.Limit += routing.Limit(r.Slots, req.Routing.Queue)
+		c.Slots += r.Slots
+		c.Used += r.Load
+	}
+	return c
+}
+
+// Start takes in that the first byte or token of a placement came, so long after
+// it was sent.
+func (f *Fleet) Start(p Placement, first, now time.Duration) {
+	f.inventory.Start(p.Upstream, p.gen, upstream.Started{
+		Prefill:  p.prefill,
+		First:    first,
+		Expected: p.Choice.Usual,
+	}, now)
+}
+
+// End counts a placement out.
+func (f *Fleet) End(p Placement, e Finish, now time.Duration) {
+	f.limiter(p.service).End(p.org)
+	f.inventory.End(p.Upstream, p.gen, upstream.Ended{
+		Failed:  e.Failed,
+		Started: e.Started,
+		Prefill: p.prefill,
+		Hold:    e.Hold,
+	}, now)
+	if e.Load != nil {
+		f.inventory.Report(p.Upstream, *e.Load, now)
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -5,18 +5,20 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/admission"
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
 // serveAway sends a request that found no replica here to another region, when
 // its data may go there and it was not forwarded before; else it refuses.
-func (s *Server) serveAway(ctx context.Context, w http.ResponseWriter, q *query, refused *Refused) {
+func (s *Server) serveAway(ctx context.Context, w http.ResponseWriter, q *query, refused *fleet.Refused) {
 	if len(q.path) == 0 && refused.Code != codeRetries {
 		for _, box := range s.core.Away(q.org, q.service, q.homeOnly) {
 			if !q.policy.Allowed(q.org, q.service, box.Region, q.homeOnly) {
@@ -36,7 +38,7 @@
 
 // forward relays a request to another box and its answer back. An error means
 // that nothing was sent to the caller yet.
-func (s *Server) forward(ctx context.Context, w http.ResponseWriter, q *query, box Box) error {
+func (s *Server) forward(ctx context.Context, w http.ResponseWriter, q *query, box fleet.Box) error {
 	target := "http://" + box.Addr + q.target
 	if q.service.Kind == wire.ServiceKindPlain {
 		target = "http://" + box.Addr + "/s/" + q.service.Name + q.target
@@ -51,6 +53,7 @@
 		return errors.Wrap(err, "gateway: forward")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	s.learnLoad(box.Region, resp.Header.Get(HeaderRegionLoad))
 	if resp.Header.Get(HeaderRequest) != q.id && resp.StatusCode == http.StatusOK {
 		return errCrossed
 	}
@@ -131,3 +134,12 @@
 		}
 	}
 }
+
+// learnLoad takes in what another region says of its load with every answer, so
+// that no message of its own is needed for it.
+func (s *Server) learnLoad(region, value string) {
+	load, err := strconv.ParseFloat(value, 64)
+	if err == nil && region != s.region && load >= 0 {
+		s.core.LearnLoad(region, load)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,52 +7,17 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/havenrudder/havenrudder/bundle"
-	"github.com/havenrudder/havenrudder/routing"
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/ticket"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
-// Placement is a replica that a request was counted into.
-type Placement struct {
-	Upstream string
-	URL      string
-	Gen      int // tells apart processes of the same name
-	Choice   routing.Choice
-	Org      wire.Organisation
-	Service  string
-}
-
-// PlaceRequest asks for a replica.
-type PlaceRequest struct {
-	Org     wire.Organisation
-	Service wire.Service
-	Policy  *bundle.Policy
-	Routing routing.Request
-	Tried   []string
-	Retry   bool // counts against the retry budget
-	Explain bool
-}
-
-// Refused says why there is no replica.
-type Refused struct {
-	Code   string
-	Wait   time.Duration // when to come back
-	Choice routing.Choice
-}
-
-// Finish is what became of a placement.
-type Finish struct {
-	Failed bool
-	First  time.Duration // to the first byte or token; 0 for none
-	Hold   time.Duration // the whole time
-	Load   *wire.Load    // the upstream's own word, nil for none
-}
-
 // Claim is what the owner's side of a ticket says.
 type Claim struct {
 	Step   ticket.Step
@@ -68,13 +33,16 @@
 
 // Core is the box behind the front. Its fields are the seams between them.
 type Core struct {
-	Policy   func() *bundle.Policy // nil until the box serves
-	Leaving  func() bool
-	Place    func(PlaceRequest) (Placement, *Refused)
-	Finish   func(Placement, Finish)
-	WhichBox func(org wire.Organisation, service wire.Service, prefix string) []string
-	Away     func(org wire.Organisation, service wire.Service, homeOnly bool) []Box
-	Owner    func(name string) (Box, bool)
+	Policy     func() *bundle.Policy // nil until the box serves
+	Leaving    func() bool
+	Place      func(fleet.Request) (fleet.Placement, *fleet.Refused)
+	Start      func(p fleet.Placement, first time.Duration)
+	Finish     func(fleet.Placement, fleet.Finish)
+	WhichBox   func(org wire.Organisation, service wire.Service, prefix string) []string
+	Away       func(org wire.Organisation, service wire.Service, homeOnly bool) []fleet.Box
+	RegionLoad func() float64 // requests over slots in this region
+	LearnLoad  func(region string, load float64)
+	Owner      func(name string) (fleet.Box, bool)
 
 	IssueTicket  func(service, org string, life time.Duration) (wire.Ticket, bool)
 	ClaimTicket  func(ctx context.Context, t wire.Ticket, fingerprint uint64) Claim
@@ -84,13 +52,6 @@
 	Observe Observe
 }
 
-// Box is where another box answers callers.
-type Box struct {
-	Name   string
-	Region string
-	Addr   string
-}
-
 // Server is the front of one box.
 type Server struct {
 	name   string
@@ -157,6 +118,9 @@
 // ServeHTTP answers callers and other boxes.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderBox, s.name)
+	if r.Header.Get(HeaderPath) != "" {
+		w.Header().Set(HeaderRegionLoad, strconv.FormatFloat(s.core.RegionLoad(), 'f', 2, 64))
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/ticket"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -24,7 +25,7 @@
 // that. 200 means that it ran, with its answer; 410 that it did not and never
 // will, which a service may say only when it refuses the ticket from then on;
 // all else that the service can't tell.
-func (s *Server) lookUp(q *query, p Placement) (wire.Ran, ticket.Result) {
+func (s *Server) lookUp(q *query, p fleet.Placement) (wire.Ran, ticket.Result) {
 	if q.service.Lookup == "" {
 		return wire.RanUnknown, ticket.Result{}
 	}
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/ticket"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -108,7 +109,7 @@
 
 // runOnce sends the call to one replica. Only while the connection could not
 // even be made is another one tried.
-func (s *Server) runOnce(ctx context.Context, q *query) (wire.Ran, ticket.Result, Placement) {
+func (s *Server) runOnce(ctx context.Context, q *query) (wire.Ran, ticket.Result, fleet.Placement) {
 	var tried []string
 	for len(tried) < maxTries && ctx.Err() == nil {
 		p, refused := s.place(q, tried)
@@ -125,7 +126,7 @@
 		}
 		tried = append(tried, p.Upstream)
 	}
-	return wire.RanNotRun, ticket.Result{}, Placement{}
+	return wire.RanNotRun, ticket.Result{}, fleet.Placement{}
 }
 
 func resultOf(a answer) ticket.Result {
@@ -174,7 +175,7 @@
 		s.refuseUnknown(w, q)
 		return
 	}
-	s.core.Finish(p, Finish{})
+	s.core.Finish(p, fleet.Finish{})
 	switch ran, result := s.lookUp(q, p); ran {
 	case wire.RanRan:
 		s.answerHeld(w, q, result)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/routing"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -113,14 +114,15 @@
 	s.refuse(w, q, f)
 }
 
-func (s *Server) place(q *query, tried []string) (Placement, *Refused) {
-	return s.core.Place(PlaceRequest{
+func (s *Server) place(q *query, tried []string) (fleet.Placement, *fleet.Refused) {
+	return s.core.Place(fleet.Request{
 		Org:     q.org,
 		Service: q.service,
 		Policy:  q.policy,
 		Routing: q.routingRequest(),
 		Tried:   tried,
 		Retry:   len(tried) > 0,
+		Foreign: q.foreign(s.region),
 		Explain: q.explain,
 	})
 }
@@ -136,9 +138,9 @@
 var errCrossed = errors.New("gateway: answer to another request")
 
 // call sends q to a placement and returns its whole answer.
-func (s *Server) call(ctx context.Context, client *http.Client, q *query, p Placement, resume int) (answer, error) {
+func (s *Server) call(ctx context.Context, client *http.Client, q *query, p fleet.Placement, resume int) (answer, error) {
 	start := time.Now()
-	done := Finish{
+	done := fleet.Finish{
 		Failed: true,
 	}
 	defer func() {
@@ -151,7 +153,8 @@
 		return answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	done.First = time.Since(start)
+	s.core.Start(p, time.Since(start))
+	done.Started = true
 	done.Load = loadOf(resp.Header)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err == nil && len(body) > maxAnswer {
@@ -169,7 +172,7 @@
 }
 
 // send starts a call and checks that its answer belongs to it.
-func (s *Server) send(ctx context.Context, client *http.Client, q *query, p Placement, resume int) (*http.Response, error) {
+func (s *Server) send(ctx context.Context, client *http.Client, q *query, p fleet.Placement, resume int) (*http.Response, error) {
 	r, err := http.NewRequestWithContext(ctx, q.method, p.URL+q.target, bytes.NewReader(q.body))
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway")
@@ -224,7 +227,7 @@
 // returned are the headers of upstreams that callers get.
 var returned = []string{"Content-Type", "Content-Language", "Location", "ETag", "Cache-Control"}
 
-func (s *Server) answer(w http.ResponseWriter, q *query, p Placement, a answer) {
+func (s *Server) answer(w http.ResponseWriter, q *query, p fleet.Placement, a answer) {
 	h := w.Header()
 	for _, name := range returned {
 		if v := a.header.Get(name); v != "" {
@@ -241,7 +244,7 @@
 const codeOK = "ok"
 
 // describe says where a request went and, when asked, why.
-func (s *Server) describe(h http.Header, q *query, p Placement) {
+func (s *Server) describe(h http.Header, q *query, p fleet.Placement) {
 	h.Set(HeaderRequest, q.id)
 	h.Set(HeaderUpstream, p.Upstream)
 	h.Set(HeaderRan, string(wire.RanRan))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -19,19 +19,20 @@
 
 // Headers that callers send and get. docs/operate/callers.md explains each.
 const (
-	HeaderOrg       = "Havenrudder-Organisation"
-	HeaderService   = "Havenrudder-Service"
-	HeaderResidency = "Havenrudder-Residency"
-	HeaderDeadline  = "Havenrudder-Deadline-Ms"
-	HeaderTicket    = "Havenrudder-Ticket"
-	HeaderPrefix    = "Havenrudder-Prefix"
-	HeaderExplain   = "Havenrudder-Explain"
-	HeaderRequest   = "Havenrudder-Request"
-	HeaderBox       = "Havenrudder-Box"
-	HeaderUpstream  = "Havenrudder-Upstream"
-	HeaderRan       = "Havenrudder-Ran"
-	HeaderPath      = "Havenrudder-Path" // boxes a request came by; between boxes only
-	headerKey       = "Idempotency-Key"
+	HeaderOrg        = "Havenrudder-Organisation"
+	HeaderService    = "Havenrudder-Service"
+	HeaderResidency  = "Havenrudder-Residency"
+	HeaderDeadline   = "Havenrudder-Deadline-Ms"
+	HeaderTicket     = "Havenrudder-Ticket"
+	HeaderPrefix     = "Havenrudder-Prefix"
+	HeaderExplain    = "Havenrudder-Explain"
+	HeaderRequest    = "Havenrudder-Request"
+	HeaderBox        = "Havenrudder-Box"
+	HeaderUpstream   = "Havenrudder-Upstream"
+	HeaderRan        = "Havenrudder-Ran"
+	HeaderPath       = "Havenrudder-Path"        // boxes a request came by; between boxes only
+	HeaderRegionLoad = "Havenrudder-Region-Load" // between boxes only
+	headerKey        = "Idempotency-Key"
 )
 
 // Headers between boxes and upstreams.
@@ -248,3 +249,13 @@
 func (q *query) spread() float64 {
 	return float64(xxhash.Sum64String(q.id)>>11) / (1 << 53)
 }
+
+// foreign says whether the request came from another region.
+func (q *query) foreign(region string) bool {
+	for _, hop := range q.path {
+		if from, _, _ := strings.Cut(hop, "/"); from != region {
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -96,9 +97,9 @@
 
 // relay sends the request to p and its tokens to the caller; nil means that the
 // stream is whole.
-func (st *stream) relay(ctx context.Context, p Placement) error {
+func (st *stream) relay(ctx context.Context, p fleet.Placement) error {
 	start := time.Now()
-	done := Finish{
+	done := fleet.Finish{
 		Failed: true,
 	}
 	defer func() {
@@ -117,40 +118,35 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("gateway: upstream status %d", resp.StatusCode)
 	}
-	before := st.sent
-	first, err := st.copy(resp, p, start)
-	done.First = first
+	done.Started, err = st.copy(resp, p, start)
 	done.Failed = err != nil && ctx.Err() == nil
-	if before > 0 {
-		done.First = 0 // a resumed stream says nothing of a first token
-	}
 	return err
 }
 
-// copy sends events on until the end. It returns the time to the first token.
-func (st *stream) copy(resp *http.Response, p Placement, start time.Time) (time.Duration, error) {
-	var first time.Duration
+// copy sends events on until the end. It says whether any came.
+func (st *stream) copy(resp *http.Response, p fleet.Placement, start time.Time) (started bool, err error) {
 	in := bufio.NewReaderSize(resp.Body, lineBuffer)
 	for {
 		line, err := readLine(in)
 		if err != nil {
-			return first, err
+			return started, err
 		}
 		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
 			continue
 		}
-		if first == 0 {
-			first = time.Since(start)
+		if !started {
+			started = true
+			st.server.core.Start(p, time.Since(start))
 			st.begin(p)
 		}
 		if bytes.Equal(data, dataDone) {
-			return first, st.write(dataDone, true)
+			return started, st.write(dataDone, true)
 		}
 		st.observe()
 		st.sent++
 		if err := st.write(data, in.Buffered() == 0); err != nil {
-			return first, err
+			return started, err
 		}
 	}
 }
@@ -176,7 +172,7 @@
 	return bytes.TrimRight(long, "\r\n"), nil
 }
 
-func (st *stream) begin(p Placement) {
+func (st *stream) begin(p fleet.Placement) {
 	if st.sent > 0 {
 		return
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -26,10 +26,11 @@
 // Replica is one candidate, as believed now.
 type Replica struct {
 	Name    string
-	Load    int           // requests running and waiting there, own ones since the report included
+	Load    int           // requests running and waiting there
 	Slots   int           // requests it runs at once
-	First   time.Duration // smoothed time to its first token when not queueing
-	Hold    time.Duration // smoothed time a request holds a slot
+	Pending time.Duration // prompts to be computed there before a new one
+	Slow    float64       // how much longer than expected it takes; 1 for as expected
+	Hold    time.Duration // smoothed time a request holds a slot; 0 when not known
 	Warm    bool          // it holds the request's prefix, as far as is known
 	Leaving bool
 	Out     bool
@@ -54,18 +55,25 @@
 // Wait says when a slot is expected to be free.
 type Choice struct {
 	Name     string        `json:"name"`
+	Warm     bool          `json:"warm"`
 	Expect   time.Duration `json:"expect_ns"` // expected time to the first token
+	Usual    time.Duration `json:"usual_ns"`  // the same of a replica that is not slow
 	Wait     time.Duration `json:"wait_ns"`
 	Rejected []Rejected    `json:"rejected,omitempty"`
 }
 
 const (
-	defaultHold  = 500 * time.Millisecond // until a replica's own is known
-	affinityBias = 0.15                   // share of prefill that the first in rank is favoured by while nobody is known to be warm
+	defaultHold = 500 * time.Millisecond // until a replica's own is known
+	base        = 20 * time.Millisecond  // of a first token whose prompt is cached and that waits for nothing
+	warmShare   = 0.1                    // of a prompt that has to be computed where its prefix is cached
+	crowding    = 0.25                   // how much of a slot's wait a running request costs another
+	coldCost    = 0.5                    // what computing a prompt anew costs others, in its own time
+	firstBias   = 0.3                    // what going to the first in rank is worth, in time to compute the prompt
 )
 
-// Decide returns the replica with the least expected time to the first token.
-// With explain it also says why each other was rejected.
+// Decide returns the replica with the least cost: the expected time to the first
+// token, and what the request costs others there. With explain it also says why
+// each other was rejected.
 func Decide(req Request, replicas []Replica, explain bool) Choice {
 	d := decision{
 		req:     req,
@@ -82,7 +90,7 @@
 		return d.choice
 	}
 	d.choice.Name = replicas[d.best].Name
-	d.choice.Expect = d.expect
+	d.choice.Warm = replicas[d.best].Warm
 	d.explainSlower(replicas)
 	return d.choice
 }
@@ -90,11 +98,9 @@
 type decision struct {
 	req     Request
 	ranked  int           // index of the replica that affinity prefers, -1 for none
-	first   time.Duration // mean time to the first token
 	hold    time.Duration // mean time a request holds a slot
 	best    int
-	cost    time.Duration // expected time, with the bias of affinity
-	expect  time.Duration
+	cost    time.Duration
 	soonest time.Duration // soonest expected answer among the rejected
 	explain bool
 	choice  Choice
@@ -119,23 +125,18 @@
 	}
 }
 
-// learn finds the means that stand for what is not known of a replica, so that
-// a new one looks neither fast nor slow.
+// learn finds the mean that stands for what is not known of a replica, so that a
+// new one looks neither fast nor slow.
 func (d *decision) learn(replicas []Replica) {
-	d.first = mean(replicas, func(r *Replica) time.Duration { return r.First })
-	d.hold = cmp.Or(mean(replicas, func(r *Replica) time.Duration { return r.Hold }), defaultHold)
-}
-
-func mean(replicas []Replica, of func(r *Replica) time.Duration) time.Duration {
 	var sum time.Duration
 	n := 0
 	for i := range replicas {
-		if v := of(&replicas[i]); v > 0 {
-			sum += v
+		if hold := replicas[i].Hold; hold > 0 {
+			sum += hold
 			n++
 		}
 	}
-	return sum / time.Duration(max(n, 1))
+	d.hold = cmp.Or(sum/time.Duration(max(n, 1)), defaultHold)
 }
 
 func (d *decision) consider(i int, r *Replica) {
@@ -144,7 +145,8 @@
 		return
 	}
 	queueing := Queueing(r, cmp.Or(r.Hold, d.hold))
-	expect := queueing + cmp.Or(r.First, d.first) + d.prefill(r)
+	usual := base + queueing + r.Pending + d.prefill(r)
+	expect := time.Duration(cmp.Or(r.Slow, 1) * float64(usual))
 	if r.Load >= Limit(r.Slots, d.req.Queue) {
 		d.rejectFor(r, Full, queueing)
 		return
@@ -153,17 +155,37 @@
 		d.rejectFor(r, Late, expect-d.req.Bound)
 		return
 	}
-	cost := expect
-	if i == d.ranked {
-		cost -= time.Duration(affinityBias * float64(d.req.Prefill))
-	}
+	cost := expect + d.burden(i, r)
 	if d.best < 0 || cost < d.cost {
 		d.best = i
 		d.cost = cost
-		d.expect = expect
+		d.choice.Expect = expect
+		d.choice.Usual = usual
 	}
 }
 
+// burden returns what the request costs others at r: a prompt computed anew
+// delays them and takes room in the cache. The first in rank is favoured, so that
+// all boxes warm the same replica.
+func (d *decision) burden(i int, r *Replica) time.Duration {
+	share := 0.0
+	if !r.Warm {
+		share += coldCost
+	}
+	if i == d.ranked {
+		share -= firstBias
+	}
+	return time.Duration(share * float64(d.req.Prefill))
+}
+
+// prefill returns the time that computing the prompt takes at r.
+func (d *decision) prefill(r *Replica) time.Duration {
+	if r.Warm {
+		return time.Duration(warmShare * float64(d.req.Prefill))
+	}
+	return d.req.Prefill
+}
+
 func unusable(r *Replica) Reason {
 	switch {
 	case r.Leaving:
@@ -212,14 +234,6 @@
 	return slots + int(queue*float64(slots))
 }
 
-// prefill returns the time that computing the prompt adds at r.
-func (d *decision) prefill(r *Replica) time.Duration {
-	if r.Warm {
-		return 0
-	}
-	return d.req.Prefill
-}
-
 // Queueing returns the expected wait for a slot at r, where a request holds one
 // for so long. Below its slots it still grows a little with load, for requests
 // share the replica's steps.
@@ -227,7 +241,7 @@
 	slots := max(r.Slots, 1)
 	if r.Load < slots {
 		share := float64(r.Load) / float64(slots)
-		return time.Duration(share * float64(hold) / float64(4*slots))
+		return time.Duration(crowding * share * float64(hold) / float64(slots))
 	}
 	ahead := float64(r.Load-slots+1) / float64(slots)
 	return time.Duration(ahead * float64(hold))
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	failuresOut = 3               // failures in a row until a replica is out
-	outFor      = 5 * time.Second // how long it stays out before one more try
-	slowWeight  = 0.2             // weight of the newest observation of speed
+	failuresOut = 3                // failures in a row until a replica is out
+	outFor      = 5 * time.Second  // how long it stays out before one more try
+	weight      = 0.2              // weight of the newest observation in a smoothed one
+	slowHalf    = 20 * time.Second // time in which half of a replica's slowness is forgotten
+	slowBound   = 3                // bound of one observation of slowness, a logarithm
 	minHold     = 500 * time.Millisecond
 	roundUp     = 0.5
 )
@@ -25,6 +27,7 @@
 	Name     string
 	Service  string
 	URL      string
+	Domain   string        // failure domain it stands in
 	Slots    int           // requests it runs at once; 0 when not known
 	Running  int           // as reported
 	Waiting  int           // as reported
@@ -35,12 +38,15 @@
 	Leaving  bool
 	Failures int           // failures in a row
 	FailedAt time.Duration // our clock at the last failure
-	First    time.Duration // smoothed time to its first byte; 0 when not known
 	Hold     time.Duration // smoothed time of a whole request; 0 when not known
-	Domain   string        // failure domain it stands in
 
-	gen  int  // tells processes apart that had the same name
-	gone bool // the list no longer names it
+	pending   time.Duration // prompts of own requests that wait for their first token
+	starting  int           // their number
+	slow      float64       // smoothed logarithm of first tokens, as seen over as expected
+	slowAt    time.Duration // our clock at the last first token
+	gen       int           // tells processes apart that had the same name
+	gone      bool          // the list no longer names it
+	prefilled time.Duration // smoothed time to compute a prompt
 }
 
 // Load returns the requests believed to be there at now: the box's own, and
@@ -48,8 +54,31 @@
 // Without that, a replica that was full when it last told would stay so for a
 // box that therefore sends it nothing more.
 func (r *Replica) Load(now time.Duration) int {
+	return r.InFlight + int(r.others(now)+roundUp)
+}
+
+func (r *Replica) others(now time.Duration) float64 {
 	halves := float64(now-r.Reported) / float64(max(r.Hold, minHold))
-	return r.InFlight + int(float64(r.Others)*math.Exp2(-halves)+roundUp)
+	return float64(r.Others) * math.Exp2(-halves)
+}
+
+// Pending returns the work that is believed to lie before a new request's first
+// token at now: the prompts of own requests that wait for theirs, and as much for
+// each waiting request of others.
+func (r *Replica) Pending(now time.Duration) time.Duration {
+	waiting := min(float64(r.Waiting), r.others(now)) - float64(r.starting)
+	if waiting <= 0 {
+		return r.pending
+	}
+	return r.pending + time.Duration(waiting*float64(r.prefilled))
+}
+
+// Slow returns how much longer than expected first tokens have taken of late; 1
+// for as expected. Without news it comes back to 1, so that a replica which was
+// slow is tried again.
+func (r *Replica) Slow(now time.Duration) float64 {
+	halves := float64(now-r.slowAt) / float64(slowHalf)
+	return math.Exp(r.slow * math.Exp2(-halves))
 }
 
 // Out says whether the replica gets no work at now for its failures.
@@ -141,22 +170,55 @@
 	return true
 }
 
-// Begin counts a request into a replica and returns what End needs to count it
-// out of that very process.
-func (v *Inventory) Begin(name string) (gen int) {
+// Begin counts a request into a replica, whose prompt takes so long to compute.
+// It returns what Start and End need to know that very process again.
+func (v *Inventory) Begin(name string, prefill time.Duration) (gen int) {
 	r, ok := v.replicas[name]
 	if !ok {
 		return 0
 	}
 	r.InFlight++
+	r.pending += prefill
+	r.starting++
+	r.prefilled = smooth(r.prefilled, prefill)
 	return r.gen
 }
 
+// Started is what was seen of a first token.
+type Started struct {
+	Prefill  time.Duration // as given to Begin
+	First    time.Duration // time it took
+	Expected time.Duration // time it was expected to take
+}
+
+// Start takes in that the first token of a request came.
+func (v *Inventory) Start(name string, gen int, s Started, now time.Duration) {
+	r, ok := v.replicas[name]
+	if !ok || r.gen != gen {
+		return
+	}
+	r.started(s.Prefill)
+	if s.Expected <= 0 || s.First <= 0 {
+		return
+	}
+	seen := math.Log(float64(s.First) / float64(s.Expected))
+	seen = max(min(seen, slowBound), -slowBound)
+	old := math.Log(r.Slow(now))
+	r.slow = old + weight*(seen-old)
+	r.slowAt = now
+}
+
+func (r *Replica) started(prefill time.Duration) {
+	r.pending -= prefill
+	r.starting--
+}
+
 // Ended is what became of a request.
 type Ended struct {
-	Failed bool
-	First  time.Duration // time to the first byte; 0 for none
-	Hold   time.Duration // the whole time
+	Failed  bool
+	Started bool          // Start was called
+	Prefill time.Duration // as given to Begin
+	Hold    time.Duration // the whole time
 }
 
 // End counts a request out of the replica that it was begun on.
@@ -166,14 +228,16 @@
 		return
 	}
 	r.InFlight--
+	if !e.Started {
+		r.started(e.Prefill)
+	}
 	if e.Failed {
 		r.Failures++
 		r.FailedAt = now
 		return
 	}
 	r.Failures = 0
-	if e.First > 0 {
-		r.First = smooth(r.First, e.First)
+	if e.Hold > 0 {
 		r.Hold = smooth(r.Hold, e.Hold)
 	}
 }
@@ -182,7 +246,7 @@
 	if old == 0 {
 		return now
 	}
-	return old + time.Duration(slowWeight*float64(now-old))
+	return old + time.Duration(weight*float64(now-old))
 }
 
 // Get returns a replica, nil when there is none of that name.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -74,7 +74,7 @@
 				if v.Get(name) != nil {
 					open = append(open, begun{
 						name: name,
-						gen:  v.Begin(name),
+						gen:  v.Begin(name, time.Second),
 					})
 				}
 			},
@@ -82,17 +82,37 @@
 				if len(open) == 0 {
 					t.Skip("nothing in flight")
 				}
-				v.End(open[0].name, open[0].gen, Ended{}, 0)
+				v.End(open[0].name, open[0].gen, Ended{
+					Prefill: time.Second,
+				}, 0)
 				open = open[1:]
 			},
 		})
 		for _, o := range open {
-			v.End(o.name, o.gen, Ended{}, 0)
+			v.End(o.name, o.gen, Ended{
+				Prefill: time.Second,
+			}, 0)
 		}
 		for _, name := range v.Names(func(*Replica) bool { return true }) {
-			if n := v.Get(name).InFlight; n != 0 {
-				t.Fatalf("%s: %d in flight", name, n)
+			r := v.Get(name)
+			if r.InFlight != 0 || r.pending != 0 || r.starting != 0 {
+				t.Fatalf("%s: %d in flight, %d starting, %s pending", name, r.InFlight, r.starting, r.pending)
 			}
 		}
 	})
 }
+
+func TestAReplicaThatWasSlowIsTakenForOrdinaryAgainInTime(t *testing.T) {
+	is := is.New(t)
+	v := NewInventory()
+	v.List("d", []wire.UpstreamEntry{entry("a", "http://a", wire.ServingStateServing)})
+	for range 20 {
+		v.Start("a", v.Begin("a", 0), Started{
+			First:    time.Second,
+			Expected: 100 * time.Millisecond,
+		}, time.Minute)
+	}
+	r := v.Get("a")
+	is.True(r.Slow(time.Minute) > 8)
+	is.True(r.Slow(2*time.Minute) < 1.5)
+}
