routing: Keep the tail at the target size, and measure it beside five baselines

Cause: the policy had never met load. 'rudderctl measure policy' runs package fleet in virtual time against engines that batch, cache prefixes and report late.

Tests have a fixed seed now.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -28,8 +28,8 @@
 	invited    = 0.8                    // share of slots in use up to which other regions' requests are taken
 	minRetry   = 100 * time.Millisecond // shortest time a refused caller is told to stay away
 	maxRetry   = 5 * time.Second
-	retryShare = 0.1 // retries as a share of first tries
-	retryBurst = 10  // retries that may be saved up
+	retryPrice = 10 // first tries that pay for one retry
+	retryBurst = 10 // retries that may be saved up
 )
 
 // Capacity is what a box believes of the replicas of a service.
@@ -47,7 +47,7 @@
 	byPriority map[string]int
 	byOrg      map[string]int
 	total      int
-	retries    float64
+	saved      int // first tries that no retry was paid with
 }
 
 // NewLimiter returns a limiter with nothing in flight.
@@ -55,7 +55,7 @@
 	return &Limiter{
 		byPriority: make(map[string]int),
 		byOrg:      make(map[string]int),
-		retries:    retryBurst,
+		saved:      retryBurst * retryPrice,
 	}
 }
 
@@ -97,7 +97,7 @@
 	l.total++
 	l.byPriority[org.Priority]++
 	l.byOrg[org.Name]++
-	l.retries = min(l.retries+retryShare, retryBurst)
+	l.saved = min(l.saved+1, retryBurst*retryPrice)
 }
 
 // End counts a request out.
@@ -116,10 +116,10 @@
 
 // Retry takes one retry from the budget; false means that there is none left.
 func (l *Limiter) Retry() bool {
-	if l.retries < 1 {
+	if l.saved < retryPrice {
 		return false
 	}
-	l.retries--
+	l.saved -= retryPrice
 	return true
 }
 
--- a/box/route.go
+++ b/box/route.go
@@ -30,15 +30,15 @@
 	return p, refused
 }
 
-func (b *Box) start(p fleet.Placement, first time.Duration) {
-	b.fleet.Post(func(f *fleet.Fleet) { f.Start(p, first, b.now()) })
+func (b *Box) start(p fleet.Placement, s fleet.Started) {
+	b.fleet.Post(func(f *fleet.Fleet) { f.Start(p, s, b.now()) })
+	if s.Load != nil {
+		b.learnFromUpstream(s.Load.Version)
+	}
 }
 
 func (b *Box) finish(p fleet.Placement, e fleet.Finish) {
 	b.fleet.Post(func(f *fleet.Fleet) { f.End(p, e, b.now()) })
-	if e.Load != nil {
-		b.learnFromUpstream(e.Load.Version)
-	}
 }
 
 func (b *Box) whichBox(org wire.Organisation, service wire.Service, prefix string) (out []string) {
--- a/commands/measure.go
+++ b/commands/measure.go
@@ -10,12 +10,14 @@
 	"github.com/google/subcommands"
 
 	"github.com/havenrudder/havenrudder/measure/once"
+	"github.com/havenrudder/havenrudder/measure/policy"
 )
 
 // measureCmd runs an experiment and prints JSON lines.
 type measureCmd struct {
 	seed uint64
 	ops  int
+	name string
 }
 
 var _ subcommands.Command = (*measureCmd)(nil)
@@ -29,8 +31,10 @@
 // Usage returns the help of the subcommand.
 func (*measureCmd) Usage() string {
 	return `measure once [-ops N] [-seed S]
+measure policy [-case NAME] [-seed S]
   Run an experiment; each row is one JSON object.
-  once  calls that may not be repeated, under faults, in virtual time
+  once    calls that may not be repeated, under faults, in virtual time
+  policy  routing and admission beside baselines, in virtual time
 `
 }
 
@@ -41,6 +45,7 @@
 	f := flag.NewFlagSet(name, flag.ContinueOnError)
 	f.Uint64Var(&c.seed, "seed", 1, "seed")
 	f.IntVar(&c.ops, "ops", 20_000, "operations of each row (once)")
+	f.StringVar(&c.name, "case", "", "one case only (policy)")
 	return f
 }
 
@@ -60,8 +65,11 @@
 }
 
 func (c *measureCmd) run(_ context.Context, name string) error {
-	if name == "once" {
+	switch name {
+	case "once":
 		return c.once()
+	case "policy":
+		return c.policy()
 	}
 	return errors.Newf("no experiment %q", name)
 }
@@ -85,3 +93,26 @@
 	}
 	return nil
 }
+
+func (c *measureCmd) policy() error {
+	known := false
+	for _, one := range policy.Cases() {
+		if c.name != "" && c.name != one.Name {
+			continue
+		}
+		known = true
+		for _, p := range policy.Policies() {
+			row, err := policy.Measure(one, p, c.seed)
+			if err != nil {
+				return err
+			}
+			if err := printRow(row); err != nil {
+				return err
+			}
+		}
+	}
+	if !known {
+		return errors.Newf("no case %q", c.name)
+	}
+	return nil
+}
--- a/common/rendezvous/rendezvous_test.go
+++ b/common/rendezvous/rendezvous_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "github.com/havenrudder/havenrudder/internal/fixed"
 )
 
 func ExampleTop() {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,7 +20,7 @@
 
 const (
 	warmPrefixes = 8192 // prefixes remembered with the replicas that computed them
-	warmReplicas = 4    // replicas remembered of one prefix
+	warmReplicas = 64   // replicas remembered of one prefix
 )
 
 // Fleet is the view of one box. It belongs to one actor.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -52,7 +52,12 @@
 	Failed  bool
 	Started bool          // Start was called
 	Hold    time.Duration // the whole time
-	Load    *wire.Load    // the upstream's own word, nil for none
+}
+
+// Started is the beginning of an answer.
+type Started struct {
+	First time.Duration // time to the first byte or token
+	Load  *wire.Load    // the upstream's own word, nil for none
 }
 
 // Place admits a request and counts it into the replica that is chosen for it.
@@ -103,8 +108,10 @@
 		return
 	}
 	old, _ := f.warm.Get(prefix)
-	list := make([]string, 1, warmReplicas)
-	list[0] = replica
+	if len(old) > 0 && old[0] == replica {
+		return
+	}
+	list := []string{replica}
 	for _, name := range old {
 		if name != replica && len(list) < warmReplicas {
 			list = append(list, name)
@@ -151,14 +158,16 @@
 	return c
 }
 
-// Start takes in that the first byte or token of a placement came, so long after
-// it was sent.
-func (f *Fleet) Start(p Placement, first, now time.Duration) {
+// Start takes in that the answer to a placement has begun.
+func (f *Fleet) Start(p Placement, s Started, now time.Duration) {
 	f.inventory.Start(p.Upstream, p.gen, upstream.Started{
 		Prefill:  p.prefill,
-		First:    first,
+		First:    s.First,
 		Expected: p.Choice.Usual,
 	}, now)
+	if s.Load != nil {
+		f.inventory.Report(p.Upstream, *s.Load, now)
+	}
 }
 
 // End counts a placement out.
@@ -170,7 +179,4 @@
 		Prefill: p.prefill,
 		Hold:    e.Hold,
 	}, now)
-	if e.Load != nil {
-		f.inventory.Report(p.Upstream, *e.Load, now)
-	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,7 +36,7 @@
 	Policy     func() *bundle.Policy // nil until the box serves
 	Leaving    func() bool
 	Place      func(fleet.Request) (fleet.Placement, *fleet.Refused)
-	Start      func(p fleet.Placement, first time.Duration)
+	Start      func(fleet.Placement, fleet.Started)
 	Finish     func(fleet.Placement, fleet.Finish)
 	WhichBox   func(org wire.Organisation, service wire.Service, prefix string) []string
 	Away       func(org wire.Organisation, service wire.Service, homeOnly bool) []fleet.Box
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -153,9 +153,11 @@
 		return answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	s.core.Start(p, time.Since(start))
+	s.core.Start(p, fleet.Started{
+		First: time.Since(start),
+		Load:  loadOf(resp.Header),
+	})
 	done.Started = true
-	done.Load = loadOf(resp.Header)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err == nil && len(body) > maxAnswer {
 		err = errors.New("gateway: answer too large")
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -213,7 +213,8 @@
 // routingRequest returns what the decision needs to know of q.
 func (q *query) routingRequest() routing.Request {
 	out := routing.Request{
-		Queue: queueShare,
+		Spread: q.id,
+		Queue:  queueShare,
 	}
 	if q.service.Kind != wire.ServiceKindEngine {
 		return out
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -114,7 +114,6 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	done.Load = loadOf(resp.Header)
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("gateway: upstream status %d", resp.StatusCode)
 	}
@@ -137,7 +136,10 @@
 		}
 		if !started {
 			started = true
-			st.server.core.Start(p, time.Since(start))
+			st.server.core.Start(p, fleet.Started{
+				First: time.Since(start),
+				Load:  loadOf(resp.Header),
+			})
 			st.begin(p)
 		}
 		if bytes.Equal(data, dataDone) {
--- a/measure/once/caller.go
+++ b/measure/once/caller.go
@@ -41,7 +41,7 @@
 func (w *World) Begin() *Op {
 	op := &Op{
 		id:    len(w.ops) + 1,
-		begun: w.now,
+		begun: w.Now(),
 	}
 	w.ops = append(w.ops, op)
 	w.variant.begin(w, op)
@@ -92,7 +92,7 @@
 
 func (w *World) end(op *Op) {
 	op.done = true
-	op.ended = w.now
+	op.ended = w.Now()
 }
 
 // toBox carries a request to a box; missed is called when the caller has waited
--- a/measure/once/world.go
+++ b/measure/once/world.go
@@ -5,9 +5,9 @@
 package once
 
 import (
-	"container/heap"
 	"time"
 
+	"github.com/havenrudder/havenrudder/measure/virtual"
 	"github.com/havenrudder/havenrudder/ticket"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -41,42 +41,11 @@
 	Answer func() bool          // of a lost call: whether it was the answer that was lost
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
-}
-
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push adds an event; container/heap calls it.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop removes the last event; container/heap calls it.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
-var _ heap.Interface = (*events)(nil)
-
 // World is a failure domain of boxes, a service and callers.
 type World struct {
 	variant Variant
 	choices Choices
-	now     time.Duration
-	seq     int
-	events  events
+	clock   virtual.Clock
 	boxes   []*box
 	cut     map[[2]int]bool // from, to: messages are lost
 	ids     int
@@ -106,34 +75,20 @@
 }
 
 // Now returns the time of the world.
-func (w *World) Now() time.Duration { return w.now }
+func (w *World) Now() time.Duration { return w.clock.Now() }
 
 // Boxes returns the number of boxes.
 func (w *World) Boxes() int { return len(w.boxes) }
 
-func (w *World) after(d time.Duration, run func()) {
-	w.seq++
-	heap.Push(&w.events, event{
-		at:  w.now + d,
-		seq: w.seq,
-		run: run,
-	})
-}
+func (w *World) after(d time.Duration, run func()) { w.clock.After(d, run) }
 
 // RunUntil runs what happens up to a time.
-func (w *World) RunUntil(t time.Duration) {
-	for len(w.events) > 0 && w.events[0].at <= t {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.run()
-	}
-	w.now = max(w.now, t)
-}
+func (w *World) RunUntil(t time.Duration) { w.clock.RunUntil(t) }
 
 // Pause stops a box from acting for so long; it wakes with old beliefs.
 func (w *World) Pause(i int, d time.Duration) {
 	b := w.boxes[i]
-	b.pausedUntil = max(b.pausedUntil, w.now+d)
+	b.pausedUntil = max(b.pausedUntil, w.Now()+d)
 }
 
 // Restart replaces a box by a new process of the same name.
@@ -153,7 +108,7 @@
 				to.beliefs[b.index] = belief{
 					inc:   b.inc,
 					clock: b.clock(),
-					at:    w.now,
+					at:    w.Now(),
 				}
 			}
 		}
@@ -181,7 +136,7 @@
 		return
 	}
 	if to.paused() {
-		w.after(to.pausedUntil-w.now, func() { w.deliver(to, inc, run) })
+		w.after(to.pausedUntil-w.Now(), func() { w.deliver(to, inc, run) })
 		return
 	}
 	run()
@@ -211,7 +166,7 @@
 
 func (b *box) restart() {
 	b.inc++
-	b.started = b.world.now
+	b.started = b.world.Now()
 	b.pausedUntil = 0
 	b.beliefs = make(map[int]belief)
 	b.owner = ticket.NewOwner(b.name(), b.inc, b.world.newID)
@@ -222,13 +177,13 @@
 
 const maxTickets = 1 << 20
 
-func (b *box) clock() time.Duration { return b.world.now - b.started }
+func (b *box) clock() time.Duration { return b.world.Now() - b.started }
 
-func (b *box) paused() bool { return b.pausedUntil > b.world.now }
+func (b *box) paused() bool { return b.pausedUntil > b.world.Now() }
 
 func (b *box) believesAlive(i int) bool {
 	belief, ok := b.beliefs[i]
-	return ok && b.world.now-belief.at <= aliveFor
+	return ok && b.world.Now()-belief.at <= aliveFor
 }
 
 func (w *World) newID() string {
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,140 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/havenrudder/havenrudder/internal/fixed"
+)
+
+func ExampleDecide() {
+	choice := Decide(Request{
+		Prefill: time.Second,
+		Queue:   0.5,
+	}, []Replica{
+		{Name: "cold", Slots: 4},
+		{Name: "warm", Slots: 4, Warm: true},
+		{Name: "leaving", Slots: 4, Leaving: true},
+	}, true)
+	fmt.Println(choice.Name, choice.Rejected)
+	// Output: warm [{cold slower} {leaving leaving}]
+}
+
+func draw(t *rapid.T) []Replica {
+	n := rapid.IntRange(0, 30).Draw(t, "replicas")
+	out := make([]Replica, n)
+	for i := range out {
+		out[i] = Replica{
+			Name:    fmt.Sprintf("r%d", i),
+			Load:    rapid.IntRange(-2, 40).Draw(t, "load"),
+			Slots:   rapid.IntRange(0, 24).Draw(t, "slots"),
+			Pending: time.Duration(rapid.IntRange(0, 5000).Draw(t, "pending")) * time.Millisecond,
+			Slow:    rapid.Float64Range(0, 20).Draw(t, "slow"),
+			Hold:    time.Duration(rapid.IntRange(0, 9000).Draw(t, "hold")) * time.Millisecond,
+			Warm:    rapid.Bool().Draw(t, "warm"),
+			Leaving: rapid.Bool().Draw(t, "leaving"),
+			Out:     rapid.Bool().Draw(t, "out"),
+			Tried:   rapid.Bool().Draw(t, "tried"),
+		}
+	}
+	return out
+}
+
+// TestADecisionIsAllowedRepeatableAndExplained holds decisions against what the
+// view alone permits.
+func TestADecisionIsAllowedRepeatableAndExplained(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		replicas := draw(t)
+		req := Request{
+			Affinity: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "affinity"),
+			Spread:   rapid.SampledFrom([]string{"", "x"}).Draw(t, "spread"),
+			Prefill:  time.Duration(rapid.IntRange(0, 3000).Draw(t, "prefill")) * time.Millisecond,
+			Bound:    time.Duration(rapid.IntRange(0, 3000).Draw(t, "bound")) * time.Millisecond,
+			Queue:    0.5,
+		}
+		c := Decide(req, replicas, true)
+		again := Decide(req, replicas, true)
+		if c.Name != again.Name || c.Expect != again.Expect {
+			t.Fatalf("%v, then %v", c, again)
+		}
+		reasons := make(map[string]Reason)
+		for _, r := range c.Rejected {
+			if _, ok := reasons[r.Name]; ok {
+				t.Fatalf("%s rejected twice", r.Name)
+			}
+			reasons[r.Name] = r.Reason
+		}
+		for _, r := range replicas {
+			usable := !r.Leaving && !r.Out && !r.Tried && r.Load < Limit(r.Slots, req.Queue)
+			if r.Name == c.Name && (!usable || (req.Bound > 0 && c.Expect > req.Bound)) {
+				t.Fatalf("%+v was chosen, expected after %s", r, c.Expect)
+			}
+			if r.Name != c.Name && reasons[r.Name] == "" {
+				t.Fatalf("%s was rejected without a reason", r.Name)
+			}
+			if c.Name == "" && usable && reasons[r.Name] != Late {
+				t.Fatalf("%+v was not chosen: %s", r, reasons[r.Name])
+			}
+		}
+	})
+}
+
+func TestAPrefixMovesOnlyWhenItsReplicaIsCrowded(t *testing.T) {
+	is := is.New(t)
+	replicas := make([]Replica, 10)
+	for i := range replicas {
+		replicas[i] = Replica{
+			Name:  fmt.Sprintf("r%d", i),
+			Slots: 10,
+			Hold:  4 * time.Second,
+		}
+	}
+	req := Request{
+		Affinity: "prefix",
+		Prefill:  300 * time.Millisecond,
+		Queue:    0.5,
+	}
+	home := Decide(req, replicas, false).Name
+	var at int
+	for i := range replicas {
+		if replicas[i].Name == home {
+			at = i
+		}
+	}
+	replicas[at].Warm = true
+	replicas[at].Load = 6
+	is.Equal(Decide(req, replicas, false).Name, home)
+	replicas[at].Load = 10
+	is.True(Decide(req, replicas, false).Name != home)
+}
+
+func benchmark(b *testing.B, n int) {
+	replicas := make([]Replica, n)
+	for i := range replicas {
+		replicas[i] = Replica{
+			Name:  fmt.Sprintf("engine-%d", i),
+			Slots: 24,
+			Load:  i % 24,
+		}
+	}
+	req := Request{
+		Affinity: "org/prefix",
+		Spread:   "id",
+		Prefill:  300 * time.Millisecond,
+		Queue:    0.5,
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Decide(req, replicas, false)
+	}
+}
+
+func BenchmarkDecide364(b *testing.B) { benchmark(b, 364) }
+
+func BenchmarkDecide1000(b *testing.B) { benchmark(b, 1000) }
+
+func BenchmarkDecide4000(b *testing.B) { benchmark(b, 4000) }
--- a/ticket/witness_test.go
+++ b/ticket/witness_test.go
@@ -6,6 +6,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/havenrudder/havenrudder/internal/fixed"
+
 	"github.com/havenrudder/havenrudder/wire"
 )
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -20,6 +20,8 @@
 	slowBound   = 3                // bound of one observation of slowness, a logarithm
 	minHold     = 500 * time.Millisecond
 	roundUp     = 0.5
+	usualWeight = 0.05            // weight of the newest report in the usual load
+	usualHalf   = 5 * time.Second // time in which half of the usual load is forgotten
 )
 
 // Replica is what is known of one upstream.
@@ -47,19 +49,24 @@
 	gen       int           // tells processes apart that had the same name
 	gone      bool          // the list no longer names it
 	prefilled time.Duration // smoothed time to compute a prompt
+	usual     *usual        // load of the service's replicas
 }
 
 // Load returns the requests believed to be there at now: the box's own, and
-// those of others, which are believed to end with the time that requests take.
-// Without that, a replica that was full when it last told would stay so for a
-// box that therefore sends it nothing more.
+// those of others. What a replica last told of others counts less with the time
+// that requests take; in its place comes what is usual of late, so that a replica
+// this box rarely sends to looks neither idle nor, once full, full for ever.
 func (r *Replica) Load(now time.Duration) int {
 	return r.InFlight + int(r.others(now)+roundUp)
 }
 
 func (r *Replica) others(now time.Duration) float64 {
-	halves := float64(now-r.Reported) / float64(max(r.Hold, minHold))
-	return float64(r.Others) * math.Exp2(-halves)
+	fresh := math.Exp2(-float64(now-r.Reported) / float64(max(r.Hold, minHold)))
+	if r.Reported == 0 {
+		fresh = 0
+	}
+	usual := max(r.usual.at(now)*float64(r.Slots)-float64(r.InFlight), 0)
+	return fresh*float64(r.Others) + (1-fresh)*usual
 }
 
 // Pending returns the work that is believed to lie before a new request's first
@@ -86,9 +93,27 @@
 	return r.Failures >= failuresOut && now-r.FailedAt < outFor
 }
 
+// usual is the load over slots that the replicas of a service tell of late.
+type usual struct {
+	share float64
+	told  time.Duration
+}
+
+// at returns the usual load at now; it is forgotten when nobody tells anything.
+func (u *usual) at(now time.Duration) float64 {
+	return u.share * math.Exp2(-float64(now-u.told)/float64(usualHalf))
+}
+
+func (u *usual) tell(share float64, now time.Duration) {
+	old := u.at(now)
+	u.share = old + usualWeight*(share-old)
+	u.told = now
+}
+
 // Inventory holds the replicas of one region. It belongs to one actor.
 type Inventory struct {
 	replicas map[string]*Replica
+	usual    map[string]*usual // by service
 	gens     int
 }
 
@@ -96,6 +121,7 @@
 func NewInventory() *Inventory {
 	return &Inventory{
 		replicas: make(map[string]*Replica),
+		usual:    make(map[string]*usual),
 	}
 }
 
@@ -132,6 +158,7 @@
 		v.replicas[e.Name] = r
 	}
 	r.Service = e.Service
+	r.usual = v.usualOf(e.Service)
 	r.Domain = domain
 	if e.Slots > 0 {
 		r.Slots = e.Slots
@@ -141,6 +168,15 @@
 	}
 }
 
+func (v *Inventory) usualOf(service string) *usual {
+	u, ok := v.usual[service]
+	if !ok {
+		u = &usual{}
+		v.usual[service] = u
+	}
+	return u
+}
+
 // Report takes a replica's own word of its load in at now.
 func (v *Inventory) Report(name string, load wire.Load, now time.Duration) {
 	r, ok := v.replicas[name]
@@ -154,6 +190,9 @@
 	if load.Slots > 0 {
 		r.Slots = load.Slots
 	}
+	if r.Slots > 0 {
+		r.usual.tell(float64(load.Running+load.Waiting)/float64(r.Slots), now)
+	}
 	if load.Leaving {
 		r.Leaving = true
 	}
