bundle: Halve what a change costs a box, and measure it at 390 boxes

'rudderctl measure bundle' (real boxes, real sockets) showed where: 1,700 for parts, half of it hashes and neighbours in the leaf, and 267 for the same question asked of two boxes at once.

Change: 16 branches of 16 leaves instead of 8 of 8, 16 bytes of hash instead of 32, one question for a version at a time.

--- a/box/box.go
+++ b/box/box.go
@@ -134,6 +134,17 @@
 // Ready returns a channel that is closed when the box serves callers.
 func (b *Box) Ready() <-chan struct{} { return b.ready }
 
+// InForce returns the version of the bundle that requests see, 0 for none.
+func (b *Box) InForce() int {
+	if p := b.policy.Load(); p != nil {
+		return p.Version()
+	}
+	return 0
+}
+
+// ControlBytes returns the bytes spent for control so far, by kind.
+func (b *Box) ControlBytes() (map[string]float64, error) { return b.metrics.controlBytes() }
+
 // now returns the monotonic clock of the box.
 func (b *Box) now() time.Duration { return time.Since(b.started) }
 
--- a/box/bundles.go
+++ b/box/bundles.go
@@ -19,7 +19,9 @@
 // bundleState is what one actor knows of the bundle.
 type bundleState struct {
 	store    *bundle.Store
-	fetching int // version being fetched, 0 for none
+	fetching int           // version being fetched, 0 for none
+	asking   int           // version that was asked for last
+	askAgain time.Duration // our clock from which it is asked for again
 	taken    time.Duration
 	asked    bool // the floor was asked for, so the box may serve
 	refused  int  // heads or parts that did not hold
--- a/box/metrics.go
+++ b/box/metrics.go
@@ -22,6 +22,8 @@
 	fleetKind  peer.Method = "platform_fleet"
 )
 
+const controlName = "havenrudder_control_bytes_total"
+
 // metrics are the figures of one box.
 type metrics struct {
 	registry *prometheus.Registry
@@ -50,7 +52,7 @@
 			Buckets: []float64{.005, .01, .02, .03, .048, .06, .1, .2, .5, 1},
 		}, []string{"service"}),
 		control: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "havenrudder_control_bytes_total",
+			Name: controlName,
 			Help: "Bytes for control by kind, sent and received.",
 		}, []string{"kind"}),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -93,3 +95,21 @@
 	err = json.Unmarshal(data, &load)
 	return load, len(data), errors.Wrap(err, "probe")
 }
+
+// controlBytes returns the bytes for control so far, by kind.
+func (m *metrics) controlBytes() (map[string]float64, error) {
+	families, err := m.registry.Gather()
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	out := make(map[string]float64)
+	for _, f := range families {
+		if f.GetName() != controlName {
+			continue
+		}
+		for _, one := range f.GetMetric() {
+			out[one.GetLabel()[0].GetValue()] = one.GetCounter().GetValue()
+		}
+	}
+	return out, nil
+}
--- a/box/peers.go
+++ b/box/peers.go
@@ -78,7 +78,7 @@
 			addr = m.Peers
 		}
 	})
-	if addr != "" && h.Version > b.version() {
+	if addr != "" && b.wants(h.Version) {
 		b.askFloor(ctx, addr)
 	}
 }
@@ -89,6 +89,19 @@
 	return v
 }
 
+// wants says whether a version is above the one taken and not on its way, and
+// notes that it is asked for now.
+func (b *Box) wants(version int) (out bool) {
+	_ = b.bundles.Do(func(s *bundleState) {
+		out = version > s.store.Head().Version && version > s.fetching && (version > s.asking || b.now() > s.askAgain)
+		if out {
+			s.asking = version
+			s.askAgain = b.now() + peerTimeout
+		}
+	})
+	return out
+}
+
 func (b *Box) takeFleet(u wire.FleetUpdate) bool {
 	taken := false
 	_ = b.fleet.Do(func(f *fleet.Fleet) { taken = f.TakeList(u.Index, u.Fleet, b.now()) })
--- a/box/watches.go
+++ b/box/watches.go
@@ -19,6 +19,9 @@
 // leaves its watches to others.
 const blindAfter = 10 * time.Second
 
+// listWatchers is how many boxes of a failure domain watch each list.
+const listWatchers = 2
+
 // watches are the keys of the platform that this box reads for its failure
 // domain. Few boxes read each key; the others hear from them.
 type watches struct {
@@ -74,7 +77,11 @@
 	b := w.box
 	_ = b.fleet.Do(func(f *fleet.Fleet) {
 		for _, key := range w.keys() {
-			if f.Reads(key, b.settings.Platform.Watchers, b.now()) {
+			n := listWatchers
+			if key == platform.KeyHead {
+				n = b.settings.Platform.Watchers
+			}
+			if f.Reads(key, n, b.now()) {
 				out = append(out, key)
 			}
 		}
--- a/bundle/tree.go
+++ b/bundle/tree.go
@@ -13,21 +13,27 @@
 	"github.com/havenrudder/havenrudder/wire"
 )
 
-// The shape of the tree. A change of one organisation costs a head, the root,
-// one branch and one leaf: with 600 organisations a leaf holds nine of them.
+// The shape of the tree. A change of one organisation costs a head, the root, one
+// branch and one leaf. With 600 organisations a leaf holds two or three; a box
+// fetched 2,850 bytes a change with 8 branches of 8 leaves, and fetches 1,340 so.
 const (
-	branches        = 8  // branches of organisations below the root
-	leavesPerBranch = 8  // leaves below a branch
-	maxNodes        = 96 // more than a whole tree has; bounds what a reader fetches
+	branches        = 16  // branches of organisations below the root
+	leavesPerBranch = 16  // leaves below a branch
+	maxNodes        = 300 // more than a whole tree has; bounds what a reader fetches
 )
 
+// hashBytes is how much of a SHA-256 names a node. Whoever could make a second
+// node of the same name would need 2^128 tries; the signer alone could make two at
+// once, and is trusted with more than that.
+const hashBytes = 16
+
 // Hash names a node by its content.
 type Hash string
 
 // HashOf returns the hash of a node's bytes.
 func HashOf(data []byte) Hash {
 	sum := sha256.Sum256(data)
-	return Hash(base64.RawURLEncoding.EncodeToString(sum[:]))
+	return Hash(base64.RawURLEncoding.EncodeToString(sum[:hashBytes]))
 }
 
 // node is one node of the tree: either kids or a part of the bundle.
--- a/commands/measure.go
+++ b/commands/measure.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
+	"github.com/havenrudder/havenrudder/measure/control"
 	"github.com/havenrudder/havenrudder/measure/once"
 	"github.com/havenrudder/havenrudder/measure/policy"
 )
@@ -18,6 +19,10 @@
 	seed uint64
 	ops  int
 	name string
+
+	boxes   int
+	changes int
+	rate    float64
 }
 
 var _ subcommands.Command = (*measureCmd)(nil)
@@ -32,8 +37,10 @@
 func (*measureCmd) Usage() string {
 	return `measure once [-ops N] [-seed S]
 measure policy [-case NAME] [-seed S]
+measure bundle [-boxes N] [-changes N] [-rate R] [-seed S]
   Run an experiment; each row is one JSON object.
   once    calls that may not be repeated, under faults, in virtual time
+  bundle  how fast a bundle is in force, and what that costs, over real sockets
   policy  routing and admission beside baselines, in virtual time
 `
 }
@@ -45,6 +52,9 @@
 	f := flag.NewFlagSet(name, flag.ContinueOnError)
 	f.Uint64Var(&c.seed, "seed", 1, "seed")
 	f.IntVar(&c.ops, "ops", 20_000, "operations of each row (once)")
+	f.IntVar(&c.boxes, "boxes", 48, "boxes (bundle)")
+	f.IntVar(&c.changes, "changes", 10, "changes (bundle)")
+	f.Float64Var(&c.rate, "rate", control.ChangeRate, "changes a second (bundle)")
 	f.StringVar(&c.name, "case", "", "one case only (policy)")
 	return f
 }
@@ -64,12 +74,14 @@
 	return subcommands.ExitSuccess
 }
 
-func (c *measureCmd) run(_ context.Context, name string) error {
+func (c *measureCmd) run(ctx context.Context, name string) error {
 	switch name {
 	case "once":
 		return c.once()
 	case "policy":
 		return c.policy()
+	case "bundle":
+		return c.bundle(ctx)
 	}
 	return errors.Newf("no experiment %q", name)
 }
@@ -116,3 +128,21 @@
 	}
 	return nil
 }
+
+func (c *measureCmd) bundle(ctx context.Context) error {
+	for _, v := range control.Variants() {
+		row, err := control.Bundle(ctx, v, control.Options{
+			Boxes:   c.boxes,
+			Changes: c.changes,
+			Rate:    c.rate,
+			Seed:    c.seed,
+		})
+		if err != nil {
+			return err
+		}
+		if err := printRow(row); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -67,7 +67,10 @@
 
 // Start starts everything; it all ends with ctx. It returns when every box
 // serves.
-func Start(ctx context.Context, plan Plan) (*Site, error) {
+func Start(ctx context.Context, plan Plan) (*Site, error) { return StartWithin(ctx, ctx, plan) }
+
+// StartWithin is Start with a bound on how long the start may take.
+func StartWithin(ctx, start context.Context, plan Plan) (*Site, error) {
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
 		return nil, errors.Wrap(err, "site")
@@ -102,7 +105,7 @@
 			return nil, err
 		}
 	}
-	return s, s.waitReady(ctx)
+	return s, s.waitReady(start)
 }
 
 func (s *Site) waitReady(ctx context.Context) error {
@@ -291,6 +294,15 @@
 // Box returns a box by name.
 func (s *Site) Box(name string) *box.Box { return s.boxes[name].box }
 
+// Boxes returns every box by name.
+func (s *Site) Boxes() map[string]*box.Box {
+	out := make(map[string]*box.Box, len(s.boxes))
+	for name, r := range s.boxes {
+		out[name] = r.box
+	}
+	return out
+}
+
 // Stop ends a box at once, as a crash does.
 func (s *Site) Stop(name string) { s.boxes[name].stop() }
 
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -179,7 +179,8 @@
 	// Longest wait of one watch, in milliseconds.
 	WaitMs int `json:"wait_ms,omitempty,omitzero"`
 
-	// Boxes of a failure domain that watch; the others hear from them.
+	// Boxes of a failure domain that watch the head of the bundle; the others hear
+	// from them.
 	Watchers int `json:"watchers,omitempty,omitzero"`
 }
 
