fleet, bundle: Take a placement and a change out of the way of a core

Change: decay reads a table within 0.01% of the power; candidates use their memory again and services keep their replicas in order; nodes that are held are not read again; the check looks names up.

--- a/box/bundles.go
+++ b/box/bundles.go
@@ -60,7 +60,7 @@
 	if !fetch {
 		return
 	}
-	joined, nodes, err := bundle.Join(h.Version, bundle.Hash(h.Root), b.fetcher(ctx, held, from))
+	joined, nodes, err := bundle.Join(h.Version, bundle.Hash(h.Root), held, b.fetcher(ctx, from))
 	if err != nil {
 		b.log.WithError(err).WithField("version", h.Version).Warn("bundle not fetched")
 	}
@@ -112,13 +112,9 @@
 	}
 }
 
-// fetcher returns a fetch that looks at what is held, then at the source, then
-// at the platform.
-func (b *Box) fetcher(ctx context.Context, held bundle.Nodes, from source) bundle.Fetch {
+// fetcher returns a fetch that asks the source, then the platform.
+func (b *Box) fetcher(ctx context.Context, from source) bundle.Fetch {
 	return func(h bundle.Hash) ([]byte, error) {
-		if data, ok := held[h]; ok {
-			return data, nil
-		}
 		if from.addr != "" {
 			if data, err := b.fetchPart(ctx, from.addr, h); err == nil {
 				return data, nil
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/havenrudder/havenrudder/config"
@@ -47,12 +48,16 @@
 }
 
 type checker struct {
-	bundle  wire.Bundle
-	at      func(pointer, want string) config.Mistake
-	list    []config.Mistake
-	regions []string
+	bundle     wire.Bundle
+	at         func(pointer, want string) config.Mistake
+	list       []config.Mistake
+	regions    names
+	priorities names
 }
 
+// names are the names of one kind that were seen.
+type names map[string]bool
+
 func (c *checker) addf(pointer, format string, args ...any) {
 	c.list = append(c.list, c.at(pointer, fmt.Sprintf(format, args...)))
 }
@@ -65,35 +70,36 @@
 }
 
 func (c *checker) checkRegions() {
-	var domains []string
+	c.regions = make(names)
+	domains := make(names)
 	for i, r := range c.bundle.Regions {
-		c.checkUnique(fmt.Sprintf("/regions/%d/name", i), r.Name, &c.regions)
+		c.checkUnique(fmt.Sprintf("/regions/%d/name", i), r.Name, c.regions)
 		for n, d := range r.FailureDomains {
-			c.checkUnique(fmt.Sprintf("/regions/%d/failure_domains/%d", i, n), d, &domains)
+			c.checkUnique(fmt.Sprintf("/regions/%d/failure_domains/%d", i, n), d, domains)
 		}
 	}
 }
 
-func (c *checker) checkUnique(pointer, name string, seen *[]string) {
-	if slices.Contains(*seen, name) {
+func (c *checker) checkUnique(pointer, name string, seen names) {
+	if seen[name] {
 		c.addf(pointer, "%q stands here a second time", name)
 	}
-	*seen = append(*seen, name)
+	seen[name] = true
 }
 
-func (c *checker) checkKnownRegions(pointer string, names []string) {
-	for i, name := range names {
-		if !slices.Contains(c.regions, name) {
-			c.addf(fmt.Sprintf("%s/%d", pointer, i), "no region %q, want one of %v", name, c.regions)
+func (c *checker) checkKnownRegions(pointer string, list []string) {
+	for i, name := range list {
+		if !c.regions[name] {
+			c.addf(fmt.Sprintf("%s/%d", pointer, i), "no region %q, want one of %v", name, slices.Sorted(maps.Keys(c.regions)))
 		}
 	}
 }
 
 func (c *checker) checkServices() {
-	var names []string
+	seen := make(names)
 	for i, s := range c.bundle.Services {
 		at := fmt.Sprintf("/services/%d", i)
-		c.checkUnique(at+"/name", s.Name, &names)
+		c.checkUnique(at+"/name", s.Name, seen)
 		c.checkKnownRegions(at+"/regions", s.Regions)
 		if s.Kind == wire.ServiceKindEngine && s.Model == "" {
 			c.addf(at, "an engine needs a model")
@@ -105,10 +111,10 @@
 }
 
 func (c *checker) checkPriorities() {
-	var names []string
+	c.priorities = make(names)
 	sum := 0.0
 	for i, p := range c.bundle.Priorities {
-		c.checkUnique(fmt.Sprintf("/priorities/%d/name", i), p.Name, &names)
+		c.checkUnique(fmt.Sprintf("/priorities/%d/name", i), p.Name, c.priorities)
 		sum += p.ReservedShare
 	}
 	if sum > 1 {
@@ -117,14 +123,13 @@
 }
 
 func (c *checker) checkOrganisations() {
-	var names []string
+	seen := make(names)
 	for i, o := range c.bundle.Organisations {
 		at := fmt.Sprintf("/organisations/%d", i)
-		c.checkUnique(at+"/name", o.Name, &names)
+		c.checkUnique(at+"/name", o.Name, seen)
 		c.checkKnownRegions(at+"/regions", o.Regions)
 		c.checkHome(at, o)
-		known := slices.ContainsFunc(c.bundle.Priorities, func(p wire.Priority) bool { return p.Name == o.Priority })
-		if !known {
+		if !c.priorities[o.Priority] {
 			c.addf(at+"/priority", "no priority %q", o.Priority)
 		}
 	}
--- a/bundle/store.go
+++ b/bundle/store.go
@@ -68,8 +68,8 @@
 
 // Node returns the bytes of a node of the version in force.
 func (s *Store) Node(h Hash) ([]byte, bool) {
-	data, ok := s.nodes[h]
-	return data, ok
+	n, ok := s.nodes[h]
+	return n.data, ok
 }
 
 // Nodes returns the nodes of the version in force; the map is never changed
--- a/bundle/tree.go
+++ b/bundle/tree.go
@@ -45,8 +45,17 @@
 	Organisations []wire.Organisation `json:"organisations,omitempty"`
 }
 
-// Nodes holds the bytes of nodes by their hash.
-type Nodes map[Hash][]byte
+// Node is one node as it travels and as it reads. It never changes.
+type Node struct {
+	data []byte
+	node node
+}
+
+// Data returns the bytes of the node.
+func (n Node) Data() []byte { return n.data }
+
+// Nodes holds nodes by their hash.
+type Nodes map[Hash]Node
 
 func (n Nodes) add(v node) (Hash, error) {
 	data, err := json.Marshal(v)
@@ -54,7 +63,10 @@
 		return "", errors.Wrap(err, "bundle: node")
 	}
 	h := HashOf(data)
-	n[h] = data
+	n[h] = Node{
+		data: data,
+		node: v,
+	}
 	return h, nil
 }
 
@@ -114,10 +126,12 @@
 // Fetch returns the bytes of a node; the caller of Join checks them.
 type Fetch func(h Hash) ([]byte, error)
 
-// Join fetches the nodes below root and returns the bundle and the nodes it is
-// made of. Bytes that don't match their hash are refused.
-func Join(version int, root Hash, fetch Fetch) (wire.Bundle, Nodes, error) {
+// Join returns the bundle below root and the nodes it is made of. Nodes that are
+// held already are neither fetched nor read again. Bytes that don't match their
+// hash are refused.
+func Join(version int, root Hash, held Nodes, fetch Fetch) (wire.Bundle, Nodes, error) {
 	j := joiner{
+		held:  held,
 		fetch: fetch,
 		nodes: make(Nodes),
 	}
@@ -130,6 +144,7 @@
 }
 
 type joiner struct {
+	held   Nodes
 	fetch  Fetch
 	nodes  Nodes
 	bundle wire.Bundle
@@ -142,20 +157,13 @@
 	if len(j.nodes) >= maxNodes {
 		return errors.New("bundle: too many nodes")
 	}
-	data, err := j.fetch(h)
+	n, err := j.read(h)
 	if err != nil {
 		return errors.Wrapf(err, "bundle: node %s", h)
 	}
-	if HashOf(data) != h {
-		return errors.Newf("bundle: node %s: bytes of another hash", h)
-	}
-	var n node
-	if err := json.Unmarshal(data, &n); err != nil {
-		return errors.Wrapf(err, "bundle: node %s", h)
-	}
-	j.nodes[h] = data
-	j.add(n)
-	for _, kid := range n.Kids {
+	j.nodes[h] = n
+	j.add(n.node)
+	for _, kid := range n.node.Kids {
 		if err := j.walk(kid); err != nil {
 			return err
 		}
@@ -163,6 +171,23 @@
 	return nil
 }
 
+func (j *joiner) read(h Hash) (Node, error) {
+	if n, ok := j.held[h]; ok {
+		return n, nil
+	}
+	data, err := j.fetch(h)
+	if err != nil {
+		return Node{}, err
+	}
+	if HashOf(data) != h {
+		return Node{}, errors.New("bytes of another hash")
+	}
+	n := Node{
+		data: data,
+	}
+	return n, json.Unmarshal(data, &n.node)
+}
+
 func (j *joiner) add(n node) {
 	j.bundle.Regions = append(j.bundle.Regions, n.Regions...)
 	j.bundle.Services = append(j.bundle.Services, n.Services...)
--- a/commands/bundle.go
+++ b/commands/bundle.go
@@ -108,8 +108,8 @@
 	if err != nil {
 		return err
 	}
-	for h, data := range nodes {
-		if err := writeFile(filepath.Join(c.out, "node", string(h)), data); err != nil {
+	for h, n := range nodes {
+		if err := writeFile(filepath.Join(c.out, "node", string(h)), n.Data()); err != nil {
 			return err
 		}
 	}
--- a/commands/measure.go
+++ b/commands/measure.go
@@ -37,10 +37,12 @@
 func (*measureCmd) Usage() string {
 	return `measure once [-ops N] [-seed S]
 measure policy [-case NAME] [-seed S]
+measure control
 measure bundle [-boxes N] [-changes N] [-rate R] [-seed S]
   Run an experiment; each row is one JSON object.
   once    calls that may not be repeated, under faults, in virtual time
   bundle  how fast a bundle is in force, and what that costs, over real sockets
+  control what one more box, replica, organisation, change, request or token costs
   policy  routing and admission beside baselines, in virtual time
 `
 }
@@ -82,6 +84,8 @@
 		return c.policy()
 	case "bundle":
 		return c.bundle(ctx)
+	case "control":
+		return control.Slopes(ctx, func(s control.Slope) error { return printRow(s) })
 	}
 	return errors.Newf("no experiment %q", name)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/havenrudder/havenrudder/admission"
 	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/membership"
+	"github.com/havenrudder/havenrudder/routing"
 	"github.com/havenrudder/havenrudder/upstream"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -36,6 +37,7 @@
 	warm      *lru.Cache[string, []string] // prefix to replicas, newest first
 	regions   map[string]Summary           // of other regions
 	turn      int                          // spreads callers without a prefix
+	scratch   []routing.Replica            // candidates of the request at hand
 }
 
 // listed is the platform's list of one failure domain with its age.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -120,10 +120,12 @@
 	f.warm.Add(prefix, list)
 }
 
+// candidates returns the replicas of a service as believed now, in memory that
+// the next call uses again.
 func (f *Fleet) candidates(req Request, now time.Duration) []routing.Replica {
 	all := f.inventory.Of(req.Service.Name)
 	warm, _ := f.warm.Get(req.Routing.Affinity)
-	out := make([]routing.Replica, 0, len(all))
+	out := f.scratch[:0]
 	for _, r := range all {
 		out = append(out, routing.Replica{
 			Name:    r.Name,
@@ -138,6 +140,7 @@
 			Tried:   slices.Contains(req.Tried, r.Name),
 		})
 	}
+	f.scratch = out
 	return out
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -267,8 +267,8 @@
 	if err != nil {
 		return err
 	}
-	for h, data := range nodes {
-		s.platform.PutNew(platform.KeyNode+string(h), data)
+	for h, n := range nodes {
+		s.platform.PutNew(platform.KeyNode+string(h), n.Data())
 	}
 	s.platform.Put(platform.KeyHead, encode(bundle.Sign(b.Version, root, keyID, s.private)))
 	return nil
@@ -303,6 +303,9 @@
 	return out
 }
 
+// UpstreamURL returns the address of the first upstream of a failure domain.
+func (s *Site) UpstreamURL(domain string) string { return s.fleets[domain].Upstreams[0].URL }
+
 // Stop ends a box at once, as a crash does.
 func (s *Site) Stop(name string) { s.boxes[name].stop() }
 
--- a/measure/control/bundle.go
+++ b/measure/control/bundle.go
@@ -217,11 +217,9 @@
 }
 
 func startSite(ctx context.Context, b wire.Bundle, boxes int, v Variant) (*site.Site, error) {
-	quiet := logrus.New()
-	quiet.SetLevel(logrus.PanicLevel)
 	plan := site.Plan{
 		Bundle: b,
-		Log:    logrus.NewEntry(quiet),
+		Log:    quietLog(),
 	}
 	for i := range boxes {
 		s, err := settings(b, i, v)
@@ -235,6 +233,12 @@
 	return site.StartWithin(ctx, start, plan)
 }
 
+func quietLog() *logrus.Entry {
+	quiet := logrus.New()
+	quiet.SetLevel(logrus.PanicLevel)
+	return logrus.NewEntry(quiet)
+}
+
 func settings(b wire.Bundle, i int, v Variant) (wire.Settings, error) {
 	domain := fmt.Sprintf("domain-%d", i/perDomain)
 	text := fmt.Sprintf(`{
@@ -315,9 +319,14 @@
 	}
 	row.CPU = (cpuTime() - m.cpu).Seconds() / took / n
 	row.Reads = float64(m.site.Platform().Calls()-m.calls) / took
-	var stats runtime.MemStats
+	row.Memory = inUse() / 1e6 / n
+	return nil
+}
+
+// inUse returns the bytes of heap and stacks in use.
+func inUse() float64 {
 	runtime.GC()
+	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
-	row.Memory = float64(stats.HeapInuse+stats.StackInuse) / 1e6 / n
-	return nil
+	return float64(stats.HeapInuse + stats.StackInuse)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/havenrudder/havenrudder/common/decay"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -17,6 +18,7 @@
 	outFor      = 5 * time.Second  // how long it stays out before one more try
 	weight      = 0.2              // weight of the newest observation in a smoothed one
 	slowHalf    = 20 * time.Second // time in which half of a replica's slowness is forgotten
+	slowLeast   = 0.02             // a smaller logarithm is taken for none
 	slowBound   = 3                // bound of one observation of slowness, a logarithm
 	minHold     = 500 * time.Millisecond
 	roundUp     = 0.5
@@ -61,9 +63,9 @@
 }
 
 func (r *Replica) others(now time.Duration) float64 {
-	fresh := math.Exp2(-float64(now-r.Reported) / float64(max(r.Hold, minHold)))
-	if r.Reported == 0 {
-		fresh = 0
+	fresh := 0.0
+	if r.Reported > 0 {
+		fresh = decay.Left(now-r.Reported, max(r.Hold, minHold))
 	}
 	usual := max(r.usual.at(now)*float64(r.Slots)-float64(r.InFlight), 0)
 	return fresh*float64(r.Others) + (1-fresh)*usual
@@ -73,6 +75,9 @@
 // token at now: the prompts of own requests that wait for theirs, and as much for
 // each waiting request of others.
 func (r *Replica) Pending(now time.Duration) time.Duration {
+	if r.Waiting == 0 {
+		return r.pending
+	}
 	waiting := min(float64(r.Waiting), r.others(now)) - float64(r.starting)
 	if waiting <= 0 {
 		return r.pending
@@ -84,8 +89,11 @@
 // for as expected. Without news it comes back to 1, so that a replica which was
 // slow is tried again.
 func (r *Replica) Slow(now time.Duration) float64 {
-	halves := float64(now-r.slowAt) / float64(slowHalf)
-	return math.Exp(r.slow * math.Exp2(-halves))
+	left := r.slow * decay.Left(now-r.slowAt, slowHalf)
+	if math.Abs(left) < slowLeast {
+		return 1
+	}
+	return math.Exp(left)
 }
 
 // Out says whether the replica gets no work at now for its failures.
@@ -101,7 +109,7 @@
 
 // at returns the usual load at now; it is forgotten when nobody tells anything.
 func (u *usual) at(now time.Duration) float64 {
-	return u.share * math.Exp2(-float64(now-u.told)/float64(usualHalf))
+	return u.share * decay.Left(now-u.told, usualHalf)
 }
 
 func (u *usual) tell(share float64, now time.Duration) {
@@ -113,7 +121,8 @@
 // Inventory holds the replicas of one region. It belongs to one actor.
 type Inventory struct {
 	replicas map[string]*Replica
-	usual    map[string]*usual // by service
+	usual    map[string]*usual     // by service
+	services map[string][]*Replica // in the order of names, made when it is asked for
 	gens     int
 }
 
@@ -122,6 +131,7 @@
 	return &Inventory{
 		replicas: make(map[string]*Replica),
 		usual:    make(map[string]*usual),
+		services: make(map[string][]*Replica),
 	}
 }
 
@@ -129,6 +139,7 @@
 // gone from it and has nothing in flight is forgotten. A leaving one comes back only as a new
 // process: under another URL, or after it was gone from the list.
 func (v *Inventory) List(domain string, entries []wire.UpstreamEntry) {
+	clear(v.services)
 	named := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		named[e.Name] = true
@@ -293,12 +304,16 @@
 
 // Of returns the replicas of a service, by name. They belong to the inventory.
 func (v *Inventory) Of(service string) []*Replica {
+	if out, ok := v.services[service]; ok {
+		return out
+	}
 	var out []*Replica
 	for _, name := range slices.Sorted(maps.Keys(v.replicas)) {
 		if r := v.replicas[name]; r.Service == service {
 			out = append(out, r)
 		}
 	}
+	v.services[service] = out
 	return out
 }
 
