gateway: Send a token when it is made

Cause: a test that a caller who leaves cancels the upstream found that it had finished: headers came 21 ms after the request, with the last token. A stream was flushed when nothing was left to read after a data line, but the blank line that ends the event always was. Ruled out: the network of the test (the stand-in's own answers came token by token).

Change: flush at the end of an event when no other is there yet.

Boxes run in virtual time in these tests, on a network within the process: bundles that never revert, starts from peers, tickets through crashes and cuts, a planned stop, upstreams that leave, cancels, broken streams.

--- a/box/box.go
+++ b/box/box.go
@@ -175,7 +175,9 @@
 	b.tasks.Go(func() { b.runProbes(ctx) })
 	b.tasks.Go(func() { b.serveOperators(ctx, cancel, tlsConfig) })
 	b.serveCallers(ctx, cancel, tlsConfig)
+	cancel(nil)
 	b.tasks.Wait()
+	b.upstream.CloseIdleConnections()
 	return cause(ctx)
 }
 
@@ -193,7 +195,7 @@
 func (b *Box) build(ctx context.Context, cancel context.CancelCauseFunc, keys *bundle.Keys) {
 	broken := func(reason any) { cancel(errors.Newf("broken invariant: %v", reason)) }
 	b.metrics = newMetrics()
-	b.system = cell.NewSystem(actorLogger(b.log), broken)
+	b.system = cell.NewSystem(actorLogger(ctx, b.log), broken)
 	b.fleet = cell.New(ctx, b.system, "fleet", fleet.New(b.settings.Box, b.addrs.Callers, b.settings.Region, b.settings.FailureDomain))
 	b.bundles = cell.New(ctx, b.system, "bundles", newBundleState(keys))
 	b.tickets = cell.New(ctx, b.system, "tickets", newTicketState(b.settings, b.inc))
--- /dev/null
+++ b/box/box_test.go
@@ -0,0 +1,449 @@
+package box_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/havenrudder/havenrudder/box"
+	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/config"
+	"github.com/havenrudder/havenrudder/gateway"
+	"github.com/havenrudder/havenrudder/internal/fakes"
+	"github.com/havenrudder/havenrudder/platform"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const bundleText = `{
+  "version": 1,
+  "regions": [{"name": "r", "failure_domains": ["d"]}],
+  "services": [
+    {"name": "engine", "kind": "engine", "regions": ["r"], "model": "m"},
+    {"name": "slots", "kind": "plain", "regions": ["r"], "once": ["POST /v1/slots"]},
+  ],
+  "priorities": [{"name": "p", "rank": 0}],
+  "organisations": [{"name": "o", "home": "r", "regions": ["r"], "priority": "p"}],
+}`
+
+// domain is one failure domain in virtual time on a network within the process.
+type domain struct {
+	t        *testing.T
+	is       *is.I
+	net      *fakes.Network
+	platform *fakes.Platform
+	base     string
+	private  ed25519.PrivateKey
+	bundle   wire.Bundle
+	fleet    wire.Fleet
+	ledger   *fakes.Ledger
+	engine   *fakes.Engine
+	boxes    map[string]*running
+	servers  []*http.Server
+	client   *http.Client
+}
+
+type running struct {
+	box    *box.Box
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func newDomain(t *testing.T, boxes ...string) *domain {
+	is := is.New(t)
+	d := &domain{
+		t:        t,
+		is:       is,
+		net:      fakes.NewNetwork(),
+		platform: fakes.NewPlatform(),
+		private:  ed25519.NewKeyFromSeed([]byte(strings.Repeat("k", ed25519.SeedSize))),
+		ledger:   fakes.NewLedger(),
+		engine:   fakes.NewEngine("engine-1"),
+		boxes:    make(map[string]*running),
+		fleet: wire.Fleet{
+			Region:        "r",
+			FailureDomain: "d",
+			Boxes:         []wire.BoxEntry{},
+		},
+	}
+	d.client = &http.Client{
+		Transport: &http.Transport{
+			DialContext:       d.net.Dial("caller"),
+			DisableKeepAlives: true,
+		},
+	}
+	d.base = d.serve("platform", d.platform)
+	d.upstream("engine-1", "engine", d.engine)
+	d.upstream("slots-1", "slots", fakes.NewService(d.ledger, 200*time.Millisecond))
+	b, err := bundle.Parse("bundle", []byte(bundleText))
+	is.NoErr(err)
+	d.bundle = b
+	d.publish(1)
+	for _, name := range boxes {
+		d.start(name)
+	}
+	d.publishFleet()
+	d.wait(5 * time.Second)
+	return d
+}
+
+func (d *domain) serve(host string, h http.Handler) string {
+	l, err := d.net.Listen(host)("tcp", "")
+	d.is.NoErr(err)
+	s := &http.Server{
+		Handler: h,
+	}
+	d.servers = append(d.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return "http://" + l.Addr().String()
+}
+
+func (d *domain) upstream(name, service string, h http.Handler) {
+	d.fleet.Upstreams = append(d.fleet.Upstreams, wire.UpstreamEntry{
+		Name:    name,
+		Service: service,
+		URL:     d.serve(name, h),
+		State:   wire.ServingStateServing,
+		Slots:   8,
+	})
+}
+
+func (d *domain) publish(version int) {
+	d.bundle.Version = version
+	root, nodes, err := bundle.Split(d.bundle)
+	d.is.NoErr(err)
+	for h, n := range nodes {
+		d.platform.PutNew(platform.KeyNode+string(h), n.Data())
+	}
+	head, err := json.Marshal(bundle.Sign(version, root, "k", d.private))
+	d.is.NoErr(err)
+	d.platform.Put(platform.KeyHead, head)
+}
+
+func (d *domain) publishFleet() {
+	data, err := json.Marshal(d.fleet)
+	d.is.NoErr(err)
+	d.platform.Put(platform.KeyFleet+"d", data)
+}
+
+func (d *domain) start(name string) *box.Box {
+	public := base64.StdEncoding.EncodeToString(d.private.Public().(ed25519.PublicKey))
+	settings, err := config.ParseSettings("settings", fmt.Appendf(nil, `{
+		"box": %q, "region": "r", "failure_domain": "d",
+		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0"},
+		"platform": {"urls": [%q], "wait_ms": 5000},
+		"keys": [{"id": "k", "public": %q}],
+		"limits": {"drain_ms": 30000},
+	}`, name, d.base, public))
+	d.is.NoErr(err)
+	for _, peer := range d.boxes {
+		settings.Seeds = append(settings.Seeds, peer.box.Addrs().Peers)
+	}
+	quiet := logrus.New()
+	quiet.SetLevel(logrus.PanicLevel)
+	b, err := box.New(settings, box.WithLog(logrus.NewEntry(quiet)), box.WithNetwork(d.net.Listen(name), d.net.Dial(name)))
+	d.is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{
+		box:    b,
+		cancel: cancel,
+		done:   make(chan error, 1),
+	}
+	go func() { r.done <- b.Run(ctx) }()
+	d.boxes[name] = r
+	d.fleet.Boxes = append(d.fleet.Boxes, wire.BoxEntry{
+		Name:    name,
+		Callers: b.Addrs().Callers,
+		Peers:   b.Addrs().Peers,
+		State:   wire.ServingStateServing,
+	})
+	return b
+}
+
+func (d *domain) wait(t time.Duration) {
+	time.Sleep(t) // virtual: the bubble's clock moves only when all wait
+	synctest.Wait()
+}
+
+// crash ends a box without a planned stop.
+func (d *domain) crash(name string) {
+	d.boxes[name].cancel()
+	<-d.boxes[name].done
+}
+
+func (d *domain) end() {
+	for _, r := range d.boxes {
+		r.cancel()
+	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.client.CloseIdleConnections()
+	d.wait(time.Minute)
+}
+
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	refusal wire.Refusal
+}
+
+func (d *domain) send(method, name, path, body string, h http.Header) reply {
+	r, err := http.NewRequest(method, "http://"+d.boxes[name].box.Addrs().Callers+path, strings.NewReader(body))
+	d.is.NoErr(err)
+	r.Header = h.Clone()
+	r.Header.Set(gateway.HeaderOrg, "o")
+	resp, err := d.client.Do(r)
+	if err != nil {
+		return reply{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	out := reply{
+		status: resp.StatusCode,
+		header: resp.Header,
+		body:   string(data),
+	}
+	if resp.StatusCode != http.StatusOK {
+		d.is.NoErr(json.Unmarshal(data, &out.refusal))
+	}
+	return out
+}
+
+func (d *domain) ticket(name string) http.Header {
+	r := d.send(http.MethodGet, name, "/v1/box?service=slots&ticket=1", "", http.Header{})
+	var which wire.WhichBox
+	d.is.NoErr(json.Unmarshal([]byte(r.body), &which))
+	return http.Header{
+		gateway.HeaderTicket: {which.Ticket},
+	}
+}
+
+// loop does as the documentation tells callers: on "not run" it sends again with
+// the fresh ticket it was given, after the time it was given.
+func (d *domain) loop(name, body, encoded string) reply {
+	for {
+		r := d.send(http.MethodPost, name, "/s/slots/v1/slots", body, http.Header{
+			gateway.HeaderTicket: {encoded},
+		})
+		if r.refusal.Ran != wire.RanNotRun {
+			return r
+		}
+		encoded = r.refusal.Ticket
+		d.wait(time.Duration(r.refusal.RetryAfterMs) * time.Millisecond)
+	}
+}
+
+func run(t *testing.T, f func(d *domain), boxes ...string) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDomain(t, boxes...)
+		defer d.end()
+		f(d)
+	})
+}
+
+func TestABundleIsInForceEverywhereWithinSecondsAndNeverReverts(t *testing.T) {
+	run(t, func(d *domain) {
+		for _, r := range d.boxes {
+			d.is.Equal(r.box.InForce(), 1)
+		}
+		d.publish(7)
+		d.wait(4 * time.Second)
+		for _, r := range d.boxes {
+			d.is.Equal(r.box.InForce(), 7)
+		}
+		d.publish(6) // a replica of the platform that has fallen behind
+		d.wait(10 * time.Second)
+		for _, r := range d.boxes {
+			d.is.Equal(r.box.InForce(), 7)
+		}
+	}, "a", "b", "c", "d")
+}
+
+func TestABoxThatStartsWhileThePlatformIsStaleTakesTheVersionOfItsPeers(t *testing.T) {
+	run(t, func(d *domain) {
+		d.publish(2)
+		d.wait(4 * time.Second)
+		d.publish(1)
+		started := d.start("c")
+		d.publishFleet()
+		d.wait(8 * time.Second)
+		d.is.Equal(started.InForce(), 2)
+	}, "a", "b")
+}
+
+func TestABoxStartsFromItsPeersWhileThePlatformIsDown(t *testing.T) {
+	run(t, func(d *domain) {
+		d.platform.SetDown(true)
+		started := d.start("c")
+		d.wait(20 * time.Second)
+		d.is.Equal(started.InForce(), 1)
+		d.is.Equal(started.Dump().State, "serving")
+	}, "a", "b")
+}
+
+func TestACallThatMayNotBeRepeatedRunsOnceThroughTwoBoxes(t *testing.T) {
+	run(t, func(d *domain) {
+		h := d.ticket("a")
+		first := d.send(http.MethodPost, "a", "/s/slots/v1/slots", "order", h)
+		second := d.send(http.MethodPost, "b", "/s/slots/v1/slots", "order", h)
+		d.is.Equal(first.status, http.StatusOK)
+		d.is.Equal(second.body, first.body)
+		d.is.Equal(d.ledger.Ran("order"), 1)
+		other := d.send(http.MethodPost, "a", "/s/slots/v1/slots", "another", h)
+		d.is.Equal(other.refusal.Code, "ticket_used")
+		d.is.Equal(d.ledger.Ran("another"), 0)
+	}, "a", "b")
+}
+
+func TestATicketWhoseOwnerDiedUnusedIsNotRun(t *testing.T) {
+	run(t, func(d *domain) {
+		h := d.ticket("a")
+		d.crash("a")
+		r := d.send(http.MethodPost, "b", "/s/slots/v1/slots", "order", h)
+		d.is.Equal(r.refusal.Ran, wire.RanNotRun)
+		d.is.Equal(d.ledger.Ran("order"), 0)
+		d.is.Equal(d.loop("b", "order", r.refusal.Ticket).status, http.StatusOK)
+		d.is.Equal(d.ledger.Ran("order"), 1)
+	}, "a", "b", "c")
+}
+
+func TestATicketWhoseOwnerDiedWhileItRanIsUnknown(t *testing.T) {
+	run(t, func(d *domain) {
+		h := d.ticket("a")
+		go d.send(http.MethodPost, "a", "/s/slots/v1/slots", "order", h)
+		d.wait(100 * time.Millisecond)
+		d.is.Equal(d.ledger.Ran("order"), 1)
+		d.crash("a")
+		r := d.send(http.MethodPost, "b", "/s/slots/v1/slots", "order", h)
+		d.is.Equal(r.refusal.Ran, wire.RanUnknown)
+		d.is.Equal(d.ledger.Ran("order"), 1)
+	}, "a", "b", "c")
+}
+
+func TestACutBetweenOwnerAndWitnessMakesNotRunTrue(t *testing.T) {
+	run(t, func(d *domain) {
+		h := d.ticket("a")
+		d.net.Cut("a", "b") // the only possible witness
+		r := d.send(http.MethodPost, "a", "/s/slots/v1/slots", "order", h)
+		d.is.Equal(r.refusal.Ran, wire.RanNotRun)
+		again := d.send(http.MethodPost, "b", "/s/slots/v1/slots", "order", h)
+		d.is.Equal(again.refusal.Ran, wire.RanNotRun)
+		d.net.Heal()
+		d.wait(5 * time.Second)
+		late := d.send(http.MethodPost, "a", "/s/slots/v1/slots", "order", h)
+		d.is.Equal(late.refusal.Ran, wire.RanNotRun)
+		d.is.Equal(d.ledger.Ran("order"), 0)
+	}, "a", "b")
+}
+
+func TestAnIdempotencyKeyWithoutATicketGetsOne(t *testing.T) {
+	run(t, func(d *domain) {
+		r := d.send(http.MethodPost, "a", "/s/slots/v1/slots", "order", http.Header{
+			"Idempotency-Key": {"k"},
+		})
+		d.is.Equal(r.status, http.StatusPreconditionRequired)
+		d.is.Equal(r.refusal.Ran, wire.RanNotRun)
+		d.is.True(r.refusal.Ticket != "")
+		d.is.Equal(d.ledger.Ran("order"), 0)
+	}, "a", "b")
+}
+
+func TestAPlannedStopCutsOffNothingAndIsNamedNoMore(t *testing.T) {
+	run(t, func(d *domain) {
+		whole := make(chan bool, 1)
+		unused := d.ticket("a")
+		go func() {
+			r := d.send(http.MethodPost, "a", "/v1/chat/completions", `{"model":"m","stream":true,"messages":[]}`, http.Header{})
+			whole <- strings.HasSuffix(r.body, "data: [DONE]\n\n")
+		}()
+		d.wait(6 * time.Millisecond) // the answer has begun
+		d.boxes["a"].box.Leave()
+		d.wait(time.Second)
+		d.is.True(<-whole)
+		var which wire.WhichBox
+		d.is.NoErr(json.Unmarshal([]byte(d.send(http.MethodGet, "b", "/v1/box?service=engine", "", http.Header{}).body), &which))
+		d.is.Equal(which.Boxes, []string{d.boxes["b"].box.Addrs().Callers})
+		r := d.send(http.MethodPost, "a", "/s/slots/v1/slots", "order", unused)
+		d.is.Equal(r.refusal.Ran, wire.RanNotRun)
+		d.wait(10 * time.Second)
+		d.is.NoErr(<-d.boxes["a"].done)
+	}, "a", "b")
+}
+
+func TestAnUpstreamThatLeavesGetsNoNewWork(t *testing.T) {
+	run(t, func(d *domain) {
+		ask := func() reply {
+			return d.send(http.MethodPost, "a", "/v1/chat/completions", `{"model":"m","messages":[]}`, http.Header{})
+		}
+		d.is.Equal(ask().status, http.StatusOK)
+		d.engine.Leave() // only its own answers say so; the list lags
+		d.is.Equal(ask().status, http.StatusOK)
+		d.wait(time.Second)
+		d.is.Equal(ask().refusal.Ran, wire.RanNotRun)
+		d.wait(5 * time.Second) // the other box hears of it by heartbeat
+		r := d.send(http.MethodPost, "b", "/v1/chat/completions", `{"model":"m","messages":[]}`, http.Header{})
+		d.is.Equal(r.refusal.Ran, wire.RanNotRun)
+		d.is.Equal(d.engine.Counts().Finished, 2)
+	}, "a", "b")
+}
+
+func TestACallerThatLeavesCancelsTheUpstream(t *testing.T) {
+	run(t, func(d *domain) {
+		ctx, cancel := context.WithCancel(d.t.Context())
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.boxes["a"].box.Addrs().Callers+"/v1/chat/completions", strings.NewReader(`{"model":"m","stream":true,"messages":[]}`))
+		d.is.NoErr(err)
+		r.Header.Set(gateway.HeaderOrg, "o")
+		resp, err := d.client.Do(r)
+		d.is.NoErr(err)
+		cancel()
+		_ = resp.Body.Close()
+		d.wait(time.Second)
+		d.is.Equal(d.engine.Counts().Cancelled, 1)
+		d.is.Equal(d.boxes["a"].box.Dump().Services["engine"], 0) // counted out
+	}, "a")
+}
+
+func TestATokenReachesTheCallerWhenItIsMade(t *testing.T) {
+	run(t, func(d *domain) {
+		r, err := http.NewRequestWithContext(d.t.Context(), http.MethodPost, "http://"+d.boxes["a"].box.Addrs().Callers+"/v1/chat/completions", strings.NewReader(`{"model":"m","stream":true,"messages":[]}`))
+		d.is.NoErr(err)
+		r.Header.Set(gateway.HeaderOrg, "o")
+		began := time.Now()
+		resp, err := d.client.Do(r)
+		d.is.NoErr(err)
+		in := bufio.NewScanner(resp.Body)
+		var at []time.Duration
+		for in.Scan() {
+			if strings.HasPrefix(in.Text(), "data: {") {
+				at = append(at, time.Since(began))
+			}
+		}
+		_ = resp.Body.Close()
+		d.is.Equal(len(at), 16)
+		for i, took := range at {
+			d.is.Equal(took, 5*time.Millisecond+time.Duration(i)*time.Millisecond) // virtual time, to the instant
+		}
+	}, "a")
+}
+
+func TestABrokenStreamIsNeverPresentedAsWhole(t *testing.T) {
+	run(t, func(d *domain) {
+		d.engine.BreakNext(4)
+		r := d.send(http.MethodPost, "a", "/v1/chat/completions", `{"model":"m","stream":true,"messages":[]}`, http.Header{})
+		d.is.True(!strings.Contains(r.body, "[DONE]"))
+		d.is.True(strings.Contains(r.body, "event: error"))
+	}, "a")
+}
--- a/box/serve.go
+++ b/box/serve.go
@@ -175,9 +175,11 @@
 	return c.Conn.Close()
 }
 
-// actorLogger hands the actors' log to logrus.
-func actorLogger(log *logrus.Entry) *slog.Logger {
-	h := slog.NewTextHandler(log.WriterLevel(logrus.WarnLevel), &slog.HandlerOptions{
+// actorLogger hands the actors' log to logrus until ctx ends.
+func actorLogger(ctx context.Context, log *logrus.Entry) *slog.Logger {
+	w := log.WriterLevel(logrus.WarnLevel)
+	context.AfterFunc(ctx, func() { _ = w.Close() })
+	h := slog.NewTextHandler(w, &slog.HandlerOptions{
 		Level: slog.LevelWarn,
 	})
 	return slog.New(h)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -130,6 +130,9 @@
 		if err != nil {
 			return started, err
 		}
+		if len(line) == 0 && in.Buffered() == 0 {
+			st.flush.Flush() // an event has ended and no other is there yet
+		}
 		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
 			continue
@@ -143,11 +146,11 @@
 			st.begin(p)
 		}
 		if bytes.Equal(data, dataDone) {
-			return started, st.write(dataDone, true)
+			return started, st.write(dataDone)
 		}
 		st.observe()
 		st.sent++
-		if err := st.write(data, in.Buffered() == 0); err != nil {
+		if err := st.write(data); err != nil {
 			return started, err
 		}
 	}
@@ -195,14 +198,11 @@
 	st.last = now
 }
 
-func (st *stream) write(data []byte, flush bool) error {
+func (st *stream) write(data []byte) error {
 	for _, part := range [][]byte{dataPrefix, data, newLine, newLine} {
 		if _, err := st.w.Write(part); err != nil {
 			return errors.Wrap(err, "gateway: caller")
 		}
 	}
-	if flush {
-		st.flush.Flush()
-	}
 	return nil
 }
