--- a/internal/fakes/platform.go
+++ b/internal/fakes/platform.go
@@ -18,8 +18,9 @@
 	mu      sync.Mutex
 	index   int64
 	values  map[string]platform.Value
-	stale   map[string]platform.Value // answered instead while set
-	changed chan struct{}             // closed and renewed at each change
+	stale   map[string]platform.Value // answered instead while frozen
+	frozen  bool
+	changed chan struct{} // closed and renewed at each change
 	down    bool
 	calls   int
 }
@@ -62,17 +63,26 @@
 func (p *Platform) Freeze() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.frozen = true
 	p.stale = make(map[string]platform.Value, len(p.values))
 	for k, v := range p.values {
 		p.stale[k] = v
 	}
 }
 
+// Relapse makes the service answer with the values of the last Freeze again.
+func (p *Platform) Relapse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = true
+	p.wake()
+}
+
 // Thaw ends Freeze.
 func (p *Platform) Thaw() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stale = nil
+	p.frozen = false
 	p.wake()
 }
 
@@ -132,7 +142,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	values := p.values
-	if p.stale != nil {
+	if p.frozen {
 		values = p.stale
 	}
 	v, ok = values[key]
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/internal/fakes"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// countingConn counts what crosses a connection.
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+// Write counts and writes.
+func (c countingConn) Write(p []byte) (int, error) {
+	c.n.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+func pair(t *testing.T, h Handler, f func(ctx context.Context, is *is.I, p *Pool, addr string, sent *atomic.Int64, counted *atomic.Int64)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := fakes.NewNetwork()
+		l, err := n.Listen("server")("tcp", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var sent, counted atomic.Int64
+		dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := n.Dial("client")(ctx, network, addr)
+			return countingConn{
+				Conn: c,
+				n:    &sent,
+			}, err
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = Serve(ctx, l, h, func(Method, int) {}) })
+		p := NewPool(ctx, dial, func(_ Method, n int) { counted.Add(int64(n)) })
+		f(ctx, is.New(t), p, l.Addr().String(), &sent, &counted)
+		cancel()
+		wg.Wait()
+	})
+}
+
+func TestEnvelopeIsMeasured(t *testing.T) {
+	handler := func(context.Context, Method, json.RawMessage) (any, error) { return nil, nil }
+	pair(t, handler, func(ctx context.Context, is *is.I, p *Pool, addr string, sent, counted *atomic.Int64) {
+		for range 10 {
+			is.NoErr(p.Notify(ctx, addr, Heartbeat, wire.Heartbeat{
+				Box: "box",
+				Inc: 1,
+				Seq: 1,
+			}))
+		}
+		synctest.Wait()
+		off := float64(counted.Load())/float64(sent.Load()) - 1
+		is.True(off > -0.05 && off < 0.05) // what is counted is what is sent, within a twentieth
+	})
+}
+
+func TestAnswersBelongToTheirCallsHoweverTheyCross(t *testing.T) {
+	handler := func(_ context.Context, _ Method, params json.RawMessage) (any, error) {
+		var r wire.PartRequest
+		if err := json.Unmarshal(params, &r); err != nil {
+			return nil, err
+		}
+		time.Sleep(time.Duration('z'-r.Hash[0]) * time.Millisecond) // the first is answered last
+		return wire.Part{
+			Found: true,
+			Data:  r.Hash,
+		}, nil
+	}
+	pair(t, handler, func(ctx context.Context, is *is.I, p *Pool, addr string, _, _ *atomic.Int64) {
+		var wg sync.WaitGroup
+		for _, first := range "bcdefgh" {
+			wg.Go(func() {
+				hash := string(first) + "-0123456789abcdef"
+				var out wire.Part
+				is.NoErr(p.Call(ctx, addr, Part, wire.PartRequest{
+					Hash: hash,
+				}, &out))
+				is.Equal(out.Data, hash)
+			})
+		}
+		wg.Wait()
+	})
+}
+
+func TestAMessageThatDoesNotCheckIsAnError(t *testing.T) {
+	handler := func(_ context.Context, _ Method, params json.RawMessage) (any, error) {
+		var r wire.PartRequest
+		return wire.Part{}, json.Unmarshal(params, &r)
+	}
+	pair(t, handler, func(ctx context.Context, is *is.I, p *Pool, addr string, _, _ *atomic.Int64) {
+		var out wire.Part
+		is.True(p.Call(ctx, addr, Part, wire.PartRequest{}, &out) != nil)
+		is.True(!errors.Is(ctx.Err(), context.Canceled))
+	})
+}
