--- a/box/box.go
+++ b/box/box.go
@@ -169,7 +169,7 @@
 		b.closeListeners()
 		return err
 	}
-	b.build(ctx, cancel, keys)
+	b.build(ctx, cancel, keys, tlsConfig)
 	b.tasks.Go(func() { b.serveBoxes(ctx, cancel) })
 	b.tasks.Go(func() { b.runHeartbeats(ctx) })
 	b.tasks.Go(func() { b.runProbes(ctx) })
@@ -192,7 +192,7 @@
 
 var errStopped = errors.New("box: stopped as planned")
 
-func (b *Box) build(ctx context.Context, cancel context.CancelCauseFunc, keys *bundle.Keys) {
+func (b *Box) build(ctx context.Context, cancel context.CancelCauseFunc, keys *bundle.Keys, cfg *tls.Config) {
 	broken := func(reason any) { cancel(errors.Newf("broken invariant: %v", reason)) }
 	b.metrics = newMetrics()
 	b.system = cell.NewSystem(actorLogger(ctx, b.log), broken)
@@ -200,9 +200,8 @@
 	b.bundles = cell.New(ctx, b.system, "bundles", newBundleState(keys))
 	b.tickets = cell.New(ctx, b.system, "tickets", newTicketState(b.settings, b.inc))
 	b.peers = peer.NewPool(ctx, b.dial, b.metrics.countControl)
-	shared := b.transport(false)
 	b.upstream = &http.Client{
-		Transport: shared,
+		Transport: b.transport(false, cfg),
 	}
 	b.platform = platform.New(b.settings.Platform.URLs, b.settings.Platform.Prefix,
 		platform.WithHTTP(b.upstream),
@@ -213,8 +212,18 @@
 
 const idlePerUpstream = 64
 
-func (b *Box) transport(perCall bool) *http.Transport {
+// transport returns what carries calls to upstreams, the platform and other
+// boxes. Of cfg it takes the authorities alone.
+func (b *Box) transport(perCall bool, cfg *tls.Config) *http.Transport {
+	var trust *tls.Config
+	if cfg != nil {
+		trust = &tls.Config{
+			RootCAs:    cfg.RootCAs,
+			MinVersion: tls.VersionTLS12,
+		}
+	}
 	return &http.Transport{
+		TLSClientConfig:     trust,
 		DialContext:         b.dial,
 		DisableKeepAlives:   perCall,
 		DisableCompression:  true, // answers go on as they came
--- a/box/box_test.go
+++ b/box/box_test.go
@@ -52,6 +52,7 @@
 	boxes    map[string]*running
 	servers  []*http.Server
 	client   *http.Client
+	tls      *wire.TLS
 }
 
 type running struct {
@@ -61,6 +62,13 @@
 }
 
 func newDomain(t *testing.T, boxes ...string) *domain {
+	d := emptyDomain(t)
+	d.open(boxes...)
+	return d
+}
+
+// emptyDomain returns a failure domain without boxes.
+func emptyDomain(t *testing.T) *domain {
 	is := is.New(t)
 	d := &domain{
 		t:        t,
@@ -90,12 +98,16 @@
 	is.NoErr(err)
 	d.bundle = b
 	d.publish(1)
+	return d
+}
+
+// open starts boxes and waits until they know each other.
+func (d *domain) open(boxes ...string) {
 	for _, name := range boxes {
 		d.start(name)
 	}
 	d.publishFleet()
 	d.wait(5 * time.Second)
-	return d
 }
 
 func (d *domain) serve(host string, h http.Handler) string {
@@ -147,6 +159,7 @@
 		"limits": {"drain_ms": 30000},
 	}`, name, d.base, public))
 	d.is.NoErr(err)
+	settings.TLS = d.tls
 	for _, peer := range d.boxes {
 		settings.Seeds = append(settings.Seeds, peer.box.Addrs().Peers)
 	}
@@ -201,7 +214,11 @@
 }
 
 func (d *domain) send(method, name, path, body string, h http.Header) reply {
-	r, err := http.NewRequest(method, "http://"+d.boxes[name].box.Addrs().Callers+path, strings.NewReader(body))
+	scheme := "http://"
+	if d.tls != nil {
+		scheme = "https://"
+	}
+	r, err := http.NewRequest(method, scheme+d.boxes[name].box.Addrs().Callers+path, strings.NewReader(body))
 	d.is.NoErr(err)
 	r.Header = h.Clone()
 	r.Header.Set(gateway.HeaderOrg, "o")
--- a/box/serve.go
+++ b/box/serve.go
@@ -33,18 +33,27 @@
 		Certificates: []tls.Certificate{cert},
 		MinVersion:   tls.VersionTLS12,
 	}
-	if t.ClientCaFile == "" {
-		return out, nil
+	if out.ClientCAs, err = loadAuthorities(t.ClientCaFile); err != nil {
+		return nil, err
+	}
+	out.RootCAs, err = loadAuthorities(t.CaFile)
+	return out, err
+}
+
+// loadAuthorities returns the certificates in a file, nil for no file.
+func loadAuthorities(path string) (*x509.CertPool, error) {
+	if path == "" {
+		return nil, nil
 	}
-	pem, err := os.ReadFile(t.ClientCaFile)
+	pem, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "tls")
 	}
-	out.ClientCAs = x509.NewCertPool()
-	if !out.ClientCAs.AppendCertsFromPEM(pem) {
-		return nil, errors.Newf("tls: no certificate in %s", t.ClientCaFile)
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("tls: no certificate in %s", path)
 	}
-	return out, nil
+	return pool, nil
 }
 
 // secure wraps l in TLS where there is any.
@@ -68,9 +77,14 @@
 
 // serveCallers answers callers until ctx ends or a planned stop is over.
 func (b *Box) serveCallers(ctx context.Context, cancel context.CancelCauseFunc, cfg *tls.Config) {
-	front := gateway.New(b.settings.Box, b.settings.Region, *b.settings.Limits, newID, b.core(),
+	opts := []gateway.Option{
 		gateway.WithLog(b.log),
-		gateway.WithTransport(b.upstream.Transport, b.transport(true)))
+		gateway.WithTransport(b.upstream.Transport, b.transport(true, cfg)),
+	}
+	if cfg != nil {
+		opts = append(opts, gateway.WithTLS())
+	}
+	front := gateway.New(b.settings.Box, b.settings.Region, *b.settings.Limits, newID, b.core(), opts...)
 	server := b.httpServer(front)
 	l := newBounded(secure(b.listeners[0], cfg), b.settings.Limits.Connections)
 	b.tasks.Go(func() { b.drain(ctx, cancel, server) })
--- a/commands/havenrudder.go
+++ b/commands/havenrudder.go
@@ -32,6 +32,7 @@
 		&bundleCmd{},
 		&dumpCmd{},
 		&measureCmd{},
+		&referenceCmd{},
 	}
 }
 
--- a/commands/measure.go
+++ b/commands/measure.go
@@ -9,8 +9,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
+	"github.com/havenrudder/havenrudder/measure/capacity"
 	"github.com/havenrudder/havenrudder/measure/control"
 	"github.com/havenrudder/havenrudder/measure/once"
+	"github.com/havenrudder/havenrudder/measure/plot"
 	"github.com/havenrudder/havenrudder/measure/policy"
 )
 
@@ -23,6 +25,10 @@
 	boxes   int
 	changes int
 	rate    float64
+	page    string
+	slopes  string
+	rows    string
+	args    []string
 }
 
 var _ subcommands.Command = (*measureCmd)(nil)
@@ -38,11 +44,17 @@
 	return `measure once [-ops N] [-seed S]
 measure policy [-case NAME] [-seed S]
 measure control
+measure relay
+measure capacity [-page FILE] [-slopes FILE]
+measure plot [-rows FILE] bundle|policy
 measure bundle [-boxes N] [-changes N] [-rate R] [-seed S]
   Run an experiment; each row is one JSON object.
   once    calls that may not be repeated, under faults, in virtual time
   bundle  how fast a bundle is in force, and what that costs, over real sockets
+  relay   answers through a box beside direct ones, over real sockets
   control what one more box, replica, organisation, change, request or token costs
+  capacity works the tables of docs/CAPACITY.md out anew
+  plot    draws rows of an experiment as SVG on standard output
   policy  routing and admission beside baselines, in virtual time
 `
 }
@@ -57,6 +69,9 @@
 	f.IntVar(&c.boxes, "boxes", 48, "boxes (bundle)")
 	f.IntVar(&c.changes, "changes", 10, "changes (bundle)")
 	f.Float64Var(&c.rate, "rate", control.ChangeRate, "changes a second (bundle)")
+	f.StringVar(&c.page, "page", "docs/CAPACITY.md", "page to fill (capacity)")
+	f.StringVar(&c.slopes, "slopes", "docs/measured/slopes.jsonl", "measured slopes (capacity)")
+	f.StringVar(&c.rows, "rows", "", "rows to draw (plot)")
 	f.StringVar(&c.name, "case", "", "one case only (policy)")
 	return f
 }
@@ -67,9 +82,11 @@
 		f.Usage()
 		return subcommands.ExitUsageError
 	}
-	if err := c.flags(f.Arg(0)).Parse(f.Args()[1:]); err != nil {
+	own := c.flags(f.Arg(0))
+	if err := own.Parse(f.Args()[1:]); err != nil {
 		return subcommands.ExitUsageError
 	}
+	c.args = own.Args()
 	if err := c.run(ctx, f.Arg(0)); err != nil {
 		return fail(err)
 	}
@@ -86,6 +103,12 @@
 		return c.bundle(ctx)
 	case "control":
 		return control.Slopes(ctx, func(s control.Slope) error { return printRow(s) })
+	case "relay":
+		return control.Relay(ctx, func(r control.RelayRow) error { return printRow(r) })
+	case "capacity":
+		return c.capacity()
+	case "plot":
+		return c.plot()
 	}
 	return errors.Newf("no experiment %q", name)
 }
@@ -150,3 +173,37 @@
 	}
 	return nil
 }
+
+// capacity fills the tables of the page from measured slopes.
+func (c *measureCmd) capacity() error {
+	f, err := os.Open(c.slopes)
+	if err != nil {
+		return errors.Wrap(err, "slopes")
+	}
+	defer func() { _ = f.Close() }()
+	slopes, order, err := capacity.Read(f)
+	if err != nil {
+		return err
+	}
+	page, err := os.ReadFile(c.page)
+	if err != nil {
+		return errors.Wrap(err, "page")
+	}
+	filled, err := capacity.Page(string(page), capacity.Letter(), slopes, order)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(c.page, []byte(filled), fileMode), "page")
+}
+
+func (c *measureCmd) plot() error {
+	f, err := os.Open(c.rows)
+	if err != nil {
+		return errors.Wrap(err, "rows")
+	}
+	defer func() { _ = f.Close() }()
+	if len(c.args) == 1 && c.args[0] == "policy" {
+		return plot.Policy(f, os.Stdout)
+	}
+	return plot.Bundle(f, os.Stdout)
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -39,9 +39,9 @@
 // forward relays a request to another box and its answer back. An error means
 // that nothing was sent to the caller yet.
 func (s *Server) forward(ctx context.Context, w http.ResponseWriter, q *query, box fleet.Box) error {
-	target := "http://" + box.Addr + q.target
+	target := s.scheme + box.Addr + q.target
 	if q.service.Kind == wire.ServiceKindPlain {
-		target = "http://" + box.Addr + "/s/" + q.service.Name + q.target
+		target = s.scheme + box.Addr + "/s/" + q.service.Name + q.target
 	}
 	r, err := http.NewRequestWithContext(ctx, q.method, target, bytes.NewReader(q.body))
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,7 @@
 	http   *http.Client // keeps connections, for calls that may be repeated
 	once   *http.Client // a connection a call, so that nothing is sent twice below us
 	newID  func() string
+	scheme string // of other boxes
 	mux    *http.ServeMux
 }
 
@@ -86,6 +87,9 @@
 // a place no rule was asked about.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
+// WithTLS passes requests on to other boxes over TLS.
+func WithTLS() Option { return func(s *Server) { s.scheme = "https://" } }
+
 // WithLog sets the logger.
 func WithLog(log logrus.FieldLogger) Option { return func(s *Server) { s.log = log } }
 
@@ -98,6 +102,7 @@
 		core:   core,
 		log:    logrus.StandardLogger(),
 		newID:  newID,
+		scheme: "http://",
 		mux:    http.NewServeMux(),
 	}
 	WithTransport(http.DefaultTransport, &http.Transport{
--- a/measure/capacity/capacity.go
+++ b/measure/capacity/capacity.go
@@ -70,18 +70,29 @@
 // Slopes are the measured slopes by name.
 type Slopes map[string]control.Slope
 
-// Read reads slopes from JSON lines.
-func Read(r io.Reader) (Slopes, error) {
+// list returns the slopes in an order of names.
+func (s Slopes) list(order []string) []control.Slope {
+	out := make([]control.Slope, 0, len(order))
+	for _, name := range order {
+		out = append(out, s[name])
+	}
+	return out
+}
+
+// Read reads slopes from JSON lines, and the order in which they stand there.
+func Read(r io.Reader) (Slopes, []string, error) {
 	out := make(Slopes)
+	var order []string
 	in := bufio.NewScanner(r)
 	for in.Scan() {
 		var s control.Slope
 		if err := json.Unmarshal(in.Bytes(), &s); err != nil {
-			return nil, errors.Wrap(err, "slopes")
+			return nil, nil, errors.Wrap(err, "slopes")
 		}
 		out[s.Name] = s
+		order = append(order, s.Name)
 	}
-	return out, errors.Wrap(in.Err(), "slopes")
+	return out, order, errors.Wrap(in.Err(), "slopes")
 }
 
 // Need returns the value of a slope and complains when it was not measured.
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -299,7 +299,8 @@
 	// Peer addresses asked at start while the platform is silent.
 	Seeds []string `json:"seeds,omitempty,omitzero"`
 
-	// TLS towards callers and operators; plain when absent.
+	// TLS towards callers and operators, and to other boxes when a request is passed
+	// on; plain when absent. All boxes have it or none.
 	TLS *TLS `json:"tls,omitempty,omitzero"`
 }
 
@@ -363,8 +364,13 @@
 	return nil
 }
 
-// TLS towards callers and operators; plain when absent.
+// TLS towards callers and operators, and to other boxes when a request is passed
+// on; plain when absent. All boxes have it or none.
 type TLS struct {
+	// PEM file of authorities for the certificates of other boxes, to which requests
+	// are passed on; empty for the system's.
+	CaFile string `json:"ca_file,omitempty,omitzero"`
+
 	// PEM file of the certificate chain.
 	CertFile string `json:"cert_file"`
 
@@ -392,6 +398,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["ca_file"]; !ok || v == nil {
+		plain.CaFile = ""
+	}
 	if utf8.RuneCountInString(string(plain.CertFile)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "cert_file", 1)
 	}
