--- a/commands/measure.go
+++ b/commands/measure.go
@@ -25,6 +25,7 @@
 	boxes   int
 	changes int
 	rate    float64
+	touch   int
 	page    string
 	slopes  string
 	rows    string
@@ -43,7 +44,7 @@
 func (*measureCmd) Usage() string {
 	return `measure once [-ops N] [-seed S]
 measure policy [-case NAME] [-seed S]
-measure control
+measure control [-case NAME]
 measure relay
 measure capacity [-page FILE] [-slopes FILE]
 measure plot [-rows FILE] bundle|policy
@@ -68,11 +69,12 @@
 	f.IntVar(&c.ops, "ops", 20_000, "operations of each row (once)")
 	f.IntVar(&c.boxes, "boxes", 48, "boxes (bundle)")
 	f.IntVar(&c.changes, "changes", 10, "changes (bundle)")
+	f.IntVar(&c.touch, "touch", 1, "organisations that each change touches (bundle)")
 	f.Float64Var(&c.rate, "rate", control.ChangeRate, "changes a second (bundle)")
 	f.StringVar(&c.page, "page", "docs/CAPACITY.md", "page to fill (capacity)")
 	f.StringVar(&c.slopes, "slopes", "docs/measured/slopes.jsonl", "measured slopes (capacity)")
 	f.StringVar(&c.rows, "rows", "", "rows to draw (plot)")
-	f.StringVar(&c.name, "case", "", "one case only (policy)")
+	f.StringVar(&c.name, "case", "", "one case or slope only (policy, control)")
 	return f
 }
 
@@ -102,7 +104,7 @@
 	case "bundle":
 		return c.bundle(ctx)
 	case "control":
-		return control.Slopes(ctx, func(s control.Slope) error { return printRow(s) })
+		return control.Slopes(ctx, c.name, func(s control.Slope) error { return printRow(s) })
 	case "relay":
 		return control.Relay(ctx, func(r control.RelayRow) error { return printRow(r) })
 	case "capacity":
@@ -163,6 +165,7 @@
 			Changes: c.changes,
 			Rate:    c.rate,
 			Seed:    c.seed,
+			Touch:   c.touch,
 		})
 		if err != nil {
 			return err
--- a/measure/control/bundle.go
+++ b/measure/control/bundle.go
@@ -55,6 +55,7 @@
 type BundleRow struct {
 	Boxes     int                `json:"boxes"`
 	Changes   int                `json:"changes"`
+	Touch     int                `json:"organisations_touched"`
 	Seed      uint64             `json:"seed"`
 	Variant   string             `json:"variant"`
 	P50       float64            `json:"in_force_p50_s"`
@@ -73,6 +74,7 @@
 	Boxes   int
 	Changes int
 	Rate    float64 // changes a second
+	Touch   int     // organisations that each change touches
 	Seed    uint64
 }
 
@@ -97,7 +99,9 @@
 	for i := range o.Changes {
 		began := time.Now()
 		b.Version++
-		b.Organisations[rng.IntN(len(b.Organisations))].Share = float64(1+i%9) / 10
+		for _, n := range rng.Perm(len(b.Organisations))[:o.Touch] {
+			b.Organisations[n].Share = float64(1+i%9) / 10
+		}
 		if err := f.publish(ctx, b); err != nil {
 			return BundleRow{}, err
 		}
@@ -106,6 +110,7 @@
 	row := BundleRow{
 		Boxes:     o.Boxes,
 		Changes:   o.Changes,
+		Touch:     o.Touch,
 		Seed:      o.Seed,
 		Variant:   v.Name,
 		P50:       float64(f.times.ValueAtQuantile(50)) / 1e6,
--- a/measure/control/slopes.go
+++ b/measure/control/slopes.go
@@ -38,9 +38,13 @@
 	once   func(ctx context.Context) (float64, error)
 }
 
-// Slopes measures every slope and hands each on as it is done.
-func Slopes(ctx context.Context, done func(Slope) error) error {
+// Slopes measures every slope, or the one that only names, and hands each on as
+// it is done.
+func Slopes(ctx context.Context, only string, done func(Slope) error) error {
 	for _, s := range slices.Concat(pureSlopes(), relaySlopes(), fleetSlopes()) {
+		if only != "" && only != s.name {
+			continue
+		}
 		slope, err := s.measure(ctx)
 		if err != nil {
 			return errors.Wrap(err, s.name)
@@ -120,9 +124,9 @@
 			name:   "heartbeat_cpu",
 			unit:   "microseconds of processor a heartbeat, sent and heard",
 			of:     "boxes of a domain",
-			from:   8,
+			from:   2,
 			to:     14,
-			method: "two running domains of 8 and of 14 boxes without callers",
+			method: "two running domains of 2 and of 14 boxes without callers; from 6 boxes on each sends as many a second",
 			once:   heartbeatCPU,
 		},
 		{
@@ -158,15 +162,15 @@
 // heartbeatCPU returns the processor time of one heartbeat. Beside heartbeats a
 // box that is idle does a fixed share of work, which drops out.
 func heartbeatCPU(ctx context.Context) (float64, error) {
-	few, err := idleSite(ctx, 8)
+	few, err := idleSite(ctx, 2)
 	if err != nil {
 		return 0, err
 	}
-	many, err := idleSite(ctx, 14)
+	many, err := idleSite(ctx, perDomain)
 	if err != nil {
 		return 0, err
 	}
-	return 1e6 * (many.CPU - few.CPU) / (heartbeatsPerSecond(14) - heartbeatsPerSecond(8)), nil
+	return 1e6 * (many.CPU - few.CPU) / (heartbeatsPerSecond(perDomain) - heartbeatsPerSecond(2)), nil
 }
 
 func boxHeap(ctx context.Context) (float64, error) {
