gateway: Repeat nothing that nobody said may be repeated

Cause, found reading the relay as a caller would: a POST that the bundle does not list was sent to the next replica when its answer was lost; an engine that ignores the header to resume would have begun anew, and the caller got tokens twice; an engine's own 400 was tried on three replicas and came back as a broken answer.

Change: a call that is not idempotent by its method stops at 'unknown' once bytes may have left; an engine must confirm from which token it resumes; a refusal of the request is passed on, a 429 or 5xx goes to the next replica. Every refusal bears the request's id, and a passed-on answer is checked for it. Each has its test.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -54,7 +54,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	s.learnLoad(box.Region, resp.Header.Get(HeaderRegionLoad))
-	if resp.Header.Get(HeaderRequest) != q.id && resp.StatusCode == http.StatusOK {
+	if resp.Header.Get(HeaderRequest) != q.id {
 		return errCrossed
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderRan) == string(wire.RanNotRun) && q.header.Get(HeaderTicket) == "" {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -200,6 +200,80 @@
 	is.Equal(got, "/a%2Fb?x=1")
 }
 
+// streamOf answers with events; without the end when it is to break off.
+func streamOf(r *http.Request, resume string, events ...string) *http.Response {
+	resp, _ := echo(r)
+	resp.Header.Set("Content-Type", typeStream)
+	resp.Header.Set(HeaderResume, resume)
+	var b strings.Builder
+	for _, e := range events {
+		b.WriteString("data: " + e + "\n\n")
+	}
+	resp.Body = io.NopCloser(strings.NewReader(b.String()))
+	return resp
+}
+
+const streamBody = `{"model":"m","stream":true,"messages":[]}`
+
+func TestAnEngineThatDoesNotConfirmThatItResumesIsNotAskedForTheRest(t *testing.T) {
+	for _, confirms := range []bool{true, false} {
+		is := is.New(t)
+		open := 0
+		calls := 0
+		s := server(t, func(r *http.Request) (*http.Response, error) {
+			calls++
+			if calls == 1 {
+				return streamOf(r, "", "1", "2"), nil // breaks off
+			}
+			if confirms {
+				return streamOf(r, r.Header.Get(HeaderResume), "3", "[DONE]"), nil
+			}
+			return streamOf(r, "", "1", "2", "3", "[DONE]"), nil // begins anew
+		}, &open)
+		w, _ := sent{http.MethodPost, chatPath, streamBody, header(HeaderOrg, "free")}.to(s)
+		is.Equal(strings.Contains(w.Body.String(), "[DONE]"), confirms)
+		is.Equal(strings.Count(w.Body.String(), "data: 1\n"), 1) // no token twice
+		is.Equal(strings.Contains(w.Body.String(), "event: error"), !confirms)
+		is.Equal(open, 0)
+	}
+}
+
+func TestAnEnginesOwnRefusalIsPassedOnAndItsTroublesAreNot(t *testing.T) {
+	for status, want := range map[int]int{http.StatusBadRequest: 1, http.StatusTooManyRequests: maxTries, http.StatusInternalServerError: maxTries} {
+		for _, body := range []string{chatBody, streamBody} {
+			is := is.New(t)
+			open := 0
+			calls := 0
+			s := server(t, func(r *http.Request) (*http.Response, error) {
+				calls++
+				resp, err := echo(r)
+				resp.StatusCode = status
+				return resp, err
+			}, &open)
+			w, _ := sent{http.MethodPost, chatPath, body, header(HeaderOrg, "free")}.to(s)
+			is.Equal(calls, want)
+			is.Equal(w.Code == status, want == 1)
+			is.Equal(open, 0)
+		}
+	}
+}
+
+func TestACallThatNobodySaidMayBeRepeatedIsNotSentTwice(t *testing.T) {
+	is := is.New(t)
+	open := 0
+	calls := 0
+	s := server(t, func(*http.Request) (*http.Response, error) {
+		calls++
+		return nil, io.ErrUnexpectedEOF // after bytes may have left
+	}, &open)
+	w, f := sent{http.MethodPost, "/s/shop/cart", "x", header(HeaderOrg, "free")}.to(s)
+	is.Equal(calls, 1)
+	is.Equal(w.Code, http.StatusBadGateway)
+	is.Equal(f.Ran, wire.RanUnknown)
+	sent{http.MethodGet, "/s/shop/cart", "", header(HeaderOrg, "free")}.to(s)
+	is.Equal(calls, 1+maxTries)
+}
+
 // FuzzFront sends anything: whatever comes back is an answer or a refusal in its
 // one form, and nothing is left in flight.
 func FuzzFront(f *testing.F) {
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -83,6 +83,7 @@
 	}
 	h := w.Header()
 	h.Set("Content-Type", typeJSON)
+	h.Set(HeaderRequest, q.id)
 	h.Set(HeaderRan, string(f.Ran))
 	if f.RetryAfterMs > 0 {
 		h.Set("Retry-After", strconv.Itoa((f.RetryAfterMs+999)/1000))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -99,12 +99,15 @@
 			}
 			break
 		}
-		a, err := s.call(ctx, s.http, q, p, 0)
+		a, err := s.call(ctx, s.clientFor(q), q, p, 0)
 		if err == nil {
 			s.answer(w, q, p, a)
 			return
 		}
 		f.Ran = wire.RanUnknown // it may be repeated, so this only informs
+		if !q.idempotent() && !unreached(err) {
+			break // nobody said that it may be run twice
+		}
 		tried = append(tried, p.Upstream)
 	}
 	if ctx.Err() != nil {
@@ -114,6 +117,21 @@
 	s.refuse(w, q, f)
 }
 
+// idempotent says whether a request may be run twice for all that is known: by
+// its method, or because an engine answers it.
+func (q *query) idempotent() bool {
+	return q.service.Kind == wire.ServiceKindEngine || (q.method != http.MethodPost && q.method != http.MethodPatch)
+}
+
+// clientFor returns the client for a request: the one that keeps connections may
+// send a request anew when one of them turns out to be closed.
+func (s *Server) clientFor(q *query) *http.Client {
+	if q.idempotent() {
+		return s.http
+	}
+	return s.once
+}
+
 func (s *Server) place(q *query, tried []string) (fleet.Placement, *fleet.Refused) {
 	return s.core.Place(fleet.Request{
 		Org:     q.org,
@@ -162,7 +180,7 @@
 	if err == nil && len(body) > maxAnswer {
 		err = errors.New("gateway: answer too large")
 	}
-	if err == nil && resp.StatusCode >= http.StatusInternalServerError {
+	if err == nil && !final(resp.StatusCode) {
 		err = errors.Newf("gateway: upstream status %d", resp.StatusCode)
 	}
 	done.Failed = err != nil && ctx.Err() == nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -66,7 +67,6 @@
 			break
 		}
 		if st.relay(ctx, p) == nil {
-			s.core.Observe.Request(q.service.Name, codeOK, time.Since(q.start))
 			return
 		}
 		tried = append(tried, p.Upstream)
@@ -115,13 +115,50 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("gateway: upstream status %d", resp.StatusCode)
+		return st.passRefusal(resp, p, &done)
+	}
+	if err := resumed(resp, st.sent); err != nil {
+		return err
 	}
 	done.Started, err = st.copy(resp, p, start)
 	done.Failed = err != nil && ctx.Err() == nil
 	return err
 }
 
+// passRefusal gives the caller an engine's own refusal of the request. One that
+// only says that the engine can't now is an error, so that another is tried.
+func (st *stream) passRefusal(resp *http.Response, p fleet.Placement, done *fleet.Finish) error {
+	if st.sent > 0 || !final(resp.StatusCode) {
+		return errors.Newf("gateway: upstream status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return errors.Wrap(err, "gateway")
+	}
+	done.Failed = false
+	st.server.answer(st.w, st.q, p, answer{
+		status: resp.StatusCode,
+		header: resp.Header,
+		body:   body,
+	})
+	return nil
+}
+
+// final says whether a status is an upstream's answer to the request, and not
+// word of its own state.
+func final(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusTooManyRequests
+}
+
+// resumed says whether an engine goes on after so many tokens. One that does not
+// confirm it would begin anew, and the caller would get tokens twice.
+func resumed(resp *http.Response, sent int) error {
+	if sent > 0 && resp.Header.Get(HeaderResume) != itoa(sent) {
+		return errors.New("gateway: the engine does not resume")
+	}
+	return nil
+}
+
 // copy sends events on until the end. It says whether any came.
 func (st *stream) copy(resp *http.Response, p fleet.Placement, start time.Time) (started bool, err error) {
 	in := bufio.NewReaderSize(resp.Body, lineBuffer)
@@ -146,6 +183,7 @@
 			st.begin(p)
 		}
 		if bytes.Equal(data, dataDone) {
+			st.server.core.Observe.Request(st.q.service.Name, codeOK, time.Since(st.q.start))
 			return started, st.write(dataDone)
 		}
 		st.observe()
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -131,6 +131,9 @@
 	breakAt := e.begin()
 	w.Header().Set(gateway.HeaderRequestID, r.Header.Get(gateway.HeaderRequestID))
 	w.Header().Set(gateway.HeaderLoad, e.load())
+	if resume > 0 {
+		w.Header().Set(gateway.HeaderResume, strconv.Itoa(resume))
+	}
 	whole := e.run(w, r, req.Stream, Tokens(req.Messages, e.tokens), resume, breakAt)
 	e.end(whole)
 	if !whole {
