bundle: Send what is new with the answer to the question for a version

Change: a box tells the version it has; the answer brings the head and the nodes that are new since, as long as the answering box keeps the version before. Parts are sent as they are. Heartbeats are taken at their measured 153 bytes.

--- a/box/bundles.go
+++ b/box/bundles.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"encoding/json"
 	"time"
 
@@ -36,7 +35,8 @@
 
 // source is where the parts of a head can be had.
 type source struct {
-	addr string // of a box; empty for the platform
+	addr  string                 // of a box; empty for the platform
+	given map[bundle.Hash][]byte // nodes that came with the head
 }
 
 // offer takes a head from a source and fetches its bundle when it is new.
@@ -112,9 +112,13 @@
 	}
 }
 
-// fetcher returns a fetch that asks the source, then the platform.
+// fetcher returns a fetch that looks at what came with the head, then asks the
+// source, then the platform.
 func (b *Box) fetcher(ctx context.Context, from source) bundle.Fetch {
 	return func(h bundle.Hash) ([]byte, error) {
+		if data, ok := from.given[h]; ok {
+			return data, nil
+		}
 		if from.addr != "" {
 			if data, err := b.fetchPart(ctx, from.addr, h); err == nil {
 				return data, nil
@@ -144,8 +148,7 @@
 	if !part.Found {
 		return nil, errNoPart
 	}
-	data, err := base64.StdEncoding.DecodeString(part.Data)
-	return data, errors.Wrap(err, "box: part")
+	return []byte(part.Data), nil
 }
 
 // onHead takes a head in that the platform gave.
@@ -167,19 +170,29 @@
 	defer cancel()
 	var f wire.Floor
 	req := wire.FloorRequest{
-		Box: b.settings.Box,
+		Box:  b.settings.Box,
+		Have: b.version(),
 	}
 	if err := b.peers.Call(short, addr, peer.Floor, req, &f); err != nil {
 		return false
 	}
 	if f.Head != nil {
 		b.offer(ctx, *f.Head, source{
-			addr: addr,
+			addr:  addr,
+			given: byHash(f.Nodes),
 		})
 	}
 	return true
 }
 
+func byHash(nodes []string) map[bundle.Hash][]byte {
+	out := make(map[bundle.Hash][]byte, len(nodes))
+	for _, data := range nodes {
+		out[bundle.HashOf([]byte(data))] = []byte(data)
+	}
+	return out
+}
+
 // settleFloor marks the floor as asked for; from now on the box may serve.
 func (b *Box) settleFloor() {
 	_ = b.bundles.Do(func(s *bundleState) {
@@ -197,13 +210,17 @@
 	b.bundles.Post(func(s *bundleState) { s.store.Raise(version) })
 }
 
-// floor answers another box that asks for the version in force.
-func (b *Box) floor() (out wire.Floor) {
+// floor answers another box that asks for the version in force, with what is new
+// in it to that box.
+func (b *Box) floor(r wire.FloorRequest) (out wire.Floor) {
 	_ = b.bundles.Do(func(s *bundleState) {
 		out.Version = s.store.Floor()
 		if h := s.store.Head(); h.Version > 0 {
 			out.Head = &h
 		}
+		for _, n := range s.store.New(r.Have) {
+			out.Nodes = append(out.Nodes, string(n.Data()))
+		}
 	})
 	return out
 }
@@ -213,7 +230,7 @@
 	_ = b.bundles.Do(func(s *bundleState) {
 		data, ok := s.store.Node(bundle.Hash(r.Hash))
 		out.Found = ok
-		out.Data = base64.StdEncoding.EncodeToString(data)
+		out.Data = string(data)
 	})
 	return out
 }
--- a/box/peers.go
+++ b/box/peers.go
@@ -34,7 +34,7 @@
 		return answer(params, &u, func() any { return b.takeFleet(u) })
 	case peer.Floor:
 		var r wire.FloorRequest
-		return answer(params, &r, func() any { return b.floor() })
+		return answer(params, &r, func() any { return b.floor(r) })
 	case peer.Part:
 		var r wire.PartRequest
 		return answer(params, &r, func() any { return b.part(r) })
@@ -74,6 +74,7 @@
 		for _, name := range h.Leaving {
 			f.Inventory().Leave(name)
 		}
+		f.TakeCrowded(h.Crowded, b.now())
 		if m, ok := f.Table().Get(h.Box); ok {
 			addr = m.Peers
 		}
@@ -198,6 +199,7 @@
 	}
 	_ = b.fleet.Do(func(f *fleet.Fleet) {
 		h.Load = round(f.Summarize(b.now()).Load)
+		h.Crowded = f.Crowded(b.now())
 		h.Leaving = f.Inventory().Names(func(r *upstream.Replica) bool {
 			return r.Leaving && r.Domain == b.settings.FailureDomain
 		})
--- a/bundle/store.go
+++ b/bundle/store.go
@@ -29,9 +29,16 @@
 	head   wire.Head
 	policy *Policy
 	nodes  Nodes
+	before superseded
 	floor  int
 }
 
+// superseded is the version that was in force before, kept to tell what is new.
+type superseded struct {
+	version int
+	nodes   Nodes
+}
+
 // NewStore returns an empty store that trusts keys.
 func NewStore(keys *Keys, now func() time.Time) *Store {
 	return &Store{
@@ -84,9 +91,28 @@
 	if b.Version != h.Version || Check(b) != nil {
 		return Refused
 	}
+	s.before = superseded{
+		version: s.head.Version,
+		nodes:   s.nodes,
+	}
 	s.head = h
 	s.policy = NewPolicy(b)
 	s.nodes = nodes
 	s.Raise(h.Version)
 	return Taken
 }
+
+// New returns the nodes in force that a box with the version have lacks, nil when
+// that is not known. Boxes are mostly one version behind when they ask.
+func (s *Store) New(have int) []Node {
+	if have == 0 || have != s.before.version {
+		return nil
+	}
+	var out []Node
+	for h, n := range s.nodes {
+		if _, ok := s.before.nodes[h]; !ok {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/measure/capacity/capacity.go
+++ b/measure/capacity/capacity.go
@@ -118,23 +118,23 @@
 var notMeasured = math.NaN()
 
 const (
-	micro        = 1e-6
-	mega         = 1e-6
-	base64Growth = 4.0 / 3
-	partCalls    = 3  // root, branch and leaf
-	envelope     = 43 // bytes, of JSON-RPC and its length
-	hashParam    = 33 // bytes, of the parameters that ask for a part
-	headBytes    = 200
-	probeBytes   = 230 // request and answer, measured on the stand-in
-	ticketBytes  = 276 // encoded, in the demo
-	answerBytes  = 54
+	micro       = 1e-6
+	mega        = 1e-6
+	quoting     = 1.1 // growth of a node within a message, for its quotes
+	partReads   = 3   // reads of the platform a change: root, branch and leaf
+	envelope    = 43  // bytes, of JSON-RPC and its length
+	askBytes    = 40  // bytes, of the question for a version
+	headBytes   = 200
+	probeBytes  = 230 // request and answer, measured on the stand-in
+	ticketBytes = 276 // encoded, in the demo
+	answerBytes = 54
 )
 
 // Roles works out every role.
 func Roles(z Size, s Slopes) []Role {
 	d := derive(z)
 	relayCPU := d.requests*(s.need("request_cpu")-20*s.need("token_cpu")) + d.tokens*s.need("token_cpu")
-	changeBytes := base64Growth*s.need("change_bytes") + partCalls*(2*envelope+hashParam) + headBytes + 2*envelope
+	changeBytes := quoting*s.need("change_bytes") + headBytes + askBytes + 2*envelope
 	once := d.requests * z.OnceShare
 	heartbeat := s.need("heartbeat_cpu")
 	return []Role{
@@ -161,11 +161,11 @@
 		{
 			Name:     "bundle reader and distributor",
 			Control:  true,
-			CPU:      micro*z.Changes*z.Organisations*s.need("change_cpu_org") + micro*z.Changes*2*(partCalls+1)*heartbeat,
+			CPU:      micro*z.Changes*z.Organisations*s.need("change_cpu_org") + micro*z.Changes*2*heartbeat,
 			Memory:   mega * z.Organisations * s.need("org_heap"),
 			Bytes:    2 * z.Changes * changeBytes,
-			Messages: 2 * z.Changes * 2 * (partCalls + 1),
-			Formula:  "changes × organisations × change_cpu_org, and 8 messages a change at heartbeat_cpu; organisations × org_heap; 2 × changes × (4/3 × change_bytes + head and envelopes)",
+			Messages: 2 * z.Changes * 2,
+			Formula:  "changes × organisations × change_cpu_org, and 2 messages a change at heartbeat_cpu; organisations × org_heap; 2 × changes × (1.1 × change_bytes + head, question and envelopes)",
 		},
 		{
 			Name:     "membership",
@@ -244,7 +244,7 @@
 // Reads returns the platform's calls a second over all readers.
 func Reads(z Size) float64 {
 	watches := z.Domains * z.Watchers * (z.Domains + 1)
-	changes := z.Domains * z.Watchers * z.Changes * (1 + partCalls)
+	changes := z.Domains * z.Watchers * z.Changes * (1 + partReads)
 	return watches/z.WatchSeconds + changes
 }
 
--- a/measure/policy/ours.go
+++ b/measure/policy/ours.go
@@ -17,6 +17,7 @@
 	silentFor    = 10 * time.Second // as in package box
 	firstTokenMs = 1900
 	queueShare   = 0.5                    // as in package gateway
+	domainBoxes  = 14                     // at most; larger regions have several domains
 	prefillToken = 200 * time.Microsecond // as in package gateway, not what the stand-in takes
 )
 
@@ -141,6 +142,7 @@
 	o.seq++
 	now := o.w.clock.Now()
 	for _, from := range o.boxes {
+		crowded := from.view.Crowded(now)
 		for _, to := range o.boxes {
 			if from == to || from.region != to.region {
 				continue
@@ -151,9 +153,20 @@
 				Seq:   o.seq,
 				State: string(wire.ServingStateServing),
 			}, now)
+			to.view.TakeCrowded(crowded, now)
 		}
 	}
-	o.w.clock.After(membership.Interval(len(o.boxes)), o.heartbeat)
+	o.w.clock.After(membership.Interval(o.largest()), o.heartbeat)
+}
+
+// largest returns the boxes of the largest region, each of which is one failure
+// domain here; its interval of heartbeats is the longest.
+func (o *ours) largest() int {
+	n := 0
+	for _, p := range o.w.c.Regions {
+		n = max(n, p.boxes)
+	}
+	return min(n, domainBoxes)
 }
 
 // probe asks silent replicas for their load, each from the one box that does so.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -15,7 +15,7 @@
 // Pace of heartbeats. Each box sends to each other one, so the interval grows
 // with their number and the bytes a box spends stay under budget.
 const (
-	heartbeatBytes = 140  // measured size of one heartbeat with its envelope
+	heartbeatBytes = 153  // size of one heartbeat with its envelope, by 'measure control'
 	bytesPerSecond = 1200 // budget for heartbeats, sent and received together
 	minInterval    = time.Second
 	maxInterval    = 10 * time.Second
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -195,6 +195,10 @@
 	// Head corresponds to the JSON schema field "head".
 	Head *Head `json:"head,omitempty,omitzero"`
 
+	// Nodes that are new since the version the asking box has, when the answering box
+	// still knows.
+	Nodes []string `json:"nodes,omitempty,omitzero"`
+
 	// Highest version the box knows of.
 	Version int `json:"version"`
 }
@@ -202,6 +206,9 @@
 type FloorRequest struct {
 	// Box corresponds to the JSON schema field "box".
 	Box string `json:"box"`
+
+	// Version the asking box has; 0 for none.
+	Have int `json:"have,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -221,6 +228,12 @@
 	if utf8.RuneCountInString(string(plain.Box)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "box", 1)
 	}
+	if v, ok := raw["have"]; !ok || v == nil {
+		plain.Have = 0
+	}
+	if 0 > plain.Have {
+		return fmt.Errorf("field %s: must be >= %v", "have", 0)
+	}
 	*j = FloorRequest(plain)
 	return nil
 }
@@ -239,6 +252,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if len(plain.Nodes) > 300 {
+		return fmt.Errorf("field %s length: must be <= %d", "nodes", 300)
+	}
 	if 0 > plain.Version {
 		return fmt.Errorf("field %s: must be >= %v", "version", 0)
 	}
@@ -316,6 +332,10 @@
 	// Monotonic milliseconds of the sender since its start.
 	ClockMs int `json:"clock_ms,omitempty,omitzero"`
 
+	// Mark and load, in turn, of the upstreams it knows best and that have few slots
+	// free.
+	Crowded []int `json:"crowded,omitempty,omitzero"`
+
 	// Incarnation of the box.
 	Inc int `json:"inc"`
 
@@ -471,7 +491,7 @@
 type Messages map[string]interface{}
 
 type Part struct {
-	// The node, in base64.
+	// The node; it is JSON, so it needs no other coding.
 	Data string `json:"data,omitempty,omitzero"`
 
 	// Found corresponds to the JSON schema field "found".
