fleet: Take back telling others which replicas are nearly full

Tried: each box told in its heartbeats the load of the replicas it knows best and that are above 0.7 of their slots (8 at most, 16 bits of hash each), so that others leave them alone.

Ruled out: that the news came too late to be used (at 8 boxes a heartbeat is 2 s old at most, a request holds its slot for 4).

Conclusion: reverted. What costs the tail in bursts is that all replicas of a region are full, not that boxes don't know which.

--- a/box/peers.go
+++ b/box/peers.go
@@ -74,7 +74,6 @@
 		for _, name := range h.Leaving {
 			f.Inventory().Leave(name)
 		}
-		f.TakeCrowded(h.Crowded, b.now())
 		if m, ok := f.Table().Get(h.Box); ok {
 			addr = m.Peers
 		}
@@ -199,7 +198,6 @@
 	}
 	_ = b.fleet.Do(func(f *fleet.Fleet) {
 		h.Load = round(f.Summarize(b.now()).Load)
-		h.Crowded = f.Crowded(b.now())
 		h.Leaving = f.Inventory().Names(func(r *upstream.Replica) bool {
 			return r.Leaving && r.Domain == b.settings.FailureDomain
 		})
--- a/measure/policy/ours.go
+++ b/measure/policy/ours.go
@@ -142,7 +142,6 @@
 	o.seq++
 	now := o.w.clock.Now()
 	for _, from := range o.boxes {
-		crowded := from.view.Crowded(now)
 		for _, to := range o.boxes {
 			if from == to || from.region != to.region {
 				continue
@@ -153,7 +152,6 @@
 				Seq:   o.seq,
 				State: string(wire.ServingStateServing),
 			}, now)
-			to.view.TakeCrowded(crowded, now)
 		}
 	}
 	o.w.clock.After(membership.Interval(o.largest()), o.heartbeat)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -209,16 +209,6 @@
 	}
 }
 
-// Hear takes in another box's belief of a replica's whole load, at now.
-func (v *Inventory) Hear(name string, load int, now time.Duration) {
-	r, ok := v.replicas[name]
-	if !ok {
-		return
-	}
-	r.Reported = now
-	r.Others = max(load-r.InFlight, 0)
-}
-
 // Leave marks a replica as leaving, from whatever source. It returns true when
 // that is news.
 func (v *Inventory) Leave(name string) bool {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -332,10 +332,6 @@
 	// Monotonic milliseconds of the sender since its start.
 	ClockMs int `json:"clock_ms,omitempty,omitzero"`
 
-	// Mark and load, in turn, of the upstreams it knows best and that have few slots
-	// free.
-	Crowded []int `json:"crowded,omitempty,omitzero"`
-
 	// Incarnation of the box.
 	Inc int `json:"inc"`
 
