gateway: Let the loop over replicas stand once

It stood twice, for whole answers and for streams. With it a test that a stream of five minutes is not cut off by the server's bound on reading a request: looked for after reading the library, and not found; the library ends that bound when the body has been read, so nothing else was changed.

--- a/box/box_test.go
+++ b/box/box_test.go
@@ -456,6 +456,22 @@
 	}, "a")
 }
 
+func TestALongStreamIsNotCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := emptyDomain(t)
+		defer d.end()
+		slow := fakes.NewEngine("slow", fakes.WithTokens(300, time.Second, time.Second))
+		d.fleet.Upstreams = nil
+		d.upstream("slow", "engine", slow)
+		d.open("a")
+		r := d.send(http.MethodPost, "a", "/v1/chat/completions", `{"model":"m","stream":true,"messages":[]}`, http.Header{
+			gateway.HeaderDeadline: {"600000"},
+		})
+		d.is.True(strings.HasSuffix(r.body, "data: [DONE]\n\n")) // five minutes
+		d.is.Equal(slow.Counts().Finished, 1)
+	})
+}
+
 func TestABrokenStreamIsNeverPresentedAsWhole(t *testing.T) {
 	run(t, func(d *domain) {
 		d.engine.BreakNext(4)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -79,8 +79,7 @@
 	return r.Header.Get(HeaderTicket) == ""
 }
 
-// serveRepeatable tries replicas, then other regions, until there is a whole
-// answer or nothing left to try.
+// serveRepeatable relays a request that may be tried again.
 func (s *Server) serveRepeatable(w http.ResponseWriter, r *http.Request, q *query) {
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
@@ -88,27 +87,21 @@
 		s.serveStream(ctx, w, q)
 		return
 	}
-	var tried []string
 	f := *refusal(codeUpstream, "no upstream gave a whole answer", retrySoon)
-	for len(tried) < maxTries && ctx.Err() == nil {
-		p, refused := s.place(q, tried)
-		if refused != nil {
-			if len(tried) == 0 {
-				s.serveAway(ctx, w, q, refused)
-				return
-			}
-			break
-		}
+	ended := s.tryReplicas(ctx, w, q, func(p fleet.Placement) verdict {
 		a, err := s.call(ctx, s.clientFor(q), q, p, 0)
 		if err == nil {
 			s.answer(w, q, p, a)
-			return
+			return answered
 		}
 		f.Ran = wire.RanUnknown // it may be repeated, so this only informs
 		if !q.idempotent() && !unreached(err) {
-			break // nobody said that it may be run twice
+			return giveUp // nobody said that it may be run twice
 		}
-		tried = append(tried, p.Upstream)
+		return tryAnother
+	})
+	if ended {
+		return
 	}
 	if ctx.Err() != nil {
 		f = *refusal(codeDeadline, "the deadline passed", retrySoon)
@@ -117,6 +110,40 @@
 	s.refuse(w, q, f)
 }
 
+// verdict is what came of trying one replica.
+type verdict int
+
+const (
+	answered   verdict = iota // the caller has its answer
+	tryAnother                // this replica failed
+	giveUp                    // another must not be tried
+)
+
+// tryReplicas places a request on one replica after another until one answers.
+// When there is none for the first try, the request goes to another region or is
+// refused. It returns true when the caller has been answered one way or another.
+func (s *Server) tryReplicas(ctx context.Context, w http.ResponseWriter, q *query, try func(fleet.Placement) verdict) bool {
+	var tried []string
+	for len(tried) < maxTries && ctx.Err() == nil {
+		p, refused := s.place(q, tried)
+		if refused != nil {
+			if len(tried) == 0 {
+				s.serveAway(ctx, w, q, refused)
+			}
+			return len(tried) == 0
+		}
+		switch try(p) {
+		case answered:
+			return true
+		case giveUp:
+			return false
+		case tryAnother:
+			tried = append(tried, p.Upstream)
+		}
+	}
+	return false
+}
+
 // idempotent says whether a request may be run twice for all that is known: by
 // its method, or because an engine answers it.
 func (q *query) idempotent() bool {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -56,22 +56,15 @@
 		w:      w,
 		flush:  flush,
 	}
-	var tried []string
-	for len(tried) < maxTries && ctx.Err() == nil {
-		p, refused := s.place(q, tried)
-		if refused != nil {
-			if len(tried) == 0 {
-				s.serveAway(ctx, w, q, refused)
-				return
-			}
-			break
+	ended := s.tryReplicas(ctx, w, q, func(p fleet.Placement) verdict {
+		if st.relay(ctx, p) != nil {
+			return tryAnother
 		}
-		if st.relay(ctx, p) == nil {
-			return
-		}
-		tried = append(tried, p.Upstream)
+		return answered
+	})
+	if !ended {
+		st.fail(ctx)
 	}
-	st.fail(ctx)
 }
 
 // fail ends a stream that can't be finished.
