--- a/box/box_test.go
+++ b/box/box_test.go
@@ -28,13 +28,16 @@
 
 const bundleText = `{
   "version": 1,
-  "regions": [{"name": "r", "failure_domains": ["d"]}],
+  "regions": [{"name": "r", "failure_domains": ["d"]}, {"name": "far", "failure_domains": ["f"]}],
   "services": [
-    {"name": "engine", "kind": "engine", "regions": ["r"], "model": "m"},
+    {"name": "engine", "kind": "engine", "regions": ["r", "far"], "model": "m"},
     {"name": "slots", "kind": "plain", "regions": ["r"], "once": ["POST /v1/slots"]},
   ],
   "priorities": [{"name": "p", "rank": 0}],
-  "organisations": [{"name": "o", "home": "r", "regions": ["r"], "priority": "p"}],
+  "organisations": [
+    {"name": "o", "home": "r", "regions": ["r"], "priority": "p"},
+    {"name": "rover", "home": "r", "regions": ["r", "far"], "priority": "p"},
+  ],
 }`
 
 // domain is one failure domain in virtual time on a network within the process.
@@ -46,7 +49,7 @@
 	base     string
 	private  ed25519.PrivateKey
 	bundle   wire.Bundle
-	fleet    wire.Fleet
+	fleets   map[string]*wire.Fleet // by failure domain
 	ledger   *fakes.Ledger
 	engine   *fakes.Engine
 	boxes    map[string]*running
@@ -79,10 +82,9 @@
 		ledger:   fakes.NewLedger(),
 		engine:   fakes.NewEngine("engine-1"),
 		boxes:    make(map[string]*running),
-		fleet: wire.Fleet{
-			Region:        "r",
-			FailureDomain: "d",
-			Boxes:         []wire.BoxEntry{},
+		fleets: map[string]*wire.Fleet{
+			"d": newFleet("r", "d"),
+			"f": newFleet("far", "f"),
 		},
 	}
 	d.client = &http.Client{
@@ -110,6 +112,15 @@
 	d.wait(5 * time.Second)
 }
 
+func newFleet(region, domain string) *wire.Fleet {
+	return &wire.Fleet{
+		Region:        region,
+		FailureDomain: domain,
+		Boxes:         []wire.BoxEntry{},
+		Upstreams:     []wire.UpstreamEntry{},
+	}
+}
+
 func (d *domain) serve(host string, h http.Handler) string {
 	l, err := d.net.Listen(host)("tcp", "")
 	d.is.NoErr(err)
@@ -121,8 +132,11 @@
 	return "http://" + l.Addr().String()
 }
 
-func (d *domain) upstream(name, service string, h http.Handler) {
-	d.fleet.Upstreams = append(d.fleet.Upstreams, wire.UpstreamEntry{
+func (d *domain) upstream(name, service string, h http.Handler) { d.upstreamIn("d", name, service, h) }
+
+func (d *domain) upstreamIn(domain, name, service string, h http.Handler) {
+	f := d.fleets[domain]
+	f.Upstreams = append(f.Upstreams, wire.UpstreamEntry{
 		Name:    name,
 		Service: service,
 		URL:     d.serve(name, h),
@@ -144,20 +158,25 @@
 }
 
 func (d *domain) publishFleet() {
-	data, err := json.Marshal(d.fleet)
-	d.is.NoErr(err)
-	d.platform.Put(platform.KeyFleet+"d", data)
+	for domain, f := range d.fleets {
+		data, err := json.Marshal(f)
+		d.is.NoErr(err)
+		d.platform.Put(platform.KeyFleet+domain, data)
+	}
 }
 
-func (d *domain) start(name string) *box.Box {
+func (d *domain) start(name string) *box.Box { return d.startIn("d", name) }
+
+func (d *domain) startIn(domain, name string) *box.Box {
+	f := d.fleets[domain]
 	public := base64.StdEncoding.EncodeToString(d.private.Public().(ed25519.PublicKey))
 	settings, err := config.ParseSettings("settings", fmt.Appendf(nil, `{
-		"box": %q, "region": "r", "failure_domain": "d",
+		"box": %q, "region": %q, "failure_domain": %q,
 		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0"},
 		"platform": {"urls": [%q], "wait_ms": 5000},
 		"keys": [{"id": "k", "public": %q}],
 		"limits": {"drain_ms": 30000},
-	}`, name, d.base, public))
+	}`, name, f.Region, domain, d.base, public))
 	d.is.NoErr(err)
 	settings.TLS = d.tls
 	for _, peer := range d.boxes {
@@ -175,7 +194,7 @@
 	}
 	go func() { r.done <- b.Run(ctx) }()
 	d.boxes[name] = r
-	d.fleet.Boxes = append(d.fleet.Boxes, wire.BoxEntry{
+	f.Boxes = append(f.Boxes, wire.BoxEntry{
 		Name:    name,
 		Callers: b.Addrs().Callers,
 		Peers:   b.Addrs().Peers,
@@ -221,7 +240,9 @@
 	r, err := http.NewRequest(method, scheme+d.boxes[name].box.Addrs().Callers+path, strings.NewReader(body))
 	d.is.NoErr(err)
 	r.Header = h.Clone()
-	r.Header.Set(gateway.HeaderOrg, "o")
+	if r.Header.Get(gateway.HeaderOrg) == "" {
+		r.Header.Set(gateway.HeaderOrg, "o")
+	}
 	resp, err := d.client.Do(r)
 	if err != nil {
 		return reply{}
@@ -461,7 +482,7 @@
 		d := emptyDomain(t)
 		defer d.end()
 		slow := fakes.NewEngine("slow", fakes.WithTokens(300, time.Second, time.Second))
-		d.fleet.Upstreams = nil
+		d.fleets["d"].Upstreams = nil
 		d.upstream("slow", "engine", slow)
 		d.open("a")
 		r := d.send(http.MethodPost, "a", "/v1/chat/completions", `{"model":"m","stream":true,"messages":[]}`, http.Header{
--- a/box/fuzz_test.go
+++ b/box/fuzz_test.go
@@ -96,13 +96,14 @@
 
 // restart starts a box of that name; the list has its new address.
 func (f *fuzzed) restart(name string) {
-	kept := f.fleet.Boxes[:0]
-	for _, b := range f.fleet.Boxes {
+	list := f.fleets["d"]
+	kept := list.Boxes[:0]
+	for _, b := range list.Boxes {
 		if b.Name != name {
 			kept = append(kept, b)
 		}
 	}
-	f.fleet.Boxes = kept
+	list.Boxes = kept
 	if f.cuts == 0 && len(f.boxes) > 0 {
 		f.owed[name] = f.lowest()
 	}
