gateway: Refuse a request that crosses regions a second time

Cause: broken by hand so that a forwarded request is forwarded again, the tests passed: the far box sent it back to another box at home, which found nothing and refused. The bound was kept by the sender alone. The receiver counts crossings now.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -138,6 +138,7 @@
 		{"home only, away from home", sent{http.MethodPost, chatPath, chatBody, header(HeaderOrg, "guest", HeaderResidency, "home")}, codeResidency, http.StatusForbidden},
 		{"it was here before", sent{http.MethodPost, chatPath, chatBody, header(HeaderOrg, "free", HeaderPath, "here/box")}, codeLoop, http.StatusLoopDetected},
 		{"too many boxes", sent{http.MethodPost, chatPath, chatBody, header(HeaderOrg, "free", HeaderPath, "a/1,b/2,c/3")}, codeLoop, http.StatusLoopDetected},
+		{"between regions twice", sent{http.MethodPost, chatPath, chatBody, header(HeaderOrg, "free", HeaderPath, "here/x,there/y")}, codeLoop, http.StatusLoopDetected},
 		{"bad ticket", sent{http.MethodPost, "/s/shop/pay", "x", header(HeaderOrg, "free", HeaderTicket, "!")}, codeTicket, http.StatusBadRequest},
 		{"unknown service", sent{http.MethodGet, "/s/none/x", "", header(HeaderOrg, "free")}, codeService, http.StatusNotFound},
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -112,8 +112,8 @@
 	if path := r.Header.Get(HeaderPath); path != "" {
 		q.path = strings.Split(path, ",")
 	}
-	if len(q.path) > maxHops || slices.Contains(q.path, s.hop()) {
-		return refusal(codeLoop, "the request came by here before or by too many boxes", 0)
+	if len(q.path) > maxHops || slices.Contains(q.path, s.hop()) || s.crossings(q.path) > 1 {
+		return refusal(codeLoop, "the request came by here before, by too many boxes or between regions twice", 0)
 	}
 	if len(r.Header.Get(HeaderPrefix)) > maxPrefix {
 		return refusal(codeHeader, "header "+HeaderPrefix+" is too long", 0)
@@ -121,6 +121,21 @@
 	return nil
 }
 
+// crossings returns how often a request went from one region to another on its
+// way here.
+func (s *Server) crossings(path []string) int {
+	n := 0
+	last := ""
+	for _, hop := range append(path[:len(path):len(path)], s.hop()) {
+		region, _, _ := strings.Cut(hop, "/")
+		if last != "" && region != last {
+			n++
+		}
+		last = region
+	}
+	return n
+}
+
 // identifyRules checks residency, again on every box that a request comes by,
 // from the bundle alone.
 func (s *Server) identifyRules(r *http.Request, q *query) *wire.Refusal {
