--- a/measure/plot/plot.go
+++ b/measure/plot/plot.go
@@ -75,47 +75,77 @@
 	return nil
 }
 
+// compared holds the 99th percentile of ours and of the best baseline for each
+// seed of one case.
+type compared struct {
+	ours map[uint64]float64
+	best map[uint64]float64
+}
+
+func (c compared) add(r policy.Row) {
+	if r.Policy == policy.Policies()[0].Name {
+		c.ours[r.Seed] = r.P99
+		return
+	}
+	if old, ok := c.best[r.Seed]; !ok || r.P99 < old {
+		c.best[r.Seed] = r.P99
+	}
+}
+
+// ratio returns the mean over seeds of ours over the mean of the best.
+func (c compared) ratio() float64 {
+	var ours, best float64
+	for seed, v := range c.ours {
+		ours += v
+		best += c.best[seed]
+	}
+	return ours / best
+}
+
 // Policy draws, from rows of 'measure policy', the 99th percentile of the first
-// token of ours beside the best baseline's, for each case.
+// token of ours over the best baseline's, for each case.
 func Policy(rows io.Reader, w io.Writer) error {
 	var cases []string
-	ours := make(map[string]float64)
-	best := make(map[string]float64)
+	all := make(map[string]compared)
 	err := lines(rows, func(data []byte) error {
 		var r policy.Row
 		if err := json.Unmarshal(data, &r); err != nil {
 			return err
 		}
-		if r.Policy == "havenrudder" {
-			if _, ok := ours[r.Case]; !ok {
-				cases = append(cases, r.Case)
-				ours[r.Case] = r.P99
+		if _, ok := all[r.Case]; !ok {
+			cases = append(cases, r.Case)
+			all[r.Case] = compared{
+				ours: make(map[uint64]float64),
+				best: make(map[uint64]float64),
 			}
-			return nil
-		}
-		if old, ok := best[r.Case]; !ok || r.P99 < old {
-			best[r.Case] = r.P99
 		}
+		all[r.Case].add(r)
 		return nil
 	})
 	if err != nil {
 		return err
 	}
-	p := plot.New()
-	p.Title.Text = "First token, 99th percentile, over the best baseline's"
-	p.Y.Label.Text = "ours / best baseline"
-	p.Y.Min = 0
 	var ratios plotter.Values
 	for _, c := range cases {
-		ratios = append(ratios, ours[c]/best[c])
+		ratios = append(ratios, all[c].ratio())
 	}
-	bars, err := plotter.NewBarChart(ratios, vg.Points(18))
+	return drawBars(w, cases, ratios)
+}
+
+func drawBars(w io.Writer, names []string, values plotter.Values) error {
+	p := plot.New()
+	p.Title.Text = "First token, 99th percentile, over the best baseline's"
+	p.Y.Label.Text = "ours / best baseline"
+	bars, err := plotter.NewBarChart(values, vg.Points(18))
 	if err != nil {
 		return errors.Wrap(err, "plot")
 	}
 	bars.Color = colours[0]
 	p.Add(bars, plotter.NewGrid())
-	p.NominalX(cases...)
+	p.NominalX(names...)
+	p.X.Min = -0.5
+	p.X.Max = float64(len(names)) - 0.5
+	p.Y.Min = 0
 	p.X.Tick.Label.Rotation = 0.5
 	p.X.Tick.Label.XAlign = -1
 	return write(p, w)
