--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -137,7 +137,7 @@
 		{"data of another region", sent{http.MethodPost, chatPath, chatBody, header(HeaderOrg, "abroad")}, codeResidency, http.StatusForbidden},
 		{"home only, away from home", sent{http.MethodPost, chatPath, chatBody, header(HeaderOrg, "guest", HeaderResidency, "home")}, codeResidency, http.StatusForbidden},
 		{"it was here before", sent{http.MethodPost, chatPath, chatBody, header(HeaderOrg, "free", HeaderPath, "here/box")}, codeLoop, http.StatusLoopDetected},
-		{"too many boxes", sent{http.MethodPost, chatPath, chatBody, header(HeaderOrg, "free", HeaderPath, "a/1,b/2,c/3")}, codeLoop, http.StatusLoopDetected},
+		{"too many boxes", sent{http.MethodPost, chatPath, chatBody, header(HeaderOrg, "free", HeaderPath, "here/1,here/2,here/3")}, codeLoop, http.StatusLoopDetected},
 		{"between regions twice", sent{http.MethodPost, chatPath, chatBody, header(HeaderOrg, "free", HeaderPath, "here/x,there/y")}, codeLoop, http.StatusLoopDetected},
 		{"bad ticket", sent{http.MethodPost, "/s/shop/pay", "x", header(HeaderOrg, "free", HeaderTicket, "!")}, codeTicket, http.StatusBadRequest},
 		{"unknown service", sent{http.MethodGet, "/s/none/x", "", header(HeaderOrg, "free")}, codeService, http.StatusNotFound},
