box: Serve only when the upstreams are known, and learn them from peers

Cause: a box that started while the platform was silent had the bundle from its peers, took callers and knew no upstream; a box whose domain has no list yet did the same. The test of such a start looked at the version only.

Change: the answer to the question for a version brings the lists too, for a box that has none; a box is named only when it has its domain's list. Both have a test that fails without.

--- a/box/box.go
+++ b/box/box.go
@@ -45,6 +45,7 @@
 	tickets  *cell.Cell[ticketState]
 	policy   atomic.Pointer[bundle.Policy] // in force, nil until the box serves
 	leaving  atomic.Bool
+	listed   atomic.Bool // the list of its own failure domain is known
 	peers    *peer.Pool
 	platform *platform.Client
 	upstream *http.Client
--- a/box/box_test.go
+++ b/box/box_test.go
@@ -325,6 +325,21 @@
 	}, "a", "b")
 }
 
+func TestABoxThatKnowsNoUpstreamsIsNotNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := emptyDomain(t)
+		defer d.end()
+		b := d.start("a") // the platform has a bundle, and no list yet
+		d.wait(10 * time.Second)
+		d.is.Equal(b.Dump().State, "starting")
+		r := d.send(http.MethodGet, "a", "/v1/box?service=engine", "", http.Header{})
+		d.is.Equal(r.refusal.Code, "starting")
+		d.publishFleet()
+		d.wait(10 * time.Second)
+		d.is.Equal(b.Dump().State, "serving")
+	})
+}
+
 func TestABoxWithoutABundleReadsItAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := emptyDomain(t)
@@ -357,6 +372,8 @@
 		d.wait(20 * time.Second)
 		d.is.Equal(started.InForce(), 1)
 		d.is.Equal(started.Dump().State, "serving")
+		r := d.send(http.MethodPost, "c", "/v1/chat/completions", `{"model":"m","messages":[]}`, http.Header{})
+		d.is.Equal(r.status, http.StatusOK) // it knows the upstreams too
 	}, "a", "b")
 }
 
--- a/box/bundles.go
+++ b/box/bundles.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/platform"
 	"github.com/havenrudder/havenrudder/wire"
@@ -103,10 +104,10 @@
 	b.domains.Store(&domains)
 }
 
-// publish lets requests see the policy, once the box knows that no higher
-// version was in force before it started.
+// publish lets requests see the policy, once the box knows its upstreams and that
+// no higher version was in force before it started.
 func (b *Box) publish(s *bundleState) {
-	if !s.asked || s.store.Policy() == nil || s.store.Behind() {
+	if !s.asked || !b.listed.Load() || s.store.Policy() == nil || s.store.Behind() {
 		return
 	}
 	if b.policy.Swap(s.store.Policy()) == nil {
@@ -207,6 +208,9 @@
 	if err := b.peers.Call(short, addr, peer.Floor, req, &f); err != nil {
 		return false
 	}
+	for _, u := range f.Lists {
+		b.takeFleet(u)
+	}
 	if f.Head != nil {
 		b.offer(ctx, *f.Head, source{
 			addr:  addr,
@@ -245,6 +249,9 @@
 			out.Nodes = append(out.Nodes, string(n.Data()))
 		}
 	})
+	if r.Have == 0 {
+		_ = b.fleet.Do(func(f *fleet.Fleet) { out.Lists = f.Export() })
+	}
 	return out
 }
 
--- a/box/peers.go
+++ b/box/peers.go
@@ -105,6 +105,9 @@
 func (b *Box) takeFleet(u wire.FleetUpdate) bool {
 	taken := false
 	_ = b.fleet.Do(func(f *fleet.Fleet) { taken = f.TakeList(u.Index, u.Fleet, b.now()) })
+	if u.Fleet.FailureDomain == b.settings.FailureDomain && !b.listed.Swap(true) {
+		_ = b.bundles.Do(b.publish) // it may have waited for this alone
+	}
 	return taken
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -120,6 +120,24 @@
 	return out
 }
 
+// Export returns the lists that were taken in, for a box of the same failure
+// domain that starts. Upstreams of other regions are left out: no box sends there.
+func (f *Fleet) Export() []wire.FleetUpdate {
+	out := make([]wire.FleetUpdate, 0, len(f.lists))
+	for _, domain := range slices.Sorted(maps.Keys(f.lists)) {
+		l := f.lists[domain]
+		list := l.fleet
+		if list.Region != f.region {
+			list.Upstreams = []wire.UpstreamEntry{}
+		}
+		out = append(out, wire.FleetUpdate{
+			Index: l.index,
+			Fleet: list,
+		})
+	}
+	return out
+}
+
 // InFlight returns the requests of each service that are in flight from this box.
 func (f *Fleet) InFlight() map[string]int {
 	out := make(map[string]int, len(f.limiters))
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -195,6 +195,10 @@
 	// Head corresponds to the JSON schema field "head".
 	Head *Head `json:"head,omitempty,omitzero"`
 
+	// The lists the answering box has, for a box that has no version yet; upstreams
+	// of other regions left out.
+	Lists []FleetUpdate `json:"lists,omitempty,omitzero"`
+
 	// Nodes that are new since the version the asking box has, when the answering box
 	// still knows.
 	Nodes []string `json:"nodes,omitempty,omitzero"`
@@ -252,6 +256,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if len(plain.Lists) > 256 {
+		return fmt.Errorf("field %s length: must be <= %d", "lists", 256)
+	}
 	if len(plain.Nodes) > 300 {
 		return fmt.Errorf("field %s length: must be <= %d", "nodes", 300)
 	}
