peer, box: Survive a start of everything at once

Cause: 390 boxes started in one process ran out of its 20,000 files, which they had not before a box could read its bundle at once: each takes itself for the only one and watches every list before it has heard of its neighbours. And a box whose listener for peers could not accept ended, where the one for callers waits.

Change: a box that starts leaves other domains' lists alone for four seconds; a listener that can't accept is tried again with back-off. A test has one that fails five times.

--- a/box/watches.go
+++ b/box/watches.go
@@ -19,6 +19,11 @@
 // leaves its watches to others.
 const blindAfter = 10 * time.Second
 
+// othersAfter is how long a box that starts leaves the lists of other failure
+// domains alone. It takes itself for the only one until it has heard of others;
+// when many start at once, each would watch every list.
+const othersAfter = 4 * time.Second
+
 // listWatchers is how many boxes of a failure domain watch each list.
 const listWatchers = 2
 
@@ -95,7 +100,7 @@
 	own := w.box.settings.FailureDomain
 	out := []string{platform.KeyHead, platform.KeyFleet + own}
 	domains := w.box.domains.Load()
-	if domains == nil {
+	if domains == nil || w.box.now() < othersAfter {
 		return out
 	}
 	for _, domain := range *domains {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -39,22 +39,45 @@
 // Counter is told of the bytes of each message, sent or received.
 type Counter func(m Method, bytes int)
 
-// Serve answers the boxes that connect to l until ctx ends.
+// Back-off after a connection could not be accepted, as when the process has too
+// many files open: a box does not end for that.
+const (
+	firstBackOff = 5 * time.Millisecond
+	maxBackOff   = time.Second
+)
+
+// Serve answers the boxes that connect to l until ctx ends or l is closed.
 func Serve(ctx context.Context, l net.Listener, h Handler, count Counter) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
+	backOff := firstBackOff
 	for {
 		conn, err := l.Accept()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, net.ErrClosed):
 			return errors.Wrap(err, "peer")
+		case err != nil:
+			wait(ctx, backOff)
+			backOff = min(2*backOff, maxBackOff)
+			continue
 		}
+		backOff = firstBackOff
 		serveConn(ctx, conn, h, count)
 	}
 }
 
+// wait waits for d or the end of ctx.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 func serveConn(ctx context.Context, conn net.Conn, h Handler, count Counter) {
 	handle := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		if r.Params == nil {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -98,6 +98,47 @@
 	})
 }
 
+// failing is a listener that fails a few times, as one without files left does.
+type failing struct {
+	net.Listener
+	left int
+}
+
+// Accept fails, or accepts.
+func (l *failing) Accept() (net.Conn, error) {
+	if l.left > 0 {
+		l.left--
+		return nil, errors.New("too many open files")
+	}
+	return l.Listener.Accept()
+}
+
+func TestABoxGoesOnWhenItCantAcceptForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := fakes.NewNetwork()
+		l, err := n.Listen("server")("tcp", "")
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(context.Background())
+		count := func(Method, int) {}
+		echo := func(_ context.Context, _ Method, params json.RawMessage) (any, error) { return params, nil }
+		done := make(chan error, 1)
+		go func() {
+			done <- Serve(ctx, &failing{
+				Listener: l,
+				left:     5,
+			}, echo, count)
+		}()
+		var out wire.FloorRequest
+		is.NoErr(NewPool(ctx, n.Dial("client"), count).Call(ctx, l.Addr().String(), Floor, wire.FloorRequest{
+			Box: "a",
+		}, &out))
+		is.Equal(out.Box, "a")
+		cancel()
+		is.NoErr(<-done)
+	})
+}
+
 func TestAMessageThatDoesNotCheckIsAnError(t *testing.T) {
 	handler := func(_ context.Context, _ Method, params json.RawMessage) (any, error) {
 		var r wire.PartRequest
