gateway: Don't keep a caller waiting for an owner that is frozen

Cause, seen with nine real processes ('rudderctl demo -apart'): a repeat at another box, with the owner of its ticket stopped by a signal, was answered 'not run' after 10.0 s, its whole deadline, though the owner was long suspected. A final answer is given at once.

Change: the wait for an owner ends when it is suspected. Both in virtual time: until the deadline before; under 5 s after. The fuzz of whole boxes has pauses and late wake-ups now: what a box sends and is sent is held back and arrives when it wakes.

--- a/box/box.go
+++ b/box/box.go
@@ -266,6 +266,7 @@
 		RegionLoad:   b.regionLoad,
 		LearnLoad:    b.learnLoad,
 		Owner:        b.ownerBox,
+		Suspected:    b.suspected,
 		IssueTicket:  b.issueTicket,
 		ClaimTicket:  b.claimTicket,
 		FinishTicket: b.finishTicket,
--- a/box/box_test.go
+++ b/box/box_test.go
@@ -416,6 +416,22 @@
 	}, "a", "b", "c")
 }
 
+func TestAFrozenOwnerDoesNotKeepACallerUntilItsDeadline(t *testing.T) {
+	run(t, func(d *domain) {
+		h := d.ticket("a")
+		d.net.Freeze("a")
+		began := time.Now()
+		r := d.send(http.MethodPost, "b", "/s/slots/v1/slots", "order", h)
+		d.is.Equal(r.refusal.Ran, wire.RanNotRun)
+		d.is.True(time.Since(began) < 5*time.Second) // virtual; the deadline is 30 s
+		d.net.Thaw("a")
+		d.wait(5 * time.Second)
+		late := d.send(http.MethodPost, "a", "/s/slots/v1/slots", "order", h)
+		d.is.Equal(late.refusal.Ran, wire.RanNotRun) // it wakes with a ticket that is sealed
+		d.is.Equal(d.ledger.Ran("order"), 0)
+	}, "a", "b", "c")
+}
+
 func TestACutBetweenOwnerAndWitnessMakesNotRunTrue(t *testing.T) {
 	run(t, func(d *domain) {
 		h := d.ticket("a")
--- a/box/fuzz_test.go
+++ b/box/fuzz_test.go
@@ -22,7 +22,7 @@
 const fuzzedBoxes = 4
 
 func drawActs(t *rapid.T) []act {
-	what := rapid.SampledFrom([]string{"publish", "publish", "flap", "down", "up", "freeze", "relapse", "thaw", "crash", "start", "start", "cut", "blind", "heal", "wait", "wait"})
+	what := rapid.SampledFrom([]string{"publish", "publish", "flap", "down", "up", "freeze", "relapse", "thaw", "crash", "start", "start", "cut", "blind", "sleep", "sleep", "wake", "heal", "wait", "wait"})
 	box := rapid.IntRange(0, fuzzedBoxes-1)
 	wait := rapid.SampledFrom([]time.Duration{0, 10 * time.Millisecond, time.Second, 5 * time.Second, 20 * time.Second, time.Minute})
 	n := rapid.IntRange(1, 25).Draw(t, "acts")
@@ -77,9 +77,14 @@
 		f.net.Cut(name, string(rune('a'+a.with)))
 	case "blind":
 		f.net.Cut(name, "platform")
+	case "sleep":
+		f.cuts++
+		clear(f.owed)
+		f.net.Freeze(name)
+	case "wake":
+		f.net.Thaw(name)
 	case "heal":
-		f.cuts = 0
-		f.net.Heal()
+		f.mend()
 	}
 	f.wait(a.wait)
 	f.look()
@@ -141,9 +146,18 @@
 	}
 }
 
+// mend ends cuts and pauses.
+func (f *fuzzed) mend() {
+	f.cuts = 0
+	f.net.Heal()
+	for i := range fuzzedBoxes {
+		f.net.Thaw(string(rune('a' + i)))
+	}
+}
+
 // settle ends every fault and lets the boxes agree.
 func (f *fuzzed) settle() {
-	f.net.Heal()
+	f.mend()
 	f.platform.SetDown(false)
 	f.platform.Thaw()
 	f.publish(f.highest)
@@ -169,7 +183,7 @@
 }
 
 // TestVersionsNeverGoDownAndBoxesAgreeWhenFaultsEnd runs whole boxes in virtual
-// time through crashes, cuts, and a platform that is down, behind or flapping.
+// time through crashes, pauses, cuts, and a platform that is down, behind or flapping.
 func TestVersionsNeverGoDownAndBoxesAgreeWhenFaultsEnd(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		acts := drawActs(rt)
--- a/box/route.go
+++ b/box/route.go
@@ -77,6 +77,16 @@
 	return box, ok
 }
 
+// suspected says whether a box of this failure domain has not been heard of for
+// some time. Of others nothing is heard, so they are not suspected.
+func (b *Box) suspected(name string) (out bool) {
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
+		m, ok := f.Table().Get(name)
+		out = ok && m.Inc > 0 && !f.Table().Alive(name, b.now())
+	})
+	return out
+}
+
 // runProbes asks the replicas that have told nothing for some time for their
 // load. Answers to requests carry it too, so a busy replica is never probed.
 func (b *Box) runProbes(ctx context.Context) {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -4,10 +4,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"io/fs"
+	"os"
 	"path"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -143,17 +146,9 @@
 	defer cancel()
 	began := time.Now()
 	fmt.Fprintf(w, "%s: starting %d boxes in %d regions, with engines, a plain service and the platform's stand-in\n", name, len(settings), len(b.Regions))
-	s, err := site.Start(ctx, site.Plan{
-		Bundle:      b,
-		Settings:    settings,
-		Engines:     user.engines,
-		Services:    user.services,
-		Engine:      []fakes.EngineOption{fakes.WithTokens(tokens, firstToken, tokenPace)},
-		ServiceTook: serviceTook,
-		Between:     user.between,
-		Within:      user.within,
-		Log:         log,
-	})
+	plan := user.plan(b, log)
+	plan.Settings = settings
+	s, err := site.Start(ctx, plan)
 	if err != nil {
 		return err
 	}
@@ -173,3 +168,49 @@
 	}
 	return nil
 }
+
+func (u User) plan(b wire.Bundle, log *logrus.Entry) site.Plan {
+	return site.Plan{
+		Bundle:      b,
+		Engines:     u.engines,
+		Services:    u.services,
+		Engine:      []fakes.EngineOption{fakes.WithTokens(tokens, firstToken, tokenPace)},
+		ServiceTook: serviceTook,
+		Between:     u.between,
+		Within:      u.within,
+		Log:         log,
+	}
+}
+
+// Surroundings runs what stands around the boxes of an example until ctx ends:
+// engines, plain services and the platform's stand-in. It writes to dir the
+// settings of each box, so that the boxes can be run as processes of their own.
+func Surroundings(ctx context.Context, w io.Writer, log *logrus.Entry, name, dir string) error {
+	user, err := find(name)
+	if err != nil {
+		return err
+	}
+	b, settings, err := load(name)
+	if err != nil {
+		return err
+	}
+	s, err := site.Start(ctx, user.plan(b, log))
+	if err != nil {
+		return err
+	}
+	for _, one := range settings {
+		data, err := json.MarshalIndent(s.Expect(one), "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "demo")
+		}
+		file := filepath.Join(dir, one.Box+".json")
+		if err := os.WriteFile(file, data, fileMode); err != nil {
+			return errors.Wrap(err, "demo")
+		}
+		fmt.Fprintf(w, "havenrudder run %s\n", file)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+const fileMode = 0o644
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	RegionLoad func() float64 // requests over slots in this region
 	LearnLoad  func(region string, load float64)
 	Owner      func(name string) (fleet.Box, bool)
+	Suspected  func(name string) bool // whether a box has not been heard of for some time
 
 	IssueTicket  func(service, org string, life time.Duration) (wire.Ticket, bool)
 	ClaimTicket  func(ctx context.Context, t wire.Ticket, fingerprint uint64) Claim
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -155,6 +155,7 @@
 	if owner, ok := s.core.Owner(t.Owner); ok && len(q.path) == 0 && owner.Name != s.name {
 		ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 		defer cancel()
+		go s.watchOwner(ctx, cancel, owner.Name)
 		if s.forward(ctx, w, q, owner) == nil {
 			return
 		}
@@ -167,6 +168,23 @@
 	s.answerLookedUp(w, q)
 }
 
+const suspectEvery = 250 * time.Millisecond
+
+// watchOwner ends the wait for an owner that is suspected to be gone, so that a
+// caller is not kept until its deadline for an answer that can be given now.
+func (s *Server) watchOwner(ctx context.Context, cancel context.CancelFunc, name string) {
+	tick := time.NewTicker(suspectEvery)
+	defer tick.Stop()
+	for !s.core.Suspected(name) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+	cancel()
+}
+
 // answerLookedUp asks the service itself what became of a call that was announced
 // and whose owner is gone.
 func (s *Server) answerLookedUp(w http.ResponseWriter, q *query) {
--- a/internal/fakes/network.go
+++ b/internal/fakes/network.go
@@ -14,14 +14,49 @@
 	listeners map[string]*listener
 	next      int
 	cut       map[[2]string]bool
+	frozen    map[string]bool
 	conns     []*link
 }
 
 // link is a connection between two hosts.
 type link struct {
 	net.Conn
-	from string
-	to   string
+	network *Network
+	from    string
+	to      string
+	sem     chan struct{} // a lock that virtual time can see waited for
+	pending []byte        // sent while one of the hosts was frozen
+}
+
+// Write sends, or keeps what is sent while one of the hosts is frozen.
+func (l *link) Write(p []byte) (int, error) {
+	l.sem <- struct{}{}
+	defer func() { <-l.sem }()
+	if l.network.isFrozen(l.from) || l.network.isFrozen(l.to) {
+		l.pending = append(l.pending, p...)
+		return len(p), nil
+	}
+	if err := l.flush(); err != nil {
+		return 0, err
+	}
+	return l.Conn.Write(p)
+}
+
+func (l *link) flush() error {
+	kept := l.pending
+	l.pending = nil
+	if len(kept) == 0 {
+		return nil
+	}
+	_, err := l.Conn.Write(kept)
+	return err
+}
+
+// thaw sends what was kept.
+func (l *link) thaw() {
+	l.sem <- struct{}{}
+	defer func() { <-l.sem }()
+	_ = l.flush()
 }
 
 // NewNetwork returns a network without hosts.
@@ -29,9 +64,36 @@
 	return &Network{
 		listeners: make(map[string]*listener),
 		cut:       make(map[[2]string]bool),
+		frozen:    make(map[string]bool),
 	}
 }
 
+// Freeze holds back what a host sends and is sent, as that of a process that is
+// paused, until Thaw.
+func (n *Network) Freeze(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen[host] = true
+}
+
+// Thaw ends Freeze; what was kept arrives.
+func (n *Network) Thaw(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.frozen, host)
+	for _, l := range n.conns {
+		if l.from == host || l.to == host {
+			go l.thaw()
+		}
+	}
+}
+
+func (n *Network) isFrozen(host string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.frozen[host]
+}
+
 type listener struct {
 	network *Network
 	host    string
@@ -92,12 +154,15 @@
 		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.conns = append(n.conns, &link{
-			Conn: near,
-			from: host,
-			to:   l.host,
-		})
-		return near, nil
+		c := &link{
+			Conn:    near,
+			network: n,
+			from:    host,
+			to:      l.host,
+			sem:     make(chan struct{}, 1),
+		}
+		n.conns = append(n.conns, c)
+		return c, nil
 	}
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -205,12 +205,7 @@
 		Operators: "127.0.0.1:0",
 	}
 	settings.Platform.URLs = []string{s.base}
-	settings.Keys = []wire.PublicKey{
-		{
-			ID:     keyID,
-			Public: s.public,
-		},
-	}
+	settings.Keys = s.keys()
 	dialer := &net.Dialer{
 		Timeout: time.Second,
 	}
@@ -308,6 +303,31 @@
 	return out
 }
 
+// Expect lists a box that runs as a process of its own, at the addresses of its
+// settings, and returns the settings it has to be given.
+func (s *Site) Expect(settings wire.Settings) wire.Settings {
+	settings.Platform.URLs = []string{s.base}
+	settings.Keys = s.keys()
+	f := s.fleets[settings.FailureDomain]
+	f.Boxes = append(f.Boxes, wire.BoxEntry{
+		Name:    settings.Box,
+		Callers: settings.Listen.Callers,
+		Peers:   settings.Listen.Peers,
+		State:   wire.ServingStateServing,
+	})
+	s.PublishFleet(settings.FailureDomain)
+	return settings
+}
+
+func (s *Site) keys() []wire.PublicKey {
+	return []wire.PublicKey{
+		{
+			ID:     keyID,
+			Public: s.public,
+		},
+	}
+}
+
 // UpstreamURL returns the address of the first upstream of a failure domain.
 func (s *Site) UpstreamURL(domain string) string { return s.fleets[domain].Upstreams[0].URL }
 
