all: Say once what was said twice, and drop what nothing uses

The rows of 'measure once' and of two cases of 'measure policy' are the same to the byte before and after; the demo and the checks pass.

--- a/box/peers.go
+++ b/box/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/upstream"
@@ -133,7 +134,7 @@
 			s.owner.Sweep(b.now())
 			s.witness.Sweep(b.now())
 		})
-		wait(ctx, interval)
+		sleep.For(ctx, interval)
 	}
 }
 
@@ -149,26 +150,21 @@
 		if answered {
 			break
 		}
-		wait(ctx, startWait/8)
+		sleep.For(ctx, startWait/8)
 	}
 	b.settleFloor()
 }
 
 func (b *Box) startPeers() []string {
-	out := slices.Clone(b.settings.Seeds)
-	_ = b.fleet.Do(func(f *fleet.Fleet) {
-		for _, m := range f.Table().Members() {
-			out = append(out, m.Peers)
-		}
-	})
+	out := append(b.peerAddrs(), b.settings.Seeds...)
 	slices.Sort(out)
 	return slices.DeleteFunc(slices.Compact(out), func(addr string) bool { return addr == "" || addr == b.addrs.Peers })
 }
 
 // sendHeartbeats sends one heartbeat to each other box of the failure domain.
 func (b *Box) sendHeartbeats(ctx context.Context) {
-	h, to := b.heartbeat()
-	for _, addr := range to {
+	h := b.heartbeat()
+	for _, addr := range b.peerAddrs() {
 		b.tasks.Go(func() {
 			short, cancel := context.WithTimeout(ctx, notifyBound)
 			defer cancel()
@@ -179,8 +175,8 @@
 	}
 }
 
-// heartbeat returns the next heartbeat and whom it goes to.
-func (b *Box) heartbeat() (h wire.Heartbeat, to []string) {
+// heartbeat returns the next heartbeat.
+func (b *Box) heartbeat() (h wire.Heartbeat) {
 	h = wire.Heartbeat{
 		Box:     b.settings.Box,
 		Inc:     b.inc,
@@ -205,13 +201,20 @@
 			return r.Leaving && r.Domain == b.settings.FailureDomain
 		})
 		h.Leaving = h.Leaving[:min(len(h.Leaving), maxLeaving)]
+	})
+	return h
+}
+
+// peerAddrs returns the addresses of the other boxes of the failure domain.
+func (b *Box) peerAddrs() (out []string) {
+	_ = b.fleet.Do(func(f *fleet.Fleet) {
 		for _, m := range f.Table().Members() {
 			if m.Peers != "" {
-				to = append(to, m.Peers)
+				out = append(out, m.Peers)
 			}
 		}
 	})
-	return h, to
+	return out
 }
 
 // round returns a load to two digits.
--- a/box/serve.go
+++ b/box/serve.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/gateway"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/wire"
@@ -106,7 +107,7 @@
 		case <-tick.C:
 		}
 	}
-	wait(ctx, leaveGrace)
+	sleep.For(ctx, leaveGrace)
 	limit := time.Duration(b.settings.Limits.DrainMs) * time.Millisecond
 	bounded, stop := context.WithTimeout(ctx, limit)
 	defer stop()
@@ -117,16 +118,6 @@
 	cancel(errStopped)
 }
 
-// wait waits for d or the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (b *Box) serveBoxes(ctx context.Context, cancel context.CancelCauseFunc) {
 	if err := peer.Serve(ctx, b.listeners[1], b.handlePeer, b.metrics.countControl); err != nil {
 		cancel(err)
--- a/box/watches.go
+++ b/box/watches.go
@@ -141,8 +141,7 @@
 	if !b.takeFleet(u) {
 		return
 	}
-	_, to := b.heartbeat()
-	for _, addr := range to {
+	for _, addr := range b.peerAddrs() {
 		b.tasks.Go(func() {
 			short, cancel := context.WithTimeout(ctx, notifyBound)
 			defer cancel()
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -134,20 +134,14 @@
 // Run runs the example called name and prints to w what it does. It returns an
 // error when anything comes back wrong. With stay it then waits for ctx.
 func Run(ctx context.Context, w io.Writer, log *logrus.Entry, name string, stay bool) error {
-	user, err := find(name)
-	if err != nil {
-		return err
-	}
-	b, settings, err := load(name)
+	user, plan, err := prepare(name, log)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := time.Now()
-	fmt.Fprintf(w, "%s: starting %d boxes in %d regions, with engines, a plain service and the platform's stand-in\n", name, len(settings), len(b.Regions))
-	plan := user.plan(b, log)
-	plan.Settings = settings
+	fmt.Fprintf(w, "%s: starting %d boxes in %d regions, with engines, a plain service and the platform's stand-in\n", name, len(plan.Settings), len(plan.Bundle.Regions))
 	s, err := site.Start(ctx, plan)
 	if err != nil {
 		return err
@@ -169,32 +163,37 @@
 	return nil
 }
 
-func (u User) plan(b wire.Bundle, log *logrus.Entry) site.Plan {
-	return site.Plan{
+// prepare returns the example called name and the plan to run it by.
+func prepare(name string, log *logrus.Entry) (User, site.Plan, error) {
+	user, err := find(name)
+	if err != nil {
+		return User{}, site.Plan{}, err
+	}
+	b, settings, err := load(name)
+	return user, site.Plan{
 		Bundle:      b,
-		Engines:     u.engines,
-		Services:    u.services,
+		Settings:    settings,
+		Engines:     user.engines,
+		Services:    user.services,
 		Engine:      []fakes.EngineOption{fakes.WithTokens(tokens, firstToken, tokenPace)},
 		ServiceTook: serviceTook,
-		Between:     u.between,
-		Within:      u.within,
+		Between:     user.between,
+		Within:      user.within,
 		Log:         log,
-	}
+	}, err
 }
 
 // Surroundings runs what stands around the boxes of an example until ctx ends:
 // engines, plain services and the platform's stand-in. It writes to dir the
 // settings of each box, so that the boxes can be run as processes of their own.
 func Surroundings(ctx context.Context, w io.Writer, log *logrus.Entry, name, dir string) error {
-	user, err := find(name)
-	if err != nil {
-		return err
-	}
-	b, settings, err := load(name)
+	_, plan, err := prepare(name, log)
 	if err != nil {
 		return err
 	}
-	s, err := site.Start(ctx, user.plan(b, log))
+	settings := plan.Settings
+	plan.Settings = nil // they run as processes of their own
+	s, err := site.Start(ctx, plan)
 	if err != nil {
 		return err
 	}
--- a/fleet/name.go
+++ b/fleet/name.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -24,14 +25,12 @@
 	if !leaving {
 		names = append(names, f.self)
 	}
-	ranked := rendezvous.Rank(key, names)
+	best := key
 	if prefix != "" {
-		if replica := f.first(service, prefix); replica != "" {
-			ranked = rendezvous.Rank(replica, names)
-		}
+		best = cmp.Or(f.first(service, prefix), key)
 	}
-	out := make([]string, 0, len(ranked))
-	for _, name := range ranked {
+	out := make([]string, 0, len(names))
+	for _, name := range rendezvous.Rank(best, names) {
 		out = append(out, f.address(name))
 	}
 	for _, b := range f.RegionBoxes(f.region, key) {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -21,9 +21,8 @@
 	Service wire.Service
 	Policy  *bundle.Policy
 	Routing routing.Request
-	Tried   []string
-	Retry   bool // counts against the retry budget
-	Foreign bool // it came from another region
+	Tried   []string // replicas it failed at; a request with any is a retry
+	Foreign bool     // it came from another region
 	Explain bool
 }
 
@@ -33,11 +32,10 @@
 	URL      string
 	Choice   routing.Choice
 
-	org      wire.Organisation
-	service  string
-	gen      int // tells apart processes of the same name
-	prefill  time.Duration
-	affinity string
+	org     wire.Organisation
+	service string
+	gen     int // tells apart processes of the same name
+	prefill time.Duration
 }
 
 // Refused says why there is no replica.
@@ -63,7 +61,7 @@
 // Place admits a request and counts it into the replica that is chosen for it.
 func (f *Fleet) Place(req Request, now time.Duration) (Placement, *Refused) {
 	limiter := f.limiter(req.Service.Name)
-	if req.Retry && !limiter.Retry() {
+	if len(req.Tried) > 0 && !limiter.Retry() {
 		return Placement{}, &Refused{
 			Code: RetriesUsed,
 		}
@@ -92,13 +90,12 @@
 		Choice:   choice,
 		org:      req.Org,
 		service:  req.Service.Name,
-		affinity: req.Routing.Affinity,
 	}
 	if !choice.Warm {
 		p.prefill = req.Routing.Prefill
 	}
 	p.gen = f.inventory.Begin(choice.Name, p.prefill)
-	f.remember(p.affinity, choice.Name)
+	f.remember(req.Routing.Affinity, choice.Name)
 	return p
 }
 
--- a/fleet/region.go
+++ b/fleet/region.go
@@ -18,9 +18,8 @@
 
 // Summary is what a region tells of itself.
 type Summary struct {
-	Slots int     // requests its replicas run at once; 0 when not known
-	Load  float64 // requests there over slots
-	At    time.Duration
+	Load float64 // requests there over slots
+	At   time.Duration
 }
 
 // Summarize returns the summary of this box's own region.
@@ -29,14 +28,15 @@
 		At: now,
 	}
 	load := 0
+	slots := 0
 	for _, name := range f.inventory.Names(func(r *upstream.Replica) bool { return !r.Leaving && !r.Out(now) }) {
 		r := f.inventory.Get(name)
-		s.Slots += r.Slots
+		slots += r.Slots
 		load += r.Load(now)
 	}
 	s.Load = 1 // nothing there invites nobody
-	if s.Slots > 0 {
-		s.Load = float64(load) / float64(s.Slots)
+	if slots > 0 {
+		s.Load = float64(load) / float64(slots)
 	}
 	return s
 }
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -116,7 +116,7 @@
 		if refused != nil {
 			return wire.RanNotRun, ticket.Result{}, p
 		}
-		a, err := s.call(ctx, s.once, q, p, 0)
+		a, err := s.call(ctx, s.once, q, p)
 		switch {
 		case err == nil:
 			return wire.RanRan, resultOf(a), p
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -89,7 +89,7 @@
 	}
 	f := *refusal(codeUpstream, "no upstream gave a whole answer", retrySoon)
 	ended := s.tryReplicas(ctx, w, q, func(p fleet.Placement) verdict {
-		a, err := s.call(ctx, s.clientFor(q), q, p, 0)
+		a, err := s.call(ctx, s.clientFor(q), q, p)
 		if err == nil {
 			s.answer(w, q, p, a)
 			return answered
@@ -166,7 +166,6 @@
 		Policy:  q.policy,
 		Routing: q.routingRequest(),
 		Tried:   tried,
-		Retry:   len(tried) > 0,
 		Foreign: q.foreign(s.region),
 		Explain: q.explain,
 	})
@@ -183,7 +182,7 @@
 var errCrossed = errors.New("gateway: answer to another request")
 
 // call sends q to a placement and returns its whole answer.
-func (s *Server) call(ctx context.Context, client *http.Client, q *query, p fleet.Placement, resume int) (answer, error) {
+func (s *Server) call(ctx context.Context, client *http.Client, q *query, p fleet.Placement) (answer, error) {
 	start := time.Now()
 	done := fleet.Finish{
 		Failed: true,
@@ -192,7 +191,7 @@
 		done.Hold = time.Since(start)
 		s.core.Finish(p, done)
 	}()
-	resp, err := s.send(ctx, client, q, p, resume)
+	resp, err := s.send(ctx, client, q, p, 0)
 	if err != nil {
 		done.Failed = ctx.Err() == nil
 		return answer{}, err
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -331,9 +331,6 @@
 // UpstreamURL returns the address of the first upstream of a failure domain.
 func (s *Site) UpstreamURL(domain string) string { return s.fleets[domain].Upstreams[0].URL }
 
-// Stop ends a box at once, as a crash does.
-func (s *Site) Stop(name string) { s.boxes[name].stop() }
-
 // Wait waits for a box to end.
 func (s *Site) Wait(name string) error { return <-s.boxes[name].done }
 
--- a/measure/control/bundle.go
+++ b/measure/control/bundle.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/config"
 	"github.com/havenrudder/havenrudder/internal/site"
 	"github.com/havenrudder/havenrudder/wire"
@@ -89,7 +90,7 @@
 	if err != nil {
 		return BundleRow{}, err
 	}
-	wait(ctx, settleTime)
+	sleep.For(ctx, settleTime)
 	started := float64(s.Platform().Calls()) / float64(o.Boxes)
 	m := newMeter(s)
 	f := &follower{
@@ -107,7 +108,7 @@
 		if err := f.publish(ctx, b); err != nil {
 			return BundleRow{}, err
 		}
-		wait(ctx, time.Duration(float64(time.Second)/o.Rate)-time.Since(began))
+		sleep.For(ctx, time.Duration(float64(time.Second)/o.Rate)-time.Since(began))
 	}
 	row := BundleRow{
 		Boxes:      o.Boxes,
@@ -145,7 +146,7 @@
 			return err
 		}
 		f.missing = missing
-		wait(ctx, pollEvery)
+		sleep.For(ctx, pollEvery)
 	}
 	return errors.Newf("version %d is not in force on %d boxes", b.Version, f.missing)
 }
@@ -168,15 +169,6 @@
 	return missing, err
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(max(d, 0))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func domains(boxes int) int { return (boxes + perDomain - 1) / perDomain }
 
 // makeBundle returns a bundle of the size to design for, with as many failure
--- a/measure/control/pure.go
+++ b/measure/control/pure.go
@@ -9,7 +9,6 @@
 
 	"github.com/havenrudder/havenrudder/bundle"
 	"github.com/havenrudder/havenrudder/fleet"
-	"github.com/havenrudder/havenrudder/membership"
 	"github.com/havenrudder/havenrudder/routing"
 	"github.com/havenrudder/havenrudder/ticket"
 	"github.com/havenrudder/havenrudder/wire"
@@ -327,8 +326,3 @@
 		}
 	})
 }
-
-// heartbeatsPerSecond returns the heartbeats that one box of n sends a second.
-func heartbeatsPerSecond(n int) float64 {
-	return float64(n-1) / membership.Interval(n).Seconds()
-}
--- a/measure/control/relay.go
+++ b/measure/control/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/gateway"
 	"github.com/havenrudder/havenrudder/internal/fakes"
 	"github.com/havenrudder/havenrudder/internal/site"
@@ -164,7 +165,7 @@
 		_, err := burst(ctx, r.box)
 		done <- err
 	}()
-	wait(ctx, manyTokens*tokenPace/2)
+	sleep.For(ctx, manyTokens*tokenPace/2)
 	during = inUse()
 	return (during - before) / streams, <-done
 }
--- a/measure/control/slopes.go
+++ b/measure/control/slopes.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -154,9 +155,9 @@
 	if err != nil {
 		return BundleRow{}, err
 	}
-	wait(ctx, settleTime)
+	sleep.For(ctx, settleTime)
 	m := newMeter(s)
-	wait(ctx, idle)
+	sleep.For(ctx, idle)
 	row := BundleRow{
 		Boxes: boxes,
 	}
--- a/measure/once/box.go
+++ b/measure/once/box.go
@@ -176,13 +176,7 @@
 		})
 		return
 	}
-	told := false
-	first := func(r reply) {
-		if !told {
-			told = true
-			tell(r)
-		}
-	}
+	first := once(tell)
 	w.send(b, witness, ticketSize(t), func() {
 		ran := witness.witness.Seal(t, witness.clock())
 		w.send(witness, b, answerSize, func() {
@@ -194,3 +188,14 @@
 	inc := b.inc
 	w.after(announceBound, func() { w.deliver(b, inc, func() { first(unknown) }) })
 }
+
+// once passes the first of several answers on.
+func once(tell func(reply)) func(reply) {
+	told := false
+	return func(r reply) {
+		if !told {
+			told = true
+			tell(r)
+		}
+	}
+}
--- a/measure/policy/baseline.go
+++ b/measure/policy/baseline.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -86,22 +87,13 @@
 func (b *baseline) candidates(region string, tried []string) []*engine {
 	var out []*engine
 	for _, e := range b.w.inRegion(region) {
-		if b.usable[e.name] && !contains(tried, e.name) {
+		if b.usable[e.name] && !slices.Contains(tried, e.name) {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
-func contains(list []string, name string) bool {
-	for _, s := range list {
-		if s == name {
-			return true
-		}
-	}
-	return false
-}
-
 // mean returns the mean reported load of engines over their slots, 1 for none.
 func (b *baseline) mean(engines []*engine) float64 {
 	if len(engines) == 0 {
--- a/measure/policy/ours.go
+++ b/measure/policy/ours.go
@@ -228,7 +228,6 @@
 		Service: o.service(),
 		Policy:  o.policy,
 		Tried:   tried,
-		Retry:   len(tried) > 0,
 		Foreign: foreign,
 		Routing: routing.Request{
 			Affinity: r.org.Name + "/" + strconv.Itoa(r.prefix),
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/havenrudder/havenrudder/common/sleep"
 )
 
 // Method names a message between boxes.
@@ -59,7 +61,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return errors.Wrap(err, "peer")
 		case err != nil:
-			wait(ctx, backOff)
+			sleep.For(ctx, backOff)
 			backOff = min(2*backOff, maxBackOff)
 			continue
 		}
@@ -68,16 +70,6 @@
 	}
 }
 
-// wait waits for d or the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func serveConn(ctx context.Context, conn net.Conn, h Handler, count Counter) {
 	handle := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		if r.Params == nil {
