--- a/box/box.go
+++ b/box/box.go
@@ -18,10 +18,10 @@
 
 	"github.com/havenrudder/havenrudder/bundle"
 	"github.com/havenrudder/havenrudder/common/cell"
+	"github.com/havenrudder/havenrudder/configstore"
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/gateway"
 	"github.com/havenrudder/havenrudder/peer"
-	"github.com/havenrudder/havenrudder/platform"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -47,7 +47,7 @@
 	leaving  atomic.Bool
 	listed   atomic.Bool // the list of its own failure domain is known
 	peers    *peer.Pool
-	platform *platform.Client
+	platform *configstore.Client
 	upstream *http.Client
 	metrics  *metrics
 	watch    *watches
@@ -204,10 +204,10 @@
 	b.upstream = &http.Client{
 		Transport: b.transport(false, cfg),
 	}
-	b.platform = platform.New(b.settings.Platform.URLs, b.settings.Platform.Prefix,
-		platform.WithHTTP(b.upstream),
-		platform.WithWait(time.Duration(b.settings.Platform.WaitMs)*time.Millisecond),
-		platform.WithReads(b.metrics.countRead))
+	b.platform = configstore.New(b.settings.Platform.URLs, b.settings.Platform.Prefix,
+		configstore.WithHTTP(b.upstream),
+		configstore.WithWait(time.Duration(b.settings.Platform.WaitMs)*time.Millisecond),
+		configstore.WithReads(b.metrics.countRead))
 	b.watch = newWatches(ctx, b)
 }
 
--- a/box/bundles.go
+++ b/box/bundles.go
@@ -8,9 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/configstore"
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/peer"
-	"github.com/havenrudder/havenrudder/platform"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -140,7 +140,7 @@
 				return data, nil
 			}
 		}
-		v, err := b.platform.Get(ctx, platform.KeyNode+string(h))
+		v, err := b.platform.Get(ctx, configstore.KeyNode+string(h))
 		b.metrics.countControl(bundleKind, len(v.Data)+readOverhead)
 		return v.Data, err
 	}
@@ -150,7 +150,7 @@
 // otherwise read each of some 250, and a failure domain that starts 3,600 at once.
 // It returns nil when there is no such value; then nodes are read one by one.
 func (b *Box) readWhole(ctx context.Context) map[bundle.Hash][]byte {
-	v, err := b.platform.Get(ctx, platform.KeyWhole)
+	v, err := b.platform.Get(ctx, configstore.KeyWhole)
 	if err != nil {
 		return nil
 	}
@@ -184,7 +184,7 @@
 }
 
 // onHead takes a head in that the platform gave.
-func (b *Box) onHead(ctx context.Context, v platform.Value) {
+func (b *Box) onHead(ctx context.Context, v configstore.Value) {
 	b.metrics.countControl(bundleKind, len(v.Data)+readOverhead)
 	var h wire.Head
 	if err := json.Unmarshal(v.Data, &h); err != nil {
--- a/box/domain_test.go
+++ b/box/domain_test.go
@@ -19,9 +19,9 @@
 	"github.com/havenrudder/havenrudder/box"
 	"github.com/havenrudder/havenrudder/bundle"
 	"github.com/havenrudder/havenrudder/config"
+	"github.com/havenrudder/havenrudder/configstore"
 	"github.com/havenrudder/havenrudder/gateway"
 	"github.com/havenrudder/havenrudder/internal/fakes"
-	"github.com/havenrudder/havenrudder/platform"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -149,21 +149,21 @@
 	root, nodes, err := bundle.Split(d.bundle)
 	d.is.NoErr(err)
 	for h, n := range nodes {
-		d.platform.PutNew(platform.KeyNode+string(h), n.Data())
+		d.platform.PutNew(configstore.KeyNode+string(h), n.Data())
 	}
 	whole, err := nodes.Pack()
 	d.is.NoErr(err)
-	d.platform.Put(platform.KeyWhole, whole)
+	d.platform.Put(configstore.KeyWhole, whole)
 	head, err := json.Marshal(bundle.Sign(version, root, "k", d.private))
 	d.is.NoErr(err)
-	d.platform.Put(platform.KeyHead, head)
+	d.platform.Put(configstore.KeyHead, head)
 }
 
 func (d *domain) publishFleet() {
 	for domain, f := range d.fleets {
 		data, err := json.Marshal(f)
 		d.is.NoErr(err)
-		d.platform.Put(platform.KeyFleet+domain, data)
+		d.platform.Put(configstore.KeyFleet+domain, data)
 	}
 }
 
--- a/box/watches.go
+++ b/box/watches.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/havenrudder/havenrudder/configstore"
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/peer"
-	"github.com/havenrudder/havenrudder/platform"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.cancels[key] = cancel
 	w.box.tasks.Go(func() {
-		w.box.platform.Watch(ctx, key, func(v platform.Value) { w.take(ctx, key, v) })
+		w.box.platform.Watch(ctx, key, func(v configstore.Value) { w.take(ctx, key, v) })
 	})
 }
 
@@ -83,7 +83,7 @@
 	_ = b.fleet.Do(func(f *fleet.Fleet) {
 		for _, key := range w.keys() {
 			n := listWatchers
-			if key == platform.KeyHead {
+			if key == configstore.KeyHead {
 				n = b.settings.Platform.Watchers
 			}
 			if f.Reads(key, n, b.now()) {
@@ -98,14 +98,14 @@
 // the lists of the domains the bundle names.
 func (w *watches) keys() []string {
 	own := w.box.settings.FailureDomain
-	out := []string{platform.KeyHead, platform.KeyFleet + own}
+	out := []string{configstore.KeyHead, configstore.KeyFleet + own}
 	domains := w.box.domains.Load()
 	if domains == nil || w.box.now() < othersAfter {
 		return out
 	}
 	for _, domain := range *domains {
 		if domain != own {
-			out = append(out, platform.KeyFleet+domain)
+			out = append(out, configstore.KeyFleet+domain)
 		}
 	}
 	return out
@@ -118,9 +118,9 @@
 	return slices.Sorted(maps.Keys(w.cancels))
 }
 
-func (w *watches) take(ctx context.Context, key string, v platform.Value) {
+func (w *watches) take(ctx context.Context, key string, v configstore.Value) {
 	w.heard.Store(int64(w.box.now()))
-	if key == platform.KeyHead {
+	if key == configstore.KeyHead {
 		w.box.onHead(ctx, v)
 		return
 	}
@@ -128,7 +128,7 @@
 }
 
 // takeList takes a list in and passes it on in the failure domain.
-func (w *watches) takeList(ctx context.Context, v platform.Value) {
+func (w *watches) takeList(ctx context.Context, v configstore.Value) {
 	b := w.box
 	b.metrics.countControl(fleetKind, len(v.Data)+readOverhead)
 	u := wire.FleetUpdate{
--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,168 @@
+package budget
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const service = "chat"
+
+// grown is an age at which a box has its full part of Extra.
+const grown = 11 * time.Second
+
+var usual = Terms{
+	Ratio:  0.2,
+	Window: 10 * time.Second,
+	Extra:  56,
+}
+
+func ExampleBudget_Take() {
+	b := New(Terms{
+		Ratio:  0.2,
+		Window: 10 * time.Second,
+		Extra:  56,
+	})
+	now := time.Minute
+	b.Request("chat", now)
+	fmt.Println(b.Take("chat", 3, now), b.Left("chat", 3, now))
+	// Output: true 6
+}
+
+// drain takes repeats until one is refused and returns how many there were.
+func drain(b *Budget, boxes int, now time.Duration) int {
+	n := 0
+	for b.Take(service, boxes, now) {
+		n++
+	}
+	return n
+}
+
+func near(got, want float64) bool {
+	return math.Abs(got-want) < 1e-9
+}
+
+func TestTheShareFallsWithTheNumberOfBoxes(t *testing.T) {
+	cases := []struct{ boxes, want int }{
+		{-1, 28},
+		{0, 28},
+		{1, 28},
+		{2, 9}, // one more box is assumed
+		{3, 7},
+		{12, 2},
+		{27, 1},
+		{28, 0},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.boxes), func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(drain(New(usual), c.boxes, grown), c.want)
+		})
+	}
+}
+
+func TestTheShareGrowsOverTheFirstWindow(t *testing.T) {
+	is := is.New(t)
+	is.Equal(New(usual).Left(service, 1, 0), 0.0)
+	is.True(near(New(usual).Left(service, 1, grown/4), 7))
+	is.True(near(New(usual).Left(service, 1, grown/2), 14))
+	is.True(near(New(usual).Left(service, 1, grown), 28))
+	is.True(near(New(usual).Left(service, 1, time.Hour), 28))
+}
+
+func TestARepeatIsSpentForOneWindowAndItsSlack(t *testing.T) {
+	is := is.New(t)
+	b := New(usual)
+	now := time.Minute
+	is.Equal(drain(b, 1, now), 28)
+	is.Equal(drain(b, 1, now+11*time.Second), 0)
+	is.Equal(drain(b, 1, now+11*time.Second+bucketLength), 28)
+}
+
+func TestRequestsGiveBackWhatRepeatsTook(t *testing.T) {
+	is := is.New(t)
+	b := New(usual)
+	is.Equal(drain(b, 1, grown), 28)
+	for range 100 {
+		b.Request(service, grown+time.Second)
+	}
+	is.Equal(drain(b, 1, grown+2*time.Second), 17) // 0.85 x 0.2 x 100
+}
+
+func TestRequestsBeforeThemDoNotPayForABurst(t *testing.T) {
+	is := is.New(t)
+	b := New(usual)
+	for range 1000 {
+		b.Request(service, grown)
+	}
+	// The requests leave the window a second after these repeats.
+	is.Equal(drain(b, 1, grown+9*time.Second), 28)
+}
+
+func TestRefusedRepeatsAreNotCounted(t *testing.T) {
+	is := is.New(t)
+	b := New(usual)
+	is.Equal(drain(b, 3, grown), 7)
+	before := b.Left(service, 1, grown)
+	is.True(!b.Take(service, 3, grown))
+	is.Equal(b.Left(service, 1, grown), before)
+}
+
+func TestServicesDoNotShareABudget(t *testing.T) {
+	is := is.New(t)
+	b := New(usual)
+	is.Equal(drain(b, 3, grown), 7)
+	is.True(near(b.Left("other", 3, grown), 7))
+}
+
+func TestAClockThatGoesBackCountsAtTheLatestTime(t *testing.T) {
+	is := is.New(t)
+	b := New(usual)
+	is.Equal(drain(b, 1, time.Minute), 28)
+	is.Equal(drain(b, 1, grown), 0)
+	is.Equal(drain(b, 1, time.Minute), 0)
+}
+
+func TestNewTermsKeepTheCounts(t *testing.T) {
+	for _, window := range []time.Duration{5 * time.Second, 10 * time.Second, 30 * time.Second} {
+		t.Run(window.String(), func(t *testing.T) {
+			is := is.New(t)
+			b := New(usual)
+			is.Equal(drain(b, 1, time.Minute), 28)
+			b.SetTerms(Terms{
+				Ratio:  0.2,
+				Window: window,
+				Extra:  60,
+			})
+			is.Equal(drain(b, 1, time.Minute+time.Second), 2)
+		})
+	}
+}
+
+func TestCountsInTheFirstBucketSurviveNewTerms(t *testing.T) {
+	is := is.New(t)
+	b := New(Terms{
+		Ratio:  0.2,
+		Window: 0, // no first window in which the share grows
+		Extra:  56,
+	})
+	is.Equal(drain(b, 1, 0), 28)
+	b.SetTerms(usual)
+	is.Equal(drain(b, 1, 0), 0)
+	is.Equal(drain(b, 1, 10*time.Second), 0)
+}
+
+func TestIdleServicesAreDropped(t *testing.T) {
+	is := is.New(t)
+	b := New(usual)
+	for n := range sweepAt {
+		b.Request(fmt.Sprint(n), grown)
+	}
+	is.Equal(drain(b, 1, grown+time.Second), 28)
+	b.Request("new", 2*grown+bucketLength)
+	is.Equal(len(b.services), 2) // the one with repeats a second later, and the new one
+	is.Equal(drain(b, 1, 2*grown+bucketLength), 0)
+}
--- /dev/null
+++ b/catalog/policy.go
@@ -0,0 +1,216 @@
+// Package catalog holds what is published to the boxes: the policy that says
+// where requests go, the replicas that serve them, and the failure domains that
+// get no work. It also keeps a box's copy of it current.
+package catalog
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// Kind says what may be done with a request when its outcome is not known.
+type Kind string
+
+// Kinds of routes.
+const (
+	Repeatable Kind = "repeatable" // it may run any number of times
+	Once       Kind = "once"       // it may run once
+	Stream     Kind = "stream"     // its answer is a series of events
+)
+
+// Millis is a time in milliseconds, as it stands in JSON.
+type Millis float64
+
+// Duration returns the time.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(float64(m) * float64(time.Millisecond))
+}
+
+// Share is the part of a route's requests that a service gets.
+type Share struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"` // over the sum of the route's weights
+}
+
+// Route is a rule for requests with one host and a prefix of the path.
+type Route struct {
+	Name      string   `json:"name"`
+	Host      string   `json:"host"`
+	Prefix    string   `json:"prefix"` // begins and ends with a slash
+	Kind      Kind     `json:"kind"`
+	Attempts  int      `json:"attempts"`        // most replicas that one request is sent to
+	Timeout   Millis   `json:"timeout_ms"`      // longest time until the answer is whole
+	Goal      Millis   `json:"goal_ms"`         // time to the answer, or to a stream's first event, that is aimed at
+	GapGoal   Millis   `json:"gap_goal_ms"`     // longest pause between events that is aimed at; 0 for none
+	Priority  int      `json:"priority"`        // 0 goes first
+	Shares    []Share  `json:"shares"`          // services that run it
+	Resumable bool     `json:"resumable"`       // a stream can be continued elsewhere after an event
+	Homes     []string `json:"homes,omitempty"` // regions that its data may enter; empty for all
+}
+
+// Repeatable says whether a request may run again when its outcome is unknown.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
+}
+
+// Allows says whether the route's data may be processed in a region. This is the
+// one place where residency is decided.
+func (r *Route) Allows(region string) bool {
+	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
+}
+
+// Service returns the service that runs the request of an id: always the same
+// one for the same id, in proportion to the weights.
+func (r *Route) Service(id string) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := int(xxhash.Sum64String(id) % uint64(max(total, 1)))
+	for _, s := range r.Shares {
+		at -= s.Weight
+		if at < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[0].Service
+}
+
+func (r *Route) check() error {
+	switch {
+	case r.Host == "":
+		return errors.Newf("route %q: no host", r.Name)
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return errors.Newf("route %q: prefix %q must begin and end with a slash", r.Name, r.Prefix)
+	case r.Kind != Repeatable && r.Kind != Once && r.Kind != Stream:
+		return errors.Newf("route %q: unknown kind %q", r.Name, r.Kind)
+	case len(r.Shares) == 0:
+		return errors.Newf("route %q: no service", r.Name)
+	case r.Timeout <= 0:
+		return errors.Newf("route %q: no timeout", r.Name)
+	}
+	for _, s := range r.Shares {
+		if s.Service == "" || s.Weight < 0 {
+			return errors.Newf("route %q: bad share of %q", r.Name, s.Service)
+		}
+	}
+	return nil
+}
+
+// Engine is what is known of a model service's replicas.
+type Engine struct {
+	Slots  int `json:"slots"`  // requests run at once
+	Memory int `json:"memory"` // tokens that running requests and kept prompts share
+	Stride int `json:"stride"` // tokens in one event
+}
+
+// Service is a group of replicas that run the same requests.
+type Service struct {
+	Name          string  `json:"name"`
+	HealthPath    string  `json:"health_path"`
+	Connections   int     `json:"connections"` // most that one replica accepts from all boxes together
+	ColdFor       Millis  `json:"cold_for_ms"`
+	ColdPerSecond float64 `json:"cold_per_second"` // requests that a cold replica bears; 0 for no bound
+	Engine        *Engine `json:"engine,omitempty"`
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int    `json:"header_bytes"`
+	BodyBytes     int    `json:"body_bytes"`
+	HeaderTimeout Millis `json:"header_timeout_ms"`
+	IdleTimeout   Millis `json:"idle_timeout_ms"`
+}
+
+// Policy is one published version of routes and services.
+type Policy struct {
+	Version  int       `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+}
+
+// UnmarshalJSON decodes a policy and checks it.
+func (p *Policy) UnmarshalJSON(data []byte) error {
+	type plain Policy
+	var v plain
+	if err := json.Unmarshal(data, &v); err != nil {
+		return errors.Wrap(err, "policy")
+	}
+	*p = Policy(v)
+	return p.Check()
+}
+
+// Check says what is wrong with the policy first, nil for nothing.
+func (p *Policy) Check() error {
+	if p.Version < 1 {
+		return errors.New("policy: no version")
+	}
+	for i := range p.Routes {
+		if err := p.Routes[i].check(); err != nil {
+			return errors.Wrap(err, "policy")
+		}
+	}
+	return nil
+}
+
+// Table is a policy made ready for look-ups. It never changes, so a request
+// keeps the table that it began with.
+type Table struct {
+	policy   Policy
+	byHost   map[string][]*Route // the longest prefix first
+	services map[string]*Service
+}
+
+// NewTable returns the table of a policy.
+func NewTable(p Policy) *Table {
+	t := &Table{
+		policy:   p,
+		byHost:   make(map[string][]*Route),
+		services: make(map[string]*Service, len(p.Services)),
+	}
+	for i := range p.Routes {
+		r := &p.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range p.Services {
+		t.services[p.Services[i].Name] = &p.Services[i]
+	}
+	return t
+}
+
+// Version returns the version of the policy.
+func (t *Table) Version() int { return t.policy.Version }
+
+// Policy returns the policy; it must not be changed.
+func (t *Table) Policy() Policy { return t.policy }
+
+// Find returns the route of a host, as it stands in a request with or without a
+// port, and a path: the one with the longest prefix.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	host = strings.ToLower(host)
+	if at := strings.LastIndexByte(host, ':'); at >= 0 {
+		host = host[:at]
+	}
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns the service of a name, nil when the policy has none.
+func (t *Table) Service(name string) *Service { return t.services[name] }
--- /dev/null
+++ b/catalog/snapshot.go
@@ -0,0 +1,156 @@
+package catalog
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Replica is one process of a service, as published.
+type Replica struct {
+	ID        string `json:"id"` // differs for every start of a process
+	Service   string `json:"service"`
+	Addr      string `json:"addr"`
+	Domain    string `json:"failure_domain"`
+	Region    string `json:"region"`
+	Slots     int    `json:"slots"`
+	Leaving   bool   `json:"leaving,omitempty"`
+	ColdLeft  Millis `json:"cold_left_ms,omitempty"` // how much longer it was cold when this was published
+	Remaining Millis `json:"remaining_ms,omitempty"` // time until it ends, where that is known
+	Revision  int64  `json:"revision"`               // of its last change
+}
+
+// UnmarshalJSON decodes a replica and checks it.
+func (r *Replica) UnmarshalJSON(data []byte) error {
+	type plain Replica
+	var v plain
+	if err := json.Unmarshal(data, &v); err != nil {
+		return errors.Wrap(err, "replica")
+	}
+	*r = Replica(v)
+	if r.ID == "" || r.Addr == "" || r.Service == "" {
+		return errors.Newf("replica %q: id, address and service are needed", r.ID)
+	}
+	return nil
+}
+
+// Snapshot is all that was published at one revision of the publisher. Of two
+// snapshots the one with the higher revision is the newer.
+type Snapshot struct {
+	Revision  int64     `json:"revision"`
+	Policy    *Policy   `json:"policy,omitempty"` // nil when none was published yet
+	Replicas  []Replica `json:"replicas"`
+	Evacuated []string  `json:"evacuated"` // failure domains whose replicas get no work
+}
+
+// Change is one thing that was published. Exactly one of its fields is set, but
+// for Revision.
+type Change struct {
+	Revision    int64
+	Policy      *Policy
+	Replica     *Replica
+	Gone        string // id of a replica whose entry was removed
+	Evacuated   string // failure domain
+	Unevacuated string // failure domain that is taken back
+}
+
+// Content is a box's copy of what is published.
+type Content struct {
+	revision  int64
+	policy    *Policy
+	replicas  map[string]Replica
+	evacuated map[string]bool
+}
+
+// NewContent returns an empty copy.
+func NewContent() *Content {
+	return &Content{
+		replicas:  make(map[string]Replica),
+		evacuated: make(map[string]bool),
+	}
+}
+
+// Revision returns the newest revision that was taken in.
+func (c *Content) Revision() int64 { return c.revision }
+
+// Policy returns the newest policy, nil for none.
+func (c *Content) Policy() *Policy { return c.policy }
+
+// Replicas returns the replicas, in the order of their ids.
+func (c *Content) Replicas() []Replica {
+	out := make([]Replica, 0, len(c.replicas))
+	for _, id := range slices.Sorted(maps.Keys(c.replicas)) {
+		out = append(out, c.replicas[id])
+	}
+	return out
+}
+
+// Evacuated returns the failure domains whose replicas get no work, in order.
+func (c *Content) Evacuated() []string { return slices.Sorted(maps.Keys(c.evacuated)) }
+
+// Take takes an update in. It returns false for a snapshot older than the copy.
+// A policy with a lower version never replaces a higher one, and replicas that
+// are missing while the feed isn't settled stay.
+func (c *Content) Take(u Update) bool {
+	if u.Snapshot == nil {
+		for _, ch := range u.Changes {
+			c.apply(ch, u.Settled)
+		}
+		c.revision = max(c.revision, u.Revision)
+		return true
+	}
+	if u.Snapshot.Revision < c.revision {
+		return false
+	}
+	c.replace(*u.Snapshot, u.Settled)
+	return true
+}
+
+func (c *Content) replace(s Snapshot, settled bool) {
+	c.revision = s.Revision
+	c.takePolicy(s.Policy)
+	if settled {
+		clear(c.replicas)
+	}
+	for _, r := range s.Replicas {
+		c.replicas[r.ID] = r
+	}
+	clear(c.evacuated)
+	for _, d := range s.Evacuated {
+		c.evacuated[d] = true
+	}
+}
+
+func (c *Content) apply(ch Change, settled bool) {
+	switch {
+	case ch.Policy != nil:
+		c.takePolicy(ch.Policy)
+	case ch.Replica != nil:
+		c.replicas[ch.Replica.ID] = *ch.Replica
+	case ch.Gone != "" && settled:
+		delete(c.replicas, ch.Gone)
+	case ch.Evacuated != "":
+		c.evacuated[ch.Evacuated] = true
+	case ch.Unevacuated != "":
+		delete(c.evacuated, ch.Unevacuated)
+	}
+}
+
+func (c *Content) takePolicy(p *Policy) {
+	if p == nil || (c.policy != nil && p.Version <= c.policy.Version) {
+		return
+	}
+	c.policy = p
+}
+
+// Snapshot returns the copy as one value, in a fixed order.
+func (c *Content) Snapshot() Snapshot {
+	return Snapshot{
+		Revision:  c.revision,
+		Policy:    c.policy,
+		Replicas:  c.Replicas(),
+		Evacuated: c.Evacuated(),
+	}
+}
--- a/commands/bundle.go
+++ b/commands/bundle.go
@@ -15,7 +15,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/havenrudder/havenrudder/bundle"
-	"github.com/havenrudder/havenrudder/platform"
+	"github.com/havenrudder/havenrudder/configstore"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -110,7 +110,7 @@
 		return err
 	}
 	for h, n := range nodes {
-		if err := writeFile(filepath.Join(c.out, platform.KeyNode, string(h)), n.Data()); err != nil {
+		if err := writeFile(filepath.Join(c.out, configstore.KeyNode, string(h)), n.Data()); err != nil {
 			return err
 		}
 	}
@@ -118,14 +118,14 @@
 	if err != nil {
 		return err
 	}
-	if err := writeFile(filepath.Join(c.out, platform.KeyWhole), whole); err != nil {
+	if err := writeFile(filepath.Join(c.out, configstore.KeyWhole), whole); err != nil {
 		return err
 	}
 	head, err := json.Marshal(bundle.Sign(b.Version, root, c.keyID, private))
 	if err != nil {
 		return errors.Wrap(err, "bundle: head")
 	}
-	return writeFile(filepath.Join(c.out, platform.KeyHead), head)
+	return writeFile(filepath.Join(c.out, configstore.KeyHead), head)
 }
 
 func readSeed(path string) (ed25519.PrivateKey, error) {
--- /dev/null
+++ b/commands/explanation.go
@@ -0,0 +1,167 @@
+package commands
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+	"unicode"
+
+	"github.com/havenrudder/havenrudder/decision"
+)
+
+const (
+	// beliefWindow is how long before a request's end beliefs are of interest: it
+	// covers the age at which a belief is dropped.
+	beliefWindow = 5 * time.Second
+	// droppedDelay is how long after a drop its line may come: the log writes one
+	// a second.
+	droppedDelay = time.Second
+	// timeLayout has milliseconds: clocks of boxes agree no better.
+	timeLayout = "2006-01-02T15:04:05.000Z07:00"
+)
+
+// explanation is the path of one request and what may explain it, each in order
+// of time.
+type explanation struct {
+	id      string
+	path    []decision.Event
+	beliefs []decision.Event
+	dropped []decision.Event
+}
+
+// explain picks from events what concerns the request id.
+func explain(id string, events []decision.Event) explanation {
+	events = slices.Clone(events)
+	slices.SortStableFunc(events, func(a, b decision.Event) int { return a.At.Compare(b.At) })
+	x := explanation{
+		id: id,
+	}
+	for _, e := range events {
+		if e.Request == id {
+			x.path = append(x.path, e)
+		}
+	}
+	if len(x.path) == 0 {
+		return x
+	}
+	concerned := subjectsOf(x.path)
+	begin := x.path[0].At
+	end := x.path[len(x.path)-1].At
+	for _, e := range events {
+		switch {
+		case e.Request == id:
+		case isBelief(&e) && within(e.At, end.Add(-beliefWindow), end) && concerned.include(&e):
+			x.beliefs = append(x.beliefs, e)
+		case e.Kind == decision.Dropped && within(e.At, begin, end.Add(droppedDelay)) && concerned.boxes[e.Box]:
+			x.dropped = append(x.dropped, e)
+		}
+	}
+	return x
+}
+
+func within(t, from, to time.Time) bool { return !t.Before(from) && !t.After(to) }
+
+// subjects are the names that occur on the path of a request.
+type subjects struct {
+	boxes     map[string]bool // boxes that wrote the lines
+	upstreams map[string]bool // replicas and boxes that were chosen
+	regions   map[string]bool
+}
+
+func subjectsOf(path []decision.Event) subjects {
+	s := subjects{
+		boxes:     make(map[string]bool),
+		upstreams: make(map[string]bool),
+		regions:   make(map[string]bool),
+	}
+	for _, e := range path {
+		s.boxes[e.Box] = true
+		s.upstreams[e.Upstream] = true
+		s.regions[e.Region] = true
+	}
+	return s
+}
+
+// include reports whether the belief e is about an upstream, a box or a region
+// of the path. A belief that names none of them, as of the policy or the store,
+// is about the box that wrote it.
+func (s subjects) include(e *decision.Event) bool {
+	if e.Upstream != "" {
+		return s.upstreams[e.Upstream] || s.boxes[e.Upstream]
+	}
+	if e.Region != "" {
+		return s.regions[e.Region]
+	}
+	return s.boxes[e.Box]
+}
+
+// summary says how many lines, boxes and how much time the path has.
+func (x *explanation) summary() string {
+	took := x.path[len(x.path)-1].At.Sub(x.path[0].At)
+	boxes := len(subjectsOf(x.path).boxes)
+	return fmt.Sprintf("%d lines of %d boxes in %s", len(x.path), boxes, took.Round(time.Millisecond))
+}
+
+// writeTable writes one row an event to w, which must not fail.
+func writeTable(w io.Writer, events []decision.Event) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "TIME\tBOX\tKIND\tOUTCOME\tREASON\tINPUTS")
+	for _, e := range events {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n",
+			e.At.UTC().Format(timeLayout), orDash(e.Box), e.Kind,
+			orDash(string(e.Outcome)), orDash(e.Reason), inputs(&e))
+	}
+	_ = table.Flush() // w is a buffer
+}
+
+// inputs returns the other fields of e that aren't empty, as name=value.
+func inputs(e *decision.Event) string {
+	var out []string
+	text := func(name, s string) {
+		if s != "" {
+			out = append(out, name+"="+printable(s))
+		}
+	}
+	number := func(name string, n int64, unit string) {
+		if n != 0 {
+			out = append(out, name+"="+strconv.FormatInt(n, 10)+unit)
+		}
+	}
+	text("service", e.Service)
+	text("route", e.Route)
+	text("upstream", e.Upstream)
+	text("region", e.Region)
+	number("age", e.AgeMs, "ms")
+	number("version", e.Version, "")
+	number("revision", e.Revision, "")
+	number("status", int64(e.Status), "")
+	number("took", e.TookMs, "ms")
+	number("tokens", int64(e.Tokens), "")
+	number("tries", int64(e.Tries), "")
+	text("detail", e.Detail)
+	for _, c := range e.Counts {
+		number(string(c.Kind), c.Lines, "")
+	}
+	return strings.Join(out, " ")
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return printable(s)
+}
+
+// printable quotes s if it has spaces or characters that a terminal acts on:
+// callers choose some of the texts.
+func printable(s string) string {
+	odd := func(r rune) bool { return r == ' ' || r == '"' || !unicode.IsPrint(r) }
+	if strings.ContainsFunc(s, odd) {
+		return strconv.Quote(s)
+	}
+	return s
+}
--- a/commands/havenrudder.go
+++ b/commands/havenrudder.go
@@ -21,6 +21,7 @@
 func Box() []subcommands.Command {
 	return []subcommands.Command{
 		&runCmd{},
+		&boxCmd{},
 		&checkCmd{},
 	}
 }
@@ -33,6 +34,7 @@
 		&dumpCmd{},
 		&measureCmd{},
 		&referenceCmd{},
+		&explainCmd{},
 	}
 }
 
--- a/platform/platform.go
+++ b/configstore/configstore.go
@@ -1,7 +1,7 @@
-// Package platform reads and watches the platform's configuration service over
+// Package configstore reads and watches the platform's configuration service over
 // its key-value protocol: GET /v1/kv/KEY with a blocking query (index and wait)
 // answered by the value and an index header. Nothing is ever written.
-package platform
+package configstore
 
 import (
 	"context"
@@ -38,7 +38,7 @@
 )
 
 // ErrNoKey marks a key that the platform does not hold.
-var ErrNoKey = errors.New("platform: no such key")
+var ErrNoKey = errors.New("configstore: no such key")
 
 // Client reads from the first base address that answers.
 type Client struct {
@@ -119,29 +119,29 @@
 func (c *Client) do(ctx context.Context, at string) (Value, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, at, nil)
 	if err != nil {
-		return Value{}, errors.Wrap(err, "platform")
+		return Value{}, errors.Wrap(err, "configstore")
 	}
 	resp, err := c.http.Do(r)
 	if err != nil {
-		return Value{}, errors.Wrap(err, "platform")
+		return Value{}, errors.Wrap(err, "configstore")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusNotFound {
 		return Value{}, ErrNoKey
 	}
 	if resp.StatusCode != http.StatusOK {
-		return Value{}, errors.Newf("platform: status %d", resp.StatusCode)
+		return Value{}, errors.Newf("configstore: status %d", resp.StatusCode)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxValue+1))
 	if err != nil {
-		return Value{}, errors.Wrap(err, "platform")
+		return Value{}, errors.Wrap(err, "configstore")
 	}
 	if len(data) > maxValue {
-		return Value{}, errors.New("platform: value above 1 MB")
+		return Value{}, errors.New("configstore: value above 1 MB")
 	}
 	index, err := strconv.ParseInt(resp.Header.Get(IndexHeader), 10, 64)
 	if err != nil {
-		return Value{}, errors.Wrap(err, "platform: index")
+		return Value{}, errors.Wrap(err, "configstore: index")
 	}
 	return Value{
 		Data:  data,
--- a/platform/platform_test.go
+++ b/configstore/configstore_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configstore_test
 
 import (
 	"context"
@@ -10,12 +10,12 @@
 
 	"github.com/matryer/is"
 
+	"github.com/havenrudder/havenrudder/configstore"
 	"github.com/havenrudder/havenrudder/internal/fakes"
-	"github.com/havenrudder/havenrudder/platform"
 )
 
 // watched runs f with a client of a stand-in, in virtual time.
-func watched(t *testing.T, f func(is *is.I, p *fakes.Platform, c *platform.Client, reads map[string]int)) {
+func watched(t *testing.T, f func(is *is.I, p *fakes.Platform, c *configstore.Client, reads map[string]int)) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := fakes.NewNetwork()
@@ -30,13 +30,13 @@
 			DialContext: n.Dial("reader"),
 		}
 		reads := make(map[string]int)
-		c := platform.New([]string{"http://" + l.Addr().String()}, "havenrudder",
-			platform.WithHTTP(&http.Client{
+		c := configstore.New([]string{"http://" + l.Addr().String()}, "havenrudder",
+			configstore.WithHTTP(&http.Client{
 				Transport: transport,
 			}),
-			platform.WithWait(10*time.Second),
-			platform.WithJitter(func() float64 { return 0.5 }),
-			platform.WithReads(func(kind string) { reads[kind]++ }))
+			configstore.WithWait(10*time.Second),
+			configstore.WithJitter(func() float64 { return 0.5 }),
+			configstore.WithReads(func(kind string) { reads[kind]++ }))
 		f(is, p, c, reads)
 		transport.CloseIdleConnections()
 		_ = s.Close()
@@ -45,11 +45,11 @@
 }
 
 func TestAWatchSeesEveryValueAndCountsAsFewCalls(t *testing.T) {
-	watched(t, func(is *is.I, p *fakes.Platform, c *platform.Client, reads map[string]int) {
+	watched(t, func(is *is.I, p *fakes.Platform, c *configstore.Client, reads map[string]int) {
 		ctx, cancel := context.WithCancel(context.Background())
 		p.Put("head", []byte("one"))
 		var got []string
-		go c.Watch(ctx, "head", func(v platform.Value) { got = append(got, string(v.Data)) })
+		go c.Watch(ctx, "head", func(v configstore.Value) { got = append(got, string(v.Data)) })
 		time.Sleep(25 * time.Second)
 		p.Put("head", []byte("two"))
 		time.Sleep(time.Second)
@@ -61,14 +61,14 @@
 }
 
 func TestAnOlderAnswerIsLeftOutAndCounted(t *testing.T) {
-	watched(t, func(is *is.I, p *fakes.Platform, c *platform.Client, reads map[string]int) {
+	watched(t, func(is *is.I, p *fakes.Platform, c *configstore.Client, reads map[string]int) {
 		ctx, cancel := context.WithCancel(context.Background())
 		p.Put("head", []byte("old"))
 		p.Freeze()
 		p.Put("head", []byte("new"))
 		p.Thaw()
 		var got []string
-		go c.Watch(ctx, "head", func(v platform.Value) { got = append(got, string(v.Data)) })
+		go c.Watch(ctx, "head", func(v configstore.Value) { got = append(got, string(v.Data)) })
 		time.Sleep(time.Second)
 		p.Relapse()
 		time.Sleep(time.Minute)
@@ -84,12 +84,12 @@
 }
 
 func TestAPlatformThatIsDownIsAskedLessAndLessOften(t *testing.T) {
-	watched(t, func(is *is.I, p *fakes.Platform, c *platform.Client, reads map[string]int) {
+	watched(t, func(is *is.I, p *fakes.Platform, c *configstore.Client, reads map[string]int) {
 		ctx, cancel := context.WithCancel(context.Background())
 		p.Put("head", []byte("one"))
 		p.SetDown(true)
 		var got []string
-		go c.Watch(ctx, "head", func(v platform.Value) { got = append(got, string(v.Data)) })
+		go c.Watch(ctx, "head", func(v configstore.Value) { got = append(got, string(v.Data)) })
 		time.Sleep(5 * time.Minute)
 		is.True(reads["watch"] < 80)
 		p.SetDown(false)
@@ -101,7 +101,7 @@
 }
 
 func ExampleNew() {
-	c := platform.New([]string{"http://127.0.0.1:8500"}, "havenrudder", platform.WithWait(time.Minute))
+	c := configstore.New([]string{"http://127.0.0.1:8500"}, "havenrudder", configstore.WithWait(time.Minute))
 	fmt.Printf("%T\n", c)
-	// Output: *platform.Client
+	// Output: *configstore.Client
 }
--- /dev/null
+++ b/decision/event.go
@@ -0,0 +1,129 @@
+// Package decision writes the structured log of a box: one JSON line for each
+// decision that touches a request or changes what the box believes. Recording
+// never blocks, and the volume is bounded by a budget of lines per second.
+package decision
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind says what an event is about.
+type Kind string
+
+// The kinds of events.
+const (
+	Start    Kind = "start"    // the process began to serve
+	Stop     Kind = "stop"     // the process ends
+	Reload   Kind = "reload"   // settings were read again
+	Lost     Kind = "lost"     // a dependency (the store, a box, a region) went away
+	Regained Kind = "regained" // a lost dependency is back
+	Belief   Kind = "belief"   // what is held of a replica, policy, evacuation or member changed
+	Route    Kind = "route"    // a request got a route, or none
+	Place    Kind = "place"    // a replica or a box was chosen
+	Try      Kind = "try"      // one try ended
+	Resume   Kind = "resume"   // a broken stream goes on elsewhere
+	Forward  Kind = "forward"  // a request was handed to another box or region
+	Refuse   Kind = "refuse"   // a request was turned away
+	End      Kind = "end"      // what the caller got
+	Dropped  Kind = "dropped"  // lines that were left out; the log itself writes it
+)
+
+// kinds lists the known kinds in the order in which counts are reported.
+var kinds = [...]Kind{
+	Start, Stop, Reload, Lost, Regained, Belief, Route, Place, Try, Resume, Forward, Refuse, End, Dropped,
+}
+
+// Known reports whether k is one of the kinds of this package.
+func (k Kind) Known() bool { return slices.Contains(kinds[:], k) }
+
+// Outcome says how a try or a request ended.
+type Outcome string
+
+// The outcomes.
+const (
+	Served  Outcome = "served"  // answered in full
+	NotRun  Outcome = "not_run" // failed, and surely had not begun to run
+	Unknown Outcome = "unknown" // failed, and may have run
+	Refused Outcome = "refused" // turned away
+	Broken  Outcome = "broken"  // the answer ended before it was complete
+	Left    Outcome = "left"    // the caller left before the end
+	Crossed Outcome = "crossed" // the answer belongs to another request
+)
+
+// Failed reports whether o says that the request or try was not served. An empty
+// outcome has not failed.
+func (o Outcome) Failed() bool { return o != "" && o != Served }
+
+// maxText is the longest text in one field, in bytes. Identifiers of this
+// project are below 100 bytes; the limit bounds texts that come from callers.
+const maxText = 256
+
+// Event is one decision: the inputs that decided it, their age or version, and
+// the outcome. Empty fields are left out of the line.
+type Event struct {
+	At       time.Time `json:"time"` // filled in by the Log
+	Kind     Kind      `json:"kind"`
+	Request  string    `json:"request,omitempty"` // id of the request
+	Box      string    `json:"box,omitempty"`     // the box that decided; filled in by the Log
+	Service  string    `json:"service,omitempty"`
+	Route    string    `json:"route,omitempty"`
+	Upstream string    `json:"upstream,omitempty"` // the replica, or the box that was chosen, lost or believed in
+	Outcome  Outcome   `json:"outcome,omitempty"`
+	Reason   string    `json:"reason,omitempty"`   // one word or two
+	Status   int       `json:"status,omitempty"`   // HTTP status
+	Version  int64     `json:"version,omitempty"`  // version of the policy
+	Revision int64     `json:"revision,omitempty"` // revision of the catalog
+	AgeMs    int64     `json:"age_ms,omitempty"`   // age of the belief that decided
+	TookMs   int64     `json:"took_ms,omitempty"`
+	Tokens   int       `json:"tokens,omitempty"`
+	Tries    int       `json:"tries,omitempty"`
+	Region   string    `json:"region,omitempty"`
+	Detail   string    `json:"detail,omitempty"` // short text; cut at 256 bytes
+	Counts   []Count   `json:"counts,omitempty"` // of a line of kind Dropped
+}
+
+// UnmarshalJSON decodes an event and fails on a kind that is not known.
+func (e *Event) UnmarshalJSON(data []byte) error {
+	type plain Event
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return errors.Wrap(err, "decision: event")
+	}
+	if !p.Kind.Known() {
+		return errors.Newf("decision: event of unknown kind %q", p.Kind)
+	}
+	*e = Event(p)
+	return nil
+}
+
+// shorten cuts texts that are too long, so that the queue and the lines are
+// bounded in bytes too.
+func (e *Event) shorten() {
+	e.Request = cut(e.Request)
+	e.Service = cut(e.Service)
+	e.Route = cut(e.Route)
+	e.Upstream = cut(e.Upstream)
+	e.Outcome = Outcome(cut(string(e.Outcome)))
+	e.Reason = cut(e.Reason)
+	e.Region = cut(e.Region)
+	e.Detail = cut(e.Detail)
+}
+
+// cut returns the first maxText bytes of s without part of a character. The copy
+// keeps a long text from staying in memory.
+func cut(s string) string {
+	if len(s) <= maxText {
+		return s
+	}
+	n := maxText
+	for n > maxText-utf8.UTFMax && !utf8.RuneStart(s[n]) {
+		n--
+	}
+	return strings.Clone(s[:n])
+}
--- /dev/null
+++ b/decision/lines.go
@@ -0,0 +1,112 @@
+package decision
+
+import (
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// lines writes events as JSON lines. It is used by one goroutine at a time.
+type lines struct {
+	logger *logrus.Logger
+	sink   *sink
+	fields logrus.Fields // of the present line; kept to save an allocation
+}
+
+// newLines returns what writes to w. The place that logrus gives to a message
+// holds the kind of the event.
+func newLines(w io.Writer) *lines {
+	s := &sink{
+		w: w,
+	}
+	logger := logrus.New()
+	logger.SetOutput(s)
+	logger.SetFormatter(&logrus.JSONFormatter{
+		TimestampFormat:   time.RFC3339Nano,
+		DisableHTMLEscape: true,
+		FieldMap: logrus.FieldMap{
+			logrus.FieldKeyMsg: "kind",
+		},
+	})
+	return &lines{
+		logger: logger,
+		sink:   s,
+		fields: make(logrus.Fields),
+	}
+}
+
+// write writes the line of e and returns the error of the writer.
+func (l *lines) write(e *Event) error {
+	l.sink.err = nil
+	l.fill(e)
+	entry := logrus.Entry{
+		Logger: l.logger,
+		Data:   l.fields,
+		Time:   e.At,
+	}
+	entry.Log(levelOf(e), string(e.Kind))
+	return l.sink.err
+}
+
+// fill sets the fields to those of e that aren't empty, under the names of their
+// JSON tags.
+func (l *lines) fill(e *Event) {
+	clear(l.fields)
+	l.text("request", e.Request)
+	l.text("box", e.Box)
+	l.text("service", e.Service)
+	l.text("route", e.Route)
+	l.text("upstream", e.Upstream)
+	l.text("outcome", string(e.Outcome))
+	l.text("reason", e.Reason)
+	l.number("status", int64(e.Status))
+	l.number("version", e.Version)
+	l.number("revision", e.Revision)
+	l.number("age_ms", e.AgeMs)
+	l.number("took_ms", e.TookMs)
+	l.number("tokens", int64(e.Tokens))
+	l.number("tries", int64(e.Tries))
+	l.text("region", e.Region)
+	l.text("detail", e.Detail)
+	if len(e.Counts) > 0 {
+		l.fields["counts"] = e.Counts
+	}
+}
+
+func (l *lines) text(name, s string) {
+	if s != "" {
+		l.fields[name] = s
+	}
+}
+
+func (l *lines) number(name string, n int64) {
+	if n != 0 {
+		l.fields[name] = n
+	}
+}
+
+// levelOf returns warning for what is lost or went wrong, else info.
+func levelOf(e *Event) logrus.Level {
+	switch e.Kind {
+	case Lost, Refuse, Dropped:
+		return logrus.WarnLevel
+	}
+	if e.Outcome.Failed() {
+		return logrus.WarnLevel
+	}
+	return logrus.InfoLevel
+}
+
+// sink keeps the error of the last write for the Log. It returns none, as logrus
+// would print it to standard error, line by line.
+type sink struct {
+	w   io.Writer
+	err error
+}
+
+// Write writes p.
+func (s *sink) Write(p []byte) (int, error) {
+	_, s.err = s.w.Write(p)
+	return len(p), nil
+}
--- /dev/null
+++ b/exchange/answer_test.go
@@ -0,0 +1,293 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestABodyEndsWellOnlyWhenItIsWhole(t *testing.T) {
+	const (
+		length  = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n"
+		chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		endless = "HTTP/1.1 200 OK\r\n\r\n"
+	)
+	cases := []struct {
+		name  string
+		said  string
+		reset bool
+		ok    bool
+	}{
+		{"length", length + "abcdef", false, true},
+		{"length cut", length + "abc", false, false},
+		{"length reset", length + "abc", true, false},
+		{"chunks", chunked + "3\r\nabc\r\n0\r\n\r\n", false, true},
+		{"chunks cut between", chunked + "3\r\nabc\r\n", false, false},
+		{"chunks cut inside", chunked + "3\r\nab", false, false},
+		{"chunks cut before the last line", chunked + "3\r\nabc\r\n0\r\n", false, false},
+		{"chunks reset", chunked + "3\r\nabc\r\n", true, false},
+		{"until the end", endless + "abc", false, true},
+		{"until the end, reset", endless + "abc", true, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			read := make(chan struct{})
+			s := newServer(t, func(c *peer) {
+				_, _ = c.request()
+				c.say(tc.said)
+				if tc.reset {
+					<-read // a reset throws away what the client hasn't read
+					c.reset()
+				}
+			})
+			a, err := newTestPool(t).Do(t.Context(), get(s.addr))
+			is.NoErr(err)
+			_, err = io.ReadFull(a, make([]byte, 2))
+			is.NoErr(err)
+			close(read)
+			_, err = io.Copy(io.Discard, a)
+			is.Equal(err == nil, tc.ok)
+			_, again := a.Read(make([]byte, 1))
+			is.Equal(again == io.EOF, tc.ok) // it stays so
+			is.NoErr(a.Close())
+			is.Equal(a.conn.pool.Open(s.addr) == 1, tc.name == "length" || tc.name == "chunks")
+		})
+	}
+}
+
+// A reset is told either to the goroutine that writes or to the one that reads.
+func TestAResetThatTheWriterIsToldOfIsNoEndOfABody(t *testing.T) {
+	for range 100 {
+		is := is.New(t)
+		read := make(chan struct{})
+		s := newServer(t, func(c *peer) {
+			_, _ = http.ReadRequest(c.in)
+			c.say("HTTP/1.1 200 OK\r\n\r\nabc")
+			<-read
+			c.reset()
+		})
+		req := get(s.addr)
+		req.Body = make([]byte, 10<<20)
+		p := newTestPool(t)
+		a, err := p.Do(t.Context(), req)
+		is.NoErr(err)
+		_, err = io.ReadFull(a, make([]byte, 3))
+		is.NoErr(err)
+		close(read)
+		_, err = a.Read(make([]byte, 1))
+		is.True(err != nil)
+		is.True(err != io.EOF)
+		is.NoErr(a.Close())
+	}
+}
+
+func TestABodyUntilTheEndIsWholeAlsoWhenTheRequestIsNotRead(t *testing.T) {
+	is := is.New(t)
+	over := make(chan struct{})
+	s := newServer(t, func(c *peer) {
+		_, _ = http.ReadRequest(c.in)
+		c.say("HTTP/1.1 200 OK\r\n\r\nabc")
+		_ = c.Conn.(*net.TCPConn).CloseWrite()
+		<-over
+	})
+	req := get(s.addr)
+	req.Body = make([]byte, 10<<20)
+	_, body, err := fetch(newTestPool(t), req)
+	close(over)
+	is.NoErr(err)
+	is.Equal(body, "abc")
+}
+
+func TestAnAnswerMayComeBeforeTheBodyIsRead(t *testing.T) {
+	is := is.New(t)
+	heard := make(chan error, 1)
+	goOn := make(chan struct{})
+	s := newServer(t, func(c *peer) {
+		r, err := http.ReadRequest(c.in)
+		if err != nil {
+			heard <- err
+			return
+		}
+		c.say("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
+		<-goOn
+		_, err = io.Copy(io.Discard, r.Body)
+		heard <- err
+		c.say("def")
+	})
+	req := get(s.addr)
+	req.Body = make([]byte, 10<<20)
+	a, err := newTestPool(t).Do(t.Context(), req)
+	is.NoErr(err)
+	b := make([]byte, 6)
+	_, err = io.ReadFull(a, b[:3])
+	is.NoErr(err)
+	close(goOn)
+	_, err = io.ReadFull(a, b[3:])
+	is.NoErr(err)
+	is.Equal(string(b), "abcdef")
+	is.NoErr(<-heard) // the whole body arrived
+	is.NoErr(a.Close())
+}
+
+func TestAConnectionWhoseRequestIsNotWrittenToItsEndIsClosed(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	s := newServer(t, func(c *peer) {
+		_, _ = http.ReadRequest(c.in)
+		c.say(whole)
+		<-gone
+	})
+	p := newTestPool(t)
+	req := get(s.addr)
+	req.Body = make([]byte, 10<<20)
+	a, body, err := fetch(p, req)
+	is.NoErr(err)
+	is.Equal(body, "ok")
+	is.Equal(p.Open(s.addr), 0)
+	<-a.sent.done // the goroutine has ended though the other side still holds on
+	close(gone)
+}
+
+func TestAConnectionIsKeptAfterALongBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newTestPool(t, WithDial(piped(always(whole))))
+		req := get("x")
+		req.Body = make([]byte, 1<<20)
+		for i := range 3 {
+			a, err := p.Do(t.Context(), req)
+			is.NoErr(err)
+			synctest.Wait() // the writer has ended
+			b, err := io.ReadAll(a)
+			is.NoErr(err)
+			is.Equal(string(b), "ok")
+			is.Equal(a.Reused(), i > 0)
+			is.NoErr(a.Close())
+		}
+	})
+}
+
+func TestAFailedWriteLeavesTheAnswerAMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		left := 9000
+		dial := piped(func(c *peer) {
+			_, _ = io.Copy(io.Discard, c) // never answers, and stays
+		})
+		p := newTestPool(t, WithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := dial(ctx, network, addr)
+			return fussy{
+				Conn: nc,
+				left: &left,
+			}, err
+		}))
+		req := get("x")
+		req.Body = make([]byte, 10_000)
+		start := time.Now()
+		_, err := p.Do(t.Context(), req)
+		sent, stage := sentAt(t, err)
+		is.Equal(sent, true)
+		is.Equal(stage, Response)
+		is.Equal(time.Since(start), answerGrace)
+	})
+}
+
+func TestAnswersWithoutABody(t *testing.T) {
+	cases := []struct {
+		name    string
+		method  string
+		said    string
+		length  int64
+		chunked bool
+	}{
+		{"head", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", 7, false},
+		{"head of chunks", "HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", -1, true},
+		{"head of nothing", "HEAD", "HTTP/1.1 200 OK\r\n\r\n", -1, false},
+		{"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", 0, false},
+		{"not modified", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n", 0, false},
+		{"empty", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, always(tc.said))
+			p := newTestPool(t)
+			req := get(s.addr)
+			req.Method = tc.method
+			for range 2 {
+				a, err := p.Do(t.Context(), req)
+				is.NoErr(err)
+				length, chunked := a.Framed()
+				is.Equal(length, tc.length)
+				is.Equal(chunked, tc.chunked)
+				is.NoErr(a.Close())
+				is.Equal(p.Open(s.addr), 1) // kept, though nothing was read
+				_, err = a.Read(make([]byte, 1))
+				is.Equal(err, io.EOF)
+			}
+			is.Equal(s.conns.Load(), int32(1))
+		})
+	}
+}
+
+func TestInformationalAnswersAreSkipped(t *testing.T) {
+	const hint = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	cases := []struct {
+		name string
+		said string
+		ok   bool
+	}{
+		{"two", "HTTP/1.1 100 Continue\r\n\r\n" + hint + whole, true},
+		{"too many", strings.Repeat(hint, maxInformational) + whole, false},
+		{"a switch", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", false},
+		{"a long header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxHead+readerSize), false},
+		{"no HTTP", "SSH-2.0-x\r\n", false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, always(tc.said))
+			_, body, err := fetch(newTestPool(t), get(s.addr))
+			if tc.ok {
+				is.NoErr(err)
+				is.Equal(body, "ok")
+				return
+			}
+			sent, stage := sentAt(t, err)
+			is.Equal(sent, true)
+			is.Equal(stage, Response)
+		})
+	}
+}
+
+func TestAKeepAliveFieldIsRead(t *testing.T) {
+	cases := []struct {
+		value string
+		want  time.Duration
+		ok    bool
+	}{
+		{"", 0, false},
+		{"timeout=5", 5 * time.Second, true},
+		{"max=10, Timeout=7", 7 * time.Second, true},
+		{`timeout="3"`, 3 * time.Second, true},
+		{"timeout=0", 0, true},
+		{"timeout=-1", 0, false},
+		{"timeout=x", 0, false},
+		{"timeout=9999999999", 24 * time.Hour, true},
+		{"max=5", 0, false},
+	}
+	for _, tc := range cases {
+		is := is.New(t)
+		got, ok := keepAlive(http.Header{"Keep-Alive": {tc.value}})
+		is.Equal(got, tc.want)
+		is.Equal(ok, tc.ok)
+	}
+}
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,325 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+var errBroken = errors.New("broken")
+
+func TestARequestIsWrittenAsItWasGiven(t *testing.T) {
+	const ua = "User-Agent"
+	cases := []struct {
+		name string
+		req  Request
+		want string
+	}{
+		{"plain", Request{Target: "/a%2Fb?x=%20&y"}, "GET /a%2Fb?x=%20&y HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"two slashes", Request{Target: "//a//b"}, "GET //a//b HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"odd characters", Request{Target: "/<\"é|?"}, "GET /<\"é|? HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"star", Request{Method: "OPTIONS", Target: "*"}, "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"agent", Request{Target: "/", Header: http.Header{ua: {"me"}}}, "GET / HTTP/1.1\r\nHost: h\r\nUser-Agent: me\r\n\r\n"},
+		{"header", Request{Target: "/", Header: http.Header{"X-A": {"1", "2"}}}, "GET / HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nX-A: 2\r\n\r\n"},
+		{"body", Request{Method: "POST", Target: "/", Body: []byte("abc")}, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"},
+		{"empty post", Request{Method: "POST", Target: "/"}, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"},
+		{"get with body", Request{Target: "/", Body: []byte("abc")}, "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			got := make([]byte, len(tc.want))
+			s := newServer(t, func(c *peer) {
+				_, _ = io.ReadFull(c, got)
+				c.say(whole)
+			})
+			tc.req.Addr = s.addr
+			tc.req.Host = "h"
+			before := tc.req.Header.Clone()
+			_, body, err := fetch(newTestPool(t), tc.req)
+			is.NoErr(err)
+			is.Equal(body, "ok")
+			is.Equal(string(got), tc.want)
+			is.Equal(tc.req.Header, before) // the caller's header is left alone
+		})
+	}
+}
+
+func TestARequestThatCannotBeWrittenUnchangedIsRefused(t *testing.T) {
+	for _, req := range []Request{
+		{Target: ""},
+		{Target: "/a b"},
+		{Target: "/a\r\nX: y"},
+		{Target: "/", Method: "G T"},
+		{Target: "/", Method: "GET\r\n"},
+	} {
+		is := is.New(t)
+		p := newTestPool(t, WithOnDial(func(string) { t.Error("dialled") }))
+		_, err := p.Do(t.Context(), req)
+		sent, stage := sentAt(t, err)
+		is.Equal(sent, false)
+		is.Equal(stage, Write)
+	}
+}
+
+func TestAFailedDialHasSentNothing(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(t, WithDial(func(context.Context, string, string) (net.Conn, error) {
+		return nil, errBroken
+	}))
+	_, err := p.Do(t.Context(), get("x"))
+	sent, stage := sentAt(t, err)
+	is.Equal(sent, false)
+	is.Equal(stage, Dial)
+	is.True(errors.Is(err, errBroken))
+	is.Equal(p.Open("x"), 0)
+}
+
+func TestADialEndsAtItsTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newTestPool(t, WithDial(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}))
+		start := time.Now()
+		_, err := p.Do(t.Context(), get("x"))
+		is.Equal(time.Since(start), 500*time.Millisecond)
+		sent, stage := sentAt(t, err)
+		is.Equal(sent, false)
+		is.Equal(stage, Dial)
+	})
+}
+
+func TestARequestThatIsReadAndDroppedArrivesOnce(t *testing.T) {
+	is := is.New(t)
+	var arrived atomic.Int32
+	s := newServer(t, func(c *peer) {
+		for {
+			r, err := c.request()
+			if err != nil {
+				return
+			}
+			if r.URL.Path == "/drop" {
+				arrived.Add(1)
+				return
+			}
+			c.say(whole)
+		}
+	})
+	p := newTestPool(t)
+	_, _, err := fetch(p, get(s.addr))
+	is.NoErr(err)
+	req := get(s.addr)
+	req.Target = "/drop"
+	_, _, err = fetch(p, req)
+	sent, stage := sentAt(t, err)
+	is.Equal(sent, true)
+	is.Equal(stage, Response)
+	_, _, err = fetch(p, get(s.addr)) // so that a second arrival would have been seen
+	is.NoErr(err)
+	is.Equal(arrived.Load(), int32(1))
+	is.Equal(s.conns.Load(), int32(2))
+}
+
+// fussy is a connection whose writes fail once it has taken a number of bytes. It
+// has no descriptor to look into.
+type fussy struct {
+	net.Conn
+	left *int
+}
+
+func (f fussy) Write(p []byte) (int, error) {
+	n := min(len(p), *f.left)
+	*f.left -= n
+	n, err := f.Conn.Write(p[:n])
+	if err == nil && n < len(p) {
+		err = errBroken
+	}
+	return n, err
+}
+
+// dialFussy connects by TCP. The first connection takes what left says.
+func dialFussy(left *int) func(context.Context, string, string) (net.Conn, error) {
+	first := true
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := newDialer().DialContext(ctx, network, addr)
+		if err != nil || !first {
+			return nc, err
+		}
+		first = false
+		return fussy{
+			Conn: nc,
+			left: left,
+		}, nil
+	}
+}
+
+func TestAKeptConnectionThatTakesNothingIsReplaced(t *testing.T) {
+	for _, size := range []int{0, 100, 100_000} {
+		is := is.New(t)
+		s := newServer(t, always(whole))
+		left := 1 << 20
+		p := newTestPool(t, WithDial(dialFussy(&left)))
+		_, _, err := fetch(p, get(s.addr))
+		is.NoErr(err)
+		left = 0
+		req := get(s.addr)
+		req.Body = make([]byte, size)
+		a, body, err := fetch(p, req)
+		is.NoErr(err)
+		is.Equal(body, "ok")
+		is.Equal(a.Reused(), false)
+		is.Equal(s.conns.Load(), int32(2))
+	}
+}
+
+func TestAKeptConnectionThatTookAByteIsNotReplaced(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, always(whole))
+	left := 1 << 20
+	p := newTestPool(t, WithDial(dialFussy(&left)))
+	_, _, err := fetch(p, get(s.addr))
+	is.NoErr(err)
+	left = 1
+	_, _, err = fetch(p, get(s.addr))
+	sent, stage := sentAt(t, err)
+	is.Equal(sent, true)
+	is.Equal(stage, Write)
+	is.Equal(s.conns.Load(), int32(1))
+	is.Equal(p.Open(s.addr), 0)
+}
+
+func TestAFreshConnectionThatTakesNothingIsNotReplaced(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, always(whole))
+	left := 0
+	p := newTestPool(t, WithDial(dialFussy(&left)))
+	_, _, err := fetch(p, get(s.addr))
+	sent, stage := sentAt(t, err)
+	is.Equal(sent, false)
+	is.Equal(stage, Write)
+	is.True(errors.Is(err, errBroken))
+}
+
+func TestAnswersToOthersAreDroppedOrEndTheConnection(t *testing.T) {
+	const (
+		ours    = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nme"
+		late    = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother"
+		chunked = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n"
+		endless = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nother"
+		last    = "HTTP/1.1 408 Too late\r\nId: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	)
+	long := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)
+	fits := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 65536)
+	cases := []struct {
+		name   string
+		method string
+		answer string
+		ok     bool
+	}{
+		{"length", "GET", late + ours, true},
+		{"chunks", "GET", chunked + ours, true},
+		{"just short enough", "GET", fits + ours, true},
+		{"no length", "GET", endless, false},
+		{"too long", "GET", long + ours, false},
+		{"two", "GET", late + late + ours, false},
+		{"last", "GET", last, false},
+		{"method without body", "HEAD", late + ours, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, always(tc.answer))
+			p := newTestPool(t)
+			req := get(s.addr)
+			req.Method = tc.method
+			req.Owns = func(h http.Header) bool { return h.Get("Id") == "2" }
+			_, body, err := fetch(p, req)
+			if tc.ok {
+				is.NoErr(err)
+				is.Equal(body, "me")
+				is.Equal(p.Open(s.addr), 1)
+				return
+			}
+			sent, stage := sentAt(t, err)
+			is.Equal(sent, true)
+			is.Equal(stage, Crossed)
+			is.Equal(p.Open(s.addr), 0)
+		})
+	}
+}
+
+func TestAnEndOfTheContextEndsAnExchangeAtOnce(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"
+	for _, size := range []int{0, 10 << 20} {
+		is := is.New(t)
+		gone := make(chan struct{})
+		asked := make(chan struct{})
+		s := newServer(t, func(c *peer) {
+			_, _ = http.ReadRequest(c.in)
+			close(asked)
+			_, _ = io.Copy(io.Discard, c.in)
+			close(gone)
+		})
+		p := newTestPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			<-asked
+			cancel()
+		}()
+		req := get(s.addr)
+		req.Body = make([]byte, size)
+		_, err := p.Do(ctx, req)
+		sent, stage := sentAt(t, err)
+		is.Equal(sent, true)
+		is.Equal(stage, Response)
+		is.True(errors.Is(err, context.Canceled))
+		<-gone
+		is.Equal(p.Open(s.addr), 0)
+	}
+
+	is := is.New(t)
+	gone := make(chan struct{})
+	s := newServer(t, func(c *peer) {
+		_, _ = c.request()
+		c.say(head + "abc")
+		_, _ = io.Copy(io.Discard, c.in)
+		close(gone)
+	})
+	p := newTestPool(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	a, err := p.Do(ctx, get(s.addr))
+	is.NoErr(err)
+	_, err = io.ReadFull(a, make([]byte, 3))
+	is.NoErr(err)
+	go cancel() // before the read or during it: the verdict is the same
+	_, err = a.Read(make([]byte, 1))
+	is.Equal(err, context.Canceled)
+	<-gone
+	_, err = a.Read(make([]byte, 1))
+	is.Equal(err, context.Canceled)
+	is.NoErr(a.Close())
+	is.Equal(p.Open(s.addr), 0)
+}
+
+func TestAnEndedContextSendsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, always(whole))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := newTestPool(t).Do(ctx, get(s.addr))
+	sent, stage := sentAt(t, err)
+	is.Equal(sent, false)
+	is.Equal(stage, Dial)
+	is.True(errors.Is(err, context.Canceled))
+}
--- /dev/null
+++ b/exchange/pool_test.go
@@ -0,0 +1,270 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+func TestAKeptConnectionIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, always(whole))
+	dials := 0
+	p := newTestPool(t, WithOnDial(func(addr string) {
+		is.Equal(addr, s.addr)
+		dials++
+	}))
+	for i := range 5 {
+		a, body, err := fetch(p, get(s.addr))
+		is.NoErr(err)
+		is.Equal(body, "ok")
+		is.Equal(a.Status(), 200)
+		is.Equal(a.Header().Get("Content-Length"), "2")
+		is.Equal(a.Reused(), i > 0)
+		is.Equal(p.Open(s.addr), 1)
+	}
+	is.Equal(dials, 1)
+}
+
+func TestAConnectionIsNotKeptWhenSomethingIsLeftOnIt(t *testing.T) {
+	cases := []struct {
+		name  string
+		said  string
+		read  int
+		asked string // the request's Connection field
+	}{
+		{"the body is not read", whole, 1, ""},
+		{"bytes follow", whole + "x", 2, ""},
+		{"the other side closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 2, ""},
+		{"an old version", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 2, ""},
+		{"we asked for it", whole, 2, "x, Close"},
+		{"no time to rest", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", 2, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, always(tc.said))
+			p := newTestPool(t)
+			req := get(s.addr)
+			if tc.asked != "" {
+				req.Header = map[string][]string{"Connection": {tc.asked}}
+			}
+			a, err := p.Do(t.Context(), req)
+			is.NoErr(err)
+			_, err = io.ReadFull(a, make([]byte, tc.read))
+			is.NoErr(err)
+			is.NoErr(a.Close())
+			is.NoErr(a.Close()) // once more does nothing
+			is.Equal(p.Open(s.addr), 0)
+		})
+	}
+}
+
+func TestAConnectionWithNewsIsNotUsedAgain(t *testing.T) {
+	for _, extra := range []string{"", whole} { // closed, or one answer too many
+		is := is.New(t)
+		release := make(chan struct{})
+		s := newServer(t, func(c *peer) {
+			if c.n > 0 {
+				always(whole)(c)
+				return
+			}
+			_, _ = c.request()
+			c.say(whole)
+			<-release
+			c.say(extra)
+			if extra != "" {
+				_, _ = io.Copy(io.Discard, c)
+			}
+		})
+		p := newTestPool(t)
+		_, _, err := fetch(p, get(s.addr))
+		is.NoErr(err)
+		close(release)
+		awaitNews(t, p, s.addr)
+		a, body, err := fetch(p, get(s.addr))
+		is.NoErr(err)
+		is.Equal(body, "ok")
+		is.Equal(a.Reused(), false)
+		is.Equal(p.Open(s.addr), 1)
+	}
+}
+
+func TestARestingConnectionIsClosedInTime(t *testing.T) {
+	const short = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 2\r\n\r\nok"
+	cases := []struct {
+		name string
+		said string
+		rest time.Duration
+	}{
+		{"as we like", whole, 10 * time.Second},
+		{"as the other side says", short, 1500 * time.Millisecond},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newTestPool(t, WithDial(piped(always(tc.said))), WithIdleTime(10*time.Second))
+				_, _, err := fetch(p, get("x"))
+				is.NoErr(err)
+				time.Sleep(tc.rest - time.Millisecond)
+				a, _, err := fetch(p, get("x"))
+				is.NoErr(err)
+				is.True(a.Reused())
+				time.Sleep(tc.rest - time.Millisecond)
+				synctest.Wait()
+				is.Equal(p.Open("x"), 1) // the time counts anew from each use
+				time.Sleep(time.Millisecond)
+				synctest.Wait()
+				is.Equal(p.Open("x"), 0)
+			})
+		})
+	}
+}
+
+func TestOneTimerClosesAllConnectionsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newTestPool(t, WithDial(piped(always(whole))), WithIdleTime(10*time.Second))
+		for _, addr := range []string{"a", "b", "c"} {
+			_, _, err := fetch(p, get(addr))
+			is.NoErr(err)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(6 * time.Second) // 9 s after the first
+		for gone, addr := range []string{"a", "b", "c"} {
+			is.Equal(p.Open("a")+p.Open("b")+p.Open("c"), 3-gone)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			is.Equal(p.Open(addr), 0)
+		}
+	})
+}
+
+func TestAnExpiredConnectionIsNotUsedEvenBeforeTheTimer(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, always(whole))
+	p := newTestPool(t, WithIdleTime(time.Hour))
+	_, _, err := fetch(p, get(s.addr))
+	is.NoErr(err)
+	p.mu.Lock()
+	p.addrs[s.addr].idle[0].until = time.Now()
+	p.mu.Unlock()
+	a, _, err := fetch(p, get(s.addr))
+	is.NoErr(err)
+	is.Equal(a.Reused(), false)
+	is.Equal(p.Open(s.addr), 1)
+}
+
+func TestNoMoreConnectionsAreKeptThanTheLimit(t *testing.T) {
+	for _, limit := range []int{0, 2} {
+		is := is.New(t)
+		s := newServer(t, always(whole))
+		p := newTestPool(t, WithIdleLimit(limit))
+		var answers []*Answer
+		for range 5 {
+			a, err := p.Do(t.Context(), get(s.addr))
+			is.NoErr(err)
+			answers = append(answers, a)
+		}
+		is.Equal(p.Open(s.addr), 5)
+		for _, a := range answers {
+			_, err := io.Copy(io.Discard, a)
+			is.NoErr(err)
+			is.NoErr(a.Close())
+		}
+		is.Equal(p.Open(s.addr), limit)
+	}
+}
+
+func TestClosingAnAddressEndsWhatRunsThere(t *testing.T) {
+	is := is.New(t)
+	asked := make(chan struct{})
+	s := newServer(t, func(c *peer) {
+		for {
+			r, err := c.request()
+			if err != nil {
+				return
+			}
+			if r.URL.Path == "/wait" {
+				close(asked)
+				continue
+			}
+			c.say(whole)
+		}
+	})
+	other := newServer(t, always(whole))
+	p := newTestPool(t)
+	a, err := p.Do(t.Context(), get(s.addr))
+	is.NoErr(err)
+	for _, addr := range []string{s.addr, other.addr} {
+		_, _, err = fetch(p, get(addr))
+		is.NoErr(err)
+	}
+	is.Equal(p.Open(s.addr), 2) // one busy, one at rest
+	failed := make(chan error)
+	go func() {
+		req := get(s.addr)
+		req.Target = "/wait"
+		_, err := p.Do(context.Background(), req)
+		failed <- err
+	}()
+	<-asked
+	p.CloseAddr(s.addr)
+	sent, stage := sentAt(t, <-failed)
+	is.Equal(sent, true)
+	is.Equal(stage, Response)
+	is.Equal(p.Open(s.addr), 0)
+	is.NoErr(a.Close()) // is not kept
+	is.Equal(p.Open(s.addr), 0)
+	is.Equal(p.Open(other.addr), 1)
+	_, _, err = fetch(p, get(s.addr)) // the address may be used again
+	is.NoErr(err)
+}
+
+func TestAClosedPoolSendsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, always(whole))
+	p := NewPool()
+	_, _, err := fetch(p, get(s.addr))
+	is.NoErr(err)
+	p.Close()
+	is.Equal(p.Open(s.addr), 0)
+	_, err = p.Do(t.Context(), get(s.addr))
+	sent, stage := sentAt(t, err)
+	is.Equal(sent, false)
+	is.Equal(stage, Dial)
+	is.True(errors.Is(err, errPoolClosed))
+	p.Close()
+}
+
+func TestADialledSocketNoticesADarkPeer(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, always(whole))
+	nc, err := newDialer().DialContext(t.Context(), "tcp", s.addr)
+	is.NoErr(err)
+	defer func() { _ = nc.Close() }()
+	raw, err := nc.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	option := func(level, name int) int {
+		var value int
+		cerr := raw.Control(func(fd uintptr) {
+			value, err = syscall.GetsockoptInt(int(fd), level, name)
+		})
+		is.NoErr(cerr)
+		is.NoErr(err)
+		return value
+	}
+	is.Equal(option(syscall.IPPROTO_TCP, tcpUserTimeout), 2000)
+	is.Equal(option(syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE), 1)
+	is.Equal(option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL), 1)
+	is.Equal(option(syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT), 2)
+	is.True(option(syscall.SOL_SOCKET, syscall.SO_KEEPALIVE) != 0)
+}
--- /dev/null
+++ b/ingress/answer.go
@@ -0,0 +1,181 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/exchange"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+const heldAnswer = 256 << 10 // bytes of an answer that are held until it is whole
+
+// Answer is the head of an answer that was passed on.
+type Answer struct {
+	status int
+	header http.Header
+}
+
+// kept is a whole answer.
+type kept struct {
+	Answer
+	body []byte
+}
+
+// pass passes a replica's answer on, whether it came from the replica or by way
+// of another box.
+func (a *attempt) pass(ctx context.Context, answer *exchange.Answer) ended {
+	c := a.call
+	status := answer.Status()
+	success := status >= http.StatusOK && status < http.StatusMultipleChoices
+	if success && !c.server.codec.Genuine(answer.Header()) {
+		a.result = placement.Silent
+		c.record(decision.Event{
+			Kind:     decision.Try,
+			Upstream: a.target.Choice.Replica,
+			Outcome:  decision.Crossed,
+			Reason:   "not a replica's answer",
+			Status:   status,
+		})
+		return a.broke(ctx, nil)
+	}
+	if !success && c.state == begun {
+		a.result = placement.Failed
+		return torn // it doesn't go on with the stream
+	}
+	if success && c.route.Kind == catalog.Stream {
+		return a.passEvents(ctx, answer)
+	}
+	return a.passWhole(ctx, answer, success)
+}
+
+// passWhole reads an answer to its end and then passes it on.
+func (a *attempt) passWhole(ctx context.Context, answer *exchange.Answer, success bool) ended {
+	c := a.call
+	var buf bytes.Buffer
+	_, err := io.Copy(&buf, io.LimitReader(answer, heldAnswer))
+	if err != nil {
+		return a.broke(ctx, err)
+	}
+	whole := kept{
+		Answer: Answer{
+			status: answer.Status(),
+			header: answer.Header(),
+		},
+		body: buf.Bytes(),
+	}
+	if success {
+		a.result = placement.Answered
+	} else {
+		a.result = placement.Failed
+	}
+	if !success && c.worthAnother(whole.status) {
+		c.failure = &whole
+		return unknown
+	}
+	if buf.Len() == heldAnswer {
+		return a.passLong(ctx, answer, whole)
+	}
+	c.answer(whole)
+	return served
+}
+
+// worthAnother says whether a replica's failure is kept back because another
+// replica may do better.
+func (c *call) worthAnother(status int) bool {
+	return status >= http.StatusInternalServerError && c.state != begun && c.route.Repeatable() &&
+		c.sent < c.route.Attempts && status != http.StatusGatewayTimeout
+}
+
+// passLong passes on an answer that is too long to be held.
+func (a *attempt) passLong(ctx context.Context, answer *exchange.Answer, head kept) ended {
+	c := a.call
+	length, chunked := answer.Framed()
+	c.begin200(head.Answer)
+	if !chunked && length >= 0 {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	c.w.WriteHeader(head.status)
+	if _, err := c.w.Write(head.body); err != nil {
+		return abandoned
+	}
+	if _, err := io.Copy(c.w, answer); err != nil {
+		a.result = placement.Silent
+		return a.cut(ctx)
+	}
+	return served
+}
+
+// cut closes the caller's connection, so that the part that it has is not taken
+// for the whole.
+func (a *attempt) cut(context.Context) ended {
+	a.call.state = begun
+	return torn
+}
+
+// broke says what it means that an answer did not come to its end.
+func (a *attempt) broke(ctx context.Context, err error) ended {
+	c := a.call
+	left := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errQuiet)
+	if left {
+		c.state = max(c.state, maybeRan)
+		return abandoned
+	}
+	if err != nil {
+		a.result = placement.Silent
+	}
+	if c.state == begun {
+		return torn
+	}
+	return unknown
+}
+
+// answer gives the caller a whole answer.
+func (c *call) answer(k kept) {
+	c.begin200(k.Answer)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(k.body)))
+	c.w.WriteHeader(k.status)
+	_, _ = c.w.Write(k.body) // the caller has left when this fails
+	c.finished(decision.Served, k.status, "")
+}
+
+// begin200 sets the headers of a replica's answer.
+func (c *call) begin200(a Answer) {
+	h := c.w.Header()
+	closing := h.Get("Connection")
+	for name, values := range onward(a.header) {
+		if name == headerResult || name == headerSent {
+			continue
+		}
+		h[name] = values
+	}
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	if c.relay != nil {
+		h.Set(headerResult, resultAnswer)
+		h.Set(headerSent, strconv.Itoa(c.sent-c.relay.Sent))
+	}
+}
+
+// finished writes down what the caller got.
+func (c *call) finished(o decision.Outcome, status int, reason string) {
+	took := time.Since(c.start)
+	c.server.core.Meter.Request(c.service, string(o), took)
+	c.record(decision.Event{
+		Kind:    decision.End,
+		Outcome: o,
+		Status:  status,
+		Reason:  reason,
+		Tries:   c.sent,
+		TookMs:  took.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/ingress/call.go
@@ -0,0 +1,316 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+const (
+	endSlack       = 40 * time.Millisecond // a replica's own word at its deadline is waited for so long
+	defaultLife    = 30 * time.Second      // of a request whose caller and route say nothing
+	maxRounds      = 8                     // targets asked for on behalf of one request
+	waitShare      = 0.2                   // of the goal that a request waits here for a replica that may take it
+	shortWait      = 5 * time.Millisecond
+	defaultBody    = 4 << 20 // bytes, where the policy gives no bound
+	maxPriority    = 9
+	answerPerGuess = 1.3 // guesses are right in the median, but long answers are longer
+)
+
+// state says what is known of a request's fate so far.
+type state int
+
+const (
+	untouched state = iota // no replica has run it
+	maybeRan               // one may have, and its answer is lost
+	begun                  // part of an answer was passed on
+)
+
+// call is one request in progress.
+type call struct {
+	server *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	relay  *relay
+	start  time.Time
+	end    time.Time // when the answer is of no use any more
+
+	facts   Facts
+	route   *catalog.Route
+	service string
+	version int
+	body    []byte
+
+	state      state
+	sent       int      // replicas it was sent to
+	tried      []string // replicas
+	triedBoxes []string
+	counted    bool   // the budget of retries knows of it
+	lastEvent  string // id of the last event passed on
+	done       bool   // the caller has its answer
+	failure    *kept  // a replica's own answer that says it failed
+	reason     placement.Reason
+	wait       time.Duration
+}
+
+// identify finds the route of the request and what it says of itself.
+func (c *call) identify() bool {
+	table := c.server.core.Table()
+	if table == nil {
+		c.refuse(reasonStarting, retryStarting)
+		return false
+	}
+	var err error
+	if c.facts, err = c.server.codec.Facts(c.r.Header); err != nil {
+		c.reject(http.StatusBadRequest, err.Error())
+		return false
+	}
+	c.version = table.Version()
+	if !c.findRoute(table) {
+		return false
+	}
+	if c.service == "" {
+		c.service = c.route.Service(c.facts.ID)
+	}
+	c.setEnd()
+	c.lastEvent = c.facts.LastEvent
+	if c.relay != nil && c.relay.LastEvent != "" {
+		c.lastEvent = c.relay.LastEvent
+	}
+	return true
+}
+
+// findRoute looks the route up. A request that another box passed on with a
+// newer policy keeps that box's route, so that no caller sees an older policy
+// after a newer one.
+func (c *call) findRoute(table *catalog.Table) bool {
+	if c.relay != nil {
+		c.route = c.relay.Route
+		c.service = c.relay.Service
+		c.sent = c.relay.Sent
+		c.counted = c.sent > 0
+		if c.relay.Version > c.version {
+			c.server.core.Behind(c.relay.Version)
+		}
+		c.version = c.relay.Version
+		return true
+	}
+	route, ok := table.Find(c.r.Host, c.r.URL.Path)
+	switch {
+	case ok:
+		c.route = route
+		return true
+	case c.server.core.Current():
+		c.reject(http.StatusNotFound, "no route")
+	default:
+		c.refuse(reasonStale, retryStarting) // a newer policy may have the route
+	}
+	return false
+}
+
+// setEnd sets the time at which the answer is of no use: the caller's deadline
+// or the route's timeout, whichever comes first.
+func (c *call) setEnd() {
+	life := defaultLife
+	if c.route.Timeout > 0 {
+		life = c.route.Timeout.Duration()
+	}
+	if c.facts.Deadline > 0 {
+		life = min(life, c.facts.Deadline)
+	}
+	if c.relay != nil {
+		life = time.Duration(c.relay.LeftMs) * time.Millisecond
+	}
+	c.end = c.start.Add(life)
+}
+
+// readBody reads the whole body, so that it can be sent again.
+func (c *call) readBody() bool {
+	limit := int64(defaultBody)
+	if t := c.server.core.Table(); t != nil && t.Policy().Limits.BodyBytes > 0 {
+		limit = int64(t.Policy().Limits.BodyBytes)
+	}
+	if c.r.ContentLength == 0 {
+		return true
+	}
+	var buf bytes.Buffer
+	if n := c.r.ContentLength; n > 0 && n <= limit {
+		buf.Grow(int(n) + bytes.MinRead)
+	}
+	_, err := io.Copy(&buf, http.MaxBytesReader(c.w, c.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		c.reject(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	case err != nil:
+		c.reject(http.StatusBadRequest, "body not read")
+		return false
+	}
+	c.body = buf.Bytes()
+	return true
+}
+
+// run sends the request to one target after another until the caller has an
+// answer.
+func (c *call) run(ctx context.Context) {
+	for range maxRounds {
+		if ctx.Err() != nil {
+			break
+		}
+		target := c.server.core.Place(c.ask())
+		if target.Reason != placement.None {
+			if c.waitFor(ctx, target) {
+				continue
+			}
+			c.reason = target.Reason
+			c.wait = target.Wait
+			break
+		}
+		c.record(decision.Event{
+			Kind:     decision.Place,
+			Upstream: target.Choice.Replica + target.Box,
+			Region:   target.Region,
+			Tokens:   target.Choice.Missing,
+			AgeMs:    target.AgeMs,
+			TookMs:   target.Choice.Expect.Milliseconds(),
+		})
+		if c.try(ctx, target) || !c.mayTryAgain(ctx) {
+			break
+		}
+	}
+	c.finish(ctx)
+}
+
+func (c *call) ask() Ask {
+	shared := c.facts.Parts
+	if n := len(shared); n > 0 {
+		shared = shared[:n-1]
+	}
+	out := int(answerPerGuess * float64(c.facts.Guess))
+	if out == 0 || (c.facts.MostOut > 0 && out > c.facts.MostOut) {
+		out = c.facts.MostOut
+	}
+	return Ask{
+		Request: placement.Request{
+			Service: c.service,
+			Key:     c.facts.ID,
+			Parts:   shared,
+			Prompt:  c.facts.Prompt,
+			Out:     out,
+			Tried:   c.tried,
+		},
+		Route:      c.route,
+		Left:       time.Until(c.end),
+		Relayed:    c.relay != nil,
+		TriedBoxes: c.triedBoxes,
+		Repeat:     c.sent > 0,
+	}
+}
+
+// waitFor waits for a replica that will take the request soon, within a share of
+// the route's goal.
+func (c *call) waitFor(ctx context.Context, t Target) bool {
+	if t.Wait <= 0 || c.state == begun {
+		return false
+	}
+	limit := time.Duration(waitShare * float64(c.route.Goal.Duration()))
+	wait := max(t.Wait, shortWait)
+	if time.Since(c.start)+wait > limit {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// mayTryAgain says whether the request may be sent to one more replica.
+func (c *call) mayTryAgain(ctx context.Context) bool {
+	if ctx.Err() != nil || time.Until(c.end) <= 0 {
+		return false
+	}
+	if c.state != untouched && !c.route.Repeatable() {
+		return false
+	}
+	if c.sent == 0 {
+		return true
+	}
+	return c.sent < c.route.Attempts && c.server.core.Repeat(c.service)
+}
+
+// ended is what one try came to.
+type ended int
+
+const (
+	served    ended = iota // the caller has the answer
+	unsent                 // no replica got it
+	notRun                 // a replica got it and says that it did not run it
+	unknown                // a replica may have run it
+	torn                   // part of the answer was passed on
+	abandoned              // the caller has left, or its time is up
+)
+
+// try sends the request to a target. It returns true when nothing more is to be
+// done.
+func (c *call) try(ctx context.Context, t Target) bool {
+	var e ended
+	if t.Choice.Replica != "" {
+		e = c.tryReplica(ctx, t)
+	} else {
+		e = c.tryBox(ctx, t)
+	}
+	switch e {
+	case served:
+		c.done = true
+		return true
+	case abandoned:
+		return true
+	case unknown:
+		c.state = max(c.state, maybeRan)
+	case torn:
+		c.state = begun
+	case unsent, notRun:
+	}
+	return false
+}
+
+// note remembers that a replica got the request.
+func (c *call) note(replica string) {
+	c.sent++
+	if !slices.Contains(c.tried, replica) {
+		c.tried = append(c.tried, replica)
+	}
+}
+
+// begin counts the request for the budget of retries, once.
+func (c *call) begin() {
+	if c.counted {
+		return
+	}
+	c.counted = true
+	c.server.core.Begin(c.service)
+}
+
+func (c *call) record(e decision.Event) {
+	e.Request = c.facts.ID
+	e.Service = c.service
+	e.Version = int64(c.version)
+	if c.route != nil {
+		e.Route = c.route.Name
+	}
+	c.server.core.Record(e)
+}
--- /dev/null
+++ b/ingress/events.go
@@ -0,0 +1,153 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/exchange"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+const (
+	eventBuffer = 4 << 10 // bytes read at once
+	maxEvent    = 1 << 20 // bytes of one event
+	heardEvery  = 100 * time.Millisecond
+)
+
+var (
+	eventEnd = []byte("\n\n")
+	idField  = []byte("id:")
+
+	// buffers are for reading events.
+	buffers = sync.Pool{
+		New: func() any {
+			b := make([]byte, eventBuffer)
+			return &b
+		},
+	}
+)
+
+// passEvents passes a stream on, whole events only, so that it can go on at
+// another replica after any of them.
+func (a *attempt) passEvents(ctx context.Context, answer *exchange.Answer) ended {
+	c := a.call
+	if c.state != begun {
+		c.openStream(answer)
+	} else {
+		c.server.core.Meter.Resumed(c.service)
+	}
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	var held []byte // the beginning of an event whose end has not come
+	for {
+		n, err := answer.Read(*buf)
+		if n > 0 {
+			a.noteHeard()
+			held = append(held, (*buf)[:n]...)
+			var failed error
+			if held, failed = c.passComplete(held); failed != nil {
+				return abandoned // the caller has left
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return a.endStream(held)
+		case err != nil || len(held) > maxEvent:
+			a.result = placement.Silent
+			return a.broke(ctx, errors.CombineErrors(err, errTooLong))
+		}
+	}
+}
+
+// noteHeard says that the replica goes on, not for every event.
+func (a *attempt) noteHeard() {
+	if a.target.Choice.Replica == "" || time.Since(a.heard) < heardEvery {
+		return
+	}
+	a.heard = time.Now()
+	a.call.server.core.Heard(&a.target.Choice)
+}
+
+var errTooLong = errors.New("ingress: event too long")
+
+// openStream passes the head of a stream on.
+func (c *call) openStream(answer *exchange.Answer) {
+	c.begin200(Answer{
+		status: answer.Status(),
+		header: answer.Header(),
+	})
+	c.w.WriteHeader(answer.Status())
+	c.flush()
+	c.state = begun
+	c.server.core.Meter.First(c.service, 0)
+}
+
+// endStream ends a stream that came to its end. Bytes after the last whole event
+// belong to it too, for a stream may lack the empty line at its end.
+func (a *attempt) endStream(rest []byte) ended {
+	c := a.call
+	a.result = placement.Answered
+	if len(rest) > 0 {
+		if _, err := c.w.Write(rest); err != nil {
+			return abandoned
+		}
+	}
+	c.finished(decision.Served, http.StatusOK, "")
+	return served
+}
+
+// passComplete passes the whole events in held on and returns the rest. An event
+// that the caller has already is left out.
+func (c *call) passComplete(held []byte) ([]byte, error) {
+	passed := false
+	for {
+		at := bytes.Index(held, eventEnd)
+		if at < 0 {
+			break
+		}
+		event := held[:at+len(eventEnd)]
+		if id := eventID(event); id == "" || !notAfter(id, c.lastEvent) {
+			if _, err := c.w.Write(event); err != nil {
+				return nil, err
+			}
+			passed = true
+			if id != "" {
+				c.lastEvent = id
+			}
+		}
+		held = held[len(event):]
+	}
+	if passed {
+		c.flush()
+	}
+	return held, nil
+}
+
+// eventID returns the id of an event, empty for none.
+func eventID(event []byte) string {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
+
+// notAfter says whether event id a does not come after b; ids are rising numbers.
+func notAfter(a, b string) bool {
+	x, errA := strconv.ParseInt(a, 10, 64)
+	y, errB := strconv.ParseInt(b, 10, 64)
+	return errA == nil && errB == nil && x <= y
+}
+
+func (c *call) flush() {
+	_ = http.NewResponseController(c.w).Flush() // a caller that has left is found by the next write
+}
--- /dev/null
+++ b/ingress/ingress.go
@@ -0,0 +1,160 @@
+// Package ingress is the path of a request through a box: it finds the route,
+// chooses where the request goes, passes it on, and passes the answer back. It
+// never presents part of an answer as the whole, and says that a request was not
+// run only where that is known.
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/exchange"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+// Part is a part of a prompt.
+type Part = placement.Part
+
+// Facts are what a decision needs of a caller's request.
+type Facts struct {
+	ID        string
+	Model     string
+	Deadline  time.Duration // how long the caller will wait; 0 when it says nothing
+	Prompt    int           // tokens
+	MostOut   int           // tokens of the answer at most
+	Guess     int           // tokens of the answer as the caller guesses; 0 for none
+	Parts     []Part        // of the prompt; the last one is the request's own
+	LastEvent string        // id of the last event that the caller has of a broken stream
+}
+
+// Send is what a replica is told beside the caller's own headers.
+type Send struct {
+	Replica   string        // id that must match, or the replica doesn't run the request
+	Left      time.Duration // time until the answer is of no use
+	Urgency   int           // 0 goes first; below 0 for none
+	LastEvent string        // id of the last event passed on, to go on after it
+}
+
+// Codec reads and writes the headers of requests and answers.
+type Codec struct {
+	Facts    func(h http.Header) (Facts, error)
+	Send     func(h http.Header, s Send)
+	Owns     func(h http.Header, id string) bool     // an answer belongs to the request of that id
+	Ran      func(status int, h http.Header) bool    // false: the replica says that it did not run the request
+	Genuine  func(h http.Header) bool                // an answer of success is as a replica made it
+	LastSeen func(h http.Header, lastEventID string) // asks to go on after an event
+}
+
+// Target is where a request goes next: to a replica, to another box, or nowhere
+// for a reason.
+type Target struct {
+	Choice  placement.Choice // Choice.Replica is empty when it goes to a box, or nowhere
+	Box     string           // box of another region
+	BoxAddr string           // where it takes requests from boxes
+	Region  string           // of the box
+	Reason  placement.Reason // why it goes nowhere
+	Wait    time.Duration    // when to ask again, where that is known
+	AgeMs   int64            // age of what is believed of the other region
+}
+
+// Ask is a question for a target.
+type Ask struct {
+	Request    placement.Request
+	Route      *catalog.Route
+	Left       time.Duration // time until the answer is of no use
+	Relayed    bool          // the request came from another box, and goes to no third
+	TriedBoxes []string
+	Repeat     bool // some replica got the request before
+}
+
+// Core is the box behind the path. Its fields are the seams between them.
+type Core struct {
+	Table   func() *catalog.Table // nil until a policy is known
+	Current func() bool           // what is published was read of late
+	Leaving func() bool           // a planned stop has begun
+	Place   func(Ask) Target
+	Begin   func(service string)      // a request is sent for the first time
+	Repeat  func(service string) bool // asks to send one again
+	First   func(c *placement.Choice, took time.Duration)
+	Heard   func(c *placement.Choice)
+	Quiet   func(c *placement.Choice, sent time.Time) time.Duration
+	End     func(c *placement.Choice, r placement.Result, took time.Duration)
+	BoxLost func(box string) // a box could not be reached
+	Behind  func(version int)
+	Record  func(decision.Event)
+	Meter   Meter
+}
+
+// Meter is told the figures of requests.
+type Meter struct {
+	Request func(service, outcome string, took time.Duration)
+	First   func(service string, took time.Duration)
+	Try     func(service, outcome string)
+	Refusal func(reason string)
+	Forward func(region, outcome string)
+	Resumed func(service string)
+}
+
+// Server takes requests from callers and from other boxes.
+type Server struct {
+	box      string
+	region   string
+	codec    Codec
+	core     Core
+	replicas *exchange.Pool
+	boxes    *exchange.Pool
+}
+
+// New returns the path of a box in a region.
+func New(box, region string, codec Codec, core Core, replicas, boxes *exchange.Pool) *Server {
+	return &Server{
+		box:      box,
+		region:   region,
+		codec:    codec,
+		core:     core,
+		replicas: replicas,
+		boxes:    boxes,
+	}
+}
+
+// Callers returns the handler for callers.
+func (s *Server) Callers() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, nil) })
+}
+
+// Boxes returns the handler for requests that other boxes pass on.
+func (s *Server) Boxes() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		relay, err := decodeRelay(r.Header.Get(headerRelay))
+		if err != nil {
+			s.refuseRelay(w, "bad relay header: "+err.Error())
+			return
+		}
+		r.Header.Del(headerRelay)
+		s.serve(w, r, relay)
+	})
+}
+
+// serve answers one request; relay is nil when a caller sent it.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, relay *relay) {
+	if relay == nil && s.core.Leaving() {
+		w.Header().Set("Connection", "close") // callers then use another box
+	}
+	c := &call{
+		server: s,
+		w:      w,
+		r:      r,
+		relay:  relay,
+		start:  time.Now(),
+		state:  untouched,
+	}
+	if !c.identify() || !c.readBody() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Until(c.end)+endSlack)
+	defer cancel()
+	c.run(ctx)
+}
--- /dev/null
+++ b/ingress/refuse.go
@@ -0,0 +1,91 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+// Reasons of refusals beside those of package placement.
+const (
+	reasonStarting placement.Reason = "no policy known yet"
+	reasonStale    placement.Reason = "no route in a policy that may be old"
+	reasonBudget   placement.Reason = "no more tries"
+	reasonDeadline placement.Reason = "time is up"
+)
+
+const (
+	retryStarting = 300 * time.Millisecond // a box knows a policy some 100 ms after it starts
+	retrySoon     = 100 * time.Millisecond // when nothing says how long a shortage lasts
+	retryLongest  = time.Second
+)
+
+// finish gives the caller a final answer when the tries gave none.
+func (c *call) finish(ctx context.Context) {
+	switch {
+	case c.done:
+	case c.state == begun:
+		c.breakOff()
+	case c.r.Context().Err() != nil:
+		c.finished(decision.Left, 0, "caller left")
+	case c.failure != nil:
+		c.answer(*c.failure)
+	case c.state == maybeRan && ctx.Err() != nil:
+		c.fail(http.StatusGatewayTimeout, reasonDeadline)
+	case c.state == maybeRan:
+		c.fail(http.StatusBadGateway, reasonBudget)
+	case ctx.Err() != nil:
+		c.refuse(reasonDeadline, 0)
+	case c.reason != placement.None:
+		c.refuse(c.reason, c.wait)
+	default:
+		c.refuse(reasonBudget, 0)
+	}
+}
+
+// breakOff closes the caller's connection in the middle of an answer, so that it
+// can't be taken for a whole one.
+func (c *call) breakOff() {
+	c.finished(decision.Broken, 0, "answer broke off")
+	panic(http.ErrAbortHandler)
+}
+
+// fail answers that the request may have run.
+func (c *call) fail(status int, reason placement.Reason) {
+	if c.relay != nil {
+		c.relayResult(resultUnknown)
+	}
+	c.finished(decision.Unknown, status, string(reason))
+	c.w.WriteHeader(status)
+}
+
+// refuse answers that the request has not run, and when to come back.
+func (c *call) refuse(reason placement.Reason, wait time.Duration) {
+	if c.relay != nil {
+		c.relayResult(resultNotRun)
+	}
+	wait = min(max(wait, retrySoon), retryLongest)
+	c.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
+	c.server.core.Meter.Refusal(string(reason))
+	c.finished(decision.Refused, http.StatusServiceUnavailable, string(reason))
+	c.w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// reject answers that the request is wrong.
+func (c *call) reject(status int, reason string) {
+	if c.relay != nil {
+		c.relayResult(resultNotRun)
+	}
+	c.finished(decision.Refused, status, reason)
+	c.w.WriteHeader(status)
+}
+
+func (c *call) relayResult(result string) {
+	h := c.w.Header()
+	h.Set(headerResult, result)
+	h.Set(headerSent, strconv.Itoa(c.sent-c.relay.Sent))
+}
--- /dev/null
+++ b/ingress/try.go
@@ -0,0 +1,283 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/exchange"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+const (
+	replicaDial = 250 * time.Millisecond // within a region a connection takes some 5 ms, a lost packet a second
+	boxDial     = 700 * time.Millisecond // between regions, three round trips of 160 ms and some
+)
+
+// errQuiet ends a try whose replica has fallen silent.
+var errQuiet = errors.New("ingress: replica silent")
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// onward returns the headers that travel with a message.
+func onward(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// attempt is one try at one replica or box.
+type attempt struct {
+	call   *call
+	target *Target
+	sent   time.Time
+	cancel context.CancelCauseFunc
+	result placement.Result
+	first  time.Duration // until the answer's head; 0 while there is none
+	heard  time.Time     // when it was last said that the replica goes on
+}
+
+// tryReplica sends the request to a replica of this region.
+func (c *call) tryReplica(ctx context.Context, t Target) ended {
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &attempt{
+		call:   c,
+		target: &t,
+		sent:   time.Now(),
+		cancel: cancel,
+		result: placement.Abandoned,
+	}
+	stop := a.watchSilence(ctx)
+	e := a.replica(ctx)
+	stop()
+	cancel(nil) // the replica stops its work when its connection closes
+	c.server.core.End(&t.Choice, a.result, time.Since(a.sent))
+	a.report(e)
+	return e
+}
+
+func (a *attempt) replica(ctx context.Context) ended {
+	c := a.call
+	c.begin()
+	h := onward(c.r.Header)
+	c.server.codec.Send(h, Send{
+		Replica:   a.target.Choice.Replica,
+		Left:      time.Until(c.end),
+		Urgency:   min(c.route.Priority, maxPriority),
+		LastEvent: c.lastEvent,
+	})
+	answer, err := c.server.replicas.Do(ctx, exchange.Request{
+		Addr:        a.target.Choice.Addr,
+		Method:      c.r.Method,
+		Target:      c.r.RequestURI,
+		Host:        c.r.Host,
+		Header:      h,
+		Body:        c.body,
+		Owns:        func(h http.Header) bool { return c.server.codec.Owns(h, c.facts.ID) },
+		DialTimeout: replicaDial,
+	})
+	if err != nil {
+		return a.failed(ctx, err)
+	}
+	defer func() { _ = answer.Close() }() // its connection is closed when it can't be used again
+	a.first = time.Since(a.sent)
+	c.server.core.First(&a.target.Choice, a.first)
+	if !c.server.codec.Ran(answer.Status(), answer.Header()) {
+		return a.refused(answer)
+	}
+	c.note(a.target.Choice.Replica)
+	return a.pass(ctx, answer)
+}
+
+// refused takes in a replica's word that it did not run the request.
+func (a *attempt) refused(answer *exchange.Answer) ended {
+	a.result = placement.Refused
+	if answer.Status() == http.StatusMisdirectedRequest {
+		a.result = placement.Misdirected
+		a.call.tried = append(a.call.tried, a.target.Choice.Replica)
+		return unsent
+	}
+	a.call.note(a.target.Choice.Replica)
+	return notRun
+}
+
+// failed says what it means that there is no answer.
+func (a *attempt) failed(ctx context.Context, err error) ended {
+	var e *exchange.Error
+	sent := !errors.As(err, &e) || e.Sent()
+	if sent {
+		a.call.note(a.target.Choice.Replica)
+	} else {
+		a.call.tried = append(a.call.tried, a.target.Choice.Replica)
+	}
+	quiet := errors.Is(context.Cause(ctx), errQuiet)
+	switch {
+	case ctx.Err() != nil && !quiet && sent:
+		a.call.state = max(a.call.state, maybeRan)
+		return abandoned
+	case ctx.Err() != nil && !quiet:
+		return abandoned
+	case !sent:
+		a.result = placement.Unreachable
+		return unsent
+	}
+	a.result = placement.Silent
+	return unknown
+}
+
+// report writes down and counts what a try came to.
+func (a *attempt) report(e ended) {
+	c := a.call
+	outcome := outcomes[e]
+	c.server.core.Meter.Try(c.service, string(outcome))
+	if a.first > 0 && e == served {
+		c.server.core.Meter.First(c.service, a.first)
+	}
+	c.record(decision.Event{
+		Kind:     decision.Try,
+		Upstream: a.target.Choice.Replica + a.target.Box,
+		Outcome:  outcome,
+		Tries:    c.sent,
+		TookMs:   time.Since(a.sent).Milliseconds(),
+	})
+}
+
+var outcomes = map[ended]decision.Outcome{
+	served:    decision.Served,
+	unsent:    decision.NotRun,
+	notRun:    decision.Refused,
+	unknown:   decision.Unknown,
+	torn:      decision.Broken,
+	abandoned: decision.Left,
+}
+
+// Times after which a replica from which nothing comes is taken for silent. They
+// count only for requests that may be repeated, and only where more tries are
+// left.
+const (
+	quietPlainShare = 0.4                    // of the goal of a call
+	quietStream     = 700 * time.Millisecond // an engine's steps take 60 ms, so an event takes 300 ms at most
+	quietPerExpect  = 3                      // times the expected time
+	quietCheck      = 50 * time.Millisecond
+)
+
+// watchSilence ends the try when its replica has fallen silent towards this box.
+func (a *attempt) watchSilence(ctx context.Context) (stop func()) {
+	c := a.call
+	if !c.route.Repeatable() || c.sent+1 >= c.route.Attempts {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		tick := time.NewTicker(quietCheck)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			if c.server.core.Quiet(&a.target.Choice, a.sent) > a.quietLimit() {
+				a.cancel(errQuiet)
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+func (a *attempt) quietLimit() time.Duration {
+	expect := quietPerExpect * a.target.Choice.Expect
+	if a.call.route.Kind == catalog.Stream {
+		return max(quietStream, expect)
+	}
+	return max(time.Duration(quietPlainShare*float64(a.call.route.Goal.Duration())), expect)
+}
+
+// tryBox passes the request on to a box of another region.
+func (c *call) tryBox(ctx context.Context, t Target) ended {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a := &attempt{
+		call:   c,
+		target: &t,
+		sent:   time.Now(),
+		cancel: cancel,
+	}
+	c.triedBoxes = append(c.triedBoxes, t.Box)
+	e := a.box(ctx)
+	c.server.core.Meter.Forward(t.Region, string(outcomes[e]))
+	a.report(e)
+	return e
+}
+
+func (a *attempt) box(ctx context.Context) ended {
+	c := a.call
+	h := onward(c.r.Header)
+	h.Set(headerRelay, c.relayed().encode())
+	answer, err := c.server.boxes.Do(ctx, exchange.Request{
+		Addr:        a.target.BoxAddr,
+		Method:      c.r.Method,
+		Target:      c.r.RequestURI,
+		Host:        c.r.Host,
+		Header:      h,
+		Body:        c.body,
+		DialTimeout: boxDial,
+	})
+	if err != nil {
+		return a.boxFailed(ctx, err)
+	}
+	defer func() { _ = answer.Close() }()
+	a.first = time.Since(a.sent)
+	there := sentThere(answer.Header())
+	c.sent += there
+	c.counted = c.counted || there > 0
+	switch answer.Header().Get(headerResult) {
+	case resultAnswer:
+		return a.pass(ctx, answer)
+	case resultNotRun:
+		if there > 0 {
+			return notRun
+		}
+		return unsent
+	}
+	return unknown
+}
+
+func (a *attempt) boxFailed(ctx context.Context, err error) ended {
+	c := a.call
+	var e *exchange.Error
+	if errors.As(err, &e) && !e.Sent() {
+		if ctx.Err() != nil {
+			return abandoned
+		}
+		c.server.core.BoxLost(a.target.Box)
+		return unsent
+	}
+	c.sent++ // the box may have sent it on
+	c.counted = true
+	if ctx.Err() != nil {
+		c.state = max(c.state, maybeRan)
+		return abandoned
+	}
+	return unknown
+}
--- a/internal/fakes/platform.go
+++ b/internal/fakes/platform.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/havenrudder/havenrudder/platform"
+	"github.com/havenrudder/havenrudder/configstore"
 )
 
 // Platform is a stand-in for the configuration service. Only tests and the demo
@@ -17,8 +17,8 @@
 type Platform struct {
 	mu      sync.Mutex
 	index   int64
-	values  map[string]platform.Value
-	stale   map[string]platform.Value // answered instead while frozen
+	values  map[string]configstore.Value
+	stale   map[string]configstore.Value // answered instead while frozen
 	frozen  bool
 	changed chan struct{} // closed and renewed at each change
 	down    bool
@@ -28,7 +28,7 @@
 // NewPlatform returns an empty service.
 func NewPlatform() *Platform {
 	return &Platform{
-		values:  make(map[string]platform.Value),
+		values:  make(map[string]configstore.Value),
 		changed: make(chan struct{}),
 	}
 }
@@ -38,7 +38,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.index++
-	p.values[key] = platform.Value{
+	p.values[key] = configstore.Value{
 		Data:  data,
 		Index: p.index,
 	}
@@ -64,7 +64,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.frozen = true
-	p.stale = make(map[string]platform.Value, len(p.values))
+	p.stale = make(map[string]configstore.Value, len(p.values))
 	for k, v := range p.values {
 		p.stale[k] = v
 	}
@@ -133,12 +133,12 @@
 	}
 }
 
-func write(w http.ResponseWriter, v platform.Value) {
-	w.Header().Set(platform.IndexHeader, strconv.FormatInt(v.Index, 10))
+func write(w http.ResponseWriter, v configstore.Value) {
+	w.Header().Set(configstore.IndexHeader, strconv.FormatInt(v.Index, 10))
 	_, _ = w.Write(v.Data)
 }
 
-func (p *Platform) look(key string) (v platform.Value, ok, down bool, changed <-chan struct{}) {
+func (p *Platform) look(key string) (v configstore.Value, ok, down bool, changed <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	values := p.values
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -20,8 +20,8 @@
 
 	"github.com/havenrudder/havenrudder/box"
 	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/configstore"
 	"github.com/havenrudder/havenrudder/internal/fakes"
-	"github.com/havenrudder/havenrudder/platform"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -244,7 +244,7 @@
 
 // PublishFleet writes the list of a failure domain to the platform.
 func (s *Site) PublishFleet(domain string) {
-	s.platform.Put(platform.KeyFleet+domain, encode(s.fleets[domain]))
+	s.platform.Put(configstore.KeyFleet+domain, encode(s.fleets[domain]))
 }
 
 // encode returns the JSON of a value that always has one.
@@ -263,14 +263,14 @@
 		return err
 	}
 	for h, n := range nodes {
-		s.platform.PutNew(platform.KeyNode+string(h), n.Data())
+		s.platform.PutNew(configstore.KeyNode+string(h), n.Data())
 	}
 	whole, err := nodes.Pack()
 	if err != nil {
 		return err
 	}
-	s.platform.Put(platform.KeyWhole, whole)
-	s.platform.Put(platform.KeyHead, encode(bundle.Sign(b.Version, root, keyID, s.private)))
+	s.platform.Put(configstore.KeyWhole, whole)
+	s.platform.Put(configstore.KeyHead, encode(bundle.Sign(b.Version, root, keyID, s.private)))
 	return nil
 }
 
--- /dev/null
+++ b/meter/count.go
@@ -0,0 +1,53 @@
+package meter
+
+import "time"
+
+// Values of the label result.
+const (
+	resultTaken   = "taken"
+	resultPaced   = "paced"
+	resultRefused = "refused"
+)
+
+// Request counts a request that ended.
+func (m *Meter) Request(service, outcome string) { m.requests.WithLabelValues(service, outcome).Inc() }
+
+// Try counts a try that ended.
+func (m *Meter) Try(service, outcome string) { m.tries.WithLabelValues(service, outcome).Inc() }
+
+// RepeatTaken counts a repeated try that the retry budget allowed.
+func (m *Meter) RepeatTaken() { m.repeats.WithLabelValues(resultTaken).Inc() }
+
+// RepeatRefused counts a repeated try that the retry budget refused.
+func (m *Meter) RepeatRefused() { m.repeats.WithLabelValues(resultRefused).Inc() }
+
+// ColdSendPaced counts a send to a cold replica that was delayed.
+func (m *Meter) ColdSendPaced() { m.coldSends.WithLabelValues(resultPaced).Inc() }
+
+// ColdSendRefused counts a send to a cold replica that was refused.
+func (m *Meter) ColdSendRefused() { m.coldSends.WithLabelValues(resultRefused).Inc() }
+
+// Refusal counts a refused request.
+func (m *Meter) Refusal(reason string) { m.refusals.WithLabelValues(reason).Inc() }
+
+// Forward counts a request that was handed to another region.
+func (m *Meter) Forward(region, outcome string) { m.forwards.WithLabelValues(region, outcome).Inc() }
+
+// Resumed counts a broken stream that went on elsewhere.
+func (m *Meter) Resumed() { m.resumed.Inc() }
+
+// StoreCall counts a call of the store.
+func (m *Meter) StoreCall(kind, result string) { m.store.WithLabelValues(kind, result).Inc() }
+
+// Dial counts a connection opened to an upstream.
+func (m *Meter) Dial() { m.dials.Inc() }
+
+// FirstByte observes the time from a request to the first byte of its answer.
+func (m *Meter) FirstByte(service string, d time.Duration) {
+	m.first.WithLabelValues(service).Observe(d.Seconds())
+}
+
+// Answer observes the time from a request to the end of its answer.
+func (m *Meter) Answer(service string, d time.Duration) {
+	m.answer.WithLabelValues(service).Observe(d.Seconds())
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,141 @@
+// Package meter counts what a box does and serves the figures in Prometheus'
+// text format. Labels hold names from the policy and the constants of this
+// project only: a text that a caller chose would let the number of series grow.
+package meter
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// namespace begins the name of each metric.
+const namespace = "havenrudder"
+
+// Buckets of the latency histograms, in seconds. A service keeps one series a
+// bucket, so there are few: from a local answer to the longest deadline.
+var (
+	firstBuckets  = []float64{.05, .2, .5, 1, 2, 4, 8, 20}
+	answerBuckets = []float64{.1, .5, 1, 2, 5, 10, 30, 60, 120}
+)
+
+// Meter holds the metrics of one box in a registry of its own.
+type Meter struct {
+	registry *prometheus.Registry
+
+	requests  *prometheus.CounterVec
+	tries     *prometheus.CounterVec
+	repeats   *prometheus.CounterVec
+	coldSends *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	forwards  *prometheus.CounterVec
+	resumed   prometheus.Counter
+	store     *prometheus.CounterVec
+	dials     prometheus.Counter
+	first     *prometheus.HistogramVec
+	answer    *prometheus.HistogramVec
+}
+
+// Option adds a metric that is read from a function when the metrics are served.
+type Option func(*Meter)
+
+// WithCatalogAge serves the age of the catalog.
+func WithCatalogAge(age func() time.Duration) Option {
+	return func(m *Meter) {
+		m.gauge("catalog_age_seconds", "Age of the catalog in use.", func() float64 { return age().Seconds() })
+	}
+}
+
+// WithBoxesAlive serves how many boxes are believed to be alive.
+func WithBoxesAlive(n func() int) Option {
+	return func(m *Meter) {
+		m.gauge("alive_boxes", "Boxes believed to be alive.", func() float64 { return float64(n()) })
+	}
+}
+
+// WithOpenConnections serves how many connections to upstreams are open.
+func WithOpenConnections(n func() int) Option {
+	return func(m *Meter) {
+		m.gauge("open_upstream_connections", "Open connections to upstreams.", func() float64 { return float64(n()) })
+	}
+}
+
+// WithDroppedLines serves how many lines the log of decisions has dropped since
+// the start.
+func WithDroppedLines(n func() int64) Option {
+	return func(m *Meter) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "dropped_log_lines_total",
+			Help:      "Lines that the log of decisions left out.",
+		}, func() float64 { return float64(n()) }))
+	}
+}
+
+// New returns metrics that all start at zero.
+func New(opts ...Option) *Meter {
+	m := &Meter{
+		registry: prometheus.NewRegistry(),
+	}
+	m.requests = m.counters("requests_total", "Requests of callers by service and outcome.", "service", "outcome")
+	m.tries = m.counters("tries_total", "Tries at upstreams by service and outcome.", "service", "outcome")
+	m.repeats = m.counters("repeats_total", "Repeated tries that the retry budget allowed or refused.", "result")
+	m.coldSends = m.counters("cold_sends_total", "Sends to cold replicas that were paced or refused.", "result")
+	m.refusals = m.counters("refusals_total", "Refused requests by reason.", "reason")
+	m.forwards = m.counters("forwards_total", "Requests handed to another region by outcome.", "region", "outcome")
+	m.resumed = m.counter("resumed_streams_total", "Broken streams that went on elsewhere.")
+	m.store = m.counters("store_calls_total", "Calls of the store by kind and result.", "kind", "result")
+	m.dials = m.counter("upstream_dials_total", "Connections opened to upstreams.")
+	m.first = m.histograms("first_byte_seconds", "Time to the first byte of an answer.", firstBuckets)
+	m.answer = m.histograms("answer_seconds", "Time to the end of an answer.", answerBuckets)
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
+}
+
+func (m *Meter) counters(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	}, labels)
+	m.registry.MustRegister(c)
+	return c
+}
+
+func (m *Meter) counter(name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	})
+	m.registry.MustRegister(c)
+	return c
+}
+
+func (m *Meter) histograms(name, help string, buckets []float64) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+		Buckets:   buckets,
+	}, []string{"service"})
+	m.registry.MustRegister(h)
+	return h
+}
+
+func (m *Meter) gauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	}, value))
+}
+
+// Handler serves the metrics.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/meter/meter_test.go
@@ -0,0 +1,118 @@
+package meter
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func ExampleMeter() {
+	m := New()
+	m.Refusal("overload")
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for line := range strings.Lines(w.Body.String()) {
+		if strings.Contains(line, "refusals") {
+			_, _ = io.WriteString(os.Stdout, line) // an error would fail the example
+		}
+	}
+	// Output:
+	// # HELP havenrudder_refusals_total Refused requests by reason.
+	// # TYPE havenrudder_refusals_total counter
+	// havenrudder_refusals_total{reason="overload"} 1
+}
+
+// used returns a meter on which each method was called.
+func used() *Meter {
+	m := New(
+		WithCatalogAge(func() time.Duration { return 1500 * time.Millisecond }),
+		WithBoxesAlive(func() int { return 3 }),
+		WithOpenConnections(func() int { return 12 }),
+		WithDroppedLines(func() int64 { return 9 }),
+	)
+	m.Request("chat", "served")
+	m.Request("chat", "served")
+	m.Try("chat", "broken")
+	m.RepeatTaken()
+	m.RepeatRefused()
+	m.ColdSendPaced()
+	m.ColdSendRefused()
+	m.Refusal("overload")
+	m.Forward("eu", "served")
+	m.Resumed()
+	m.StoreCall("get", "ok")
+	m.Dial()
+	m.FirstByte("chat", 100*time.Millisecond)
+	m.Answer("chat", 3*time.Second)
+	return m
+}
+
+// scrape returns the lines that the handler of m serves.
+func scrape(is *is.I, m *Meter) []string {
+	is.Helper()
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	is.Equal(w.Code, http.StatusOK)
+	is.True(strings.HasPrefix(w.Header().Get("Content-Type"), "text/plain"))
+	return strings.Split(strings.TrimSpace(w.Body.String()), "\n")
+}
+
+func TestEachMetricIsServed(t *testing.T) {
+	is := is.New(t)
+	lines := scrape(is, used())
+	for _, want := range []string{
+		`havenrudder_requests_total{outcome="served",service="chat"} 2`,
+		`havenrudder_tries_total{outcome="broken",service="chat"} 1`,
+		`havenrudder_repeats_total{result="taken"} 1`,
+		`havenrudder_repeats_total{result="refused"} 1`,
+		`havenrudder_cold_sends_total{result="paced"} 1`,
+		`havenrudder_cold_sends_total{result="refused"} 1`,
+		`havenrudder_refusals_total{reason="overload"} 1`,
+		`havenrudder_forwards_total{outcome="served",region="eu"} 1`,
+		`havenrudder_resumed_streams_total 1`,
+		`havenrudder_store_calls_total{kind="get",result="ok"} 1`,
+		`havenrudder_upstream_dials_total 1`,
+		`havenrudder_dropped_log_lines_total 9`,
+		`havenrudder_catalog_age_seconds 1.5`,
+		`havenrudder_alive_boxes 3`,
+		`havenrudder_open_upstream_connections 12`,
+		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.05"} 0`,
+		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.2"} 1`,
+		`havenrudder_first_byte_seconds_sum{service="chat"} 0.1`,
+		`havenrudder_answer_seconds_bucket{service="chat",le="2"} 0`,
+		`havenrudder_answer_seconds_bucket{service="chat",le="5"} 1`,
+		`havenrudder_answer_seconds_count{service="chat"} 1`,
+	} {
+		is.True(slices.Contains(lines, want)) // the line is served
+	}
+}
+
+func TestEachNameEndsInItsUnit(t *testing.T) {
+	is := is.New(t)
+	names := 0
+	for _, line := range scrape(is, used()) {
+		rest, ok := strings.CutPrefix(line, "# TYPE ")
+		if !ok {
+			continue
+		}
+		name, _, _ := strings.Cut(rest, " ")
+		unit := name[strings.LastIndex(name, "_")+1:]
+		is.True(strings.HasPrefix(name, "havenrudder_"))
+		is.True(slices.Contains([]string{"total", "seconds", "boxes", "connections"}, unit))
+		names++
+	}
+	is.Equal(names, 15)
+}
+
+func TestAMeterCountsForItselfAlone(t *testing.T) {
+	is := is.New(t)
+	used()
+	is.Equal(len(scrape(is, New())), 3*2) // only the two counters without labels are there, at zero
+}
--- /dev/null
+++ b/node/core.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/ingress"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+// core returns the seams of the path of requests.
+func (n *Node) core() ingress.Core {
+	return ingress.Core{
+		Table:   n.table.Load,
+		Current: func() bool { return n.now()-time.Duration(n.read.Load()) < currentFor },
+		Leaving: n.leaving.Load,
+		Place:   n.place,
+		Begin:   n.begin,
+		Repeat:  n.repeat,
+		First:   n.first,
+		Heard:   n.heard,
+		Quiet:   n.quiet,
+		End:     n.end,
+		BoxLost: n.boxLost,
+		Behind:  func(version int) { n.behind.Store(int64(version)) },
+		Record:  n.record,
+		Meter: ingress.Meter{
+			Request: func(service, outcome string, took time.Duration) {
+				n.meter.Request(service, outcome)
+				n.meter.Answer(service, took)
+			},
+			First:   n.meter.FirstByte,
+			Try:     n.meter.Try,
+			Refusal: n.meter.Refusal,
+			Forward: n.meter.Forward,
+			Resumed: func(string) { n.meter.Resumed() },
+		},
+	}
+}
+
+// The accesses to the state below fail only when the box has ended; what they
+// give then is of no use to anybody.
+
+func (n *Node) place(ask ingress.Ask) (t ingress.Target) {
+	t.Reason = placement.Nothing
+	_ = n.state.Do(func(s *state) { t = s.place(ask, n.now(), rand.IntN) })
+	if t.Reason == placement.Paced {
+		n.meter.ColdSendPaced()
+	}
+	return t
+}
+
+func (n *Node) begin(service string) {
+	n.state.Post(func(s *state) { s.budget.Request(service, n.now()) })
+}
+
+func (n *Node) repeat(service string) (ok bool) {
+	_ = n.state.Do(func(s *state) { ok = s.budget.Take(service, s.roster.Most(n.now()), n.now()) })
+	if ok {
+		n.meter.RepeatTaken()
+	} else {
+		n.meter.RepeatRefused()
+	}
+	return ok
+}
+
+func (n *Node) first(c *placement.Choice, took time.Duration) {
+	_ = n.state.Do(func(s *state) { s.view.First(c, took, n.now()) })
+}
+
+func (n *Node) heard(c *placement.Choice) {
+	_ = n.state.Do(func(s *state) { s.view.Heard(c, n.now()) })
+}
+
+func (n *Node) quiet(c *placement.Choice, sent time.Time) (d time.Duration) {
+	_ = n.state.Do(func(s *state) { d = s.view.Quiet(c, sent.Sub(n.started), n.now()) })
+	return d
+}
+
+func (n *Node) end(c *placement.Choice, r placement.Result, took time.Duration) {
+	out := false
+	_ = n.state.Do(func(s *state) { out = s.view.End(c, r, took, n.now()) })
+	if !out {
+		return
+	}
+	n.record(decision.Event{
+		Kind:     decision.Belief,
+		Upstream: c.Replica,
+		Reason:   "replica out of reach",
+	})
+}
+
+// boxLost notes that a box could not be reached.
+func (n *Node) boxLost(box string) {
+	n.record(decision.Event{
+		Kind:     decision.Lost,
+		Upstream: box,
+		Reason:   "box not reached",
+	})
+}
--- /dev/null
+++ b/node/dump.go
@@ -0,0 +1,107 @@
+package node
+
+import "time"
+
+// Dump is the state of a box, for operators.
+type Dump struct {
+	Box      string        `json:"box"`
+	Region   string        `json:"region"`
+	Domain   string        `json:"failure_domain"`
+	UptimeS  float64       `json:"uptime_s"`
+	Leaving  bool          `json:"leaving"`
+	Policy   int           `json:"policy_version"`
+	Revision int64         `json:"catalog_revision"`
+	AgeS     float64       `json:"catalog_age_s"`
+	Closed   []string      `json:"closed_failure_domains"`
+	Boxes    []BoxDump     `json:"boxes"`
+	Replicas []ReplicaDump `json:"replicas"`
+	Retries  []RetryDump   `json:"retries_left"`
+}
+
+// BoxDump is what is believed of another box.
+type BoxDump struct {
+	Box    string  `json:"box"`
+	Region string  `json:"region"`
+	State  string  `json:"state"`
+	Alive  bool    `json:"alive"`
+	AgeS   float64 `json:"age_s"`
+}
+
+// ReplicaDump is what is believed of a replica.
+type ReplicaDump struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Addr     string  `json:"addr"`
+	Leaving  bool    `json:"leaving"`
+	Cold     bool    `json:"cold"`
+	Out      bool    `json:"out_of_reach"`
+	Own      int     `json:"own_requests"`
+	All      int     `json:"all_requests"`
+	Tokens   int     `json:"tokens"`
+	Unread   int     `json:"unread_tokens"`
+	Failing  float64 `json:"failing"`
+	Slow     float64 `json:"slow"`
+	Revision int64   `json:"revision"`
+}
+
+// RetryDump is what is left of the budget of retries.
+type RetryDump struct {
+	Service string  `json:"service"`
+	Left    float64 `json:"left"`
+}
+
+// Dump returns the state of the box.
+func (n *Node) Dump() Dump {
+	d := Dump{
+		Box:     n.settings.Box,
+		Region:  n.settings.Region,
+		Domain:  n.settings.Domain,
+		UptimeS: n.now().Seconds(),
+		Leaving: n.leaving.Load(),
+		AgeS:    (n.now() - time.Duration(n.read.Load())).Seconds(),
+	}
+	_ = n.state.Do(func(s *state) { s.dump(&d, n.now()) }) // it fails only when the box has ended
+	return d
+}
+
+func (s *state) dump(d *Dump, now time.Duration) {
+	d.Revision = s.content.Revision()
+	d.Closed = s.content.Evacuated()
+	for _, m := range s.roster.Members() {
+		d.Boxes = append(d.Boxes, BoxDump{
+			Box:    m.Status.Box,
+			Region: m.Status.Region,
+			State:  string(m.State()),
+			Alive:  s.roster.Alive(m.Status.Box, now),
+			AgeS:   (now - m.Heard).Seconds(),
+		})
+	}
+	for _, r := range s.view.Replicas() {
+		all := r.Load(now)
+		d.Replicas = append(d.Replicas, ReplicaDump{
+			ID:       r.ID(),
+			Service:  r.Info().Service,
+			Addr:     r.Info().Addr,
+			Leaving:  r.Info().Leaving,
+			Cold:     s.view.Pacer().IsCold(r.ID(), now),
+			Out:      r.Out(now),
+			Own:      r.Own().Requests,
+			All:      all.Requests,
+			Tokens:   all.Tokens,
+			Unread:   all.Unread,
+			Failing:  r.Failing(now),
+			Slow:     r.Slow(now),
+			Revision: r.Info().Revision,
+		})
+	}
+	if s.table == nil {
+		return
+	}
+	d.Policy = s.table.Version()
+	for _, svc := range s.table.Policy().Services {
+		d.Retries = append(d.Retries, RetryDump{
+			Service: svc.Name,
+			Left:    s.budget.Left(svc.Name, s.roster.Most(now), now),
+		})
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,216 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/cell"
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/exchange"
+	"github.com/havenrudder/havenrudder/ingress"
+	"github.com/havenrudder/havenrudder/meter"
+	"github.com/havenrudder/havenrudder/peer"
+	"github.com/havenrudder/havenrudder/roster"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	memoryShare = 60                     // percent of the limit from which the collector works harder
+	collectAt   = 50                     // percent of growth of the heap between collections: memory is dearer here than processor time
+	currentFor  = 3 * time.Second        // what is published counts as read of late for so long
+	idleReplica = 20 * time.Second       // a connection to a replica rests so long at most
+	idleBox     = 60 * time.Second       // the same between boxes: a new one takes 160 ms
+	stopEarly   = 400 * time.Millisecond // before the process is killed, it ends by itself
+)
+
+// Node is one box.
+type Node struct {
+	settings  Settings
+	adapter   Adapter
+	inc       int
+	started   time.Time
+	log       *decision.Log
+	meter     *meter.Meter
+	system    *cell.System
+	state     *cell.Cell[state]
+	table     atomic.Pointer[catalog.Table]
+	read      atomic.Int64 // when what is published was last read, in nanoseconds since the start
+	storeOK   atomic.Bool
+	leaving   atomic.Bool
+	pulling   atomic.Bool
+	behind    atomic.Int64
+	replicas  *exchange.Pool
+	boxes     *exchange.Pool
+	store     *exchange.Pool
+	peers     *peer.Pool
+	listeners listeners
+	links     []*roster.Link
+	feed      *catalog.Feed
+	tasks     sync.WaitGroup
+	told      chan struct{} // asks for the settings to be read again
+	bounds    Bounds        // in force; the task that reloads owns it
+	stop      chan struct{} // closed when a planned stop begins
+	once      sync.Once
+}
+
+// Option changes a Node.
+type Option func(*Node)
+
+// WithOutput sets where the log of decisions is written.
+func WithOutput(w io.Writer) Option {
+	return func(n *Node) { n.log = decision.New(n.settings.Box, w) }
+}
+
+// New returns a box with its listeners open.
+func New(s Settings, a Adapter, opts ...Option) (*Node, error) {
+	n := &Node{
+		settings: s,
+		adapter:  a,
+		inc:      int(time.Now().UnixMilli()),
+		started:  time.Now(),
+		stop:     make(chan struct{}),
+		told:     make(chan struct{}, 1),
+		bounds:   s.Bounds,
+	}
+	n.log = decision.New(s.Box, io.Discard)
+	for _, opt := range opts {
+		opt(n)
+	}
+	n.meter = meter.New(
+		meter.WithCatalogAge(func() time.Duration { return n.now() - time.Duration(n.read.Load()) }),
+		meter.WithDroppedLines(n.log.DroppedLines),
+	)
+	limitMemory(s.MemoryMB)
+	return n, n.listeners.open(s)
+}
+
+// limitMemory keeps the process well below the size at which it is killed.
+func limitMemory(mb int) {
+	debug.SetGCPercent(collectAt)
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20 * memoryShare / 100)
+	}
+}
+
+// now returns the monotonic clock of the box.
+func (n *Node) now() time.Duration { return time.Since(n.started) }
+
+// Run runs the box until ctx ends, at once, or until a planned stop is over.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	logging, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		_ = n.log.Run(logging) // it fails only when the output does, and there is nowhere else to say so
+	}()
+	n.build(ctx, cancel)
+	n.record(decision.Event{
+		Kind:   decision.Start,
+		Reason: "listening",
+		Detail: n.settings.Callers,
+	})
+	n.tasks.Go(func() { n.feed.Run(ctx) })
+	n.runGossip(ctx)
+	n.runReload(ctx)
+	n.serve(ctx, cancel)
+	<-ctx.Done()
+	n.tasks.Wait()
+	n.replicas.Close()
+	n.boxes.Close()
+	n.store.Close()
+	n.record(decision.Event{
+		Kind:   decision.Stop,
+		Reason: context.Cause(ctx).Error(),
+	})
+	stopLogging()
+	<-logged
+	return cause(ctx)
+}
+
+var errStopped = errors.New("stopped as planned")
+
+// cause returns why the box ended, nil for a planned end.
+func cause(ctx context.Context) error {
+	err := context.Cause(ctx)
+	if errors.Is(err, context.Canceled) || errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+func (n *Node) build(ctx context.Context, cancel context.CancelCauseFunc) {
+	broken := func(reason any) { cancel(errors.Newf("broken invariant: %v", reason)) }
+	n.system = cell.NewSystem(slog.New(slog.DiscardHandler), broken)
+	n.state = cell.New(ctx, n.system, "state", newState(n.settings, n.status(), n.now()))
+	n.replicas = exchange.NewPool(
+		exchange.WithIdleTime(idleReplica),
+		exchange.WithOnDial(func(string) { n.meter.Dial() }),
+	)
+	n.boxes = exchange.NewPool(exchange.WithIdleTime(idleBox))
+	n.store = exchange.NewPool()
+	dialer := &net.Dialer{
+		Timeout: peerDial,
+	}
+	n.peers = peer.NewPool(ctx, dialer.DialContext, func(peer.Method, int) {})
+	source := n.adapter.Source(n.store, Report{
+		Call: n.meter.StoreCall,
+		Bad:  n.badValue,
+	})
+	n.feed = catalog.NewFeed(source, n.takeUpdate,
+		catalog.WithHealth(n.storeHealth),
+		catalog.WithJitter(rand.Float64))
+}
+
+// status returns what never changes of this box's status.
+func (n *Node) status() wire.BoxStatus {
+	return wire.BoxStatus{
+		Box:     n.settings.Box,
+		Inc:     n.inc,
+		Region:  n.settings.Region,
+		Domain:  n.settings.Domain,
+		Callers: n.settings.Callers,
+		Peers:   n.peerAddr(),
+		Forward: n.forwardAddr(),
+	}
+}
+
+func (n *Node) forwardAddr() string {
+	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.Ports[0]))
+}
+
+func (n *Node) peerAddr() string {
+	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.Ports[1]))
+}
+
+// Leave begins a planned stop: the box is no longer named to callers, finishes
+// what is in flight and ends.
+func (n *Node) Leave() {
+	n.once.Do(func() {
+		n.leaving.Store(true)
+		n.record(decision.Event{
+			Kind:   decision.Stop,
+			Reason: "told to stop",
+		})
+		close(n.stop)
+	})
+}
+
+func (n *Node) record(e decision.Event) { n.log.Record(e) }
+
+// ingress returns the path of requests.
+func (n *Node) ingress() *ingress.Server {
+	return ingress.New(n.settings.Box, n.settings.Region, n.adapter.Codec, n.core(), n.replicas, n.boxes)
+}
--- /dev/null
+++ b/node/serve.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/common/sleep"
+	"github.com/havenrudder/havenrudder/decision"
+)
+
+const (
+	headerTimeout = 10 * time.Second // callers' own bound is shorter; this only frees what they left open
+	idleTimeout   = 90 * time.Second // callers may use a connection again after most of the policy's time, so this is longer
+	headerBytes   = 64 << 10
+	lameTime      = 3500 * time.Millisecond // callers hold an answer to "which box" for so long
+	directoryTTL  = time.Second             // of that answer; some callers hold it three times as long
+)
+
+// listeners are the open sockets of a box.
+type listeners struct {
+	callers   net.Listener
+	readiness net.Listener
+	directory net.Listener
+	boxes     net.Listener
+	peers     net.Listener
+	metrics   net.Listener // nil for none
+	packets   []net.PacketConn
+}
+
+func (l *listeners) open(s Settings) error {
+	port := func(i int) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[i])) }
+	wanted := []struct {
+		to   *net.Listener
+		addr string
+	}{
+		{&l.callers, s.Callers},
+		{&l.readiness, s.Readiness},
+		{&l.directory, s.Directory},
+		{&l.boxes, port(0)},
+		{&l.peers, port(1)},
+		{&l.metrics, s.Metrics},
+	}
+	for _, w := range wanted {
+		if w.addr == "" {
+			continue
+		}
+		opened, err := net.Listen("tcp", w.addr)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", w.addr)
+		}
+		*w.to = opened
+	}
+	for _, addr := range []string{port(1), s.Seed} {
+		if addr == "" {
+			continue
+		}
+		conn, err := net.ListenPacket("udp", addr)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", addr)
+		}
+		l.packets = append(l.packets, conn)
+	}
+	return nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+	}
+}
+
+// serve answers callers, boxes and the platform until ctx ends or a planned stop
+// is over.
+func (n *Node) serve(ctx context.Context, cancel context.CancelCauseFunc) {
+	path := n.ingress()
+	callers := newServer(path.Callers())
+	boxes := newServer(path.Boxes())
+	servers := []*http.Server{callers, boxes}
+	n.serveOn(cancel, callers, n.listeners.callers)
+	n.serveOn(cancel, boxes, n.listeners.boxes)
+	for l, h := range map[net.Listener]http.Handler{
+		n.listeners.readiness: n.adapter.Readiness(n.isReady),
+		n.listeners.directory: n.adapter.Directory(n.which, min(directoryTTL, n.settings.Bounds.DirectoryTTL)),
+		n.listeners.metrics:   n.operators(),
+	} {
+		if l == nil {
+			continue
+		}
+		s := newServer(h)
+		servers = append(servers, s)
+		n.serveOn(cancel, s, l)
+	}
+	context.AfterFunc(ctx, func() {
+		for _, s := range servers {
+			_ = s.Close() // the process ends
+		}
+	})
+	n.tasks.Go(func() { n.drain(ctx, cancel, callers, boxes) })
+}
+
+func (n *Node) serveOn(cancel context.CancelCauseFunc, s *http.Server, l net.Listener) {
+	n.tasks.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			cancel(errors.Wrapf(err, "serve on %s", l.Addr()))
+		}
+	})
+}
+
+// drain waits for a planned stop. Requests still come for a while, from callers
+// that hold an older answer to "which box"; then the box finishes what it has.
+func (n *Node) drain(ctx context.Context, cancel context.CancelCauseFunc, servers ...*http.Server) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-n.stop:
+	}
+	n.tell()
+	limit, stop := context.WithTimeout(ctx, n.settings.Bounds.StopWithin-stopEarly)
+	defer stop()
+	sleep.For(limit, min(lameTime, n.settings.Bounds.StopWithin/2))
+	for _, s := range servers {
+		if err := s.Shutdown(limit); err != nil {
+			n.record(decision.Event{
+				Kind:   decision.Stop,
+				Reason: "requests cut off",
+				Detail: err.Error(),
+			})
+		}
+	}
+	cancel(errStopped)
+}
+
+func (n *Node) isReady() bool { return n.table.Load() != nil && !n.leaving.Load() }
+
+// which answers which boxes a caller in a region should use.
+func (n *Node) which(region, _ string) (out []string) {
+	if region == "" {
+		region = n.settings.Region
+	}
+	_ = n.state.Do(func(s *state) { out = s.which(region, n.leaving.Load(), n.now()) })
+	return out
+}
+
+// operators serves the figures and the state of the box.
+func (n *Node) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", n.meter.Handler())
+	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.Dump()) // the operator has left when this fails
+	})
+	return mux
+}
--- /dev/null
+++ b/node/state.go
@@ -0,0 +1,216 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/havenrudder/havenrudder/budget"
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/ingress"
+	"github.com/havenrudder/havenrudder/pacing"
+	"github.com/havenrudder/havenrudder/placement"
+	"github.com/havenrudder/havenrudder/roster"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	sharersFor = 60 * time.Second // a box counts as one that may send to a cold replica so long after it was heard
+)
+
+// state is all that a box believes. It belongs to one actor, and takes the time
+// as an argument.
+type state struct {
+	settings Settings
+	roster   *roster.Table
+	view     *placement.View
+	budget   *budget.Budget
+	content  *catalog.Content
+	table    *catalog.Table  // nil until a policy is known
+	tableAt  time.Duration   // when it was last known to be the newest
+	alive    map[string]bool // boxes, as last written down
+	away     map[string]int  // tokens on their way to other regions that wait for their first byte
+	seq      int
+}
+
+func newState(s Settings, self wire.BoxStatus, now time.Duration) *state {
+	pacer := pacing.New(s.Box, coldTerms(s.Bounds), pacing.WithStart(now))
+	return &state{
+		settings: s,
+		roster:   roster.New(self, roster.WithSeeds(s.Seeds)),
+		view:     placement.NewView(s.Region, s.Domain, pacer),
+		budget:   budget.New(retryTerms(s.Bounds)),
+		content:  catalog.NewContent(),
+		alive:    make(map[string]bool),
+		away:     make(map[string]int),
+	}
+}
+
+func coldTerms(b Bounds) pacing.Terms {
+	return pacing.Terms{
+		Overage: b.ColdOverage,
+		Slack:   b.ColdSlack,
+	}
+}
+
+func retryTerms(b Bounds) budget.Terms {
+	return budget.Terms{
+		Ratio:  b.RetryRatio,
+		Window: b.RetryWindow,
+		Extra:  b.RetryExtra,
+	}
+}
+
+// take takes an update of the catalog in and returns what changed.
+func (s *state) take(u catalog.Update, now time.Duration) []placement.Belief {
+	if !s.content.Take(u) {
+		return nil
+	}
+	var out []placement.Belief
+	if p := s.content.Policy(); p != nil && (s.table == nil || p.Version > s.table.Version()) {
+		s.table = catalog.NewTable(*p)
+		s.view.SetTable(s.table)
+		out = append(out, placement.Belief{
+			Reason: "policy in force",
+			About:  fmt.Sprint(p.Version),
+		})
+	}
+	return append(out, s.view.Take(s.content, now)...)
+}
+
+// sharers returns the boxes of the region that may send to its replicas, this
+// one included: also those not heard of for a while, for a box that is cut off
+// from this one may still reach the replicas.
+func (s *state) sharers(now time.Duration) []string {
+	out := []string{s.settings.Box}
+	for _, m := range s.roster.Members() {
+		if m.Status.Region == s.settings.Region && now-m.Heard < sharersFor {
+			out = append(out, m.Status.Box)
+		}
+	}
+	return out
+}
+
+// hear takes another box's message in.
+func (s *state) hear(g wire.Gossip, now time.Duration) {
+	if s.roster.Hear(g.From, true, now) && g.From.Region == s.settings.Region {
+		loads := make([]placement.OwnLoad, 0, len(g.From.Loads))
+		for _, l := range g.From.Loads {
+			loads = append(loads, placement.OwnLoad{
+				Replica: l.Replica,
+				Failing: l.Failing,
+				Load: placement.Load{
+					Requests: l.InFlight,
+					Tokens:   l.Tokens,
+					Unread:   l.Prompt,
+				},
+			})
+		}
+		s.view.Told(g.From.Box, loads, now)
+	}
+	for _, o := range g.Others {
+		s.roster.Hear(o, false, now)
+	}
+}
+
+// fill adds to a status what changes.
+func (s *state) fill(b wire.BoxStatus, now time.Duration) wire.BoxStatus {
+	s.seq++
+	b.Seq = s.seq
+	b.Catalog = int(s.content.Revision())
+	if s.table == nil {
+		return b
+	}
+	b.Policy = s.table.Version()
+	for _, l := range s.view.Tell(now) {
+		b.Loads = append(b.Loads, wire.ReplicaLoad{
+			Replica:  l.Replica,
+			InFlight: l.Load.Requests,
+			Tokens:   l.Load.Tokens,
+			Prompt:   l.Load.Unread,
+			Failing:  l.Failing,
+		})
+	}
+	b.Rooms = s.rooms(now)
+	return b
+}
+
+// rooms tells other regions what this one's replicas can take.
+func (s *state) rooms(now time.Duration) []wire.ServiceRoom {
+	var out []wire.ServiceRoom
+	sharers := s.sharers(now)
+	for _, svc := range s.table.Policy().Services {
+		expect, usable, reason := s.view.Expect(placement.Request{
+			Service: svc.Name,
+		}, sharers, now)
+		if reason != placement.None {
+			expect = noRoom
+		}
+		out = append(out, wire.ServiceRoom{
+			Service: svc.Name,
+			Usable:  usable,
+			WaitMs:  int(expect.Milliseconds()),
+		})
+	}
+	return out
+}
+
+// place chooses where a request goes.
+func (s *state) place(ask ingress.Ask, now time.Duration, draw func(n int) int) ingress.Target {
+	sharers := s.sharers(now)
+	far, hasFar := s.bestAway(ask, now, draw)
+	if !ask.Route.Allows(s.settings.Region) {
+		if !hasFar {
+			return ingress.Target{
+				Reason: placement.Nothing,
+			}
+		}
+		return s.sendAway(ask, far)
+	}
+	expect, _, reason := s.view.Expect(ask.Request, sharers, now)
+	if reason == placement.None && hasFar && far.expect < expect-awayGain {
+		return s.sendAway(ask, far)
+	}
+	if reason == placement.None {
+		c := s.view.Pick(ask.Request, sharers, now)
+		return ingress.Target{
+			Choice: c,
+			Reason: c.Reason,
+			Wait:   c.Wait,
+		}
+	}
+	if hasFar {
+		return s.sendAway(ask, far)
+	}
+	c := s.view.Pick(ask.Request, sharers, now)
+	return ingress.Target{
+		Choice: c,
+		Reason: c.Reason,
+		Wait:   c.Wait,
+	}
+}
+
+// which returns the boxes to name to a caller in a region: the ready ones there,
+// or, where there is none, those of all other regions.
+func (s *state) which(region string, leaving bool, now time.Duration) []string {
+	out := s.serving(region, leaving, now)
+	if len(out) == 0 {
+		out = s.serving("", leaving, now)
+	}
+	slices.Sort(out)
+	return out[:min(len(out), maxNamed)]
+}
+
+// maxNamed is the most boxes that one answer to "which box" names.
+const maxNamed = 64
+
+func (s *state) serving(region string, leaving bool, now time.Duration) []string {
+	var out []string
+	for _, m := range s.roster.Serving(region, now) {
+		out = append(out, m.Status.Callers)
+	}
+	if !leaving && s.table != nil && (region == "" || region == s.settings.Region) {
+		out = append(out, s.settings.Callers)
+	}
+	return out
+}
--- /dev/null
+++ b/pacing/pacing_test.go
@@ -0,0 +1,244 @@
+package pacing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/common/rendezvous"
+)
+
+const replica = "replica-1"
+
+// usual gives a bound of 6.3 at a rate of 2.2 a second.
+var usual = Terms{
+	Overage: 1.5,
+	Slack:   3,
+}
+
+const (
+	rate = 2.2
+	late = time.Hour
+)
+
+func ExamplePacer_Take() {
+	p := New("a", Terms{
+		Overage: 1.5,
+		Slack:   3,
+	})
+	boxes := []string{"a", "b", "c"}
+	p.Cold("replica-1", 2.2, time.Minute)
+	now := 10 * time.Second
+	fmt.Println(p.Take("replica-1", boxes, now), p.Take("replica-1", boxes, now))
+	fmt.Println(p.Next("replica-1", boxes, now) - now)
+	// Output:
+	// true false
+	// 275ms
+}
+
+// greedy asks every millisecond in [from, to) and returns the times allowed.
+func greedy(p *Pacer, boxes []string, from, to time.Duration) []time.Duration {
+	var sent []time.Duration
+	for now := from; now < to; now += time.Millisecond {
+		if p.Take(replica, boxes, now) {
+			sent = append(sent, now)
+		}
+	}
+	return sent
+}
+
+func names(n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprintf("box-%d", i))
+	}
+	return out
+}
+
+func TestAColdReplicaIsUsed(t *testing.T) {
+	is := is.New(t)
+	boxes := names(3)
+	total := 0
+	for _, name := range boxes {
+		p := New(name, usual)
+		p.Cold(replica, rate, late)
+		total += len(greedy(p, boxes, 10*time.Second, 20*time.Second))
+	}
+	t.Logf("%d sends in 10 s", total)
+	is.True(total >= 40)
+	is.True(total <= 63)
+}
+
+func TestTheSharesAddUpToTheBoundAtMost(t *testing.T) {
+	for n := 1; n <= 12; n++ {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			boxes := names(n)
+			senders, total := 0, 0
+			for _, name := range boxes {
+				p := New(name, usual)
+				p.Cold(replica, rate, late)
+				sent := len(greedy(p, boxes, 10*time.Second, 10*time.Second+window))
+				total += sent
+				senders += min(sent, 1)
+			}
+			is.Equal(senders, min(n, 6))
+			is.True(total <= 6)
+			is.True(total >= 4)
+		})
+	}
+}
+
+func TestABoxOutsideTheTopWaitsUntilTheReplicaIsWarm(t *testing.T) {
+	is := is.New(t)
+	boxes := names(9)
+	last := rendezvous.Rank(replica, boxes)[8]
+	p := New(last, usual)
+	p.Cold(replica, rate, 20*time.Second)
+	is.Equal(p.Next(replica, boxes, 10*time.Second), 20*time.Second)
+	is.True(!p.Take(replica, boxes, 10*time.Second))
+	is.True(p.Take(replica, boxes, 20*time.Second))
+}
+
+func TestABoundBelowOneAllowsNothing(t *testing.T) {
+	is := is.New(t)
+	p := New("a", Terms{
+		Overage: 1.5,
+		Slack:   0,
+	})
+	p.Cold(replica, 0.5, late)
+	is.Equal(p.Next(replica, []string{"a"}, 10*time.Second), late)
+	p.SetTerms(usual)
+	is.True(p.Allow(replica, []string{"a"}, 10*time.Second))
+}
+
+func TestNoBoxesAllowNothing(t *testing.T) {
+	is := is.New(t)
+	p := New("a", usual)
+	p.Cold(replica, rate, late)
+	is.True(!p.Allow(replica, nil, 10*time.Second))
+	is.True(!p.Allow(replica, []string{"b"}, 10*time.Second))
+}
+
+func TestANewBoxWaitsForOneWindow(t *testing.T) {
+	is := is.New(t)
+	p := New("a", usual, WithStart(5*time.Second))
+	boxes := []string{"a"}
+	is.True(p.Take("other", boxes, 5*time.Second)) // not cold
+	p.Cold(replica, rate, late)
+	is.Equal(p.Next(replica, boxes, 5*time.Second), 5*time.Second+window)
+	is.Equal(greedy(p, boxes, 5*time.Second, 7*time.Second)[0], 5*time.Second+window)
+}
+
+func TestSendsAreSpread(t *testing.T) {
+	is := is.New(t)
+	p := New("a", usual)
+	p.Cold(replica, rate, late)
+	sent := greedy(p, []string{"a"}, 10*time.Second, 20*time.Second)
+	for i := range len(sent) - 1 {
+		is.True(sent[i+1]-sent[i] >= window/12)
+	}
+}
+
+func TestNextIsWhenTakeIsAllowed(t *testing.T) {
+	is := is.New(t)
+	p := New("a", usual)
+	p.Cold(replica, rate, late)
+	boxes := []string{"a", "b"}
+	now := 10 * time.Second
+	for range 20 {
+		is.True(p.Take(replica, boxes, now))
+		next := p.Next(replica, boxes, now)
+		is.True(next > now)
+		is.True(!p.Allow(replica, boxes, next-1))
+		now = next
+	}
+}
+
+func TestAllowCountsNothing(t *testing.T) {
+	is := is.New(t)
+	p := New("a", usual)
+	p.Cold(replica, rate, late)
+	for range 20 {
+		is.True(p.Allow(replica, []string{"a"}, 10*time.Second))
+	}
+}
+
+func TestTheLaterUntilStays(t *testing.T) {
+	is := is.New(t)
+	p := New("a", usual)
+	p.Cold(replica, rate, 20*time.Second)
+	p.Cold(replica, rate, 15*time.Second)
+	is.True(p.IsCold(replica, 19*time.Second))
+	is.True(!p.IsCold(replica, 20*time.Second))
+	p.Warm(replica)
+	is.True(!p.IsCold(replica, 15*time.Second))
+}
+
+func TestSendsBeforeItTurnedColdCount(t *testing.T) {
+	for _, n := range []int{1, 5, 6, 8, 9, 30} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			p := New("a", usual)
+			boxes := []string{"a"}
+			now := 10 * time.Second
+			for range n {
+				is.True(p.Take(replica, boxes, now))
+			}
+			now += 500 * time.Millisecond
+			p.Cold(replica, rate, late)
+			sent := greedy(p, boxes, now, 10*time.Second+window)
+			is.Equal(len(sent), max(0, 6-n))
+			is.True(p.Allow(replica, boxes, 10*time.Second+window))
+		})
+	}
+}
+
+func TestMoreSendsThanAreRememberedCountAsAFullShare(t *testing.T) {
+	is := is.New(t)
+	p := New("a", usual)
+	boxes := []string{"a"}
+	now := 10 * time.Second
+	for range 2 * maxRemembered {
+		is.True(p.Take(replica, boxes, now))
+		now += 10 * time.Millisecond
+	}
+	p.Cold(replica, 100, late) // a share of 153
+	lost := 10*time.Second + 70*time.Millisecond
+	is.Equal(p.Next(replica, boxes, now), lost+window)
+}
+
+func TestSendsCountAcrossWarmAndForget(t *testing.T) {
+	for _, drop := range []func(*Pacer, string){(*Pacer).Warm, (*Pacer).Forget} {
+		is := is.New(t)
+		p := New("a", usual)
+		boxes := []string{"a"}
+		p.Cold(replica, rate, late)
+		is.Equal(len(greedy(p, boxes, 10*time.Second, 11*time.Second)), 6)
+		drop(p, replica)
+		is.True(p.Allow(replica, boxes, 11*time.Second))
+		p.Cold(replica, rate, late)
+		is.True(!p.Allow(replica, boxes, 11*time.Second))
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	p := New("a", usual)
+	for n := range 3 * maxWarm {
+		name := fmt.Sprint(n)
+		now := time.Duration(n) * time.Second
+		p.Cold(name, rate, now+time.Second)
+		is.True(p.Take(name, []string{"a"}, now+2*time.Second))
+		for range 2 * maxRemembered {
+			is.True(p.Take(name, []string{"a"}, now+2*time.Second))
+		}
+	}
+	is.Equal(len(p.cold), 0)
+	is.Equal(p.warm.Len(), maxWarm)
+	for _, h := range p.warm.Values() {
+		is.True(len(h.times) <= maxRemembered)
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -26,6 +26,7 @@
 	Part      Method = "part"     // wire.PartRequest, answered by wire.Part
 	Announce  Method = "announce" // wire.Announce, answered by wire.Announced
 	Seal      Method = "seal"     // wire.Seal, answered by wire.Sealed
+	Catalog   Method = "catalog"  // answered by catalog.Snapshot
 )
 
 // Handler answers one message; its answer is left out for a notification.
--- /dev/null
+++ b/placement/outcome.go
@@ -0,0 +1,98 @@
+package placement
+
+import "time"
+
+// Result is what became of a request at a replica.
+type Result int
+
+// Results.
+const (
+	Answered    Result = iota // a whole answer of its own
+	Failed                    // an answer that says it failed
+	Refused                   // it said that it did not run the request
+	Unreachable               // no connection could be made
+	Silent                    // the request was sent, and no answer or only part of it came
+	Abandoned                 // the caller left or its time was up; says nothing of the replica
+	Misdirected               // another replica has the address
+)
+
+// First takes in that the first byte of an answer came after so long.
+func (v *View) First(c *Choice, took, now time.Duration) {
+	r := c.grant.gen
+	if r == nil {
+		return
+	}
+	r.seenFirst(took, c.Expect, now)
+	r.answered(now)
+	r.own.Unread -= c.grant.load.Unread
+	c.grant.load.Unread = 0
+}
+
+// Heard takes in that a replica goes on with an answer.
+func (v *View) Heard(c *Choice, now time.Duration) {
+	if r := c.grant.gen; r != nil {
+		r.heard = now
+	}
+}
+
+// Quiet returns how long nothing came from the replica of a choice, to this box,
+// counted from when it was last heard or the request was sent at the latest.
+func (v *View) Quiet(c *Choice, sent, now time.Duration) time.Duration {
+	r := c.grant.gen
+	if r == nil {
+		return 0
+	}
+	return now - max(r.heard, sent)
+}
+
+// End counts a request out and takes in what became of it. It returns true when
+// the replica is left out from now on.
+func (v *View) End(c *Choice, result Result, hold, now time.Duration) bool {
+	r := c.grant.gen
+	if r == nil {
+		return false
+	}
+	c.grant.gen = nil
+	l := c.grant.load
+	r.own.Requests -= l.Requests
+	r.own.Tokens -= l.Tokens
+	r.own.Unread -= l.Unread
+	wasOut := r.Out(now)
+	switch result {
+	case Answered:
+		r.outcome(false, now)
+		r.took(hold)
+		r.answered(now)
+	case Failed:
+		r.outcome(true, now)
+		r.answered(now)
+	case Refused:
+		r.answered(now)
+	case Silent:
+		r.outcome(true, now)
+		r.muted++
+		if r.muted >= mutedOut {
+			v.leaveOut(r, now)
+		}
+	case Unreachable:
+		r.outcome(true, now)
+		r.failures++
+		if r.failures >= failuresOut {
+			v.leaveOut(r, now)
+		}
+	case Misdirected:
+		v.leaveOut(r, now)
+	case Abandoned:
+	}
+	return !wasOut && r.Out(now)
+}
+
+// leaveOut gives a replica no work for a while. When it is back it may be cold,
+// so it gets work at the pace of a cold one until it is known better.
+func (v *View) leaveOut(r *Replica, now time.Duration) {
+	r.leaveOut(now)
+	if r.service == nil {
+		return
+	}
+	v.chillReturn(r, r.outUntil)
+}
--- /dev/null
+++ b/placement/pick.go
@@ -0,0 +1,304 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/havenrudder/havenrudder/common/rendezvous"
+)
+
+// Figures of the expected wait. Those of engines come from the sheet of the
+// first users' engines; a replica that differs is found by its outcomes.
+const (
+	readRate    = 36.0                    // prompt tokens that an engine reads in a millisecond, with steps in between
+	stepBase    = 12 * time.Millisecond   // until an idle engine's first event, the prompt apart
+	stepPerKilo = 0.12                    // milliseconds that an event of five tokens takes longer for each 1,000 tokens in memory
+	memoryFull  = 0.97                    // share of memory up to which requests are sent; above it an engine preempts
+	memoryTight = 0.75                    // share of memory from which more requests cost others
+	memoryCost  = 1500 * time.Millisecond // of a full memory, against an empty one
+	engineQueue = 0.5                     // requests that may wait at an engine, as a share of its slots
+	plainQueue  = 3.0                     // the same of a plain service, whose queue is four times its slots
+	failCost    = 1200 * time.Millisecond // of a replica that fails every request
+	firstBonus  = 0.35                    // share of a part's reading time that the first in its rank is favoured by
+	readAgain   = 1.3                     // what reading a shared part costs over its own time, for others wait as well
+	crossDomain = 3 * time.Millisecond    // of going to another failure domain: bytes there have a price
+	answerShare = 0.6                     // of an answer's tokens that a request holds on average while it runs
+	defaultOut  = 100                     // tokens of an answer that nothing is known of
+)
+
+// Request is what a decision needs of a request.
+type Request struct {
+	Service string
+	Key     string // of the request itself, which spreads those without shared parts
+	Parts   []Part // shared parts of the prompt, in order
+	Prompt  int    // tokens of the prompt; 0 for a plain service
+	Out     int    // expected tokens of the answer
+	Tried   []string
+}
+
+// Reason says why a replica was not chosen, or why none was.
+type Reason string
+
+// Reasons.
+const (
+	None     Reason = ""
+	Unlisted Reason = "not listed"
+	Leaving  Reason = "leaving"
+	Closed   Reason = "failure domain closed"
+	Tried    Reason = "tried before"
+	Out      Reason = "out of reach"
+	Paced    Reason = "cold, paced"
+	Full     Reason = "full"
+	Nothing  Reason = "no replica"
+)
+
+// Choice is the outcome of a decision. When Reason isn't None, there is no
+// replica, and Wait says when there may be one.
+type Choice struct {
+	Replica string
+	Addr    string
+	Reason  Reason
+	Wait    time.Duration
+	Expect  time.Duration // until the first byte
+	Missing int           // shared tokens to be read
+	Load    Load          // work at the replica before
+	AgeMs   int64         // of the oldest belief about other boxes' work
+	grant   grant
+}
+
+// grant is what a choice counted in.
+type grant struct {
+	load Load
+	gen  *Replica
+}
+
+// weighed is a candidate with what decides.
+type weighed struct {
+	r       *Replica
+	cost    time.Duration
+	expect  time.Duration
+	missing int
+	load    Load
+}
+
+// Pick chooses the replica with the least cost and counts the request in. boxes
+// are the boxes of the region that may be alive, this one included.
+func (v *View) Pick(req Request, boxes []string, now time.Duration) Choice {
+	best, none := v.best(req, boxes, now)
+	if best.r == nil {
+		return none
+	}
+	if !v.pacer.Take(best.r.info.ID, boxes, now) {
+		return Choice{
+			Reason: Paced,
+			Wait:   v.pacer.Next(best.r.info.ID, boxes, now),
+		}
+	}
+	g := grant{
+		gen: best.r,
+		load: Load{
+			Requests: 1,
+		},
+	}
+	if req.Prompt > 0 {
+		g.load.Tokens = req.Prompt + int(answerShare*float64(cmp.Or(req.Out, defaultOut)))
+		g.load.Unread = best.missing + req.own()
+		best.r.keep(req.Parts, now)
+	}
+	best.r.own = best.r.own.plus(g.load)
+	return Choice{
+		Replica: best.r.info.ID,
+		Addr:    best.r.info.Addr,
+		Expect:  best.expect,
+		Missing: best.missing,
+		Load:    best.load,
+		grant:   g,
+	}
+}
+
+// Expect returns the expected time to the first byte of a request here, without
+// counting it in, and the number of replicas that could take one.
+func (v *View) Expect(req Request, boxes []string, now time.Duration) (time.Duration, int, Reason) {
+	best, none := v.best(req, boxes, now)
+	usable := 0
+	for _, r := range v.byName {
+		if r.info.Service == req.Service && v.unusable(r, req, now) == None {
+			usable++
+		}
+	}
+	return best.expect, usable, none.Reason
+}
+
+// own returns the tokens of the prompt that no other request shares.
+func (req *Request) own() int {
+	n := req.Prompt
+	for _, p := range req.Parts {
+		n -= p.Tokens
+	}
+	return max(n, 0)
+}
+
+// subject returns the key by which requests with the same shared parts go to the
+// same replicas.
+func (req *Request) subject() string {
+	if n := len(req.Parts); n > 0 {
+		return req.Parts[n-1].ID
+	}
+	return req.Key
+}
+
+func (v *View) best(req Request, boxes []string, now time.Duration) (best weighed, none Choice) {
+	none.Reason = Nothing
+	first := v.first(req, now)
+	for _, r := range v.byName {
+		if r.info.Service != req.Service {
+			continue
+		}
+		reason := v.unusable(r, req, now)
+		wait := time.Duration(0)
+		if reason == None && !v.pacer.Allow(r.info.ID, boxes, now) {
+			reason = Paced
+			wait = v.pacer.Next(r.info.ID, boxes, now)
+		}
+		w := v.weigh(r, req, r == first, now)
+		if reason == None && v.full(r, w.load, req) {
+			reason = Full
+			wait = v.queueing(r, w.load)
+		}
+		if reason != None {
+			none.note(reason, wait)
+			continue
+		}
+		if best.r == nil || w.cost < best.cost {
+			best = w
+		}
+	}
+	if best.r != nil {
+		none.Reason = None
+	}
+	return best, none
+}
+
+// note keeps the reason that can be waited for in preference to others.
+func (c *Choice) note(reason Reason, wait time.Duration) {
+	switch {
+	case wait > 0 && (c.Wait == 0 || wait < c.Wait):
+		c.Wait = wait
+		c.Reason = reason
+	case c.Wait == 0:
+		c.Reason = reason
+	}
+}
+
+// unusable says why a replica may get nothing at all, whatever its load.
+func (v *View) unusable(r *Replica, req Request, now time.Duration) Reason {
+	switch {
+	case !r.listed:
+		return Unlisted
+	case r.info.Leaving:
+		return Leaving
+	case v.closed[r.info.Domain]:
+		return Closed
+	case slices.Contains(req.Tried, r.info.ID):
+		return Tried
+	case r.Out(now):
+		return Out
+	}
+	return None
+}
+
+// first returns the usable replica with the highest weight for the request's
+// shared parts, nil for none. Boxes of one region agree on it without talking.
+func (v *View) first(req Request, now time.Duration) *Replica {
+	var best *Replica
+	var top uint64
+	if len(req.Parts) == 0 {
+		return nil
+	}
+	key := req.subject()
+	for _, r := range v.byName {
+		if r.info.Service != req.Service || v.unusable(r, req, now) != None {
+			continue
+		}
+		if score := rendezvous.Score(key, r.info.ID); best == nil || score > top {
+			best = r
+			top = score
+		}
+	}
+	return best
+}
+
+func (v *View) weigh(r *Replica, req Request, first bool, now time.Duration) weighed {
+	w := weighed{
+		r:    r,
+		load: r.Load(now),
+	}
+	if r.service == nil || r.service.Engine == nil {
+		w.expect = scale(r.Slow(now), v.queueing(r, w.load)+cmp.Or(r.hold, defaultHold))
+		w.cost = w.expect
+	} else {
+		v.weighEngine(&w, req, first, now)
+	}
+	w.cost += scale(r.Failing(now), failCost)
+	if r.info.Domain != v.domain {
+		w.cost += crossDomain
+	}
+	return w
+}
+
+func (v *View) weighEngine(w *weighed, req Request, first bool, now time.Duration) {
+	w.missing = w.r.missing(req.Parts, now)
+	if first && w.missing > 0 {
+		w.missing = int((1 - firstBonus) * float64(w.missing))
+	}
+	wait := reading(w.load.Unread) + v.queueing(w.r, w.load)
+	step := time.Duration(stepPerKilo * float64(w.load.Tokens) / 1000 * float64(time.Millisecond))
+	w.expect = scale(w.r.Slow(now), stepBase+step+wait+reading(w.missing+req.own()))
+	w.cost = w.expect + scale(readAgain-1, reading(w.missing)) + w.r.crowding(w.load, req)
+}
+
+// crowding returns what one more request costs the others at an engine whose
+// memory is nearly full: it preempts some, and these are read again.
+func (r *Replica) crowding(l Load, req Request) time.Duration {
+	share := r.memory(l, req)
+	if share <= memoryTight {
+		return 0
+	}
+	over := min((share-memoryTight)/(1-memoryTight), 2)
+	return scale(over*over, memoryCost)
+}
+
+// memory returns the share of an engine's memory that is taken with req there.
+func (r *Replica) memory(l Load, req Request) float64 {
+	if r.service == nil || r.service.Engine == nil || r.service.Engine.Memory <= 0 {
+		return 0
+	}
+	return float64(l.Tokens+req.Prompt) / float64(r.service.Engine.Memory)
+}
+
+// full says whether a replica would make the request wait behind too many.
+func (v *View) full(r *Replica, l Load, req Request) bool {
+	slots := float64(r.slots())
+	if r.service != nil && r.service.Engine != nil {
+		return float64(l.Requests) >= slots*(1+engineQueue) || r.memory(l, req) > memoryFull
+	}
+	return float64(l.Requests) >= slots*(1+plainQueue)
+}
+
+// queueing returns the expected wait for a slot.
+func (v *View) queueing(r *Replica, l Load) time.Duration {
+	slots := r.slots()
+	if l.Requests < slots {
+		return 0
+	}
+	ahead := float64(l.Requests-slots+1) / float64(slots)
+	return scale(ahead, cmp.Or(r.hold, defaultHold))
+}
+
+// reading returns the time that an engine takes to read tokens of prompts.
+func reading(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
+}
+
+func scale(f float64, d time.Duration) time.Duration { return time.Duration(f * float64(d)) }
--- /dev/null
+++ b/placement/replica.go
@@ -0,0 +1,196 @@
+// Package placement chooses the replica for a request from what a box knows: its
+// own requests exactly, those of other boxes as they last told, and the outcomes
+// seen. It is pure: time comes in as an argument, and nothing is sent from here.
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/decay"
+)
+
+const (
+	failHalf     = 3 * time.Second  // time in which half of a replica's share of failures is forgotten
+	failWeight   = 0.2              // weight of the newest outcome in that share
+	slowHalf     = 8 * time.Second  // time in which half of a replica's slowness is forgotten
+	slowWeight   = 0.25             // weight of the newest observation of slowness
+	slowBound    = 2.5              // bound of one observation, a natural logarithm
+	holdWeight   = 0.1              // weight of the newest time that a request took
+	firstOut     = 1 * time.Second  // a replica that can't be reached is left out so long, then twice as long
+	longestOut   = 8 * time.Second  // so that one that is back is used within the time that returns are judged by
+	failuresOut  = 2                // failures to connect in a row until it is left out
+	mutedOut     = 3                // requests in a row without any answer until it is left out
+	warmParts    = 512              // prompt parts remembered of one replica; about its memory over a small part
+	warmFor      = 20 * time.Second // a part not used for longer has probably given way
+	othersFor    = 1 * time.Second  // what another box told counts so long; four of its messages
+	defaultHold  = 40 * time.Millisecond
+	startingLoad = 16 // slots of a replica that tells none
+)
+
+// Load is work that one box has at a replica.
+type Load struct {
+	Requests int // in flight
+	Tokens   int // of memory that they hold or will hold
+	Unread   int // prompt tokens still to be read
+}
+
+func (l Load) plus(o Load) Load {
+	return Load{
+		Requests: l.Requests + o.Requests,
+		Tokens:   l.Tokens + o.Tokens,
+		Unread:   l.Unread + o.Unread,
+	}
+}
+
+// told is what another box said of its work at a replica.
+type told struct {
+	load Load
+	at   time.Duration
+}
+
+// Replica is what a box knows of one replica.
+type Replica struct {
+	info    catalog.Replica
+	service *catalog.Service // nil while the policy has none of that name
+	listed  bool             // the catalog holds it
+	own     Load
+	others  map[string]told // by box
+
+	failures int           // failures to connect in a row
+	muted    int           // requests without any answer in a row
+	outUntil time.Duration // it gets no work until then
+	outFor   time.Duration // the next time it is left out for
+	failed   float64       // share of failures among outcomes of late
+	failedAt time.Duration
+	slow     float64 // natural logarithm of times to the first byte over the expected ones
+	slowAt   time.Duration
+	hold     time.Duration // smoothed time of a request; 0 when not known
+	heard    time.Duration // when bytes last came from it
+	warm     map[string]time.Duration
+}
+
+// ID returns the replica's id.
+func (r *Replica) ID() string { return r.info.ID }
+
+// Info returns what is published of the replica.
+func (r *Replica) Info() catalog.Replica { return r.info }
+
+// Own returns this box's work there.
+func (r *Replica) Own() Load { return r.own }
+
+// Load returns all work there, as believed at now.
+func (r *Replica) Load(now time.Duration) Load {
+	l := r.own
+	for _, o := range r.others {
+		if now-o.at < othersFor {
+			l = l.plus(o.load)
+		}
+	}
+	return l
+}
+
+// Failing returns the share of failures among its outcomes of late.
+func (r *Replica) Failing(now time.Duration) float64 {
+	return r.failed * decay.Left(now-r.failedAt, failHalf)
+}
+
+// Slow returns how much longer than expected it takes; 1 for as expected.
+func (r *Replica) Slow(now time.Duration) float64 {
+	return math.Exp(r.slow * decay.Left(now-r.slowAt, slowHalf))
+}
+
+// Out says whether it is left out at now because it could not be reached.
+func (r *Replica) Out(now time.Duration) bool { return now < r.outUntil }
+
+func (r *Replica) slots() int {
+	switch {
+	case r.info.Slots > 0:
+		return r.info.Slots
+	case r.service != nil && r.service.Engine != nil && r.service.Engine.Slots > 0:
+		return r.service.Engine.Slots
+	}
+	return startingLoad
+}
+
+// missing returns the tokens of shared parts that have to be read there. Only a
+// beginning of the prompt can be kept.
+func (r *Replica) missing(parts []Part, now time.Duration) int {
+	n := 0
+	kept := true
+	for _, p := range parts {
+		at, ok := r.warm[p.ID]
+		kept = kept && ok && now-at < warmFor
+		if !kept {
+			n += p.Tokens
+		}
+	}
+	return n
+}
+
+// keep remembers that parts were read there.
+func (r *Replica) keep(parts []Part, now time.Duration) {
+	if len(r.warm) > warmParts {
+		r.dropOldParts(now)
+	}
+	for _, p := range parts {
+		r.warm[p.ID] = now
+	}
+}
+
+func (r *Replica) dropOldParts(now time.Duration) {
+	for id, at := range r.warm {
+		if now-at > warmFor/2 {
+			delete(r.warm, id)
+		}
+	}
+	if len(r.warm) > warmParts {
+		clear(r.warm)
+	}
+}
+
+// outcome takes in whether a request failed there.
+func (r *Replica) outcome(failed bool, now time.Duration) {
+	seen := 0.0
+	if failed {
+		seen = 1
+	}
+	old := r.Failing(now)
+	r.failed = old + failWeight*(seen-old)
+	r.failedAt = now
+}
+
+// leaveOut leaves the replica out for a time that doubles until it answers.
+func (r *Replica) leaveOut(now time.Duration) {
+	r.outFor = min(max(2*r.outFor, firstOut), longestOut)
+	r.outUntil = now + r.outFor
+}
+
+// answered takes in that bytes came from it.
+func (r *Replica) answered(now time.Duration) {
+	r.heard = now
+	r.failures = 0
+	r.muted = 0
+	r.outFor = 0
+	r.outUntil = 0
+}
+
+func (r *Replica) seenFirst(took, expected, now time.Duration) {
+	if took <= 0 || expected <= 0 {
+		return
+	}
+	seen := math.Log(float64(took) / float64(expected))
+	seen = max(min(seen, slowBound), -slowBound)
+	old := r.slow * decay.Left(now-r.slowAt, slowHalf)
+	r.slow = max(old+slowWeight*(seen-old), 0)
+	r.slowAt = now
+}
+
+func (r *Replica) took(hold time.Duration) {
+	if r.hold == 0 {
+		r.hold = hold
+		return
+	}
+	r.hold += time.Duration(holdWeight * float64(hold-r.hold))
+}
--- /dev/null
+++ b/placement/view.go
@@ -0,0 +1,241 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/pacing"
+)
+
+const (
+	forgetAfter = 30 * time.Second // a replica that is gone and idle is forgotten after this
+	returnPace  = 3 * time.Second  // a replica that was out of reach may be cold when it is back, where the policy doesn't say for how long
+)
+
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// View is what a box knows of the replicas of its region. It belongs to one
+// actor.
+type View struct {
+	region   string
+	domain   string
+	table    *catalog.Table // nil until there is a policy
+	replicas map[string]*Replica
+	byName   []*Replica // in the order of ids
+	closed   map[string]bool
+	pacer    *pacing.Pacer
+}
+
+// NewView returns the view of a box in a failure domain of a region.
+func NewView(region, domain string, pacer *pacing.Pacer) *View {
+	return &View{
+		region:   region,
+		domain:   domain,
+		replicas: make(map[string]*Replica),
+		closed:   make(map[string]bool),
+		pacer:    pacer,
+	}
+}
+
+// Pacer returns what bounds the requests to cold replicas.
+func (v *View) Pacer() *pacing.Pacer { return v.pacer }
+
+// Replicas returns all replicas known, in the order of their ids.
+func (v *View) Replicas() []*Replica { return v.byName }
+
+// Get returns a replica, nil for none of that id.
+func (v *View) Get(id string) *Replica { return v.replicas[id] }
+
+// Closed says whether the replicas of a failure domain get no work.
+func (v *View) Closed(domain string) bool { return v.closed[domain] }
+
+// SetTable takes a newer policy in.
+func (v *View) SetTable(t *catalog.Table) {
+	v.table = t
+	for _, r := range v.replicas {
+		r.service = t.Service(r.info.Service)
+	}
+}
+
+// Belief is a change of what is believed.
+type Belief struct {
+	About  string // a replica or failure domain
+	Reason string // what is believed of it now
+	Region string
+	Rev    int64 // revision of what is published that says so
+}
+
+// Take brings the view to what the catalog holds.
+func (v *View) Take(c *catalog.Content, now time.Duration) []Belief {
+	var news []Belief
+	seen := make(map[string]bool)
+	for _, info := range c.Replicas() {
+		if info.Region == v.region {
+			seen[info.ID] = true
+			news = v.takeReplica(news, info, now)
+		}
+	}
+	for id, r := range v.replicas {
+		if !seen[id] && r.listed {
+			r.listed = false
+			r.heard = now
+			news = append(news, Belief{
+				About:  id,
+				Reason: "replica no longer listed",
+				Rev:    c.Revision(),
+			})
+		}
+		if !r.listed && r.own.Requests == 0 && now-r.heard > forgetAfter {
+			delete(v.replicas, id)
+			v.pacer.Forget(id)
+		}
+	}
+	news = v.takeClosed(news, c, now)
+	v.byName = make([]*Replica, 0, len(v.replicas))
+	for _, id := range slices.Sorted(maps.Keys(v.replicas)) {
+		v.byName = append(v.byName, v.replicas[id])
+	}
+	return news
+}
+
+func (v *View) takeReplica(news []Belief, info catalog.Replica, now time.Duration) []Belief {
+	r, ok := v.replicas[info.ID]
+	if !ok {
+		r = &Replica{
+			others: make(map[string]told),
+			warm:   make(map[string]time.Duration),
+			heard:  now,
+		}
+		v.replicas[info.ID] = r
+	}
+	changed := info.Revision != r.info.Revision || !ok
+	leaves := info.Leaving && !r.info.Leaving
+	info.Leaving = info.Leaving || r.info.Leaving // a replica that leaves doesn't come back
+	r.info = info
+	r.listed = true
+	if v.table != nil {
+		r.service = v.table.Service(info.Service)
+	}
+	if changed && info.ColdLeft > 0 {
+		v.chill(r, info.ColdLeft.Duration(), now)
+	}
+	if changed {
+		news = append(news, Belief{
+			About:  info.ID,
+			Reason: describe(info, ok, leaves),
+			Rev:    info.Revision,
+		})
+	}
+	return news
+}
+
+func describe(info catalog.Replica, known, leaves bool) string {
+	switch {
+	case leaves:
+		return "replica leaving"
+	case info.ColdLeft > 0:
+		return "replica cold"
+	case !known:
+		return "replica listed"
+	}
+	return "replica changed"
+}
+
+// chill notes that a replica is cold for so long.
+func (v *View) chill(r *Replica, left, now time.Duration) {
+	if r.service == nil || r.service.ColdPerSecond <= 0 {
+		return
+	}
+	v.pacer.Cold(r.info.ID, r.service.ColdPerSecond, now+left)
+	clear(r.warm)
+}
+
+// chillReturn notes that a replica which got no work for a while may be cold.
+func (v *View) chillReturn(r *Replica, now time.Duration) {
+	left := returnPace
+	if r.service != nil && r.service.ColdFor > 0 {
+		left = r.service.ColdFor.Duration()
+	}
+	v.chill(r, left, now)
+}
+
+func (v *View) takeClosed(news []Belief, c *catalog.Content, now time.Duration) []Belief {
+	closed := make(map[string]bool)
+	for _, d := range c.Evacuated() {
+		closed[d] = true
+		if !v.closed[d] {
+			news = append(news, Belief{
+				About:  d,
+				Reason: "failure domain closed",
+				Rev:    c.Revision(),
+			})
+		}
+	}
+	for d := range v.closed {
+		if !closed[d] {
+			v.reopen(d, now)
+			news = append(news, Belief{
+				About:  d,
+				Reason: "failure domain open again",
+				Rev:    c.Revision(),
+			})
+		}
+	}
+	v.closed = closed
+	return news
+}
+
+// reopen gives the replicas of a failure domain work again, at the pace of cold
+// ones, for they had none.
+func (v *View) reopen(domain string, now time.Duration) {
+	for _, r := range v.replicas {
+		if r.info.Domain == domain {
+			v.chillReturn(r, now)
+		}
+	}
+}
+
+// Told takes in all that another box says of its work at replicas. Where it
+// names none, it has none.
+func (v *View) Told(box string, loads []OwnLoad, now time.Duration) {
+	for _, r := range v.replicas {
+		delete(r.others, box)
+	}
+	for _, l := range loads {
+		if r, ok := v.replicas[l.Replica]; ok {
+			r.others[box] = told{
+				load: l.Load,
+				at:   now,
+			}
+		}
+	}
+}
+
+// OwnLoad is this box's work at one replica.
+type OwnLoad struct {
+	Replica string
+	Load    Load
+	Failing bool
+}
+
+// Tell returns this box's work at every replica where it has any, or where
+// another box may still count it.
+func (v *View) Tell(now time.Duration) []OwnLoad {
+	var out []OwnLoad
+	for _, r := range v.byName {
+		if r.own != (Load{}) || r.Out(now) {
+			out = append(out, OwnLoad{
+				Replica: r.info.ID,
+				Load:    r.own,
+				Failing: r.Out(now),
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/roster/codec_test.go
@@ -0,0 +1,214 @@
+package roster
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/havenrudder/havenrudder/internal/fixed"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// full returns a status with all its fields, as in a deployment of long names.
+func full(box string, rooms, loads int) wire.BoxStatus {
+	s := wire.BoxStatus{
+		Box:     box,
+		Callers: "127.0.0.1:41001",
+		Catalog: 412,
+		Calls:   123.4,
+		Domain:  "north-hall-2",
+		Forward: "127.0.0.1:41003",
+		Inc:     1796200000000,
+		Peers:   "127.0.0.1:41002",
+		Policy:  31,
+		Region:  "north",
+		Seq:     123456,
+		State:   wire.ServingStateServing,
+	}
+	for i := range rooms {
+		s.Rooms = append(s.Rooms, wire.ServiceRoom{
+			Service: fmt.Sprintf("a-service-%02d", i),
+			Usable:  32,
+			WaitMs:  1200,
+		})
+	}
+	for i := range loads {
+		s.Loads = append(s.Loads, wire.ReplicaLoad{
+			Replica:  fmt.Sprintf("replica-%03d", i),
+			InFlight: 12,
+			Tokens:   100000 + i,
+			Prompt:   23456,
+		})
+	}
+	return s
+}
+
+func ExampleEncode() {
+	buf, err := Encode(wire.Gossip{
+		From: wire.BoxStatus{
+			Box:    "a",
+			Inc:    1,
+			Seq:    7,
+			Region: "north",
+		},
+		Ask: true,
+	})
+	fmt.Println(string(buf), err)
+	// Output: {"a":{"b":"a","i":1,"n":7,"r":"north"},"q":true} <nil>
+}
+
+func TestSizesOfStatuses(t *testing.T) {
+	is := is.New(t)
+	bare := size(compact(full("north-hall-2-front-12", 0, 0), statusBytes))
+	rooms := size(compact(full("north-hall-2-front-12", 2, 0), statusBytes))
+	load := size(full("b", 0, 1).Loads[0])
+	t.Logf("status %d bytes, with two rooms %d, one load %d", bare, rooms, load)
+	is.True(bare <= 190)
+	is.True(rooms <= 290)
+	is.True(load <= 60)
+	is.True(rooms+3*(bare+1) > othersBytes) // so a digest has four at most, three or so with rooms
+	is.True(rooms+2*(bare+1) <= othersBytes)
+}
+
+func TestADatagramLeavesOutTheLeastLoadedAndKeepsTheFailing(t *testing.T) {
+	is := is.New(t)
+	s := full("a", 2, 40)
+	s.Loads[0].Failing = true
+	s.Loads[0].Tokens = 0
+	buf, err := Encode(wire.Gossip{
+		From:   s,
+		Others: []wire.BoxStatus{full("b", 2, 5)},
+	})
+	is.NoErr(err)
+	is.True(len(buf) <= datagramBytes)
+	g, err := Decode(buf)
+	is.NoErr(err)
+	is.Equal(len(g.Others), 1)
+	is.Equal(len(g.Others[0].Loads), 0)
+	is.Equal(len(g.From.Rooms), 2)
+	is.True(len(g.From.Loads) > 5)
+	is.Equal(g.From.Loads[0].Replica, "replica-000")
+	is.Equal(g.From.Loads[1].Replica, "replica-039")
+	is.Equal(len(s.Loads), 40) // what was given is as before
+	is.Equal(s.Loads[1].Replica, "replica-001")
+}
+
+func TestRoomsBeyondTheirLimitAreLeftOutFromTheEnd(t *testing.T) {
+	is := is.New(t)
+	buf, err := Encode(wire.Gossip{
+		From: full("a", 100, 1),
+	})
+	is.NoErr(err)
+	g, err := Decode(buf)
+	is.NoErr(err)
+	is.True(len(g.From.Rooms) > 2)
+	is.Equal(g.From.Rooms[0].Service, "a-service-00")
+	is.Equal(len(g.From.Loads), 1)
+}
+
+func TestASenderThatDoesNotFitIsAnError(t *testing.T) {
+	is := is.New(t)
+	s := full("a", 0, 0)
+	s.Domain = strings.Repeat("\x01", 300) // six bytes each in JSON
+	_, err := Encode(wire.Gossip{
+		From: s,
+	})
+	is.True(errors.Is(err, ErrTooLarge))
+	s = full("a", 0, 0)
+	s.Calls = math.NaN()
+	_, err = Encode(wire.Gossip{
+		From: s,
+	})
+	is.True(err != nil)
+}
+
+func TestMalformedDatagramsAreErrors(t *testing.T) {
+	cases := []string{
+		``,
+		`{`,
+		`null`,
+		`{}`,
+		`[]`,
+		`{"a":null}`,
+		`{"a":{"b":"","i":1,"n":1,"r":"x"}}`,
+		`{"a":{"b":"x","i":0,"n":1,"r":"x"}}`,
+		`{"a":{"b":"x","i":1,"n":-1,"r":"x"}}`,
+		`{"a":{"i":1,"n":1,"r":"x"}}`,
+		`{"a":{"b":"x","n":1,"r":"x"}}`,
+		`{"a":{"b":"x","i":1,"n":1,"r":"x","l":[{"n":1}]}}`,
+		`{"a":{"b":"x","i":1,"n":1,"r":"x","o":[{"u":1}]}}`,
+		`{"a":{"b":"x","i":1,"n":1,"r":"x","s":"gone"}}`,
+		`{"a":{"b":"x","i":1,"n":1,"r":"x","l":[{"u":"r","n":-1}]}}`,
+		`{"a":{"b":"x","i":1,"n":1,"r":"x"},"o":[{}]}`,
+	}
+	for _, c := range cases {
+		if _, err := Decode([]byte(c)); err == nil {
+			t.Errorf("%s was taken", c)
+		}
+	}
+}
+
+// TestEveryGossipFitsADatagram encodes gossip of any shape within the schema and
+// reads it back.
+func TestEveryGossipFitsADatagram(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := wire.Gossip{
+			From: full(rapid.StringMatching(`[a-z]{1,64}`).Draw(t, "name"), rapid.IntRange(0, 40).Draw(t, "rooms"), rapid.IntRange(0, 80).Draw(t, "loads")),
+			Ask:  rapid.Bool().Draw(t, "ask"),
+		}
+		for i := range rapid.IntRange(0, 20).Draw(t, "others") {
+			g.Others = append(g.Others, full(fmt.Sprintf("box-%d", i), rapid.IntRange(0, 20).Draw(t, "its rooms"), 3))
+		}
+		buf, err := Encode(g)
+		if err != nil || len(buf) > datagramBytes {
+			t.Fatalf("%d bytes, error %v", len(buf), err)
+		}
+		got, err := Decode(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Encode(got)
+		if err != nil || string(again) != string(buf) {
+			t.Fatalf("%s\nbecame\n%s\n(%v)", buf, again, err)
+		}
+		if len(g.Others) > 0 && len(got.Others) == 0 {
+			t.Fatal("no status of another box is passed on")
+		}
+		if len(g.From.Loads) > 0 && len(got.From.Loads) == 0 {
+			t.Fatal("no load is told")
+		}
+	})
+}
+
+func BenchmarkEncode(b *testing.B) {
+	g := wire.Gossip{
+		From:   full("a", 2, 8),
+		Others: []wire.BoxStatus{full("b", 2, 0), full("c", 0, 0), full("d", 0, 0)},
+	}
+	for b.Loop() {
+		if _, err := Encode(g); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	buf, err := json.Marshal(wire.Gossip{
+		From:   full("a", 2, 8),
+		Others: []wire.BoxStatus{full("b", 2, 0), full("c", 0, 0), full("d", 0, 0)},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := Decode(buf); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/roster/fuzz_test.go
@@ -0,0 +1,190 @@
+package roster
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/havenrudder/havenrudder/internal/fixed"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// version numbers the statuses of one box.
+type version struct{ inc, seq int }
+
+func (v version) after(o version) bool {
+	return v.inc > o.inc || (v.inc == o.inc && v.seq > o.seq)
+}
+
+// message is one delivery of a status.
+type message struct {
+	status wire.BoxStatus
+	direct bool
+}
+
+// said draws statuses of a few boxes; what a box says under one number is always
+// the same, but second-hand it comes without loads, and at times without rooms.
+type said struct {
+	statuses map[string]wire.BoxStatus
+}
+
+var boxes = []string{"a", "b", "c", "d", "e"} // a is the one that listens
+
+func regionOf(box string) string {
+	if box < "d" {
+		return "north"
+	}
+	return "south"
+}
+
+func (s *said) draw(t *rapid.T) message {
+	box := rapid.SampledFrom(boxes).Draw(t, "box")
+	v := version{
+		inc: rapid.IntRange(1, 3).Draw(t, "inc"),
+		seq: rapid.IntRange(0, 8).Draw(t, "seq"),
+	}
+	key := fmt.Sprint(box, v)
+	st, ok := s.statuses[key]
+	if !ok {
+		st = status(box, regionOf(box), v.inc, v.seq)
+		st.State = rapid.SampledFrom([]wire.ServingState{"", "", "", wire.ServingStateStarting, wire.ServingStateServing, wire.ServingStateLeaving}).Draw(t, "state")
+		if rapid.Bool().Draw(t, "loads") {
+			st = withLoad(st, key)
+		}
+		if rapid.Bool().Draw(t, "rooms") {
+			st = withRoom(st, v.seq+1)
+		}
+		s.statuses[key] = st
+	}
+	m := message{
+		status: st,
+		direct: rapid.Bool().Draw(t, "direct"),
+	}
+	if !m.direct {
+		m.status.Loads = nil
+		if rapid.Bool().Draw(t, "stripped") {
+			m.status.Rooms = nil
+		}
+	}
+	return m
+}
+
+// belief is what the oracle holds of one box.
+type belief struct {
+	latest version
+	heard  time.Duration
+	left   map[int]bool // incarnations that said they leave
+}
+
+// oracle keeps all that was said, and works its answers out anew each time.
+type oracle map[string]*belief
+
+func (o oracle) hear(m message, now time.Duration) {
+	s := m.status
+	if s.Box == "a" {
+		return
+	}
+	b, ok := o[s.Box]
+	if !ok {
+		b = &belief{
+			latest: version{seq: -1},
+			left:   make(map[int]bool),
+		}
+		o[s.Box] = b
+	}
+	if s.State == wire.ServingStateLeaving {
+		b.left[s.Inc] = true
+	}
+	if v := (version{inc: s.Inc, seq: s.Seq}); v.after(b.latest) {
+		b.latest = v
+		b.heard = now
+	}
+}
+
+func (o oracle) within(region string, now, age time.Duration) int {
+	n := 0
+	for box, b := range o {
+		if regionOf(box) == region && now-b.heard <= age {
+			n++
+		}
+	}
+	return n
+}
+
+// TestATableAgreesWithAnOracle delivers statuses late, repeated and in any order,
+// with time passing, and compares the table after each step.
+func TestATableAgreesWithAnOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tab := New(status("a", "north", 2, 0))
+		all := said{statuses: make(map[string]wire.BoxStatus)}
+		held := make(oracle)
+		var now time.Duration
+		t.Repeat(map[string]func(*rapid.T){
+			"hear": func(t *rapid.T) {
+				m := all.draw(t)
+				tab.Hear(m.status, m.direct, now)
+				held.hear(m, now)
+			},
+			"wait": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 15000).Draw(t, "ms")) * time.Millisecond
+			},
+			"send": func(t *rapid.T) {
+				tab.Targets(now, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "random") })
+				for _, s := range tab.Digest(now, 4) {
+					if b := held[s.Box]; now-b.heard > aliveFor || s.Loads != nil {
+						t.Fatalf("%+v is passed on", s)
+					}
+				}
+			},
+			"": func(t *rapid.T) { agree(t, tab, held, now) },
+		})
+	})
+}
+
+func agree(t *rapid.T, tab *Table, held oracle, now time.Duration) {
+	for _, m := range tab.Members() {
+		b := held[m.Status.Box]
+		if got := (version{inc: m.Status.Inc, seq: m.Status.Seq}); got != b.latest {
+			t.Fatalf("%s is known by %v, not %v", m.Status.Box, got, b.latest)
+		}
+	}
+	for box, b := range held {
+		if tab.Alive(box, now) != (now-b.heard <= aliveFor) {
+			t.Fatalf("%s was heard %v ago; alive %t", box, now-b.heard, tab.Alive(box, now))
+		}
+	}
+	for _, m := range tab.Serving("", now) {
+		if b := held[m.Status.Box]; b.left[m.Status.Inc] || now-b.heard > aliveFor {
+			t.Fatalf("%s is serving", m.Status.Box)
+		}
+	}
+	north, south := held.within("north", now, mostFor)+1, held.within("south", now, mostFor)
+	if tab.MostIn("north", now) < north || tab.MostIn("south", now) < south || tab.Most(now) < north+south {
+		t.Fatalf("%d and %d boxes may be alive; got %d, %d, %d", north, south, tab.MostIn("north", now), tab.MostIn("south", now), tab.Most(now))
+	}
+}
+
+// TestTablesConvergeForAnyOrderOfDelivery gives two tables the same messages, each
+// in an order of its own.
+func TestTablesConvergeForAnyOrderOfDelivery(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := said{statuses: make(map[string]wire.BoxStatus)}
+		list := make([]message, rapid.IntRange(1, 30).Draw(t, "messages"))
+		for i := range list {
+			list[i] = all.draw(t)
+		}
+		one, two := New(status("a", "north", 2, 0)), New(status("a", "north", 2, 0))
+		for _, m := range list {
+			one.Hear(m.status, m.direct, 0)
+		}
+		for _, m := range rapid.Permutation(list).Draw(t, "order") {
+			two.Hear(m.status, m.direct, 0)
+		}
+		if !reflect.DeepEqual(one.Members(), two.Members()) {
+			t.Fatalf("%+v\ndiffers from\n%+v", one.Members(), two.Members())
+		}
+	})
+}
--- /dev/null
+++ b/roster/link.go
@@ -0,0 +1,131 @@
+package roster
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// readPause is the time after a failed read before the next, so that a socket
+// that keeps failing takes no processor time.
+const readPause = 10 * time.Millisecond
+
+// errTooLong is the reason to drop a datagram that no box sends.
+var errTooLong = errors.Newf("datagram of more than %d bytes", datagramBytes)
+
+// Link reads and sends gossip on one socket. Its methods may be called from any
+// goroutine.
+type Link struct {
+	conn     net.PacketConn
+	handle   func(g wire.Gossip, from net.Addr)
+	sent     atomic.Int64
+	received atomic.Int64
+
+	mu      sync.Mutex // guards what follows
+	dropped int64
+	reason  error
+}
+
+// NewLink returns the link on conn. It calls handle for each datagram, one after
+// the other, from the goroutine that runs it.
+func NewLink(conn net.PacketConn, handle func(g wire.Gossip, from net.Addr)) *Link {
+	return &Link{
+		conn:   conn,
+		handle: handle,
+	}
+}
+
+// Run reads datagrams until ctx ends or the socket is closed, and closes the
+// socket then.
+func (l *Link) Run(ctx context.Context) {
+	closing := func() {
+		_ = l.conn.Close() // nothing is buffered, so nothing is lost
+	}
+	defer context.AfterFunc(ctx, closing)()
+	defer closing()
+	buf := make([]byte, datagramBytes+1) // one more tells that a datagram was longer
+	for ctx.Err() == nil {
+		n, from, err := l.conn.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			l.drop(errors.Wrap(err, "read"))
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			pause(ctx)
+			continue
+		}
+		l.take(buf[:n], from)
+	}
+}
+
+func pause(ctx context.Context) {
+	t := time.NewTimer(readPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// take handles one datagram.
+func (l *Link) take(buf []byte, from net.Addr) {
+	l.received.Add(int64(len(buf)))
+	if len(buf) > datagramBytes {
+		l.drop(errTooLong)
+		return
+	}
+	g, err := Decode(buf)
+	if err != nil {
+		l.drop(err)
+		return
+	}
+	l.handle(g, from)
+}
+
+// Send sends g to an address, IP:port. It does not wait for an answer, and a
+// datagram that is lost on the way is no error.
+func (l *Link) Send(addr string, g wire.Gossip) error {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return errors.Wrap(err, "send gossip")
+	}
+	buf, err := Encode(g)
+	if err != nil {
+		return err
+	}
+	n, err := l.conn.WriteTo(buf, net.UDPAddrFromAddrPort(to))
+	l.sent.Add(int64(n))
+	return errors.Wrapf(err, "send gossip to %s", addr)
+}
+
+// Sent returns the bytes sent, without the headers of UDP and IP.
+func (l *Link) Sent() int64 { return l.sent.Load() }
+
+// Received returns the bytes received, without the headers of UDP and IP, those
+// of dropped datagrams with them.
+func (l *Link) Received() int64 { return l.received.Load() }
+
+// Dropped returns how many datagrams and reads failed, and why the latest did;
+// the reason is nil while none has.
+func (l *Link) Dropped() (n int64, reason error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dropped, l.reason
+}
+
+func (l *Link) drop(reason error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dropped++
+	l.reason = reason
+}
--- /dev/null
+++ b/roster/table.go
@@ -0,0 +1,200 @@
+// Package roster knows the boxes of all regions from the heartbeats they
+// gossip. A Table is pure: time comes in as an argument, and nothing is sent
+// from it. A Link carries the datagrams.
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// Ages of what was heard.
+const (
+	aliveFor    = 2500 * time.Millisecond // ten ticks: several lost datagrams in a row are no death
+	mostFor     = 12 * time.Second        // a box that others no longer hear has given up its share of a quota by then
+	silentFor   = time.Minute             // a cut of the network heals within this time as a rule
+	forgetAfter = 10 * time.Minute        // as for the members of a failure domain, package membership
+)
+
+// Member is what is known of one box. Its status is shared: read it only.
+type Member struct {
+	Status wire.BoxStatus
+	Heard  time.Duration // our clock when the latest status came in
+	Known  time.Duration // our clock when this incarnation was first heard
+}
+
+// State returns the state of the box; a box that states none is serving.
+func (m Member) State() wire.ServingState {
+	return cmp.Or(m.Status.State, wire.ServingStateServing)
+}
+
+func (m Member) alive(now time.Duration) bool { return now-m.Heard <= aliveFor }
+
+// record is a member with what the table needs to keep it. The loads and the
+// rooms have numbers of their own, as not every status carries them.
+type record struct {
+	Member
+	loadsSeq int  // heartbeat that brought the loads; -1 for none
+	roomsSeq int  // heartbeat that brought the rooms; -1 for none
+	due      int  // digest from which on it may be passed on again
+	fresh    bool // another region's box sent it itself, and it was not passed on yet
+}
+
+// Table is the view of one box. It belongs to one actor.
+type Table struct {
+	self    wire.BoxStatus
+	seeds   []string
+	records map[string]*record
+	ticks   int // calls of Targets
+	digests int // calls of Digest
+	turn    int // first of the own region's members to send to next
+	silent  int // first of the silent members to send to next
+}
+
+// Option changes a table that is made.
+type Option func(*Table)
+
+// WithSeeds names addresses of other boxes to begin with, as IP:port. They may
+// be stale or down.
+func WithSeeds(seeds []string) Option {
+	return func(t *Table) { t.seeds = slices.Clone(seeds) }
+}
+
+// New returns the table of the box self that knows of no other. Of self it uses
+// the name, the region and the address for datagrams.
+func New(self wire.BoxStatus, opts ...Option) *Table {
+	t := &Table{
+		self:    self,
+		records: make(map[string]*record),
+	}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
+}
+
+// Hear takes the status of another box in at now, and says whether it changed
+// anything. direct says that the box itself sent it. A status that is older than
+// the one known, or the same, is a late or repeated message: it doesn't show that
+// the box is alive, but what it alone carries is kept.
+func (t *Table) Hear(s wire.BoxStatus, direct bool, now time.Duration) bool {
+	if s.Box == t.self.Box {
+		return false // our own words, or those of a process that had our name
+	}
+	r, ok := t.records[s.Box]
+	if ok && s.Inc < r.Status.Inc {
+		return false
+	}
+	if !ok || s.Inc > r.Status.Inc {
+		r = &record{
+			Member: Member{
+				Status: wire.BoxStatus{
+					Inc: s.Inc,
+					Seq: -1,
+				},
+				Known: now,
+			},
+			loadsSeq: -1,
+			roomsSeq: -1,
+		}
+		t.records[s.Box] = r
+	}
+	newer := s.Seq > r.Status.Seq
+	if newer && direct && s.Region != t.self.Region {
+		r.fresh = true
+	}
+	return r.hear(s, direct, now)
+}
+
+// hear takes in a status of the incarnation that the record is of.
+func (r *record) hear(s wire.BoxStatus, direct bool, now time.Duration) bool {
+	loads, rooms := r.Status.Loads, r.Status.Rooms
+	newLoads := direct && s.Seq > r.loadsSeq
+	if newLoads {
+		loads, r.loadsSeq = s.Loads, s.Seq
+	}
+	// Second-hand statuses may come without rooms, so none says nothing there.
+	newRooms := (direct || len(s.Rooms) > 0) && s.Seq > r.roomsSeq
+	if newRooms {
+		rooms, r.roomsSeq = s.Rooms, s.Seq
+	}
+	const leaving = wire.ServingStateLeaving
+	left := r.Status.State == leaving || s.State == leaving
+	newState := left && r.Status.State != leaving
+	newer := s.Seq > r.Status.Seq
+	if newer {
+		r.Status = s
+		r.Heard = now
+	}
+	r.Status.Loads = loads
+	r.Status.Rooms = rooms
+	if left {
+		r.Status.State = leaving // an incarnation that leaves does not come back
+	}
+	return newer || newLoads || newRooms || newState
+}
+
+// Members returns every known box but its own, by name.
+func (t *Table) Members() []Member {
+	return t.members(func(Member) bool { return true })
+}
+
+func (t *Table) members(keep func(Member) bool) []Member {
+	out := make([]Member, 0, len(t.records))
+	for _, name := range slices.Sorted(maps.Keys(t.records)) {
+		if m := t.records[name].Member; keep(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Alive says whether name was heard of late at now. The own box always is.
+func (t *Table) Alive(name string, now time.Duration) bool {
+	if name == t.self.Box {
+		return true
+	}
+	r, ok := t.records[name]
+	return ok && r.alive(now)
+}
+
+// Serving returns the boxes of a region that are alive at now and take new work,
+// by name, without its own. An empty region stands for all.
+func (t *Table) Serving(region string, now time.Duration) []Member {
+	return t.members(func(m Member) bool {
+		return within(region, m.Status.Region) && m.alive(now) && m.State() == wire.ServingStateServing
+	})
+}
+
+// MostIn returns how many boxes of a region may have been alive at one time of
+// late, in whatever state, its own with them. It errs to the high side: a quota
+// that each box divides by it is not exceeded while boxes come and go. An empty
+// region stands for all.
+func (t *Table) MostIn(region string, now time.Duration) int {
+	n := 0
+	if within(region, t.self.Region) {
+		n++
+	}
+	for _, r := range t.records {
+		if within(region, r.Status.Region) && now-r.Heard <= mostFor {
+			n++
+		}
+	}
+	return n
+}
+
+// Most is MostIn over all regions.
+func (t *Table) Most(now time.Duration) int { return t.MostIn("", now) }
+
+func within(region, of string) bool { return region == "" || region == of }
+
+// forget drops the members that were silent for long.
+func (t *Table) forget(now time.Duration) {
+	maps.DeleteFunc(t.records, func(_ string, r *record) bool {
+		return now-r.Heard > forgetAfter
+	})
+}
--- /dev/null
+++ b/roster/targets.go
@@ -0,0 +1,129 @@
+package roster
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Tick is the time between two rounds of datagrams within a region: a quarter
+// second lets a box's loads be known before they have changed much.
+const Tick = 250 * time.Millisecond
+
+// Whom to send to at which tick.
+const (
+	ownTargets  = 16 // members of the own region at a tick: 64 datagrams a second at most
+	farTargets  = 2  // members of each other region, so that one lost datagram is no matter
+	farEvery    = 2  // ticks; other regions need no loads, so half the pace is enough
+	silentEvery = 4  // ticks; once a second is soon enough to notice that a cut has healed
+	seedEvery   = 10 // ticks; seeds are mostly members, too
+	fewOthers   = 2  // with fewer boxes alive than this, the seeds are asked at each tick
+)
+
+// Targets returns the addresses to send to at this tick, each once. It is called
+// once each Tick, and counts its calls. rnd returns a random number from 0 to
+// n-1. Members that were silent for long are forgotten here.
+func (t *Table) Targets(now time.Duration, rnd func(n int) int) []string {
+	t.forget(now)
+	tick := t.ticks
+	t.ticks++
+	alive := t.members(func(m Member) bool { return m.alive(now) })
+	out := targets{own: t.self.Peers}
+	out.add(t.ownRegion(alive))
+	if tick%farEvery == 0 {
+		out.add(t.otherRegions(alive, rnd))
+	}
+	if tick%silentEvery == 0 {
+		out.add(t.lateMembers(now))
+	}
+	if tick%seedEvery == 0 {
+		out.add(t.longSilent(now, rnd))
+	}
+	if tick%seedEvery == 0 || len(alive) < fewOthers {
+		out.addrs(t.seeds)
+	}
+	return out.list
+}
+
+// ownRegion returns members of the own region, in turn when they are many.
+func (t *Table) ownRegion(alive []Member) []Member {
+	own := slices.DeleteFunc(slices.Clone(alive), func(m Member) bool {
+		return m.Status.Region != t.self.Region
+	})
+	return rotate(own, &t.turn)
+}
+
+// otherRegions returns random members of each other region.
+func (t *Table) otherRegions(alive []Member, rnd func(n int) int) []Member {
+	regions := make(map[string][]Member)
+	for _, m := range alive {
+		if m.Status.Region != t.self.Region {
+			regions[m.Status.Region] = append(regions[m.Status.Region], m)
+		}
+	}
+	var out []Member
+	for _, region := range slices.Sorted(maps.Keys(regions)) {
+		out = append(out, pick(regions[region], farTargets, rnd)...)
+	}
+	return out
+}
+
+// lateMembers returns members that were silent for a short time, in turn when they
+// are many.
+func (t *Table) lateMembers(now time.Duration) []Member {
+	silent := t.members(func(m Member) bool {
+		return !m.alive(now) && now-m.Heard < silentFor
+	})
+	return rotate(silent, &t.silent)
+}
+
+// longSilent returns one member that was silent for longer, at random: two parts
+// of the fleet meet again after a long cut also when no seed is up.
+func (t *Table) longSilent(now time.Duration, rnd func(n int) int) []Member {
+	silent := t.members(func(m Member) bool { return now-m.Heard >= silentFor })
+	return pick(silent, 1, rnd)
+}
+
+// rotate returns up to ownTargets members from *turn on, and moves it past them.
+func rotate(list []Member, turn *int) []Member {
+	if len(list) <= ownTargets {
+		return list
+	}
+	out := make([]Member, 0, ownTargets)
+	for i := range ownTargets {
+		out = append(out, list[(*turn+i)%len(list)])
+	}
+	*turn = (*turn + ownTargets) % len(list)
+	return out
+}
+
+// pick moves n random members, or all when there are fewer, to the head of list
+// and returns them.
+func pick(list []Member, n int, rnd func(n int) int) []Member {
+	n = min(n, len(list))
+	for i := range n {
+		j := i + rnd(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:n]
+}
+
+// targets collects addresses, each once, without the own one.
+type targets struct {
+	own  string
+	list []string
+}
+
+func (o *targets) add(members []Member) {
+	for _, m := range members {
+		o.addrs([]string{m.Status.Peers})
+	}
+}
+
+func (o *targets) addrs(list []string) {
+	for _, addr := range list {
+		if addr != "" && addr != o.own && !slices.Contains(o.list, addr) {
+			o.list = append(o.list, addr)
+		}
+	}
+}
