--- a/wire/messages.go
+++ b/wire/messages.go
@@ -110,6 +110,99 @@
 	return nil
 }
 
+// What a box says of itself at each heartbeat. Keys are one letter long to keep a
+// datagram small.
+type BoxStatus struct {
+	// Name of the box.
+	Box string `json:"b,omitempty,omitzero"`
+
+	// Address for callers, as IP:port.
+	Callers string `json:"c,omitempty,omitzero"`
+
+	// Failure domain of the box.
+	Domain string `json:"d,omitempty,omitzero"`
+
+	// Address for requests passed on between boxes, as IP:port.
+	Forward string `json:"f,omitempty,omitzero"`
+
+	// Incarnation of the box: its start in Unix milliseconds.
+	Inc int `json:"i,omitempty,omitzero"`
+
+	// Version of the policy the box has in force; 0 for none.
+	Policy int `json:"k,omitempty,omitzero"`
+
+	// What it has in flight on each replica; in a datagram from the box itself only.
+	Loads []ReplicaLoad `json:"l,omitempty,omitzero"`
+
+	// Number of the heartbeat in its incarnation.
+	Seq int `json:"n,omitempty,omitzero"`
+
+	// Room for each service in its region.
+	Rooms []ServiceRoom `json:"o,omitempty,omitzero"`
+
+	// Address for datagrams of other boxes, as IP:port.
+	Peers string `json:"p,omitempty,omitzero"`
+
+	// Requests of its own callers it begins per second.
+	Calls float64 `json:"q,omitempty,omitzero"`
+
+	// Region of the box.
+	Region string `json:"r,omitempty,omitzero"`
+
+	// State of the box; empty for serving.
+	State ServingState `json:"s,omitempty,omitzero"`
+
+	// Revision of the catalog the box has in force; 0 for none.
+	Catalog int `json:"v,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *BoxStatus) UnmarshalJSON(value []byte) error {
+	type Plain BoxStatus
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if utf8.RuneCountInString(string(plain.Box)) < 1 {
+		return fmt.Errorf("field %s length: must be >= %d", "b", 1)
+	}
+	if utf8.RuneCountInString(string(plain.Box)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "b", 64)
+	}
+	if utf8.RuneCountInString(string(plain.Callers)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "c", 64)
+	}
+	if utf8.RuneCountInString(string(plain.Domain)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "d", 64)
+	}
+	if utf8.RuneCountInString(string(plain.Forward)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "f", 64)
+	}
+	if 1 > plain.Inc {
+		return fmt.Errorf("field %s: must be >= %v", "i", 1)
+	}
+	if 0 > plain.Policy {
+		return fmt.Errorf("field %s: must be >= %v", "k", 0)
+	}
+	if 0 > plain.Seq {
+		return fmt.Errorf("field %s: must be >= %v", "n", 0)
+	}
+	if utf8.RuneCountInString(string(plain.Peers)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "p", 64)
+	}
+	if 0 > plain.Calls {
+		return fmt.Errorf("field %s: must be >= %v", "q", 0)
+	}
+	if utf8.RuneCountInString(string(plain.Region)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "r", 64)
+	}
+	if 0 > plain.Catalog {
+		return fmt.Errorf("field %s: must be >= %v", "v", 0)
+	}
+	*j = BoxStatus(plain)
+	return nil
+}
+
 // The platform's lagging list of one failure domain.
 type Fleet struct {
 	// Boxes corresponds to the JSON schema field "boxes".
@@ -269,6 +362,18 @@
 	return nil
 }
 
+// One datagram between boxes.
+type Gossip struct {
+	// Status of the sender.
+	From BoxStatus `json:"a,omitempty,omitzero"`
+
+	// Statuses of other boxes that the sender heard of lately, without their loads.
+	Others []BoxStatus `json:"o,omitempty,omitzero"`
+
+	// Whether the sender asks for a datagram in return.
+	Ask bool `json:"q,omitempty,omitzero"`
+}
+
 type Head struct {
 	// Id of the signing key.
 	Key string `json:"key"`
@@ -651,6 +756,50 @@
 	return nil
 }
 
+// What one box has in flight on one replica.
+type ReplicaLoad struct {
+	// Whether this box found the replica to be failing.
+	Failing bool `json:"k,omitempty,omitzero"`
+
+	// Requests in flight from this box.
+	InFlight int `json:"n,omitempty,omitzero"`
+
+	// Prompt tokens of these requests that are still to be read.
+	Prompt int `json:"p,omitempty,omitzero"`
+
+	// Tokens these requests hold on the replica.
+	Tokens int `json:"t,omitempty,omitzero"`
+
+	// Id of the replica.
+	Replica string `json:"u,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ReplicaLoad) UnmarshalJSON(value []byte) error {
+	type Plain ReplicaLoad
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.InFlight {
+		return fmt.Errorf("field %s: must be >= %v", "n", 0)
+	}
+	if 0 > plain.Prompt {
+		return fmt.Errorf("field %s: must be >= %v", "p", 0)
+	}
+	if 0 > plain.Tokens {
+		return fmt.Errorf("field %s: must be >= %v", "t", 0)
+	}
+	if utf8.RuneCountInString(string(plain.Replica)) < 1 {
+		return fmt.Errorf("field %s length: must be >= %d", "u", 1)
+	}
+	if utf8.RuneCountInString(string(plain.Replica)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "u", 64)
+	}
+	*j = ReplicaLoad(plain)
+	return nil
+}
+
 // Any box to the witness, when the owner can't be reached.
 type Seal struct {
 	// Ticket corresponds to the JSON schema field "ticket".
@@ -698,6 +847,41 @@
 	return nil
 }
 
+// Room for one service in the region of the sender.
+type ServiceRoom struct {
+	// Name of the service.
+	Service string `json:"s,omitempty,omitzero"`
+
+	// Usable replicas of the sender's region.
+	Usable int `json:"u,omitempty,omitzero"`
+
+	// Expected wait of one more request, in milliseconds.
+	WaitMs int `json:"w,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ServiceRoom) UnmarshalJSON(value []byte) error {
+	type Plain ServiceRoom
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if utf8.RuneCountInString(string(plain.Service)) < 1 {
+		return fmt.Errorf("field %s length: must be >= %d", "s", 1)
+	}
+	if utf8.RuneCountInString(string(plain.Service)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "s", 64)
+	}
+	if 0 > plain.Usable {
+		return fmt.Errorf("field %s: must be >= %v", "u", 0)
+	}
+	if 0 > plain.WaitMs {
+		return fmt.Errorf("field %s: must be >= %v", "w", 0)
+	}
+	*j = ServiceRoom(plain)
+	return nil
+}
+
 type ServingState string
 
 const (
