placement, node: Take the first replica in rank for warm

Cause: boxes know only their own sends, so the rank that all agree on was favoured too little and prompts were read at several replicas.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -79,6 +79,7 @@
 	}
 	if !success && c.worthAnother(whole.status) {
 		c.failure = &whole
+		c.tried = nil // a failure of its own may be of this run alone; how often a replica fails counts when it is chosen again
 		return unknown
 	}
 	if buf.Len() == heldAnswer {
--- a/node/serve.go
+++ b/node/serve.go
@@ -18,8 +18,8 @@
 	headerTimeout = 10 * time.Second // callers' own bound is shorter; this only frees what they left open
 	idleTimeout   = 90 * time.Second // callers may use a connection again after most of the policy's time, so this is longer
 	headerBytes   = 64 << 10
-	lameTime      = 3500 * time.Millisecond // callers hold an answer to "which box" for so long
-	directoryTTL  = time.Second             // of that answer; some callers hold it three times as long
+	lameTime      = 2500 * time.Millisecond // some callers hold an answer to "which box" for three times its time
+	directoryTTL  = 800 * time.Millisecond  // of that answer
 )
 
 // listeners are the open sockets of a box.
--- a/node/state.go
+++ b/node/state.go
@@ -190,12 +190,16 @@
 	}
 }
 
-// which returns the boxes to name to a caller in a region: the ready ones there,
-// or, where there is none, those of all other regions.
+// which returns the boxes to name to a caller in a region: the ready ones there.
+// Where there is none, those that are leaving but still take requests, for data
+// may be bound to the region; and at last those of all other regions.
 func (s *state) which(region string, leaving bool, now time.Duration) []string {
-	out := s.serving(region, leaving, now)
+	out := s.named(region, leaving, now, wire.ServingStateServing)
 	if len(out) == 0 {
-		out = s.serving("", leaving, now)
+		out = s.named(region, leaving, now, wire.ServingStateLeaving)
+	}
+	if len(out) == 0 {
+		out = s.named("", leaving, now, wire.ServingStateServing)
 	}
 	slices.Sort(out)
 	return out[:min(len(out), maxNamed)]
@@ -204,12 +208,16 @@
 // maxNamed is the most boxes that one answer to "which box" names.
 const maxNamed = 64
 
-func (s *state) serving(region string, leaving bool, now time.Duration) []string {
+// named returns where the boxes of a region in a state take requests; an empty
+// region stands for all.
+func (s *state) named(region string, leaving bool, now time.Duration, want wire.ServingState) []string {
 	var out []string
-	for _, m := range s.roster.Serving(region, now) {
-		out = append(out, m.Status.Callers)
+	for _, m := range s.roster.Members() {
+		if m.State() == want && s.roster.Alive(m.Status.Box, now) && (region == "" || region == m.Status.Region) {
+			out = append(out, m.Status.Callers)
+		}
 	}
-	if !leaving && s.table != nil && (region == "" || region == s.settings.Region) {
+	if s.table != nil && leaving == (want == wire.ServingStateLeaving) && (region == "" || region == s.settings.Region) {
 		out = append(out, s.settings.Callers)
 	}
 	return out
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -20,7 +20,7 @@
 	engineQueue = 0.5                     // requests that may wait at an engine, as a share of its slots
 	plainQueue  = 3.0                     // the same of a plain service, whose queue is four times its slots
 	failCost    = 1200 * time.Millisecond // of a replica that fails every request
-	firstBonus  = 0.35                    // share of a part's reading time that the first in its rank is favoured by
+	firstBonus  = 0.9                     // share of a part's reading time that the first in its rank is favoured by: other boxes send it there, and where none has, it costs the same anywhere
 	readAgain   = 1.3                     // what reading a shared part costs over its own time, for others wait as well
 	crossDomain = 3 * time.Millisecond    // of going to another failure domain: bytes there have a price
 	answerShare = 0.6                     // of an answer's tokens that a request holds on average while it runs
@@ -92,7 +92,7 @@
 	if !v.pacer.Take(best.r.info.ID, boxes, now) {
 		return Choice{
 			Reason: Paced,
-			Wait:   v.pacer.Next(best.r.info.ID, boxes, now),
+			Wait:   v.pacer.Next(best.r.info.ID, boxes, now) - now,
 		}
 	}
 	g := grant{
@@ -159,7 +159,7 @@
 		wait := time.Duration(0)
 		if reason == None && !v.pacer.Allow(r.info.ID, boxes, now) {
 			reason = Paced
-			wait = v.pacer.Next(r.info.ID, boxes, now)
+			wait = v.pacer.Next(r.info.ID, boxes, now) - now
 		}
 		w := v.weigh(r, req, r == first, now)
 		if reason == None && v.full(r, w.load, req) {
