placement, node: Choose between regions by what is at risk

A trial on the way to balanced regions: engines' share of time for reading prompts is told between boxes, and a request goes away with the more probability the more of its worth that saves.

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -211,6 +211,7 @@
 		},
 		Route:      c.route,
 		Left:       time.Until(c.end),
+		Goal:       c.route.Goal.Duration() - time.Since(c.start),
 		Relayed:    c.relay != nil,
 		TriedBoxes: c.triedBoxes,
 		Repeat:     c.sent > 0,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -65,6 +65,7 @@
 	Request    placement.Request
 	Route      *catalog.Route
 	Left       time.Duration // time until the answer is of no use
+	Goal       time.Duration // what is left of the route's goal
 	Relayed    bool          // the request came from another box, and goes to no third
 	TriedBoxes []string
 	Repeat     bool // some replica got the request before
--- a/node/away.go
+++ b/node/away.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -13,7 +14,8 @@
 // Figures of sending a request to another region.
 const (
 	crossing   = 175 * time.Millisecond // there and back, 80 ms each way, and the box there
-	awayGain   = 150 * time.Millisecond // going away has a price in bytes and cold prompts, so it must save this much
+	awayPrice  = 30.0                   // thousandths of a request's worth: bytes between regions have a price, and prompts are read anew
+	awayAll    = 250.0                  // gain in thousandths at which all requests go away; at less, a part of them, for all boxes see the same
 	noRoom     = 60 * time.Second       // told as the wait where no replica can take a request
 	farReads   = 36.0                   // prompt tokens that an engine there reads in a millisecond
 	roomsFor   = 3 * time.Second        // what a region told counts so long
@@ -24,11 +26,20 @@
 type far struct {
 	box    roster.Member
 	expect time.Duration
+	risk   float64
 	age    time.Duration
 }
 
-// bestAway returns the box of another region that is expected to answer soonest.
-func (s *state) bestAway(ask ingress.Ask, now time.Duration, draw func(n int) int) (far, bool) {
+// betterAway says whether a request goes away: the more often the more it gains.
+func (s *state) betterAway(here, there float64, draw func(n int) int) bool {
+	gain := here - there - awayPrice
+	return gain > 0 && float64(draw(draws))*awayAll/draws < gain
+}
+
+const draws = 1000
+
+// bestAway returns the box of another region where the least is at risk.
+func (s *state) bestAway(ask ingress.Ask, goals placement.Goals, now time.Duration, draw func(n int) int) (far, bool) {
 	if ask.Relayed {
 		return far{}, false
 	}
@@ -42,17 +53,20 @@
 	}
 	var best far
 	found := false
-	for region, boxes := range byRegion {
-		wait, age, ok := s.roomIn(boxes, ask.Request.Service, now)
+	for _, region := range slices.Sorted(maps.Keys(byRegion)) {
+		boxes := byRegion[region]
+		room, ok := s.roomIn(boxes, ask.Request.Service, now)
 		if !ok {
 			continue
 		}
+		room.Expect += crossing + readingThere(ask.Request.Prompt)
 		f := far{
 			box:    boxes[draw(len(boxes))],
-			expect: wait + crossing + readingThere(ask.Request.Prompt) + readingThere(s.away[region]),
-			age:    age,
+			expect: room.Expect,
+			risk:   room.Risk(goals),
+			age:    time.Duration(room.AgeMs) * time.Millisecond,
 		}
-		if !found || f.expect < best.expect || (f.expect == best.expect && f.box.Status.Box < best.box.Status.Box) {
+		if !found || f.risk < best.risk || (f.risk == best.risk && f.expect < best.expect) {
 			best = f
 			found = true
 		}
@@ -60,9 +74,9 @@
 	return best, found
 }
 
-// roomIn returns the wait that a region's boxes told last for a service; false
-// when it has no replica that could take a request.
-func (s *state) roomIn(boxes []roster.Member, service string, now time.Duration) (wait, age time.Duration, ok bool) {
+// roomIn returns what a region's boxes told last of a service; false when it has
+// no replica that could take a request.
+func (s *state) roomIn(boxes []roster.Member, service string, now time.Duration) (out placement.Outlook, ok bool) {
 	newest := time.Duration(-1)
 	for _, m := range boxes {
 		if m.Heard <= newest || now-m.Heard > roomsFor {
@@ -74,20 +88,26 @@
 		}
 		room := m.Status.Rooms[at]
 		newest = m.Heard
-		wait = time.Duration(room.WaitMs) * time.Millisecond
-		ok = room.Usable > 0 && wait < noRoom
+		out = placement.Outlook{
+			Expect: time.Duration(room.WaitMs) * time.Millisecond,
+			Busy:   float64(room.Busy) / percent,
+			Usable: room.Usable,
+			AgeMs:  (now - m.Heard).Milliseconds(),
+		}
+		ok = room.Usable > 0 && out.Expect < noRoom
 	}
 	if newest < 0 {
-		return unknownFar, 0, true // nobody told, so it is asked
+		out.Expect = unknownFar
+		return out, true // nobody told, so it is asked
 	}
-	return wait, now - newest, ok
+	return out, ok
 }
 
 func readingThere(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / farReads * float64(time.Millisecond))
 }
 
-func (s *state) sendAway(ask ingress.Ask, f far) ingress.Target {
+func (s *state) sendAway(f far) ingress.Target {
 	return ingress.Target{
 		Box:     f.box.Status.Box,
 		BoxAddr: f.box.Status.Forward,
--- a/node/state.go
+++ b/node/state.go
@@ -103,6 +103,7 @@
 					Requests: l.InFlight,
 					Tokens:   l.Tokens,
 					Unread:   l.Prompt,
+					Reads:    l.Reads,
 				},
 			})
 		}
@@ -128,6 +129,7 @@
 			InFlight: l.Load.Requests,
 			Tokens:   l.Load.Tokens,
 			Prompt:   l.Load.Unread,
+			Reads:    l.Load.Reads,
 			Failing:  l.Failing,
 		})
 	}
@@ -140,47 +142,45 @@
 	var out []wire.ServiceRoom
 	sharers := s.sharers(now)
 	for _, svc := range s.table.Policy().Services {
-		expect, usable, reason := s.view.Expect(placement.Request{
+		o := s.view.Outlook(placement.Request{
 			Service: svc.Name,
 		}, sharers, now)
-		if reason != placement.None {
-			expect = noRoom
+		if o.Reason != placement.None {
+			o.Expect = noRoom
 		}
 		out = append(out, wire.ServiceRoom{
 			Service: svc.Name,
-			Usable:  usable,
-			WaitMs:  int(expect.Milliseconds()),
+			Usable:  o.Usable,
+			WaitMs:  int(o.Expect.Milliseconds()),
+			Busy:    int(percent * o.Busy),
 		})
 	}
 	return out
 }
 
-// place chooses where a request goes.
+const percent = 100
+
+// place chooses where a request goes: to a replica of this region, or to a box
+// of another one where that puts less of its worth at risk.
 func (s *state) place(ask ingress.Ask, now time.Duration, draw func(n int) int) ingress.Target {
 	sharers := s.sharers(now)
-	far, hasFar := s.bestAway(ask, now, draw)
+	goals := placement.Goals{
+		First: ask.Goal,
+		Gap:   ask.Route.GapGoal.Duration(),
+		Left:  ask.Left,
+	}
+	far, hasFar := s.bestAway(ask, goals, now, draw)
 	if !ask.Route.Allows(s.settings.Region) {
 		if !hasFar {
 			return ingress.Target{
 				Reason: placement.Nothing,
 			}
 		}
-		return s.sendAway(ask, far)
-	}
-	expect, _, reason := s.view.Expect(ask.Request, sharers, now)
-	if reason == placement.None && hasFar && far.expect < expect-awayGain {
-		return s.sendAway(ask, far)
-	}
-	if reason == placement.None {
-		c := s.view.Pick(ask.Request, sharers, now)
-		return ingress.Target{
-			Choice: c,
-			Reason: c.Reason,
-			Wait:   c.Wait,
-		}
+		return s.sendAway(far)
 	}
-	if hasFar {
-		return s.sendAway(ask, far)
+	here := s.view.Outlook(ask.Request, sharers, now)
+	if hasFar && (here.Reason != placement.None || s.betterAway(here.Risk(goals), far.risk, draw)) {
+		return s.sendAway(far)
 	}
 	c := s.view.Pick(ask.Request, sharers, now)
 	return ingress.Target{
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -105,6 +105,7 @@
 		g.load.Tokens = req.Prompt + int(answerShare*float64(cmp.Or(req.Out, defaultOut)))
 		g.load.Unread = best.missing + req.own()
 		best.r.keep(req.Parts, now)
+		best.r.reading(g.load.Unread, now)
 	}
 	best.r.own = best.r.own.plus(g.load)
 	return Choice{
@@ -117,17 +118,33 @@
 	}
 }
 
-// Expect returns the expected time to the first byte of a request here, without
-// counting it in, and the number of replicas that could take one.
-func (v *View) Expect(req Request, boxes []string, now time.Duration) (time.Duration, int, Reason) {
+// Outlook is what a request would meet in a region.
+type Outlook struct {
+	Expect time.Duration // until the first byte
+	Busy   float64       // share of the time that engines spend on reading prompts
+	Usable int           // replicas that could take it
+	Reason Reason        // why none takes it now
+	AgeMs  int64         // of what another region told
+}
+
+// Outlook returns what a request would meet here, without counting it in.
+func (v *View) Outlook(req Request, boxes []string, now time.Duration) Outlook {
 	best, none := v.best(req, boxes, now)
-	usable := 0
+	out := Outlook{
+		Expect: best.expect,
+		Reason: none.Reason,
+	}
+	reads := 0
 	for _, r := range v.byName {
 		if r.info.Service == req.Service && v.unusable(r, req, now) == None {
-			usable++
+			out.Usable++
+			reads += r.Load(now).Reads
 		}
 	}
-	return best.expect, usable, none.Reason
+	if out.Usable > 0 {
+		out.Busy = float64(reads) / (float64(out.Usable) * readRate * 1000)
+	}
+	return out
 }
 
 // own returns the tokens of the prompt that no other request shares.
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -17,6 +17,7 @@
 	slowHalf     = 8 * time.Second  // time in which half of a replica's slowness is forgotten
 	slowWeight   = 0.25             // weight of the newest observation of slowness
 	slowBound    = 2.5              // bound of one observation, a natural logarithm
+	readsHalf    = 1 * time.Second  // time in which half of a rate of prompts is forgotten: some ten prompts at the peak
 	holdWeight   = 0.1              // weight of the newest time that a request took
 	firstOut     = 1 * time.Second  // a replica that can't be reached is left out so long, then twice as long
 	longestOut   = 8 * time.Second  // so that one that is back is used within the time that returns are judged by
@@ -34,6 +35,7 @@
 	Requests int // in flight
 	Tokens   int // of memory that they hold or will hold
 	Unread   int // prompt tokens still to be read
+	Reads    int // prompt tokens that are given to it in a second
 }
 
 func (l Load) plus(o Load) Load {
@@ -41,6 +43,7 @@
 		Requests: l.Requests + o.Requests,
 		Tokens:   l.Tokens + o.Tokens,
 		Unread:   l.Unread + o.Unread,
+		Reads:    l.Reads + o.Reads,
 	}
 }
 
@@ -66,6 +69,8 @@
 	failedAt time.Duration
 	slow     float64 // natural logarithm of times to the first byte over the expected ones
 	slowAt   time.Duration
+	reads    float64 // prompt tokens a second that this box gives it, at readsAt
+	readsAt  time.Duration
 	hold     time.Duration // smoothed time of a request; 0 when not known
 	heard    time.Duration // when bytes last came from it
 	warm     map[string]time.Duration
@@ -80,9 +85,27 @@
 // Own returns this box's work there.
 func (r *Replica) Own() Load { return r.own }
 
+// readsNow returns the prompt tokens a second that this box gives it.
+func (r *Replica) readsNow(now time.Duration) float64 {
+	return r.reads * decay.Left(now-r.readsAt, readsHalf)
+}
+
+// reading counts prompt tokens that this box gives it.
+func (r *Replica) reading(tokens int, now time.Duration) {
+	r.reads = r.readsNow(now) + float64(tokens)*math.Ln2/readsHalf.Seconds()
+	r.readsAt = now
+}
+
+// ownNow returns this box's work there, as it tells others.
+func (r *Replica) ownNow(now time.Duration) Load {
+	l := r.own
+	l.Reads = int(r.readsNow(now))
+	return l
+}
+
 // Load returns all work there, as believed at now.
 func (r *Replica) Load(now time.Duration) Load {
-	l := r.own
+	l := r.ownNow(now)
 	for _, o := range r.others {
 		if now-o.at < othersFor {
 			l = l.plus(o.load)
--- a/placement/view.go
+++ b/placement/view.go
@@ -229,10 +229,11 @@
 func (v *View) Tell(now time.Duration) []OwnLoad {
 	var out []OwnLoad
 	for _, r := range v.byName {
-		if r.own != (Load{}) || r.Out(now) {
+		own := r.ownNow(now)
+		if own != (Load{}) || r.Out(now) {
 			out = append(out, OwnLoad{
 				Replica: r.info.ID,
-				Load:    r.own,
+				Load:    own,
 				Failing: r.Out(now),
 			})
 		}
--- a/roster/codec.go
+++ b/roster/codec.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"math"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -112,13 +111,12 @@
 	return list
 }
 
-// compact returns s in its shortest form: without the default state, with a rate
-// of calls to a tenth, and with no more rooms than fit limit bytes.
+// compact returns s in its shortest form: without the default state, and with no
+// more rooms than fit limit bytes.
 func compact(s wire.BoxStatus, limit int) wire.BoxStatus {
 	if s.State == wire.ServingStateServing {
 		s.State = ""
 	}
-	s.Calls = math.Round(s.Calls*10) / 10
 	for len(s.Rooms) > 0 && size(s) > limit {
 		s.Rooms = s.Rooms[:len(s.Rooms)-1]
 	}
