--- a/decision/event.go
+++ b/decision/event.go
@@ -81,6 +81,8 @@
 	Revision int64     `json:"revision,omitempty"` // revision of the catalog
 	AgeMs    int64     `json:"age_ms,omitempty"`   // age of the belief that decided
 	TookMs   int64     `json:"took_ms,omitempty"`
+	FirstMs  int64     `json:"first_ms,omitempty"` // until the caller got the first event of a stream
+	PauseMs  int64     `json:"pause_ms,omitempty"` // the longest between two events of a stream
 	Tokens   int       `json:"tokens,omitempty"`
 	Tries    int       `json:"tries,omitempty"`
 	Region   string    `json:"region,omitempty"`
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -65,6 +65,8 @@
 	l.number("revision", e.Revision)
 	l.number("age_ms", e.AgeMs)
 	l.number("took_ms", e.TookMs)
+	l.number("first_ms", e.FirstMs)
+	l.number("pause_ms", e.PauseMs)
 	l.number("tokens", int64(e.Tokens))
 	l.number("tries", int64(e.Tries))
 	l.text("region", e.Region)
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -178,5 +178,7 @@
 		Reason:  reason,
 		Tries:   c.sent,
 		TookMs:  took.Milliseconds(),
+		FirstMs: c.firstAt.Milliseconds(),
+		PauseMs: c.pause.Milliseconds(),
 	})
 }
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -54,10 +54,13 @@
 	sent       int      // replicas it was sent to
 	tried      []string // replicas
 	triedBoxes []string
-	counted    bool   // the budget of retries knows of it
-	lastEvent  string // id of the last event passed on
-	done       bool   // the caller has its answer
-	failure    *kept  // a replica's own answer that says it failed
+	counted    bool          // the budget of retries knows of it
+	lastEvent  string        // id of the last event passed on
+	firstAt    time.Duration // until the first event or byte was passed on
+	lastAt     time.Time     // when an event was passed on last
+	pause      time.Duration // the longest between two events
+	done       bool          // the caller has its answer
+	failure    *kept         // a replica's own answer that says it failed
 	reason     placement.Reason
 	wait       time.Duration
 }
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -127,10 +127,21 @@
 	}
 	if passed {
 		c.flush()
+		c.notePause(time.Now())
 	}
 	return held, nil
 }
 
+// notePause keeps the longest pause between events.
+func (c *call) notePause(now time.Time) {
+	if c.lastAt.IsZero() {
+		c.firstAt = now.Sub(c.start)
+	} else {
+		c.pause = max(c.pause, now.Sub(c.lastAt))
+	}
+	c.lastAt = now
+}
+
 // eventID returns the id of an event, empty for none.
 func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
