placement, node: Price what a long prompt does to running streams

The harm to each running stream is now part of a replica's cost, and of the choice between regions, so such prompts go where few streams run.

Ruled out: waits for the first event (5 of 92 late streams), shared load in general (choosing regions by engines' busy share alone changed nothing).

--- /dev/null
+++ b/catalog/publisher_test.go
@@ -0,0 +1,290 @@
+package catalog_test
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/sleep"
+)
+
+const (
+	callTakes = 5 * time.Millisecond // of each call of a publisher; above 0, so that time goes on in loops
+	slowTakes = time.Second          // of a slow publisher's call
+)
+
+// mode is how a publisher answers calls that begin meanwhile.
+type mode int
+
+const (
+	healthy mode = iota
+	silent       // a watch hears nothing, and says that it has heard all
+	failing      // all calls fail, and watches that wait are cut
+	slow         // answers come late
+)
+
+var errAway = errors.New("the publisher is away")
+
+// publisher is a stand-in for what publishes the catalog.
+type publisher struct {
+	mu        sync.Mutex
+	mode      mode
+	rev       int64
+	policy    *catalog.Policy
+	replicas  map[string]catalog.Replica
+	evacuated map[string]bool
+	history   []catalog.Change
+	forgot    int64         // newest revision that history lacks
+	changed   chan struct{} // closed and renewed at each change
+	reads     int
+	waits     int
+}
+
+func newPublisher() *publisher {
+	return &publisher{
+		replicas:  make(map[string]catalog.Replica),
+		evacuated: make(map[string]bool),
+		changed:   make(chan struct{}),
+	}
+}
+
+// source returns the publisher as a feed meets it.
+func (p *publisher) source() catalog.Source {
+	return catalog.Source{
+		Read: p.read,
+		Wait: p.wait,
+	}
+}
+
+// change publishes a change and returns its revision.
+func (p *publisher) change(ch catalog.Change) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rev++
+	ch.Revision = p.rev
+	switch {
+	case ch.Policy != nil:
+		p.policy = ch.Policy
+	case ch.Replica != nil:
+		r := *ch.Replica
+		r.Revision = p.rev
+		ch.Replica = &r
+		p.replicas[r.ID] = r
+	case ch.Gone != "":
+		delete(p.replicas, ch.Gone)
+	case ch.Evacuated != "":
+		p.evacuated[ch.Evacuated] = true
+	case ch.Unevacuated != "":
+		delete(p.evacuated, ch.Unevacuated)
+	}
+	p.history = append(p.history, ch)
+	p.wake()
+	return p.rev
+}
+
+func (p *publisher) put(r catalog.Replica) int64 {
+	return p.change(catalog.Change{
+		Replica: &r,
+	})
+}
+
+func (p *publisher) drop(id string) int64 {
+	return p.change(catalog.Change{
+		Gone: id,
+	})
+}
+
+// compact forgets the history.
+func (p *publisher) compact() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.history = nil
+	p.forgot = p.rev
+	p.wake()
+}
+
+func (p *publisher) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	p.wake()
+}
+
+// wake tells waiting calls that something has changed; p.mu is held.
+func (p *publisher) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// snapshot returns all that is published.
+func (p *publisher) snapshot() catalog.Snapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := catalog.Snapshot{
+		Revision: p.rev,
+		Policy:   p.policy,
+		Replicas: []catalog.Replica{},
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.replicas)) {
+		out.Replicas = append(out.Replicas, p.replicas[id])
+	}
+	out.Evacuated = slices.Sorted(maps.Keys(p.evacuated))
+	return out
+}
+
+// calls returns how often all was read and how many watches began.
+func (p *publisher) calls() (reads, waits int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads, p.waits
+}
+
+// begin counts a call and returns the mode that it meets.
+func (p *publisher) begin(ctx context.Context, count *int) mode {
+	p.mu.Lock()
+	*count++
+	m := p.mode
+	p.mu.Unlock()
+	sleep.For(ctx, callTakes)
+	return m
+}
+
+func (p *publisher) read(ctx context.Context) (catalog.Snapshot, error) {
+	m := p.begin(ctx, &p.reads)
+	if m == failing {
+		return catalog.Snapshot{}, errAway
+	}
+	out := p.snapshot()
+	if m == slow {
+		sleep.For(ctx, slowTakes)
+	}
+	return out, ctx.Err()
+}
+
+func (p *publisher) wait(ctx context.Context, after int64, wait time.Duration) ([]catalog.Change, int64, error) {
+	m := p.begin(ctx, &p.waits)
+	if m == silent {
+		sleep.For(ctx, wait)
+		return nil, p.snapshot().Revision, ctx.Err()
+	}
+	end := time.After(wait)
+	for {
+		changes, rev, changed, err := p.since(after)
+		if err == nil && len(changes) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-end:
+			case <-ctx.Done():
+				return nil, 0, ctx.Err()
+			}
+		}
+		if m == slow {
+			sleep.For(ctx, slowTakes)
+		}
+		return changes, rev, err
+	}
+}
+
+// since returns what changed after a revision, and what tells of more.
+func (p *publisher) since(after int64) (changes []catalog.Change, rev int64, changed <-chan struct{}, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mode == failing {
+		return nil, 0, nil, errAway
+	}
+	if after < p.forgot {
+		return nil, 0, nil, catalog.ErrHistoryGone
+	}
+	for _, ch := range p.history {
+		if ch.Revision > after {
+			changes = append(changes, ch)
+		}
+	}
+	return changes, p.rev, p.changed, nil
+}
+
+// follower is a copy that a feed keeps.
+type follower struct {
+	mu      sync.Mutex
+	content *catalog.Content
+	health  []error
+	updates int
+	wrong   string // what an update made wrong first
+	stop    func()
+}
+
+// follow starts a feed of a publisher; stop ends it and waits for that.
+func follow(ctx context.Context, source catalog.Source, opts ...catalog.FeedOption) *follower {
+	f := &follower{
+		content: catalog.NewContent(),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	n := 0
+	opts = append([]catalog.FeedOption{
+		catalog.WithHealth(f.told),
+		catalog.WithJitter(func() float64 {
+			n++
+			return []float64{0, 0.999, 0.5}[n%3]
+		}),
+	}, opts...)
+	var running sync.WaitGroup
+	feed := catalog.NewFeed(source, f.take, opts...)
+	running.Go(func() { feed.Run(ctx) })
+	f.stop = func() {
+		cancel()
+		running.Wait()
+	}
+	return f
+}
+
+func (f *follower) told(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.health = append(f.health, err)
+}
+
+func (f *follower) take(u catalog.Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rev, policy := f.content.Revision(), f.content.Policy()
+	f.updates++
+	f.content.Take(u)
+	if f.wrong == "" && f.content.Revision() < rev {
+		f.wrong = "the revision went back"
+	}
+	if f.wrong == "" && policy != nil && f.content.Policy().Version < policy.Version {
+		f.wrong = "the policy went back"
+	}
+}
+
+// now returns the copy as it is.
+func (f *follower) now() catalog.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.content.Snapshot()
+}
+
+// get returns a replica of the copy.
+func (f *follower) get(id string) (catalog.Replica, bool) {
+	for _, r := range f.now().Replicas {
+		if r.ID == id {
+			return r, true
+		}
+	}
+	return catalog.Replica{}, false
+}
+
+// lastHealth returns the result of the last call that was told.
+func (f *follower) lastHealth() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.health) == 0 {
+		return nil
+	}
+	return f.health[len(f.health)-1]
+}
--- a/decision/event.go
+++ b/decision/event.go
@@ -83,7 +83,8 @@
 	TookMs   int64     `json:"took_ms,omitempty"`
 	FirstMs  int64     `json:"first_ms,omitempty"` // until the caller got the first event of a stream
 	PauseMs  int64     `json:"pause_ms,omitempty"` // the longest between two events of a stream
-	Tokens   int       `json:"tokens,omitempty"`
+	Tokens   int       `json:"tokens,omitempty"`   // shared tokens of a prompt that have to be read
+	Prompt   int       `json:"prompt,omitempty"`   // all tokens of a prompt
 	Tries    int       `json:"tries,omitempty"`
 	Region   string    `json:"region,omitempty"`
 	Detail   string    `json:"detail,omitempty"` // short text; cut at 256 bytes
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -65,6 +65,7 @@
 	l.number("revision", e.Revision)
 	l.number("age_ms", e.AgeMs)
 	l.number("took_ms", e.TookMs)
+	l.number("prompt", int64(e.Prompt))
 	l.number("first_ms", e.FirstMs)
 	l.number("pause_ms", e.PauseMs)
 	l.number("tokens", int64(e.Tokens))
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -184,6 +184,7 @@
 			Upstream: target.Choice.Replica + target.Box,
 			Region:   target.Region,
 			Tokens:   target.Choice.Missing,
+			Prompt:   c.facts.Prompt,
 			AgeMs:    target.AgeMs,
 			TookMs:   target.Choice.Expect.Milliseconds(),
 		})
@@ -210,6 +211,7 @@
 			Parts:   shared,
 			Prompt:  c.facts.Prompt,
 			Out:     out,
+			Gap:     c.route.GapGoal.Duration(),
 			Tried:   c.tried,
 		},
 		Route:      c.route,
--- a/node/away.go
+++ b/node/away.go
@@ -63,7 +63,7 @@
 		f := far{
 			box:    boxes[draw(len(boxes))],
 			expect: room.Expect,
-			risk:   room.Risk(goals),
+			risk:   room.Risk(goals) + float64(room.Fewest)*ask.Request.Harm(ask.Request.Prompt, ask.Request.Gap),
 			age:    time.Duration(room.AgeMs) * time.Millisecond,
 		}
 		if !found || f.risk < best.risk || (f.risk == best.risk && f.expect < best.expect) {
@@ -92,6 +92,7 @@
 			Expect: time.Duration(room.WaitMs) * time.Millisecond,
 			Busy:   float64(room.Busy) / percent,
 			Usable: room.Usable,
+			Fewest: room.Fewest,
 			AgeMs:  (now - m.Heard).Milliseconds(),
 		}
 		ok = room.Usable > 0 && out.Expect < noRoom
--- a/node/state.go
+++ b/node/state.go
@@ -153,6 +153,7 @@
 			Usable:  o.Usable,
 			WaitMs:  int(o.Expect.Milliseconds()),
 			Busy:    int(percent * o.Busy),
+			Fewest:  o.Fewest,
 		})
 	}
 	return out
@@ -179,7 +180,8 @@
 		return s.sendAway(far)
 	}
 	here := s.view.Outlook(ask.Request, sharers, now)
-	if hasFar && (here.Reason != placement.None || s.betterAway(here.Risk(goals), far.risk, draw)) {
+	risk := here.Risk(goals) + float64(here.Fewest)*ask.Request.Harm(0, ask.Request.Gap)
+	if hasFar && (here.Reason != placement.None || s.betterAway(risk, far.risk, draw)) {
 		return s.sendAway(far)
 	}
 	c := s.view.Pick(ask.Request, sharers, now)
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -24,16 +24,18 @@
 	readAgain   = 1.3                     // what reading a shared part costs over its own time, for others wait as well
 	crossDomain = 3 * time.Millisecond    // of going to another failure domain: bytes there have a price
 	answerShare = 0.6                     // of an answer's tokens that a request holds on average while it runs
+	harmTime    = 300 * time.Microsecond  // that a thousandth of a request's worth may cost another request
 	defaultOut  = 100                     // tokens of an answer that nothing is known of
 )
 
 // Request is what a decision needs of a request.
 type Request struct {
 	Service string
-	Key     string // of the request itself, which spreads those without shared parts
-	Parts   []Part // shared parts of the prompt, in order
-	Prompt  int    // tokens of the prompt; 0 for a plain service
-	Out     int    // expected tokens of the answer
+	Key     string        // of the request itself, which spreads those without shared parts
+	Parts   []Part        // shared parts of the prompt, in order
+	Prompt  int           // tokens of the prompt; 0 for a plain service
+	Out     int           // expected tokens of the answer
+	Gap     time.Duration // between two events of a stream that is aimed at; 0 for none
 	Tried   []string
 }
 
@@ -123,6 +125,7 @@
 	Expect time.Duration // until the first byte
 	Busy   float64       // share of the time that engines spend on reading prompts
 	Usable int           // replicas that could take it
+	Fewest int           // requests in flight at the replica that has the fewest
 	Reason Reason        // why none takes it now
 	AgeMs  int64         // of what another region told
 }
@@ -137,8 +140,12 @@
 	reads := 0
 	for _, r := range v.byName {
 		if r.info.Service == req.Service && v.unusable(r, req, now) == None {
+			l := r.Load(now)
+			if out.Usable == 0 || l.Requests < out.Fewest {
+				out.Fewest = l.Requests
+			}
 			out.Usable++
-			reads += r.Load(now).Reads
+			reads += l.Reads
 		}
 	}
 	if out.Usable > 0 {
@@ -272,7 +279,8 @@
 	wait := reading(w.load.Unread) + v.queueing(w.r, w.load)
 	step := time.Duration(stepPerKilo * float64(w.load.Tokens) / 1000 * float64(time.Millisecond))
 	w.expect = scale(w.r.Slow(now), stepBase+step+wait+reading(w.missing+req.own()))
-	w.cost = w.expect + scale(readAgain-1, reading(w.missing)) + w.r.crowding(w.load, req)
+	harm := req.Harm(w.missing, req.Gap) * float64(w.load.Requests)
+	w.cost = w.expect + scale(readAgain-1, reading(w.missing)) + w.r.crowding(w.load, req) + scale(harm, harmTime)
 }
 
 // crowding returns what one more request costs the others at an engine whose
--- a/placement/risk.go
+++ b/placement/risk.go
@@ -5,11 +5,11 @@
 // Figures of the risk that an answer comes late, in thousandths of what it is
 // worth in time.
 const (
-	riskAll  = 1000.0
-	calmWait = 0.4 // share of the goal up to which an expected wait is no risk
-	lateWait = 1.0 // share of the goal at which an answer is late
-	calmBusy = 0.4 // share of engines' time for prompts up to which running streams hardly pause
-	lateBusy = 1.1 // share at which all of them pause for too long
+	riskAll  = 1000.0 // all of it
+	calmWait = 0.4    // share of the goal up to which an expected wait is no risk
+	lateWait = 1.0    // share of the goal at which an answer is late
+	calmBusy = 0.6    // share of engines' time for prompts up to which running streams hardly pause
+	lateBusy = 1.1    // share at which all of them pause for too long
 )
 
 // Goals are what an answer should keep.
@@ -36,6 +36,39 @@
 	return riskAll * risk
 }
 
+// Figures of the pause that reading a prompt puts into the streams that run at the
+// same engine. They come from the sheet of the first users' engines: a prompt is
+// read in pieces, one between two steps, and a piece takes the longer the more of
+// the prompt lies before it.
+const (
+	pieceTokens = 2048                   // of one piece
+	pieceTime   = 53 * time.Millisecond  // of a piece at the beginning of a prompt
+	depthTime   = 1500 * time.Nanosecond // and for each token that lies before it
+	stepTime    = 8 * time.Millisecond   // of a step with some thirty requests
+	stepsEvent  = 5                      // steps until the next event of a stream
+	pauseCalm   = 0.9                    // share of the aim for pauses below which no stream is late
+	harmEach    = 300.0                  // thousandths of a request's worth that a stream loses by being late
+)
+
+// pause returns the longest pause between two events of a stream while an engine
+// reads the last so many tokens of a prompt.
+func pause(prompt, unread int) time.Duration {
+	pieces := min(float64(unread)/pieceTokens, stepsEvent)
+	depth := max(prompt-stepsEvent*pieceTokens/2, prompt/2)
+	piece := pieceTime + time.Duration(depth)*depthTime
+	return stepsEvent*stepTime + scale(pieces, piece)
+}
+
+// Harm returns what reading a prompt is expected to cost one stream that runs at
+// the same engine, in thousandths of a request's worth.
+func (req *Request) Harm(missing int, gap time.Duration) float64 {
+	if gap <= 0 || req.Prompt == 0 {
+		return 0
+	}
+	share := float64(pause(req.Prompt, missing+req.own())) / float64(gap)
+	return harmEach * min(max((share-pauseCalm)/(1-pauseCalm), 0), 1)
+}
+
 // rise goes from 0 at from to 1 at to, slowly at first.
 func rise(x, from, to float64) float64 {
 	share := min(max((x-from)/(to-from), 0), 1)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -852,6 +852,9 @@
 	// Share of the time that engines spend on reading prompts, in percent.
 	Busy int `json:"b,omitempty,omitzero"`
 
+	// Requests in flight at the replica that has the fewest.
+	Fewest int `json:"n,omitempty,omitzero"`
+
 	// Name of the service.
 	Service string `json:"s,omitempty,omitzero"`
 
@@ -872,6 +875,9 @@
 	if 0 > plain.Busy {
 		return fmt.Errorf("field %s: must be >= %v", "b", 0)
 	}
+	if 0 > plain.Fewest {
+		return fmt.Errorf("field %s: must be >= %v", "n", 0)
+	}
 	if utf8.RuneCountInString(string(plain.Service)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "s", 1)
 	}
