catalog, node, roster: Tell news at once and share the re-reads of the store

A box that begins to serve or to leave now says so at once, one that starts asks for answers, and a request waits a fifth of its goal for a target.

A watch that kept failing was repeated without pause, and an older change could replace a newer entry: both found by tests, and mended.

Two boxes of a region read the catalog again every 2 s on behalf of the others, which compare revisions; datagrams to other regions go half as often.

--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,8 @@
 const (
 	watchFor     = 10 * time.Second       // one waiting call; each call has a price, and a new one costs no more than that
 	rereadEvery  = 2 * time.Second        // a watch may stay silent while changes are made; half of the shortest bound on configurations
+	rereadOthers = 3                      // times as long where other boxes read again too, and say when they know more
+	behindWait   = 300 * time.Millisecond // that a watch may lag behind what another box knows
 	firstBackOff = 50 * time.Millisecond  // after a failed call
 	maxBackOff   = 600 * time.Millisecond // so that a publisher that is back is used within a second
 	lapseWait    = 2 * time.Second        // entries that lapsed while the publisher was away are back within this time
@@ -44,6 +47,10 @@
 	now    func() time.Time
 	jitter func() float64
 	every  time.Duration
+	reader func() bool   // this box reads again on behalf of others
+	behind chan struct{} // another box knows more
+	wanted atomic.Int64  // the revision that it knows
+	known  atomic.Int64  // the newest that was handed on
 	at     chan int64    // revisions read, from which the watch goes on
 	again  chan struct{} // asks for all to be read at once
 
@@ -64,6 +71,31 @@
 // WithReread sets how often all is read again beside the watch.
 func WithReread(every time.Duration) FeedOption { return func(d *Feed) { d.every = every } }
 
+// WithReader sets what says whether this box reads again on behalf of others.
+// One that doesn't relies on Behind, and reads again more rarely.
+func WithReader(f func() bool) FeedOption { return func(d *Feed) { d.reader = f } }
+
+// Behind tells the feed that another box knows a revision.
+func (d *Feed) Behind(revision int64) {
+	if revision <= d.known.Load() {
+		return
+	}
+	d.wanted.Store(revision)
+	select {
+	case d.behind <- struct{}{}:
+	default: // it is told already
+	}
+}
+
+// Known returns the newest revision that was handed on.
+func (d *Feed) Known() int64 { return d.known.Load() }
+
+// hand hands an update on.
+func (d *Feed) hand(u Update) {
+	d.known.Store(max(d.known.Load(), u.Revision)) // a lower one written at the same time only makes for one more call
+	d.update(u)
+}
+
 // NewFeed returns a feed that hands what it reads to update.
 func NewFeed(source Source, update func(Update), opts ...FeedOption) *Feed {
 	d := &Feed{
@@ -73,6 +105,8 @@
 		now:    time.Now,
 		jitter: func() float64 { return 0.5 },
 		every:  rereadEvery,
+		reader: func() bool { return true },
+		behind: make(chan struct{}, 1),
 		at:     make(chan int64, 1),
 		again:  make(chan struct{}, 1),
 	}
@@ -99,19 +133,25 @@
 		}
 		backOff = firstBackOff
 		d.succeeded()
-		d.update(Update{
+		d.hand(Update{
 			Snapshot: &s,
 			Revision: s.Revision,
 			Settled:  d.isSettled(),
 		})
-		select {
-		case d.at <- s.Revision:
-		default: // the watch is waiting and needs none
-		}
+		d.offer(s.Revision)
 		d.rest(ctx)
 	}
 }
 
+// offer leaves a revision for the watch to go on from, in place of an older one.
+func (d *Feed) offer(revision int64) {
+	select {
+	case <-d.at:
+	default: // the watch took it
+	}
+	d.at <- revision // there is room, for nobody else puts any in
+}
+
 func (d *Feed) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -142,7 +182,11 @@
 // rest waits until all is to be read again: sooner while entries may still come
 // back.
 func (d *Feed) rest(ctx context.Context) {
-	wait := d.spread(d.every)
+	every := d.every
+	if !d.reader() {
+		every *= rereadOthers
+	}
+	wait := d.spread(every)
 	d.mu.Lock()
 	if left := d.settled.Sub(d.now()); left > 0 {
 		wait = min(wait, left+firstBackOff)
@@ -150,10 +194,20 @@
 	d.mu.Unlock()
 	t := time.NewTimer(wait)
 	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-d.again:
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			return
+		case <-d.again:
+			return
+		case <-d.behind:
+			sleep.For(ctx, behindWait) // the watch may be about to bring it
+			if d.known.Load() < d.wanted.Load() {
+				return
+			}
+		}
 	}
 }
 
@@ -164,38 +218,53 @@
 }
 
 // watch hands on what changes after a revision that was read. After a failure
-// all is read at once, and the watch goes on from there.
+// all is read at once, and the watch goes on from there; when it keeps failing,
+// the time between two of them grows.
 func (d *Feed) watch(ctx context.Context) {
+	backOff := time.Duration(0)
 	for ctx.Err() == nil {
 		select {
 		case rev := <-d.at:
-			d.follow(ctx, rev)
+			if d.follow(ctx, rev) {
+				backOff = 0
+			}
+			d.readAgain()
+			sleep.For(ctx, d.spread(backOff))
+			backOff = min(max(2*backOff, firstBackOff), maxBackOff)
 		case <-ctx.Done():
 		}
 	}
 }
 
-// follow watches from a revision until a call fails.
-func (d *Feed) follow(ctx context.Context, at int64) {
+// readAgain has all read at once.
+func (d *Feed) readAgain() {
+	select {
+	case d.again <- struct{}{}:
+	default: // it is asked for already
+	}
+}
+
+// follow watches from a revision until a call fails. It returns whether any
+// succeeded.
+func (d *Feed) follow(ctx context.Context, at int64) (succeeded bool) {
 	for ctx.Err() == nil {
 		changes, rev, err := d.source.Wait(ctx, at, watchFor)
 		if err != nil {
 			if !errors.Is(err, ErrHistoryGone) {
 				d.failed(ctx, err)
 			}
-			select {
-			case d.again <- struct{}{}:
-			default: // it is asked for already
-			}
-			return
+			return succeeded
 		}
+		succeeded = true
 		at = max(at, rev)
+		d.known.Store(max(d.known.Load(), rev))
 		if len(changes) > 0 {
-			d.update(Update{
+			d.hand(Update{
 				Changes:  changes,
 				Revision: rev,
 				Settled:  d.isSettled(),
 			})
 		}
 	}
+	return succeeded
 }
--- a/catalog/feed_test.go
+++ b/catalog/feed_test.go
@@ -89,7 +89,7 @@
 			f.True(f.has("later " + id)) // the watch goes on
 			time.Sleep(time.Minute)
 		}
-		for _, err := range f.health {
+		for _, err := range f.results() {
 			f.NoErr(err) // it is no failure of the publisher
 		}
 	}, catalog.WithReread(time.Hour))
@@ -213,10 +213,10 @@
 			f := follow(t.Context(), p.source())
 			time.Sleep(1500 * time.Millisecond)
 			began := time.Now()
-			failures := len(f.health)
+			failures := len(f.results())
 			f.stop() // it would hang otherwise
 			is.True(time.Since(began) <= callTakes)
-			is.Equal(len(f.health), failures) // to be stopped is no failure
+			is.Equal(len(f.results()), failures) // to be stopped is no failure
 		})
 	}
 }
--- a/catalog/fuzz_test.go
+++ b/catalog/fuzz_test.go
@@ -108,8 +108,8 @@
 
 func (w *world) check() {
 	synctest.Wait()
-	if w.wrong != "" {
-		w.Fatal(w.wrong)
+	if wrong := w.mistake(); wrong != "" {
+		w.Fatal(wrong)
 	}
 	now := time.Now()
 	if w.mode != healthy {
--- a/catalog/publisher_test.go
+++ b/catalog/publisher_test.go
@@ -213,7 +213,6 @@
 	mu      sync.Mutex
 	content *catalog.Content
 	health  []error
-	updates int
 	wrong   string // what an update made wrong first
 	stop    func()
 }
@@ -252,7 +251,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rev, policy := f.content.Revision(), f.content.Policy()
-	f.updates++
 	f.content.Take(u)
 	if f.wrong == "" && f.content.Revision() < rev {
 		f.wrong = "the revision went back"
@@ -279,12 +277,25 @@
 	return catalog.Replica{}, false
 }
 
-// lastHealth returns the result of the last call that was told.
-func (f *follower) lastHealth() error {
+// results returns the results of all calls that were told.
+func (f *follower) results() []error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.health) == 0 {
+	return slices.Clone(f.health)
+}
+
+// lastHealth returns the result of the last call that was told.
+func (f *follower) lastHealth() error {
+	all := f.results()
+	if len(all) == 0 {
 		return nil
 	}
-	return f.health[len(f.health)-1]
+	return all[len(all)-1]
+}
+
+// mistake returns what an update made wrong first; empty for nothing.
+func (f *follower) mistake() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wrong
 }
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -127,9 +127,9 @@
 	switch {
 	case ch.Policy != nil:
 		c.takePolicy(ch.Policy)
-	case ch.Replica != nil:
+	case ch.Replica != nil && ch.Revision >= c.replicas[ch.Replica.ID].Revision:
 		c.replicas[ch.Replica.ID] = *ch.Replica
-	case ch.Gone != "" && settled:
+	case ch.Gone != "" && settled && ch.Revision >= c.replicas[ch.Gone].Revision:
 		delete(c.replicas, ch.Gone)
 	case ch.Evacuated != "":
 		c.evacuated[ch.Evacuated] = true
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/placement"
 )
@@ -18,9 +19,11 @@
 const (
 	endSlack       = 40 * time.Millisecond // a replica's own word at its deadline is waited for so long
 	defaultLife    = 30 * time.Second      // of a request whose caller and route say nothing
-	maxRounds      = 8                     // targets asked for on behalf of one request
+	maxRounds      = 24                    // targets asked for on behalf of one request
 	waitShare      = 0.2                   // of the goal that a request waits here for a replica that may take it
 	shortWait      = 5 * time.Millisecond
+	policyWait     = 300 * time.Millisecond // a box far from the publisher knows a policy some 350 ms after its start
+	policyLook     = 20 * time.Millisecond
 	defaultBody    = 4 << 20 // bytes, where the policy gives no bound
 	maxPriority    = 9
 	answerPerGuess = 1.3 // guesses are right in the median, but long answers are longer
@@ -67,7 +70,7 @@
 
 // identify finds the route of the request and what it says of itself.
 func (c *call) identify() bool {
-	table := c.server.core.Table()
+	table := c.firstTable()
 	if table == nil {
 		c.refuse(reasonStarting, retryStarting)
 		return false
@@ -92,6 +95,18 @@
 	return true
 }
 
+// firstTable returns the policy in force. Just after its start a box waits a
+// little for one, for that is sooner than the caller would be back.
+func (c *call) firstTable() *catalog.Table {
+	for {
+		table := c.server.core.Table()
+		if table != nil || time.Since(c.start) > policyWait || c.r.Context().Err() != nil {
+			return table
+		}
+		sleep.For(c.r.Context(), policyLook)
+	}
+}
+
 // findRoute looks the route up. A request that another box passed on with a
 // newer policy keeps that box's route, so that no caller sees an older policy
 // after a newer one.
@@ -102,7 +117,7 @@
 		c.sent = c.relay.Sent
 		c.counted = c.sent > 0
 		if c.relay.Version > c.version {
-			c.server.core.Behind(c.relay.Version)
+			c.server.core.Behind()
 		}
 		c.version = c.relay.Version
 		return true
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -84,7 +84,7 @@
 	Quiet   func(c *placement.Choice, sent time.Time) time.Duration
 	End     func(c *placement.Choice, r placement.Result, took time.Duration)
 	BoxLost func(box string) // a box could not be reached
-	Behind  func(version int)
+	Behind  func()           // another box knows a newer policy
 	Record  func(decision.Event)
 	Meter   Meter
 }
--- a/node/core.go
+++ b/node/core.go
@@ -23,7 +23,7 @@
 		Quiet:   n.quiet,
 		End:     n.end,
 		BoxLost: n.boxLost,
-		Behind:  func(version int) { n.behind.Store(int64(version)) },
+		Behind:  func() { n.feed.Behind(n.feed.Known() + 1) },
 		Record:  n.record,
 		Meter: ingress.Meter{
 			Request: func(service, outcome string, took time.Duration) {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/peer"
@@ -21,6 +23,7 @@
 	peerDial   = 500 * time.Millisecond // between regions a connection takes 160 ms
 	pullLimit  = 2 * time.Second        // for a whole catalog from another box
 	pullPause  = 300 * time.Millisecond // between two of them
+	readers    = 2                      // boxes of a region that read the catalog again, so that one may be lost
 	passedOn   = 8                      // other boxes' statuses in one datagram
 	closeLost  = 3 * time.Second        // connections to a box that is silent for so long are closed
 	reloadLook = time.Second            // how often the settings are compared
@@ -43,23 +46,44 @@
 		}
 	})
 	n.tasks.Go(func() {
+		n.send(n.message(), n.everyone(), true)
 		for ctx.Err() == nil {
+			sleep.For(ctx, roster.Tick)
 			n.tell()
 			n.watchMembers()
-			sleep.For(ctx, roster.Tick)
 		}
 	})
 }
 
 // tell sends one round of datagrams.
 func (n *Node) tell() {
-	var g wire.Gossip
 	var targets []string
+	_ = n.state.Do(func(s *state) { targets = s.roster.Targets(n.now(), rand.IntN) })
+	n.send(n.message(), targets, false)
+}
+
+// tellEveryone sends news that can't wait for the next round.
+func (n *Node) tellEveryone() { n.send(n.message(), n.everyone(), false) }
+
+func (n *Node) everyone() (out []string) {
+	_ = n.state.Do(func(s *state) { out = s.roster.Everyone(n.now()) })
+	return out
+}
+
+// send sends a message to the boxes at some addresses. With ask they answer at
+// once.
+func (n *Node) send(g wire.Gossip, targets []string, ask bool) {
+	g.Ask = ask
+	for _, addr := range targets {
+		_ = n.links[0].Send(addr, g) // a datagram may be lost anyway, and the next one follows
+	}
+}
+
+// message returns what this box says of itself now.
+func (n *Node) message() (g wire.Gossip) {
 	_ = n.state.Do(func(s *state) {
-		now := n.now()
-		g.From = s.fill(n.status(), now)
-		g.Others = s.roster.Digest(now, passedOn)
-		targets = s.roster.Targets(now, rand.IntN)
+		g.From = s.fill(n.status(), n.now())
+		g.Others = s.roster.Digest(n.now(), passedOn)
 	})
 	switch {
 	case n.leaving.Load():
@@ -67,9 +91,7 @@
 	case n.table.Load() == nil:
 		g.From.State = wire.ServingStateStarting
 	}
-	for _, addr := range targets {
-		_ = n.links[0].Send(addr, g) // a datagram may be lost anyway, and the next one follows
-	}
+	return g
 }
 
 // hear takes a datagram in. A box that knows more than one that can't read the
@@ -80,6 +102,10 @@
 		s.hear(g, n.now())
 		revision = s.content.Revision()
 	})
+	if g.Ask && g.From.Peers != "" {
+		n.send(n.message(), []string{g.From.Peers}, false)
+	}
+	n.feed.Behind(int64(g.From.Catalog))
 	blind := !n.storeOK.Load() || n.table.Load() == nil
 	if !blind || g.From.Peers == "" || int64(g.From.Catalog) <= revision {
 		return
@@ -93,6 +119,21 @@
 	}
 }
 
+// readsForOthers says whether this box is one of those that read the whole
+// catalog again and again on behalf of the boxes of its region.
+func (n *Node) readsForOthers() (out bool) {
+	_ = n.state.Do(func(s *state) {
+		names := []string{s.settings.Box}
+		for _, m := range s.roster.Members() {
+			if m.Status.Region == s.settings.Region && s.roster.Alive(m.Status.Box, n.now()) {
+				names = append(names, m.Status.Box)
+			}
+		}
+		out = slices.Contains(rendezvous.Top("catalog", names, readers), s.settings.Box)
+	})
+	return out
+}
+
 // catalogRequest asks for a catalog newer than a revision.
 type catalogRequest struct {
 	After int64 `json:"after"`
@@ -136,6 +177,7 @@
 
 // takeUpdate takes an update of the catalog in.
 func (n *Node) takeUpdate(u catalog.Update) {
+	first := n.table.Load() == nil
 	_ = n.state.Do(func(s *state) {
 		for _, b := range s.take(u, n.now()) {
 			n.record(decision.Event{
@@ -148,6 +190,9 @@
 		}
 		n.table.Store(s.table)
 	})
+	if first && n.table.Load() != nil {
+		n.tellEveryone() // this box serves from now on
+	}
 }
 
 // storeHealth takes in whether a call to the store succeeded.
--- a/node/node.go
+++ b/node/node.go
@@ -49,7 +49,6 @@
 	storeOK   atomic.Bool
 	leaving   atomic.Bool
 	pulling   atomic.Bool
-	behind    atomic.Int64
 	replicas  *exchange.Pool
 	boxes     *exchange.Pool
 	store     *exchange.Pool
@@ -171,6 +170,7 @@
 	})
 	n.feed = catalog.NewFeed(source, n.takeUpdate,
 		catalog.WithHealth(n.storeHealth),
+		catalog.WithReader(n.readsForOthers),
 		catalog.WithJitter(rand.Float64))
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -123,7 +123,7 @@
 		return
 	case <-n.stop:
 	}
-	n.tell()
+	n.tellEveryone()
 	limit, stop := context.WithTimeout(ctx, n.settings.Bounds.StopWithin-stopEarly)
 	defer stop()
 	sleep.For(limit, min(lameTime, n.settings.Bounds.StopWithin/2))
--- a/node/state.go
+++ b/node/state.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -175,6 +176,7 @@
 		if !hasFar {
 			return ingress.Target{
 				Reason: placement.Nothing,
+				Wait:   askAgain,
 			}
 		}
 		return s.sendAway(far)
@@ -188,10 +190,14 @@
 	return ingress.Target{
 		Choice: c,
 		Reason: c.Reason,
-		Wait:   c.Wait,
+		Wait:   cmp.Or(c.Wait, askAgain),
 	}
 }
 
+// askAgain is when to ask for a target again where nothing says when there will
+// be one: other boxes are heard of, and replicas are listed, at any moment.
+const askAgain = 40 * time.Millisecond
+
 // which returns the boxes to name to a caller in a region: the ready ones there.
 // Where there is none, those that are leaving but still take requests, for data
 // may be bound to the region; and at last those of all other regions.
--- /dev/null
+++ b/placement/cold_test.go
@@ -0,0 +1,147 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/pacing"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+const mostCold = 6 // a second, from 2 a second x 1.5 + 3
+
+// sent lets boxes send as much as they may for some seconds and returns when.
+func sent(boxes []*box, names []string, service string, from, until time.Duration) []time.Duration {
+	var out []time.Duration
+	for now := from; now < until; now += 10 * time.Millisecond {
+		for i, b := range boxes {
+			c := b.Pick(ask(service, fmt.Sprint(now, i)), names, now)
+			if c.Reason == placement.None {
+				out = append(out, now)
+				b.End(&c, placement.Answered, time.Millisecond, now)
+			}
+		}
+	}
+	return out
+}
+
+// most returns the most sends in a second.
+func most(sends []time.Duration) int {
+	out := 0
+	for i := range sends {
+		n := 0
+		for _, s := range sends[i:] {
+			if s <= sends[i]+time.Second {
+				n++
+			}
+		}
+		out = max(out, n)
+	}
+	return out
+}
+
+func coldReplica(left catalog.Millis) catalog.Replica {
+	r := replicas("plain", 1)[0]
+	r.ColdLeft = left
+	r.Revision = 2
+	return r
+}
+
+func TestAColdReplicaIsPacedForAllBoxesTogether(t *testing.T) {
+	for _, names := range [][]string{{"a"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e", "f", "g", "h", "i"}} {
+		is := is.New(t)
+		var boxes []*box
+		for _, name := range names {
+			boxes = append(boxes, newBox(name, "hall", coldReplica(5000)))
+		}
+		cold := sent(boxes, names, "plain", start, start+5*time.Second)
+		is.True(most(cold) <= mostCold)
+		is.True(len(cold) >= 5) // it gets some work
+		warm := sent(boxes, names, "plain", start+5*time.Second, start+6*time.Second)
+		is.True(len(warm) > 10*mostCold)
+	}
+}
+
+func TestAPacedReplicaTellsWhenToAskAgain(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", coldReplica(60_000))
+	now := start
+	for range 50 {
+		c := b.Pick(ask("plain", "k"), alone, now)
+		if c.Reason == placement.None {
+			b.End(&c, placement.Answered, time.Millisecond, now)
+			continue
+		}
+		is.Equal(c.Reason, placement.Paced)
+		is.True(c.Wait > 0)
+		is.Equal(b.Outlook(ask("plain", "k"), alone, now).Reason, placement.Paced)
+		now += c.Wait
+		c = b.Pick(ask("plain", "k"), alone, now)
+		is.Equal(c.Reason, placement.None)
+		b.End(&c, placement.Answered, time.Millisecond, now)
+	}
+	is.True(now > start)
+}
+
+func TestWorkGoesToWarmReplicasWhileOneIsPaced(t *testing.T) {
+	is := is.New(t)
+	all := append([]catalog.Replica{coldReplica(5000)}, replicas("plain", 2)[1])
+	b := newBox("a", "hall", all...)
+	got := map[string]int{}
+	for n := range 200 {
+		now := start + time.Duration(n)*5*time.Millisecond
+		c := b.Pick(ask("plain", fmt.Sprint(n)), alone, now)
+		is.Equal(c.Reason, placement.None)
+		got[c.Replica]++
+		b.End(&c, placement.Answered, time.Millisecond, now)
+	}
+	is.True(got["plain-0"] <= mostCold)
+	is.Equal(got["plain-0"]+got["plain-1"], 200)
+}
+
+func TestAServiceWithoutAColdRateIsNotPaced(t *testing.T) {
+	is := is.New(t)
+	r := replicas("steady", 1)[0]
+	r.ColdLeft = 5000
+	r.Revision = 2
+	b := newBox("a", "hall", r)
+	is.Equal(len(sent([]*box{b}, alone, "steady", start, start+time.Second)), 100)
+}
+
+func TestReplicasOfAReopenedDomainAreCold(t *testing.T) {
+	is := is.New(t)
+	all := replicas("plain", 1)
+	b := newBox("a", "hall", all...)
+	b.publish(start, []string{"hall"}, all...)
+	is.Equal(len(sent([]*box{b}, alone, "plain", start, start+time.Second)), 0)
+	b.publish(start+time.Second, nil, all...)
+	is.True(most(sent([]*box{b}, alone, "plain", start+time.Second, start+4*time.Second)) <= mostCold)
+}
+
+func TestAReplicaThatWasOutOfReachIsColdWhenItIsBack(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("plain", 1)...)
+	fail(b, "plain", placement.Unreachable, start)
+	sends := sent([]*box{b}, alone, "plain", start, start+3*time.Second)
+	is.True(len(sends) > 0)
+	is.True(most(sends) <= mostCold)
+}
+
+// A replica may be published before the policy with its service.
+func TestAColdReplicaListedBeforeItsServiceIsPaced(t *testing.T) {
+	is := is.New(t)
+	b := &box{
+		View:    placement.NewView("north", "hall", pacing.New("a", terms)),
+		content: catalog.NewContent(),
+	}
+	b.publish(start, nil, coldReplica(5000))
+	b.SetTable(catalog.NewTable(policy()))
+	b.publish(start, nil, coldReplica(5000))
+	sends := sent([]*box{b}, alone, "plain", start, start+3*time.Second)
+	is.True(len(sends) > 0)
+	is.True(most(sends) <= mostCold)
+}
--- /dev/null
+++ b/placement/fuzz_test.go
@@ -0,0 +1,277 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	_ "github.com/havenrudder/havenrudder/internal/fixed"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+const (
+	actions = 120 // in one run
+	known   = 3   // replicas of each service
+)
+
+// open is a request that was counted in.
+type open struct {
+	choice placement.Choice
+	load   placement.Load
+}
+
+// region is a box, what is published to it, and what it has to count.
+type region struct {
+	*rapid.T
+	*box
+	now       time.Duration
+	rev       int64
+	published map[string]catalog.Replica
+	left      map[string]bool // ids that were published as leaving
+	evacuated []string
+	open      []open
+}
+
+func newRegion(t *rapid.T) *region {
+	r := &region{
+		T:         t,
+		box:       newBox("a", "hall"),
+		now:       start,
+		rev:       1,
+		published: make(map[string]catalog.Replica),
+		left:      make(map[string]bool),
+	}
+	for _, service := range []string{"engine", "plain"} {
+		for _, info := range replicas(service, known) {
+			r.published[info.ID] = info
+		}
+	}
+	r.republish()
+	return r
+}
+
+func (r *region) republish() {
+	var all []catalog.Replica
+	for _, info := range r.published {
+		all = append(all, info)
+	}
+	r.publish(r.now, r.evacuated, all...)
+	for id := range r.left {
+		if r.Get(id) == nil {
+			delete(r.left, id) // forgotten, a long time after
+		}
+	}
+}
+
+func (r *region) service() string {
+	return rapid.SampledFrom([]string{"engine", "plain"}).Draw(r.T, "service")
+}
+
+func (r *region) id() string {
+	return fmt.Sprintf("%s-%d", r.service(), rapid.IntRange(0, known-1).Draw(r.T, "replica"))
+}
+
+// change publishes a change of one replica.
+func (r *region) change() {
+	id := r.id()
+	if rapid.IntRange(0, 3).Draw(r.T, "kind") == 0 {
+		delete(r.published, id)
+		r.republish()
+		return
+	}
+	r.rev++
+	info := catalog.Replica{
+		ID:       id,
+		Service:  id[:len(id)-2],
+		Addr:     "127.0.0.1:9",
+		Domain:   rapid.SampledFrom([]string{"hall", "attic"}).Draw(r.T, "domain"),
+		Region:   "north",
+		Slots:    rapid.IntRange(0, 4).Draw(r.T, "slots"),
+		Leaving:  rapid.IntRange(0, 5).Draw(r.T, "leaving") == 0,
+		ColdLeft: catalog.Millis(rapid.SampledFrom([]int{0, 0, 300, 3000}).Draw(r.T, "cold")),
+		Revision: r.rev,
+	}
+	if info.Leaving {
+		r.left[id] = true
+	}
+	r.published[id] = info
+	r.republish()
+}
+
+func (r *region) evacuate() {
+	r.evacuated = nil
+	for _, d := range []string{"hall", "attic"} {
+		if rapid.IntRange(0, 2).Draw(r.T, d) == 0 {
+			r.evacuated = append(r.evacuated, d)
+		}
+	}
+	r.republish()
+}
+
+func (r *region) request() placement.Request {
+	req := ask(r.service(), fmt.Sprint(len(r.open)))
+	if req.Service == "engine" {
+		req.Prompt = rapid.SampledFrom([]int{1, 500, 5000, 60_000}).Draw(r.T, "prompt")
+		req.Out = rapid.SampledFrom([]int{0, 1, 400}).Draw(r.T, "out")
+		left := req.Prompt
+		for n := range rapid.IntRange(0, 3).Draw(r.T, "parts") {
+			tokens := rapid.IntRange(0, left).Draw(r.T, "tokens")
+			left -= tokens
+			req.Parts = append(req.Parts, placement.Part{
+				ID:     fmt.Sprint("part-", n),
+				Tokens: tokens,
+			})
+		}
+	}
+	if rapid.IntRange(0, 3).Draw(r.T, "tried") == 0 {
+		req.Tried = []string{r.id()}
+	}
+	return req
+}
+
+func (r *region) pick() {
+	req := r.request()
+	before := make(map[string]placement.Load)
+	for _, known := range r.Replicas() {
+		before[known.ID()] = known.Own()
+	}
+	c := r.Pick(req, alone, r.now)
+	if c.Reason != placement.None {
+		if c.Replica != "" || c.Wait < 0 {
+			r.Fatalf("a refusal with a replica or a time that is over: %v", c)
+		}
+		for id, own := range before {
+			if r.Get(id).Own() != own {
+				r.Fatalf("a refusal counted in at %s", id)
+			}
+		}
+		return
+	}
+	r.mayServe(c, req)
+	now, old := r.Get(c.Replica).Own(), before[c.Replica]
+	r.open = append(r.open, open{
+		choice: c,
+		load: placement.Load{
+			Requests: now.Requests - old.Requests,
+			Tokens:   now.Tokens - old.Tokens,
+			Unread:   now.Unread - old.Unread,
+		},
+	})
+}
+
+// mayServe checks that a replica may be chosen for a request.
+func (r *region) mayServe(c placement.Choice, req placement.Request) {
+	info, listed := r.published[c.Replica]
+	switch {
+	case !listed:
+		r.Fatalf("%s is not listed", c.Replica)
+	case info.Service != req.Service:
+		r.Fatalf("%s is of another service", c.Replica)
+	case info.Addr != c.Addr:
+		r.Fatalf("%s is at %s, not %s", c.Replica, info.Addr, c.Addr)
+	case r.left[c.Replica]:
+		r.Fatalf("%s has left", c.Replica)
+	case slices.Contains(r.evacuated, info.Domain):
+		r.Fatalf("%s is in a closed domain", c.Replica)
+	case slices.Contains(req.Tried, c.Replica):
+		r.Fatalf("%s was tried", c.Replica)
+	case r.Get(c.Replica).Out(r.now):
+		r.Fatalf("%s is out", c.Replica)
+	case c.Expect < 0 || c.Missing < 0:
+		r.Fatalf("negative: %v", c)
+	}
+}
+
+func (r *region) first() {
+	if len(r.open) == 0 {
+		return
+	}
+	o := &r.open[rapid.IntRange(0, len(r.open)-1).Draw(r.T, "open")]
+	r.First(&o.choice, time.Duration(rapid.IntRange(0, 5000).Draw(r.T, "took"))*time.Millisecond, r.now)
+	o.load.Unread = 0
+}
+
+func (r *region) end() {
+	if len(r.open) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(r.open)-1).Draw(r.T, "open")
+	o := r.open[i]
+	r.open = slices.Delete(r.open, i, i+1)
+	result := placement.Result(rapid.IntRange(int(placement.Answered), int(placement.Misdirected)).Draw(r.T, "result"))
+	wasOut := r.Get(o.choice.Replica).Out(r.now)
+	told := r.End(&o.choice, result, time.Duration(rapid.IntRange(0, 900).Draw(r.T, "hold"))*time.Millisecond, r.now)
+	if isOut := r.Get(o.choice.Replica).Out(r.now); told != (isOut && !wasOut) {
+		r.Fatalf("told %v; out before: %v, after: %v", told, wasOut, isOut)
+	}
+	r.End(&o.choice, result, 0, r.now) // counts nothing a second time
+}
+
+func (r *region) told() {
+	r.Told("b", []placement.OwnLoad{{
+		Replica: r.id(),
+		Load: placement.Load{
+			Requests: rapid.IntRange(0, 20).Draw(r.T, "requests"),
+			Tokens:   rapid.IntRange(0, 90_000).Draw(r.T, "tokens"),
+		},
+	}}, r.now)
+}
+
+func (r *region) pass() {
+	r.now += rapid.SampledFrom([]time.Duration{
+		time.Millisecond, 100 * time.Millisecond, 2 * time.Second, 40 * time.Second,
+	}).Draw(r.T, "time")
+}
+
+// check compares what is counted with the requests that are open.
+func (r *region) check() {
+	want := make(map[string]placement.Load)
+	for _, o := range r.open {
+		l := want[o.choice.Replica]
+		l.Requests++
+		l.Tokens += o.load.Tokens
+		l.Unread += o.load.Unread
+		want[o.choice.Replica] = l
+	}
+	for id := range want {
+		if r.Get(id) == nil {
+			r.Fatalf("%s is forgotten with open requests", id)
+		}
+	}
+	for _, known := range r.Replicas() {
+		own, all := known.Own(), known.Load(r.now)
+		if own != want[known.ID()] {
+			r.Fatalf("%s: counted %v, open %v", known.ID(), own, want[known.ID()])
+		}
+		if all.Requests < own.Requests || all.Tokens < own.Tokens || own.Tokens < 0 || own.Unread < 0 {
+			r.Fatalf("%s: own %v, all %v", known.ID(), own, all)
+		}
+		if f := known.Failing(r.now); f < 0 || f > 1 || known.Slow(r.now) < 1 {
+			r.Fatalf("%s: failing %g, slow %g", known.ID(), f, known.Slow(r.now))
+		}
+	}
+}
+
+func TestRequestsAreCountedInAndOutExactly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRegion(t)
+		acts := []func(){r.pick, r.pick, r.pick, r.pick, r.first, r.end, r.end, r.change, r.evacuate, r.told, r.pass}
+		for range actions {
+			rapid.SampledFrom(acts).Draw(t, "action")()
+			r.check()
+		}
+		for len(r.open) > 0 {
+			r.end()
+		}
+		r.check()
+		for _, known := range r.Replicas() {
+			if known.Own() != (placement.Load{}) {
+				t.Fatalf("%s: %v is left", known.ID(), known.Own())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/placement/outcome_test.go
@@ -0,0 +1,246 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+// pick picks a replica and ends the request at once.
+func pick(b *box, service string, result placement.Result, now time.Duration) placement.Choice {
+	c := b.Pick(ask(service, "k"), alone, now)
+	b.End(&c, result, 10*time.Millisecond, now)
+	return c
+}
+
+func TestAnUnreachableReplicaIsLeftOutAndTriedAgainLater(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 1)...)
+	sends := fail(b, "steady", placement.Unreachable, start)
+	is.True(sends >= 1 && sends <= 4)
+	is.True(b.Get("steady-0").Out(start))
+	now := start
+	var before time.Duration
+	for range 8 { // it is left out ever longer, up to a bound
+		away := now
+		for b.Get("steady-0").Out(now) {
+			is.Equal(pick(b, "steady", placement.Answered, now).Reason, placement.Out)
+			now += 100 * time.Millisecond
+		}
+		is.True(now-away >= before-100*time.Millisecond)
+		is.True(now-away <= 15*time.Second)
+		before = now - away
+		is.True(fail(b, "steady", placement.Unreachable, now) <= sends)
+	}
+	for b.Get("steady-0").Out(now) {
+		now += 100 * time.Millisecond
+	}
+	is.Equal(pick(b, "steady", placement.Answered, now).Replica, "steady-0")
+	is.Equal(fail(b, "steady", placement.Unreachable, now), sends) // as at first
+}
+
+func TestAnotherReplicaServesWhileOneIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 2)...)
+	for range 20 {
+		c := b.Pick(ask("steady", "k"), alone, start)
+		result := placement.Answered
+		if c.Replica == "steady-0" {
+			result = placement.Unreachable
+		}
+		b.End(&c, result, time.Millisecond, start)
+	}
+	is.Equal(pick(b, "steady", placement.Answered, start).Replica, "steady-1")
+	is.True(!b.Get("steady-1").Out(start))
+}
+
+func TestEndTellsOnceThatAReplicaIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 1)...)
+	var open []placement.Choice
+	for n := range 8 {
+		open = append(open, b.Pick(ask("steady", fmt.Sprint(n)), alone, start))
+	}
+	told := 0
+	for i := range open {
+		if b.End(&open[i], placement.Unreachable, 0, start) {
+			told++
+		}
+		is.True(!b.End(&open[i], placement.Unreachable, 0, start)) // it is counted out already
+	}
+	is.Equal(told, 1)
+}
+
+func TestSilenceLeavesAReplicaOutAfterSome(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 1)...)
+	sends := fail(b, "steady", placement.Silent, start)
+	is.True(sends >= 2 && sends <= 6) // a single request may have met a restart
+	is.True(b.Get("steady-0").Failing(start) > 0)
+}
+
+func TestAnAnswerBetweenSilencesKeepsAReplicaIn(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 1)...)
+	for range 20 {
+		is.Equal(pick(b, "steady", placement.Silent, start).Reason, placement.None)
+		is.Equal(pick(b, "steady", placement.Answered, start).Reason, placement.None)
+	}
+}
+
+func TestAMisdirectedRequestLeavesAReplicaOutAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 1)...)
+	is.Equal(fail(b, "steady", placement.Misdirected, start), 1)
+}
+
+func TestRefusalsAndCallersThatLeaveSayNothingAgainstAReplica(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 1)...)
+	for range 30 {
+		is.Equal(pick(b, "steady", placement.Refused, start).Reason, placement.None)
+		is.Equal(pick(b, "steady", placement.Abandoned, start).Reason, placement.None)
+	}
+	is.Equal(b.Get("steady-0").Failing(start), 0.0)
+}
+
+func TestFailuresRaiseTheCostForAWhile(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 2)...)
+	r := b.Get("steady-0")
+	before := 0.0
+	for range 10 {
+		req := ask("steady", "k")
+		req.Tried = []string{"steady-1"}
+		c := b.Pick(req, alone, start)
+		b.End(&c, placement.Failed, 10*time.Millisecond, start)
+		is.True(r.Failing(start) > before)
+		is.True(r.Failing(start) <= 1)
+		before = r.Failing(start)
+	}
+	is.True(!r.Out(start)) // it answers, after all
+	is.Equal(pick(b, "steady", placement.Abandoned, start).Replica, "steady-1")
+	is.True(r.Failing(start+3*time.Second) < before)
+	is.True(r.Failing(start+longOn) < 0.001)
+}
+
+func TestSlowAnswersRaiseTheExpectationForAWhile(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 1)...)
+	r := b.Get("steady-0")
+	is.Equal(r.Slow(start), 1.0)
+	expect := b.Outlook(ask("steady", "k"), alone, start).Expect
+	for range 10 {
+		c := b.Pick(ask("steady", "k"), alone, start)
+		b.First(&c, 10*c.Expect, start)
+		b.End(&c, placement.Abandoned, 0, start)
+		is.True(r.Slow(start) > 1)
+		is.True(r.Slow(start) < 100)
+	}
+	is.True(b.Outlook(ask("steady", "k"), alone, start).Expect > expect)
+	is.True(r.Slow(start+longOn) < 1.001)
+	for range 50 {
+		c := b.Pick(ask("steady", "k"), alone, start)
+		b.First(&c, c.Expect/10, start)
+		b.End(&c, placement.Abandoned, 0, start)
+		is.True(r.Slow(start) >= 1)
+	}
+	is.Equal(r.Slow(start), 1.0)
+}
+
+func TestQuietIsCountedFromTheLastBytesOrTheSend(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 1)...)
+	c := b.Pick(ask("steady", "k"), alone, start)
+	sent := start + time.Second
+	is.Equal(b.Quiet(&c, sent, sent+300*time.Millisecond), 300*time.Millisecond)
+	b.Heard(&c, sent+time.Second)
+	is.Equal(b.Quiet(&c, sent, sent+1500*time.Millisecond), 500*time.Millisecond)
+	b.First(&c, time.Second, sent+2*time.Second)
+	is.Equal(b.Quiet(&c, sent, sent+2*time.Second), time.Duration(0))
+	b.End(&c, placement.Answered, time.Second, sent+3*time.Second)
+	is.Equal(b.Quiet(&c, sent, sent+time.Hour), time.Duration(0))
+	b.Heard(&c, start) // of a request that ended: nothing happens
+	b.First(&c, time.Second, start)
+}
+
+func TestTheFirstByteEndsTheReadingOfThePrompt(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("engine", 1)...)
+	c := b.Pick(askShared("manual", "k"), alone, start)
+	r := b.Get("engine-0")
+	is.True(r.Own().Unread > 0)
+	b.First(&c, time.Second, start)
+	is.Equal(r.Own().Unread, 0)
+	is.True(r.Own().Tokens > 0)
+	b.First(&c, time.Second, start) // told twice
+	is.Equal(r.Own().Unread, 0)
+	b.End(&c, placement.Answered, time.Second, start)
+	is.Equal(r.Own(), placement.Load{})
+}
+
+func TestOtherBoxesWorkCountsAndAgesOut(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("engine", 2)...)
+	r := b.Get("engine-0")
+	work := func(requests int) []placement.OwnLoad {
+		return []placement.OwnLoad{{
+			Replica: "engine-0",
+			Load: placement.Load{
+				Requests: requests,
+				Tokens:   10 * requests,
+			},
+		}, {
+			Replica: "unknown",
+		}}
+	}
+	b.Told("b", work(3), start)
+	b.Told("c", work(2), start)
+	is.Equal(r.Load(start).Requests, 5)
+	is.Equal(r.Load(start).Tokens, 50)
+	is.Equal(r.Own(), placement.Load{}) // it isn't this box's
+	b.Told("b", work(1), start)         // in place of what it told before
+	is.Equal(r.Load(start).Requests, 3)
+	c := b.Pick(askShared("manual", "k"), alone, start)
+	for b.Get(c.Replica) != r {
+		c = b.Pick(askShared("manual", "k"), alone, start)
+	}
+	is.True(r.Load(start).Requests > 3)
+	b.Told("b", nil, start) // it names none, so it has none
+	is.Equal(r.Load(start).Requests, 2+r.Own().Requests)
+	is.Equal(r.Load(start+time.Minute).Requests, r.Own().Requests)
+}
+
+func TestABoxTellsItsOwnWorkOnly(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("engine", 3)...)
+	b.Told("b", []placement.OwnLoad{{
+		Replica: "engine-1",
+		Load: placement.Load{
+			Requests: 3,
+		},
+	}}, start)
+	is.Equal(len(b.Tell(start)), 0)
+	c := b.Pick(askShared("manual", "k"), alone, start)
+	got := b.Tell(start)
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Replica, c.Replica)
+	is.Equal(got[0].Load.Requests, 1)
+	is.Equal(got[0].Load.Tokens, b.Get(c.Replica).Own().Tokens)
+	is.True(!got[0].Failing)
+	b.End(&c, placement.Answered, time.Second, start)
+	is.Equal(len(b.Tell(start+longOn)), 0)
+}
+
+func TestABoxTellsThatAReplicaIsOut(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 1)...)
+	fail(b, "steady", placement.Unreachable, start)
+	got := b.Tell(start)
+	is.Equal(len(got), 1)
+	is.True(got[0].Failing)
+}
--- /dev/null
+++ b/placement/region_test.go
@@ -0,0 +1,120 @@
+package placement_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/pacing"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+const (
+	start  = time.Minute    // of the tests' clock; pacers have started long before
+	longOn = 10 * time.Hour // later than anything that is remembered
+	prompt = 4000           // tokens of a usual prompt
+	shared = 3000           // of them in a shared part
+)
+
+// terms are the bound on cold replicas, as the platform's example has it.
+var terms = pacing.Terms{
+	Overage: 1.5,
+	Slack:   3,
+}
+
+// policy holds a service of engines, a plain one and one without a cold rate.
+func policy() catalog.Policy {
+	return catalog.Policy{
+		Version: 1,
+		Services: []catalog.Service{{
+			Name:          "engine",
+			ColdFor:       5000,
+			ColdPerSecond: 2,
+			Engine: &catalog.Engine{
+				Slots:  8,
+				Memory: 100_000,
+				Stride: 5,
+			},
+		}, {
+			Name:          "plain",
+			ColdFor:       5000,
+			ColdPerSecond: 2,
+		}, {
+			Name: "steady",
+		}},
+	}
+}
+
+// replicas returns n replicas of a service in one failure domain.
+func replicas(service string, n int) []catalog.Replica {
+	var out []catalog.Replica
+	for i := range n {
+		out = append(out, catalog.Replica{
+			ID:       fmt.Sprintf("%s-%d", service, i),
+			Service:  service,
+			Addr:     fmt.Sprintf("127.0.0.1:%d", 1+i),
+			Domain:   "hall",
+			Region:   "north",
+			Slots:    8,
+			Revision: 1,
+		})
+	}
+	return out
+}
+
+// box is a view with the catalog it follows.
+type box struct {
+	*placement.View
+	content *catalog.Content
+	rev     int64
+}
+
+func newBox(name, domain string, all ...catalog.Replica) *box {
+	b := &box{
+		View:    placement.NewView("north", domain, pacing.New(name, terms)),
+		content: catalog.NewContent(),
+	}
+	b.SetTable(catalog.NewTable(policy()))
+	b.publish(start, nil, all...)
+	return b
+}
+
+// publish replaces all that is published.
+func (b *box) publish(now time.Duration, evacuated []string, all ...catalog.Replica) []placement.Belief {
+	b.rev++
+	b.content.Take(catalog.Update{
+		Snapshot: &catalog.Snapshot{
+			Revision:  b.rev,
+			Replicas:  all,
+			Evacuated: evacuated,
+		},
+		Revision: b.rev,
+		Settled:  true,
+	})
+	return b.Take(b.content, now)
+}
+
+// alone is the list of boxes of a region with one box.
+var alone = []string{"a"}
+
+// ask returns a request of a service with its own key.
+func ask(service, key string) placement.Request {
+	return placement.Request{
+		Service: service,
+		Key:     key,
+	}
+}
+
+// askShared returns a request whose prompt begins with a shared part.
+func askShared(part, key string) placement.Request {
+	return placement.Request{
+		Service: "engine",
+		Key:     key,
+		Prompt:  prompt,
+		Out:     50,
+		Parts: []placement.Part{{
+			ID:     part,
+			Tokens: shared,
+		}},
+	}
+}
--- /dev/null
+++ b/placement/risk_test.go
@@ -0,0 +1,65 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+const mostRisk = 2000.0 // an answer of no use, in thousandths
+
+func TestRiskIsWithinBoundsAndRisesWithTheWaitAndTheWork(t *testing.T) {
+	anyTime := rapid.Int64Range(0, int64(20*time.Second))
+	rapid.Check(t, func(t *rapid.T) {
+		g := placement.Goals{
+			First: time.Duration(anyTime.Draw(t, "first")),
+			Gap:   time.Duration(anyTime.Draw(t, "gap")),
+			Left:  time.Duration(anyTime.Draw(t, "left")),
+		}
+		low := placement.Outlook{
+			Expect: time.Duration(anyTime.Draw(t, "expect")),
+			Busy:   rapid.Float64Range(0, 5).Draw(t, "busy"),
+		}
+		high := placement.Outlook{
+			Expect: low.Expect + time.Duration(anyTime.Draw(t, "more wait")),
+			Busy:   low.Busy + rapid.Float64Range(0, 5).Draw(t, "more work"),
+		}
+		a, b := low.Risk(g), high.Risk(g)
+		if !(a >= 0 && a <= b && b <= mostRisk) {
+			t.Fatalf("%v: %g, %v: %g", low, a, high, b)
+		}
+		later := g
+		later.First = g.First + time.Duration(anyTime.Draw(t, "more time"))
+		if g.First > 0 && low.Risk(later) > a {
+			t.Fatalf("%v: %g, with more time %g", low, a, low.Risk(later))
+		}
+	})
+}
+
+func TestAnIdleRegionIsNoRiskAndALateAnswerIs(t *testing.T) {
+	is := is.New(t)
+	g := placement.Goals{
+		First: time.Second,
+		Gap:   time.Second,
+		Left:  5 * time.Second,
+	}
+	risk := func(expect time.Duration, busy float64) float64 {
+		return placement.Outlook{
+			Expect: expect,
+			Busy:   busy,
+		}.Risk(g)
+	}
+	is.Equal(risk(0, 0), 0.0)
+	is.Equal(risk(10*time.Millisecond, 0.01), 0.0)
+	is.True(risk(2*time.Second, 0) >= 500)
+	is.True(risk(0, 3) >= 500)
+	is.True(risk(6*time.Second, 0) > risk(4*time.Second, 0)) // of no use is worse than late
+	is.Equal(placement.Outlook{
+		Expect: time.Hour,
+		Busy:   9,
+	}.Risk(placement.Goals{}), 0.0) // nothing is aimed at
+}
--- a/roster/targets.go
+++ b/roster/targets.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -14,7 +15,8 @@
 const (
 	ownTargets  = 16 // members of the own region at a tick: 64 datagrams a second at most
 	farTargets  = 2  // members of each other region, so that one lost datagram is no matter
-	farEvery    = 2  // ticks; other regions need no loads, so half the pace is enough
+	farEvery    = 4  // ticks; other regions need no loads, and bytes to them have a price
+	newsTargets = 64 // of news that can't wait; more boxes hear of it from these
 	silentEvery = 4  // ticks; once a second is soon enough to notice that a cut has healed
 	seedEvery   = 10 // ticks; seeds are mostly members, too
 	fewOthers   = 2  // with fewer boxes alive than this, the seeds are asked at each tick
@@ -45,6 +47,27 @@
 	return out.list
 }
 
+// Everyone returns the addresses of all members alive, and the seeds, for news
+// that can't wait for the next tick: 64 at most, those of the own region first.
+func (t *Table) Everyone(now time.Duration) []string {
+	alive := t.members(func(m Member) bool { return m.alive(now) })
+	slices.SortStableFunc(alive, func(a, b Member) int {
+		return cmp.Compare(t.distance(a), t.distance(b))
+	})
+	out := targets{own: t.self.Peers}
+	out.add(alive)
+	out.addrs(t.seeds)
+	return out.list[:min(len(out.list), newsTargets)]
+}
+
+// distance orders members: those of the own region come first.
+func (t *Table) distance(m Member) int {
+	if m.Status.Region == t.self.Region {
+		return 0
+	}
+	return 1
+}
+
 // ownRegion returns members of the own region, in turn when they are many.
 func (t *Table) ownRegion(alive []Member) []Member {
 	own := slices.DeleteFunc(slices.Clone(alive), func(m Member) bool {
