--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -257,7 +257,6 @@
 		}
 		succeeded = true
 		at = max(at, rev)
-		d.known.Store(max(d.known.Load(), rev))
 		if len(changes) > 0 {
 			d.hand(Update{
 				Changes:  changes,
--- a/catalog/fuzz_test.go
+++ b/catalog/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"reflect"
 	"testing"
 	"testing/synctest"
@@ -16,18 +17,29 @@
 	agreeWithin   = 5 * time.Second // of health and quiet, until the copy is what is published
 	leavingWithin = 4 * time.Second // of health, until a leaving replica is known
 	actions       = 40              // in one run
+	step          = 100 * time.Millisecond
+	othersLag     = 2700 * time.Millisecond // until another box has read all again and said so
 )
 
+// failure ends a run that found a mistake.
+type failure string
+
 // world is a publisher, a copy, and what the copy has to be.
 type world struct {
 	*rapid.T
 	*publisher
 	*follower
-	well    time.Time            // since when the publisher is healthy
-	quiet   time.Time            // since when nothing is published
-	leaving map[string]time.Time // since when a replica is published as leaving
-	highest int                  // version of a policy
-	lapsed  []string             // entries that come back with the publisher
+	well       time.Time            // since when the publisher is healthy
+	quiet      time.Time            // since when nothing is published
+	leaving    map[string]time.Time // since when a replica is published as leaving
+	highest    int                  // version of a policy
+	lapsed     []string             // entries that come back with the publisher
+	othersRead bool                 // other boxes read again, and say what they know
+	published  []int64              // revision after each step
+}
+
+func (w *world) fail(format string, args ...any) {
+	panic(failure(fmt.Sprintf(format, args...)))
 }
 
 func (w *world) id() string {
@@ -99,17 +111,30 @@
 
 // pass lets time go on, and looks at the copy now and then.
 func (w *world) pass() {
-	steps := rapid.SampledFrom([]int{0, 1, 2, 10, 60, 130}).Draw(w.T, "steps")
+	w.passSteps(rapid.SampledFrom([]int{0, 1, 2, 10, 60, 130}).Draw(w.T, "steps"))
+}
+
+func (w *world) passSteps(steps int) {
 	for range steps {
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(step)
+		w.tell()
 		w.check()
 	}
 }
 
+// tell lets another box say what it knows: what was published some time ago.
+func (w *world) tell() {
+	w.published = append(w.published, w.rev)
+	old := len(w.published) - 1 - int(othersLag/step)
+	if w.othersRead && old >= 0 {
+		w.feed.Behind(w.published[old])
+	}
+}
+
 func (w *world) check() {
 	synctest.Wait()
 	if wrong := w.mistake(); wrong != "" {
-		w.Fatal(wrong)
+		w.fail("%s", wrong)
 	}
 	now := time.Now()
 	if w.mode != healthy {
@@ -122,17 +147,17 @@
 			continue
 		}
 		if held, _ := w.get(r.ID); !held.Leaving {
-			w.Fatalf("%s is not known to leave: published %v, held %v", r.ID, r, held)
+			w.fail("%s is not known to leave: published %v, held %v", r.ID, r, held)
 		}
 	}
 	if now.Sub(w.well) < agreeWithin || now.Sub(w.quiet) < agreeWithin {
 		return
 	}
 	if !reflect.DeepEqual(got.Replicas, want.Replicas) {
-		w.Fatalf("replicas: held %v, published %v", got.Replicas, want.Replicas)
+		w.fail("replicas: held %v, published %v", got.Replicas, want.Replicas)
 	}
 	if len(got.Evacuated)+len(want.Evacuated) > 0 && !reflect.DeepEqual(got.Evacuated, want.Evacuated) {
-		w.Fatalf("evacuated: held %v, published %v", got.Evacuated, want.Evacuated)
+		w.fail("evacuated: held %v, published %v", got.Evacuated, want.Evacuated)
 	}
 	w.checkPolicy(got.Policy, want.Policy)
 }
@@ -143,32 +168,45 @@
 	switch {
 	case want == nil:
 	case got == nil, got.Version < want.Version, want.Version == w.highest && got.Version != want.Version:
-		w.Fatalf("policy: held %v, published %v", got, want)
+		w.fail("policy: held %v, published %v", got, want)
 	}
 }
 
 func TestTheCopyAgreesWithAPublisherThatIsWell(t *testing.T) {
+	checkWorlds(t, false)
+}
+
+// A box that doesn't read again for others hears from them what there is.
+func TestTheCopyAgreesWhenOtherBoxesReadAgain(t *testing.T) {
+	checkWorlds(t, true)
+}
+
+func checkWorlds(t *testing.T, othersRead bool) {
 	rapid.Check(t, func(rt *rapid.T) {
-		var failed any // the library's own panics have to end in its goroutine
+		var ended any // what ends a run has to reach the library in its own goroutine
 		synctest.Test(t, func(t *testing.T) {
-			defer func() { failed = recover() }()
-			runWorld(t.Context(), rt)
+			defer func() { ended = recover() }()
+			runWorld(t.Context(), rt, othersRead)
 		})
-		if failed != nil {
-			panic(failed)
+		if f, ok := ended.(failure); ok {
+			rt.Fatal(string(f))
+		}
+		if ended != nil {
+			panic(ended)
 		}
 	})
 }
 
-func runWorld(ctx context.Context, t *rapid.T) {
+func runWorld(ctx context.Context, t *rapid.T, othersRead bool) {
 	p := newPublisher()
 	w := &world{
-		T:         t,
-		publisher: p,
-		follower:  follow(ctx, p.source()),
-		well:      time.Now(),
-		quiet:     time.Now(),
-		leaving:   make(map[string]time.Time),
+		T:          t,
+		publisher:  p,
+		follower:   follow(ctx, p.source(), catalog.WithReader(func() bool { return !othersRead })),
+		well:       time.Now(),
+		quiet:      time.Now(),
+		leaving:    make(map[string]time.Time),
+		othersRead: othersRead,
 	}
 	defer w.stop()
 	acts := []func(){
@@ -186,6 +224,5 @@
 		w.well = time.Now()
 		w.set(healthy)
 	}
-	time.Sleep(agreeWithin)
-	w.check()
+	w.passSteps(int(agreeWithin / step))
 }
--- a/catalog/publisher_test.go
+++ b/catalog/publisher_test.go
@@ -214,6 +214,7 @@
 	content *catalog.Content
 	health  []error
 	wrong   string // what an update made wrong first
+	feed    *catalog.Feed
 	stop    func()
 }
 
@@ -223,17 +224,15 @@
 		content: catalog.NewContent(),
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	n := 0
 	opts = append([]catalog.FeedOption{
 		catalog.WithHealth(f.told),
 		catalog.WithJitter(func() float64 {
-			n++
-			return []float64{0, 0.999, 0.5}[n%3]
+			return []float64{0, 0.999, 0.5}[time.Now().UnixMilli()/10%3] // of all kinds, and the same in each run
 		}),
 	}, opts...)
 	var running sync.WaitGroup
-	feed := catalog.NewFeed(source, f.take, opts...)
-	running.Go(func() { feed.Run(ctx) })
+	f.feed = catalog.NewFeed(source, f.take, opts...)
+	running.Go(func() { f.feed.Run(ctx) })
 	f.stop = func() {
 		cancel()
 		running.Wait()
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -43,6 +43,7 @@
 	Policy    *Policy   `json:"policy,omitempty"` // nil when none was published yet
 	Replicas  []Replica `json:"replicas"`
 	Evacuated []string  `json:"evacuated"` // failure domains whose replicas get no work
+	Malformed []string  `json:"-"`         // ids of replicas whose entries can't be used; the last good ones stay
 }
 
 // Change is one thing that was published. Exactly one of its fields is set, but
@@ -102,6 +103,7 @@
 		return true
 	}
 	if u.Snapshot.Revision < c.revision {
+		c.takePolicy(u.Snapshot.Policy) // it may be the last good one
 		return false
 	}
 	c.replace(*u.Snapshot, u.Settled)
@@ -112,7 +114,7 @@
 	c.revision = s.Revision
 	c.takePolicy(s.Policy)
 	if settled {
-		clear(c.replicas)
+		c.keepOnly(s.Malformed)
 	}
 	for _, r := range s.Replicas {
 		c.replicas[r.ID] = r
@@ -123,6 +125,15 @@
 	}
 }
 
+// keepOnly forgets all replicas but those of some ids.
+func (c *Content) keepOnly(ids []string) {
+	for id := range c.replicas {
+		if !slices.Contains(ids, id) {
+			delete(c.replicas, id)
+		}
+	}
+}
+
 func (c *Content) apply(ch Change, settled bool) {
 	switch {
 	case ch.Policy != nil:
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -61,7 +61,7 @@
 func (a *attempt) passWhole(ctx context.Context, answer *exchange.Answer, success bool) ended {
 	c := a.call
 	var buf bytes.Buffer
-	_, err := io.Copy(&buf, io.LimitReader(answer, heldAnswer))
+	n, err := io.Copy(&buf, io.LimitReader(answer, heldAnswer+1))
 	if err != nil {
 		return a.broke(ctx, err)
 	}
@@ -72,23 +72,36 @@
 		},
 		body: buf.Bytes(),
 	}
+	long := n > heldAnswer
 	if success {
 		a.result = placement.Answered
 	} else {
 		a.result = placement.Failed
 	}
-	if !success && c.worthAnother(whole.status) {
+	switch {
+	case !success && promises(whole.status):
+		return unknown // it may have run, so its word can't be passed on
+	case !success && !long && c.worthAnother(whole.status):
 		c.failure = &whole
 		c.tried = nil // a failure of its own may be of this run alone; how often a replica fails counts when it is chosen again
 		return unknown
-	}
-	if buf.Len() == heldAnswer {
+	case long:
 		return a.passLong(ctx, answer, whole)
 	}
 	c.answer(whole)
 	return served
 }
 
+// promises says whether callers take a status for word that the request has not
+// run. A replica that says so in its own way has been heard before.
+func promises(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // worthAnother says whether a replica's failure is kept back because another
 // replica may do better.
 func (c *call) worthAnother(status int) bool {
@@ -100,28 +113,23 @@
 func (a *attempt) passLong(ctx context.Context, answer *exchange.Answer, head kept) ended {
 	c := a.call
 	length, chunked := answer.Framed()
-	c.begin200(head.Answer)
+	c.setHeader(head.Answer)
 	if !chunked && length >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	c.w.WriteHeader(head.status)
+	c.state = begun
 	if _, err := c.w.Write(head.body); err != nil {
 		return abandoned
 	}
 	if _, err := io.Copy(c.w, answer); err != nil {
 		a.result = placement.Silent
-		return a.cut(ctx)
+		return a.broke(ctx, err)
 	}
+	c.finished(decision.Served, head.status, "")
 	return served
 }
 
-// cut closes the caller's connection, so that the part that it has is not taken
-// for the whole.
-func (a *attempt) cut(context.Context) ended {
-	a.call.state = begun
-	return torn
-}
-
 // broke says what it means that an answer did not come to its end.
 func (a *attempt) broke(ctx context.Context, err error) ended {
 	c := a.call
@@ -141,15 +149,15 @@
 
 // answer gives the caller a whole answer.
 func (c *call) answer(k kept) {
-	c.begin200(k.Answer)
+	c.setHeader(k.Answer)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(k.body)))
 	c.w.WriteHeader(k.status)
 	_, _ = c.w.Write(k.body) // the caller has left when this fails
 	c.finished(decision.Served, k.status, "")
 }
 
-// begin200 sets the headers of a replica's answer.
-func (c *call) begin200(a Answer) {
+// setHeader sets the headers of a replica's answer.
+func (c *call) setHeader(a Answer) {
 	h := c.w.Header()
 	closing := h.Get("Connection")
 	for name, values := range onward(a.header) {
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -59,6 +59,7 @@
 	triedBoxes []string
 	counted    bool          // the budget of retries knows of it
 	lastEvent  string        // id of the last event passed on
+	fromBox    bool          // the stream comes by way of another box
 	firstAt    time.Duration // until the first event or byte was passed on
 	lastAt     time.Time     // when an event was passed on last
 	pause      time.Duration // the longest between two events
@@ -267,6 +268,9 @@
 	if c.state != untouched && !c.route.Repeatable() {
 		return false
 	}
+	if c.state == begun && c.route.Kind != catalog.Stream {
+		return false
+	}
 	if c.sent == 0 {
 		return true
 	}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -43,7 +44,9 @@
 		c.openStream(answer)
 	} else {
 		c.server.core.Meter.Resumed(c.service)
+		c.tellSent()
 	}
+	c.fromBox = a.target.Box != ""
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	var held []byte // the beginning of an event whose end has not come
@@ -80,7 +83,7 @@
 
 // openStream passes the head of a stream on.
 func (c *call) openStream(answer *exchange.Answer) {
-	c.begin200(Answer{
+	c.setHeader(Answer{
 		status: answer.Status(),
 		header: answer.Header(),
 	})
@@ -114,6 +117,11 @@
 			break
 		}
 		event := held[:at+len(eventEnd)]
+		if n, ok := sentEvent(event); ok && c.fromBox {
+			c.sent = max(c.sent, n)
+			held = held[len(event):]
+			continue
+		}
 		if id := eventID(event); id == "" || !notAfter(id, c.lastEvent) {
 			if _, err := c.w.Write(event); err != nil {
 				return nil, err
@@ -132,6 +140,28 @@
 	return held, nil
 }
 
+// sentPrefix begins a comment by which a box tells another in the middle of a
+// stream to how many replicas the request was sent by now.
+const sentPrefix = ":rudder-sent "
+
+// tellSent says so when the stream goes on at one more replica.
+func (c *call) tellSent() {
+	if c.relay == nil {
+		return
+	}
+	_, _ = fmt.Fprintf(c.w, "%s%d\n\n", sentPrefix, c.sent) // the other box has gone when this fails
+}
+
+// sentEvent reads what tellSent wrote.
+func sentEvent(event []byte) (int, bool) {
+	value, ok := bytes.CutPrefix(event, []byte(sentPrefix))
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
+	return n, err == nil
+}
+
 // notePause keeps the longest pause between events.
 func (c *call) notePause(now time.Time) {
 	if c.lastAt.IsZero() {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -81,7 +81,7 @@
 	Repeat  func(service string) bool // asks to send one again
 	First   func(c *placement.Choice, took time.Duration)
 	Heard   func(c *placement.Choice)
-	Quiet   func(c *placement.Choice, sent time.Time) time.Duration
+	Quiet   func(next Ask, c *placement.Choice, sent time.Time) time.Duration // 0 when there is no other target
 	End     func(c *placement.Choice, r placement.Result, took time.Duration)
 	BoxLost func(box string) // a box could not be reached
 	Behind  func()           // another box knows a newer policy
@@ -123,7 +123,10 @@
 
 // Callers returns the handler for callers.
 func (s *Server) Callers() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, nil) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		dropRelay(r.Header)
+		s.serve(w, r, nil)
+	})
 }
 
 // Boxes returns the handler for requests that other boxes pass on.
@@ -134,7 +137,7 @@
 			s.refuseRelay(w, "bad relay header: "+err.Error())
 			return
 		}
-		r.Header.Del(headerRelay)
+		dropRelay(r.Header)
 		s.serve(w, r, relay)
 	})
 }
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -51,6 +51,13 @@
 	return nil
 }
 
+// dropRelay removes the headers that only boxes may set.
+func dropRelay(h http.Header) {
+	for _, name := range []string{headerRelay, headerResult, headerSent} {
+		h.Del(name)
+	}
+}
+
 func decodeRelay(value string) (*relay, error) {
 	var r relay
 	if err := json.Unmarshal([]byte(value), &r); err != nil {
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 	"time"
 
@@ -184,6 +185,8 @@
 	if !c.route.Repeatable() || c.sent+1 >= c.route.Attempts {
 		return func() {}
 	}
+	next := c.ask()
+	next.Request.Tried = append(slices.Clone(next.Request.Tried), a.target.Choice.Replica)
 	done := make(chan struct{})
 	go func() {
 		tick := time.NewTicker(quietCheck)
@@ -196,7 +199,7 @@
 				return
 			case <-tick.C:
 			}
-			if c.server.core.Quiet(&a.target.Choice, a.sent) > a.quietLimit() {
+			if c.server.core.Quiet(next, &a.target.Choice, a.sent) > a.quietLimit() {
 				a.cancel(errQuiet)
 				return
 			}
--- a/node/core.go
+++ b/node/core.go
@@ -73,8 +73,15 @@
 	_ = n.state.Do(func(s *state) { s.view.Heard(c, n.now()) })
 }
 
-func (n *Node) quiet(c *placement.Choice, sent time.Time) (d time.Duration) {
-	_ = n.state.Do(func(s *state) { d = s.view.Quiet(c, sent.Sub(n.started), n.now()) })
+// quiet returns how long a replica has been silent towards this box, 0 when no
+// other could take the request, for then it is waited for.
+func (n *Node) quiet(ask ingress.Ask, c *placement.Choice, sent time.Time) (d time.Duration) {
+	_ = n.state.Do(func(s *state) {
+		d = s.view.Quiet(c, sent.Sub(n.started), n.now())
+		if d > 0 && !s.hasOther(ask, n.now()) {
+			d = 0
+		}
+	})
 	return d
 }
 
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -106,8 +106,7 @@
 		n.send(n.message(), []string{g.From.Peers}, false)
 	}
 	n.feed.Behind(int64(g.From.Catalog))
-	blind := !n.storeOK.Load() || n.table.Load() == nil
-	if !blind || g.From.Peers == "" || int64(g.From.Catalog) <= revision {
+	if g.From.Peers == "" || !n.pulls(g.From, revision) {
 		return
 	}
 	if n.pulling.CompareAndSwap(false, true) {
@@ -119,6 +118,15 @@
 	}
 }
 
+// pulls says whether the catalog is asked for from another box: when this one
+// knows no policy, or can't read the publisher and the other knows more.
+func (n *Node) pulls(from wire.BoxStatus, revision int64) bool {
+	if n.table.Load() == nil {
+		return from.Policy > 0
+	}
+	return !n.storeOK.Load() && int64(from.Catalog) > revision
+}
+
 // readsForOthers says whether this box is one of those that read the whole
 // catalog again and again on behalf of the boxes of its region.
 func (n *Node) readsForOthers() (out bool) {
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	memoryShare = 60                     // percent of the limit from which the collector works harder
 	collectAt   = 50                     // percent of growth of the heap between collections: memory is dearer here than processor time
 	currentFor  = 3 * time.Second        // what is published counts as read of late for so long
+	neverRead   = time.Hour              // the age of what was never read
 	idleReplica = 20 * time.Second       // a connection to a replica rests so long at most
 	idleBox     = 60 * time.Second       // the same between boxes: a new one takes 160 ms
 	stopEarly   = 400 * time.Millisecond // before the process is killed, it ends by itself
@@ -82,6 +83,7 @@
 		told:     make(chan struct{}, 1),
 		bounds:   s.Bounds,
 	}
+	n.read.Store(-int64(neverRead))
 	n.log = decision.New(s.Box, io.Discard)
 	for _, opt := range opts {
 		opt(n)
--- a/node/state.go
+++ b/node/state.go
@@ -64,10 +64,8 @@
 
 // take takes an update of the catalog in and returns what changed.
 func (s *state) take(u catalog.Update, now time.Duration) []placement.Belief {
-	if !s.content.Take(u) {
-		return nil
-	}
 	var out []placement.Belief
+	taken := s.content.Take(u)
 	if p := s.content.Policy(); p != nil && (s.table == nil || p.Version > s.table.Version()) {
 		s.table = catalog.NewTable(*p)
 		s.view.SetTable(s.table)
@@ -76,6 +74,9 @@
 			About:  fmt.Sprint(p.Version),
 		})
 	}
+	if !taken {
+		return out
+	}
 	return append(out, s.view.Take(s.content, now)...)
 }
 
@@ -194,6 +195,15 @@
 	}
 }
 
+// hasOther says whether a target is left that was not tried.
+func (s *state) hasOther(ask ingress.Ask, now time.Duration) bool {
+	if ask.Route.Allows(s.settings.Region) && s.view.Outlook(ask.Request, s.sharers(now), now).Usable > 0 {
+		return true
+	}
+	_, ok := s.bestAway(ask, placement.Goals{}, now, func(int) int { return 0 })
+	return ok
+}
+
 // askAgain is when to ask for a target again where nothing says when there will
 // be one: other boxes are heard of, and replicas are listed, at any moment.
 const askAgain = 40 * time.Millisecond
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -24,6 +24,7 @@
 	readAgain   = 1.3                     // what reading a shared part costs over its own time, for others wait as well
 	crossDomain = 3 * time.Millisecond    // of going to another failure domain: bytes there have a price
 	answerShare = 0.6                     // of an answer's tokens that a request holds on average while it runs
+	alike       = 500 * time.Microsecond  // costs that differ by less are taken for the same
 	harmTime    = 300 * time.Microsecond  // that a thousandth of a request's worth may cost another request
 	defaultOut  = 100                     // tokens of an answer that nothing is known of
 )
@@ -175,6 +176,7 @@
 func (v *View) best(req Request, boxes []string, now time.Duration) (best weighed, none Choice) {
 	none.Reason = Nothing
 	first := v.first(req, now)
+	usual := v.usualHold(req.Service)
 	for _, r := range v.byName {
 		if r.info.Service != req.Service {
 			continue
@@ -185,16 +187,16 @@
 			reason = Paced
 			wait = v.pacer.Next(r.info.ID, boxes, now) - now
 		}
-		w := v.weigh(r, req, r == first, now)
+		w := v.weigh(r, req, r == first, usual, now)
 		if reason == None && v.full(r, w.load, req) {
 			reason = Full
-			wait = v.queueing(r, w.load)
+			wait = r.queueing(w.load, usual)
 		}
 		if reason != None {
 			none.note(reason, wait)
 			continue
 		}
-		if best.r == nil || w.cost < best.cost {
+		if best.r == nil || w.before(best, req) {
 			best = w
 		}
 	}
@@ -204,6 +206,15 @@
 	return best, none
 }
 
+// before says whether a candidate is better than another. Of two that are alike
+// the request's key decides, so that requests are spread.
+func (w weighed) before(o weighed, req Request) bool {
+	if d := w.cost - o.cost; d > alike || d < -alike {
+		return d < 0
+	}
+	return rendezvous.Score(req.Key, w.r.info.ID) > rendezvous.Score(req.Key, o.r.info.ID)
+}
+
 // note keeps the reason that can be waited for in preference to others.
 func (c *Choice) note(reason Reason, wait time.Duration) {
 	switch {
@@ -253,16 +264,33 @@
 	return best
 }
 
-func (v *View) weigh(r *Replica, req Request, first bool, now time.Duration) weighed {
+// usualHold returns the mean time of a request at the service's replicas, which
+// stands for what is not known of one.
+func (v *View) usualHold(service string) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, r := range v.byName {
+		if r.info.Service == service && r.hold > 0 {
+			sum += r.hold
+			n++
+		}
+	}
+	if n == 0 {
+		return defaultHold
+	}
+	return sum / time.Duration(n)
+}
+
+func (v *View) weigh(r *Replica, req Request, first bool, usual, now time.Duration) weighed {
 	w := weighed{
 		r:    r,
 		load: r.Load(now),
 	}
 	if r.service == nil || r.service.Engine == nil {
-		w.expect = scale(r.Slow(now), v.queueing(r, w.load)+cmp.Or(r.hold, defaultHold))
+		w.expect = scale(r.Slow(now), r.queueing(w.load, usual)+cmp.Or(r.hold, usual))
 		w.cost = w.expect
 	} else {
-		v.weighEngine(&w, req, first, now)
+		v.weighEngine(&w, req, first, usual, now)
 	}
 	w.cost += scale(r.Failing(now), failCost)
 	if r.info.Domain != v.domain {
@@ -271,12 +299,12 @@
 	return w
 }
 
-func (v *View) weighEngine(w *weighed, req Request, first bool, now time.Duration) {
+func (v *View) weighEngine(w *weighed, req Request, first bool, usual, now time.Duration) {
 	w.missing = w.r.missing(req.Parts, now)
 	if first && w.missing > 0 {
 		w.missing = int((1 - firstBonus) * float64(w.missing))
 	}
-	wait := reading(w.load.Unread) + v.queueing(w.r, w.load)
+	wait := reading(w.load.Unread) + w.r.queueing(w.load, usual)
 	step := time.Duration(stepPerKilo * float64(w.load.Tokens) / 1000 * float64(time.Millisecond))
 	w.expect = scale(w.r.Slow(now), stepBase+step+wait+reading(w.missing+req.own()))
 	harm := req.Harm(w.missing, req.Gap) * float64(w.load.Requests)
@@ -311,14 +339,15 @@
 	return float64(l.Requests) >= slots*(1+plainQueue)
 }
 
-// queueing returns the expected wait for a slot.
-func (v *View) queueing(r *Replica, l Load) time.Duration {
+// queueing returns the expected wait for a slot, where a request usually holds
+// one for so long.
+func (r *Replica) queueing(l Load, usual time.Duration) time.Duration {
 	slots := r.slots()
 	if l.Requests < slots {
 		return 0
 	}
 	ahead := float64(l.Requests-slots+1) / float64(slots)
-	return scale(ahead, cmp.Or(r.hold, defaultHold))
+	return scale(ahead, cmp.Or(r.hold, usual))
 }
 
 // reading returns the time that an engine takes to read tokens of prompts.
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -61,19 +61,20 @@
 	own     Load
 	others  map[string]told // by box
 
-	failures int           // failures to connect in a row
-	muted    int           // requests without any answer in a row
-	outUntil time.Duration // it gets no work until then
-	outFor   time.Duration // the next time it is left out for
-	failed   float64       // share of failures among outcomes of late
-	failedAt time.Duration
-	slow     float64 // natural logarithm of times to the first byte over the expected ones
-	slowAt   time.Duration
-	reads    float64 // prompt tokens a second that this box gives it, at readsAt
-	readsAt  time.Duration
-	hold     time.Duration // smoothed time of a request; 0 when not known
-	heard    time.Duration // when bytes last came from it
-	warm     map[string]time.Duration
+	coldUntil time.Duration // as far as is known
+	failures  int           // failures to connect in a row
+	muted     int           // requests without any answer in a row
+	outUntil  time.Duration // it gets no work until then
+	outFor    time.Duration // the next time it is left out for
+	failed    float64       // share of failures among outcomes of late
+	failedAt  time.Duration
+	slow      float64 // natural logarithm of times to the first byte over the expected ones
+	slowAt    time.Duration
+	reads     float64 // prompt tokens a second that this box gives it, at readsAt
+	readsAt   time.Duration
+	hold      time.Duration // smoothed time of a request; 0 when not known
+	heard     time.Duration // when bytes last came from it
+	warm      map[string]time.Duration
 }
 
 // ID returns the replica's id.
--- a/placement/view.go
+++ b/placement/view.go
@@ -60,6 +60,7 @@
 	v.table = t
 	for _, r := range v.replicas {
 		r.service = t.Service(r.info.Service)
+		v.chillUntil(r, r.coldUntil) // its service may not have been known when that was said
 	}
 }
 
@@ -149,11 +150,15 @@
 
 // chill notes that a replica is cold for so long.
 func (v *View) chill(r *Replica, left, now time.Duration) {
-	if r.service == nil || r.service.ColdPerSecond <= 0 {
-		return
-	}
-	v.pacer.Cold(r.info.ID, r.service.ColdPerSecond, now+left)
+	r.coldUntil = max(r.coldUntil, now+left)
 	clear(r.warm)
+	v.chillUntil(r, r.coldUntil)
+}
+
+func (v *View) chillUntil(r *Replica, until time.Duration) {
+	if r.service != nil && r.service.ColdPerSecond > 0 && until > 0 {
+		v.pacer.Cold(r.info.ID, r.service.ColdPerSecond, until)
+	}
 }
 
 // chillReturn notes that a replica which got no work for a while may be cold.
