--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -55,7 +55,7 @@
 	again  chan struct{} // asks for all to be read at once
 
 	mu      sync.Mutex
-	away    bool      // the last call failed
+	away    bool      // the last reading failed; a watch may also end for other reasons
 	settled time.Time // until then entries may come back that lapsed
 }
 
@@ -250,8 +250,8 @@
 	for ctx.Err() == nil {
 		changes, rev, err := d.source.Wait(ctx, at, watchFor)
 		if err != nil {
-			if !errors.Is(err, ErrHistoryGone) {
-				d.failed(ctx, err)
+			if !errors.Is(err, ErrHistoryGone) && ctx.Err() == nil {
+				d.health(err)
 			}
 			return succeeded
 		}
--- a/common/cell/cell.go
+++ b/common/cell/cell.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/cockroachdb/errors"
@@ -39,16 +40,28 @@
 
 // access is the one message of a cell.
 type access[T any] struct {
-	run  func(*T)
-	done chan struct{} // closed when run has returned
+	run   func(*T)
+	taken *atomic.Bool  // set by whoever comes first: the actor, or a caller that gives up
+	ran   *bool         // run has returned; written before done is closed
+	done  chan struct{} // closed when run has returned or panicked
+}
+
+func newAccess[T any](f func(*T)) access[T] {
+	return access[T]{
+		run:   f,
+		taken: &atomic.Bool{},
+		ran:   new(bool),
+		done:  make(chan struct{}),
+	}
 }
 
 // New starts a cell that owns value until ctx ends.
 func New[T any](ctx context.Context, s *System, name string, value *T) *Cell[T] {
 	receive := func(c actor.Context) {
-		if m, ok := c.Message().(access[T]); ok {
+		if m, ok := c.Message().(access[T]); ok && m.taken.CompareAndSwap(false, true) {
+			defer close(m.done)
 			m.run(value)
-			close(m.done)
+			*m.ran = true
 		}
 	}
 	decide := func(reason any) actor.Directive {
@@ -65,26 +78,24 @@
 	return c
 }
 
-// Do runs f on the value and returns when it has run. f must not block and must
-// not call the same cell.
+// Do runs f on the value and returns when it has run. When the cell has ended, f
+// has not run and never will, unless it panicked and so ended the cell. f must not block and must not call the same cell.
 func (c *Cell[T]) Do(f func(*T)) error {
-	done := make(chan struct{})
-	c.system.actors.Root.Send(c.pid, access[T]{
-		run:  f,
-		done: done,
-	})
+	m := newAccess(f)
+	c.system.actors.Root.Send(c.pid, m)
 	select {
-	case <-done:
-		return nil
+	case <-m.done:
 	case <-c.done:
+		if m.taken.CompareAndSwap(false, true) {
+			return ErrStopped
+		}
+		<-m.done // it is running
+	}
+	if !*m.ran {
 		return ErrStopped
 	}
+	return nil
 }
 
 // Post runs f on the value some time later.
-func (c *Cell[T]) Post(f func(*T)) {
-	c.system.actors.Root.Send(c.pid, access[T]{
-		run:  f,
-		done: make(chan struct{}),
-	})
-}
+func (c *Cell[T]) Post(f func(*T)) { c.system.actors.Root.Send(c.pid, newAccess(f)) }
--- a/common/cell/cell_test.go
+++ b/common/cell/cell_test.go
@@ -47,3 +47,15 @@
 		_ = c.Do(func(n *int) { *n++ })
 	}
 }
+
+func TestAnAccessThatIsGivenUpNeverRuns(t *testing.T) {
+	is := is.New(t)
+	for range 200 {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := New(ctx, NewSystem(slog.New(slog.DiscardHandler), func(any) {}), "value", new(int))
+		c.Post(func(*int) { cancel() })
+		ran := false // written without a lock: the race detector sees a late write
+		err := c.Do(func(*int) { ran = true })
+		is.Equal(err == nil, ran)
+	}
+}
--- a/common/rendezvous/rendezvous.go
+++ b/common/rendezvous/rendezvous.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,16 @@
 	return d.Sum64()
 }
 
+// Weighted returns the weight of name for key where names get keys in proportion
+// to their shares; 0 for a name without a share.
+func Weighted(key, name string, share float64) float64 {
+	if share <= 0 {
+		return 0
+	}
+	u := (float64(Score(key, name)>>11) + 0.5) / (1 << 53) // above 0 and below 1
+	return -share / math.Log(u)
+}
+
 // Rank returns names ordered by their weight for key, highest first. The
 // argument is left as it is.
 func Rank(key string, names []string) []string {
--- a/decision/event.go
+++ b/decision/event.go
@@ -81,10 +81,13 @@
 	Revision int64     `json:"revision,omitempty"` // revision of the catalog
 	AgeMs    int64     `json:"age_ms,omitempty"`   // age of the belief that decided
 	TookMs   int64     `json:"took_ms,omitempty"`
-	FirstMs  int64     `json:"first_ms,omitempty"` // until the caller got the first event of a stream
-	PauseMs  int64     `json:"pause_ms,omitempty"` // the longest between two events of a stream
-	Tokens   int       `json:"tokens,omitempty"`   // shared tokens of a prompt that have to be read
-	Prompt   int       `json:"prompt,omitempty"`   // all tokens of a prompt
+	FirstMs  int64     `json:"first_ms,omitempty"`  // until the caller got the first event of a stream
+	PauseMs  int64     `json:"pause_ms,omitempty"`  // the longest between two events of a stream
+	Tokens   int       `json:"tokens,omitempty"`    // shared tokens of a prompt that have to be read
+	Prompt   int       `json:"prompt,omitempty"`    // all tokens of a prompt
+	InFlight int       `json:"in_flight,omitempty"` // requests believed to be at the upstream
+	Memory   int       `json:"memory,omitempty"`    // tokens that they hold there
+	Unread   int       `json:"unread,omitempty"`    // tokens of theirs that are still to be read there
 	Tries    int       `json:"tries,omitempty"`
 	Region   string    `json:"region,omitempty"`
 	Detail   string    `json:"detail,omitempty"` // short text; cut at 256 bytes
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -201,6 +201,9 @@
 			Region:   target.Region,
 			Tokens:   target.Choice.Missing,
 			Prompt:   c.facts.Prompt,
+			InFlight: target.Choice.Load.Requests,
+			Memory:   target.Choice.Load.Tokens,
+			Unread:   target.Choice.Load.Unread,
 			AgeMs:    target.AgeMs,
 			TookMs:   target.Choice.Expect.Milliseconds(),
 		})
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -24,8 +24,7 @@
 )
 
 var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
+	idField = []byte("id:")
 
 	// buffers are for reading events.
 	buffers = sync.Pool{
@@ -112,11 +111,11 @@
 func (c *call) passComplete(held []byte) ([]byte, error) {
 	passed := false
 	for {
-		at := bytes.Index(held, eventEnd)
-		if at < 0 {
+		end := eventEnd(held)
+		if end < 0 {
 			break
 		}
-		event := held[:at+len(eventEnd)]
+		event := held[:end]
 		if n, ok := sentEvent(event); ok && c.fromBox {
 			c.sent = max(c.sent, n)
 			held = held[len(event):]
@@ -172,6 +171,22 @@
 	c.lastAt = now
 }
 
+// eventEnd returns where the first event in held ends: after an empty line. It is
+// below 0 when there is none.
+func eventEnd(held []byte) int {
+	for at := 0; ; {
+		n := bytes.IndexByte(held[at:], '\n')
+		if n < 0 {
+			return -1
+		}
+		at += n + 1
+		rest := bytes.TrimPrefix(held[at:], []byte("\r"))
+		if len(rest) > 0 && rest[0] == '\n' {
+			return len(held) - len(rest) + 1
+		}
+	}
+}
+
 // eventID returns the id of an event, empty for none.
 func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/ingress/events_test.go
+++ b/ingress/events_test.go
@@ -142,3 +142,22 @@
 		}
 	}
 }
+
+func TestEventsMayEndTheirLinesWithCarriageReturns(t *testing.T) {
+	is := is.New(t)
+	cases := []struct {
+		held string
+		want int
+	}{
+		{"", -1},
+		{"id: 1\n", -1},
+		{"id: 1\r\n\r", -1},
+		{"id: 1\n\n", 7},
+		{"id: 1\r\n\r\n", 9},
+		{"id: 1\r\ndata: a\r\n\r\nid: 2", 18},
+		{"\n\n", 2},
+	}
+	for _, c := range cases {
+		is.Equal(eventEnd([]byte(c.held)), c.want)
+	}
+}
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -228,6 +228,9 @@
 	}
 	c.triedBoxes = append(c.triedBoxes, t.Box)
 	e := a.box(ctx)
+	if e != abandoned && e != notRun {
+		c.server.core.Crossed(t.Region, e == served)
+	}
 	c.server.core.Meter.Forward(t.Region, string(outcomes[e]))
 	a.report(e)
 	return e
--- a/node/away.go
+++ b/node/away.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/havenrudder/havenrudder/common/decay"
+	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/ingress"
 	"github.com/havenrudder/havenrudder/placement"
 	"github.com/havenrudder/havenrudder/roster"
@@ -14,34 +16,60 @@
 // Figures of sending a request to another region.
 const (
 	crossing   = 175 * time.Millisecond // there and back, 80 ms each way, and the box there
-	awayPrice  = 30.0                   // thousandths of a request's worth: bytes between regions have a price, and prompts are read anew
+	awayPrice  = 30.0                   // thousandths of a request's worth: what its bytes between regions cost
 	awayAll    = 250.0                  // gain in thousandths at which all requests go away; at less, a part of them, for all boxes see the same
+	againPrice = 40.0                   // thousandths that 1,000 shared tokens cost which another region keeps
+	sharedMin  = 1000                   // shared tokens from which a prompt has a home region; fewer aren't worth the way
 	noRoom     = 60 * time.Second       // told as the wait where no replica can take a request
 	farReads   = 36.0                   // prompt tokens that an engine there reads in a millisecond
 	roomsFor   = 3 * time.Second        // what a region told counts so long
 	unknownFar = 2 * time.Second        // expected of a region that has told nothing
+	failWeight = 0.2                    // weight of the newest outcome in a region's share of failures
+	failHalf   = 3 * time.Second        // time in which half of it is forgotten
+	failRisk   = 1000.0                 // thousandths at risk where every request to a region fails
 )
 
 // far is another region that could take a request.
 type far struct {
-	box    roster.Member
-	expect time.Duration
+	region string
+	boxes  []roster.Member
+	room   placement.Outlook
 	risk   float64
-	age    time.Duration
+}
+
+// path is what was seen of requests to a region.
+type path struct {
+	failed float64 // share of failures of late
+	at     time.Duration
+}
+
+func (p path) now(now time.Duration) float64 { return p.failed * decay.Left(now-p.at, failHalf) }
+
+// crossed takes in whether a request to a region was answered.
+func (s *state) crossed(region string, ok bool, now time.Duration) {
+	seen := 1.0
+	if ok {
+		seen = 0
+	}
+	old := s.paths[region].now(now)
+	s.paths[region] = path{
+		failed: old + failWeight*(seen-old),
+		at:     now,
+	}
 }
 
 // betterAway says whether a request goes away: the more often the more it gains.
-func (s *state) betterAway(here, there float64, draw func(n int) int) bool {
+func betterAway(here, there float64, draw func(n int) int) bool {
 	gain := here - there - awayPrice
 	return gain > 0 && float64(draw(draws))*awayAll/draws < gain
 }
 
 const draws = 1000
 
-// bestAway returns the box of another region where the least is at risk.
-func (s *state) bestAway(ask ingress.Ask, goals placement.Goals, now time.Duration, draw func(n int) int) (far, bool) {
+// others returns the other regions that could take a request, in order.
+func (s *state) others(ask ingress.Ask, now time.Duration) []far {
 	if ask.Relayed {
-		return far{}, false
+		return nil
 	}
 	byRegion := make(map[string][]roster.Member)
 	for _, m := range s.roster.Serving("", now) {
@@ -51,27 +79,71 @@
 		}
 		byRegion[region] = append(byRegion[region], m)
 	}
-	var best far
-	found := false
+	var out []far
 	for _, region := range slices.Sorted(maps.Keys(byRegion)) {
-		boxes := byRegion[region]
-		room, ok := s.roomIn(boxes, ask.Request.Service, now)
-		if !ok {
-			continue
+		if room, ok := s.roomIn(byRegion[region], ask.Request.Service, now); ok {
+			out = append(out, far{
+				region: region,
+				boxes:  byRegion[region],
+				room:   room,
+			})
+		}
+	}
+	return out
+}
+
+// home returns the region that keeps the shared parts of a prompt: of those that
+// could take it each gets prompts in proportion to its replicas, and all boxes
+// agree. It is empty where the parts aren't worth the way.
+func (s *state) home(ask ingress.Ask, here placement.Outlook, others []far) string {
+	if ask.Request.Shared() < sharedMin {
+		return ""
+	}
+	best := ""
+	top := 0.0
+	consider := func(region string, usable int) {
+		if w := rendezvous.Weighted(ask.Request.Subject(), region, float64(usable)); w > top {
+			top = w
+			best = region
+		}
+	}
+	if ask.Route.Allows(s.settings.Region) {
+		consider(s.settings.Region, here.Usable)
+	}
+	for _, f := range others {
+		consider(f.region, f.room.Usable)
+	}
+	return best
+}
+
+// weigh fills in what is at risk in another region, and returns the one with the
+// least; false when there is none.
+func (s *state) weigh(others []far, ask ingress.Ask, home string, goals placement.Goals, now time.Duration) (far, bool) {
+	var best far
+	for i, f := range others {
+		unread := ask.Request.Prompt
+		if f.region == home {
+			unread -= ask.Request.Shared()
 		}
-		room.Expect += crossing + readingThere(ask.Request.Prompt)
-		f := far{
-			box:    boxes[draw(len(boxes))],
-			expect: room.Expect,
-			risk:   room.Risk(goals) + float64(room.Fewest)*ask.Request.Harm(ask.Request.Prompt, ask.Request.Gap),
-			age:    time.Duration(room.AgeMs) * time.Millisecond,
+		f.room.Expect += crossing + readingThere(unread)
+		f.risk = f.room.Risk(goals) + float64(f.room.Fewest)*ask.Request.Harm(unread, ask.Request.Gap) + failRisk*s.paths[f.region].now(now)
+		if home != "" && f.region != home {
+			f.risk += againPrice * float64(ask.Request.Shared()) / 1000
 		}
-		if !found || f.risk < best.risk || (f.risk == best.risk && f.expect < best.expect) {
+		if i == 0 || f.risk < best.risk || (f.risk == best.risk && f.room.Expect < best.room.Expect) {
 			best = f
-			found = true
 		}
 	}
-	return best, found
+	return best, len(others) > 0
+}
+
+// riskHere returns what is at risk in this region.
+func riskHere(here placement.Outlook, ask ingress.Ask, goals placement.Goals, home, region string) float64 {
+	risk := here.Risk(goals) + float64(here.Fewest)*ask.Request.Harm(0, ask.Request.Gap)
+	if home != "" && home != region {
+		risk += againPrice * float64(here.Missing) / 1000
+	}
+	return risk
 }
 
 // roomIn returns what a region's boxes told last of a service; false when it has
@@ -108,14 +180,16 @@
 	return time.Duration(float64(tokens) / farReads * float64(time.Millisecond))
 }
 
-func (s *state) sendAway(f far) ingress.Target {
+// sendAway returns one of a region's boxes as the target.
+func sendAway(f far, draw func(n int) int) ingress.Target {
+	box := f.boxes[draw(len(f.boxes))].Status
 	return ingress.Target{
-		Box:     f.box.Status.Box,
-		BoxAddr: f.box.Status.Forward,
-		Region:  f.box.Status.Region,
-		AgeMs:   f.age.Milliseconds(),
+		Box:     box.Box,
+		BoxAddr: box.Forward,
+		Region:  f.region,
+		AgeMs:   f.room.AgeMs,
 		Choice: placement.Choice{
-			Expect: f.expect,
+			Expect: f.room.Expect,
 		},
 	}
 }
--- a/node/core.go
+++ b/node/core.go
@@ -23,6 +23,7 @@
 		Quiet:   n.quiet,
 		End:     n.end,
 		BoxLost: n.boxLost,
+		Crossed: n.crossed,
 		Behind:  func() { n.feed.Behind(n.feed.Known() + 1) },
 		Record:  n.record,
 		Meter: ingress.Meter{
@@ -98,6 +99,11 @@
 	})
 }
 
+// crossed notes whether a request to another region was answered.
+func (n *Node) crossed(region string, ok bool) {
+	n.state.Post(func(s *state) { s.crossed(region, ok, n.now()) })
+}
+
 // boxLost notes that a box could not be reached.
 func (n *Node) boxLost(box string) {
 	n.record(decision.Event{
--- a/node/state.go
+++ b/node/state.go
@@ -30,7 +30,7 @@
 	table    *catalog.Table  // nil until a policy is known
 	tableAt  time.Duration   // when it was last known to be the newest
 	alive    map[string]bool // boxes, as last written down
-	away     map[string]int  // tokens on their way to other regions that wait for their first byte
+	paths    map[string]path // to other regions
 	seq      int
 }
 
@@ -43,7 +43,7 @@
 		budget:   budget.New(retryTerms(s.Bounds)),
 		content:  catalog.NewContent(),
 		alive:    make(map[string]bool),
-		away:     make(map[string]int),
+		paths:    make(map[string]path),
 	}
 }
 
@@ -172,20 +172,22 @@
 		Gap:   ask.Route.GapGoal.Duration(),
 		Left:  ask.Left,
 	}
-	far, hasFar := s.bestAway(ask, goals, now, draw)
-	if !ask.Route.Allows(s.settings.Region) {
-		if !hasFar {
-			return ingress.Target{
-				Reason: placement.Nothing,
-				Wait:   askAgain,
-			}
+	here := s.view.Outlook(ask.Request, sharers, now)
+	others := s.others(ask, now)
+	home := s.home(ask, here, others)
+	far, hasFar := s.weigh(others, ask, home, goals, now)
+	allowed := ask.Route.Allows(s.settings.Region)
+	if hasFar {
+		risk := riskHere(here, ask, goals, home, s.settings.Region)
+		if !allowed || here.Reason != placement.None || betterAway(risk, far.risk, draw) {
+			return sendAway(far, draw)
 		}
-		return s.sendAway(far)
 	}
-	here := s.view.Outlook(ask.Request, sharers, now)
-	risk := here.Risk(goals) + float64(here.Fewest)*ask.Request.Harm(0, ask.Request.Gap)
-	if hasFar && (here.Reason != placement.None || s.betterAway(risk, far.risk, draw)) {
-		return s.sendAway(far)
+	if !allowed {
+		return ingress.Target{
+			Reason: placement.Nothing,
+			Wait:   askAgain,
+		}
 	}
 	c := s.view.Pick(ask.Request, sharers, now)
 	return ingress.Target{
@@ -200,8 +202,7 @@
 	if ask.Route.Allows(s.settings.Region) && s.view.Outlook(ask.Request, s.sharers(now), now).Usable > 0 {
 		return true
 	}
-	_, ok := s.bestAway(ask, placement.Goals{}, now, func(int) int { return 0 })
-	return ok
+	return len(s.others(ask, now)) > 0
 }
 
 // askAgain is when to ask for a target again where nothing says when there will
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -123,20 +123,22 @@
 
 // Outlook is what a request would meet in a region.
 type Outlook struct {
-	Expect time.Duration // until the first byte
-	Busy   float64       // share of the time that engines spend on reading prompts
-	Usable int           // replicas that could take it
-	Fewest int           // requests in flight at the replica that has the fewest
-	Reason Reason        // why none takes it now
-	AgeMs  int64         // of what another region told
+	Expect  time.Duration // until the first byte
+	Missing int           // shared tokens that would have to be read
+	Busy    float64       // share of the time that engines spend on reading prompts
+	Usable  int           // replicas that could take it
+	Fewest  int           // requests in flight at the replica that has the fewest
+	Reason  Reason        // why none takes it now
+	AgeMs   int64         // of what another region told
 }
 
 // Outlook returns what a request would meet here, without counting it in.
 func (v *View) Outlook(req Request, boxes []string, now time.Duration) Outlook {
 	best, none := v.best(req, boxes, now)
 	out := Outlook{
-		Expect: best.expect,
-		Reason: none.Reason,
+		Expect:  best.expect,
+		Missing: best.missing,
+		Reason:  none.Reason,
 	}
 	reads := 0
 	for _, r := range v.byName {
@@ -157,16 +159,21 @@
 
 // own returns the tokens of the prompt that no other request shares.
 func (req *Request) own() int {
-	n := req.Prompt
+	return max(req.Prompt-req.Shared(), 0)
+}
+
+// Shared returns the tokens of the prompt's shared parts.
+func (req *Request) Shared() int {
+	n := 0
 	for _, p := range req.Parts {
-		n -= p.Tokens
+		n += p.Tokens
 	}
-	return max(n, 0)
+	return n
 }
 
-// subject returns the key by which requests with the same shared parts go to the
+// Subject returns the key by which requests with the same shared parts go to the
 // same replicas.
-func (req *Request) subject() string {
+func (req *Request) Subject() string {
 	if n := len(req.Parts); n > 0 {
 		return req.Parts[n-1].ID
 	}
@@ -251,7 +258,7 @@
 	if len(req.Parts) == 0 {
 		return nil
 	}
-	key := req.subject()
+	key := req.Subject()
 	for _, r := range v.byName {
 		if r.info.Service != req.Service || v.unusable(r, req, now) != None {
 			continue
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -186,7 +186,11 @@
 }
 
 // leaveOut leaves the replica out for a time that doubles until it answers.
+// Requests that were under way together count once.
 func (r *Replica) leaveOut(now time.Duration) {
+	if r.Out(now) {
+		return
+	}
 	r.outFor = min(max(2*r.outFor, firstOut), longestOut)
 	r.outUntil = now + r.outFor
 }
