--- a/node/away.go
+++ b/node/away.go
@@ -129,7 +129,7 @@
 			unread -= ask.Request.Shared()
 		}
 		f.room.Expect += crossing + readingThere(unread)
-		f.risk = f.room.Risk(goals) + float64(f.room.Fewest)*ask.Request.Harm(unread, ask.Request.Gap) + failRisk*s.paths[f.region].now(now)
+		f.risk = f.room.Risk(goals) + ask.Request.Harm(unread-ask.Request.Own(), f.room.Fewest) + failRisk*s.paths[f.region].now(now)
 		if home != "" && f.region != home {
 			f.risk += againPrice * float64(ask.Request.Shared()) / 1000
 		}
@@ -142,7 +142,7 @@
 
 // riskHere returns what is at risk in this region.
 func riskHere(here placement.Outlook, ask ingress.Ask, goals placement.Goals, home, region string) float64 {
-	risk := here.Risk(goals) + float64(here.Fewest)*ask.Request.Harm(0, ask.Request.Gap)
+	risk := here.Risk(goals) + ask.Request.Harm(here.Missing, here.Fewest)
 	if home != "" && home != region {
 		risk += againPrice * float64(here.Missing) / 1000
 	}
--- /dev/null
+++ b/node/home_test.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/havenrudder/havenrudder/ingress"
+)
+
+const subjects = 400
+
+// fleet returns a box of each region that has heard all others, with so many
+// replicas in each.
+func fleet(usable map[string]int, now time.Duration) []*testBox {
+	boxes := make([]*testBox, 0, len(regions))
+	for _, region := range regions {
+		boxes = append(boxes, newBox("box-"+region, region, usable[region]))
+	}
+	for _, from := range boxes {
+		g := from.says(now)
+		for _, to := range boxes {
+			if to != from {
+				to.hear(g, now)
+			}
+		}
+	}
+	return boxes
+}
+
+// homeOf returns the home region of a request as the box sees it.
+func (b *testBox) homeOf(q ingress.Ask, now time.Duration) string {
+	here := b.view.Outlook(q.Request, b.sharers(now), now)
+	return b.home(q, here, b.others(q, now))
+}
+
+func TestAllBoxesAgreeOnTheHomeRegionOfAPrompt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		usable := make(map[string]int)
+		for _, region := range regions {
+			usable[region] = rapid.IntRange(0, 5).Draw(t, region)
+		}
+		boxes := fleet(usable, start)
+		r := route(some(t, regions, "home")...)
+		for n := range 20 {
+			q := askShared(r, fmt.Sprint("part-", n))
+			home := boxes[0].homeOf(q, start)
+			for _, b := range boxes[1:] {
+				if got := b.homeOf(q, start); got != home {
+					t.Fatalf("%s: %s says %q, %s says %q", q.Request.Subject(), boxes[0].self.Box, home, b.self.Box, got)
+				}
+			}
+			if home != "" && (usable[home] == 0 || !r.Allows(home)) {
+				t.Fatalf("home %s has %d replicas, the data may enter %v", home, usable[home], r.Homes)
+			}
+		}
+	})
+}
+
+func TestHomesFollowTheNumberOfUsableReplicas(t *testing.T) {
+	is := is.New(t)
+	usable := map[string]int{"a": 1, "b": 3, "c": 4}
+	count := make(map[string]int)
+	b := fleet(usable, start)[3] // the one of the region without replicas
+	for n := range subjects {
+		count[b.homeOf(askShared(route(), fmt.Sprint("part-", n)), start)]++
+	}
+	is.Equal(count["d"], 0)
+	for region, n := range usable {
+		want := subjects * n / 8
+		is.True(count[region] > want/2 && count[region] < 2*want) // in proportion
+	}
+}
+
+func TestOnlyThePromptsOfALostRegionGetANewHome(t *testing.T) {
+	is := is.New(t)
+	before := fleet(map[string]int{"a": 2, "b": 2, "c": 2}, start)[0]
+	then := fleet(map[string]int{"a": 2, "b": 2}, start)[0]
+	for n := range subjects {
+		q := askShared(route(), fmt.Sprint("part-", n))
+		was := before.homeOf(q, start)
+		is.True(was == "c" || then.homeOf(q, start) == was)
+	}
+}
+
+func TestAPromptWithLittleInCommonHasNoHome(t *testing.T) {
+	is := is.New(t)
+	b := fleet(map[string]int{"a": 1, "b": 1}, start)[0]
+	q := askShared(route(), "part")
+	q.Request.Parts[0].Tokens = sharedMin - 1
+	is.Equal(b.homeOf(q, start), "")
+	q.Request.Parts[0].Tokens = sharedMin
+	is.True(b.homeOf(q, start) != "")
+}
+
+func TestTheHomeOfAPromptIsPreferredAmongOtherRegions(t *testing.T) {
+	is := is.New(t)
+	b := fleet(map[string]int{"b": 2, "c": 2}, start)[0]
+	for n := range subjects {
+		q := askShared(route(), fmt.Sprint("part-", n))
+		is.Equal(b.place(q, start, lowest).Region, b.homeOf(q, start))
+	}
+}
+
+// regionOf places a request of which region a keeps no replica.
+func (b *testBox) regionOf(now time.Duration, waitB, waitC time.Duration) string {
+	b.tells(status("box-b", "b"), now, room(3, waitB))
+	b.tells(status("box-c", "c"), now, room(3, waitC))
+	return b.place(ask(route()), now, lowest).Region
+}
+
+func TestARegionThatFailsRequestsIsAvoidedAndUsedAgainLater(t *testing.T) {
+	is := is.New(t)
+	const far = 20 * time.Millisecond // that c is slower by, which is no risk
+	b := newBox("self", "a", 0)
+	is.Equal(b.regionOf(start, 0, far), "b")
+	for n := range 5 {
+		b.crossed("b", false, start+time.Duration(n)*time.Millisecond)
+	}
+	now := start + 100*time.Millisecond
+	is.Equal(b.regionOf(now, 0, far), "c")
+	now += time.Minute
+	is.Equal(b.regionOf(now, 0, far), "b")
+}
+
+func TestAnAnswerMakesUpForAFailureOfARegion(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	for range 10 {
+		b.crossed("b", false, start)
+	}
+	failing := b.paths["b"].now(start)
+	is.True(failing > 0.8 && failing < 1)
+	for range 10 {
+		b.crossed("b", true, start)
+	}
+	is.True(b.paths["b"].now(start) < 0.2)
+	is.Equal(b.paths["c"].now(start), 0.0) // the others are as before
+}
+
+func TestWhereAllRegionsFailTheOneThatFailsLessIsUsed(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	for range 5 {
+		b.crossed("b", false, start)
+	}
+	b.crossed("c", false, start)
+	is.Equal(b.regionOf(start+time.Millisecond, 0, 0), "c")
+}
+
+func TestALocalServiceInTimeIsNotLeftForARegionThatFails(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.tells(status("box-b", "b"), start, room(3, 0))
+	for range 20 {
+		b.crossed("b", false, start)
+	}
+	got := b.place(ask(route()), start, lowest)
+	is.Equal(got.Region, "b") // there is no other
+}
--- /dev/null
+++ b/node/place_test.go
@@ -0,0 +1,274 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/havenrudder/havenrudder/ingress"
+	"github.com/havenrudder/havenrudder/placement"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	known   = 6  // boxes of other regions, and of the own
+	actions = 60 // in one run
+)
+
+// scene is a box that hears others, with what a test believes of them.
+type scene struct {
+	*rapid.T
+	box   *testBox
+	now   time.Duration
+	last  map[string]wire.BoxStatus
+	heard map[string]time.Duration
+	lost  map[string]time.Duration
+	rev   int64
+}
+
+func newScene(t *rapid.T) *scene {
+	return &scene{
+		T:     t,
+		box:   newBox("self", "a", rapid.IntRange(0, 3).Draw(t, "replicas")),
+		now:   start,
+		last:  make(map[string]wire.BoxStatus),
+		heard: make(map[string]time.Duration),
+		lost:  make(map[string]time.Duration),
+		rev:   1,
+	}
+}
+
+// name returns a box; its region follows from its name.
+func (s *scene) name() (name, region string) {
+	n := rapid.IntRange(0, known-1).Draw(s.T, "box")
+	return fmt.Sprint("box-", n), regions[n%len(regions)]
+}
+
+func (s *scene) hear(*rapid.T) {
+	name, region := s.name()
+	b := status(name, region)
+	b.State = rapid.SampledFrom([]wire.ServingState{"", wire.ServingStateServing, wire.ServingStateStarting, wire.ServingStateLeaving}).Draw(s.T, "state")
+	if s.last[name].State == wire.ServingStateLeaving {
+		b.State = wire.ServingStateLeaving // one that leaves doesn't come back
+	}
+	if rapid.IntRange(0, 5).Draw(s.T, "address") == 0 {
+		b.Forward = ""
+	}
+	var rooms []wire.ServiceRoom
+	if rapid.Bool().Draw(s.T, "tells") {
+		wait := rapid.SampledFrom([]time.Duration{0, time.Second, noRoom}).Draw(s.T, "wait")
+		rooms = append(rooms, room(rapid.IntRange(0, 4).Draw(s.T, "usable"), wait))
+	}
+	s.now += time.Millisecond // each is newer than the last
+	s.box.tells(b, s.now, rooms...)
+	b.Rooms = rooms
+	s.last[name] = b
+	s.heard[name] = s.now
+}
+
+func (s *scene) pass(*rapid.T) {
+	s.now += time.Duration(rapid.IntRange(1, 1500).Draw(s.T, "ms")) * time.Millisecond
+}
+
+func (s *scene) lose(*rapid.T) {
+	name, _ := s.name()
+	s.box.lose(name, s.now)
+	s.lost[name] = s.now
+}
+
+func (s *scene) cross(*rapid.T) {
+	s.box.crossed(rapid.SampledFrom(regions[1:]).Draw(s.T, "region"), rapid.Bool().Draw(s.T, "answered"), s.now)
+}
+
+func (s *scene) publish(*rapid.T) {
+	s.rev++
+	s.box.publish(s.rev, policy(1), replicas("a", rapid.IntRange(0, 3).Draw(s.T, "replicas")))
+}
+
+func some(t *rapid.T, of []string, label string) []string {
+	return slices.DeleteFunc(slices.Clone(of), func(string) bool { return !rapid.Bool().Draw(t, label) })
+}
+
+func (s *scene) ask() ingress.Ask {
+	q := ask(route(some(s.T, regions, "home")...))
+	if rapid.Bool().Draw(s.T, "shared") {
+		q = askShared(q.Route, fmt.Sprint("part-", rapid.IntRange(0, 20).Draw(s.T, "part")))
+	}
+	q.Relayed = rapid.IntRange(0, 4).Draw(s.T, "relayed") == 0
+	q.NoRegions = some(s.T, regions[1:], "refused")
+	q.TriedBoxes = some(s.T, []string{"box-1", "box-2", "box-3"}, "tried")
+	return q
+}
+
+func (s *scene) place(*rapid.T) {
+	q := s.ask()
+	t := s.box.place(q, s.now, func(n int) int { return rapid.IntRange(0, n-1).Draw(s.T, "draw") })
+	switch {
+	case t.Reason != placement.None:
+		if t.Box != "" || t.Choice.Replica != "" || t.Wait <= 0 {
+			s.Fatalf("nowhere for %q, yet %+v", t.Reason, t)
+		}
+	case t.Box != "":
+		s.away(q, t)
+	case t.Choice.Replica == "" || !q.Route.Allows("a"):
+		s.Fatalf("homes %v: placed at %+v", q.Route.Homes, t.Choice)
+	default:
+		s.box.view.End(&t.Choice, placement.Answered, time.Millisecond, s.now)
+	}
+}
+
+// away checks a request that goes to a box of another region.
+func (s *scene) away(q ingress.Ask, t ingress.Target) {
+	b := s.last[t.Box]
+	lost, wasLost := s.lost[t.Box]
+	switch {
+	case q.Relayed:
+		s.Fatalf("sent on to a third box")
+	case t.Choice.Replica != "" || t.Region != b.Region || t.BoxAddr != b.Forward || b.Forward == "":
+		s.Fatalf("%s told %+v, the target is %+v", t.Box, b, t)
+	case t.Region == "a" || !q.Route.Allows(t.Region):
+		s.Fatalf("homes %v, but sent to %s", q.Route.Homes, t.Region)
+	case slices.Contains(q.NoRegions, t.Region) || slices.Contains(q.TriedBoxes, t.Box):
+		s.Fatalf("%s of %s was asked before", t.Box, t.Region)
+	case b.State != "" && b.State != wire.ServingStateServing:
+		s.Fatalf("%s is %s", t.Box, b.State)
+	case s.now-s.heard[t.Box] > 2500*time.Millisecond:
+		s.Fatalf("%s was heard %v ago", t.Box, s.now-s.heard[t.Box])
+	case wasLost && s.heard[t.Box] <= lost:
+		s.Fatalf("%s could not be reached and was not heard since", t.Box)
+	}
+}
+
+func TestRequestsGoOnlyWhereTheirDataMayBeAndWhereTheyAreTaken(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newScene(rt)
+		actionsOf := map[string]func(*rapid.T){
+			"hear":    s.hear,
+			"again":   s.hear,
+			"pass":    s.pass,
+			"lose":    s.lose,
+			"cross":   s.cross,
+			"publish": s.publish,
+			"place":   s.place,
+			"other":   s.place,
+		}
+		names := []string{"hear", "again", "pass", "lose", "cross", "publish", "place", "other"}
+		for range actions {
+			actionsOf[rapid.SampledFrom(names).Draw(rt, "action")](rt)
+		}
+	})
+}
+
+func TestDataBoundToAnotherRegionWaitsWhereNoneIsReachable(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 3)
+	b.tells(status("box-c", "c"), start, room(3, 0))
+	got := b.place(ask(route("b")), start, lowest)
+	is.Equal(got.Reason, placement.Nothing)
+	is.Equal(got.Box, "")
+	is.True(got.Wait > 0)
+}
+
+func TestDataBoundToAnotherRegionGoesThereAlsoWhenItIsSlow(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 3)
+	b.tells(status("box-b", "b"), start, room(1, 20*time.Second))
+	got := b.place(ask(route("b")), start, lowest)
+	is.Equal(got.Box, "box-b")
+	is.Equal(got.BoxAddr, "forward of box-b")
+}
+
+func TestARegionThatRefusedIsNotAskedAgain(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.tells(status("box-b", "b"), start, room(3, 0))
+	b.tells(status("box-c", "c"), start, room(3, time.Second))
+	q := ask(route())
+	is.Equal(b.place(q, start, lowest).Region, "b")
+	q.NoRegions = []string{"b"}
+	is.Equal(b.place(q, start, lowest).Region, "c")
+	q.NoRegions = []string{"b", "c"}
+	is.Equal(b.place(q, start, lowest).Reason, placement.Nothing)
+}
+
+func TestABoxThatWasNotReachedIsUsedWhenItIsHeardAgain(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.tells(status("box-b", "b"), start, room(3, 0))
+	b.lose("box-b", start+time.Millisecond)
+	is.Equal(b.place(ask(route()), start+time.Millisecond, lowest).Box, "")
+	b.tells(status("box-b", "b"), start+2*time.Millisecond, room(3, 0))
+	is.Equal(b.place(ask(route()), start+2*time.Millisecond, lowest).Box, "box-b")
+}
+
+func TestARequestThatAnotherBoxPassedOnGoesToNoThird(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.tells(status("box-b", "b"), start, room(3, 0))
+	q := ask(route())
+	q.Relayed = true
+	is.Equal(b.place(q, start, lowest).Reason, placement.Nothing)
+	is.True(!b.hasOther(q, start))
+}
+
+func TestARegionThatToldNothingIsAskedAndOneWithoutRoomIsNot(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.tells(status("box-b", "b"), start, room(0, 0))
+	b.tells(status("box-c", "c"), start, room(3, noRoom))
+	is.Equal(len(b.others(ask(route()), start)), 0)
+	b.tells(status("box-d", "d"), start)
+	got := b.others(ask(route()), start)
+	is.Equal(len(got), 1)
+	is.Equal(got[0].region, "d")
+	is.Equal(got[0].room.Expect, unknownFar)
+}
+
+func TestTheNewestWordOfARegionCounts(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.tells(status("box-1", "b"), start+time.Millisecond, room(4, time.Second))
+	b.tells(status("box-2", "b"), start, room(2, time.Minute))
+	got := b.others(ask(route()), start+11*time.Millisecond)
+	is.Equal(len(got), 1)
+	is.Equal(got[0].room.Usable, 4)
+	is.Equal(got[0].room.Expect, time.Second)
+	is.Equal(got[0].room.AgeMs, int64(10))
+	is.Equal(len(got[0].boxes), 2)
+}
+
+func TestMoreRequestsGoAwayTheMoreTheyGain(t *testing.T) {
+	is := is.New(t)
+	share := func(gain float64) float64 {
+		n := 0
+		for i := range draws {
+			if betterAway(gain, 0, func(int) int { return i }) {
+				n++
+			}
+		}
+		return float64(n) / draws
+	}
+	is.Equal(share(0), 0.0)
+	is.Equal(share(awayPrice), 0.0) // not for what the bytes cost
+	is.Equal(share(awayPrice+awayAll/2), 0.5)
+	is.Equal(share(awayPrice+awayAll), 1.0)
+	rapid.Check(t, func(t *rapid.T) {
+		gain := rapid.Float64Range(-2000, 2000).Draw(t, "gain")
+		more := rapid.Float64Range(0, 500).Draw(t, "more")
+		if share(gain+more) < share(gain) {
+			t.Fatalf("a gain of %v sends fewer away than %v", gain+more, gain)
+		}
+	})
+}
+
+func TestRequestsStayWhereTheyAreServedInTime(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 1)
+	b.tells(status("box-b", "b"), start, room(10, 0))
+	got := b.place(ask(route()), start, lowest)
+	is.Equal(got.Choice.Replica, "a-0")
+}
--- /dev/null
+++ b/node/which_test.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	leavingState  = wire.ServingStateLeaving
+	startingState = wire.ServingStateStarting
+)
+
+// told has the box hear one that is in a state and takes callers, or not.
+func (b *testBox) told(name, region string, state wire.ServingState, closed bool, now time.Duration) {
+	s := status(name, region)
+	s.State = state
+	if closed {
+		s.Callers = ""
+	}
+	b.tells(s, now)
+}
+
+func callersOf(names ...string) []string {
+	var out []string
+	for _, n := range names {
+		out = append(out, "callers of "+n)
+	}
+	return out
+}
+
+func TestCallersAreNamedTheServingBoxesOfTheirRegion(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.told("near", "a", "", false, start)
+	b.told("goes", "a", leavingState, false, start)
+	b.told("begins", "a", startingState, false, start)
+	b.told("far", "b", "", false, start)
+	is.Equal(b.which(host, "a", false, start), callersOf("near", "self"))
+	is.Equal(b.which(host, "a", true, start), callersOf("near"))
+	is.Equal(b.which(host, "b", false, start), callersOf("far"))
+}
+
+func TestCallersOfARegionWithoutBoxesAreNamedTheHomesOfTheData(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.publish(2, policy(2, "b"), nil)
+	b.told("home", "b", "", false, start)
+	b.told("far", "c", "", false, start)
+	b.told("goes", "d", leavingState, false, start)
+	is.Equal(b.which(host, "d", false, start), callersOf("home"))
+	is.Equal(b.which("SHOP.example:80", "d", false, start), callersOf("home"))
+	is.Equal(b.which("other.example", "d", false, start), callersOf("goes")) // nothing binds it
+}
+
+func TestAHomeOfSomeDataOfAHostIsNotOneOfAll(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	p := policy(2, "b", "c")
+	p.Routes = append(p.Routes, *route("c"))
+	b.publish(2, p, nil)
+	b.told("some", "b", "", false, start)
+	b.told("all", "c", "", false, start)
+	is.Equal(b.which(host, "d", false, start), callersOf("all"))
+}
+
+func TestBoxesThatLeaveAreNamedBeforeThoseOfOtherRegions(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.told("goes", "b", leavingState, false, start)
+	is.Equal(b.which(host, "b", false, start), callersOf("goes"))
+	b.told("goes", "b", leavingState, true, start+time.Millisecond)
+	is.Equal(b.which(host, "b", false, start+time.Millisecond), callersOf("self"))
+	is.Equal(b.which(host, "a", true, start), callersOf("self")) // it leaves itself, and there is no other
+}
+
+func TestASilentBoxIsNotNamed(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.told("near", "a", "", false, start)
+	b.told("goes", "b", leavingState, false, start)
+	later := start + 3*time.Second
+	is.Equal(b.which(host, "a", false, later), callersOf("self"))
+	is.Equal(b.which(host, "b", false, later), callersOf("self"))
+}
+
+func TestABoxWithoutAPolicyNamesOthersOnly(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.state = newState(b.settings, b.self, 0)
+	is.Equal(len(b.which(host, "a", false, start)), 0)
+	b.told("near", "a", "", false, start)
+	is.Equal(b.which(host, "a", false, start), callersOf("near"))
+}
+
+func TestAnAnswerNamesNoMoreThanSoManyBoxes(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	for n := range 3 * maxNamed {
+		b.told(fmt.Sprintf("box-%03d", n), "a", "", false, start)
+	}
+	got := b.which(host, "a", false, start)
+	is.Equal(len(got), 64)
+	is.Equal(len(slices.Compact(slices.Clone(got))), 64) // each once
+}
+
+// named is a box as it was told.
+type named struct {
+	name, region string
+	state        wire.ServingState
+	closed, dead bool
+}
+
+func drawPeers(t *rapid.T) []named {
+	var out []named
+	for n := range rapid.IntRange(0, 8).Draw(t, "boxes") {
+		out = append(out, named{
+			name:   fmt.Sprint("box-", n),
+			region: rapid.SampledFrom(regions).Draw(t, "region"),
+			state:  rapid.SampledFrom([]wire.ServingState{"", startingState, leavingState}).Draw(t, "state"),
+			closed: rapid.IntRange(0, 3).Draw(t, "closed") == 0,
+			dead:   rapid.IntRange(0, 3).Draw(t, "dead") == 0,
+		})
+	}
+	return out
+}
+
+func TestBoxesAreNamedInTheOrderOfTheirUse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBox("self", "a", 0)
+		homes := some(t, regions, "home")
+		b.publish(2, policy(2, homes...), nil)
+		peers := drawPeers(t)
+		now := start + time.Minute
+		for _, p := range peers {
+			heard := now
+			if p.dead {
+				heard = now - 10*time.Second
+			}
+			b.told(p.name, p.region, p.state, p.closed, heard)
+		}
+		leaving := rapid.Bool().Draw(t, "leaving")
+		self := named{
+			name:   "self",
+			region: "a",
+		}
+		if leaving {
+			self.state = leavingState
+		}
+		region := rapid.SampledFrom(regions).Draw(t, "asked")
+		got := b.which(host, region, leaving, now)
+		want := callersOf(expect(append(peers, self), homes, region)...)
+		slices.Sort(want)
+		if !slices.Equal(got, want) {
+			t.Fatalf("named %v, want %v", got, want)
+		}
+	})
+}
+
+// expect returns the boxes that are to be named to a caller in a region.
+func expect(peers []named, homes []string, region string) []string {
+	steps := []func(p named) bool{
+		func(p named) bool { return p.state == "" && p.region == region },
+		func(p named) bool { return p.state == "" && slices.Contains(homes, p.region) },
+		func(p named) bool { return p.state == leavingState && p.region == region },
+		func(p named) bool { return p.state == "" },
+	}
+	for _, step := range steps {
+		var out []string
+		for _, p := range peers {
+			if !p.dead && !p.closed && step(p) {
+				out = append(out, p.name)
+			}
+		}
+		if len(out) > 0 {
+			return out
+		}
+	}
+	return nil
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -25,6 +25,7 @@
 	crossDomain = 3 * time.Millisecond    // of going to another failure domain: bytes there have a price
 	answerShare = 0.6                     // of an answer's tokens that a request holds on average while it runs
 	alike       = 500 * time.Microsecond  // costs that differ by less are taken for the same
+	harmBusy    = 400.0                   // thousandths that a stream risks at an engine that reads prompts all the time
 	harmTime    = 300 * time.Microsecond  // that a thousandth of a request's worth may cost another request
 	defaultOut  = 100                     // tokens of an answer that nothing is known of
 )
@@ -106,7 +107,7 @@
 	}
 	if req.Prompt > 0 {
 		g.load.Tokens = req.Prompt + int(answerShare*float64(cmp.Or(req.Out, defaultOut)))
-		g.load.Unread = best.missing + req.own()
+		g.load.Unread = best.missing + req.Own()
 		best.r.keep(req.Parts, now)
 		best.r.reading(g.load.Unread, now)
 	}
@@ -161,8 +162,8 @@
 	return out
 }
 
-// own returns the tokens of the prompt that no other request shares.
-func (req *Request) own() int {
+// Own returns the tokens of the prompt that no other request shares.
+func (req *Request) Own() int {
 	return max(req.Prompt-req.Shared(), 0)
 }
 
@@ -317,8 +318,11 @@
 	}
 	wait := reading(w.load.Unread) + w.r.queueing(w.load, usual)
 	step := time.Duration(stepPerKilo * float64(w.load.Tokens) / 1000 * float64(time.Millisecond))
-	w.expect = scale(w.r.Slow(now), stepBase+step+wait+reading(w.missing+req.own()))
-	harm := req.Harm(w.missing, req.Gap) * float64(w.load.Requests)
+	w.expect = scale(w.r.Slow(now), stepBase+step+wait+reading(w.missing+req.Own()))
+	harm := req.Harm(w.missing, w.load.Requests)
+	if req.Gap > 0 {
+		harm += harmBusy * float64(w.load.Reads) / (readRate * 1000)
+	}
 	w.cost = w.expect + scale(readAgain-1, reading(w.missing)) + w.r.crowding(w.load, req) + scale(harm, harmTime)
 }
 
--- a/placement/risk.go
+++ b/placement/risk.go
@@ -49,27 +49,29 @@
 	depthTime   = 1500 * time.Nanosecond // and for each token that lies before it
 	stepTime    = 8 * time.Millisecond   // of a step with some thirty requests
 	stepsEvent  = 5                      // steps until the next event of a stream
-	pauseCalm   = 0.9                    // share of the aim for pauses below which no stream is late
+	besideTime  = 3 * time.Millisecond   // that the prompts of others add in the meantime, for each request that runs: 8 prompts of 20 ms a second where 20 run
+	pauseCalm   = 0.85                   // share of the aim for pauses below which no stream is late
 	harmEach    = 300.0                  // thousandths of a request's worth that a stream loses by being late
 )
 
 // pause returns the longest pause between two events of a stream while an engine
 // reads the last so many tokens of a prompt.
-func pause(prompt, unread int) time.Duration {
+func pause(prompt, unread, running int) time.Duration {
 	pieces := min(float64(unread)/pieceTokens, stepsEvent)
 	depth := max(prompt-stepsEvent*pieceTokens/2, prompt/2)
 	piece := pieceTime + time.Duration(depth)*depthTime
-	return stepsEvent*stepTime + scale(pieces, piece)
+	return stepsEvent*stepTime + scale(pieces, piece) + time.Duration(running)*besideTime
 }
 
-// Harm returns what reading a prompt is expected to cost one stream that runs at
-// the same engine, in thousandths of a request's worth.
-func (req *Request) Harm(missing int, gap time.Duration) float64 {
-	if gap <= 0 || req.Prompt == 0 {
+// Harm returns what reading a prompt, of whose shared parts so many tokens are
+// missing, is expected to cost the requests that run at the same engine, in
+// thousandths of a request's worth.
+func (req *Request) Harm(missing, running int) float64 {
+	if req.Gap <= 0 || req.Prompt == 0 {
 		return 0
 	}
-	share := float64(pause(req.Prompt, missing+req.own())) / float64(gap)
-	return harmEach * min(max((share-pauseCalm)/(1-pauseCalm), 0), 1)
+	share := float64(pause(req.Prompt, missing+req.Own(), running)) / float64(req.Gap)
+	return harmEach * min(max((share-pauseCalm)/(1-pauseCalm), 0), 1) * float64(running)
 }
 
 // rise goes from 0 at from to 1 at to, slowly at first.
