--- a/placement/pick.go
+++ b/placement/pick.go
@@ -21,7 +21,7 @@
 	plainQueue  = 3.0                     // the same of a plain service, whose queue is four times its slots
 	failCost    = 1200 * time.Millisecond // of a replica that fails every request
 	firstBonus  = 0.9                     // share of a part's reading time that the first in its rank is favoured by: other boxes send it there, and where none has, it costs the same anywhere
-	readAgain   = 2.5                     // what reading a shared part costs, in its own time: others wait meanwhile, and reading again has a price; 1.3 and 4 served worse on both first sites
+	readAgain   = 2.5                     // what reading a shared part costs, in its own time: others wait meanwhile, and reading again has a price; 1.3 served worse on both first sites, 4 no better
 	crossDomain = 3 * time.Millisecond    // of going to another failure domain: bytes there have a price
 	answerShare = 0.6                     // of an answer's tokens that a request holds on average while it runs
 	alike       = 500 * time.Microsecond  // costs that differ by less are taken for the same
