--- a/cmd/rudderctl/main.go
+++ b/cmd/rudderctl/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"github.com/havenrudder/havenrudder/commands"
+	"github.com/havenrudder/havenrudder/control"
 )
 
 func main() {
-	os.Exit(commands.Execute(commands.Control()))
+	os.Exit(commands.Execute(control.Commands()))
 }
--- a/commands/box.go
+++ b/commands/box.go
@@ -47,18 +47,18 @@
 	signal.Notify(told, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	settings, adapter, err := platform.Load(c.settings)
 	if err != nil {
-		return fail(err)
+		return Fail(err)
 	}
 	if c.metrics != "" {
 		settings.Metrics = net.JoinHostPort(settings.IP, c.metrics)
 	}
 	n, err := node.New(settings, adapter, node.WithOutput(os.Stdout))
 	if err != nil {
-		return fail(err)
+		return Fail(err)
 	}
 	go obeySignals(n, told)
 	if err := n.Run(ctx); err != nil {
-		return fail(err)
+		return Fail(err)
 	}
 	return subcommands.ExitSuccess
 }
--- a/commands/check.go
+++ b/commands/check.go
@@ -39,7 +39,7 @@
 	status := subcommands.ExitSuccess
 	for _, path := range f.Args() {
 		if err := checkSettings(path); err != nil {
-			status = fail(err)
+			status = Fail(err)
 			continue
 		}
 		fmt.Println(path + ": ok")
--- a/commands/havenrudder.go
+++ b/commands/havenrudder.go
@@ -1,4 +1,6 @@
-// Package commands holds the subcommands of both binaries, one file each.
+// Package commands holds the subcommands of the binary havenrudder, one file each,
+// and what both binaries share. It links nothing that a box doesn't need, for memory
+// of boxes is dear.
 package commands
 
 import (
@@ -26,18 +28,6 @@
 	}
 }
 
-// Control returns the subcommands of the binary rudderctl.
-func Control() []subcommands.Command {
-	return []subcommands.Command{
-		&demoCmd{},
-		&bundleCmd{},
-		&dumpCmd{},
-		&measureCmd{},
-		&referenceCmd{},
-		&explainCmd{},
-	}
-}
-
 // Execute runs the subcommand that the arguments of the process name.
 func Execute(list []subcommands.Command) int {
 	subcommands.Register(subcommands.HelpCommand(), "")
@@ -49,8 +39,8 @@
 	return int(subcommands.Execute(context.Background()))
 }
 
-// newLog returns a logger of JSON lines on standard error.
-func newLog(level string) *logrus.Entry {
+// NewLog returns a logger of JSON lines on standard error.
+func NewLog(level string) *logrus.Entry {
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{
 		TimestampFormat: time.RFC3339Nano,
@@ -61,8 +51,8 @@
 	return logrus.NewEntry(log)
 }
 
-// fail prints err and returns the status of a failure.
-func fail(err error) subcommands.ExitStatus {
+// Fail prints err and returns the status of a failure.
+func Fail(err error) subcommands.ExitStatus {
 	fmt.Fprintln(os.Stderr, err)
 	return subcommands.ExitFailure
 }
@@ -94,17 +84,17 @@
 	}
 	settings, err := config.LoadSettings(f.Arg(0))
 	if err != nil {
-		return fail(err)
+		return Fail(err)
 	}
-	b, err := box.New(settings, box.WithLog(newLog(settings.LogLevel)))
+	b, err := box.New(settings, box.WithLog(NewLog(settings.LogLevel)))
 	if err != nil {
-		return fail(err)
+		return Fail(err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go leaveOnSignal(b, cancel)
 	if err := b.Run(ctx); err != nil {
-		return fail(err)
+		return Fail(err)
 	}
 	return subcommands.ExitSuccess
 }
--- a/commands/bundle.go
+++ b/control/bundle.go
@@ -1,4 +1,4 @@
-package commands
+package control
 
 import (
 	"context"
@@ -15,6 +15,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/commands"
 	"github.com/havenrudder/havenrudder/configstore"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -67,7 +68,7 @@
 		return subcommands.ExitUsageError
 	}
 	if err != nil {
-		return fail(err)
+		return commands.Fail(err)
 	}
 	return subcommands.ExitSuccess
 }
--- a/commands/demo.go
+++ b/control/demo.go
@@ -1,4 +1,4 @@
-package commands
+package control
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/havenrudder/havenrudder/commands"
 	"github.com/havenrudder/havenrudder/demo"
 )
 
@@ -50,13 +51,13 @@
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt)
 	defer stop()
 	if c.apart != "" {
-		if err := demo.Surroundings(ctx, os.Stdout, newLog(c.log), c.user, c.apart); err != nil {
-			return fail(err)
+		if err := demo.Surroundings(ctx, os.Stdout, commands.NewLog(c.log), c.user, c.apart); err != nil {
+			return commands.Fail(err)
 		}
 		return subcommands.ExitSuccess
 	}
-	if err := demo.Run(ctx, os.Stdout, newLog(c.log), c.user, c.stay); err != nil {
-		return fail(err)
+	if err := demo.Run(ctx, os.Stdout, commands.NewLog(c.log), c.user, c.stay); err != nil {
+		return commands.Fail(err)
 	}
 	return subcommands.ExitSuccess
 }
--- a/commands/dump.go
+++ b/control/dump.go
@@ -1,4 +1,4 @@
-package commands
+package control
 
 import (
 	"context"
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
+
+	"github.com/havenrudder/havenrudder/commands"
 )
 
 const dumpTimeout = 5 * time.Second
@@ -42,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
 	defer cancel()
 	if err := copyURL(ctx, os.Stdout, c.base+"/debug/state"); err != nil {
-		return fail(err)
+		return commands.Fail(err)
 	}
 	return subcommands.ExitSuccess
 }
--- a/commands/explain.go
+++ b/control/explain.go
@@ -1,4 +1,4 @@
-package commands
+package control
 
 import (
 	"bufio"
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
+	"github.com/havenrudder/havenrudder/commands"
 	"github.com/havenrudder/havenrudder/decision"
 )
 
@@ -51,14 +52,14 @@
 	id := f.Arg(0)
 	events, skipped, err := readLogs(id, f.Args()[1:])
 	if err != nil {
-		return fail(err)
+		return commands.Fail(err)
 	}
 	found := explain(id, events)
 	if len(found.path) == 0 {
-		return fail(errors.Newf("explain: no line of request %q; %d other lines were skipped", id, skipped))
+		return commands.Fail(errors.Newf("explain: no line of request %q; %d other lines were skipped", id, skipped))
 	}
 	if err := found.print(os.Stdout, skipped); err != nil {
-		return fail(err)
+		return commands.Fail(err)
 	}
 	return subcommands.ExitSuccess
 }
--- a/commands/explanation.go
+++ b/control/explanation.go
@@ -1,4 +1,4 @@
-package commands
+package control
 
 import (
 	"fmt"
--- a/commands/measure.go
+++ b/control/measure.go
@@ -1,4 +1,4 @@
-package commands
+package control
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
+	"github.com/havenrudder/havenrudder/commands"
 	"github.com/havenrudder/havenrudder/measure/capacity"
 	"github.com/havenrudder/havenrudder/measure/control"
 	"github.com/havenrudder/havenrudder/measure/once"
@@ -90,7 +91,7 @@
 	}
 	c.args = own.Args()
 	if err := c.run(ctx, f.Arg(0)); err != nil {
-		return fail(err)
+		return commands.Fail(err)
 	}
 	return subcommands.ExitSuccess
 }
--- a/commands/reference.go
+++ b/control/reference.go
@@ -1,4 +1,4 @@
-package commands
+package control
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
+	"github.com/havenrudder/havenrudder/commands"
 	"github.com/havenrudder/havenrudder/schema"
 )
 
@@ -38,7 +39,7 @@
 func (*referenceCmd) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	text, err := reference()
 	if err != nil {
-		return fail(err)
+		return commands.Fail(err)
 	}
 	fmt.Fprint(os.Stdout, text)
 	return subcommands.ExitSuccess
--- a/node/node.go
+++ b/node/node.go
@@ -27,7 +27,7 @@
 
 const (
 	memoryShare = 60                     // percent of the limit from which the collector works harder
-	collectAt   = 50                     // percent of growth of the heap between collections: memory is dearer here than processor time
+	collectAt   = 20                     // percent of growth of the heap between collections: memory is dearer here than processor time
 	neverRead   = time.Hour              // the age of what was never read
 	idleReplica = 20 * time.Second       // a connection to a replica rests so long at most
 	idleBox     = 60 * time.Second       // the same between boxes: a new one takes 160 ms
