--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -37,7 +37,6 @@
 	status := answer.Status()
 	success := status >= http.StatusOK && status < http.StatusMultipleChoices
 	if success && !c.server.codec.Genuine(answer.Header()) {
-		a.result = placement.Silent
 		c.record(decision.Event{
 			Kind:     decision.Try,
 			Upstream: a.target.Choice.Replica,
@@ -45,7 +44,7 @@
 			Reason:   "not a replica's answer",
 			Status:   status,
 		})
-		return a.broke(ctx, nil)
+		return a.broke(ctx)
 	}
 	if !success && c.state == begun {
 		a.result = placement.Failed
@@ -63,7 +62,7 @@
 	var buf bytes.Buffer
 	n, err := io.Copy(&buf, io.LimitReader(answer, heldAnswer+1))
 	if err != nil {
-		return a.broke(ctx, err)
+		return a.broke(ctx)
 	}
 	whole := kept{
 		Answer: Answer{
@@ -123,24 +122,22 @@
 		return abandoned
 	}
 	if _, err := io.Copy(c.w, answer); err != nil {
-		a.result = placement.Silent
-		return a.broke(ctx, err)
+		return a.broke(ctx)
 	}
 	c.finished(decision.Served, head.status, "")
 	return served
 }
 
-// broke says what it means that an answer did not come to its end.
-func (a *attempt) broke(ctx context.Context, err error) ended {
+// broke says what it means that an answer did not come to its end. A caller that
+// has left says nothing against the replica.
+func (a *attempt) broke(ctx context.Context) ended {
 	c := a.call
 	left := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errQuiet)
 	if left {
 		c.state = max(c.state, maybeRan)
 		return abandoned
 	}
-	if err != nil {
-		a.result = placement.Silent
-	}
+	a.result = placement.Silent
 	if c.state == begun {
 		return torn
 	}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -56,15 +56,14 @@
 			held = append(held, (*buf)[:n]...)
 			var failed error
 			if held, failed = c.passComplete(held); failed != nil {
-				return abandoned // the caller has left
+				return abandoned
 			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return a.endStream(held)
 		case err != nil || len(held) > maxEvent:
-			a.result = placement.Silent
-			return a.broke(ctx, errors.CombineErrors(err, errTooLong))
+			return a.broke(ctx)
 		}
 	}
 }
@@ -78,8 +77,6 @@
 	a.call.server.core.Heard(&a.target.Choice)
 }
 
-var errTooLong = errors.New("ingress: event too long")
-
 // openStream passes the head of a stream on.
 func (c *call) openStream(answer *exchange.Answer) {
 	c.setHeader(Answer{
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -33,6 +33,8 @@
 	for _, conn := range n.listeners.packets {
 		link := roster.NewLink(conn, func(g wire.Gossip, _ net.Addr) { n.hear(ctx, g) })
 		n.links = append(n.links, link)
+	}
+	for _, link := range n.links { // when all are there, for a message that comes is answered
 		n.tasks.Go(func() { link.Run(ctx) })
 	}
 	n.tasks.Go(func() {
--- a/node/node.go
+++ b/node/node.go
@@ -123,8 +123,8 @@
 		Reason: "listening",
 		Detail: n.settings.Callers,
 	})
+	n.runGossip(ctx) // before the feed, whose first news is sent to other boxes
 	n.tasks.Go(func() { n.feed.Run(ctx) })
-	n.runGossip(ctx)
 	n.runReload(ctx)
 	n.serve(ctx, cancel)
 	<-ctx.Done()
