--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -87,7 +87,11 @@
 	case long:
 		return a.passLong(ctx, answer, whole)
 	}
-	c.answer(whole)
+	if !success {
+		c.answer(whole, reasonFailure)
+		return served
+	}
+	c.answer(whole, placement.None)
 	return served
 }
 
@@ -145,12 +149,12 @@
 }
 
 // answer gives the caller a whole answer.
-func (c *call) answer(k kept) {
+func (c *call) answer(k kept, reason placement.Reason) {
 	c.setHeader(k.Answer)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(k.body)))
 	c.w.WriteHeader(k.status)
 	_, _ = c.w.Write(k.body) // the caller has left when this fails
-	c.finished(decision.Served, k.status, "")
+	c.finished(decision.Served, k.status, string(reason))
 }
 
 // setHeader sets the headers of a replica's answer.
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -15,6 +15,7 @@
 	reasonStarting placement.Reason = "no policy known yet"
 	reasonStale    placement.Reason = "no route in a policy that may be old"
 	reasonBudget   placement.Reason = "no more tries"
+	reasonFailure  placement.Reason = "a replica's own failure, and no more tries"
 	reasonDeadline placement.Reason = "time is up"
 )
 
@@ -33,7 +34,7 @@
 	case c.r.Context().Err() != nil:
 		c.finished(decision.Left, 0, "caller left")
 	case c.failure != nil:
-		c.answer(*c.failure)
+		c.answer(*c.failure, reasonFailure)
 	case c.state == maybeRan && ctx.Err() != nil:
 		c.fail(http.StatusGatewayTimeout, reasonDeadline)
 	case c.state == maybeRan:
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -24,6 +24,7 @@
 	pullLimit  = 2 * time.Second        // for a whole catalog from another box
 	pullPause  = 300 * time.Millisecond // between two of them
 	readers    = 2                      // boxes of a region that read the catalog again, so that one may be lost
+	passEvery  = 4                      // rounds in which others' statuses are passed on, once a second, as to other regions
 	passedOn   = 8                      // other boxes' statuses in one datagram
 	reloadLook = time.Second            // how often the settings are compared
 )
@@ -48,19 +49,24 @@
 	})
 	n.tasks.Go(func() {
 		n.send(n.message(), n.everyone(), true)
-		for ctx.Err() == nil {
+		for round := 0; ctx.Err() == nil; round++ {
 			sleep.For(ctx, roster.Tick)
-			n.tell()
+			n.tell(round)
 			n.watchMembers()
 		}
 	})
 }
 
-// tell sends one round of datagrams.
-func (n *Node) tell() {
+// tell sends one round of datagrams. What this box heard of others is passed on in
+// some of them only, for bytes are bounded.
+func (n *Node) tell(round int) {
 	var targets []string
 	_ = n.state.Do(func(s *state) { targets = s.roster.Targets(n.now(), rand.IntN) })
-	n.send(n.message(), targets, false)
+	g := n.message()
+	if round%passEvery != 0 {
+		g.Others = nil
+	}
+	n.send(g, targets, false)
 }
 
 // tellEveryone sends news that can't wait for the next round.
