--- /dev/null
+++ b/node/pull.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/rendezvous"
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/peer"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	peerDial  = 500 * time.Millisecond // between regions a connection takes 160 ms
+	pullLimit = 2 * time.Second        // for a whole catalog from another box
+	pullPause = 300 * time.Millisecond // between two of them
+	readers   = 2                      // boxes of a region that read the catalog again, so that one may be lost
+)
+
+// catalogRequest asks for a catalog newer than a revision.
+type catalogRequest struct {
+	After int64 `json:"after"`
+}
+
+// pulls says whether the catalog is asked for from another box: when this one
+// knows no policy, or can't read the publisher and the other knows more.
+func (n *Node) pulls(from wire.BoxStatus, revision int64) bool {
+	if n.table.Load() == nil {
+		return from.Policy > 0
+	}
+	return !n.storeOK.Load() && int64(from.Catalog) > revision
+}
+
+// pull asks another box for its catalog.
+func (n *Node) pull(ctx context.Context, from wire.BoxStatus) {
+	ctx, cancel := context.WithTimeout(ctx, pullLimit)
+	defer cancel()
+	var s catalog.Snapshot
+	err := n.peers.Call(ctx, from.Peers, peer.Catalog, catalogRequest{}, &s)
+	if err != nil {
+		n.record(decision.Event{
+			Kind:     decision.Belief,
+			Upstream: from.Box,
+			Reason:   "catalog not read from box",
+			Detail:   err.Error(),
+		})
+		return
+	}
+	n.takeUpdate(catalog.Update{
+		Snapshot: &s,
+		Revision: s.Revision,
+		Settled:  true,
+	})
+}
+
+// answerPeer answers another box's question.
+func (n *Node) answerPeer(_ context.Context, m peer.Method, params json.RawMessage) (any, error) {
+	if m != peer.Catalog {
+		return nil, errors.Newf("unknown message %q", string(m))
+	}
+	var req catalogRequest
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, errors.Wrap(err, "catalog")
+	}
+	var out catalog.Snapshot
+	err := n.state.Do(func(s *state) { out = s.content.Snapshot() })
+	return out, err
+}
+
+// readsForOthers says whether this box is one of those that read the whole
+// catalog again and again on behalf of the boxes of its region.
+func (n *Node) readsForOthers() (out bool) {
+	_ = n.state.Do(func(s *state) {
+		names := []string{s.settings.Box}
+		for _, m := range s.roster.Members() {
+			if m.Status.Region == s.settings.Region && s.roster.Alive(m.Status.Box, n.now()) {
+				names = append(names, m.Status.Box)
+			}
+		}
+		out = slices.Contains(rendezvous.Top("catalog", names, readers), s.settings.Box)
+	})
+	return out
+}
+
+// takeUpdate takes an update of the catalog in.
+func (n *Node) takeUpdate(u catalog.Update) {
+	first := n.table.Load() == nil
+	_ = n.state.Do(func(s *state) {
+		for _, b := range s.take(u, n.now()) {
+			n.record(decision.Event{
+				Kind:     decision.Belief,
+				Upstream: b.About,
+				Reason:   b.Reason,
+				Revision: b.Rev,
+				Detail:   b.Region,
+			})
+		}
+		n.table.Store(s.table)
+	})
+	if first && n.table.Load() != nil {
+		n.tellEveryone() // this box serves from now on
+	}
+}
+
+// storeHealth takes in whether a call to the store succeeded.
+func (n *Node) storeHealth(err error) {
+	ok := err == nil
+	if ok {
+		n.read.Store(int64(n.now()))
+	}
+	if n.storeOK.Swap(ok) == ok {
+		return
+	}
+	e := decision.Event{
+		Kind:     decision.Regained,
+		Upstream: "store",
+	}
+	if !ok {
+		e.Kind = decision.Lost
+		e.Detail = err.Error()
+	}
+	n.record(e)
+}
+
+func (n *Node) badValue(name string, err error) {
+	n.record(decision.Event{
+		Kind:     decision.Belief,
+		Upstream: name,
+		Reason:   "value not usable, the last good one stays",
+		Detail:   err.Error(),
+	})
+}
--- /dev/null
+++ b/node/reload.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/havenrudder/havenrudder/decision"
+)
+
+const reloadLook = time.Second // how often the settings are compared
+
+// runReload looks now and then whether the settings have changed, for they may
+// do so without a signal.
+func (n *Node) runReload(ctx context.Context) {
+	n.tasks.Go(func() {
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(reloadLook):
+				n.reload(false)
+			case <-n.told:
+				n.reload(true)
+			}
+		}
+	})
+}
+
+// Reload has the settings read again.
+func (n *Node) Reload() {
+	select {
+	case n.told <- struct{}{}:
+	default: // they are about to be read
+	}
+}
+
+// reload takes changed settings in. Addresses are those of the start.
+func (n *Node) reload(told bool) {
+	s, err := n.adapter.Reload()
+	if err != nil {
+		n.record(decision.Event{
+			Kind:   decision.Reload,
+			Reason: "settings not usable, the last good ones stay",
+			Detail: err.Error(),
+		})
+		return
+	}
+	if s.Bounds == n.bounds && !told {
+		return
+	}
+	n.bounds = s.Bounds
+	_ = n.state.Do(func(st *state) { // it fails only when the box has ended
+		st.budget.SetTerms(retryTerms(s.Bounds))
+		st.view.Pacer().SetTerms(coldTerms(s.Bounds))
+	})
+	n.record(decision.Event{
+		Kind:   decision.Reload,
+		Reason: "settings taken in",
+	})
+}
