--- /dev/null
+++ b/placement/outlook.go
@@ -0,0 +1,43 @@
+package placement
+
+import "time"
+
+// Outlook is what a request would meet in a region.
+type Outlook struct {
+	Expect  time.Duration // until the first byte
+	Missing int           // shared tokens that would have to be read
+	Failing float64       // share of failures of late at the replica that would take it
+	Busy    float64       // share of the time that engines spend on reading prompts
+	Usable  int           // replicas that could take it
+	Fewest  int           // requests in flight at the replica that has the fewest
+	Reason  Reason        // why none takes it now
+	AgeMs   int64         // of what another region told
+}
+
+// Outlook returns what a request would meet here, without counting it in.
+func (v *View) Outlook(req Request, boxes []string, now time.Duration) Outlook {
+	best, none := v.best(req, boxes, now)
+	out := Outlook{
+		Expect:  best.expect,
+		Missing: best.missing,
+		Reason:  none.Reason,
+	}
+	if best.r != nil {
+		out.Failing = best.r.Failing(now)
+	}
+	reads := 0
+	for _, r := range v.byName {
+		if r.info.Service == req.Service && v.unusable(r, req, now) == None {
+			l := r.Load(now)
+			if out.Usable == 0 || l.Requests < out.Fewest {
+				out.Fewest = l.Requests
+			}
+			out.Usable++
+			reads += l.Reads
+		}
+	}
+	if out.Usable > 0 {
+		out.Busy = float64(reads) / (float64(out.Usable) * readRate * 1000)
+	}
+	return out
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -8,17 +8,12 @@
 	"github.com/havenrudder/havenrudder/common/rendezvous"
 )
 
-// Figures of the expected wait. Those of engines come from the sheet of the
+// Figures of what a replica costs. Those of engines come from the sheet of the
 // first users' engines; a replica that differs is found by its outcomes.
 const (
 	readRate    = 36.0                    // prompt tokens that an engine reads in a millisecond, with steps in between
 	stepBase    = 12 * time.Millisecond   // until an idle engine's first event, the prompt apart
 	stepPerKilo = 0.12                    // milliseconds that an event of five tokens takes longer for each 1,000 tokens in memory
-	memoryFull  = 0.97                    // share of memory up to which requests are sent; above it an engine preempts
-	memoryTight = 0.75                    // share of memory from which more requests cost others
-	memoryCost  = 1500 * time.Millisecond // of a full memory, against an empty one
-	engineQueue = 0.5                     // requests that may wait at an engine, as a share of its slots
-	plainQueue  = 3.0                     // the same of a plain service, whose queue is four times its slots
 	failCost    = 1200 * time.Millisecond // of a replica that fails every request
 	firstBonus  = 0.9                     // share of a part's reading time that the first in its rank is favoured by: other boxes send it there, and where none has, it costs the same anywhere
 	readAgain   = 2.5                     // what reading a shared part costs, in its own time: others wait meanwhile, and reading again has a price; 1.3 served worse on both first sites, 4 no better
@@ -30,17 +25,6 @@
 	defaultOut  = 100                     // tokens of an answer that nothing is known of
 )
 
-// Request is what a decision needs of a request.
-type Request struct {
-	Service string
-	Key     string        // of the request itself, which spreads those without shared parts
-	Parts   []Part        // shared parts of the prompt, in order
-	Prompt  int           // tokens of the prompt; 0 for a plain service
-	Out     int           // expected tokens of the answer
-	Gap     time.Duration // between two events of a stream that is aimed at; 0 for none
-	Tried   []string
-}
-
 // Reason says why a replica was not chosen, or why none was.
 type Reason string
 
@@ -124,69 +108,6 @@
 	}
 }
 
-// Outlook is what a request would meet in a region.
-type Outlook struct {
-	Expect  time.Duration // until the first byte
-	Missing int           // shared tokens that would have to be read
-	Failing float64       // share of failures of late at the replica that would take it
-	Busy    float64       // share of the time that engines spend on reading prompts
-	Usable  int           // replicas that could take it
-	Fewest  int           // requests in flight at the replica that has the fewest
-	Reason  Reason        // why none takes it now
-	AgeMs   int64         // of what another region told
-}
-
-// Outlook returns what a request would meet here, without counting it in.
-func (v *View) Outlook(req Request, boxes []string, now time.Duration) Outlook {
-	best, none := v.best(req, boxes, now)
-	out := Outlook{
-		Expect:  best.expect,
-		Missing: best.missing,
-		Reason:  none.Reason,
-	}
-	if best.r != nil {
-		out.Failing = best.r.Failing(now)
-	}
-	reads := 0
-	for _, r := range v.byName {
-		if r.info.Service == req.Service && v.unusable(r, req, now) == None {
-			l := r.Load(now)
-			if out.Usable == 0 || l.Requests < out.Fewest {
-				out.Fewest = l.Requests
-			}
-			out.Usable++
-			reads += l.Reads
-		}
-	}
-	if out.Usable > 0 {
-		out.Busy = float64(reads) / (float64(out.Usable) * readRate * 1000)
-	}
-	return out
-}
-
-// Own returns the tokens of the prompt that no other request shares.
-func (req *Request) Own() int {
-	return max(req.Prompt-req.Shared(), 0)
-}
-
-// Shared returns the tokens of the prompt's shared parts.
-func (req *Request) Shared() int {
-	n := 0
-	for _, p := range req.Parts {
-		n += p.Tokens
-	}
-	return n
-}
-
-// Subject returns the key by which requests with the same shared parts go to the
-// same replicas.
-func (req *Request) Subject() string {
-	if n := len(req.Parts); n > 0 {
-		return req.Parts[n-1].ID
-	}
-	return req.Key
-}
-
 func (v *View) best(req Request, boxes []string, now time.Duration) (best weighed, none Choice) {
 	none.Reason = Nothing
 	first := v.first(req, now)
@@ -278,23 +199,6 @@
 	return best
 }
 
-// usualHold returns the mean time of a request at the service's replicas, which
-// stands for what is not known of one.
-func (v *View) usualHold(service string) time.Duration {
-	var sum time.Duration
-	n := 0
-	for _, r := range v.byName {
-		if r.info.Service == service && r.hold > 0 {
-			sum += r.hold
-			n++
-		}
-	}
-	if n == 0 {
-		return defaultHold
-	}
-	return sum / time.Duration(n)
-}
-
 func (v *View) weigh(r *Replica, req Request, first bool, usual, now time.Duration) weighed {
 	w := weighed{
 		r:    r,
@@ -328,45 +232,6 @@
 	w.cost = w.expect + scale(readAgain-1, reading(w.missing)) + w.r.crowding(w.load, req) + scale(harm, harmTime)
 }
 
-// crowding returns what one more request costs the others at an engine whose
-// memory is nearly full: it preempts some, and these are read again.
-func (r *Replica) crowding(l Load, req Request) time.Duration {
-	share := r.memory(l, req)
-	if share <= memoryTight {
-		return 0
-	}
-	over := min((share-memoryTight)/(1-memoryTight), 2)
-	return scale(over*over, memoryCost)
-}
-
-// memory returns the share of an engine's memory that is taken with req there.
-func (r *Replica) memory(l Load, req Request) float64 {
-	if r.service == nil || r.service.Engine == nil || r.service.Engine.Memory <= 0 {
-		return 0
-	}
-	return float64(l.Tokens+req.Prompt) / float64(r.service.Engine.Memory)
-}
-
-// full says whether a replica would make the request wait behind too many.
-func (v *View) full(r *Replica, l Load, req Request) bool {
-	slots := float64(r.slots())
-	if r.service != nil && r.service.Engine != nil {
-		return float64(l.Requests) >= slots*(1+engineQueue) || r.memory(l, req) > memoryFull
-	}
-	return float64(l.Requests) >= slots*(1+plainQueue)
-}
-
-// queueing returns the expected wait for a slot, where a request usually holds
-// one for so long.
-func (r *Replica) queueing(l Load, usual time.Duration) time.Duration {
-	slots := r.slots()
-	if l.Requests < slots {
-		return 0
-	}
-	ahead := float64(l.Requests-slots+1) / float64(slots)
-	return scale(ahead, cmp.Or(r.hold, usual))
-}
-
 // reading returns the time that an engine takes to read tokens of prompts.
 func reading(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
