--- a/node/pull.go
+++ b/node/pull.go
@@ -97,7 +97,6 @@
 				Upstream: b.About,
 				Reason:   b.Reason,
 				Revision: b.Rev,
-				Detail:   b.Region,
 			})
 		}
 		n.table.Store(s.table)
--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -35,7 +35,7 @@
 }
 
 // full says whether a replica would make the request wait behind too many.
-func (v *View) full(r *Replica, l Load, req Request) bool {
+func (r *Replica) full(l Load, req Request) bool {
 	slots := float64(r.slots())
 	if r.service != nil && r.service.Engine != nil {
 		return float64(l.Requests) >= slots*(1+engineQueue) || r.memory(l, req) > memoryFull
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -18,7 +18,7 @@
 
 // First takes in that the first byte of an answer came after so long.
 func (v *View) First(c *Choice, took, now time.Duration) {
-	r := c.grant.gen
+	r := c.grant.replica
 	if r == nil {
 		return
 	}
@@ -30,7 +30,7 @@
 
 // Heard takes in that a replica goes on with an answer.
 func (v *View) Heard(c *Choice, now time.Duration) {
-	if r := c.grant.gen; r != nil {
+	if r := c.grant.replica; r != nil {
 		r.heard = now
 	}
 }
@@ -38,7 +38,7 @@
 // Quiet returns how long nothing came from the replica of a choice, to this box,
 // counted from when it was last heard or the request was sent at the latest.
 func (v *View) Quiet(c *Choice, sent, now time.Duration) time.Duration {
-	r := c.grant.gen
+	r := c.grant.replica
 	if r == nil {
 		return 0
 	}
@@ -48,11 +48,11 @@
 // End counts a request out and takes in what became of it. It returns true when
 // the replica is left out from now on.
 func (v *View) End(c *Choice, result Result, hold, now time.Duration) bool {
-	r := c.grant.gen
+	r := c.grant.replica
 	if r == nil {
 		return false
 	}
-	c.grant.gen = nil
+	c.grant.replica = nil
 	l := c.grant.load
 	r.own.Requests -= l.Requests
 	r.own.Tokens -= l.Tokens
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -56,19 +56,19 @@
 	grant   grant
 }
 
-// grant is what a choice counted in.
+// grant is what a choice counted in, and where.
 type grant struct {
-	load Load
-	gen  *Replica
+	load    Load
+	replica *Replica // nil once it is counted out
 }
 
 // weighed is a candidate with what decides.
 type weighed struct {
 	r       *Replica
-	cost    time.Duration
-	expect  time.Duration
-	missing int
-	load    Load
+	cost    time.Duration // of which the least decides: the request's own time and what others lose
+	expect  time.Duration // until the first byte
+	missing int           // shared tokens to be read
+	load    Load          // work there before
 }
 
 // Pick chooses the replica with the least cost and counts the request in. boxes
@@ -85,7 +85,7 @@
 		}
 	}
 	g := grant{
-		gen: best.r,
+		replica: best.r,
 		load: Load{
 			Requests: 1,
 		},
@@ -94,7 +94,7 @@
 		g.load.Tokens = req.Prompt + int(answerShare*float64(cmp.Or(req.Out, defaultOut)))
 		g.load.Unread = best.missing + req.Own()
 		best.r.keep(req.Parts, now)
-		best.r.reading(g.load.Unread, now)
+		best.r.given(g.load.Unread, now)
 	}
 	best.r.own = best.r.own.plus(g.load)
 	return Choice{
@@ -108,6 +108,8 @@
 	}
 }
 
+// best returns the usable replica with the least cost. Where there is none, none
+// says why, and when there may be one.
 func (v *View) best(req Request, boxes []string, now time.Duration) (best weighed, none Choice) {
 	none.Reason = Nothing
 	first := v.first(req, now)
@@ -123,7 +125,7 @@
 			wait = v.pacer.Next(r.info.ID, boxes, now) - now
 		}
 		w := v.weigh(r, req, r == first, usual, now)
-		if reason == None && v.full(r, w.load, req) {
+		if reason == None && r.full(w.load, req) {
 			reason = Full
 			wait = r.queueing(w.load, usual)
 		}
@@ -199,6 +201,8 @@
 	return best
 }
 
+// weigh returns what a request would cost at a replica; first says that it is the
+// first in the rank of the shared parts, usual is the service's usualHold.
 func (v *View) weigh(r *Replica, req Request, first bool, usual, now time.Duration) weighed {
 	w := weighed{
 		r:    r,
@@ -217,24 +221,27 @@
 	return w
 }
 
+// weighEngine fills in the expected time and the cost at an engine: what the
+// request waits for, and what it costs the requests that run there.
 func (v *View) weighEngine(w *weighed, req Request, first bool, usual, now time.Duration) {
 	w.missing = w.r.missing(req.Parts, now)
 	if first && w.missing > 0 {
 		w.missing = int((1 - firstBonus) * float64(w.missing))
 	}
-	wait := reading(w.load.Unread) + w.r.queueing(w.load, usual)
+	wait := readTime(w.load.Unread) + w.r.queueing(w.load, usual)
 	step := time.Duration(stepPerKilo * float64(w.load.Tokens) / 1000 * float64(time.Millisecond))
-	w.expect = scale(w.r.Slow(now), stepBase+step+wait+reading(w.missing+req.Own()))
+	w.expect = scale(w.r.Slow(now), stepBase+step+wait+readTime(w.missing+req.Own()))
 	harm := req.Harm(w.missing, w.load.Requests)
 	if req.Gap > 0 {
 		harm += harmBusy * float64(w.load.Reads) / (readRate * 1000)
 	}
-	w.cost = w.expect + scale(readAgain-1, reading(w.missing)) + w.r.crowding(w.load, req) + scale(harm, harmTime)
+	w.cost = w.expect + scale(readAgain-1, readTime(w.missing)) + w.r.crowding(w.load, req) + scale(harm, harmTime)
 }
 
-// reading returns the time that an engine takes to read tokens of prompts.
-func reading(tokens int) time.Duration {
+// readTime returns the time that an engine takes to read tokens of prompts.
+func readTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
 }
 
+// scale returns f times d.
 func scale(f float64, d time.Duration) time.Duration { return time.Duration(f * float64(d)) }
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -12,22 +12,22 @@
 )
 
 const (
-	failHalf     = 3 * time.Second  // time in which half of a replica's share of failures is forgotten
-	failWeight   = 0.2              // weight of the newest outcome in that share
-	slowHalf     = 8 * time.Second  // time in which half of a replica's slowness is forgotten
-	slowWeight   = 0.25             // weight of the newest observation of slowness
-	slowBound    = 2.5              // bound of one observation, a natural logarithm
-	readsHalf    = 1 * time.Second  // time in which half of a rate of prompts is forgotten: some ten prompts at the peak
-	holdWeight   = 0.1              // weight of the newest time that a request took
-	firstOut     = 1 * time.Second  // a replica that can't be reached is left out so long, then twice as long
-	longestOut   = 8 * time.Second  // so that one that is back is used within the time that returns are judged by
-	failuresOut  = 2                // failures to connect in a row until it is left out
-	mutedOut     = 3                // requests in a row without any answer until it is left out
-	warmParts    = 512              // prompt parts remembered of one replica; about its memory over a small part
-	warmFor      = 20 * time.Second // a part not used for longer has probably given way
-	othersFor    = 1 * time.Second  // what another box told counts so long; four of its messages
-	defaultHold  = 40 * time.Millisecond
-	startingLoad = 16 // slots of a replica that tells none
+	failHalf     = 3 * time.Second       // time in which half of a replica's share of failures is forgotten
+	failWeight   = 0.2                   // weight of the newest outcome in that share
+	slowHalf     = 8 * time.Second       // time in which half of a replica's slowness is forgotten
+	slowWeight   = 0.25                  // weight of the newest observation of slowness
+	slowBound    = 2.5                   // bound of one observation, a natural logarithm
+	readsHalf    = 1 * time.Second       // time in which half of a rate of prompts is forgotten: some ten prompts at the peak
+	holdWeight   = 0.1                   // weight of the newest time that a request took
+	firstOut     = 1 * time.Second       // a replica that can't be reached is left out so long, then twice as long
+	longestOut   = 8 * time.Second       // so that one that is back is used within the time that returns are judged by
+	failuresOut  = 2                     // failures to connect in a row until it is left out
+	mutedOut     = 3                     // requests in a row without any answer until it is left out
+	warmParts    = 512                   // prompt parts remembered of one replica; about its memory over a small part
+	warmFor      = 20 * time.Second      // a part not used for longer has probably given way
+	othersFor    = 1 * time.Second       // what another box told counts so long; four of its messages
+	defaultHold  = 40 * time.Millisecond // of a request where none of the service was answered yet
+	defaultSlots = 16                    // of a replica that tells none
 )
 
 // Load is work that one box has at a replica.
@@ -38,6 +38,7 @@
 	Reads    int // prompt tokens that are given to it in a second
 }
 
+// plus returns the sum of two loads.
 func (l Load) plus(o Load) Load {
 	return Load{
 		Requests: l.Requests + o.Requests,
@@ -91,8 +92,8 @@
 	return r.reads * decay.Left(now-r.readsAt, readsHalf)
 }
 
-// reading counts prompt tokens that this box gives it.
-func (r *Replica) reading(tokens int, now time.Duration) {
+// given counts prompt tokens that this box gives it.
+func (r *Replica) given(tokens int, now time.Duration) {
 	r.reads = r.readsNow(now) + float64(tokens)*math.Ln2/readsHalf.Seconds()
 	r.readsAt = now
 }
@@ -128,6 +129,7 @@
 // Out says whether it is left out at now because it could not be reached.
 func (r *Replica) Out(now time.Duration) bool { return now < r.outUntil }
 
+// slots returns how many requests the replica runs at once.
 func (r *Replica) slots() int {
 	switch {
 	case r.info.Slots > 0:
@@ -135,7 +137,7 @@
 	case r.service != nil && r.service.Engine != nil && r.service.Engine.Slots > 0:
 		return r.service.Engine.Slots
 	}
-	return startingLoad
+	return defaultSlots
 }
 
 // missing returns the tokens of shared parts that have to be read there. Only a
@@ -163,6 +165,8 @@
 	}
 }
 
+// dropOldParts makes room: it forgets parts that were not used of late, or all
+// where that is not enough.
 func (r *Replica) dropOldParts(now time.Duration) {
 	for id, at := range r.warm {
 		if now-at > warmFor/2 {
@@ -204,6 +208,8 @@
 	r.outUntil = 0
 }
 
+// seenFirst takes in how long the first byte of an answer took, against the
+// expected time.
 func (r *Replica) seenFirst(took, expected, now time.Duration) {
 	if took <= 0 || expected <= 0 {
 		return
@@ -215,6 +221,7 @@
 	r.slowAt = now
 }
 
+// took takes in how long a request that was answered took.
 func (r *Replica) took(hold time.Duration) {
 	if r.hold == 0 {
 		r.hold = hold
--- a/placement/request.go
+++ b/placement/request.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
 // Request is what a decision needs of a request.
 type Request struct {
 	Service string
@@ -10,7 +16,7 @@
 	Prompt  int           // tokens of the prompt; 0 for a plain service
 	Out     int           // expected tokens of the answer
 	Gap     time.Duration // between two events of a stream that is aimed at; 0 for none
-	Tried   []string
+	Tried   []string      // ids of replicas that are not asked again
 }
 
 // Own returns the tokens of the prompt that no other request shares.
--- a/placement/view.go
+++ b/placement/view.go
@@ -14,12 +14,6 @@
 	returnPace  = 3 * time.Second  // a replica that was out of reach may be cold when it is back, where the policy doesn't say for how long
 )
 
-// Part is a part of a prompt that requests may share.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // View is what a box knows of the replicas of its region. It belongs to one
 // actor.
 type View struct {
@@ -68,8 +62,7 @@
 type Belief struct {
 	About  string // a replica or failure domain
 	Reason string // what is believed of it now
-	Region string
-	Rev    int64 // revision of what is published that says so
+	Rev    int64  // revision of what is published that says so
 }
 
 // Take brings the view to what the catalog holds.
@@ -105,6 +98,7 @@
 	return news
 }
 
+// takeReplica takes in what is published of one replica.
 func (v *View) takeReplica(news []Belief, info catalog.Replica, now time.Duration) []Belief {
 	r, ok := v.replicas[info.ID]
 	if !ok {
@@ -136,6 +130,7 @@
 	return news
 }
 
+// describe says what a changed entry means, most important first.
 func describe(info catalog.Replica, known, leaves bool) string {
 	switch {
 	case leaves:
@@ -155,6 +150,7 @@
 	v.chillUntil(r, r.coldUntil)
 }
 
+// chillUntil paces a replica of a service that bounds the requests to cold ones.
 func (v *View) chillUntil(r *Replica, until time.Duration) {
 	if r.service != nil && r.service.ColdPerSecond > 0 && until > 0 {
 		v.pacer.Cold(r.info.ID, r.service.ColdPerSecond, until)
@@ -170,6 +166,7 @@
 	v.chill(r, left, now)
 }
 
+// takeClosed takes in which failure domains get no work.
 func (v *View) takeClosed(news []Belief, c *catalog.Content, now time.Duration) []Belief {
 	closed := make(map[string]bool)
 	for _, d := range c.Evacuated() {
@@ -222,11 +219,11 @@
 	}
 }
 
-// OwnLoad is this box's work at one replica.
+// OwnLoad is one box's work at one replica.
 type OwnLoad struct {
 	Replica string
 	Load    Load
-	Failing bool
+	Failing bool // the box can't reach it
 }
 
 // Tell returns this box's work at every replica where it has any, or where
