--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -18,15 +18,15 @@
 
 const heldAnswer = 256 << 10 // bytes of an answer that are held until it is whole
 
-// Answer is the head of an answer that was passed on.
-type Answer struct {
+// head is the head of an answer.
+type head struct {
 	status int
 	header http.Header
 }
 
 // kept is a whole answer.
 type kept struct {
-	Answer
+	head
 	body []byte
 }
 
@@ -65,7 +65,7 @@
 		return a.broke(ctx)
 	}
 	whole := kept{
-		Answer: Answer{
+		head: head{
 			status: answer.Status(),
 			header: answer.Header(),
 		},
@@ -112,23 +112,24 @@
 		c.sent < c.route.Attempts && status != http.StatusGatewayTimeout
 }
 
-// passLong passes on an answer that is too long to be held.
-func (a *attempt) passLong(ctx context.Context, answer *exchange.Answer, head kept) ended {
+// passLong passes on an answer that is too long to be held; begin is what was read
+// of it.
+func (a *attempt) passLong(ctx context.Context, answer *exchange.Answer, begin kept) ended {
 	c := a.call
 	length, chunked := answer.Framed()
-	c.setHeader(head.Answer)
+	c.setHeader(begin.head)
 	if !chunked && length >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	c.w.WriteHeader(head.status)
+	c.w.WriteHeader(begin.status)
 	c.state = begun
-	if _, err := c.w.Write(head.body); err != nil {
+	if _, err := c.w.Write(begin.body); err != nil {
 		return abandoned
 	}
 	if _, err := io.Copy(c.w, answer); err != nil {
 		return a.broke(ctx)
 	}
-	c.finished(decision.Served, head.status, "")
+	c.finished(decision.Served, begin.status, "")
 	return served
 }
 
@@ -150,7 +151,7 @@
 
 // answer gives the caller a whole answer.
 func (c *call) answer(k kept, reason placement.Reason) {
-	c.setHeader(k.Answer)
+	c.setHeader(k.head)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(k.body)))
 	c.w.WriteHeader(k.status)
 	_, _ = c.w.Write(k.body) // the caller has left when this fails
@@ -158,7 +159,7 @@
 }
 
 // setHeader sets the headers of a replica's answer.
-func (c *call) setHeader(a Answer) {
+func (c *call) setHeader(a head) {
 	h := c.w.Header()
 	closing := h.Get("Connection")
 	for name, values := range onward(a.header) {
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -1,32 +1,23 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/havenrudder/havenrudder/catalog"
-	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/placement"
 )
 
 const (
 	endSlack       = 40 * time.Millisecond // a replica's own word at its deadline is waited for so long
-	defaultLife    = 30 * time.Second      // of a request whose caller and route say nothing
 	maxRounds      = 24                    // targets asked for on behalf of one request
 	waitShare      = 0.2                   // of the goal that a request waits here for a replica that may take it
-	shortWait      = 5 * time.Millisecond
-	policyWait     = 300 * time.Millisecond // a box far from the publisher knows a policy some 350 ms after its start
-	policyLook     = 20 * time.Millisecond
-	defaultBody    = 4 << 20 // bytes, where the policy gives no bound
-	maxPriority    = 9
-	answerPerGuess = 1.3 // guesses are right in the median, but long answers are longer
+	shortWait      = 5 * time.Millisecond  // shortest wait for a replica, so that no two rounds follow at once
+	maxPriority    = 9                     // last rank of urgency that a replica is told; 0 is the first
+	answerPerGuess = 1.3                   // guesses are right in the median, but long answers are longer
 )
 
 // state says what is known of a request's fate so far.
@@ -58,128 +49,17 @@
 	arrived    bool     // some replica got it, whatever it did
 	tried      []string // replicas
 	triedBoxes []string
-	noRegions  []string      // that refused it or could not be reached
-	counted    bool          // the budget of retries knows of it
-	lastEvent  string        // id of the last event passed on
-	fromBox    bool          // the stream comes by way of another box
-	firstAt    time.Duration // until the first event or byte was passed on
-	lastAt     time.Time     // when an event was passed on last
-	pause      time.Duration // the longest between two events
-	done       bool          // the caller has its answer
-	failure    *kept         // a replica's own answer that says it failed
-	reason     placement.Reason
-	wait       time.Duration
-}
-
-// identify finds the route of the request and what it says of itself.
-func (c *call) identify() bool {
-	table := c.firstTable()
-	if table == nil {
-		c.refuse(reasonStarting, retryStarting)
-		return false
-	}
-	var err error
-	if c.facts, err = c.server.codec.Facts(c.r.Header); err != nil {
-		c.reject(http.StatusBadRequest, err.Error())
-		return false
-	}
-	c.version = table.Version()
-	if !c.findRoute(table) {
-		return false
-	}
-	if c.service == "" {
-		c.service = c.route.Service(c.facts.ID)
-	}
-	c.setEnd()
-	c.lastEvent = c.facts.LastEvent
-	if c.relay != nil && c.relay.LastEvent != "" {
-		c.lastEvent = c.relay.LastEvent
-	}
-	return true
-}
-
-// firstTable returns the policy in force. Just after its start a box waits a
-// little for one, for that is sooner than the caller would be back.
-func (c *call) firstTable() *catalog.Table {
-	for {
-		table := c.server.core.Table()
-		if table != nil || time.Since(c.start) > policyWait || c.r.Context().Err() != nil {
-			return table
-		}
-		sleep.For(c.r.Context(), policyLook)
-	}
-}
-
-// findRoute looks the route up. A request that another box passed on with a
-// newer policy keeps that box's route, so that no caller sees an older policy
-// after a newer one.
-func (c *call) findRoute(table *catalog.Table) bool {
-	if c.relay != nil {
-		c.route = c.relay.Route
-		c.service = c.relay.Service
-		c.sent = c.relay.Sent
-		c.counted = c.sent > 0
-		c.arrived = c.counted
-		if c.relay.Version > c.version {
-			c.server.core.Behind()
-		}
-		c.version = c.relay.Version
-		return true
-	}
-	route, ok := table.Find(c.r.Host, c.r.URL.Path)
-	switch {
-	case ok:
-		c.route = route
-		return true
-	case c.server.core.Current():
-		c.reject(http.StatusNotFound, "no route")
-	default:
-		c.refuse(reasonStale, retryStarting) // a newer policy may have the route
-	}
-	return false
-}
-
-// setEnd sets the time at which the answer is of no use: the caller's deadline
-// or the route's timeout, whichever comes first.
-func (c *call) setEnd() {
-	life := defaultLife
-	if c.route.Timeout > 0 {
-		life = c.route.Timeout.Duration()
-	}
-	if c.facts.Deadline > 0 {
-		life = min(life, c.facts.Deadline)
-	}
-	if c.relay != nil {
-		life = time.Duration(c.relay.LeftMs) * time.Millisecond
-	}
-	c.end = c.start.Add(life)
-}
-
-// readBody reads the whole body, so that it can be sent again.
-func (c *call) readBody() bool {
-	limit := int64(defaultBody)
-	if t := c.server.core.Table(); t != nil && t.Policy().Limits.BodyBytes > 0 {
-		limit = int64(t.Policy().Limits.BodyBytes)
-	}
-	if c.r.ContentLength == 0 {
-		return true
-	}
-	var buf bytes.Buffer
-	if n := c.r.ContentLength; n > 0 && n <= limit {
-		buf.Grow(int(n) + bytes.MinRead)
-	}
-	_, err := io.Copy(&buf, http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		c.reject(http.StatusRequestEntityTooLarge, "body too large")
-		return false
-	case err != nil:
-		c.reject(http.StatusBadRequest, "body not read")
-		return false
-	}
-	c.body = buf.Bytes()
-	return true
+	noRegions  []string         // that refused it or could not be reached
+	counted    bool             // the budget of retries knows of it
+	lastEvent  string           // id of the last event passed on
+	fromBox    bool             // the stream comes by way of another box
+	firstAt    time.Duration    // until the first event or byte was passed on
+	lastAt     time.Time        // when an event was passed on last
+	pause      time.Duration    // the longest between two events
+	done       bool             // the caller has its answer
+	failure    *kept            // a replica's own answer that says it failed
+	reason     placement.Reason // why there was no target at last
+	wait       time.Duration    // until there may be one
 }
 
 // run sends the request to one target after another until the caller has an
@@ -217,6 +97,7 @@
 	c.finish(ctx)
 }
 
+// ask returns the question where the request should go next.
 func (c *call) ask() Ask {
 	shared := c.facts.Parts
 	if n := len(shared); n > 0 {
@@ -337,6 +218,7 @@
 	c.server.core.Begin(c.service)
 }
 
+// record writes an event of this request down.
 func (c *call) record(e decision.Event) {
 	e.Request = c.facts.ID
 	e.Service = c.service
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	eventBuffer = 4 << 10 // bytes read at once
-	maxEvent    = 1 << 20 // bytes of one event
-	heardEvery  = 100 * time.Millisecond
+	eventBuffer = 4 << 10                // bytes read at once
+	maxEvent    = 1 << 20                // bytes of one event
+	heardEvery  = 100 * time.Millisecond // between two words that a replica goes on; a seventh of quietStream
 )
 
 var (
@@ -79,7 +79,7 @@
 
 // openStream passes the head of a stream on.
 func (c *call) openStream(answer *exchange.Answer) {
-	c.setHeader(Answer{
+	c.setHeader(head{
 		status: answer.Status(),
 		header: answer.Header(),
 	})
@@ -200,6 +200,7 @@
 	return errA == nil && errB == nil && x <= y
 }
 
+// flush sends what was written.
 func (c *call) flush() {
 	_ = http.NewResponseController(c.w).Flush() // a caller that has left is found by the next write
 }
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -22,7 +22,7 @@
 const (
 	retryStarting = 300 * time.Millisecond // a box knows a policy some 100 ms after it starts
 	retrySoon     = 100 * time.Millisecond // when nothing says how long a shortage lasts
-	retryLongest  = time.Second
+	retryLongest  = time.Second            // longest that callers are told to stay away
 )
 
 // finish gives the caller a final answer when the tries gave none.
@@ -85,6 +85,7 @@
 	c.w.WriteHeader(status)
 }
 
+// relayResult tells the box that passed the request on what became of it.
 func (c *call) relayResult(result string) {
 	h := c.w.Header()
 	h.Set(headerResult, result)
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -58,6 +58,7 @@
 	}
 }
 
+// decodeRelay reads the header that encode wrote.
 func decodeRelay(value string) (*relay, error) {
 	var r relay
 	if err := json.Unmarshal([]byte(value), &r); err != nil {
@@ -66,6 +67,7 @@
 	return &r, nil
 }
 
+// encode returns the relay as the value of a header.
 func (r *relay) encode() string {
 	data, err := json.Marshal(r)
 	if err != nil {
@@ -92,6 +94,7 @@
 	return n
 }
 
+// relayed returns what another box is told of this request.
 func (c *call) relayed() *relay {
 	return &relay{
 		Box:       c.server.box,
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -49,7 +49,7 @@
 	call   *call
 	target *Target
 	sent   time.Time
-	cancel context.CancelCauseFunc
+	cancel context.CancelCauseFunc // nil for a box
 	result placement.Result
 	first  time.Duration // until the answer's head; 0 while there is none
 	heard  time.Time     // when it was last said that the replica goes on
@@ -74,6 +74,7 @@
 	return e
 }
 
+// replica makes the attempt at a replica.
 func (a *attempt) replica(ctx context.Context) ended {
 	c := a.call
 	c.begin()
@@ -161,6 +162,7 @@
 	})
 }
 
+// outcomes are the words of the log for what a try came to.
 var outcomes = map[ended]decision.Outcome{
 	served:    decision.Served,
 	unsent:    decision.NotRun,
@@ -177,7 +179,7 @@
 	quietPlainShare = 0.4                    // of the goal of a call
 	quietStream     = 700 * time.Millisecond // an engine's steps take 60 ms, so an event takes 300 ms at most
 	quietPerExpect  = 3                      // times the expected time
-	quietCheck      = 50 * time.Millisecond
+	quietCheck      = 50 * time.Millisecond  // between two looks
 )
 
 // watchSilence ends the try when its replica has fallen silent towards this box.
@@ -209,6 +211,7 @@
 	return func() { close(done) }
 }
 
+// quietLimit returns how long the replica may be silent.
 func (a *attempt) quietLimit() time.Duration {
 	expect := quietPerExpect * a.target.Choice.Expect
 	if a.call.route.Kind == catalog.Stream {
@@ -219,13 +222,12 @@
 
 // tryBox passes the request on to a box of another region.
 func (c *call) tryBox(ctx context.Context, t Target) ended {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	a := &attempt{
 		call:   c,
 		target: &t,
 		sent:   time.Now(),
-		cancel: cancel,
 	}
 	c.triedBoxes = append(c.triedBoxes, t.Box)
 	e := a.box(ctx)
@@ -240,6 +242,7 @@
 	return e
 }
 
+// box makes the attempt at a box.
 func (a *attempt) box(ctx context.Context) ended {
 	c := a.call
 	h := onward(c.r.Header)
@@ -274,6 +277,7 @@
 	return unknown
 }
 
+// boxFailed says what it means that a box gave no answer.
 func (a *attempt) boxFailed(ctx context.Context, err error) ended {
 	c := a.call
 	var e *exchange.Error
