--- a/node/away.go
+++ b/node/away.go
@@ -32,18 +32,19 @@
 // far is another region that could take a request.
 type far struct {
 	region string
-	boxes  []roster.Member
-	room   placement.Outlook
-	risk   float64
+	boxes  []roster.Member   // that may be sent to
+	room   placement.Outlook // as its boxes told last
+	risk   float64           // thousandths of the request's worth
 }
 
 // path is what was seen of requests to a region.
 type path struct {
-	failed float64 // share of failures of late
-	at     time.Duration
+	failed float64       // share of failures of late
+	at     time.Duration // when it was so
 }
 
-func (p path) now(now time.Duration) float64 { return p.failed * decay.Left(now-p.at, failHalf) }
+// failing returns the share of failures as it counts at now.
+func (p path) failing(now time.Duration) float64 { return p.failed * decay.Left(now-p.at, failHalf) }
 
 // crossed takes in whether a request to a region was answered.
 func (s *state) crossed(region string, ok bool, now time.Duration) {
@@ -51,7 +52,7 @@
 	if ok {
 		seen = 0
 	}
-	old := s.paths[region].now(now)
+	old := s.paths[region].failing(now)
 	s.paths[region] = path{
 		failed: old + failWeight*(seen-old),
 		at:     now,
@@ -64,6 +65,7 @@
 	return gain > 0 && float64(draw(draws))*awayAll/draws < gain
 }
 
+// draws is the number of values that one draw may take.
 const draws = 1000
 
 // others returns the other regions that could take a request, in order.
@@ -77,7 +79,10 @@
 		if slices.Contains(ask.NoRegions, region) {
 			continue
 		}
-		if region == s.settings.Region || !ask.Route.Allows(region) || m.Status.Forward == "" || slices.Contains(ask.TriedBoxes, m.Status.Box) || s.lostSince(m) {
+		if region == s.settings.Region || !ask.Route.Allows(region) {
+			continue
+		}
+		if m.Status.Forward == "" || slices.Contains(ask.TriedBoxes, m.Status.Box) || s.lostSince(m) {
 			continue
 		}
 		byRegion[region] = append(byRegion[region], m)
@@ -129,7 +134,7 @@
 			unread -= ask.Request.Shared()
 		}
 		f.room.Expect += crossing + readingThere(unread)
-		f.risk = f.room.Risk(goals) + ask.Request.Harm(unread-ask.Request.Own(), f.room.Fewest) + failRisk*s.paths[f.region].now(now)
+		f.risk = f.room.Risk(goals) + ask.Request.Harm(unread-ask.Request.Own(), f.room.Fewest) + failRisk*s.paths[f.region].failing(now)
 		if home != "" && f.region != home {
 			f.risk += againPrice * float64(ask.Request.Shared()) / 1000
 		}
@@ -188,6 +193,8 @@
 	return out, ok
 }
 
+// readingThere returns the time that an engine of another region takes to read
+// tokens of prompts.
 func readingThere(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / farReads * float64(time.Millisecond))
 }
--- a/node/core.go
+++ b/node/core.go
@@ -43,6 +43,7 @@
 // The accesses to the state below fail only when the box has ended; what they
 // give then is of no use to anybody.
 
+// place chooses where a request goes and counts it in.
 func (n *Node) place(ask ingress.Ask) (t ingress.Target) {
 	t.Reason = placement.Nothing
 	_ = n.state.Do(func(s *state) { t = s.place(ask, n.now(), rand.IntN) })
@@ -60,10 +61,12 @@
 // long prompt would make its streams pause.
 const tellReads = 2500
 
+// begin counts a request for the budget of retries.
 func (n *Node) begin(service string) {
 	n.state.Post(func(s *state) { s.budget.Request(service, n.now()) })
 }
 
+// repeat asks the budget whether a request may be sent again.
 func (n *Node) repeat(service string) (ok bool) {
 	_ = n.state.Do(func(s *state) { ok = s.budget.Take(service, s.roster.Most(n.now()), n.now()) })
 	if ok {
@@ -74,10 +77,12 @@
 	return ok
 }
 
+// first takes in how long the first byte of an answer took.
 func (n *Node) first(c *placement.Choice, took time.Duration) {
 	_ = n.state.Do(func(s *state) { s.view.First(c, took, n.now()) })
 }
 
+// heard takes in that a replica goes on with an answer.
 func (n *Node) heard(c *placement.Choice) {
 	_ = n.state.Do(func(s *state) { s.view.Heard(c, n.now()) })
 }
@@ -94,6 +99,7 @@
 	return d
 }
 
+// end counts a request out and takes in what became of it.
 func (n *Node) end(c *placement.Choice, r placement.Result, took time.Duration) {
 	out := false
 	_ = n.state.Do(func(s *state) { out = s.view.End(c, r, took, n.now()) })
--- a/node/dump.go
+++ b/node/dump.go
@@ -64,6 +64,7 @@
 	return d
 }
 
+// dump fills in what the state holds.
 func (s *state) dump(d *Dump, now time.Duration) {
 	d.Revision = s.content.Revision()
 	d.Closed = s.content.Evacuated()
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -70,6 +70,7 @@
 	n.send(g, targets, false)
 }
 
+// everyone returns the addresses for news that can't wait.
 func (n *Node) everyone() (out []string) {
 	_ = n.state.Do(func(s *state) { out = s.roster.Everyone(n.now()) })
 	return out
--- a/node/node.go
+++ b/node/node.go
@@ -38,7 +38,7 @@
 type Node struct {
 	settings  Settings
 	adapter   Adapter
-	inc       int
+	inc       int // incarnation: higher after each start of the box
 	started   time.Time
 	log       *decision.Log
 	meter     *meter.Meter
@@ -46,10 +46,10 @@
 	state     *cell.Cell[state]
 	table     atomic.Pointer[catalog.Table]
 	read      atomic.Int64 // when what is published was last read, in nanoseconds since the start
-	storeOK   atomic.Bool
-	leaving   atomic.Bool
-	closed    atomic.Bool // it takes no more requests of callers
-	pulling   atomic.Bool
+	storeOK   atomic.Bool  // the last call to the store succeeded
+	leaving   atomic.Bool  // a planned stop has begun
+	closed    atomic.Bool  // it takes no more requests of callers
+	pulling   atomic.Bool  // another box is asked for its catalog
 	replicas  *exchange.Pool
 	boxes     *exchange.Pool
 	store     *exchange.Pool
@@ -61,7 +61,7 @@
 	told      chan struct{} // asks for the settings to be read again
 	bounds    Bounds        // in force; the task that reloads owns it
 	stop      chan struct{} // closed when a planned stop begins
-	once      sync.Once
+	once      sync.Once     // for the begin of a planned stop
 }
 
 // Option changes a Node.
@@ -141,6 +141,7 @@
 	return cause(ctx)
 }
 
+// errStopped ends a box whose planned stop is over.
 var errStopped = errors.New("stopped as planned")
 
 // cause returns why the box ended, nil for a planned end.
@@ -152,6 +153,7 @@
 	return err
 }
 
+// build makes what runs in the box. A broken invariant ends it.
 func (n *Node) build(ctx context.Context, cancel context.CancelCauseFunc) {
 	broken := func(reason any) { cancel(errors.Newf("broken invariant: %v", reason)) }
 	n.system = cell.NewSystem(slog.New(slog.DiscardHandler), broken)
@@ -189,10 +191,12 @@
 	}
 }
 
+// forwardAddr is where other boxes pass requests on to this one.
 func (n *Node) forwardAddr() string {
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.Ports[0]))
 }
 
+// peerAddr is where other boxes talk to this one, by datagram and connection.
 func (n *Node) peerAddr() string {
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.Ports[1]))
 }
@@ -210,6 +214,7 @@
 	})
 }
 
+// record writes an event to the log of decisions.
 func (n *Node) record(e decision.Event) { n.log.Record(e) }
 
 // ingress returns the path of requests.
--- a/node/pull.go
+++ b/node/pull.go
@@ -24,7 +24,7 @@
 
 // catalogRequest asks for a catalog newer than a revision.
 type catalogRequest struct {
-	After int64 `json:"after"`
+	After int64 `json:"after"` // 0 so far, and the whole catalog is the answer
 }
 
 // pulls says whether the catalog is asked for from another box: when this one
@@ -126,6 +126,7 @@
 	n.record(e)
 }
 
+// badValue writes down a published value that can't be used.
 func (n *Node) badValue(name string, err error) {
 	n.record(decision.Event{
 		Kind:     decision.Belief,
--- a/node/serve.go
+++ b/node/serve.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	headerTimeout = 10 * time.Second // callers' own bound is shorter; this only frees what they left open
-	idleTimeout   = 90 * time.Second // callers may use a connection again after most of the policy's time, so this is longer
-	headerBytes   = 64 << 10
+	headerTimeout = 10 * time.Second        // callers' own bound is shorter; this only frees what they left open
+	idleTimeout   = 90 * time.Second        // callers may use a connection again after most of the policy's time, so this is longer
+	headerBytes   = 64 << 10                // of a request's headers
 	lameTime      = 2500 * time.Millisecond // some callers hold an answer to "which box" for three times its time
 	directoryTTL  = 800 * time.Millisecond  // of that answer
 )
@@ -33,6 +33,7 @@
 	packets   []net.PacketConn
 }
 
+// open opens all sockets; an address that is empty gets none.
 func (l *listeners) open(s Settings) error {
 	port := func(i int) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[i])) }
 	wanted := []struct {
@@ -69,6 +70,7 @@
 	return nil
 }
 
+// newServer returns a server with the bounds that hold for all of them.
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
@@ -107,6 +109,7 @@
 	n.tasks.Go(func() { n.drain(ctx, cancel, callers, boxes) })
 }
 
+// serveOn runs a server; its failure ends the box.
 func (n *Node) serveOn(cancel context.CancelCauseFunc, s *http.Server, l net.Listener) {
 	n.tasks.Go(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -141,6 +144,7 @@
 	cancel(errStopped)
 }
 
+// isReady says whether the box can serve callers and will go on.
 func (n *Node) isReady() bool { return n.table.Load() != nil && !n.leaving.Load() }
 
 // which answers which boxes a caller of a host in a region should use.
--- a/node/state.go
+++ b/node/state.go
@@ -29,13 +29,13 @@
 	budget   *budget.Budget
 	content  *catalog.Content
 	table    *catalog.Table           // nil until a policy is known
-	tableAt  time.Duration            // when it was last known to be the newest
-	alive    map[string]bool          // boxes, as last written down
+	alive    map[string]bool          // boxes, as the log says last
 	paths    map[string]path          // to other regions
 	lost     map[string]time.Duration // when a box could not be reached last
-	seq      int
+	seq      int                      // of the last status told
 }
 
+// newState returns the state of a box that knows nothing yet.
 func newState(s Settings, self wire.BoxStatus, now time.Duration) *state {
 	pacer := pacing.New(s.Box, coldTerms(s.Bounds), pacing.WithStart(now))
 	return &state{
@@ -50,6 +50,7 @@
 	}
 }
 
+// coldTerms returns the bounds on requests to cold replicas.
 func coldTerms(b Bounds) pacing.Terms {
 	return pacing.Terms{
 		Overage: b.ColdOverage,
@@ -57,6 +58,7 @@
 	}
 }
 
+// retryTerms returns the bounds on repeated requests.
 func retryTerms(b Bounds) budget.Terms {
 	return budget.Terms{
 		Ratio:  b.RetryRatio,
@@ -167,6 +169,7 @@
 	return out
 }
 
+// percent is a whole in the unit in which boxes tell shares.
 const percent = 100
 
 // place chooses where a request goes: to a replica of this region, or to a box
