--- /dev/null
+++ b/ingress/box.go
@@ -0,0 +1,90 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/exchange"
+)
+
+const boxDial = 400 * time.Millisecond // between regions, two round trips of 160 ms and some
+
+// tryBox passes the request on to a box of another region.
+func (c *call) tryBox(ctx context.Context, t Target) ended {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a := &attempt{
+		call:   c,
+		target: &t,
+		sent:   time.Now(),
+	}
+	c.triedBoxes = append(c.triedBoxes, t.Box)
+	e := a.box(ctx)
+	if e == unsent || e == notRun {
+		c.noRegions = append(c.noRegions, t.Region) // its other boxes would say the same
+	}
+	if e != abandoned && e != notRun {
+		c.server.core.Crossed(t.Box, t.Region, e == served)
+	}
+	c.server.core.Meter.Forward(t.Region, string(outcomes[e]))
+	a.report(e)
+	return e
+}
+
+// box makes the attempt at a box.
+func (a *attempt) box(ctx context.Context) ended {
+	c := a.call
+	h := onward(c.r.Header)
+	h.Set(headerRelay, c.relayed().encode())
+	answer, err := c.server.boxes.Do(ctx, exchange.Request{
+		Addr:        a.target.BoxAddr,
+		Method:      c.r.Method,
+		Target:      c.r.RequestURI,
+		Host:        c.r.Host,
+		Header:      h,
+		Body:        c.body,
+		DialTimeout: boxDial,
+	})
+	if err != nil {
+		return a.boxFailed(ctx, err)
+	}
+	defer func() { _ = answer.Close() }()
+	a.first = time.Since(a.sent)
+	there := sentThere(answer.Header())
+	c.sent += there
+	c.counted = c.counted || there > 0
+	c.arrived = c.arrived || there > 0
+	switch answer.Header().Get(headerResult) {
+	case resultAnswer:
+		return a.pass(ctx, answer)
+	case resultNotRun:
+		if there > 0 {
+			return notRun
+		}
+		return unsent
+	}
+	return unknown
+}
+
+// boxFailed says what it means that a box gave no answer.
+func (a *attempt) boxFailed(ctx context.Context, err error) ended {
+	c := a.call
+	var e *exchange.Error
+	if errors.As(err, &e) && !e.Sent() {
+		if ctx.Err() != nil {
+			return abandoned
+		}
+		c.server.core.BoxLost(a.target.Box)
+		return unsent
+	}
+	c.sent++ // the box may have sent it on
+	c.counted = true
+	c.arrived = true
+	if ctx.Err() != nil {
+		c.state = max(c.state, maybeRan)
+		return abandoned
+	}
+	return unknown
+}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -78,18 +78,7 @@
 			c.wait = target.Wait
 			break
 		}
-		c.record(decision.Event{
-			Kind:     decision.Place,
-			Upstream: target.Choice.Replica + target.Box,
-			Region:   target.Region,
-			Tokens:   target.Choice.Missing,
-			Prompt:   c.facts.Prompt,
-			InFlight: target.Choice.Load.Requests,
-			Memory:   target.Choice.Load.Tokens,
-			Unread:   target.Choice.Load.Unread,
-			AgeMs:    target.AgeMs,
-			TookMs:   target.Choice.Expect.Milliseconds(),
-		})
+		c.recordPlace(target)
 		if c.try(ctx, target) || !c.mayTryAgain(ctx) {
 			break
 		}
@@ -97,6 +86,22 @@
 	c.finish(ctx)
 }
 
+// recordPlace writes down where the request goes and what decided that.
+func (c *call) recordPlace(t Target) {
+	c.record(decision.Event{
+		Kind:     decision.Place,
+		Upstream: t.Choice.Replica + t.Box,
+		Region:   t.Region,
+		Tokens:   t.Choice.Missing,
+		Prompt:   c.facts.Prompt,
+		InFlight: t.Choice.Load.Requests,
+		Memory:   t.Choice.Load.Tokens,
+		Unread:   t.Choice.Load.Unread,
+		AgeMs:    t.AgeMs,
+		TookMs:   t.Choice.Expect.Milliseconds(),
+	})
+}
+
 // ask returns the question where the request should go next.
 func (c *call) ask() Ask {
 	shared := c.facts.Parts
@@ -129,8 +134,8 @@
 // waitFor waits for a replica that will take the request soon, within a share of
 // the route's goal.
 func (c *call) waitFor(ctx context.Context, t Target) bool {
-	if t.Wait <= 0 || c.state == begun {
-		return false
+	if t.Wait <= 0 || c.state == begun || c.relay != nil {
+		return false // a box that passed the request on may know another target
 	}
 	limit := time.Duration(waitShare * float64(c.route.Goal.Duration()))
 	wait := max(t.Wait, shortWait)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -82,9 +82,9 @@
 	Heard   func(c *placement.Choice)
 	Quiet   func(next Ask, c *placement.Choice, sent time.Time) time.Duration // 0 when there is no other target
 	End     func(c *placement.Choice, r placement.Result, took time.Duration)
-	BoxLost func(box string)             // a box could not be reached
-	Crossed func(region string, ok bool) // whether a request to a region was answered
-	Behind  func()                       // another box knows a newer policy
+	BoxLost func(box string)                  // a box could not be reached
+	Crossed func(box, region string, ok bool) // whether a request to a box of a region was answered
+	Behind  func()                            // another box knows a newer policy
 	Record  func(decision.Event)
 	Meter   Meter
 }
--- a/node/away.go
+++ b/node/away.go
@@ -26,6 +26,8 @@
 	unknownFar = 2 * time.Second        // expected of a region that has told nothing
 	failWeight = 0.2                    // weight of the newest outcome in a region's share of failures
 	failHalf   = 3 * time.Second        // time in which half of it is forgotten
+	firstOut   = time.Second            // a box that could not be reached is not used so long, then twice as long
+	longestOut = 8 * time.Second        // so that one that is back is used within the time that returns are judged by
 	failRisk   = 1000.0                 // thousandths at risk where every request to a region fails
 )
 
@@ -82,7 +84,7 @@
 		if region == s.settings.Region || !ask.Route.Allows(region) {
 			continue
 		}
-		if m.Status.Forward == "" || slices.Contains(ask.TriedBoxes, m.Status.Box) || s.lostSince(m) {
+		if m.Status.Forward == "" || slices.Contains(ask.TriedBoxes, m.Status.Box) || s.isLost(m, now) {
 			continue
 		}
 		byRegion[region] = append(byRegion[region], m)
@@ -154,13 +156,31 @@
 	return risk
 }
 
-// lose notes that a box could not be reached.
-func (s *state) lose(box string, now time.Duration) { s.lost[box] = now }
+// unreached is a box that could not be reached.
+type unreached struct {
+	at  time.Duration // when that was tried last
+	out time.Duration // how long it is not used after that
+}
+
+// lose notes that a box could not be reached. It is not used for a time that
+// doubles until it is reached: being heard is not enough, for datagrams come through
+// a cut of one direction.
+func (s *state) lose(box string, now time.Duration) {
+	u := s.lost[box]
+	s.lost[box] = unreached{
+		at:  now,
+		out: min(max(2*u.out, firstOut), longestOut),
+	}
+}
+
+// reached notes that a box was reached.
+func (s *state) reached(box string) { delete(s.lost, box) }
 
-// lostSince says whether a box could not be reached since it was last heard.
-func (s *state) lostSince(m roster.Member) bool {
-	at, ok := s.lost[m.Status.Box]
-	return ok && m.Heard <= at
+// isLost says whether a box could not be reached of late, or not since it was last
+// heard.
+func (s *state) isLost(m roster.Member, now time.Duration) bool {
+	u, ok := s.lost[m.Status.Box]
+	return ok && (now < u.at+u.out || m.Heard <= u.at)
 }
 
 // roomIn returns what a region's boxes told last of a service; false when it has
--- a/node/core.go
+++ b/node/core.go
@@ -68,7 +68,7 @@
 
 // repeat asks the budget whether a request may be sent again.
 func (n *Node) repeat(service string) (ok bool) {
-	_ = n.state.Do(func(s *state) { ok = s.budget.Take(service, s.roster.Most(n.now()), n.now()) })
+	_ = n.state.Do(func(s *state) { ok = s.budget.Take(service, s.spenders(n.now()), n.now()) })
 	if ok {
 		n.meter.RepeatTaken()
 	} else {
@@ -114,8 +114,13 @@
 }
 
 // crossed notes whether a request to another region was answered.
-func (n *Node) crossed(region string, ok bool) {
-	n.state.Post(func(s *state) { s.crossed(region, ok, n.now()) })
+func (n *Node) crossed(box, region string, ok bool) {
+	n.state.Post(func(s *state) {
+		s.crossed(region, ok, n.now())
+		if ok {
+			s.reached(box)
+		}
+	})
 }
 
 // boxLost notes that a box could not be reached.
--- a/node/dump.go
+++ b/node/dump.go
@@ -102,7 +102,7 @@
 	for _, svc := range s.table.Policy().Services {
 		d.Retries = append(d.Retries, RetryDump{
 			Service: svc.Name,
-			Left:    s.budget.Left(svc.Name, s.roster.Most(now), now),
+			Left:    s.budget.Left(svc.Name, s.spenders(now), now),
 		})
 	}
 }
--- a/node/state.go
+++ b/node/state.go
@@ -16,8 +16,9 @@
 )
 
 const (
+	lonelySharers = 4                // the same for a box that has heard of no other, whose region may have a spare one beside the usual three
 	fewestSharers = 3                // boxes that a region has at least, as far as quotas are concerned: one that starts while it is cut off knows of none
-	sharersFor    = 60 * time.Second // a box counts as one that may send to a cold replica so long after it was heard
+	sharersFor    = 60 * time.Second // a box counts as one that may send to a cold replica, or repeat a request, so long after it was heard
 )
 
 // state is all that a box believes. It belongs to one actor, and takes the time
@@ -28,11 +29,11 @@
 	view     *placement.View
 	budget   *budget.Budget
 	content  *catalog.Content
-	table    *catalog.Table           // nil until a policy is known
-	alive    map[string]bool          // boxes, as the log says last
-	paths    map[string]path          // to other regions
-	lost     map[string]time.Duration // when a box could not be reached last
-	seq      int                      // of the last status told
+	table    *catalog.Table       // nil until a policy is known
+	alive    map[string]bool      // boxes, as the log says last
+	paths    map[string]path      // to other regions
+	lost     map[string]unreached // boxes
+	seq      int                  // of the last status told
 }
 
 // newState returns the state of a box that knows nothing yet.
@@ -46,7 +47,7 @@
 		content:  catalog.NewContent(),
 		alive:    make(map[string]bool),
 		paths:    make(map[string]path),
-		lost:     make(map[string]time.Duration),
+		lost:     make(map[string]unreached),
 	}
 }
 
@@ -95,12 +96,28 @@
 			out = append(out, m.Status.Box)
 		}
 	}
-	for n := len(out); n < fewestSharers; n++ {
+	fewest := fewestSharers
+	if len(out) == 1 {
+		fewest = lonelySharers
+	}
+	for n := len(out); n < fewest; n++ {
 		out = append(out, fmt.Sprint("unknown-", n)) // boxes that this one may be cut off from
 	}
 	return out
 }
 
+// spenders returns how many boxes of all regions may repeat requests, this one
+// included.
+func (s *state) spenders(now time.Duration) int {
+	n := 1
+	for _, m := range s.roster.Members() {
+		if now-m.Heard < sharersFor {
+			n++
+		}
+	}
+	return max(n, fewestSharers)
+}
+
 // hear takes another box's message in.
 func (s *state) hear(g wire.Gossip, now time.Duration) {
 	if s.roster.Hear(g.From, true, now) && g.From.Region == s.settings.Region {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -72,7 +72,7 @@
 	case Silent:
 		r.outcome(true, now)
 		r.muted++
-		if r.muted >= mutedOut {
+		if r.muted >= mutedOut && now-r.heard >= mutedFor {
 			v.leaveOut(r, now)
 		}
 	case Unreachable:
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -12,22 +12,23 @@
 )
 
 const (
-	failHalf     = 3 * time.Second       // time in which half of a replica's share of failures is forgotten
-	failWeight   = 0.2                   // weight of the newest outcome in that share
-	slowHalf     = 8 * time.Second       // time in which half of a replica's slowness is forgotten
-	slowWeight   = 0.25                  // weight of the newest observation of slowness
-	slowBound    = 2.5                   // bound of one observation, a natural logarithm
-	readsHalf    = 1 * time.Second       // time in which half of a rate of prompts is forgotten: some ten prompts at the peak
-	holdWeight   = 0.1                   // weight of the newest time that a request took
-	firstOut     = 1 * time.Second       // a replica that can't be reached is left out so long, then twice as long
-	longestOut   = 8 * time.Second       // so that one that is back is used within the time that returns are judged by
-	failuresOut  = 2                     // failures to connect in a row until it is left out
-	mutedOut     = 3                     // requests in a row without any answer until it is left out
-	warmParts    = 512                   // prompt parts remembered of one replica; about its memory over a small part
-	warmFor      = 20 * time.Second      // a part not used for longer has probably given way
-	othersFor    = 1 * time.Second       // what another box told counts so long; four of its messages
-	defaultHold  = 40 * time.Millisecond // of a request where none of the service was answered yet
-	defaultSlots = 16                    // of a replica that tells none
+	failHalf     = 3 * time.Second        // time in which half of a replica's share of failures is forgotten
+	failWeight   = 0.2                    // weight of the newest outcome in that share
+	slowHalf     = 8 * time.Second        // time in which half of a replica's slowness is forgotten
+	slowWeight   = 0.25                   // weight of the newest observation of slowness
+	slowBound    = 2.5                    // bound of one observation, a natural logarithm
+	readsHalf    = 1 * time.Second        // time in which half of a rate of prompts is forgotten: some ten prompts at the peak
+	holdWeight   = 0.1                    // weight of the newest time that a request took
+	firstOut     = 1 * time.Second        // a replica that can't be reached is left out so long, then twice as long
+	longestOut   = 8 * time.Second        // so that one that is back is used within the time that returns are judged by
+	failuresOut  = 2                      // failures to connect in a row until it is left out
+	mutedFor     = 500 * time.Millisecond // and nothing else came from it for so long: requests may be cut together, or reset beside others that are answered
+	mutedOut     = 3                      // requests in a row without any answer until it is left out
+	warmParts    = 512                    // prompt parts remembered of one replica; about its memory over a small part
+	warmFor      = 20 * time.Second       // a part not used for longer has probably given way
+	othersFor    = 1 * time.Second        // what another box told counts so long; four of its messages
+	defaultHold  = 40 * time.Millisecond  // of a request where none of the service was answered yet
+	defaultSlots = 16                     // of a replica that tells none
 )
 
 // Load is work that one box has at a replica.
