--- a/ingress/try.go
+++ b/ingress/try.go
@@ -4,25 +4,17 @@
 	"context"
 	"net/http"
 	"net/textproto"
-	"slices"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/placement"
 )
 
-const (
-	replicaDial = 250 * time.Millisecond // within a region a connection takes some 5 ms, a lost packet a second
-	boxDial     = 400 * time.Millisecond // between regions, two round trips of 160 ms and some
-)
-
-// errQuiet ends a try whose replica has fallen silent.
-var errQuiet = errors.New("ingress: replica silent")
+const replicaDial = 250 * time.Millisecond // within a region a connection takes some 5 ms, a lost packet a second
 
 // hopHeaders concern one connection only.
 var hopHeaders = []string{
@@ -171,129 +163,3 @@
 	torn:      decision.Broken,
 	abandoned: decision.Left,
 }
-
-// Times after which a replica from which nothing comes is taken for silent. They
-// count only for requests that may be repeated, and only where more tries are
-// left.
-const (
-	quietPlainShare = 0.4                    // of the goal of a call
-	quietStream     = 700 * time.Millisecond // an engine's steps take 60 ms, so an event takes 300 ms at most
-	quietPerExpect  = 3                      // times the expected time
-	quietCheck      = 50 * time.Millisecond  // between two looks
-)
-
-// watchSilence ends the try when its replica has fallen silent towards this box.
-func (a *attempt) watchSilence(ctx context.Context) (stop func()) {
-	c := a.call
-	if !c.route.Repeatable() || c.sent+1 >= c.route.Attempts {
-		return func() {}
-	}
-	next := c.ask()
-	next.Request.Tried = append(slices.Clone(next.Request.Tried), a.target.Choice.Replica)
-	done := make(chan struct{})
-	go func() {
-		tick := time.NewTicker(quietCheck)
-		defer tick.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-			}
-			if c.server.core.Quiet(next, &a.target.Choice, a.sent) > a.quietLimit() {
-				a.cancel(errQuiet)
-				return
-			}
-		}
-	}()
-	return func() { close(done) }
-}
-
-// quietLimit returns how long the replica may be silent.
-func (a *attempt) quietLimit() time.Duration {
-	expect := quietPerExpect * a.target.Choice.Expect
-	if a.call.route.Kind == catalog.Stream {
-		return max(quietStream, expect)
-	}
-	return max(time.Duration(quietPlainShare*float64(a.call.route.Goal.Duration())), expect)
-}
-
-// tryBox passes the request on to a box of another region.
-func (c *call) tryBox(ctx context.Context, t Target) ended {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	a := &attempt{
-		call:   c,
-		target: &t,
-		sent:   time.Now(),
-	}
-	c.triedBoxes = append(c.triedBoxes, t.Box)
-	e := a.box(ctx)
-	if e == unsent || e == notRun {
-		c.noRegions = append(c.noRegions, t.Region) // its other boxes would say the same
-	}
-	if e != abandoned && e != notRun {
-		c.server.core.Crossed(t.Region, e == served)
-	}
-	c.server.core.Meter.Forward(t.Region, string(outcomes[e]))
-	a.report(e)
-	return e
-}
-
-// box makes the attempt at a box.
-func (a *attempt) box(ctx context.Context) ended {
-	c := a.call
-	h := onward(c.r.Header)
-	h.Set(headerRelay, c.relayed().encode())
-	answer, err := c.server.boxes.Do(ctx, exchange.Request{
-		Addr:        a.target.BoxAddr,
-		Method:      c.r.Method,
-		Target:      c.r.RequestURI,
-		Host:        c.r.Host,
-		Header:      h,
-		Body:        c.body,
-		DialTimeout: boxDial,
-	})
-	if err != nil {
-		return a.boxFailed(ctx, err)
-	}
-	defer func() { _ = answer.Close() }()
-	a.first = time.Since(a.sent)
-	there := sentThere(answer.Header())
-	c.sent += there
-	c.counted = c.counted || there > 0
-	c.arrived = c.arrived || there > 0
-	switch answer.Header().Get(headerResult) {
-	case resultAnswer:
-		return a.pass(ctx, answer)
-	case resultNotRun:
-		if there > 0 {
-			return notRun
-		}
-		return unsent
-	}
-	return unknown
-}
-
-// boxFailed says what it means that a box gave no answer.
-func (a *attempt) boxFailed(ctx context.Context, err error) ended {
-	c := a.call
-	var e *exchange.Error
-	if errors.As(err, &e) && !e.Sent() {
-		if ctx.Err() != nil {
-			return abandoned
-		}
-		c.server.core.BoxLost(a.target.Box)
-		return unsent
-	}
-	c.sent++ // the box may have sent it on
-	c.counted = true
-	c.arrived = true
-	if ctx.Err() != nil {
-		c.state = max(c.state, maybeRan)
-		return abandoned
-	}
-	return unknown
-}
