--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -25,7 +25,9 @@
 	lapseWait    = 2 * time.Second        // entries that lapsed while the publisher was away are back within this time
 )
 
-// Source is where the catalog is read.
+// Source is where the catalog is read. Read returns all of it. Wait returns what
+// changed after a revision, and up to which one, as soon as there is any or after
+// a time; it fails with ErrHistoryGone where that is no longer known.
 type Source struct {
 	Read func(ctx context.Context) (Snapshot, error)
 	Wait func(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
@@ -75,27 +77,6 @@
 // One that doesn't relies on Behind, and reads again more rarely.
 func WithReader(f func() bool) FeedOption { return func(d *Feed) { d.reader = f } }
 
-// Behind tells the feed that another box knows a revision.
-func (d *Feed) Behind(revision int64) {
-	if revision <= d.known.Load() {
-		return
-	}
-	d.wanted.Store(revision)
-	select {
-	case d.behind <- struct{}{}:
-	default: // it is told already
-	}
-}
-
-// Known returns the newest revision that was handed on.
-func (d *Feed) Known() int64 { return d.known.Load() }
-
-// hand hands an update on.
-func (d *Feed) hand(u Update) {
-	d.known.Store(max(d.known.Load(), u.Revision)) // a lower one written at the same time only makes for one more call
-	d.update(u)
-}
-
 // NewFeed returns a feed that hands what it reads to update.
 func NewFeed(source Source, update func(Update), opts ...FeedOption) *Feed {
 	d := &Feed{
@@ -116,6 +97,21 @@
 	return d
 }
 
+// Behind tells the feed that another box knows a revision.
+func (d *Feed) Behind(revision int64) {
+	if revision <= d.known.Load() {
+		return
+	}
+	d.wanted.Store(revision)
+	select {
+	case d.behind <- struct{}{}:
+	default: // it is told already
+	}
+}
+
+// Known returns the newest revision that was handed on.
+func (d *Feed) Known() int64 { return d.known.Load() }
+
 // Run reads until ctx ends: a watch, and beside it all again every so often,
 // because a watch that hears nothing looks like one with no news.
 func (d *Feed) Run(ctx context.Context) {
@@ -143,6 +139,12 @@
 	}
 }
 
+// hand hands an update on.
+func (d *Feed) hand(u Update) {
+	d.known.Store(max(d.known.Load(), u.Revision)) // a lower one written at the same time only makes for one more call
+	d.update(u)
+}
+
 // offer leaves a revision for the watch to go on from, in place of an older one.
 func (d *Feed) offer(revision int64) {
 	select {
@@ -152,6 +154,7 @@
 	d.at <- revision // there is room, for nobody else puts any in
 }
 
+// failed takes in that all could not be read.
 func (d *Feed) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -162,6 +165,7 @@
 	d.health(err)
 }
 
+// succeeded takes in that all was read.
 func (d *Feed) succeeded() {
 	d.mu.Lock()
 	if d.away {
--- a/catalog/policy.go
+++ b/catalog/policy.go
@@ -85,6 +85,7 @@
 	return r.Shares[0].Service
 }
 
+// check says what is wrong with the route first, nil for nothing.
 func (r *Route) check() error {
 	switch {
 	case r.Host == "":
@@ -117,8 +118,8 @@
 type Service struct {
 	Name          string  `json:"name"`
 	HealthPath    string  `json:"health_path"`
-	Connections   int     `json:"connections"` // most that one replica accepts from all boxes together
-	ColdFor       Millis  `json:"cold_for_ms"`
+	Connections   int     `json:"connections"`     // most that one replica accepts from all boxes together
+	ColdFor       Millis  `json:"cold_for_ms"`     // that a replica stays cold
 	ColdPerSecond float64 `json:"cold_per_second"` // requests that a cold replica bears; 0 for no bound
 	Engine        *Engine `json:"engine,omitempty"`
 }
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -111,6 +111,8 @@
 	return true
 }
 
+// replace takes a snapshot in. While the feed isn't settled, replicas that are
+// missing in it stay.
 func (c *Content) replace(s Snapshot, settled bool) {
 	c.revision = s.Revision
 	c.read = s.Revision
@@ -136,6 +138,7 @@
 	}
 }
 
+// apply takes a change in, unless what it is about is newer.
 func (c *Content) apply(ch Change, settled bool) {
 	switch {
 	case ch.Policy != nil:
@@ -151,6 +154,7 @@
 	}
 }
 
+// takePolicy takes a policy in if its version is higher.
 func (c *Content) takePolicy(p *Policy) {
 	if p == nil || (c.policy != nil && p.Version <= c.policy.Version) {
 		return
