--- a/control/explain.go
+++ b/control/explain.go
@@ -80,6 +80,7 @@
 	return events, skipped, nil
 }
 
+// readFile reads one file, or standard input for -.
 func readFile(id, name string) ([]decision.Event, int, error) {
 	if name == "-" {
 		return readLog(id, os.Stdin)
@@ -154,6 +155,7 @@
 	return isBelief(e) || e.Kind == decision.Dropped
 }
 
+// isBelief says whether e changes what a box believes.
 func isBelief(e *decision.Event) bool {
 	return slices.Contains([]decision.Kind{decision.Belief, decision.Lost, decision.Regained}, e.Kind)
 }
--- a/control/explanation.go
+++ b/control/explanation.go
@@ -63,6 +63,7 @@
 	return x
 }
 
+// within says whether t lies from one time to another, both included.
 func within(t, from, to time.Time) bool { return !t.Before(from) && !t.After(to) }
 
 // subjects are the names that occur on the path of a request.
@@ -72,6 +73,7 @@
 	regions   map[string]bool
 }
 
+// subjectsOf returns the names on a path.
 func subjectsOf(path []decision.Event) subjects {
 	s := subjects{
 		boxes:     make(map[string]bool),
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -98,6 +98,7 @@
 	return n, a.fail(ended(a.ctx, err))
 }
 
+// fail gives the connection up; further reads return err.
 func (a *Answer) fail(err error) error {
 	a.err = err
 	a.conn.close()
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -117,6 +117,7 @@
 	return nil, Response, errInformational
 }
 
+// readHead reads the header of one answer, within its bound.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.headLeft = maxHead
 	defer func() { c.headLeft = math.MaxInt64 }()
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -126,6 +126,7 @@
 	}
 }
 
+// conns returns the open connections to addr.
 func (p *Pool) conns(addr string) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -116,6 +116,7 @@
 	return out
 }
 
+// writers are for writing requests.
 var writers = sync.Pool{
 	New: func() any {
 		return &writer{
@@ -132,6 +133,7 @@
 	inLine bool // the request line hasn't ended yet
 }
 
+// reset makes the writer ready for a request to out.
 func (w *writer) reset(out io.Writer) {
 	w.buf.Reset(out)
 	w.inLine = true
