--- a/node/away.go
+++ b/node/away.go
@@ -21,7 +21,6 @@
 	againPrice = 40.0                   // thousandths that 1,000 shared tokens cost which another region keeps
 	sharedMin  = 1000                   // shared tokens from which a prompt has a home region; fewer aren't worth the way
 	noRoom     = 60 * time.Second       // told as the wait where no replica can take a request
-	farReads   = 36.0                   // prompt tokens that an engine there reads in a millisecond
 	roomsFor   = 3 * time.Second        // what a region told counts so long
 	unknownFar = 2 * time.Second        // expected of a region that has told nothing
 	failWeight = 0.2                    // weight of the newest outcome in a region's share of failures
@@ -135,7 +134,7 @@
 		if f.region == home {
 			unread -= ask.Request.Shared()
 		}
-		f.room.Expect += crossing + readingThere(unread)
+		f.room.Expect += crossing + placement.ReadTime(unread)
 		f.risk = f.room.Risk(goals) + ask.Request.Harm(unread-ask.Request.Own(), f.room.Fewest) + failRisk*s.paths[f.region].failing(now)
 		if home != "" && f.region != home {
 			f.risk += againPrice * float64(ask.Request.Shared()) / 1000
@@ -213,12 +212,6 @@
 	return out, ok
 }
 
-// readingThere returns the time that an engine of another region takes to read
-// tokens of prompts.
-func readingThere(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / farReads * float64(time.Millisecond))
-}
-
 // sendAway returns one of a region's boxes as the target.
 func sendAway(f far, draw func(n int) int) ingress.Target {
 	box := f.boxes[draw(len(f.boxes))].Status
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -228,18 +228,18 @@
 	if first && w.missing > 0 {
 		w.missing = int((1 - firstBonus) * float64(w.missing))
 	}
-	wait := readTime(w.load.Unread) + w.r.queueing(w.load, usual)
+	wait := ReadTime(w.load.Unread) + w.r.queueing(w.load, usual)
 	step := time.Duration(stepPerKilo * float64(w.load.Tokens) / 1000 * float64(time.Millisecond))
-	w.expect = scale(w.r.Slow(now), stepBase+step+wait+readTime(w.missing+req.Own()))
+	w.expect = scale(w.r.Slow(now), stepBase+step+wait+ReadTime(w.missing+req.Own()))
 	harm := req.Harm(w.missing, w.load.Requests)
 	if req.Gap > 0 {
 		harm += harmBusy * float64(w.load.Reads) / (readRate * 1000)
 	}
-	w.cost = w.expect + scale(readAgain-1, readTime(w.missing)) + w.r.crowding(w.load, req) + scale(harm, harmTime)
+	w.cost = w.expect + scale(readAgain-1, ReadTime(w.missing)) + w.r.crowding(w.load, req) + scale(harm, harmTime)
 }
 
-// readTime returns the time that an engine takes to read tokens of prompts.
-func readTime(tokens int) time.Duration {
+// ReadTime returns the time that an engine takes to read tokens of prompts.
+func ReadTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
 }
 
