--- a/commands/havenrudder.go
+++ b/commands/havenrudder.go
@@ -1,6 +1,6 @@
 // Package commands holds the subcommands of the binary havenrudder, one file each,
-// and what both binaries share. It links nothing that a box doesn't need, for memory
-// of boxes is dear.
+// and what both binaries share. It links nothing that a box doesn't need, for that
+// would take memory in each of them.
 package commands
 
 import (
--- a/decision/ring.go
+++ b/decision/ring.go
@@ -29,9 +29,15 @@
 // init allocates the slots and puts them all on the free list.
 func (r *ring) init() {
 	r.slots = make([]slot, r.size)
-	r.free = list{head: none, tail: none}
+	r.free = list{
+		head: none,
+		tail: none,
+	}
 	for c := range r.lists {
-		r.lists[c] = list{head: none, tail: none}
+		r.lists[c] = list{
+			head: none,
+			tail: none,
+		}
 	}
 	for n := range r.slots {
 		r.push(&r.free, n)
