--- a/roster/digest.go
+++ b/roster/digest.go
@@ -25,26 +25,7 @@
 // and their rooms for all but the first of each region: the boxes of one region
 // state nearly the same.
 func (t *Table) Digest(now time.Duration, limit int) []wire.BoxStatus {
-	var list []*record
-	for _, r := range t.records {
-		if r.alive(now) {
-			list = append(list, r)
-		}
-	}
-	fresh := func(r *record) int {
-		if r.fresh && t.digests%plainEvery != 0 {
-			return 0
-		}
-		return 1
-	}
-	slices.SortFunc(list, func(a, b *record) int {
-		return cmp.Or(
-			cmp.Compare(fresh(a), fresh(b)),
-			cmp.Compare(a.due, b.due),
-			cmp.Compare(b.Heard, a.Heard),
-			cmp.Compare(a.Status.Box, b.Status.Box),
-		)
-	})
+	list := t.byTurn(now)
 	t.digests++
 	var out []wire.BoxStatus
 	room := othersBytes
@@ -74,3 +55,28 @@
 	}
 	return out
 }
+
+// byTurn returns the boxes alive in the order in which they are passed on.
+func (t *Table) byTurn(now time.Duration) []*record {
+	var list []*record
+	for _, r := range t.records {
+		if r.alive(now) {
+			list = append(list, r)
+		}
+	}
+	fresh := func(r *record) int {
+		if r.fresh && t.digests%plainEvery != 0 {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(list, func(a, b *record) int {
+		return cmp.Or(
+			cmp.Compare(fresh(a), fresh(b)),
+			cmp.Compare(a.due, b.due),
+			cmp.Compare(b.Heard, a.Heard),
+			cmp.Compare(a.Status.Box, b.Status.Box),
+		)
+	})
+	return list
+}
