--- a/node/node.go
+++ b/node/node.go
@@ -90,6 +90,7 @@
 	}
 	n.meter = meter.New(
 		meter.WithCatalogAge(func() time.Duration { return n.now() - time.Duration(n.read.Load()) }),
+		meter.WithBoxesAlive(n.boxesAlive),
 		meter.WithDroppedLines(n.log.DroppedLines),
 	)
 	limitMemory(s.MemoryMB)
@@ -201,6 +202,19 @@
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.Ports[1]))
 }
 
+// boxesAlive returns how many other boxes are believed to be alive; it is read after
+// the box has begun to run.
+func (n *Node) boxesAlive() (alive int) {
+	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
+		for _, m := range s.roster.Members() {
+			if s.roster.Alive(m.Status.Box, n.now()) {
+				alive++
+			}
+		}
+	})
+	return alive
+}
+
 // Leave begins a planned stop: the box is no longer named to callers, finishes
 // what is in flight and ends.
 func (n *Node) Leave() {
--- a/roster/targets.go
+++ b/roster/targets.go
@@ -16,6 +16,7 @@
 	ownTargets  = 16 // members of the own region at a tick: 64 datagrams a second at most
 	farTargets  = 2  // members of each other region, so that one lost datagram is no matter
 	farEvery    = 4  // ticks; other regions need no loads, and bytes to them have a price
+	eagerTicks  = 8  // first ticks of a box, at each of which other regions are sent to as well: it makes itself known within two seconds
 	newsTargets = 64 // of news that can't wait; more boxes hear of it from these
 	silentEvery = 4  // ticks; once a second is soon enough to notice that a cut has healed
 	seedEvery   = 10 // ticks; seeds are mostly members, too
@@ -34,7 +35,7 @@
 		own: t.self.Peers,
 	}
 	out.add(t.ownRegion(alive))
-	if tick%farEvery == 0 {
+	if tick%farEvery == 0 || tick < eagerTicks {
 		out.add(t.otherRegions(alive, rnd))
 	}
 	if tick%silentEvery == 0 {
--- a/roster/targets_test.go
+++ b/roster/targets_test.go
@@ -29,10 +29,15 @@
 	crowd(tab, "south", 5, 0)
 	crowd(tab, "west", 1, 0)
 	own := []string{"north-00:1", "north-01:1"}
-	is.Equal(tab.Targets(0, first), append(slices.Clone(own), "south-00:1", "south-01:1", "west-00:1", "seed:1"))
-	for range 3 { // four ticks are a second
-		is.Equal(tab.Targets(0, first), own)
+	far := append(slices.Clone(own), "south-00:1", "south-01:1", "west-00:1")
+	is.Equal(tab.Targets(0, first), append(slices.Clone(far), "seed:1"))
+	for range eagerTicks - 1 { // a box that starts makes itself known
+		is.Equal(tab.Targets(0, first), far)
 	}
+	is.Equal(tab.Targets(0, first), far)
+	is.Equal(tab.Targets(0, first), own) // four ticks are a second
+	is.Equal(tab.Targets(0, first), append(slices.Clone(own), "seed:1"))
+	is.Equal(tab.Targets(0, first), own)
 	is.Equal(tab.Targets(0, last), append(slices.Clone(own), "south-04:1", "south-00:1", "west-00:1"))
 	for range 3 {
 		is.Equal(tab.Targets(0, last), own)
