--- a/node/node.go
+++ b/node/node.go
@@ -124,14 +124,6 @@
 		Reason: "listening",
 		Detail: n.settings.Callers,
 	})
-	if err := n.listeners.noMetrics; err != nil {
-		n.record(decision.Event{
-			Kind:     decision.Lost,
-			Upstream: "metrics",
-			Reason:   "requests are served without",
-			Detail:   err.Error(),
-		})
-	}
 	n.runGossip(ctx) // before the feed, whose first news is sent to other boxes
 	n.tasks.Go(func() { n.feed.Run(ctx) })
 	n.runReload(ctx)
--- a/node/serve.go
+++ b/node/serve.go
@@ -30,7 +30,6 @@
 	boxes     net.Listener
 	peers     net.Listener
 	metrics   net.Listener // nil for none
-	noMetrics error        // why there is none although one is wanted
 	packets   []net.PacketConn
 }
 
@@ -46,6 +45,7 @@
 		{&l.directory, s.Directory},
 		{&l.boxes, port(0)},
 		{&l.peers, port(1)},
+		{&l.metrics, s.Metrics},
 	}
 	for _, w := range wanted {
 		if w.addr == "" {
@@ -57,9 +57,6 @@
 		}
 		*w.to = opened
 	}
-	if s.Metrics != "" {
-		l.metrics, l.noMetrics = net.Listen("tcp", s.Metrics)
-	}
 	for _, addr := range []string{port(1), s.Seed} {
 		if addr == "" {
 			continue
