node: Ask replicas who they are while the store can't be read

Now a box that can't read the store asks at the address: health tells the id and the cold time, the report an engine's memory. The replica takes its predecessor's place only where that memory is its service's and no other's. Where the store can be read, a 421 only has it read again, if that was not done for 3 s.

Ruled out: sending without an id that must match (another service may have the address); taking the health answer alone (both services have the same path). Left: plain services tell nothing that shows their service.

--- a/node/core.go
+++ b/node/core.go
@@ -101,6 +101,9 @@
 
 // end counts a request out and takes in what became of it.
 func (n *Node) end(c *placement.Choice, r placement.Result, took time.Duration) {
+	if r == placement.Misdirected {
+		n.misdirected(c.Replica)
+	}
 	out := false
 	_ = n.state.Do(func(s *state) { out = s.view.End(c, r, took, n.now()) })
 	if !out {
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	tasks     sync.WaitGroup
 	told      chan struct{} // asks for the settings to be read again
 	bounds    Bounds        // in force; the task that reloads owns it
+	replaced  chan string   // ids of replicas whose addresses others have
 	stop      chan struct{} // closed when a planned stop begins
 	once      sync.Once     // for the begin of a planned stop
 }
@@ -81,6 +82,7 @@
 		started:  time.Now(),
 		stop:     make(chan struct{}),
 		told:     make(chan struct{}, 1),
+		replaced: make(chan string, maxReplaced),
 		bounds:   s.Bounds,
 	}
 	n.read.Store(-int64(neverRead))
@@ -127,6 +129,7 @@
 	n.runGossip(ctx) // before the feed, whose first news is sent to other boxes
 	n.tasks.Go(func() { n.feed.Run(ctx) })
 	n.runReload(ctx)
+	n.runIdentity(ctx)
 	n.serve(ctx, cancel)
 	<-ctx.Done()
 	n.tasks.Wait()
--- a/node/settings.go
+++ b/node/settings.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -48,6 +49,9 @@
 	Directory func(which func(host, region string) []string, ttl time.Duration) http.Handler
 	Readiness func(ready func() bool) http.Handler
 	Reload    func() (Settings, error) // reads the settings again
+
+	// Identify asks the replica at an address which one it is.
+	Identify func(ctx context.Context, pool *exchange.Pool, addr, healthPath string) (Identity, error)
 }
 
 // Report is what a source of the catalog tells beside what it reads.
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -85,6 +85,9 @@
 // Info returns what is published of the replica.
 func (r *Replica) Info() catalog.Replica { return r.info }
 
+// Listed says whether the catalog holds it.
+func (r *Replica) Listed() bool { return r.listed }
+
 // Own returns this box's work there.
 func (r *Replica) Own() Load { return r.own }
 
