common: Keep one share of failures and one growing absence

The decaying share of failures, with its weight of 0.2 and half-life of 3 s, stood in placement.Replica and in node's paths to regions, and so did the time-out that doubles from 1 s to 8 s. They are decay.Failures and absence.Absence now, with their constants. A box that fails while it is left out still doubles its time-out, and a replica still does not: the callers decide that, as before, so nothing that is chosen changes.

--- a/node/away.go
+++ b/node/away.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/havenrudder/havenrudder/common/decay"
+	"github.com/havenrudder/havenrudder/common/absence"
 	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/ingress"
 	"github.com/havenrudder/havenrudder/placement"
@@ -23,10 +23,6 @@
 	noRoom     = 60 * time.Second       // told as the wait where no replica can take a request
 	roomsFor   = 3 * time.Second        // what a region told counts so long
 	unknownFar = 2 * time.Second        // expected of a region that has told nothing
-	failWeight = 0.2                    // weight of the newest outcome in a region's share of failures
-	failHalf   = 3 * time.Second        // time in which half of it is forgotten
-	firstOut   = time.Second            // a box that could not be reached is not used so long, then twice as long
-	longestOut = 8 * time.Second        // so that one that is back is used within the time that returns are judged by
 	failRisk   = 1000.0                 // thousandths at risk where every request to a region fails
 )
 
@@ -38,26 +34,11 @@
 	risk   float64           // thousandths of the request's worth
 }
 
-// path is what was seen of requests to a region.
-type path struct {
-	failed float64       // share of failures of late
-	at     time.Duration // when it was so
-}
-
-// failing returns the share of failures as it counts at now.
-func (p path) failing(now time.Duration) float64 { return p.failed * decay.Left(now-p.at, failHalf) }
-
 // crossed takes in whether a request to a region was answered.
 func (s *state) crossed(region string, ok bool, now time.Duration) {
-	seen := 1.0
-	if ok {
-		seen = 0
-	}
-	old := s.paths[region].failing(now)
-	s.paths[region] = path{
-		failed: old + failWeight*(seen-old),
-		at:     now,
-	}
+	path := s.paths[region]
+	path.Add(!ok, now)
+	s.paths[region] = path
 }
 
 // betterAway says whether a request goes away: the more often the more it gains.
@@ -135,7 +116,7 @@
 			unread -= ask.Request.Shared()
 		}
 		f.room.Expect += crossing + placement.ReadTime(unread)
-		f.risk = f.room.Risk(goals) + ask.Request.Harm(unread-ask.Request.Own(), f.room.Fewest) + failRisk*s.paths[f.region].failing(now)
+		f.risk = f.room.Risk(goals) + ask.Request.Harm(unread-ask.Request.Own(), f.room.Fewest) + failRisk*s.paths[f.region].Share(now)
 		if home != "" && f.region != home {
 			f.risk += againPrice * float64(ask.Request.Shared()) / 1000
 		}
@@ -157,8 +138,8 @@
 
 // unreached is a box that could not be reached.
 type unreached struct {
-	at  time.Duration // when that was tried last
-	out time.Duration // how long it is not used after that
+	at  time.Duration   // when that was tried last
+	out absence.Absence // it is not used while it is on
 }
 
 // lose notes that a box could not be reached. It is not used for a time that
@@ -166,10 +147,9 @@
 // a cut of one direction.
 func (s *state) lose(box string, now time.Duration) {
 	u := s.lost[box]
-	s.lost[box] = unreached{
-		at:  now,
-		out: min(max(2*u.out, firstOut), longestOut),
-	}
+	u.at = now
+	u.out.Begin(now)
+	s.lost[box] = u
 }
 
 // reached notes that a box was reached.
@@ -179,7 +159,7 @@
 // heard.
 func (s *state) isLost(m roster.Member, now time.Duration) bool {
 	u, ok := s.lost[m.Status.Box]
-	return ok && (now < u.at+u.out || m.Heard <= u.at)
+	return ok && (u.out.On(now) || m.Heard <= u.at)
 }
 
 // roomIn returns what a region's boxes told last of a service; false when it has
--- a/node/home_test.go
+++ b/node/home_test.go
@@ -132,13 +132,13 @@
 	for range 10 {
 		b.crossed("b", false, start)
 	}
-	failing := b.paths["b"].failing(start)
+	failing := b.paths["b"].Share(start)
 	is.True(failing > 0.8 && failing < 1)
 	for range 10 {
 		b.crossed("b", true, start)
 	}
-	is.True(b.paths["b"].failing(start) < 0.2)
-	is.Equal(b.paths["c"].failing(start), 0.0) // the others are as before
+	is.True(b.paths["b"].Share(start) < 0.2)
+	is.Equal(b.paths["c"].Share(start), 0.0) // the others are as before
 }
 
 func TestWhereAllRegionsFailTheOneThatFailsLessIsUsed(t *testing.T) {
--- a/node/state.go
+++ b/node/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/havenrudder/havenrudder/budget"
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/decay"
 	"github.com/havenrudder/havenrudder/ingress"
 	"github.com/havenrudder/havenrudder/pacing"
 	"github.com/havenrudder/havenrudder/placement"
@@ -29,11 +30,11 @@
 	view     *placement.View
 	budget   *budget.Budget
 	content  *catalog.Content
-	table    *catalog.Table       // nil until a policy is known
-	alive    map[string]bool      // boxes, as the log says last
-	paths    map[string]path      // to other regions
-	lost     map[string]unreached // boxes
-	seq      int                  // of the last status told
+	table    *catalog.Table            // nil until a policy is known
+	alive    map[string]bool           // boxes, as the log says last
+	paths    map[string]decay.Failures // of requests to other regions
+	lost     map[string]unreached      // boxes
+	seq      int                       // of the last status told
 }
 
 // newState returns the state of a box that knows nothing yet.
@@ -46,7 +47,7 @@
 		budget:   budget.New(retryTerms(s.Bounds)),
 		content:  catalog.NewContent(),
 		alive:    make(map[string]bool),
-		paths:    make(map[string]path),
+		paths:    make(map[string]decay.Failures),
 		lost:     make(map[string]unreached),
 	}
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -60,23 +60,23 @@
 	wasOut := r.Out(now)
 	switch result {
 	case Answered:
-		r.outcome(false, now)
+		r.outcomes.Add(false, now)
 		r.took(hold)
 		r.answered(now)
 	case Failed:
-		r.outcome(true, now)
+		r.outcomes.Add(true, now)
 		r.answered(now)
 	case Refused:
-		r.outcome(true, now) // it has no room, however idle it looks
+		r.outcomes.Add(true, now) // it has no room, however idle it looks
 		r.answered(now)
 	case Silent:
-		r.outcome(true, now)
+		r.outcomes.Add(true, now)
 		r.muted++
 		if r.muted >= mutedOut && now-r.heard >= mutedFor {
 			v.leaveOut(r, now)
 		}
 	case Unreachable:
-		r.outcome(true, now)
+		r.outcomes.Add(true, now)
 		r.failures++
 		if r.failures >= failuresOut {
 			v.leaveOut(r, now)
@@ -95,5 +95,5 @@
 	if r.service == nil {
 		return
 	}
-	v.chillReturn(r, r.outUntil)
+	v.chillReturn(r, r.out.Until())
 }
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -8,19 +8,16 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/absence"
 	"github.com/havenrudder/havenrudder/common/decay"
 )
 
 const (
-	failHalf     = 3 * time.Second        // time in which half of a replica's share of failures is forgotten
-	failWeight   = 0.2                    // weight of the newest outcome in that share
 	slowHalf     = 8 * time.Second        // time in which half of a replica's slowness is forgotten
 	slowWeight   = 0.25                   // weight of the newest observation of slowness
 	slowBound    = 2.5                    // bound of one observation, a natural logarithm
 	readsHalf    = 1 * time.Second        // time in which half of a rate of prompts is forgotten: some ten prompts at the peak
 	holdWeight   = 0.1                    // weight of the newest time that a request took
-	firstOut     = 1 * time.Second        // a replica that can't be reached is left out so long, then twice as long
-	longestOut   = 8 * time.Second        // so that one that is back is used within the time that returns are judged by
 	failuresOut  = 2                      // failures to connect in a row until it is left out
 	mutedFor     = 500 * time.Millisecond // and nothing else came from it for so long: requests may be cut together, or reset beside others that are answered
 	mutedOut     = 3                      // requests in a row without any answer until it is left out
@@ -63,13 +60,11 @@
 	own     Load
 	others  map[string]told // by box
 
-	coldUntil time.Duration // as far as is known
-	failures  int           // failures to connect in a row
-	muted     int           // requests without any answer in a row
-	outUntil  time.Duration // it gets no work until then
-	outFor    time.Duration // the next time it is left out for
-	failed    float64       // share of failures among outcomes of late
-	failedAt  time.Duration
+	coldUntil time.Duration   // as far as is known
+	failures  int             // failures to connect in a row
+	muted     int             // requests without any answer in a row
+	out       absence.Absence // it gets no work while it is on
+	outcomes  decay.Failures
 	slow      float64 // natural logarithm of times to the first byte over the expected ones
 	slowAt    time.Duration
 	reads     float64 // prompt tokens a second that this box gives it, at readsAt
@@ -118,9 +113,7 @@
 }
 
 // Failing returns the share of failures among its outcomes of late.
-func (r *Replica) Failing(now time.Duration) float64 {
-	return r.failed * decay.Left(now-r.failedAt, failHalf)
-}
+func (r *Replica) Failing(now time.Duration) float64 { return r.outcomes.Share(now) }
 
 // Slow returns how much longer than expected it takes; 1 for as expected.
 func (r *Replica) Slow(now time.Duration) float64 {
@@ -128,7 +121,7 @@
 }
 
 // Out says whether it is left out at now because it could not be reached.
-func (r *Replica) Out(now time.Duration) bool { return now < r.outUntil }
+func (r *Replica) Out(now time.Duration) bool { return r.out.On(now) }
 
 // slots returns how many requests the replica runs at once.
 func (r *Replica) slots() int {
@@ -179,25 +172,12 @@
 	}
 }
 
-// outcome takes in whether a request failed there.
-func (r *Replica) outcome(failed bool, now time.Duration) {
-	seen := 0.0
-	if failed {
-		seen = 1
-	}
-	old := r.Failing(now)
-	r.failed = old + failWeight*(seen-old)
-	r.failedAt = now
-}
-
 // leaveOut leaves the replica out for a time that doubles until it answers.
 // Requests that were under way together count once.
 func (r *Replica) leaveOut(now time.Duration) {
-	if r.Out(now) {
-		return
+	if !r.Out(now) {
+		r.out.Begin(now)
 	}
-	r.outFor = min(max(2*r.outFor, firstOut), longestOut)
-	r.outUntil = now + r.outFor
 }
 
 // answered takes in that bytes came from it.
@@ -205,8 +185,7 @@
 	r.heard = now
 	r.failures = 0
 	r.muted = 0
-	r.outFor = 0
-	r.outUntil = 0
+	r.out = absence.Absence{}
 }
 
 // seenFirst takes in how long the first byte of an answer took, against the
