ingress: Say once how a relay is answered and how a wait ends

setHeader wrote result and count of sends as relayResult does, and refuse, fail and reject each checked for a relay first: relayResult checks it. waitFor waits by sleep.For instead of a timer of its own. A wait that ends together with its context now always counts as ended by the context; run looked at the context next anyway, and finish asks for it before the reason. Tests unchanged.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -171,10 +171,7 @@
 	if closing != "" {
 		h.Set("Connection", closing)
 	}
-	if c.relay != nil {
-		h.Set(headerResult, resultAnswer)
-		h.Set(headerSent, strconv.Itoa(c.sent-c.relay.Sent))
-	}
+	c.relayResult(resultAnswer)
 }
 
 // finished writes down what the caller got.
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/placement"
 )
@@ -142,14 +143,8 @@
 	if time.Since(c.start)+wait > limit {
 		return false
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	sleep.For(ctx, wait)
+	return ctx.Err() == nil
 }
 
 // mayTryAgain says whether the request may be sent to one more replica.
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -57,18 +57,14 @@
 
 // fail answers that the request may have run.
 func (c *call) fail(status int, reason placement.Reason) {
-	if c.relay != nil {
-		c.relayResult(resultUnknown)
-	}
+	c.relayResult(resultUnknown)
 	c.finished(decision.Unknown, status, string(reason))
 	c.w.WriteHeader(status)
 }
 
 // refuse answers that the request has not run, and when to come back.
 func (c *call) refuse(reason placement.Reason, wait time.Duration) {
-	if c.relay != nil {
-		c.relayResult(resultNotRun)
-	}
+	c.relayResult(resultNotRun)
 	wait = min(max(wait, retrySoon), retryLongest)
 	c.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	c.server.core.Meter.Refusal(string(reason))
@@ -78,15 +74,17 @@
 
 // reject answers that the request is wrong.
 func (c *call) reject(status int, reason string) {
-	if c.relay != nil {
-		c.relayResult(resultNotRun)
-	}
+	c.relayResult(resultNotRun)
 	c.finished(decision.Refused, status, reason)
 	c.w.WriteHeader(status)
 }
 
-// relayResult tells the box that passed the request on what became of it.
+// relayResult tells the box that passed the request on what became of it, where
+// there is one.
 func (c *call) relayResult(result string) {
+	if c.relay == nil {
+		return
+	}
 	h := c.w.Header()
 	h.Set(headerResult, result)
 	h.Set(headerSent, strconv.Itoa(c.sent-c.relay.Sent))
