node, platform: Read the settings again only when their file may have changed

Each box read and decoded its settings file once a second. Watching the directory was ruled out: one more dependency for one look a second.

--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	tasks     sync.WaitGroup
 	told      chan struct{} // asks for the settings to be read again
 	bounds    Bounds        // in force; the task that reloads owns it
+	unread    bool          // the settings could not be read last; the same task owns it
 	stop      chan struct{} // closed when a planned stop begins
 	once      sync.Once     // for the begin of a planned stop
 }
--- a/node/reload.go
+++ b/node/reload.go
@@ -7,7 +7,7 @@
 	"github.com/havenrudder/havenrudder/decision"
 )
 
-const reloadLook = time.Second // how often the settings are compared
+const reloadLook = time.Second // how often it is asked whether the settings have changed
 
 // runReload looks now and then whether the settings have changed, for they may
 // do so without a signal.
@@ -17,7 +17,9 @@
 			select {
 			case <-ctx.Done():
 			case <-time.After(reloadLook):
-				n.reload(false)
+				if n.adapter.Changed() || n.unread {
+					n.reload(false)
+				}
 			case <-n.told:
 				n.reload(true)
 			}
@@ -36,6 +38,7 @@
 // reload takes changed settings in. Addresses are those of the start.
 func (n *Node) reload(told bool) {
 	s, err := n.adapter.Reload()
+	n.unread = err != nil
 	if err != nil {
 		n.record(decision.Event{
 			Kind:   decision.Reload,
--- a/node/settings.go
+++ b/node/settings.go
@@ -47,6 +47,7 @@
 	Source    func(pool *exchange.Pool, report Report) catalog.Source
 	Directory func(which func(host, region string) []string, ttl time.Duration) http.Handler
 	Readiness func(ready func() bool) http.Handler
+	Changed   func() bool              // whether the settings may have changed since it was asked last
 	Reload    func() (Settings, error) // reads the settings again
 }
 
--- a/node/start_test.go
+++ b/node/start_test.go
@@ -60,6 +60,7 @@
 			return http.NotFoundHandler()
 		},
 		Readiness: func(func() bool) http.Handler { return http.NotFoundHandler() },
+		Changed:   func() bool { return true },
 		Reload:    func() (Settings, error) { return s, nil },
 	}
 	return s, a
