node, roster: Build a digest of other boxes only where it is sent

tell and tellLoads built one with every message and threw it away in three rounds of four and at each long prompt. Building it takes the turn of those in it and marks them as passed on, so boxes of other regions that were just heard were often held back. Digests are now counted as they are sent, once a second and not once a tick, so the pause of a box of the own region, ten seconds, is 10 of them.

--- a/node/gossip.go
+++ b/node/gossip.go
@@ -37,7 +37,7 @@
 		}
 	})
 	n.tasks.Go(func() {
-		n.send(n.message(), n.everyone(), true)
+		n.send(n.message(true), n.everyone(), true)
 		for round := 0; ctx.Err() == nil; round++ {
 			sleep.For(ctx, roster.Tick)
 			n.tell(round)
@@ -51,23 +51,17 @@
 func (n *Node) tell(round int) {
 	var targets []string
 	_ = n.state.Do(func(s *state) { targets = s.roster.Targets(n.now(), rand.IntN) })
-	g := n.message()
-	if round%passEvery != 0 {
-		g.Others = nil
-	}
-	n.send(g, targets, false)
+	n.send(n.message(round%passEvery == 0), targets, false)
 }
 
 // tellEveryone sends news that can't wait for the next round.
-func (n *Node) tellEveryone() { n.send(n.message(), n.everyone(), false) }
+func (n *Node) tellEveryone() { n.send(n.message(true), n.everyone(), false) }
 
 // tellLoads tells the boxes of the region what this one has at its replicas.
 func (n *Node) tellLoads() {
 	var targets []string
 	_ = n.state.Do(func(s *state) { targets = s.roster.OwnRegion(n.now()) })
-	g := n.message()
-	g.Others = nil
-	n.send(g, targets, false)
+	n.send(n.message(false), targets, false)
 }
 
 // everyone returns the addresses for news that can't wait.
@@ -85,11 +79,14 @@
 	}
 }
 
-// message returns what this box says of itself now.
-func (n *Node) message() (g wire.Gossip) {
+// message returns what this box says of itself now, and where others is true, what
+// it heard of other boxes: only where it is sent, for those in it lose their turn.
+func (n *Node) message(others bool) (g wire.Gossip) {
 	_ = n.state.Do(func(s *state) {
 		g.From = s.fill(n.status(), n.now())
-		g.Others = s.roster.Digest(n.now(), passedOn)
+		if others {
+			g.Others = s.roster.Digest(n.now(), passedOn)
+		}
 	})
 	if n.closed.Load() {
 		g.From.Callers = ""
@@ -112,7 +109,7 @@
 		revision = s.content.Revision()
 	})
 	if g.Ask && g.From.Peers != "" {
-		n.send(n.message(), []string{g.From.Peers}, false)
+		n.send(n.message(true), []string{g.From.Peers}, false)
 	}
 	n.feed.Behind(int64(g.From.Catalog))
 	if g.From.Peers == "" || !n.pulls(g.From, revision) {
--- a/roster/digest.go
+++ b/roster/digest.go
@@ -10,8 +10,8 @@
 
 // ownPause is for how many digests a member of the own region is not passed on
 // again, if there are others: all its region hears it directly, and the space is
-// better used for other regions. It is ten seconds at one digest a tick.
-const ownPause = 40
+// better used for other regions. It is ten seconds at one digest a second.
+const ownPause = 10
 
 // plainEvery is the pace of digests that don't prefer fresh statuses, so that the
 // others get their turn also where fresh ones fill each digest.
