node, placement, roster: Tell boxes nothing that none uses

The revision in a question for the catalog was always 0, and whether a box found a replica out of reach was sent and read by nobody; both are gone, and a box no longer tells of replicas where it has no work. Boxes of before and after understand each other: unknown keys of a datagram are passed over.

--- a/node/pull.go
+++ b/node/pull.go
@@ -22,11 +22,6 @@
 	readers   = 2                      // boxes of a region that read the catalog again, so that one may be lost
 )
 
-// catalogRequest asks for a catalog newer than a revision.
-type catalogRequest struct {
-	After int64 `json:"after"` // 0 so far, and the whole catalog is the answer
-}
-
 // pulls says whether the catalog is asked for from another box: when this one
 // knows no policy, or can't read the publisher and the other knows more.
 func (n *Node) pulls(from wire.BoxStatus, revision int64) bool {
@@ -41,7 +36,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullLimit)
 	defer cancel()
 	var s catalog.Snapshot
-	err := n.peers.Call(ctx, from.Peers, peer.Catalog, catalogRequest{}, &s)
+	err := n.peers.Call(ctx, from.Peers, peer.Catalog, struct{}{}, &s)
 	if err != nil {
 		n.record(decision.Event{
 			Kind:     decision.Belief,
@@ -59,14 +54,10 @@
 }
 
 // answerPeer answers another box's question.
-func (n *Node) answerPeer(_ context.Context, m peer.Method, params json.RawMessage) (any, error) {
+func (n *Node) answerPeer(_ context.Context, m peer.Method, _ json.RawMessage) (any, error) {
 	if m != peer.Catalog {
 		return nil, errors.Newf("unknown message %q", string(m))
 	}
-	var req catalogRequest
-	if err := json.Unmarshal(params, &req); err != nil {
-		return nil, errors.Wrap(err, "catalog")
-	}
 	var out catalog.Snapshot
 	err := n.state.Do(func(s *state) { out = s.content.Snapshot() })
 	return out, err
--- a/node/state.go
+++ b/node/state.go
@@ -126,7 +126,6 @@
 		for _, l := range g.From.Loads {
 			loads = append(loads, placement.OwnLoad{
 				Replica: l.Replica,
-				Failing: l.Failing,
 				Load: placement.Load{
 					Requests: l.InFlight,
 					Tokens:   l.Tokens,
@@ -158,7 +157,6 @@
 			Tokens:   l.Load.Tokens,
 			Prompt:   l.Load.Unread,
 			Reads:    l.Load.Reads,
-			Failing:  l.Failing,
 		})
 	}
 	b.Rooms = s.rooms(now)
--- a/placement/view.go
+++ b/placement/view.go
@@ -223,20 +223,17 @@
 type OwnLoad struct {
 	Replica string
 	Load    Load
-	Failing bool // the box can't reach it
 }
 
-// Tell returns this box's work at every replica where it has any, or where
-// another box may still count it.
+// Tell returns this box's work at every replica where it has any.
 func (v *View) Tell(now time.Duration) []OwnLoad {
 	var out []OwnLoad
 	for _, r := range v.byName {
 		own := r.ownNow(now)
-		if own != (Load{}) || r.Out(now) {
+		if own != (Load{}) {
 			out = append(out, OwnLoad{
 				Replica: r.info.ID,
 				Load:    own,
-				Failing: r.Out(now),
 			})
 		}
 	}
--- a/roster/codec.go
+++ b/roster/codec.go
@@ -81,19 +81,11 @@
 	return out, nil
 }
 
-// heaviest returns the loads with the most important first: failing replicas,
-// then those that hold most tokens.
+// heaviest returns the loads with those first that hold most tokens.
 func heaviest(loads []wire.ReplicaLoad) []wire.ReplicaLoad {
 	loads = slices.Clone(loads)
-	rank := func(l wire.ReplicaLoad) int {
-		if l.Failing {
-			return 0
-		}
-		return 1
-	}
 	slices.SortStableFunc(loads, func(a, b wire.ReplicaLoad) int {
 		return cmp.Or(
-			cmp.Compare(rank(a), rank(b)),
 			cmp.Compare(b.Tokens, a.Tokens),
 			cmp.Compare(b.InFlight, a.InFlight),
 		)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -752,9 +752,6 @@
 
 // What one box has in flight on one replica.
 type ReplicaLoad struct {
-	// Whether this box found the replica to be failing.
-	Failing bool `json:"k,omitempty,omitzero"`
-
 	// Requests in flight from this box.
 	InFlight int `json:"n,omitempty,omitzero"`
 
