catalog, platform, ingress: Drop published values that nothing uses

The model's name in a request, the tokens in an event, the time left to a replica at short notice, and the limits on header bytes, header time and idle time were decoded and read by nobody; the listeners have wider limits of their own (docs/QUESTIONS.md). A service's path for health stays, for it will be used. A configuration in which one of them has a wrong type is no longer refused, as for all keys that are not known. Tests of decoding hold for all that is left.

--- a/catalog/policy.go
+++ b/catalog/policy.go
@@ -111,7 +111,6 @@
 type Engine struct {
 	Slots  int `json:"slots"`  // requests run at once
 	Memory int `json:"memory"` // tokens that running requests and kept prompts share
-	Stride int `json:"stride"` // tokens in one event
 }
 
 // Service is a group of replicas that run the same requests.
@@ -126,10 +125,7 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int    `json:"header_bytes"`
-	BodyBytes     int    `json:"body_bytes"`
-	HeaderTimeout Millis `json:"header_timeout_ms"`
-	IdleTimeout   Millis `json:"idle_timeout_ms"`
+	BodyBytes int `json:"body_bytes"`
 }
 
 // Policy is one published version of routes and services.
--- a/catalog/policy_test.go
+++ b/catalog/policy_test.go
@@ -237,7 +237,6 @@
 		Engine: &catalog.Engine{
 			Slots:  4,
 			Memory: 100,
-			Stride: 5,
 		},
 	}}
 	data, err := json.Marshal(p)
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -10,16 +10,15 @@
 
 // Replica is one process of a service, as published.
 type Replica struct {
-	ID        string `json:"id"` // differs for every start of a process
-	Service   string `json:"service"`
-	Addr      string `json:"addr"`
-	Domain    string `json:"failure_domain"`
-	Region    string `json:"region"`
-	Slots     int    `json:"slots"`
-	Leaving   bool   `json:"leaving,omitempty"`
-	ColdLeft  Millis `json:"cold_left_ms,omitempty"` // how much longer it was cold when this was published
-	Remaining Millis `json:"remaining_ms,omitempty"` // time until it ends, where that is known
-	Revision  int64  `json:"revision"`               // of its last change
+	ID       string `json:"id"` // differs for every start of a process
+	Service  string `json:"service"`
+	Addr     string `json:"addr"`
+	Domain   string `json:"failure_domain"`
+	Region   string `json:"region"`
+	Slots    int    `json:"slots"`
+	Leaving  bool   `json:"leaving,omitempty"`
+	ColdLeft Millis `json:"cold_left_ms,omitempty"` // how much longer it was cold when this was published
+	Revision int64  `json:"revision"`               // of its last change
 }
 
 // UnmarshalJSON decodes a replica and checks it.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -21,7 +21,6 @@
 // Facts are what a decision needs of a caller's request.
 type Facts struct {
 	ID        string
-	Model     string
 	Deadline  time.Duration // how long the caller will wait; 0 when it says nothing
 	Prompt    int           // tokens
 	MostOut   int           // tokens of the answer at most
--- a/node/build_test.go
+++ b/node/build_test.go
@@ -74,7 +74,6 @@
 			Engine: &catalog.Engine{
 				Slots:  8,
 				Memory: 100_000,
-				Stride: 5,
 			},
 		}},
 	}
--- a/placement/region_test.go
+++ b/placement/region_test.go
@@ -33,7 +33,6 @@
 			Engine: &catalog.Engine{
 				Slots:  8,
 				Memory: 100_000,
-				Stride: 5,
 			},
 		}, {
 			Name:          "plain",
