decision, control: Drop kinds of events that nothing writes

route, resume, forward and refuse were known to readers of logs, and no box wrote them: a resumed stream is a second place and try, a forward a place with a region, and a refusal an end. The tests use kinds of the same class in their places, so each class still has one that loses a line and one that takes it.

--- a/decision/class.go
+++ b/decision/class.go
@@ -21,7 +21,7 @@
 	switch e.Kind {
 	case Start, Stop, Reload, Lost, Regained:
 		return lifecycle
-	case Belief, Refuse:
+	case Belief:
 		return failure
 	case Try, End:
 		if e.Outcome.Failed() {
--- a/decision/event.go
+++ b/decision/event.go
@@ -24,19 +24,15 @@
 	Lost     Kind = "lost"     // a dependency (the store, a box, a region) went away
 	Regained Kind = "regained" // a lost dependency is back
 	Belief   Kind = "belief"   // what is held of a replica, policy, evacuation or member changed
-	Route    Kind = "route"    // a request got a route, or none
 	Place    Kind = "place"    // a replica or a box was chosen
 	Try      Kind = "try"      // one try ended
-	Resume   Kind = "resume"   // a broken stream goes on elsewhere
-	Forward  Kind = "forward"  // a request was handed to another box or region
-	Refuse   Kind = "refuse"   // a request was turned away
 	End      Kind = "end"      // what the caller got
 	Dropped  Kind = "dropped"  // lines that were left out; the log itself writes it
 )
 
 // kinds lists the known kinds in the order in which counts are reported.
 var kinds = [...]Kind{
-	Start, Stop, Reload, Lost, Regained, Belief, Route, Place, Try, Resume, Forward, Refuse, End, Dropped,
+	Start, Stop, Reload, Lost, Regained, Belief, Place, Try, End, Dropped,
 }
 
 // Known reports whether k is one of the kinds of this package.
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -95,7 +95,7 @@
 // levelOf returns warning for what is lost or went wrong, else info.
 func levelOf(e *Event) logrus.Level {
 	switch e.Kind {
-	case Lost, Refuse, Dropped:
+	case Lost, Dropped:
 		return logrus.WarnLevel
 	}
 	if e.Outcome.Failed() {
