catalog, node: Let three boxes of a large region watch the store for all

Now, where a region has more than four boxes, three of them watch and read again. The others ask them for what changed since the revision they know, and know from heartbeats how long ago the store was read with nothing newer. One that hears nothing for some 3.6 s reads itself.

Ruled out: switching followers to a watch when watchers are silent (all of a region would begin at the same moment); telling changes in the heartbeats (they don't fit). Regions of up to four boxes are as before.

--- /dev/null
+++ b/catalog/change.go
@@ -0,0 +1,145 @@
+package catalog
+
+import (
+	"maps"
+	"slices"
+)
+
+// Change is one thing that was published. Exactly one of its fields is set, but
+// for Revision.
+type Change struct {
+	Revision    int64    `json:"revision"`
+	Policy      *Policy  `json:"policy,omitempty"`
+	Replica     *Replica `json:"replica,omitempty"`
+	Gone        string   `json:"gone,omitempty"`        // id of a replica whose entry was removed
+	Evacuated   string   `json:"evacuated,omitempty"`   // failure domain
+	Unevacuated string   `json:"unevacuated,omitempty"` // failure domain that is taken back
+}
+
+// News is what one box tells another of the catalog: the changes since a revision,
+// or all of it where the box doesn't know these.
+type News struct {
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Changes  []Change  `json:"changes,omitempty"`
+	Revision int64     `json:"revision"`
+}
+
+// Update returns the news as an update of a box's copy.
+func (n News) Update() Update {
+	return Update{
+		Snapshot: n.Snapshot,
+		Changes:  n.Changes,
+		Revision: n.Revision,
+		Settled:  true, // the other box has waited for entries that may come back
+	}
+}
+
+// mostGone bounds the replicas that are gone and remembered: one change of each of
+// the 4,000 replicas to design for is far more than happens between two questions.
+const mostGone = 512
+
+// past is what a copy remembers of its changes: what is gone and when other things
+// changed. Replicas tell the revision of their last change themselves.
+type past struct {
+	since     int64 // removals after this revision are known
+	policy    int64 // revision of the policy
+	gone      map[string]int64
+	evacuated map[string]evacuation // by failure domain
+}
+
+// evacuation is the last change of a failure domain.
+type evacuation struct {
+	revision int64
+	on       bool
+}
+
+func newPast() past {
+	return past{
+		gone:      make(map[string]int64),
+		evacuated: make(map[string]evacuation),
+	}
+}
+
+// begin takes in that a snapshot replaces the copy of a revision. Of what was
+// removed before the first one nothing is known.
+func (p *past) begin(before, now int64) {
+	if before == 0 {
+		p.since = now
+	}
+}
+
+// remove takes in that a replica is gone. When too many are, all are forgotten.
+func (p *past) remove(id string, revision int64) {
+	if len(p.gone) >= mostGone {
+		clear(p.gone)
+		p.since = revision + 1
+	}
+	p.gone[id] = revision
+}
+
+// evacuate takes in that a failure domain gets no work from a revision on, or work
+// again.
+func (p *past) evacuate(domain string, on bool, revision int64) {
+	p.evacuated[domain] = evacuation{
+		revision: revision,
+		on:       on,
+	}
+}
+
+// Since returns what changed after a revision, as far as it is still so, and all of
+// the catalog where that isn't known. What changed at the revision itself is in it
+// too: a removal that was only found by reading again bears the revision of that
+// reading.
+func (c *Content) Since(revision int64) News {
+	if revision < c.past.since || revision == 0 {
+		s := c.Snapshot()
+		return News{
+			Snapshot: &s,
+			Revision: s.Revision,
+		}
+	}
+	out := News{
+		Revision: c.revision,
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.past.gone)) {
+		if _, back := c.replicas[id]; !back && c.past.gone[id] >= revision {
+			out.Changes = append(out.Changes, Change{
+				Revision: c.past.gone[id],
+				Gone:     id,
+			})
+		}
+	}
+	for _, r := range c.Replicas() {
+		if r.Revision >= revision {
+			out.Changes = append(out.Changes, Change{
+				Revision: r.Revision,
+				Replica:  &r,
+			})
+		}
+	}
+	for _, d := range slices.Sorted(maps.Keys(c.past.evacuated)) {
+		if e := c.past.evacuated[d]; e.revision >= revision {
+			out.Changes = append(out.Changes, e.change(d))
+		}
+	}
+	if c.policy != nil && c.past.policy >= revision {
+		out.Changes = append(out.Changes, Change{
+			Revision: c.past.policy,
+			Policy:   c.policy,
+		})
+	}
+	return out
+}
+
+// change returns the evacuation of a domain, or its end, as it was published.
+func (e evacuation) change(domain string) Change {
+	out := Change{
+		Revision: e.revision,
+	}
+	if e.on {
+		out.Evacuated = domain
+	} else {
+		out.Unevacuated = domain
+	}
+	return out
+}
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -16,13 +16,17 @@
 var ErrHistoryGone = errors.New("catalog: history gone")
 
 const (
-	watchFor     = 10 * time.Second       // one waiting call; each call has a price, and a new one costs no more than that
-	rereadEvery  = 2 * time.Second        // a watch may stay silent while changes are made; half of the shortest bound on configurations
-	rereadOthers = 3                      // times as long where other boxes read again too, and say when they know more
-	behindWait   = 300 * time.Millisecond // that a watch may lag behind what another box knows
-	firstBackOff = 50 * time.Millisecond  // after a failed call
-	maxBackOff   = 600 * time.Millisecond // so that a publisher that is back is used within a second
-	lapseWait    = 2 * time.Second        // entries that lapsed while the publisher was away are back within this time
+	watchFor     = 10 * time.Second        // one waiting call; each call has a price, and a new one costs no more than that
+	rereadEvery  = 2 * time.Second         // a watch may stay silent while changes are made; half of the shortest bound on configurations
+	rereadOthers = 3                       // times as long where other boxes read again too, and say when they know more
+	behindWait   = 300 * time.Millisecond  // that a watch may lag behind what another box knows
+	firstBackOff = 50 * time.Millisecond   // after a failed call
+	maxBackOff   = 600 * time.Millisecond  // so that a publisher that is back is used within a second
+	lapseWait    = 2 * time.Second         // entries that lapsed while the publisher was away are back within this time
+	staleAfter   = 3600 * time.Millisecond // that a follower's knowledge may be old, 2.7 to 4.5 s: less than the bound on configurations, 5 s where there are followers, and more than a reading of others and the spread of their word take
+	followRead   = 20 * time.Second        // between two readings of a follower whatever it hears, for what others' word may lack
+	followLook   = 200 * time.Millisecond  // between two looks whether it still follows
+	followRetry  = 2 * time.Second         // after a failed call of a follower: all followers fail at the same time, and calls have a price
 )
 
 // Source is where the catalog is read. Read returns all of it. Wait returns what
@@ -49,12 +53,14 @@
 	now    func() time.Time
 	jitter func() float64
 	every  time.Duration
-	reader func() bool   // this box reads again on behalf of others
-	behind chan struct{} // another box knows more
-	wanted atomic.Int64  // the revision that it knows
-	known  atomic.Int64  // the newest that was handed on
-	at     chan int64    // revisions read, from which the watch goes on
-	again  chan struct{} // asks for all to be read at once
+	reader func() bool          // this box reads again on behalf of others
+	follow func() bool          // other boxes watch on behalf of this one
+	age    func() time.Duration // of what this box knows, by what others say
+	behind chan struct{}        // another box knows more
+	wanted atomic.Int64         // the revision that it knows
+	known  atomic.Int64         // the newest that was handed on
+	at     chan int64           // revisions read, from which the watch goes on
+	again  chan struct{}        // asks for all to be read at once
 
 	mu      sync.Mutex
 	away    bool      // the last reading failed; a watch may also end for other reasons
@@ -77,6 +83,15 @@
 // One that doesn't relies on Behind, and reads again more rarely.
 func WithReader(f func() bool) FeedOption { return func(d *Feed) { d.reader = f } }
 
+// WithFollowing sets what says whether other boxes watch on behalf of this one, and
+// how old what it knows is by their word. It reads only when that gets too old.
+func WithFollowing(follow func() bool, age func() time.Duration) FeedOption {
+	return func(d *Feed) {
+		d.follow = follow
+		d.age = age
+	}
+}
+
 // NewFeed returns a feed that hands what it reads to update.
 func NewFeed(source Source, update func(Update), opts ...FeedOption) *Feed {
 	d := &Feed{
@@ -87,6 +102,8 @@
 		jitter: func() float64 { return 0.5 },
 		every:  rereadEvery,
 		reader: func() bool { return true },
+		follow: func() bool { return false },
+		age:    func() time.Duration { return 0 },
 		behind: make(chan struct{}, 1),
 		at:     make(chan int64, 1),
 		again:  make(chan struct{}, 1),
@@ -109,6 +126,9 @@
 	}
 }
 
+// Learned takes in a revision up to which another box told what changed.
+func (d *Feed) Learned(revision int64) { d.known.Store(max(d.known.Load(), revision)) }
+
 // Known returns the newest revision that was handed on.
 func (d *Feed) Known() int64 { return d.known.Load() }
 
@@ -123,7 +143,7 @@
 		s, err := d.source.Read(ctx)
 		if err != nil {
 			d.failed(ctx, err)
-			sleep.For(ctx, d.spread(backOff))
+			d.restAfter(ctx, backOff)
 			backOff = min(2*backOff, maxBackOff)
 			continue
 		}
@@ -135,13 +155,54 @@
 			Settled:  d.isSettled(),
 		})
 		d.offer(s.Revision)
-		d.rest(ctx)
+		if d.follow() {
+			d.restFollowing(ctx, followRead)
+		} else {
+			d.rest(ctx)
+		}
+	}
+}
+
+// restAfter waits after a failed call. A follower may hear meanwhile from a box that
+// can read.
+func (d *Feed) restAfter(ctx context.Context, backOff time.Duration) {
+	if !d.follow() {
+		sleep.For(ctx, d.spread(backOff))
+		return
+	}
+	sleep.For(ctx, d.spread(followRetry))
+	d.restFollowing(ctx, followRead)
+}
+
+// restFollowing waits until a follower has to read: it no longer follows, what it
+// knows is too old, it can't get what another box knows, or a time is over. While
+// entries may still come back it waits for no longer than that.
+func (d *Feed) restFollowing(ctx context.Context, longest time.Duration) {
+	limit := d.spread(staleAfter)
+	d.mu.Lock()
+	if left := d.settled.Sub(d.now()); left > 0 {
+		longest = min(longest, left+firstBackOff)
+	}
+	d.mu.Unlock()
+	end := d.now().Add(longest)
+	look := time.NewTicker(followLook)
+	defer look.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-d.behind:
+			return
+		case <-look.C:
+		}
+		if !d.follow() || d.age() >= limit || !d.now().Before(end) {
+			return
+		}
 	}
 }
 
 // hand hands an update on.
 func (d *Feed) hand(u Update) {
-	d.known.Store(max(d.known.Load(), u.Revision)) // a lower one written at the same time only makes for one more call
+	d.Learned(u.Revision) // a lower one written at the same time only makes for one more call
 	d.update(u)
 }
 
@@ -227,9 +288,13 @@
 func (d *Feed) watch(ctx context.Context) {
 	backOff := time.Duration(0)
 	for ctx.Err() == nil {
+		if d.follow() {
+			sleep.For(ctx, followLook)
+			continue
+		}
 		select {
 		case rev := <-d.at:
-			if d.follow(ctx, rev) {
+			if d.watchFrom(ctx, rev) {
 				backOff = 0
 			}
 			d.readAgain()
@@ -248,10 +313,10 @@
 	}
 }
 
-// follow watches from a revision until a call fails. It returns whether any
-// succeeded.
-func (d *Feed) follow(ctx context.Context, at int64) (succeeded bool) {
-	for ctx.Err() == nil {
+// watchFrom watches from a revision until a call fails, or other boxes watch on
+// behalf of this one. It returns whether any succeeded.
+func (d *Feed) watchFrom(ctx context.Context, at int64) (succeeded bool) {
+	for ctx.Err() == nil && !d.follow() {
 		changes, rev, err := d.source.Wait(ctx, at, watchFor)
 		if err != nil {
 			if !errors.Is(err, ErrHistoryGone) && ctx.Err() == nil {
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -45,17 +45,6 @@
 	Malformed []string  `json:"-"`         // ids of replicas whose entries can't be used; the last good ones stay
 }
 
-// Change is one thing that was published. Exactly one of its fields is set, but
-// for Revision.
-type Change struct {
-	Revision    int64
-	Policy      *Policy
-	Replica     *Replica
-	Gone        string // id of a replica whose entry was removed
-	Evacuated   string // failure domain
-	Unevacuated string // failure domain that is taken back
-}
-
 // Content is a box's copy of what is published.
 type Content struct {
 	revision  int64
@@ -63,6 +52,7 @@
 	policy    *Policy
 	replicas  map[string]Replica
 	evacuated map[string]bool
+	past      past
 }
 
 // NewContent returns an empty copy.
@@ -70,6 +60,7 @@
 	return &Content{
 		replicas:  make(map[string]Replica),
 		evacuated: make(map[string]bool),
+		past:      newPast(),
 	}
 }
 
@@ -103,7 +94,7 @@
 		return true
 	}
 	if u.Snapshot.Revision < c.revision {
-		c.takePolicy(u.Snapshot.Policy) // it may be the last good one
+		c.takePolicy(u.Snapshot.Policy, u.Snapshot.Revision) // it may be the last good one
 		return false
 	}
 	c.replace(*u.Snapshot, u.Settled)
@@ -113,52 +104,66 @@
 // replace takes a snapshot in. While the feed isn't settled, replicas that are
 // missing in it stay.
 func (c *Content) replace(s Snapshot, settled bool) {
+	c.past.begin(c.revision, s.Revision)
 	c.revision = s.Revision
 	c.read = s.Revision
-	c.takePolicy(s.Policy)
-	if settled {
-		c.keepOnly(s.Malformed)
-	}
+	c.takePolicy(s.Policy, s.Revision)
+	before := c.replicas
+	c.replicas = make(map[string]Replica, len(s.Replicas))
 	for _, r := range s.Replicas {
 		c.replicas[r.ID] = r
 	}
-	clear(c.evacuated)
+	for id, r := range before {
+		if _, ok := c.replicas[id]; ok {
+			continue
+		}
+		if settled && !slices.Contains(s.Malformed, id) {
+			c.past.remove(id, s.Revision)
+			continue
+		}
+		c.replicas[id] = r
+	}
+	closed := make(map[string]bool, len(s.Evacuated))
 	for _, d := range s.Evacuated {
-		c.evacuated[d] = true
+		closed[d] = true
+		if !c.evacuated[d] {
+			c.past.evacuate(d, true, s.Revision)
+		}
 	}
-}
-
-// keepOnly forgets all replicas but those of some ids.
-func (c *Content) keepOnly(ids []string) {
-	for id := range c.replicas {
-		if !slices.Contains(ids, id) {
-			delete(c.replicas, id)
+	for d := range c.evacuated {
+		if !closed[d] {
+			c.past.evacuate(d, false, s.Revision)
 		}
 	}
+	c.evacuated = closed
 }
 
 // apply takes a change in, unless what it is about is newer.
 func (c *Content) apply(ch Change, settled bool) {
 	switch {
 	case ch.Policy != nil:
-		c.takePolicy(ch.Policy)
+		c.takePolicy(ch.Policy, ch.Revision)
 	case ch.Replica != nil && ch.Revision >= c.replicas[ch.Replica.ID].Revision:
 		c.replicas[ch.Replica.ID] = *ch.Replica
 	case ch.Gone != "" && settled && ch.Revision >= c.replicas[ch.Gone].Revision:
 		delete(c.replicas, ch.Gone)
+		c.past.remove(ch.Gone, ch.Revision)
 	case ch.Evacuated != "" && ch.Revision > c.read:
 		c.evacuated[ch.Evacuated] = true
+		c.past.evacuate(ch.Evacuated, true, ch.Revision)
 	case ch.Unevacuated != "" && ch.Revision > c.read:
 		delete(c.evacuated, ch.Unevacuated)
+		c.past.evacuate(ch.Unevacuated, false, ch.Revision)
 	}
 }
 
-// takePolicy takes a policy in if its version is higher.
-func (c *Content) takePolicy(p *Policy) {
+// takePolicy takes a policy of a revision in if its version is higher.
+func (c *Content) takePolicy(p *Policy, revision int64) {
 	if p == nil || (c.policy != nil && p.Version <= c.policy.Version) {
 		return
 	}
 	c.policy = p
+	c.past.policy = revision
 }
 
 // Snapshot returns the copy as one value, in a fixed order.
--- a/node/dump.go
+++ b/node/dump.go
@@ -12,6 +12,7 @@
 	Policy   int           `json:"policy_version"`
 	Revision int64         `json:"catalog_revision"`
 	AgeS     float64       `json:"catalog_age_s"`
+	Follows  bool          `json:"follows"` // other boxes watch the catalog for this one
 	Closed   []string      `json:"closed_failure_domains"`
 	Boxes    []BoxDump     `json:"boxes"`
 	Replicas []ReplicaDump `json:"replicas"`
@@ -58,7 +59,8 @@
 		Domain:  n.settings.Domain,
 		UptimeS: n.now().Seconds(),
 		Leaving: n.leaving.Load(),
-		AgeS:    (n.now() - time.Duration(n.read.Load())).Seconds(),
+		AgeS:    n.catalogAge().Seconds(),
+		Follows: n.follows.Load(),
 	}
 	_ = n.state.Do(func(s *state) { s.dump(&d, n.now()) }) // it fails only when the box has ended
 	return d
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/havenrudder/havenrudder/common/rendezvous"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	readers     = 2                // boxes of a region that read the catalog again, so that one may be lost
+	watchers    = 3                // boxes of a larger region that watch it for the others, so that two may be lost
+	tellAge     = 10 * time.Second // of knowledge that is of use to no follower: each has read by then
+	allWatchers = 4                // boxes of a region up to which each watches for itself: three as a rule and a spare one
+)
+
+// role is what a box does to keep its copy of the catalog current.
+type role struct {
+	reads   bool // it reads again and again on behalf of others
+	follows bool // others watch and read on its behalf
+	tells   bool // there are others that need to know how old its knowledge is
+}
+
+// role returns what this box does, from the boxes of the region that are alive. All
+// of them agree on it as far as they know of each other.
+func (s *state) role(now time.Duration) role {
+	names := []string{s.settings.Box}
+	for _, m := range s.roster.Members() {
+		if m.Status.Region == s.settings.Region && s.roster.Alive(m.Status.Box, now) {
+			names = append(names, m.Status.Box)
+		}
+	}
+	if len(names) <= allWatchers {
+		return role{
+			reads: slices.Contains(rendezvous.Top("catalog", names, readers), s.settings.Box),
+		}
+	}
+	watches := slices.Contains(rendezvous.Top("catalog", names, watchers), s.settings.Box)
+	return role{
+		reads:   watches,
+		follows: !watches,
+		tells:   true,
+	}
+}
+
+// chooseRole works out again what this box does for the catalog.
+func (n *Node) chooseRole() {
+	var r role
+	_ = n.state.Do(func(s *state) { r = s.role(n.now()) }) // it fails only when the box has ended
+	n.reads.Store(r.reads)
+	n.follows.Store(r.follows)
+	n.tellsAge.Store(r.tells)
+}
+
+// catalogAge returns how old what this box knows is, by its own last reading and by
+// the word of others.
+func (n *Node) catalogAge() time.Duration { return n.now() - time.Duration(n.read.Load()) }
+
+// readMs returns what this box tells others of the age of its knowledge; 0 for
+// nothing.
+func (n *Node) readMs() int {
+	age := n.catalogAge()
+	if !n.tellsAge.Load() || age > tellAge {
+		return 0
+	}
+	return max(int(age.Milliseconds()), 1)
+}
+
+// confirm takes in that another box knows of a reading of the catalog that found
+// nothing newer than what this one knows.
+func (n *Node) confirm(from wire.BoxStatus, revision int64) {
+	if from.ReadMs == 0 || int64(from.Catalog) > revision {
+		return
+	}
+	at := n.now() - time.Duration(from.ReadMs)*time.Millisecond
+	for {
+		was := n.read.Load()
+		if int64(at) <= was || n.read.CompareAndSwap(was, int64(at)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/node/follow_test.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestBoxesOfASmallRegionAllWatch(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	for n := range allWatchers {
+		r := b.role(start)
+		is.True(!r.follows)
+		is.True(!r.tells)
+		b.tells(status(fmt.Sprint("box-", n), "a"), start)
+		b.tells(status(fmt.Sprint("far-", n), "b"), start) // of no matter
+	}
+	is.True(b.role(start).tells)
+	is.True(!b.role(start + time.Minute).tells) // the others are dead
+}
+
+func TestAFewBoxesOfALargeRegionWatchForTheOthers(t *testing.T) {
+	is := is.New(t)
+	const boxes = 30
+	name := func(n int) string { return fmt.Sprintf("box-%02d", n) }
+	watching := 0
+	for self := range boxes {
+		b := newBox(name(self), "a", 0)
+		for n := range boxes {
+			if n != self {
+				b.tells(status(name(n), "a"), start)
+			}
+		}
+		r := b.role(start)
+		is.Equal(r.follows, !r.reads)
+		if !r.follows {
+			watching++
+		}
+	}
+	is.Equal(watching, watchers)
+}
+
+func TestTheWordOfAnotherBoxCountsWhereItKnowsNoMore(t *testing.T) {
+	is := is.New(t)
+	n := &Node{
+		started: time.Now().Add(-time.Minute),
+	}
+	n.read.Store(int64(10 * time.Second))
+	says := func(revision, readMs int) time.Duration {
+		from := status("near", "a")
+		from.Catalog = revision
+		from.ReadMs = readMs
+		n.confirm(from, 7)
+		return n.catalogAge().Round(time.Second)
+	}
+	is.Equal(says(7, 0), 50*time.Second)     // it says nothing
+	is.Equal(says(8, 1000), 50*time.Second)  // it knows something newer, which is asked for
+	is.Equal(says(7, 55000), 50*time.Second) // older than what is known
+	is.Equal(says(7, 3000), 3*time.Second)
+	is.Equal(says(6, 1000), time.Second) // it has read, and there was less
+	is.Equal(says(7, 9000), time.Second)
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -41,6 +41,7 @@
 		for round := 0; ctx.Err() == nil; round++ {
 			sleep.For(ctx, roster.Tick)
 			n.tell(round)
+			n.chooseRole()
 			n.watchMembers()
 		}
 	})
@@ -88,6 +89,7 @@
 			g.Others = s.roster.Digest(n.now(), passedOn)
 		}
 	})
+	g.From.ReadMs = n.readMs()
 	if n.closed.Load() {
 		g.From.Callers = ""
 	}
@@ -111,17 +113,26 @@
 	if g.Ask && g.From.Peers != "" {
 		n.send(n.message(true), []string{g.From.Peers}, false)
 	}
-	n.feed.Behind(int64(g.From.Catalog))
-	if g.From.Peers == "" || !n.pulls(g.From, revision) {
-		return
+	n.confirm(g.From, revision)
+	switch {
+	case g.From.Peers != "" && n.pulls(g.From, revision):
+		n.startPull(ctx, g.From, revision)
+	case n.follows.Load(): // boxes of the own region will tell
+	default:
+		n.feed.Behind(int64(g.From.Catalog))
 	}
-	if n.pulling.CompareAndSwap(false, true) {
-		n.tasks.Go(func() {
-			defer n.pulling.Store(false)
-			n.pull(ctx, g.From)
-			sleep.For(ctx, pullPause)
-		})
+}
+
+// startPull asks another box for its catalog, unless one is asked already.
+func (n *Node) startPull(ctx context.Context, from wire.BoxStatus, revision int64) {
+	if !n.pulling.CompareAndSwap(false, true) {
+		return
 	}
+	n.tasks.Go(func() {
+		defer n.pulling.Store(false)
+		n.pull(ctx, from, revision)
+		sleep.For(ctx, pullPause)
+	})
 }
 
 // watchMembers writes down boxes that fell silent or came back.
--- a/node/identity.go
+++ b/node/identity.go
@@ -55,7 +55,7 @@
 // resolve has it found out which replica has the address of another.
 func (n *Node) resolve(ctx context.Context, old string) {
 	switch {
-	case n.now()-time.Duration(n.read.Load()) < unreadFor:
+	case n.catalogAge() < unreadFor:
 		// the replica is not listed yet, or the watch is about to tell
 	case n.storeOK.Load():
 		n.feed.Behind(n.feed.Known() + 1)
--- a/node/node.go
+++ b/node/node.go
@@ -45,7 +45,10 @@
 	system    *cell.System
 	state     *cell.Cell[state]
 	table     atomic.Pointer[catalog.Table]
-	read      atomic.Int64 // when what is published was last read, in nanoseconds since the start
+	read      atomic.Int64 // when what is published was last read, also by others, in nanoseconds since the start
+	reads     atomic.Bool  // this box reads the catalog on behalf of others
+	follows   atomic.Bool  // others watch and read it on behalf of this one
+	tellsAge  atomic.Bool  // others need to know how old what this box knows is
 	storeOK   atomic.Bool  // the last call to the store succeeded
 	leaving   atomic.Bool  // a planned stop has begun
 	closed    atomic.Bool  // it is named to no caller any more
@@ -88,12 +91,13 @@
 		bounds:   s.Bounds,
 	}
 	n.read.Store(-int64(neverRead))
+	n.reads.Store(true) // until others are known
 	n.log = decision.New(s.Box, io.Discard)
 	for _, opt := range opts {
 		opt(n)
 	}
 	n.meter = meter.New(
-		meter.WithCatalogAge(func() time.Duration { return n.now() - time.Duration(n.read.Load()) }),
+		meter.WithCatalogAge(n.catalogAge),
 		meter.WithBoxesAlive(n.boxesAlive),
 		meter.WithDroppedLines(n.log.DroppedLines),
 	)
@@ -180,7 +184,8 @@
 	})
 	n.feed = catalog.NewFeed(source, n.takeUpdate,
 		catalog.WithHealth(n.storeHealth),
-		catalog.WithReader(n.readsForOthers),
+		catalog.WithReader(n.reads.Load),
+		catalog.WithFollowing(n.follows.Load, n.catalogAge),
 		catalog.WithJitter(rand.Float64))
 }
 
--- a/node/pull.go
+++ b/node/pull.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/catalog"
-	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/wire"
@@ -19,24 +17,31 @@
 	peerDial  = 500 * time.Millisecond // between regions a connection takes 160 ms
 	pullLimit = 2 * time.Second        // for a whole catalog from another box
 	pullPause = 300 * time.Millisecond // between two of them
-	readers   = 2                      // boxes of a region that read the catalog again, so that one may be lost
 )
 
+// catalogRequest asks another box for what it knows of the catalog.
+type catalogRequest struct {
+	After int64 `json:"after"` // revision that the asking box knows; 0 for none
+}
+
 // pulls says whether the catalog is asked for from another box: when this one
-// knows no policy, or can't read the publisher and the other knows more.
+// knows no policy, or doesn't read the publisher itself and the other knows more.
 func (n *Node) pulls(from wire.BoxStatus, revision int64) bool {
 	if n.table.Load() == nil {
 		return from.Policy > 0
 	}
-	return !n.storeOK.Load() && int64(from.Catalog) > revision
+	near := n.follows.Load() && from.Region == n.settings.Region
+	return (near || !n.storeOK.Load()) && int64(from.Catalog) > revision
 }
 
-// pull asks another box for its catalog.
-func (n *Node) pull(ctx context.Context, from wire.BoxStatus) {
+// pull asks another box for what it knows beyond a revision.
+func (n *Node) pull(ctx context.Context, from wire.BoxStatus, revision int64) {
 	ctx, cancel := context.WithTimeout(ctx, pullLimit)
 	defer cancel()
-	var s catalog.Snapshot
-	err := n.peers.Call(ctx, from.Peers, peer.Catalog, struct{}{}, &s)
+	var news catalog.News
+	err := n.peers.Call(ctx, from.Peers, peer.Catalog, catalogRequest{
+		After: revision,
+	}, &news)
 	if err != nil {
 		n.record(decision.Event{
 			Kind:     decision.Belief,
@@ -44,40 +49,27 @@
 			Reason:   "catalog not read from box",
 			Detail:   err.Error(),
 		})
+		n.feed.Behind(int64(from.Catalog))
 		return
 	}
-	n.takeUpdate(catalog.Update{
-		Snapshot: &s,
-		Revision: s.Revision,
-		Settled:  true,
-	})
+	n.takeUpdate(news.Update())
+	n.feed.Learned(news.Revision)
 }
 
 // answerPeer answers another box's question.
-func (n *Node) answerPeer(_ context.Context, m peer.Method, _ json.RawMessage) (any, error) {
+func (n *Node) answerPeer(_ context.Context, m peer.Method, params json.RawMessage) (any, error) {
 	if m != peer.Catalog {
 		return nil, errors.Newf("unknown message %q", string(m))
 	}
-	var out catalog.Snapshot
-	err := n.state.Do(func(s *state) { out = s.content.Snapshot() })
+	var req catalogRequest
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, errors.Wrap(err, "catalog")
+	}
+	var out catalog.News
+	err := n.state.Do(func(s *state) { out = s.content.Since(req.After) })
 	return out, err
 }
 
-// readsForOthers says whether this box is one of those that read the whole
-// catalog again and again on behalf of the boxes of its region.
-func (n *Node) readsForOthers() (out bool) {
-	_ = n.state.Do(func(s *state) {
-		names := []string{s.settings.Box}
-		for _, m := range s.roster.Members() {
-			if m.Status.Region == s.settings.Region && s.roster.Alive(m.Status.Box, n.now()) {
-				names = append(names, m.Status.Box)
-			}
-		}
-		out = slices.Contains(rendezvous.Top("catalog", names, readers), s.settings.Box)
-	})
-	return out
-}
-
 // takeUpdate takes an update of the catalog in.
 func (n *Node) takeUpdate(u catalog.Update) {
 	first := n.table.Load() == nil
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -125,6 +125,10 @@
 	// Address for requests passed on between boxes, as IP:port.
 	Forward string `json:"f,omitempty,omitzero"`
 
+	// How long ago the publisher was read, by this box or one it heard of, with
+	// nothing newer than its revision, in milliseconds; 0 where that is not told.
+	ReadMs int `json:"g,omitempty,omitzero"`
+
 	// Incarnation of the box: its start in Unix milliseconds.
 	Inc int `json:"i,omitempty,omitzero"`
 
@@ -175,6 +179,9 @@
 	if utf8.RuneCountInString(string(plain.Forward)) > 64 {
 		return fmt.Errorf("field %s length: must be <= %d", "f", 64)
 	}
+	if 0 > plain.ReadMs {
+		return fmt.Errorf("field %s: must be >= %v", "g", 0)
+	}
 	if 1 > plain.Inc {
 		return fmt.Errorf("field %s: must be >= %v", "i", 1)
 	}
