--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -17,7 +17,7 @@
 	quietPlainShare = 0.4                    // of the goal of a call
 	quietStream     = 700 * time.Millisecond // an engine's steps take 60 ms, so an event takes 300 ms at most
 	quietPerExpect  = 3                      // times the expected time
-	quietCheck      = 50 * time.Millisecond  // between two looks
+	quietCheck      = 50 * time.Millisecond  // between two looks at least
 )
 
 // errQuiet ends a try whose replica has fallen silent.
@@ -33,19 +33,26 @@
 	next.Request.Tried = append(slices.Clone(next.Request.Tried), a.target.Choice.Replica)
 	done := make(chan struct{})
 	go func() {
-		tick := time.NewTicker(quietCheck)
-		defer tick.Stop()
+		limit := a.quietLimit()
+		timer := time.NewTimer(limit)
+		defer timer.Stop()
 		for {
 			select {
 			case <-done:
 				return
 			case <-ctx.Done():
 				return
-			case <-tick.C:
+			case <-timer.C:
 			}
-			if c.server.core.Quiet(next, &a.target.Choice, a.sent) > a.quietLimit() {
+			quiet := c.server.core.Quiet(next, &a.target.Choice, a.sent)
+			switch {
+			case quiet > limit:
 				a.cancel(errQuiet)
 				return
+			case quiet == 0: // it may be silent, but there is no other: soon there may be
+				timer.Reset(quietCheck)
+			default:
+				timer.Reset(max(limit-quiet, quietCheck))
 			}
 		}
 	}()
