common/events, ingress, gateway: Split streams into events in one place

ingress and gateway each had their own reading of event streams. common/events reads whole events, with the bound of 1 MiB that both had; ingress passes them on as before, and gateway takes the data out of them.

Calls to upstreams stay on http.Client: their URLs may be https, which exchange doesn't speak, and gateway passes requests to other boxes over TLS.

The tests of splitting, ids and their order moved from ingress to common/events unchanged; TestOnlyWholeEventsArePassedOn now looks at what was passed between two reads. New: an event too long, events that come with an error, streams in pieces of any size, and gateway's TestAStreamGoesOnAfterTheLastWholeEvent, each torn, ended or whole in another way.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,14 +1,17 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
@@ -239,6 +242,61 @@
 	}
 }
 
+// torn is a body that breaks off.
+type torn struct {
+	io.Reader
+}
+
+// Read reads, and tells that it broke off at its end.
+func (r torn) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func TestAStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
+	cases := []struct {
+		name string
+		body io.Reader
+		at   string // where it goes on; empty for nowhere, as it is whole
+	}{
+		{"torn between lines", torn{strings.NewReader("data: 1\n\ndata: 2\n")}, "1"},
+		{"torn in a line", torn{strings.NewReader("data: 1\n\ndata: 2\n\ndata: ")}, "2"},
+		{"ended in a line", strings.NewReader("data: 1\n\ndata: 2"), "1"},
+		{"ended without an empty line", strings.NewReader("data: 1\n\ndata: 2\n"), "2"},
+		{"whole without an empty line", strings.NewReader("data: 1\n\ndata: 2\n\ndata: 3\n\ndata: [DONE]\n"), ""},
+		{"carriage returns, and no space", strings.NewReader("data:1\r\n\r\ndata:2\r\n\r\ndata:3\r\n\r\ndata:[DONE]\r\n\r\n"), ""},
+		{"a comment and then nothing", torn{strings.NewReader(": wait\n\n")}, "0"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			open := 0
+			at := ""
+			calls := 0
+			s := server(t, func(r *http.Request) (*http.Response, error) {
+				calls++
+				if calls == 1 {
+					resp := streamOf(r, "")
+					resp.Body = io.NopCloser(c.body)
+					return resp, nil
+				}
+				at = cmp.Or(r.Header.Get(HeaderResume), "0")
+				has, err := strconv.Atoi(at)
+				is.NoErr(err)
+				return streamOf(r, at, []string{"1", "2", "3", "[DONE]"}[has:]...), nil
+			}, &open)
+			w, _ := sent{http.MethodPost, chatPath, streamBody, header(HeaderOrg, "free")}.to(s)
+			is.Equal(w.Body.String(), "data: 1\n\ndata: 2\n\ndata: 3\n\ndata: [DONE]\n\n")
+			is.Equal(at, c.at)
+			is.Equal(w.Result().Header.Get("Content-Type"), typeStream) // as it was sent
+			is.Equal(open, 0)
+		})
+	}
+}
+
 func TestAnEnginesOwnRefusalIsPassedOnAndItsTroublesAreNot(t *testing.T) {
 	for status, want := range map[int]int{http.StatusBadRequest: 1, http.StatusTooManyRequests: maxTries, http.StatusInternalServerError: maxTries} {
 		for _, body := range []string{chatBody, streamBody} {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -13,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/events"
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -25,11 +25,7 @@
 	newLine    = []byte("\n")
 )
 
-const (
-	maxLine     = 1 << 20 // bytes of one event
-	lineBuffer  = 16 << 10
-	eventFailed = "event: error\ndata: %s\n\n"
-)
+const eventFailed = "event: error\ndata: %s\n\n"
 
 // stream is one streamed answer, which may come from several replicas in turn.
 // A caller knows that it is whole by the event [DONE]; when no replica can
@@ -154,61 +150,51 @@
 
 // copy sends events on until the end. It says whether any came.
 func (st *stream) copy(resp *http.Response, p fleet.Placement, start time.Time) (started bool, err error) {
-	in := bufio.NewReaderSize(resp.Body, lineBuffer)
+	in := events.NewReader(resp.Body)
+	defer in.Close()
 	for {
-		line, err := readLine(in)
-		if err != nil {
-			return started, err
-		}
-		if len(line) == 0 && in.Buffered() == 0 {
-			st.flush.Flush() // an event has ended and no other is there yet
+		event, ended := in.Next()
+		if errors.Is(ended, io.EOF) {
+			event = in.Rest() // a stream may lack the empty line at its end
 		}
-		data, ok := bytes.CutPrefix(line, dataPrefix)
-		if !ok {
-			continue
+		for data := range events.Data(event) {
+			if !started {
+				started = true
+				st.begin(resp, p, start)
+			}
+			whole, err := st.token(data)
+			if whole || err != nil {
+				return started, err
+			}
 		}
-		if !started {
-			started = true
-			st.server.core.Start(p, fleet.Started{
-				First: time.Since(start),
-				Load:  loadOf(resp.Header),
-			})
-			st.begin(p)
+		if ended != nil {
+			return started, ended
 		}
-		if bytes.Equal(data, dataDone) {
-			st.server.core.Observe.Request(st.q.service.Name, codeOK, time.Since(st.q.start))
-			return started, st.write(dataDone)
-		}
-		st.observe()
-		st.sent++
-		if err := st.write(data); err != nil {
-			return started, err
+		if started && !in.More() {
+			st.flush.Flush()
 		}
 	}
 }
 
-// readLine returns a line without its end. Events longer than maxLine end the
-// stream.
-func readLine(in *bufio.Reader) ([]byte, error) {
-	line, err := in.ReadSlice('\n')
-	if err == nil {
-		return bytes.TrimRight(line, "\r\n"), nil
-	}
-	if !errors.Is(err, bufio.ErrBufferFull) {
-		return nil, err
+// token sends one token on, or the end of the stream; it says whether it was the
+// end.
+func (st *stream) token(data []byte) (whole bool, err error) {
+	if bytes.Equal(data, dataDone) {
+		st.server.core.Observe.Request(st.q.service.Name, codeOK, time.Since(st.q.start))
+		return true, st.write(dataDone)
 	}
-	long := bytes.Clone(line)
-	for errors.Is(err, bufio.ErrBufferFull) && len(long) <= maxLine {
-		line, err = in.ReadSlice('\n')
-		long = append(long, line...)
-	}
-	if err != nil {
-		return nil, err
-	}
-	return bytes.TrimRight(long, "\r\n"), nil
+	st.observe()
+	st.sent++
+	return false, st.write(data)
 }
 
-func (st *stream) begin(p fleet.Placement) {
+// begin takes in that a replica's first token came, and sends the head of the
+// caller's answer.
+func (st *stream) begin(resp *http.Response, p fleet.Placement, start time.Time) {
+	st.server.core.Start(p, fleet.Started{
+		First: time.Since(start),
+		Load:  loadOf(resp.Header),
+	})
 	if st.sent > 0 {
 		return
 	}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -7,33 +7,20 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/events"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/placement"
 )
 
-const (
-	eventBuffer = 4 << 10                // bytes read at once
-	maxEvent    = 1 << 20                // bytes of one event
-	heardEvery  = 100 * time.Millisecond // between two words that a replica goes on; a seventh of quietStream
-)
-
-var (
-	idField = []byte("id:")
+const heardEvery = 100 * time.Millisecond // between two words that a replica goes on; a seventh of quietStream
 
-	// buffers are for reading events.
-	buffers = sync.Pool{
-		New: func() any {
-			b := make([]byte, eventBuffer)
-			return &b
-		},
-	}
-)
+// errCaller says that the caller of a stream has left.
+var errCaller = errors.New("ingress: caller left")
 
 // passEvents passes a stream on, whole events only, so that it can go on at
 // another replica after any of them.
@@ -46,26 +33,34 @@
 		c.tellSent()
 	}
 	c.fromBox = a.target.Box != ""
-	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
-	var held []byte // the beginning of an event whose end has not come
-	for {
-		n, err := answer.Read(*buf)
-		if n > 0 {
-			a.noteHeard()
-			held = append(held, (*buf)[:n]...)
-			var failed error
-			if held, failed = c.passComplete(held); failed != nil {
-				return abandoned
-			}
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return a.endStream(held)
-		case err != nil || len(held) > maxEvent:
-			return a.broke(ctx)
-		}
+	in := events.NewReader(&heard{
+		attempt: a,
+		answer:  answer,
+	})
+	defer in.Close()
+	err := c.copyEvents(in)
+	switch {
+	case errors.Is(err, errCaller):
+		return abandoned
+	case errors.Is(err, io.EOF):
+		return a.endStream(in.Rest())
 	}
+	return a.broke(ctx)
+}
+
+// heard is an answer whose bytes show that the replica goes on.
+type heard struct {
+	attempt *attempt
+	answer  *exchange.Answer
+}
+
+// Read reads from the answer.
+func (h *heard) Read(p []byte) (int, error) {
+	n, err := h.answer.Read(p)
+	if n > 0 {
+		h.attempt.noteHeard()
+	}
+	return n, err
 }
 
 // noteHeard says that the replica goes on, not for every event.
@@ -102,37 +97,44 @@
 	return served
 }
 
-// passComplete passes the whole events in held on and returns the rest. An event
-// that the caller has already is left out.
-func (c *call) passComplete(held []byte) ([]byte, error) {
+// copyEvents passes whole events on until the stream ends, and returns why it did.
+func (c *call) copyEvents(in *events.Reader) error {
 	passed := false
 	for {
-		end := eventEnd(held)
-		if end < 0 {
-			break
+		event, err := in.Next()
+		if err != nil {
+			return err
 		}
-		event := held[:end]
-		if n, ok := sentEvent(event); ok && c.fromBox {
-			c.sent = max(c.sent, n)
-			held = held[len(event):]
-			continue
+		did, err := c.passEvent(event)
+		if err != nil {
+			return errors.Mark(err, errCaller)
 		}
-		if id := eventID(event); id == "" || !notAfter(id, c.lastEvent) {
-			if _, err := c.w.Write(event); err != nil {
-				return nil, err
-			}
-			passed = true
-			if id != "" {
-				c.lastEvent = id
-			}
+		passed = passed || did
+		if passed && !in.More() {
+			passed = false
+			c.flush()
+			c.notePause(time.Now())
 		}
-		held = held[len(event):]
 	}
-	if passed {
-		c.flush()
-		c.notePause(time.Now())
+}
+
+// passEvent passes an event on. One that the caller has already is left out.
+func (c *call) passEvent(event []byte) (passed bool, err error) {
+	if n, ok := sentEvent(event); ok && c.fromBox {
+		c.sent = max(c.sent, n)
+		return false, nil
 	}
-	return held, nil
+	id := events.ID(event)
+	if id != "" && events.NotAfter(id, c.lastEvent) {
+		return false, nil
+	}
+	if _, err := c.w.Write(event); err != nil {
+		return false, err
+	}
+	if id != "" {
+		c.lastEvent = id
+	}
+	return true, nil
 }
 
 // sentPrefix begins a comment by which a box tells another in the middle of a
@@ -167,39 +169,6 @@
 	c.lastAt = now
 }
 
-// eventEnd returns where the first event in held ends: after an empty line. It is
-// below 0 when there is none.
-func eventEnd(held []byte) int {
-	for at := 0; ; {
-		n := bytes.IndexByte(held[at:], '\n')
-		if n < 0 {
-			return -1
-		}
-		at += n + 1
-		rest := bytes.TrimPrefix(held[at:], []byte("\r"))
-		if len(rest) > 0 && rest[0] == '\n' {
-			return len(held) - len(rest) + 1
-		}
-	}
-}
-
-// eventID returns the id of an event, empty for none.
-func eventID(event []byte) string {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(id))
-		}
-	}
-	return ""
-}
-
-// notAfter says whether event id a does not come after b; ids are rising numbers.
-func notAfter(a, b string) bool {
-	x, errA := strconv.ParseInt(a, 10, 64)
-	y, errB := strconv.ParseInt(b, 10, 64)
-	return errA == nil && errB == nil && x <= y
-}
-
 // flush sends what was written.
 func (c *call) flush() {
 	_ = http.NewResponseController(c.w).Flush() // a caller that has left is found by the next write
--- a/ingress/events_test.go
+++ b/ingress/events_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/havenrudder/havenrudder/common/events"
 	_ "github.com/havenrudder/havenrudder/internal/fixed"
 )
 
@@ -32,25 +35,63 @@
 	return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data)
 }
 
+// pieces is a stream that comes in pieces, one at each read.
+type pieces struct {
+	list   []string
+	before func(left int) // is called before each read with the number of pieces left
+}
+
+// Read returns the next piece.
+func (p *pieces) Read(buf []byte) (int, error) {
+	p.before(len(p.list))
+	if len(p.list) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(buf, p.list[0])
+	p.list = p.list[1:]
+	return n, nil
+}
+
+// pass passes a stream on that comes in pieces, and returns the rest.
+func pass(c *call, before func(left int), list ...string) (string, error) {
+	in := events.NewReader(&pieces{
+		list:   list,
+		before: before,
+	})
+	defer in.Close()
+	err := c.copyEvents(in)
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return string(in.Rest()), err
+}
+
+// anyway is for pieces that nothing is checked between.
+func anyway(int) {}
+
 func TestOnlyWholeEventsArePassedOn(t *testing.T) {
 	is := is.New(t)
 	c, w := passing("")
-	rest, err := c.passComplete([]byte(event(1, "a") + "id: 2\nda"))
-	is.NoErr(err)
-	is.Equal(w.Body.String(), event(1, "a"))
-	is.Equal(string(rest), "id: 2\nda")
-	is.Equal(c.lastEvent, "1")
-	rest, err = c.passComplete([]byte(string(rest) + "ta: b\n\n"))
+	rest, err := pass(c, func(left int) {
+		switch left {
+		case 1:
+			is.Equal(w.Body.String(), event(1, "a"))
+			is.Equal(c.lastEvent, "1")
+		case 0:
+			is.Equal(w.Body.String(), event(1, "a")+event(2, "b"))
+			is.Equal(c.lastEvent, "2")
+		}
+	}, event(1, "a")+"id: 2\nda", "ta: b\n\nid: 3\nda")
 	is.NoErr(err)
-	is.Equal(len(rest), 0)
 	is.Equal(w.Body.String(), event(1, "a")+event(2, "b"))
+	is.Equal(rest, "id: 3\nda")
 	is.Equal(c.lastEvent, "2")
 }
 
 func TestAnEventThatTheCallerHasIsLeftOut(t *testing.T) {
 	is := is.New(t)
 	c, w := passing("9")
-	_, err := c.passComplete([]byte(event(8, "a") + event(9, "b") + event(10, "c") + event(10, "c") + event(11, "d")))
+	_, err := pass(c, anyway, event(8, "a")+event(9, "b")+event(10, "c")+event(10, "c")+event(11, "d"))
 	is.NoErr(err)
 	is.Equal(w.Body.String(), event(10, "c")+event(11, "d")) // by number: 10 comes after 9
 	is.Equal(c.lastEvent, "11")
@@ -59,43 +100,12 @@
 func TestAnEventWithoutIDIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	c, w := passing("5")
-	_, err := c.passComplete([]byte(event(0, "a") + ": note\n\n" + event(6, "b")))
+	_, err := pass(c, anyway, event(0, "a")+": note\n\n"+event(6, "b"))
 	is.NoErr(err)
 	is.Equal(w.Body.String(), event(0, "a")+": note\n\n"+event(6, "b"))
 	is.Equal(c.lastEvent, "6")
 }
 
-func TestTheIDOfAnEventIsFoundOnALineOfItsOwn(t *testing.T) {
-	cases := []struct{ event, want string }{
-		{"id: 12\ndata: x\n\n", "12"},
-		{"id:12\ndata: x\n\n", "12"},
-		{"data: id: 12\n\n", ""},
-		{"data: x\nid: 7\n\n", "7"},
-		{"data: x\n\n", ""},
-	}
-	for _, c := range cases {
-		is := is.New(t)
-		is.Equal(eventID([]byte(c.event)), c.want)
-	}
-}
-
-func TestIDsAreComparedAsNumbers(t *testing.T) {
-	cases := []struct {
-		a, b string
-		want bool
-	}{
-		{"9", "10", true},
-		{"10", "9", false},
-		{"10", "10", true},
-		{"1", "", false}, // the caller has none
-		{"x", "1", false},
-	}
-	for _, c := range cases {
-		is := is.New(t)
-		is.Equal(notAfter(c.a, c.b), c.want)
-	}
-}
-
 // TestAStreamCutAnywhereIsPassedOnOnceAndInOrder joins runs that each begin
 // anywhere up to the last event passed on, and come in pieces of any size.
 func TestAStreamCutAnywhereIsPassedOnOnceAndInOrder(t *testing.T) {
@@ -131,33 +141,13 @@
 
 // passPieces passes text on in pieces; what is torn at its end is dropped.
 func passPieces(t *rapid.T, c *call, text string) {
-	var held []byte
+	var list []string
 	for text != "" {
 		n := rapid.IntRange(1, len(text)).Draw(t, "piece")
-		held = append(held, text[:n]...)
+		list = append(list, text[:n])
 		text = text[n:]
-		var err error
-		if held, err = c.passComplete(held); err != nil {
-			t.Fatal(err)
-		}
-	}
-}
-
-func TestEventsMayEndTheirLinesWithCarriageReturns(t *testing.T) {
-	is := is.New(t)
-	cases := []struct {
-		held string
-		want int
-	}{
-		{"", -1},
-		{"id: 1\n", -1},
-		{"id: 1\r\n\r", -1},
-		{"id: 1\n\n", 7},
-		{"id: 1\r\n\r\n", 9},
-		{"id: 1\r\ndata: a\r\n\r\nid: 2", 18},
-		{"\n\n", 2},
 	}
-	for _, c := range cases {
-		is.Equal(eventEnd([]byte(c.held)), c.want)
+	if _, err := pass(c, anyway, list...); err != nil {
+		t.Fatal(err)
 	}
 }
