internal/change, fakes, platformtest: Tell stand-ins' changes in one place

Stand-ins of engines wait by common/sleep. The rest of internal/fakes and platformtest is of two protocols and has nothing in common: one answers blocking reads of single keys and JSON for chat over an in-process network, the other pages, watches of revisions and faults of TCP.

--- a/catalog/feed_test.go
+++ b/catalog/feed_test.go
@@ -104,7 +104,7 @@
 	p.replicas[id] = plainReplica(id, p.rev)
 	p.history = nil
 	p.forgot = p.rev
-	p.wake()
+	p.changed.Tell()
 }
 
 func TestFailuresBackOffAndRecoverWithinASecond(t *testing.T) {
--- a/catalog/publisher_test.go
+++ b/catalog/publisher_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/common/sleep"
+	"github.com/havenrudder/havenrudder/internal/change"
 )
 
 const (
@@ -38,8 +39,8 @@
 	replicas  map[string]catalog.Replica
 	evacuated map[string]bool
 	history   []catalog.Change
-	forgot    int64         // newest revision that history lacks
-	changed   chan struct{} // closed and renewed at each change
+	forgot    int64 // newest revision that history lacks
+	changed   change.Signal
 	reads     int
 	waits     int
 }
@@ -48,7 +49,6 @@
 	return &publisher{
 		replicas:  make(map[string]catalog.Replica),
 		evacuated: make(map[string]bool),
-		changed:   make(chan struct{}),
 	}
 }
 
@@ -82,7 +82,7 @@
 		delete(p.evacuated, ch.Unevacuated)
 	}
 	p.history = append(p.history, ch)
-	p.wake()
+	p.changed.Tell()
 	return p.rev
 }
 
@@ -104,20 +104,14 @@
 	defer p.mu.Unlock()
 	p.history = nil
 	p.forgot = p.rev
-	p.wake()
+	p.changed.Tell()
 }
 
 func (p *publisher) set(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
-	p.wake()
-}
-
-// wake tells waiting calls that something has changed; p.mu is held.
-func (p *publisher) wake() {
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.changed.Tell()
 }
 
 // snapshot returns all that is published.
@@ -205,7 +199,7 @@
 			changes = append(changes, ch)
 		}
 	}
-	return changes, p.rev, p.changed, nil
+	return changes, p.rev, p.changed.Next(), nil
 }
 
 // follower is a copy that a feed keeps.
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/gateway"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -236,15 +237,6 @@
 
 // pause waits and says whether the caller is still there.
 func pause(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return r.Context().Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-r.Context().Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	sleep.For(r.Context(), d)
+	return r.Context().Err() == nil
 }
--- a/internal/fakes/platform.go
+++ b/internal/fakes/platform.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/configstore"
+	"github.com/havenrudder/havenrudder/internal/change"
 )
 
 // Platform is a stand-in for the configuration service. Only tests and the demo
@@ -20,7 +21,7 @@
 	values  map[string]configstore.Value
 	stale   map[string]configstore.Value // answered instead while frozen
 	frozen  bool
-	changed chan struct{} // closed and renewed at each change
+	changed change.Signal
 	down    bool
 	calls   int
 }
@@ -28,8 +29,7 @@
 // NewPlatform returns an empty service.
 func NewPlatform() *Platform {
 	return &Platform{
-		values:  make(map[string]configstore.Value),
-		changed: make(chan struct{}),
+		values: make(map[string]configstore.Value),
 	}
 }
 
@@ -42,12 +42,7 @@
 		Data:  data,
 		Index: p.index,
 	}
-	p.wake()
-}
-
-func (p *Platform) wake() {
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.changed.Tell()
 }
 
 // SetDown makes every call fail, or ends that.
@@ -55,7 +50,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.down = down
-	p.wake()
+	p.changed.Tell()
 }
 
 // Freeze makes the service answer with the values of now until Thaw, as a
@@ -75,7 +70,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.frozen = true
-	p.wake()
+	p.changed.Tell()
 }
 
 // Thaw ends Freeze.
@@ -83,7 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.frozen = false
-	p.wake()
+	p.changed.Tell()
 }
 
 // Calls returns how many calls were made.
@@ -146,7 +141,7 @@
 		values = p.stale
 	}
 	v, ok = values[key]
-	return v, ok, p.down, p.changed
+	return v, ok, p.down, p.changed.Next()
 }
 
 // PutNew sets a value where there is none yet.
