common/decay, upstream: Keep a decaying mean in one type

The usual load of a service's replicas was a mean with a half-life, as the share of failures is; both are decay.Mean now, each with its own weight and half-life. The slowness of replicas stays apart in upstream and placement: one takes small values for none, the other is never below 0. Tests unchanged.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -51,7 +51,7 @@
 	gen       int           // tells processes apart that had the same name
 	gone      bool          // the list no longer names it
 	prefilled time.Duration // smoothed time to compute a prompt
-	usual     *usual        // load of the service's replicas
+	usual     *decay.Mean   // load over slots that the service's replicas tell of late
 }
 
 // Load returns the requests believed to be there at now: the box's own, and
@@ -67,7 +67,7 @@
 	if r.Reported > 0 {
 		fresh = decay.Left(now-r.Reported, max(r.Hold, minHold))
 	}
-	usual := max(r.usual.at(now)*float64(r.Slots)-float64(r.InFlight), 0)
+	usual := max(r.usual.At(now, usualHalf)*float64(r.Slots)-float64(r.InFlight), 0)
 	return fresh*float64(r.Others) + (1-fresh)*usual
 }
 
@@ -101,28 +101,11 @@
 	return r.Failures >= failuresOut && now-r.FailedAt < outFor
 }
 
-// usual is the load over slots that the replicas of a service tell of late.
-type usual struct {
-	share float64
-	told  time.Duration
-}
-
-// at returns the usual load at now; it is forgotten when nobody tells anything.
-func (u *usual) at(now time.Duration) float64 {
-	return u.share * decay.Left(now-u.told, usualHalf)
-}
-
-func (u *usual) tell(share float64, now time.Duration) {
-	old := u.at(now)
-	u.share = old + usualWeight*(share-old)
-	u.told = now
-}
-
 // Inventory holds the replicas of one region. It belongs to one actor.
 type Inventory struct {
 	replicas map[string]*Replica
-	usual    map[string]*usual     // by service
-	services map[string][]*Replica // in the order of names, made when it is asked for
+	usual    map[string]*decay.Mean // by service
+	services map[string][]*Replica  // in the order of names, made when it is asked for
 	gens     int
 }
 
@@ -130,7 +113,7 @@
 func NewInventory() *Inventory {
 	return &Inventory{
 		replicas: make(map[string]*Replica),
-		usual:    make(map[string]*usual),
+		usual:    make(map[string]*decay.Mean),
 		services: make(map[string][]*Replica),
 	}
 }
@@ -179,10 +162,10 @@
 	}
 }
 
-func (v *Inventory) usualOf(service string) *usual {
+func (v *Inventory) usualOf(service string) *decay.Mean {
 	u, ok := v.usual[service]
 	if !ok {
-		u = &usual{}
+		u = &decay.Mean{}
 		v.usual[service] = u
 	}
 	return u
@@ -202,7 +185,7 @@
 		r.Slots = load.Slots
 	}
 	if r.Slots > 0 {
-		r.usual.tell(float64(load.Running+load.Waiting)/float64(r.Slots), now)
+		r.usual.Add(float64(load.Running+load.Waiting)/float64(r.Slots), usualWeight, now, usualHalf)
 	}
 	if load.Leaving {
 		r.Leaving = true
