control, measure: Remove the drawing of rows

measure plot drew docs/reads.svg and docs/first-token.svg from rows in docs/measured. The five experiments that README names, and capacity, stay with their tests and baselines.

--- a/control/measure.go
+++ b/control/measure.go
@@ -13,7 +13,6 @@
 	"github.com/havenrudder/havenrudder/measure/capacity"
 	"github.com/havenrudder/havenrudder/measure/control"
 	"github.com/havenrudder/havenrudder/measure/once"
-	"github.com/havenrudder/havenrudder/measure/plot"
 	"github.com/havenrudder/havenrudder/measure/policy"
 )
 
@@ -29,8 +28,6 @@
 	touch   int
 	page    string
 	slopes  string
-	rows    string
-	args    []string
 }
 
 var _ subcommands.Command = (*measureCmd)(nil)
@@ -48,7 +45,6 @@
 measure control [-case NAME]
 measure relay
 measure capacity [-page FILE] [-slopes FILE]
-measure plot [-rows FILE] bundle|policy
 measure bundle [-boxes N] [-changes N] [-rate R] [-seed S]
   Run an experiment; each row is one JSON object.
   once    calls that may not be repeated, under faults, in virtual time
@@ -56,7 +52,6 @@
   relay   answers through a box beside direct ones, over real sockets
   control what one more box, replica, organisation, change, request or token costs
   capacity works the tables of docs/CAPACITY.md out anew
-  plot    draws rows of an experiment as SVG on standard output
   policy  routing and admission beside baselines, in virtual time
 `
 }
@@ -74,7 +69,6 @@
 	f.Float64Var(&c.rate, "rate", control.ChangeRate, "changes a second (bundle)")
 	f.StringVar(&c.page, "page", "docs/CAPACITY.md", "page to fill (capacity)")
 	f.StringVar(&c.slopes, "slopes", "docs/measured/slopes.jsonl", "measured slopes (capacity)")
-	f.StringVar(&c.rows, "rows", "", "rows to draw (plot)")
 	f.StringVar(&c.name, "case", "", "one case or slope only (policy, control)")
 	return f
 }
@@ -89,7 +83,6 @@
 	if err := own.Parse(f.Args()[1:]); err != nil {
 		return subcommands.ExitUsageError
 	}
-	c.args = own.Args()
 	if err := c.run(ctx, f.Arg(0)); err != nil {
 		return commands.Fail(err)
 	}
@@ -110,8 +103,6 @@
 		return control.Relay(ctx, func(r control.RelayRow) error { return printRow(r) })
 	case "capacity":
 		return c.capacity()
-	case "plot":
-		return c.plot()
 	}
 	return errors.Newf("no experiment %q", name)
 }
@@ -199,15 +190,3 @@
 	}
 	return errors.Wrap(os.WriteFile(c.page, []byte(filled), fileMode), "page")
 }
-
-func (c *measureCmd) plot() error {
-	f, err := os.Open(c.rows)
-	if err != nil {
-		return errors.Wrap(err, "rows")
-	}
-	defer func() { _ = f.Close() }()
-	if len(c.args) == 1 && c.args[0] == "policy" {
-		return plot.Policy(f, os.Stdout)
-	}
-	return plot.Bundle(f, os.Stdout)
-}
