meter: Drop a figure that no box serves

No box has ever passed the count of open connections to upstreams, so the figure was served in meter's own test only.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -55,13 +55,6 @@
 	}
 }
 
-// WithOpenConnections serves how many connections to upstreams are open.
-func WithOpenConnections(n func() int) Option {
-	return func(m *Meter) {
-		m.gauge("open_upstream_connections", "Open connections to upstreams.", func() float64 { return float64(n()) })
-	}
-}
-
 // WithDroppedLines serves how many lines the log of decisions has dropped since
 // the start.
 func WithDroppedLines(n func() int64) Option {
