common/ending, box, node: Tell a planned end in one place

box and node each had the error of a planned stop and the function that takes it, and a cancelled context, for no fault.

--- a/box/box.go
+++ b/box/box.go
@@ -18,6 +18,7 @@
 
 	"github.com/havenrudder/havenrudder/bundle"
 	"github.com/havenrudder/havenrudder/common/cell"
+	"github.com/havenrudder/havenrudder/common/ending"
 	"github.com/havenrudder/havenrudder/configstore"
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/gateway"
@@ -179,20 +180,9 @@
 	cancel(nil)
 	b.tasks.Wait()
 	b.upstream.CloseIdleConnections()
-	return cause(ctx)
+	return ending.Cause(ctx)
 }
 
-// cause returns why the box stopped, nil for a planned end.
-func cause(ctx context.Context) error {
-	err := context.Cause(ctx)
-	if errors.Is(err, context.Canceled) || errors.Is(err, errStopped) {
-		return nil
-	}
-	return err
-}
-
-var errStopped = errors.New("box: stopped as planned")
-
 func (b *Box) build(ctx context.Context, cancel context.CancelCauseFunc, keys *bundle.Keys, cfg *tls.Config) {
 	broken := func(reason any) { cancel(errors.Newf("broken invariant: %v", reason)) }
 	b.metrics = newMetrics()
--- a/box/serve.go
+++ b/box/serve.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/havenrudder/havenrudder/common/ending"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/gateway"
 	"github.com/havenrudder/havenrudder/peer"
@@ -115,7 +116,7 @@
 		b.log.WithError(err).Warn("planned stop cut off requests")
 		_ = server.Close()
 	}
-	cancel(errStopped)
+	cancel(ending.ErrPlanned)
 }
 
 func (b *Box) serveBoxes(ctx context.Context, cancel context.CancelCauseFunc) {
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/common/cell"
+	"github.com/havenrudder/havenrudder/common/ending"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/ingress"
@@ -140,19 +141,7 @@
 	})
 	stopLogging()
 	<-logged
-	return cause(ctx)
-}
-
-// errStopped ends a box whose planned stop is over.
-var errStopped = errors.New("stopped as planned")
-
-// cause returns why the box ended, nil for a planned end.
-func cause(ctx context.Context) error {
-	err := context.Cause(ctx)
-	if errors.Is(err, context.Canceled) || errors.Is(err, errStopped) {
-		return nil
-	}
-	return err
+	return ending.Cause(ctx)
 }
 
 // build makes what runs in the box. A broken invariant ends it.
--- a/node/serve.go
+++ b/node/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/ending"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 )
@@ -141,7 +142,7 @@
 			})
 		}
 	}
-	cancel(errStopped)
+	cancel(ending.ErrPlanned)
 }
 
 // isReady says whether the box can serve callers and will go on.
