--- a/node/drain.go
+++ b/node/drain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/havenrudder/havenrudder/common/ending"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 )
@@ -56,7 +57,7 @@
 			})
 		}
 	}
-	cancel(errStopped)
+	cancel(ending.ErrPlanned)
 }
 
 // awaitRelief waits until another box of the region serves, or the box has to end.
