node: Count requests that fail together as one loss of a box

Each request under way to a box that can't be reached doubled the time for which it is left out, so six failures within 350 ms made it 8 s, and the region's boxes refused data bound to other regions until 4 s after the cut.

Now a loss counts only when the box is in use, and after the time is over one request at a time tries it.

Ruled out: shorter times (a cut of the whole would be tried more often). Two tests fail without it.

--- a/node/away.go
+++ b/node/away.go
@@ -23,6 +23,7 @@
 	noRoom     = 60 * time.Second       // told as the wait where no replica can take a request
 	roomsFor   = 3 * time.Second        // what a region told counts so long
 	unknownFar = 2 * time.Second        // expected of a region that has told nothing
+	trialFor   = 600 * time.Millisecond // by then a request to another region has a connection, or none
 	failRisk   = 1000.0                 // thousandths at risk where every request to a region fails
 )
 
@@ -138,20 +139,33 @@
 
 // unreached is a box that could not be reached.
 type unreached struct {
-	at  time.Duration   // when that was tried last
-	out absence.Absence // it is not used while it is on
+	at    time.Duration   // when that was found out
+	out   absence.Absence // it is not used while it is on
+	trial time.Duration   // when a request was sent to it again
 }
 
 // lose notes that a box could not be reached. It is not used for a time that
 // doubles until it is reached: being heard is not enough, for datagrams come through
 // a cut of one direction.
 func (s *state) lose(box string, now time.Duration) {
-	u := s.lost[box]
+	u, known := s.lost[box]
+	if known && u.out.On(now) {
+		return // requests that were under way together tell it once
+	}
 	u.at = now
 	u.out.Begin(now)
 	s.lost[box] = u
 }
 
+// tryAgain notes that a request goes to a box that could not be reached: until it is
+// known what becomes of it, no other one does.
+func (s *state) tryAgain(box string, now time.Duration) {
+	if u, ok := s.lost[box]; ok {
+		u.trial = now
+		s.lost[box] = u
+	}
+}
+
 // reached notes that a box was reached.
 func (s *state) reached(box string) { delete(s.lost, box) }
 
@@ -159,7 +173,7 @@
 // heard.
 func (s *state) isLost(m roster.Member, now time.Duration) bool {
 	u, ok := s.lost[m.Status.Box]
-	return ok && (u.out.On(now) || m.Heard <= u.at)
+	return ok && (u.out.On(now) || m.Heard <= u.at || (u.trial > 0 && now-u.trial < trialFor))
 }
 
 // roomIn returns what a region's boxes told last of a service; false when it has
--- a/node/place_test.go
+++ b/node/place_test.go
@@ -218,6 +218,33 @@
 	is.Equal(b.place(ask(route()), now, lowest).Box, "box-b") // as at first
 }
 
+func TestRequestsThatFailTogetherLeaveABoxOutOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.tells(status("box-b", "b"), start, room(3, 0))
+	for n := range 6 {
+		b.lose("box-b", start+time.Duration(n)*70*time.Millisecond)
+	}
+	later := start + time.Second
+	b.tells(status("box-b", "b"), later, room(3, 0))
+	is.Equal(b.place(ask(route()), later, lowest).Box, "box-b")
+}
+
+func TestOneRequestAtATimeTriesABoxThatWasNotReached(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.tells(status("box-b", "b"), start, room(3, 0))
+	b.lose("box-b", start)
+	tried := start + time.Second
+	b.tells(status("box-b", "b"), tried, room(3, 0))
+	is.Equal(b.place(ask(route()), tried, lowest).Box, "box-b")
+	is.Equal(b.place(ask(route()), tried+10*time.Millisecond, lowest).Box, "")
+	is.Equal(b.place(ask(route()), tried+trialFor, lowest).Box, "box-b") // that one told nothing
+	b.reached("box-b")
+	is.Equal(b.place(ask(route()), tried+trialFor, lowest).Box, "box-b")
+	is.Equal(b.place(ask(route()), tried+trialFor, lowest).Box, "box-b")
+}
+
 func TestABoxThatWasNotReachedIsNotUsedUntilItIsHeard(t *testing.T) {
 	is := is.New(t)
 	b := newBox("self", "a", 0)
--- a/node/state.go
+++ b/node/state.go
@@ -205,7 +205,9 @@
 	if hasFar {
 		risk := riskHere(here, ask, goals, home, s.settings.Region)
 		if !allowed || here.Reason != placement.None || betterAway(risk, far.risk, draw) {
-			return sendAway(far, draw)
+			t := sendAway(far, draw)
+			s.tryAgain(t.Box, now)
+			return t
 		}
 	}
 	if !allowed {
