node: Ask for the whole catalog while no policy is known

Cause: since a box asks another for what changed since its own revision. One that started beside a configuration that can't be decoded has read the newest revision but knows no policy, and was told nothing.

--- a/node/pull.go
+++ b/node/pull.go
@@ -38,6 +38,9 @@
 func (n *Node) pull(ctx context.Context, from wire.BoxStatus, revision int64) {
 	ctx, cancel := context.WithTimeout(ctx, pullLimit)
 	defer cancel()
+	if n.table.Load() == nil {
+		revision = 0 // this box may have read a newer revision whose policy it could not decode
+	}
 	var news catalog.News
 	err := n.peers.Call(ctx, from.Peers, peer.Catalog, catalogRequest{
 		After: revision,
