catalog: Ask for the newest revision in place of a large catalog

Two boxes of a region read all that is published every 2 s, the others every 6 s: at 4,000 replicas (some 350 bytes each) 1.4 MB at a time, 40 KB/s for each of 390 boxes on average, by arithmetic.

Beyond 64 replicas a box now asks for the newest revision alone, at the same pace, and reads all when the watch has not brought it within 300 ms, and otherwise once in as many seconds as there are replicas (some 350 bytes a second). What was read while entries could still come back is read again in any case: a test found that a replica that was dropped during a failure stayed forever without it. Up to 64 replicas nothing changes. The number of calls is the same.

Not solved: when all watches are silent at once, every box still reads all at each change.

--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -22,15 +22,19 @@
 	behindWait   = 300 * time.Millisecond // that a watch may lag behind what another box knows
 	firstBackOff = 50 * time.Millisecond  // after a failed call
 	maxBackOff   = 600 * time.Millisecond // so that a publisher that is back is used within a second
+	wholeUpTo    = 64                     // replicas up to which all is read again each time: some 20 KB, and no call more
+	replicaEvery = time.Second            // between two readings of all for each replica beyond that: they take some 350 bytes a second then, whatever the size
 	lapseWait    = 2 * time.Second        // entries that lapsed while the publisher was away are back within this time
 )
 
 // Source is where the catalog is read. Read returns all of it. Wait returns what
 // changed after a revision, and up to which one, as soon as there is any or after
-// a time; it fails with ErrHistoryGone where that is no longer known.
+// a time; it fails with ErrHistoryGone where that is no longer known. Newest, which
+// may be nil, returns the newest revision alone.
 type Source struct {
-	Read func(ctx context.Context) (Snapshot, error)
-	Wait func(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
+	Read   func(ctx context.Context) (Snapshot, error)
+	Wait   func(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
+	Newest func(ctx context.Context) (int64, error)
 }
 
 // Update is what a feed hands on: a whole snapshot or changes up to a revision.
@@ -129,13 +133,40 @@
 		}
 		backOff = firstBackOff
 		d.succeeded()
+		settled := d.isSettled()
 		d.hand(Update{
 			Snapshot: &s,
 			Revision: s.Revision,
-			Settled:  d.isSettled(),
+			Settled:  settled,
 		})
 		d.offer(s.Revision)
-		d.rest(ctx)
+		d.restLong(ctx, len(s.Replicas), settled)
+	}
+}
+
+// restLong waits until all of so many replicas is to be read again. Where they are
+// many, it asks for the newest revision in place of reading, and waits on while the
+// watch has brought it. What was read before all had settled is read again in any
+// case.
+func (d *Feed) restLong(ctx context.Context, replicas int, settled bool) {
+	began := d.now()
+	long := time.Duration(replicas) * replicaEvery
+	large := d.source.Newest != nil && replicas > wholeUpTo
+	for d.rest(ctx) && ctx.Err() == nil {
+		if !large || !settled || d.now().Sub(began) >= long {
+			return
+		}
+		rev, err := d.source.Newest(ctx)
+		if err != nil {
+			return // reading all fails as well, and is what tells of it
+		}
+		d.health(nil)
+		if rev > d.known.Load() {
+			sleep.For(ctx, behindWait) // the watch may be about to bring it
+		}
+		if rev > d.known.Load() {
+			return
+		}
 	}
 }
 
@@ -184,8 +215,8 @@
 }
 
 // rest waits until all is to be read again: sooner while entries may still come
-// back.
-func (d *Feed) rest(ctx context.Context) {
+// back. It returns whether that is for the time alone.
+func (d *Feed) rest(ctx context.Context) bool {
 	every := d.every
 	if !d.reader() {
 		every *= rereadOthers
@@ -201,15 +232,15 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-t.C:
-			return
+			return true
 		case <-d.again:
-			return
+			return false
 		case <-d.behind:
 			sleep.For(ctx, behindWait) // the watch may be about to bring it
 			if d.known.Load() < d.wanted.Load() {
-				return
+				return false
 			}
 		}
 	}
--- /dev/null
+++ b/catalog/large_test.go
@@ -0,0 +1,105 @@
+package catalog_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// large is a catalog of the next deployments.
+const large = 148
+
+// largeTest is a large catalog that tells its newest revision, and a copy of it.
+type largeTest struct {
+	feedTest
+	asked *int
+}
+
+func largeTestRun(t *testing.T, replicas int, f func(f largeTest)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPublisher()
+		for n := range replicas {
+			p.put(plainReplica(fmt.Sprint("r-", n), 0))
+		}
+		asked := 0
+		source := p.source()
+		source.Newest = func(ctx context.Context) (int64, error) {
+			asked++
+			var none int
+			if p.begin(ctx, &none) == failing {
+				return 0, errAway
+			}
+			return p.snapshot().Revision, ctx.Err()
+		}
+		run := feedTest{
+			I:         is.New(t),
+			publisher: p,
+			follower:  follow(t.Context(), source),
+		}
+		defer run.stop()
+		time.Sleep(soon)
+		f(largeTest{
+			feedTest: run,
+			asked:    &asked,
+		})
+	})
+}
+
+func TestALargeCatalogIsNotReadAgainWhileTheWatchBringsAll(t *testing.T) {
+	largeTestRun(t, large, func(f largeTest) {
+		for n := range 60 {
+			f.put(plainReplica(fmt.Sprint("new-", n), 0))
+			time.Sleep(time.Second)
+		}
+		reads, _ := f.calls()
+		f.Equal(reads, 1)
+		f.True(*f.asked >= 20) // about every two seconds
+		time.Sleep(2 * large * time.Second)
+		reads, _ = f.calls()
+		f.True(reads >= 2) // but now and then, whatever the revisions say
+		f.True(reads <= 4)
+		f.NoErr(f.lastHealth())
+	})
+}
+
+func TestASilentWatchOfALargeCatalogIsCoveredByItsRevision(t *testing.T) {
+	largeTestRun(t, large, func(f largeTest) {
+		f.set(silent)
+		time.Sleep(11 * time.Second) // the watch that waited has ended
+		f.put(plainReplica("c", 0))
+		time.Sleep(3 * time.Second)
+		f.True(f.has("c"))
+		f.drop("c")
+		time.Sleep(3 * time.Second)
+		f.True(!f.has("c"))
+	})
+}
+
+func TestALargeCatalogIsReadWholeOnceThePublisherIsBack(t *testing.T) {
+	largeTestRun(t, large, func(f largeTest) {
+		f.set(failing)
+		time.Sleep(5 * time.Second)
+		f.True(f.lastHealth() != nil)
+		before, _ := f.calls()
+		f.drop("r-1")
+		f.set(healthy)
+		time.Sleep(5 * time.Second)
+		after, _ := f.calls()
+		f.True(after > before)
+		f.True(!f.has("r-1"))
+		f.NoErr(f.lastHealth())
+	})
+}
+
+func TestASmallCatalogIsReadAsBefore(t *testing.T) {
+	largeTestRun(t, 15, func(f largeTest) {
+		time.Sleep(time.Minute)
+		reads, _ := f.calls()
+		f.True(reads >= 20)
+		f.Equal(*f.asked, 0)
+	})
+}
