--- a/control/measure.go
+++ b/control/measure.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -12,6 +13,7 @@
 	"github.com/havenrudder/havenrudder/commands"
 	"github.com/havenrudder/havenrudder/measure/capacity"
 	"github.com/havenrudder/havenrudder/measure/control"
+	"github.com/havenrudder/havenrudder/measure/gossip"
 	"github.com/havenrudder/havenrudder/measure/once"
 	"github.com/havenrudder/havenrudder/measure/plot"
 	"github.com/havenrudder/havenrudder/measure/policy"
@@ -49,9 +51,11 @@
 measure relay
 measure capacity [-page FILE] [-slopes FILE]
 measure plot [-rows FILE] bundle|policy
+measure gossip [-seed S]
 measure bundle [-boxes N] [-changes N] [-rate R] [-seed S]
   Run an experiment; each row is one JSON object.
   once    calls that may not be repeated, under faults, in virtual time
+  gossip  what heartbeats cost, and how fast boxes know of each other, in virtual time
   bundle  how fast a bundle is in force, and what that costs, over real sockets
   relay   answers through a box beside direct ones, over real sockets
   control what one more box, replica, organisation, change, request or token costs
@@ -68,7 +72,7 @@
 	f := flag.NewFlagSet(name, flag.ContinueOnError)
 	f.Uint64Var(&c.seed, "seed", 1, "seed")
 	f.IntVar(&c.ops, "ops", 20_000, "operations of each row (once)")
-	f.IntVar(&c.boxes, "boxes", 48, "boxes (bundle)")
+	f.IntVar(&c.boxes, "boxes", 0, "boxes (bundle, 48 if none are named; gossip, all sizes)")
 	f.IntVar(&c.changes, "changes", 10, "changes (bundle)")
 	f.IntVar(&c.touch, "touch", 1, "organisations that each change touches (bundle)")
 	f.Float64Var(&c.rate, "rate", control.ChangeRate, "changes a second (bundle)")
@@ -102,6 +106,8 @@
 		return c.once()
 	case "policy":
 		return c.policy()
+	case "gossip":
+		return c.gossip()
 	case "bundle":
 		return c.bundle(ctx)
 	case "control":
@@ -116,6 +122,9 @@
 	return errors.Newf("no experiment %q", name)
 }
 
+// bundleBoxes is how many boxes are measured where none are named.
+const bundleBoxes = 48
+
 // printRow prints a row as one line.
 func printRow(row any) error {
 	return errors.Wrap(json.NewEncoder(os.Stdout).Encode(row), "row")
@@ -136,6 +145,18 @@
 	return nil
 }
 
+func (c *measureCmd) gossip() error {
+	for _, size := range gossip.Sizes(c.seed) {
+		if c.boxes > 0 && c.boxes != size.Boxes {
+			continue
+		}
+		if err := printRow(gossip.Measure(size)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *measureCmd) policy() error {
 	known := false
 	for _, one := range policy.Cases() {
@@ -162,7 +183,7 @@
 func (c *measureCmd) bundle(ctx context.Context) error {
 	for _, v := range control.Variants() {
 		row, err := control.Bundle(ctx, v, control.Options{
-			Boxes:   c.boxes,
+			Boxes:   cmp.Or(c.boxes, bundleBoxes),
 			Changes: c.changes,
 			Rate:    c.rate,
 			Seed:    c.seed,
--- a/node/away.go
+++ b/node/away.go
@@ -187,7 +187,7 @@
 func (s *state) roomIn(boxes []roster.Member, service string, now time.Duration) (out placement.Outlook, ok bool) {
 	newest := time.Duration(-1)
 	for _, m := range boxes {
-		if m.Heard <= newest || now-m.Heard > roomsFor {
+		if m.Told <= newest || now-m.Told > max(roomsFor, s.roster.RoomsAge()) {
 			continue
 		}
 		at := slices.IndexFunc(m.Status.Rooms, func(r wire.ServiceRoom) bool { return r.Service == service })
@@ -195,13 +195,13 @@
 			continue
 		}
 		room := m.Status.Rooms[at]
-		newest = m.Heard
+		newest = m.Told
 		out = placement.Outlook{
 			Expect: time.Duration(room.WaitMs) * time.Millisecond,
 			Busy:   float64(room.Busy) / percent,
 			Usable: room.Usable,
 			Fewest: room.Fewest,
-			AgeMs:  (now - m.Heard).Milliseconds(),
+			AgeMs:  (now - m.Told).Milliseconds(),
 		}
 		ok = room.Usable > 0 && out.Expect < noRoom
 	}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -13,15 +13,12 @@
 	"github.com/havenrudder/havenrudder/wire"
 )
 
-const (
-	passEvery = 4 // rounds in which others' statuses are passed on, once a second, as to other regions
-	passedOn  = 8 // other boxes' statuses in one datagram
-)
-
 // runGossip tells other boxes of this one, and listens to them.
 func (n *Node) runGossip(ctx context.Context) {
 	for _, conn := range n.listeners.packets {
-		link := roster.NewLink(conn, func(g wire.Gossip, _ net.Addr) { n.hear(ctx, g) })
+		link := roster.NewLink(conn,
+			func(g wire.Gossip, _ net.Addr) { n.hear(ctx, g) },
+			roster.WithBriefs(func(b roster.Brief, from net.Addr) { n.hearBrief(ctx, b, from.String()) }))
 		n.links = append(n.links, link)
 	}
 	for _, link := range n.links { // when all are there, for a message that comes is answered
@@ -37,91 +34,100 @@
 		}
 	})
 	n.tasks.Go(func() {
-		n.send(n.message(), n.everyone(), true)
-		for round := 0; ctx.Err() == nil; round++ {
+		n.tellEveryone(true)
+		for ctx.Err() == nil {
 			sleep.For(ctx, roster.Tick)
-			n.tell(round)
+			n.tell()
 			n.watchMembers()
 		}
 	})
 }
 
-// tell sends one round of datagrams. What this box heard of others is passed on in
-// some of them only, for bytes are bounded.
-func (n *Node) tell(round int) {
-	var targets []string
-	_ = n.state.Do(func(s *state) { targets = s.roster.Targets(n.now(), rand.IntN) })
-	g := n.message()
-	if round%passEvery != 0 {
-		g.Others = nil
-	}
-	n.send(g, targets, false)
+// tell sends one round of datagrams.
+func (n *Node) tell() {
+	n.send(func(s *state, self wire.BoxStatus) []roster.Packet {
+		out := s.roster.Tell(self, n.now(), rand.IntN)
+		s.view.OthersFor(s.roster.LoadsAge())
+		return out
+	})
 }
 
-// tellEveryone sends news that can't wait for the next round.
-func (n *Node) tellEveryone() { n.send(n.message(), n.everyone(), false) }
+// tellEveryone sends news that can't wait for the next round. With ask the others
+// answer at once.
+func (n *Node) tellEveryone(ask bool) {
+	n.send(func(s *state, self wire.BoxStatus) []roster.Packet {
+		return s.roster.TellEveryone(self, n.now(), ask)
+	})
+}
 
 // tellLoads tells the boxes of the region what this one has at its replicas.
 func (n *Node) tellLoads() {
-	var targets []string
-	_ = n.state.Do(func(s *state) { targets = s.roster.OwnRegion(n.now()) })
-	g := n.message()
-	g.Others = nil
-	n.send(g, targets, false)
+	n.send(func(s *state, self wire.BoxStatus) []roster.Packet {
+		return s.roster.TellLoads(self, n.now(), rand.IntN)
+	})
 }
 
-// everyone returns the addresses for news that can't wait.
-func (n *Node) everyone() (out []string) {
-	_ = n.state.Do(func(s *state) { out = s.roster.Everyone(n.now()) })
-	return out
+// send sends what is made of the state and of what this box says of itself now.
+func (n *Node) send(from func(s *state, self wire.BoxStatus) []roster.Packet) {
+	var out []roster.Packet
+	_ = n.state.Do(func(s *state) { out = from(s, n.self(s)) })
+	n.post(out)
 }
 
-// send sends a message to the boxes at some addresses. With ask they answer at
-// once.
-func (n *Node) send(g wire.Gossip, targets []string, ask bool) {
-	g.Ask = ask
-	for _, addr := range targets {
-		_ = n.links[0].Send(addr, g) // a datagram may be lost anyway, and the next one follows
+// post sends datagrams.
+func (n *Node) post(list []roster.Packet) {
+	for _, p := range list {
+		_ = n.links[0].Post(p) // a datagram may be lost anyway, and the next one follows
 	}
 }
 
-// message returns what this box says of itself now.
-func (n *Node) message() (g wire.Gossip) {
-	_ = n.state.Do(func(s *state) {
-		g.From = s.fill(n.status(), n.now())
-		g.Others = s.roster.Digest(n.now(), passedOn)
-	})
+// self returns what this box says of itself now.
+func (n *Node) self(s *state) wire.BoxStatus {
+	out := s.fill(n.status(), n.now())
 	if n.closed.Load() {
-		g.From.Callers = ""
+		out.Callers = ""
 	}
 	switch {
 	case n.leaving.Load():
-		g.From.State = wire.ServingStateLeaving
+		out.State = wire.ServingStateLeaving
 	case n.table.Load() == nil:
-		g.From.State = wire.ServingStateStarting
+		out.State = wire.ServingStateStarting
 	}
-	return g
+	return out
 }
 
-// hear takes a datagram in. A box that knows more than one that can't read the
-// catalog itself is asked for it.
+// hear takes a datagram of whole statuses in.
 func (n *Node) hear(ctx context.Context, g wire.Gossip) {
-	revision := int64(0)
-	_ = n.state.Do(func(s *state) {
-		s.hear(g, n.now())
-		revision = s.content.Revision()
-	})
+	_ = n.state.Do(func(s *state) { s.hear(g, n.now()) })
 	if g.Ask && g.From.Peers != "" {
-		n.send(n.message(), []string{g.From.Peers}, false)
+		n.send(func(s *state, self wire.BoxStatus) []roster.Packet {
+			return s.roster.Answer(self, g.From.Peers, n.now())
+		})
 	}
-	n.feed.Behind(int64(g.From.Catalog))
-	if g.From.Peers == "" || !n.pulls(g.From, revision) {
+	n.learn(ctx, g.From, int64(g.From.Catalog))
+}
+
+// hearBrief takes a brief in.
+func (n *Node) hearBrief(ctx context.Context, b roster.Brief, from string) {
+	var h roster.Heard
+	_ = n.state.Do(func(s *state) { h = s.hearBrief(b, from, n.now()) })
+	n.post(h.Replies)
+	n.learn(ctx, h.Status, max(b.Catalog, b.Newest))
+}
+
+// learn takes in which revision of the catalog a box knows, or has heard of. A box
+// that knows more than one that can't read the catalog itself is asked for it.
+func (n *Node) learn(ctx context.Context, from wire.BoxStatus, newest int64) {
+	revision := int64(0)
+	_ = n.state.Do(func(s *state) { revision = s.content.Revision() })
+	n.feed.Behind(newest)
+	if from.Peers == "" || !n.pulls(from, revision) {
 		return
 	}
 	if n.pulling.CompareAndSwap(false, true) {
 		n.tasks.Go(func() {
 			defer n.pulling.Store(false)
-			n.pull(ctx, g.From)
+			n.pull(ctx, from)
 			sleep.For(ctx, pullPause)
 		})
 	}
--- a/node/pull.go
+++ b/node/pull.go
@@ -102,7 +102,7 @@
 		n.table.Store(s.table)
 	})
 	if first && n.table.Load() != nil {
-		n.tellEveryone() // this box serves from now on
+		n.tellEveryone(false) // this box serves from now on
 	}
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -126,12 +126,12 @@
 		return
 	case <-n.stop:
 	}
-	n.tellEveryone()
+	n.tellEveryone(false)
 	limit, stop := context.WithTimeout(ctx, n.settings.Bounds.StopWithin-stopEarly)
 	defer stop()
 	sleep.For(limit, min(lameTime, n.settings.Bounds.StopWithin/2))
 	n.closed.Store(true)
-	n.tellEveryone()
+	n.tellEveryone(false)
 	for _, s := range servers {
 		if err := s.Shutdown(limit); err != nil {
 			n.record(decision.Event{
--- a/node/state.go
+++ b/node/state.go
@@ -92,7 +92,7 @@
 func (s *state) sharers(now time.Duration) []string {
 	out := []string{s.settings.Box}
 	for _, m := range s.roster.Members() {
-		if m.Status.Region == s.settings.Region && now-m.Heard < sharersFor {
+		if m.Status.Region == s.settings.Region && now-m.Seen < sharersFor {
 			out = append(out, m.Status.Box)
 		}
 	}
@@ -111,7 +111,7 @@
 func (s *state) spenders(now time.Duration) int {
 	n := 1
 	for _, m := range s.roster.Members() {
-		if now-m.Heard < sharersFor {
+		if now-m.Seen < sharersFor {
 			n++
 		}
 	}
@@ -123,16 +123,7 @@
 	if s.roster.Hear(g.From, true, now) && g.From.Region == s.settings.Region {
 		loads := make([]placement.OwnLoad, 0, len(g.From.Loads))
 		for _, l := range g.From.Loads {
-			loads = append(loads, placement.OwnLoad{
-				Replica: l.Replica,
-				Failing: l.Failing,
-				Load: placement.Load{
-					Requests: l.InFlight,
-					Tokens:   l.Tokens,
-					Unread:   l.Prompt,
-					Reads:    l.Reads,
-				},
-			})
+			loads = append(loads, ownLoad(l.Replica, l))
 		}
 		s.view.Told(g.From.Box, loads, now)
 	}
@@ -141,6 +132,40 @@
 	}
 }
 
+// hearBrief takes another box's brief in.
+func (s *state) hearBrief(b roster.Brief, from string, now time.Duration) roster.Heard {
+	h := s.roster.HearBrief(b, from, now)
+	if !h.Newer || h.Status.Region != s.settings.Region || (len(h.Loads) == 0 && !h.All) {
+		return h
+	}
+	short := make(map[roster.ReplicaID]string)
+	for _, r := range s.view.Replicas() {
+		short[roster.ReplicaIDOf(r.ID())] = r.ID()
+	}
+	loads := make([]placement.OwnLoad, 0, len(h.Loads))
+	for _, l := range h.Loads {
+		if id, ok := short[l.Replica]; ok {
+			loads = append(loads, ownLoad(id, l.Load))
+		}
+	}
+	s.view.Told(h.Sender, loads, now)
+	return h
+}
+
+// ownLoad returns what a box says of a replica as placement takes it.
+func ownLoad(replica string, l wire.ReplicaLoad) placement.OwnLoad {
+	return placement.OwnLoad{
+		Replica: replica,
+		Failing: l.Failing,
+		Load: placement.Load{
+			Requests: l.InFlight,
+			Tokens:   l.Tokens,
+			Unread:   l.Prompt,
+			Reads:    l.Reads,
+		},
+	}
+}
+
 // fill adds to a status what changes.
 func (s *state) fill(b wire.BoxStatus, now time.Duration) wire.BoxStatus {
 	s.seq++
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -26,7 +26,7 @@
 	mutedOut     = 3                      // requests in a row without any answer until it is left out
 	warmParts    = 512                    // prompt parts remembered of one replica; about its memory over a small part
 	warmFor      = 20 * time.Second       // a part not used for longer has probably given way
-	othersFor    = 1 * time.Second        // what another box told counts so long; four of its messages
+	othersFor    = 1 * time.Second        // what another box told counts so long at least; four of its messages among few boxes
 	defaultHold  = 40 * time.Millisecond  // of a request where none of the service was answered yet
 	defaultSlots = 16                     // of a replica that tells none
 )
@@ -52,7 +52,7 @@
 // told is what another box said of its work at a replica.
 type told struct {
 	load Load
-	at   time.Duration
+	till time.Duration
 }
 
 // Replica is what a box knows of one replica.
@@ -110,7 +110,7 @@
 func (r *Replica) Load(now time.Duration) Load {
 	l := r.ownNow(now)
 	for _, o := range r.others {
-		if now-o.at < othersFor {
+		if now < o.till {
 			l = l.plus(o.load)
 		}
 	}
--- a/placement/view.go
+++ b/placement/view.go
@@ -24,6 +24,8 @@
 	byName   []*Replica // in the order of ids
 	closed   map[string]bool
 	pacer    *pacing.Pacer
+
+	othersFor time.Duration // what another box told counts so long
 }
 
 // NewView returns the view of a box in a failure domain of a region.
@@ -34,6 +36,8 @@
 		replicas: make(map[string]*Replica),
 		closed:   make(map[string]bool),
 		pacer:    pacer,
+
+		othersFor: othersFor,
 	}
 }
 
@@ -213,12 +217,16 @@
 		if r, ok := v.replicas[l.Replica]; ok {
 			r.others[box] = told{
 				load: l.Load,
-				at:   now,
+				till: now + v.othersFor,
 			}
 		}
 	}
 }
 
+// OthersFor sets how long what other boxes tell counts from now on: as long as they
+// take to tell it twice, but not less than among few boxes.
+func (v *View) OthersFor(d time.Duration) { v.othersFor = max(d, othersFor) }
+
 // OwnLoad is one box's work at one replica.
 type OwnLoad struct {
 	Replica string
--- /dev/null
+++ b/roster/brief.go
@@ -0,0 +1,187 @@
+package roster
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	briefMark  = 1                      // first byte of a brief; gossip begins with a brace
+	vitalBytes = 7                      // of one box in a brief
+	ageUnit    = 100 * time.Millisecond // of an age in a brief; with one byte 25.5 s
+	tokenUnit  = 16                     // tokens in which loads are told; a step of an engine reads more
+)
+
+// ErrBrief is the reason to refuse a brief that no box sends.
+var ErrBrief = errors.New("brief can't be read")
+
+// ID stands for one incarnation of a box in briefs. Two boxes of 390 share one
+// with a chance of 2 in 100,000; a box whose ID is taken is told in whole statuses.
+type ID uint32
+
+// IDOf returns the ID of an incarnation.
+func IDOf(box string, inc int) ID {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(box)) // a hash takes everything
+	_, _ = h.Write(strconv.AppendInt([]byte{0}, int64(inc), 10))
+	return ID(h.Sum32())
+}
+
+// ReplicaID stands for a replica in briefs.
+type ReplicaID uint32
+
+// ReplicaIDOf returns the short form of a replica's id.
+func ReplicaIDOf(id string) ReplicaID {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash takes everything
+	return ReplicaID(h.Sum32())
+}
+
+// Vital says that a box was alive: which heartbeat of it was heard, and how long
+// ago by the sender's clock.
+type Vital struct {
+	ID   ID
+	Beat uint16 // low bits of the number of the heartbeat
+	Age  time.Duration
+}
+
+// BriefLoad is what the sender has in flight at a replica.
+type BriefLoad struct {
+	Replica ReplicaID
+	Load    wire.ReplicaLoad // without the id
+}
+
+// BriefRooms is what the region of a box can take, as that box told.
+type BriefRooms struct {
+	From  Vital
+	Rooms []wire.ServiceRoom
+}
+
+// Brief is a datagram of many boxes: it names them by ID, and what never changes
+// of a box is told once, in a whole status.
+type Brief struct {
+	From    Vital
+	State   wire.ServingState
+	Closed  bool // it takes no requests of callers
+	Ping    bool // the sender asks for a sign of life at once
+	Loaded  bool // Loads are all that matter of the sender's; false where they were left out
+	Catalog int64
+	Newest  int64 // newest revision of the catalog that the sender has heard of
+	Policy  int
+	Vitals  []Vital
+	Silent  []Vital // boxes of whose death the sender knows; their last heartbeat
+	Leaving []ID    // boxes that live and have said that they leave
+	Unknown []ID    // boxes whose status the sender asks for
+	Loads   []BriefLoad
+	Rooms   []BriefRooms
+}
+
+// states in the order of their numbers in a brief.
+var states = []wire.ServingState{wire.ServingStateServing, wire.ServingStateStarting, wire.ServingStateLeaving}
+
+// bits of the byte after the state.
+const (
+	bitClosed = 1 << 7
+	bitLoaded = 1 << 6
+	bitPing   = 1 << 5
+	maskState = 0x0f
+)
+
+// encode returns b as a datagram.
+func (b Brief) encode() []byte {
+	out := make([]byte, 0, datagramBytes)
+	out = append(out, briefMark)
+	out = appendVital(out, b.From)
+	out = append(out, b.flags())
+	out = binary.AppendUvarint(out, uint64(b.Catalog))
+	out = binary.AppendUvarint(out, uint64(b.Newest))
+	out = binary.AppendUvarint(out, uint64(b.Policy))
+	out = appendVitals(out, b.Vitals)
+	out = appendVitals(out, b.Silent)
+	out = appendIDs(out, b.Leaving)
+	out = appendIDs(out, b.Unknown)
+	out = binary.AppendUvarint(out, uint64(len(b.Loads)))
+	for _, l := range b.Loads {
+		out = appendLoad(out, l)
+	}
+	out = binary.AppendUvarint(out, uint64(len(b.Rooms)))
+	for _, r := range b.Rooms {
+		out = appendRooms(out, r)
+	}
+	return out
+}
+
+// flags returns the state and what is said by single bits.
+func (b Brief) flags() byte {
+	out := byte(0)
+	for i, s := range states {
+		if s == b.State {
+			out = byte(i)
+		}
+	}
+	if b.Closed {
+		out |= bitClosed
+	}
+	if b.Loaded {
+		out |= bitLoaded
+	}
+	if b.Ping {
+		out |= bitPing
+	}
+	return out
+}
+
+func appendIDs(out []byte, list []ID) []byte {
+	out = binary.AppendUvarint(out, uint64(len(list)))
+	for _, id := range list {
+		out = binary.BigEndian.AppendUint32(out, uint32(id))
+	}
+	return out
+}
+
+func appendVitals(out []byte, list []Vital) []byte {
+	out = binary.AppendUvarint(out, uint64(len(list)))
+	for _, v := range list {
+		out = appendVital(out, v)
+	}
+	return out
+}
+
+func appendVital(out []byte, v Vital) []byte {
+	out = binary.BigEndian.AppendUint32(out, uint32(v.ID))
+	out = binary.BigEndian.AppendUint16(out, v.Beat)
+	return append(out, byte(min(max(0, (v.Age+ageUnit-1)/ageUnit), math.MaxUint8)))
+}
+
+func appendLoad(out []byte, l BriefLoad) []byte {
+	out = binary.BigEndian.AppendUint32(out, uint32(l.Replica))
+	first := uint64(l.Load.InFlight) << 1
+	if l.Load.Failing {
+		first |= 1
+	}
+	out = binary.AppendUvarint(out, first)
+	for _, tokens := range []int{l.Load.Tokens, l.Load.Prompt, l.Load.Reads} {
+		out = binary.AppendUvarint(out, uint64(max(0, tokens+tokenUnit-1)/tokenUnit))
+	}
+	return out
+}
+
+func appendRooms(out []byte, r BriefRooms) []byte {
+	out = appendVital(out, r.From)
+	out = binary.AppendUvarint(out, uint64(len(r.Rooms)))
+	for _, s := range r.Rooms {
+		out = binary.AppendUvarint(out, uint64(len(s.Service)))
+		out = append(out, s.Service...)
+		for _, n := range []int{s.Usable, s.WaitMs, s.Busy, s.Fewest} {
+			out = binary.AppendUvarint(out, uint64(max(0, n)))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/roster/brief_test.go
@@ -0,0 +1,115 @@
+package roster
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+func drawVital(t *rapid.T) Vital {
+	return Vital{
+		ID:   ID(rapid.Uint32().Draw(t, "id")),
+		Beat: rapid.Uint16().Draw(t, "beat"),
+		Age:  time.Duration(rapid.IntRange(0, 255).Draw(t, "age")) * ageUnit,
+	}
+}
+
+// list draws a list, nil where it is empty.
+func list[T any](t *rapid.T, most int, name string, one func() T) []T {
+	var out []T
+	for range rapid.IntRange(0, most).Draw(t, name) {
+		out = append(out, one())
+	}
+	return out
+}
+
+func drawBrief(t *rapid.T) Brief {
+	number := func() int { return rapid.IntRange(0, 1<<20).Draw(t, "number") }
+	tokens := func() int { return number() * tokenUnit }
+	vital := func() Vital { return drawVital(t) }
+	return Brief{
+		From:    vital(),
+		State:   rapid.SampledFrom(states).Draw(t, "state"),
+		Closed:  rapid.Bool().Draw(t, "closed"),
+		Loaded:  rapid.Bool().Draw(t, "loaded"),
+		Ping:    rapid.Bool().Draw(t, "ping"),
+		Catalog: rapid.Int64Min(0).Draw(t, "catalog"),
+		Newest:  rapid.Int64Min(0).Draw(t, "newest"),
+		Policy:  number(),
+		Vitals:  list(t, 40, "vitals", vital),
+		Silent:  list(t, 4, "silent", vital),
+		Leaving: list(t, 4, "leaving", func() ID { return ID(rapid.Uint32().Draw(t, "leaves")) }),
+		Unknown: list(t, 4, "unknown", func() ID { return ID(rapid.Uint32().Draw(t, "asked")) }),
+		Loads: list(t, 9, "loads", func() BriefLoad {
+			return BriefLoad{
+				Replica: ReplicaID(rapid.Uint32().Draw(t, "replica")),
+				Load: wire.ReplicaLoad{
+					InFlight: number(),
+					Failing:  rapid.Bool().Draw(t, "failing"),
+					Tokens:   tokens(),
+					Prompt:   tokens(),
+					Reads:    tokens(),
+				},
+			}
+		}),
+		Rooms: list(t, 2, "rooms", func() BriefRooms {
+			return BriefRooms{
+				From: vital(),
+				Rooms: list(t, 2, "services", func() wire.ServiceRoom {
+					return wire.ServiceRoom{
+						Service: rapid.StringMatching(`[a-z]{1,20}`).Draw(t, "service"),
+						Usable:  number(),
+						WaitMs:  number(),
+						Busy:    number(),
+						Fewest:  number(),
+					}
+				}),
+			}
+		}),
+	}
+}
+
+func TestABriefIsReadAsItWasWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := drawBrief(t)
+		got, err := DecodeBrief(b.encode())
+		if err != nil || !reflect.DeepEqual(got, b) {
+			t.Fatalf("%+v\nbecame\n%+v\n(%v)", b, got, err)
+		}
+	})
+}
+
+func TestABriefThatIsCutOrLongerIsRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		buf := drawBrief(t).encode()
+		if _, err := DecodeBrief(buf[:rapid.IntRange(0, len(buf)-1).Draw(t, "cut")]); err == nil {
+			t.Fatal("a part of a brief was taken")
+		}
+		if _, err := DecodeBrief(append(buf, 0)); err == nil {
+			t.Fatal("a brief with more behind it was taken")
+		}
+	})
+}
+
+func TestAnyBytesAreReadOrRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		buf := append([]byte{briefMark}, rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "bytes")...)
+		_, _ = DecodeBrief(buf) // it must not panic, and takes no more memory than the bytes allow
+	})
+}
+
+func TestAVitalTakesWhatTheBudgetCounts(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(appendVital(nil, Vital{})), vitalBytes)
+	empty := Brief{
+		Catalog: 1 << 40,
+		Newest:  1 << 40,
+		Policy:  1 << 20,
+	}
+	is.True(len(empty.encode()) <= leanBytes)
+}
--- a/roster/digest.go
+++ b/roster/digest.go
@@ -60,7 +60,7 @@
 func (t *Table) byTurn(now time.Duration) []*record {
 	var list []*record
 	for _, r := range t.records {
-		if r.alive(now) {
+		if t.alive(r, now) {
 			list = append(list, r)
 		}
 	}
--- /dev/null
+++ b/roster/lean.go
@@ -0,0 +1,120 @@
+package roster
+
+import (
+	"time"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// Limits of what is told among many boxes.
+const (
+	mostVitals   = 96               // boxes of the own region in one brief: all of a region of 91, as 1,000 boxes in 11 regions have
+	farVitals    = 8                // boxes of other regions in one brief, beside one of each region
+	mostSilent   = 24               // deaths in one brief; the rest in the next
+	mostLeaving  = 16               // boxes that leave in one brief
+	deathFan     = 3                // boxes that are told at once of a death just known
+	mostUnknown  = 32               // boxes asked for at once
+	mostAnswers  = 16               // datagrams of statuses in a tick for those who ask
+	mostNews     = 64               // boxes whose news wait to be passed on; of others the next briefs tell
+	newsFan      = 6                // boxes that each box passes news on to: all but one in 400 hear of it, and these by the next briefs
+	newsLoads    = 8                // boxes in the news of one tick, in two datagrams
+	revisionFan  = 6                // boxes that are told of a newer revision at once
+	perAnswer    = 4                // statuses in one datagram, by TestSizesOfStatuses
+	newsBeats    = 20               // heartbeats until which a box has begun of late: 5 s
+	tellDeathFor = 25 * time.Second // after the last sign of life; an age in a brief has room for no more
+	deathSlack   = 2 * time.Second  // by which a sign of life that only another region had may be later than those of the own one
+	pausedFor    = time.Second      // a box that was paused for so long has missed what others told
+	askedFor     = time.Second      // a box is asked for again only after it
+	cutFor       = 15 * time.Second // a region that was silent for longer was cut off, and each of its boxes has to be heard anew
+	pingAt       = 70               // percent of the time for which a box counts as alive; the rest is six ticks of 6 s
+	mostPings    = 4                // in a tick
+	percent      = 100
+	seedsPace    = 3 // boxes of all that ask a seed in the same round of seeds
+)
+
+// lean is what a table needs where boxes are many.
+type lean struct {
+	self      ID
+	said      wire.BoxStatus // of this box, without loads
+	byID      map[ID]*record // nil for an ID that two boxes share
+	old       map[ID]time.Duration
+	asked     map[ID]time.Duration
+	regions   map[string]regionNews
+	news      []string // boxes whose news were not passed on yet
+	near      []string // boxes of the own region still to be told in this round
+	farRegion []string // regions still to be told
+	rounds    int
+	purse     float64 // bytes that may be sent now
+	answers   int     // datagrams in this tick
+	newest    int64   // revision of the catalog that others tell of
+	passed    int64   // revision that others were told of at once
+	lastTick  time.Duration
+	lastHeard time.Duration
+	died      bool          // a death became known since the last round
+	mute      time.Duration // until then this box tells no deaths
+}
+
+func newLean() lean {
+	return lean{
+		byID:    make(map[ID]*record),
+		old:     make(map[ID]time.Duration),
+		asked:   make(map[ID]time.Duration),
+		regions: make(map[string]regionNews),
+	}
+}
+
+// drop forgets the ID of a record, but remembers for a while that it is an old one.
+func (l *lean) drop(r *record, now time.Duration) {
+	delete(l.byID, r.id)
+	l.old[r.id] = now
+}
+
+// asks says whether to ask for a box, and notes that it is asked for.
+func (l *lean) asks(id ID, now time.Duration) bool {
+	if at, ok := l.asked[id]; ok && now-at < askedFor {
+		return false
+	}
+	l.asked[id] = now
+	return true
+}
+
+// sweep forgets what was asked for and replaced long ago.
+func (l *lean) sweep(now time.Duration) {
+	for id, at := range l.asked {
+		if now-at >= askedFor {
+			delete(l.asked, id)
+		}
+	}
+	for id, at := range l.old {
+		if now-at >= silentFor {
+			delete(l.old, id)
+		}
+	}
+}
+
+// Packet is a datagram to send.
+type Packet struct {
+	Addr string
+	Buf  []byte
+}
+
+// outbox collects packets and takes their bytes off the purse.
+type outbox struct {
+	lean *lean
+	own  string
+	list []Packet
+}
+
+func (o *outbox) send(addr string, buf []byte) {
+	if addr == "" || addr == o.own || len(buf) == 0 {
+		return
+	}
+	o.lean.purse -= float64(len(buf) + headerBytes)
+	o.list = append(o.list, Packet{
+		Addr: addr,
+		Buf:  buf,
+	})
+}
+
+// left says whether bytes are left to send.
+func (o *outbox) left() bool { return o.lean.purse > 0 }
--- a/roster/link.go
+++ b/roster/link.go
@@ -26,6 +26,7 @@
 type Link struct {
 	conn     net.PacketConn
 	handle   func(g wire.Gossip, from net.Addr)
+	brief    func(b Brief, from net.Addr)
 	sent     atomic.Int64
 	received atomic.Int64
 
@@ -34,13 +35,26 @@
 	reason  error
 }
 
-// NewLink returns the link on conn. It calls handle for each datagram, one after
-// the other, from the goroutine that runs it.
-func NewLink(conn net.PacketConn, handle func(g wire.Gossip, from net.Addr)) *Link {
-	return &Link{
+// LinkOption changes a Link that is made.
+type LinkOption func(*Link)
+
+// WithBriefs sets what is called for each brief.
+func WithBriefs(f func(b Brief, from net.Addr)) LinkOption {
+	return func(l *Link) { l.brief = f }
+}
+
+// NewLink returns the link on conn. It calls handle for each datagram of whole
+// statuses, one after the other, from the goroutine that runs it.
+func NewLink(conn net.PacketConn, handle func(g wire.Gossip, from net.Addr), opts ...LinkOption) *Link {
+	l := &Link{
 		conn:   conn,
 		handle: handle,
+		brief:  func(Brief, net.Addr) {},
 	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
 }
 
 // Run reads datagrams until ctx ends or the socket is closed, and closes the
@@ -76,6 +90,15 @@
 		l.drop(errTooLong)
 		return
 	}
+	if IsBrief(buf) {
+		b, err := DecodeBrief(buf)
+		if err != nil {
+			l.drop(err)
+			return
+		}
+		l.brief(b, from)
+		return
+	}
 	g, err := Decode(buf)
 	if err != nil {
 		l.drop(err)
@@ -87,17 +110,25 @@
 // Send sends g to an address, IP:port. It does not wait for an answer, and a
 // datagram that is lost on the way is no error.
 func (l *Link) Send(addr string, g wire.Gossip) error {
-	to, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return errors.Wrap(err, "send gossip")
-	}
 	buf, err := Encode(g)
 	if err != nil {
 		return err
 	}
-	n, err := l.conn.WriteTo(buf, net.UDPAddrFromAddrPort(to))
+	return l.Post(Packet{
+		Addr: addr,
+		Buf:  buf,
+	})
+}
+
+// Post sends a datagram that is ready.
+func (l *Link) Post(p Packet) error {
+	to, err := netip.ParseAddrPort(p.Addr)
+	if err != nil {
+		return errors.Wrap(err, "send gossip")
+	}
+	n, err := l.conn.WriteTo(p.Buf, net.UDPAddrFromAddrPort(to))
 	l.sent.Add(int64(n))
-	return errors.Wrapf(err, "send gossip to %s", addr)
+	return errors.Wrapf(err, "send gossip to %s", p.Addr)
 }
 
 // Sent returns the bytes sent, without the headers of UDP and IP.
--- /dev/null
+++ b/roster/pace_test.go
@@ -0,0 +1,175 @@
+package roster
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+func TestFewBoxesKeepTheirPace(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{1, 2, 8, 9, 12, 18, 24} {
+		p := paceOf((n+2)/3-1, min(2, n-1), n)
+		is.True(p.plain)
+		is.Equal(p.own, aliveFor)
+		is.Equal(p.region, aliveFor)
+	}
+}
+
+func TestManyBoxesKeepTheBudget(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{30, 64, 86} {
+		p := paceOf(n/3, 2, n)
+		is.True(!p.plain)
+		is.True(p.bytes <= leastBytes*math.Pow(390/float64(n), steepness)+1)
+	}
+	for _, n := range []int{390, 1000} {
+		p := paceOf(n/11, 10, n)
+		is.Equal(p.bytes, float64(leastBytes))
+	}
+}
+
+func TestTheBoundsOnAliveBoxesFollowThePaceAndStayBelowTheirLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 1000).Draw(t, "boxes")
+		regions := rapid.IntRange(1, 11).Draw(t, "regions")
+		p := paceOf(n/regions, regions-1, n)
+		if p.own < aliveFor || p.own > longestAlive || p.region > longestAlive {
+			t.Fatalf("%+v", p)
+		}
+		if p.nearRound < Tick || p.bytes < leastBytes {
+			t.Fatalf("%+v", p)
+		}
+	})
+}
+
+func TestATickSpendsNoMoreThanTheBudget(t *testing.T) {
+	is := is.New(t)
+	tab := New(status("a", "north", 1, 0))
+	crowd(tab, "north", 60, 0)
+	crowd(tab, "south", 60, 0)
+	spent := 0
+	const seconds = 20
+	for i := range seconds * int(time.Second/Tick) {
+		now := time.Duration(i) * Tick
+		crowd(tab, "north", 60, now)
+		crowd(tab, "south", 60, now)
+		for _, p := range tab.Tell(full("a", 2, 40), now, first) {
+			spent += len(p.Buf) + headerBytes
+		}
+	}
+	is.True(!tab.Plain())
+	is.True(spent > 0)
+	is.True(float64(spent) <= (seconds+1)*tab.pace.bytes)
+}
+
+// many returns a table of so many boxes that it keeps the budget.
+func many(now time.Duration) *Table {
+	tab := New(status("a", "north", 1, 0))
+	crowd(tab, "north", 60, now)
+	crowd(tab, "south", 60, now)
+	tab.Adapt(now)
+	return tab
+}
+
+// word returns a brief of a box that has nothing else to say.
+func word(box string, beat uint16) Brief {
+	return Brief{
+		From: Vital{
+			ID:   IDOf(box, 1),
+			Beat: beat,
+		},
+		State: wire.ServingStateServing,
+	}
+}
+
+func TestADeathThatItsRegionTellsOfCountsUntilTheBoxIsHeardAnew(t *testing.T) {
+	is := is.New(t)
+	tab := many(0)
+	const now = 7 * time.Second
+	dead := Vital{
+		ID:   IDOf("south-01", 1),
+		Beat: 1,
+		Age:  now,
+	}
+	told := word("south-02", 9)
+	told.Silent = []Vital{dead}
+	tab.HearBrief(told, "south-02:1", now)
+	is.True(!tab.Alive("south-01", now))
+	is.True(tab.Alive("south-02", now))
+	is.True(tab.Alive("south-03", now)) // its region is heard, and nobody says that it is dead
+
+	late := word("south-02", 10)
+	late.Vitals = []Vital{{ID: dead.ID, Beat: 2, Age: now - time.Second}} // heard by few, just before it died
+	tab.HearBrief(late, "south-02:1", now)
+	is.True(!tab.Alive("south-01", now))
+
+	tab.HearBrief(word("south-01", 3), "south-01:1", now)
+	is.True(tab.Alive("south-01", now))
+	told.From.Beat = 11
+	tab.HearBrief(told, "south-02:1", now) // those who missed it go on telling
+	is.True(tab.Alive("south-01", now))
+}
+
+func TestARegionThatIsSilentIsDeadAndAQuotaStillCountsIt(t *testing.T) {
+	is := is.New(t)
+	tab := many(0)
+	tab.Adapt(longestAlive)
+	is.True(tab.Alive("south-01", longestAlive))
+	const now = longestAlive + Tick
+	tab.Adapt(now)
+	is.True(!tab.Alive("south-01", now))
+	is.Equal(len(tab.Serving("south", now)), 0)
+	for _, m := range tab.Members() {
+		is.True(now-m.Seen < silentFor)
+	}
+}
+
+func TestAnUnknownBoxIsAskedForAndThenKnown(t *testing.T) {
+	is := is.New(t)
+	asker, knows := many(0), many(0)
+	knows.say(status("b", "south", 1, 1))
+	knows.Hear(status("new", "south", 1, 1), true, 0)
+	asker.Hear(status("b", "south", 1, 1), true, 0)
+	b := word("b", 2)
+	b.Vitals = []Vital{{ID: IDOf("new", 1), Beat: 1}}
+	h := asker.HearBrief(b, "b:1", 0)
+	is.Equal(len(h.Replies), 1)
+	is.Equal(h.Replies[0].Addr, "b:1")
+	q, err := DecodeBrief(h.Replies[0].Buf)
+	is.NoErr(err)
+	answers := knows.HearBrief(q, "c:1", 0).Replies
+	found := false
+	for _, p := range answers {
+		if IsBrief(p.Buf) {
+			continue
+		}
+		g, err := Decode(p.Buf)
+		is.NoErr(err)
+		for _, s := range g.Others {
+			asker.Hear(s, false, 0)
+			found = found || s.Box == "new"
+		}
+	}
+	is.True(found)
+	is.True(asker.Alive("new", 0))
+	is.Equal(len(asker.HearBrief(b, "b:1", 0).Replies), 0) // nothing is left to ask for
+}
+
+func TestAPingIsAnsweredAtOnce(t *testing.T) {
+	is := is.New(t)
+	tab := many(0)
+	tab.say(status("a", "north", 1, 5))
+	b := word("north-01", 2)
+	b.Ping = true
+	h := tab.HearBrief(b, "north-01:1", Tick)
+	is.Equal(len(h.Replies), 1)
+	got, err := DecodeBrief(h.Replies[0].Buf)
+	is.NoErr(err)
+	is.Equal(got.From.ID, IDOf("a", 1))
+}
--- /dev/null
+++ b/roster/parse.go
@@ -0,0 +1,153 @@
+package roster
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// maxNumber bounds the numbers of a brief, so that sums of them stay numbers.
+const maxNumber = math.MaxInt32
+
+// maxService is the length of the longest name of a service, as in the schema.
+const maxService = 64
+
+// IsBrief says whether a datagram is a brief.
+func IsBrief(buf []byte) bool { return len(buf) > 0 && buf[0] == briefMark }
+
+// DecodeBrief reads a brief and checks it.
+func DecodeBrief(buf []byte) (Brief, error) {
+	if !IsBrief(buf) {
+		return Brief{}, ErrBrief
+	}
+	p := parser{
+		rest: buf[1:],
+	}
+	b := Brief{
+		From: p.vital(),
+	}
+	flags := p.byte()
+	b.Closed = flags&bitClosed != 0
+	b.Loaded = flags&bitLoaded != 0
+	b.Ping = flags&bitPing != 0
+	state := int(flags & maskState)
+	if state >= len(states) {
+		return Brief{}, ErrBrief
+	}
+	b.State = states[state]
+	b.Catalog = p.long()
+	b.Newest = p.long()
+	b.Policy = int(p.long())
+	b.Vitals = parseList(&p, vitalBytes, p.vital)
+	b.Silent = parseList(&p, vitalBytes, p.vital)
+	id := func() ID { return ID(p.four()) }
+	b.Leaving = parseList(&p, 4, id)
+	b.Unknown = parseList(&p, 4, id)
+	b.Loads = parseList(&p, 8, p.load)
+	b.Rooms = parseList(&p, vitalBytes+1, p.rooms)
+	if p.bad || len(p.rest) > 0 {
+		return Brief{}, ErrBrief
+	}
+	return b, nil
+}
+
+// parser reads the parts of a brief. After the first mistake it gives zeros.
+type parser struct {
+	rest []byte
+	bad  bool
+}
+
+// take returns the next n bytes.
+func (p *parser) take(n int) []byte {
+	if p.bad || n > len(p.rest) {
+		p.bad = true
+		return make([]byte, min(n, maxService))
+	}
+	out := p.rest[:n]
+	p.rest = p.rest[n:]
+	return out
+}
+
+func (p *parser) byte() byte   { return p.take(1)[0] }
+func (p *parser) four() uint32 { return binary.BigEndian.Uint32(p.take(4)) }
+
+// long reads a revision.
+func (p *parser) long() int64 {
+	n, used := binary.Uvarint(p.rest)
+	if used <= 0 || n > math.MaxInt64 {
+		p.bad = true
+		return 0
+	}
+	p.rest = p.rest[used:]
+	return int64(n)
+}
+
+// number reads any other number.
+func (p *parser) number() int {
+	n := p.long()
+	if n > maxNumber {
+		p.bad = true
+		return 0
+	}
+	return int(n)
+}
+
+func (p *parser) vital() Vital {
+	return Vital{
+		ID:   ID(p.four()),
+		Beat: binary.BigEndian.Uint16(p.take(2)),
+		Age:  time.Duration(p.byte()) * ageUnit,
+	}
+}
+
+func (p *parser) load() BriefLoad {
+	out := BriefLoad{
+		Replica: ReplicaID(p.four()),
+	}
+	first := p.number()
+	out.Load = wire.ReplicaLoad{
+		InFlight: first >> 1,
+		Failing:  first&1 != 0,
+		Tokens:   p.number() * tokenUnit,
+		Prompt:   p.number() * tokenUnit,
+		Reads:    p.number() * tokenUnit,
+	}
+	return out
+}
+
+func (p *parser) rooms() BriefRooms {
+	return BriefRooms{
+		From:  p.vital(),
+		Rooms: parseList(p, 5, p.room),
+	}
+}
+
+func (p *parser) room() wire.ServiceRoom {
+	n := p.number()
+	if n == 0 || n > maxService {
+		p.bad = true
+	}
+	return wire.ServiceRoom{
+		Service: string(p.take(min(n, maxService))),
+		Usable:  p.number(),
+		WaitMs:  p.number(),
+		Busy:    p.number(),
+		Fewest:  p.number(),
+	}
+}
+
+// parseList reads a list whose entries take some bytes at least.
+func parseList[T any](p *parser, least int, one func() T) []T {
+	n := p.number()
+	if p.bad || n > len(p.rest)/least {
+		p.bad = true
+		return nil
+	}
+	var out []T
+	for range n {
+		out = append(out, one())
+	}
+	return out
+}
--- a/roster/table.go
+++ b/roster/table.go
@@ -23,7 +23,9 @@
 // Member is what is known of one box. Its status is shared: read it only.
 type Member struct {
 	Status wire.BoxStatus
-	Heard  time.Duration // our clock when the latest status came in
+	Heard  time.Duration // our clock when it was last known to be alive, by its own or others' word
+	Seen   time.Duration // our clock when it last counted as alive; quotas are divided by it
+	Told   time.Duration // our clock when its rooms were as they are stated
 	Known  time.Duration // our clock when this incarnation was first heard
 }
 
@@ -32,17 +34,20 @@
 	return cmp.Or(m.Status.State, wire.ServingStateServing)
 }
 
-// alive says whether the member was heard of late.
-func (m Member) alive(now time.Duration) bool { return now-m.Heard <= aliveFor }
-
 // record is a member with what the table needs to keep it. The loads and the
 // rooms have numbers of their own, as not every status carries them.
 type record struct {
 	Member
-	loadsSeq int  // heartbeat that brought the loads; -1 for none
-	roomsSeq int  // heartbeat that brought the rooms; -1 for none
-	due      int  // digest from which on it may be passed on again
-	fresh    bool // another region's box sent it itself, and it was not passed on yet
+	loadsSeq  int  // heartbeat that brought the loads; -1 for none
+	roomsSeq  int  // heartbeat that brought the rooms; -1 for none
+	due       int  // digest from which on it may be passed on again
+	fresh     bool // another region's box sent it itself, and it was not passed on yet
+	id        ID
+	turn      int           // round in which it was last passed on in a brief
+	silent    bool          // its region says that it is dead, and nothing newer was heard
+	deadSince time.Duration // our clock when its region heard it last, where it is silent
+	judged    bool          // this box of the own region was found to be dead, and others were told at once
+	retold    time.Duration // as of when its rooms were last passed on
 }
 
 // Table is the view of one box. It belongs to one actor.
@@ -54,6 +59,8 @@
 	digests int // calls of Digest
 	turn    int // first of the own region's members to send to next
 	silent  int // first of the silent members to send to next
+	pace    pace
+	lean    lean
 }
 
 // Option changes a table that is made.
@@ -71,6 +78,8 @@
 	t := &Table{
 		self:    self,
 		records: make(map[string]*record),
+		pace:    plainPace(),
+		lean:    newLean(),
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -101,14 +110,18 @@
 			},
 			loadsSeq: -1,
 			roomsSeq: -1,
+			id:       IDOf(s.Box, s.Inc),
 		}
-		t.records[s.Box] = r
+		t.replace(s.Box, r, now)
 	}
+	t.note(r, s, ok)
 	newer := s.Seq > r.Status.Seq
-	if newer && direct && s.Region != t.self.Region {
+	if newer && s.Region != t.self.Region && (direct || (!ok && !t.pace.plain)) {
 		r.fresh = true
 	}
-	return r.hear(s, direct, now)
+	changed := r.hear(s, direct, now)
+	t.mark(r, now)
+	return changed
 }
 
 // hear takes in a status of the incarnation that the record is of.
@@ -129,7 +142,12 @@
 	newer := s.Seq > r.Status.Seq
 	if newer {
 		r.Status = s
-		r.Heard = now
+		r.Told = now
+		if direct || !r.silent { // what others pass on may be old
+			r.Heard = now
+			r.Seen = now
+			r.silent = false
+		}
 	}
 	r.Status.Loads = loads
 	r.Status.Rooms = rooms
@@ -141,34 +159,39 @@
 
 // Members returns every known box but its own, by name.
 func (t *Table) Members() []Member {
-	return t.members(func(Member) bool { return true })
+	return t.members(func(*record) bool { return true })
 }
 
 // members returns the members for which keep says true.
-func (t *Table) members(keep func(Member) bool) []Member {
+func (t *Table) members(keep func(*record) bool) []Member {
 	out := make([]Member, 0, len(t.records))
 	for _, name := range slices.Sorted(maps.Keys(t.records)) {
-		if m := t.records[name].Member; keep(m) {
-			out = append(out, m)
+		if r := t.records[name]; keep(r) {
+			out = append(out, r.Member)
 		}
 	}
 	return out
 }
 
+// living returns the members alive at now.
+func (t *Table) living(now time.Duration) []Member {
+	return t.members(func(r *record) bool { return t.alive(r, now) })
+}
+
 // Alive says whether name was heard of late at now. The own box always is.
 func (t *Table) Alive(name string, now time.Duration) bool {
 	if name == t.self.Box {
 		return true
 	}
 	r, ok := t.records[name]
-	return ok && r.alive(now)
+	return ok && t.alive(r, now)
 }
 
 // Serving returns the boxes of a region that are alive at now and take new work,
 // by name, without its own. An empty region stands for all.
 func (t *Table) Serving(region string, now time.Duration) []Member {
-	return t.members(func(m Member) bool {
-		return within(region, m.Status.Region) && m.alive(now) && m.State() == wire.ServingStateServing
+	return t.members(func(r *record) bool {
+		return within(region, r.Status.Region) && r.State() == wire.ServingStateServing && t.alive(r, now)
 	})
 }
 
@@ -182,7 +205,7 @@
 		n++
 	}
 	for _, r := range t.records {
-		if within(region, r.Status.Region) && now-r.Heard <= mostFor {
+		if within(region, r.Status.Region) && now-r.Seen <= mostFor {
 			n++
 		}
 	}
@@ -197,7 +220,10 @@
 
 // forget drops the members that were silent for long.
 func (t *Table) forget(now time.Duration) {
-	maps.DeleteFunc(t.records, func(_ string, r *record) bool {
-		return now-r.Heard > forgetAfter
-	})
+	for name, r := range t.records {
+		if now-r.Heard > forgetAfter {
+			t.lean.drop(r, now)
+			delete(t.records, name)
+		}
+	}
 }
--- /dev/null
+++ b/roster/take.go
@@ -0,0 +1,133 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// Heard is what a brief says to a box, beside what its table keeps.
+type Heard struct {
+	Sender  string // the box that sent it; empty for one that isn't known yet
+	Status  wire.BoxStatus
+	Loads   []BriefLoad
+	All     bool     // the loads are all that matter
+	Newer   bool     // it is no late or repeated one
+	Replies []Packet // to send at once
+}
+
+// HearBrief takes a brief in that came from an address.
+func (t *Table) HearBrief(b Brief, from string, now time.Duration) Heard {
+	t.lean.lastHeard = now
+	out := &outbox{
+		lean: &t.lean,
+		own:  t.self.Peers,
+	}
+	var h Heard
+	r, newer, known := t.hearVital(b.From, now)
+	switch {
+	case r != nil:
+		h = t.hearSender(r, b, newer)
+	case !known && t.lean.asks(b.From.ID, now):
+		out.send(from, t.gossip(nil, true))
+	}
+	t.hearOthers(out, b, r, from, now)
+	t.hearRooms(b, now)
+	t.lean.newest = max(t.lean.newest, b.Newest, b.Catalog)
+	if b.Ping {
+		out.send(from, t.header().encode())
+	}
+	t.answer(out, b.Unknown, from, now)
+	h.Replies = out.list
+	return h
+}
+
+// hearSender takes in what the sender says of itself.
+func (t *Table) hearSender(r *record, b Brief, newer bool) Heard {
+	if newer {
+		s := r.Status
+		s.State = b.State
+		if b.Closed {
+			s.Callers = ""
+		}
+		s.Catalog = int(b.Catalog)
+		s.Policy = b.Policy
+		if r.State() == wire.ServingStateLeaving {
+			s.State = wire.ServingStateLeaving
+		}
+		if stateOf(s) != r.State() && len(t.lean.news) < mostNews {
+			t.lean.news = append(t.lean.news, s.Box)
+		}
+		r.Status = s
+		if s.Region != t.self.Region {
+			r.fresh = true
+		}
+	}
+	return Heard{
+		Sender: r.Status.Box,
+		Status: r.Status,
+		Loads:  b.Loads,
+		All:    b.Loaded,
+		Newer:  newer,
+	}
+}
+
+// hearOthers takes in which other boxes live and which don't, and asks for those
+// not known.
+func (t *Table) hearOthers(out *outbox, b Brief, sender *record, from string, now time.Duration) {
+	var unknown []ID
+	for _, v := range b.Vitals {
+		r, newer, known := t.hearVital(v, now)
+		if !known && len(unknown) < mostUnknown && t.lean.asks(v.ID, now) {
+			unknown = append(unknown, v.ID)
+		}
+		if newer && sender != nil && r.Status.Region != t.self.Region && r.Status.Region == sender.Status.Region {
+			r.fresh = true
+		}
+	}
+	for _, v := range b.Silent {
+		t.hearSilent(v, now)
+	}
+	for _, id := range b.Leaving {
+		if r := t.lean.byID[id]; r != nil {
+			r.Status.State = wire.ServingStateLeaving
+		}
+	}
+	if len(unknown) == 0 {
+		return
+	}
+	q := t.header()
+	q.Unknown = unknown
+	out.send(from, q.encode())
+}
+
+// hearRooms takes in what other regions can take.
+func (t *Table) hearRooms(b Brief, now time.Duration) {
+	for _, rooms := range b.Rooms {
+		r := t.lean.byID[rooms.From.ID]
+		if r == nil || now-rooms.From.Age <= r.Told {
+			continue
+		}
+		r.Status.Rooms = slices.Clone(rooms.Rooms)
+		r.roomsSeq = max(r.roomsSeq, widen(r.Status.Seq, rooms.From.Beat))
+		r.Told = now - rooms.From.Age
+	}
+}
+
+// answer sends the statuses that another box asks for.
+func (t *Table) answer(out *outbox, ids []ID, from string, now time.Duration) {
+	var list []wire.BoxStatus
+	for _, id := range ids {
+		if r := t.lean.byID[id]; r != nil && t.alive(r, now) {
+			list = append(list, r.bare())
+		}
+	}
+	for chunk := range slices.Chunk(list, perAnswer) {
+		if t.lean.answers >= mostAnswers {
+			return
+		}
+		t.lean.answers++
+		out.send(from, t.gossip(chunk, false))
+	}
+}
--- a/roster/targets.go
+++ b/roster/targets.go
@@ -30,7 +30,7 @@
 	t.forget(now)
 	tick := t.ticks
 	t.ticks++
-	alive := t.members(func(m Member) bool { return m.alive(now) })
+	alive := t.living(now)
 	out := targets{
 		own: t.self.Peers,
 	}
@@ -53,7 +53,7 @@
 // Everyone returns the addresses of all members alive, and the seeds, for news
 // that can't wait for the next tick: 64 at most, those of the own region first.
 func (t *Table) Everyone(now time.Duration) []string {
-	alive := t.members(func(m Member) bool { return m.alive(now) })
+	alive := t.living(now)
 	slices.SortStableFunc(alive, func(a, b Member) int {
 		return cmp.Compare(t.distance(a), t.distance(b))
 	})
@@ -71,7 +71,7 @@
 	out := targets{
 		own: t.self.Peers,
 	}
-	out.add(t.ownRegion(t.members(func(m Member) bool { return m.alive(now) })))
+	out.add(t.ownRegion(t.living(now)))
 	return out.list
 }
 
@@ -109,8 +109,8 @@
 // lateMembers returns members that were silent for a short time, in turn when they
 // are many.
 func (t *Table) lateMembers(now time.Duration) []Member {
-	silent := t.members(func(m Member) bool {
-		return !m.alive(now) && now-m.Heard < silentFor
+	silent := t.members(func(r *record) bool {
+		return !t.alive(r, now) && now-r.Heard < silentFor
 	})
 	return rotate(silent, &t.silent)
 }
@@ -118,7 +118,7 @@
 // longSilent returns one member that was silent for longer, at random: two parts
 // of the fleet meet again after a long cut also when no seed is up.
 func (t *Table) longSilent(now time.Duration, rnd func(n int) int) []Member {
-	silent := t.members(func(m Member) bool { return now-m.Heard >= silentFor })
+	silent := t.members(func(r *record) bool { return now-r.Heard >= silentFor })
 	return pick(silent, 1, rnd)
 }
 
@@ -137,7 +137,7 @@
 
 // pick moves n random members, or all when there are fewer, to the head of list
 // and returns them.
-func pick(list []Member, n int, rnd func(n int) int) []Member {
+func pick[T any](list []T, n int, rnd func(n int) int) []T {
 	n = min(n, len(list))
 	for i := range n {
 		j := i + rnd(len(list)-i)
--- /dev/null
+++ b/roster/tell.go
@@ -0,0 +1,85 @@
+package roster
+
+import (
+	"time"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// What is passed on among few boxes.
+const (
+	passEvery = 4 // ticks in which others' statuses are passed on, once a second, as to other regions
+	passedOn  = 8 // other boxes' statuses in one datagram
+)
+
+// Tell returns what a box sends at this tick. self is what it says of itself. It
+// is called once each Tick. rnd returns a random number from 0 to n-1.
+func (t *Table) Tell(self wire.BoxStatus, now time.Duration, rnd func(n int) int) []Packet {
+	t.Adapt(now)
+	if !t.pace.plain {
+		return t.Round(self, now, rnd)
+	}
+	t.say(self)
+	pass := t.ticks%passEvery == 0
+	targets := t.Targets(now, rnd)
+	others := t.Digest(now, passedOn)
+	if !pass {
+		others = nil // bytes are bounded
+	}
+	return plainPackets(targets, wire.Gossip{
+		From:   self,
+		Others: others,
+	})
+}
+
+// TellLoads returns what tells the boxes of the region at once what this one has
+// at its replicas.
+func (t *Table) TellLoads(self wire.BoxStatus, now time.Duration, rnd func(n int) int) []Packet {
+	if !t.pace.plain {
+		return t.Loads(self, now, rnd)
+	}
+	return plainPackets(t.OwnRegion(now), wire.Gossip{
+		From: self,
+	})
+}
+
+// TellEveryone returns news that can't wait, for as many boxes as hear it at once.
+// With ask they answer at once.
+func (t *Table) TellEveryone(self wire.BoxStatus, now time.Duration, ask bool) []Packet {
+	t.say(self)
+	return plainPackets(t.Everyone(now), t.plain(self, now, ask))
+}
+
+// Answer returns what this box says to one that asks.
+func (t *Table) Answer(self wire.BoxStatus, addr string, now time.Duration) []Packet {
+	t.say(self)
+	return plainPackets([]string{addr}, t.plain(self, now, false))
+}
+
+// plain returns whole statuses: the own one and some of others.
+func (t *Table) plain(self wire.BoxStatus, now time.Duration, ask bool) wire.Gossip {
+	return wire.Gossip{
+		From:   self,
+		Others: t.Digest(now, passedOn),
+		Ask:    ask,
+	}
+}
+
+// plainPackets returns the same gossip for some addresses.
+func plainPackets(targets []string, g wire.Gossip) []Packet {
+	if len(targets) == 0 {
+		return nil
+	}
+	buf, err := Encode(g)
+	if err != nil {
+		return nil // a box whose bare status doesn't fit is heard by nobody, and shows in their logs as absent
+	}
+	out := make([]Packet, 0, len(targets))
+	for _, addr := range targets {
+		out = append(out, Packet{
+			Addr: addr,
+			Buf:  buf,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/roster/whole.go
@@ -0,0 +1,200 @@
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// header returns a brief without lists.
+func (t *Table) header() Brief {
+	s := t.lean.said
+	return Brief{
+		From: Vital{
+			ID:   t.lean.self,
+			Beat: uint16(s.Seq),
+		},
+		State:   stateOf(s),
+		Closed:  s.Callers == "",
+		Catalog: int64(s.Catalog),
+		Newest:  t.lean.newest,
+		Policy:  s.Policy,
+	}
+}
+
+// whole returns a brief with signs of life: of the own region's boxes all, of
+// others some in turn, and the deaths known. With far it is for another region.
+func (t *Table) whole(c audience, now time.Duration, far bool) Brief {
+	b := t.header()
+	b.Vitals = t.vitals(c, now, far)
+	b.Silent = t.deaths(now)
+	for _, r := range c.all {
+		if r.State() == wire.ServingStateLeaving && len(b.Leaving) < mostLeaving {
+			b.Leaving = append(b.Leaving, r.id)
+		}
+	}
+	if far {
+		b.Rooms = t.ownRooms()
+		return b
+	}
+	b.Rooms = t.otherRooms(now)
+	b.Loads, b.Loaded = c.loads, c.full
+	for len(b.encode()) > datagramBytes { // rooms of long names; statuses and loads are bounded below it
+		b.Rooms = nil
+		b.Loads = b.Loads[:len(b.Loads)/2]
+		b.Loaded = false
+	}
+	return b
+}
+
+// vitals returns the signs of life to pass on: for a box of the own region also the
+// latest of each other region, which shows that the region is there, and some more.
+func (t *Table) vitals(c audience, now time.Duration, far bool) []Vital {
+	var own, others []*record
+	for _, r := range c.near {
+		if t.lean.byID[r.id] == r {
+			own = append(own, r)
+		}
+	}
+	byAge(own)
+	out := t.pass(nil, own, mostVitals, now)
+	if far {
+		return out
+	}
+	for _, region := range slices.Sorted(maps.Keys(c.far)) {
+		latest := slices.MaxFunc(c.far[region], func(a, b *record) int { return cmp.Compare(a.Heard, b.Heard) })
+		for _, r := range c.far[region] {
+			switch {
+			case t.lean.byID[r.id] != r:
+			case r == latest:
+				out = t.pass(out, []*record{r}, 1, now)
+			default:
+				others = append(others, r)
+			}
+		}
+	}
+	byAge(others)
+	return t.pass(out, others, farVitals, now)
+}
+
+// pass appends the first of a list, and notes that they were passed on.
+func (t *Table) pass(out []Vital, list []*record, limit int, now time.Duration) []Vital {
+	for _, r := range list[:min(len(list), limit)] {
+		r.turn = t.lean.rounds
+		r.fresh = false
+		out = append(out, r.vital(now))
+	}
+	return out
+}
+
+// vital returns the latest sign of life of a box.
+func (r *record) vital(now time.Duration) Vital {
+	return Vital{
+		ID:   r.id,
+		Beat: uint16(r.Status.Seq),
+		Age:  now - r.Heard,
+	}
+}
+
+// deaths returns the boxes that this one knows to be dead: those of its region by
+// its own judgement, unless it can't judge now, others by their region's word. The
+// latest come first.
+func (t *Table) deaths(now time.Duration) []Vital {
+	var list []Vital
+	for _, r := range t.records {
+		own := r.Status.Region == t.self.Region
+		v := r.vital(now)
+		switch {
+		case t.lean.byID[r.id] != r:
+			continue
+		case own && (now < t.lean.mute || t.alive(r, now)), !own && !r.silent:
+			continue
+		case !own:
+			v.Age = now - r.deadSince
+		}
+		if v.Age < tellDeathFor {
+			list = append(list, v)
+		}
+	}
+	slices.SortFunc(list, func(a, b Vital) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ID, b.ID))
+	})
+	return list[:min(len(list), mostSilent)]
+}
+
+// loads returns the own loads that matter, as many as the budget pays for, and
+// whether these are all.
+func (t *Table) loads() (out []BriefLoad, all bool) {
+	room := t.pace.loads
+	if room == 0 {
+		return nil, false
+	}
+	for _, l := range heaviest(t.lean.said.Loads) {
+		if !matters(l) {
+			continue
+		}
+		b := BriefLoad{
+			Replica: ReplicaIDOf(l.Replica),
+			Load:    l,
+		}
+		room -= len(appendLoad(nil, b))
+		if room < 0 {
+			return out, false
+		}
+		out = append(out, b)
+	}
+	return out, true
+}
+
+// leastReads are the prompt tokens a second below which a replica without any
+// request in flight isn't told: 5 ms of an engine's time in each second.
+const leastReads = 200
+
+// matters says whether others are told of a load.
+func matters(l wire.ReplicaLoad) bool {
+	return l.Failing || l.InFlight > 0 || l.Prompt > 0 || l.Reads >= leastReads
+}
+
+// ownRooms returns what this box's region can take.
+func (t *Table) ownRooms() []BriefRooms {
+	if len(t.lean.said.Rooms) == 0 {
+		return nil
+	}
+	return []BriefRooms{{
+		From:  t.header().From,
+		Rooms: t.lean.said.Rooms,
+	}}
+}
+
+// otherRooms returns what one other region can take: the latest that was not
+// passed on yet.
+func (t *Table) otherRooms(now time.Duration) []BriefRooms {
+	newest := make(map[string]*record)
+	for _, r := range t.records {
+		if r.Status.Region == t.self.Region || len(r.Status.Rooms) == 0 || now-r.Told > t.RoomsAge() {
+			continue
+		}
+		if n, ok := newest[r.Status.Region]; !ok || r.Told > n.Told || (r.Told == n.Told && r.id < n.id) {
+			newest[r.Status.Region] = r
+		}
+	}
+	var next *record
+	for _, r := range newest {
+		if r.retold < r.Told && (next == nil || r.Told > next.Told || (r.Told == next.Told && r.id < next.id)) {
+			next = r
+		}
+	}
+	if next == nil {
+		return nil
+	}
+	next.retold = next.Told
+	v := next.vital(now)
+	v.Age = now - next.Told
+	return []BriefRooms{{
+		From:  v,
+		Rooms: next.Status.Rooms,
+	}}
+}
