--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -27,14 +27,18 @@
 	followRead   = 20 * time.Second        // between two readings of a follower whatever it hears, for what others' word may lack
 	followLook   = 200 * time.Millisecond  // between two looks whether it still follows
 	followRetry  = 2 * time.Second         // after a failed call of a follower: all followers fail at the same time, and calls have a price
+	wholeUpTo    = 64                      // replicas up to which all is read again each time: some 20 KB, and no call more
+	replicaEvery = time.Second             // between two readings of all for each replica beyond that: they take some 350 bytes a second then, whatever the size
 )
 
 // Source is where the catalog is read. Read returns all of it. Wait returns what
 // changed after a revision, and up to which one, as soon as there is any or after
-// a time; it fails with ErrHistoryGone where that is no longer known.
+// a time; it fails with ErrHistoryGone where that is no longer known. Newest, which
+// may be nil, returns the newest revision alone.
 type Source struct {
-	Read func(ctx context.Context) (Snapshot, error)
-	Wait func(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
+	Read   func(ctx context.Context) (Snapshot, error)
+	Wait   func(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
+	Newest func(ctx context.Context) (int64, error)
 }
 
 // Update is what a feed hands on: a whole snapshot or changes up to a revision.
@@ -149,16 +153,17 @@
 		}
 		backOff = firstBackOff
 		d.succeeded()
+		settled := d.isSettled()
 		d.hand(Update{
 			Snapshot: &s,
 			Revision: s.Revision,
-			Settled:  d.isSettled(),
+			Settled:  settled,
 		})
 		d.offer(s.Revision)
 		if d.follow() {
 			d.restFollowing(ctx, followRead)
 		} else {
-			d.rest(ctx)
+			d.restLong(ctx, len(s.Replicas), settled)
 		}
 	}
 }
@@ -200,6 +205,32 @@
 	}
 }
 
+// restLong waits until all of so many replicas is to be read again. Where they are
+// many, it asks for the newest revision in place of reading, and waits on while the
+// watch has brought it. What was read before all had settled is read again in any
+// case.
+func (d *Feed) restLong(ctx context.Context, replicas int, settled bool) {
+	began := d.now()
+	long := time.Duration(replicas) * replicaEvery
+	large := d.source.Newest != nil && replicas > wholeUpTo
+	for d.rest(ctx) && ctx.Err() == nil {
+		if !large || !settled || d.now().Sub(began) >= long {
+			return
+		}
+		rev, err := d.source.Newest(ctx)
+		if err != nil {
+			return // reading all fails as well, and is what tells of it
+		}
+		d.health(nil)
+		if rev > d.known.Load() {
+			sleep.For(ctx, behindWait) // the watch may be about to bring it
+		}
+		if rev > d.known.Load() {
+			return
+		}
+	}
+}
+
 // hand hands an update on.
 func (d *Feed) hand(u Update) {
 	d.Learned(u.Revision) // a lower one written at the same time only makes for one more call
@@ -245,8 +276,8 @@
 }
 
 // rest waits until all is to be read again: sooner while entries may still come
-// back.
-func (d *Feed) rest(ctx context.Context) {
+// back. It returns whether that is for the time alone.
+func (d *Feed) rest(ctx context.Context) bool {
 	every := d.every
 	if !d.reader() {
 		every *= rereadOthers
@@ -262,15 +293,15 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-t.C:
-			return
+			return true
 		case <-d.again:
-			return
+			return false
 		case <-d.behind:
 			sleep.For(ctx, behindWait) // the watch may be about to bring it
 			if d.known.Load() < d.wanted.Load() {
-				return
+				return false
 			}
 		}
 	}
--- /dev/null
+++ b/roster/tell_test.go
@@ -0,0 +1,56 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// A status in a digest that is not sent would have lost its turn: boxes of other
+// regions that were just heard would be passed on only after all others.
+func TestDatagramsWithoutOtherBoxesTakeNoTurnFromThem(t *testing.T) {
+	is := is.New(t)
+	self := wire.BoxStatus{
+		Box:    "self",
+		Inc:    1,
+		Region: "a",
+		Peers:  "self:1",
+	}
+	table := New(self)
+	now := time.Second
+	hear := func(name, region string, direct bool) {
+		table.Hear(wire.BoxStatus{
+			Box:    name,
+			Inc:    1,
+			Seq:    1,
+			Region: region,
+			Peers:  name + ":1",
+		}, direct, now)
+	}
+	for i := range 12 {
+		hear(fmt.Sprint("known-", i), "c", false)
+	}
+	others := func() []wire.BoxStatus {
+		packets := table.Tell(self, now, func(int) int { return 0 })
+		is.True(len(packets) > 0)
+		g, err := Decode(packets[0].Buf)
+		is.NoErr(err)
+		return g.Others
+	}
+	is.True(len(others()) > 0)
+	for _, name := range []string{"new-1", "new-2"} {
+		hear(name, "b", true)
+	}
+	for range passEvery - 1 {
+		is.Equal(len(others()), 0)
+	}
+	passed := make(map[string]bool)
+	for _, o := range others() {
+		passed[o.Box] = true
+	}
+	is.True(passed["new-1"] && passed["new-2"])
+}
