node: Send prompts to the home region of their shared parts again

The first replica in the rank of the parts counts as warm, since others of its region send them there; the choice between regions took that over, so no region but the home seemed to lack anything.

Now what counts there is what this box has not sent itself. Within the region all stays.

The new test fails without it.

--- a/node/away.go
+++ b/node/away.go
@@ -132,7 +132,7 @@
 func riskHere(here placement.Outlook, ask ingress.Ask, goals placement.Goals, home, region string) float64 {
 	risk := here.Risk(goals) + ask.Request.Harm(here.Missing, here.Fewest)
 	if home != "" && home != region {
-		risk += againPrice * float64(here.Missing) / 1000
+		risk += againPrice * float64(here.Unsent) / 1000
 	}
 	return risk
 }
--- a/node/home_test.go
+++ b/node/home_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/havenrudder/havenrudder/ingress"
+	"github.com/havenrudder/havenrudder/placement"
 )
 
 const subjects = 400
@@ -105,6 +106,28 @@
 	}
 }
 
+// That a replica of this region is the first in the rank of the parts doesn't mean
+// that it keeps them: where another region is their home, nobody sends them there.
+func TestAPromptGoesToTheHomeOfItsPartsAlsoWhereThisRegionHasReplicas(t *testing.T) {
+	is := is.New(t)
+	b := fleet(map[string]int{"a": 2, "b": 2, "c": 2}, start)[0]
+	away := 0
+	for n := range subjects {
+		q := askShared(route(), fmt.Sprint("part-", n))
+		home := b.homeOf(q, start)
+		if home == "a" {
+			home = ""
+		}
+		got := b.place(q, start, lowest)
+		is.Equal(got.Region, home)
+		b.view.End(&got.Choice, placement.Answered, 0, start)
+		if home != "" {
+			away++
+		}
+	}
+	is.True(away > subjects/2)
+}
+
 // regionOf places a request of which region a keeps no replica.
 func (b *testBox) regionOf(now time.Duration, waitB, waitC time.Duration) string {
 	b.tells(status("box-b", "b"), now, room(3, waitB))
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -68,6 +68,7 @@
 	cost    time.Duration // of which the least decides: the request's own time and what others lose
 	expect  time.Duration // until the first byte
 	missing int           // shared tokens to be read
+	unsent  int           // shared tokens that this box has not sent there itself
 	load    Load          // work there before
 }
 
@@ -225,6 +226,7 @@
 // request waits for, and what it costs the requests that run there.
 func (v *View) weighEngine(w *weighed, req Request, first bool, usual, now time.Duration) {
 	w.missing = w.r.missing(req.Parts, now)
+	w.unsent = w.missing
 	if first && w.missing > 0 {
 		w.missing = int((1 - firstBonus) * float64(w.missing))
 	}
