ingress: Give a silent replica up only for a retry that the budget gives

The box took the replica for silent, closed its connection, and only then asked the budget of retries, which gives a box of 86 nothing in its first seconds. So the caller lost a stream that was on its way.

Now the retry is taken first, and without one the replica is waited for.

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
@@ -52,6 +53,7 @@
 	triedBoxes []string
 	noRegions  []string         // that refused it or could not be reached
 	counted    bool             // the budget of retries knows of it
+	paid       atomic.Bool      // the budget has given the next try already
 	lastEvent  string           // id of the last event passed on
 	fromBox    bool             // the stream comes by way of another box
 	firstAt    time.Duration    // until the first event or byte was passed on
@@ -161,7 +163,7 @@
 	if c.sent >= c.route.Attempts {
 		return false
 	}
-	return !c.arrived || c.server.core.Repeat(c.service)
+	return !c.arrived || c.paid.Swap(false) || c.server.core.Repeat(c.service)
 }
 
 // ended is what one try came to.
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -18,12 +18,15 @@
 	quietStream     = 700 * time.Millisecond // an engine's steps take 60 ms, so an event takes 300 ms at most
 	quietPerExpect  = 3                      // times the expected time
 	quietCheck      = 50 * time.Millisecond  // between two looks at least
+	budgetCheck     = 250 * time.Millisecond // between two questions whether a retry is left: requests that allow one come several times a second
 )
 
 // errQuiet ends a try whose replica has fallen silent.
 var errQuiet = errors.New("ingress: replica silent")
 
-// watchSilence ends the try when its replica has fallen silent towards this box.
+// watchSilence ends the try when its replica has fallen silent towards this box, and
+// the budget of retries gives a try elsewhere. Without that the replica is waited for:
+// it may only be busy.
 func (a *attempt) watchSilence(ctx context.Context) (stop func()) {
 	c := a.call
 	if !c.route.Repeatable() || c.sent+1 >= c.route.Attempts {
@@ -46,9 +49,12 @@
 			}
 			quiet := c.server.core.Quiet(next, &a.target.Choice, a.sent)
 			switch {
-			case quiet > limit:
+			case quiet > limit && c.server.core.Repeat(c.service):
+				c.paid.Store(true)
 				a.cancel(errQuiet)
 				return
+			case quiet > limit: // no retry is left
+				timer.Reset(budgetCheck)
 			case quiet == 0: // it may be silent, but there is no other: soon there may be
 				timer.Reset(quietCheck)
 			default:
