--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -16,19 +16,12 @@
 var ErrHistoryGone = errors.New("catalog: history gone")
 
 const (
-	watchFor     = 10 * time.Second        // one waiting call; each call has a price, and a new one costs no more than that
-	rereadEvery  = 2 * time.Second         // a watch may stay silent while changes are made; half of the shortest bound on configurations
-	rereadOthers = 3                       // times as long where other boxes read again too, and say when they know more
-	behindWait   = 300 * time.Millisecond  // that a watch may lag behind what another box knows
-	firstBackOff = 50 * time.Millisecond   // after a failed call
-	maxBackOff   = 600 * time.Millisecond  // so that a publisher that is back is used within a second
-	lapseWait    = 2 * time.Second         // entries that lapsed while the publisher was away are back within this time
-	staleAfter   = 3600 * time.Millisecond // that a follower's knowledge may be old, 2.7 to 4.5 s: less than the bound on configurations, 5 s where there are followers, and more than a reading of others and the spread of their word take
-	followRead   = 20 * time.Second        // between two readings of a follower whatever it hears, for what others' word may lack
-	followLook   = 200 * time.Millisecond  // between two looks whether it still follows
-	followRetry  = 2 * time.Second         // after a failed call of a follower: all followers fail at the same time, and calls have a price
-	wholeUpTo    = 64                      // replicas up to which all is read again each time: some 20 KB, and no call more
-	replicaEvery = time.Second             // between two readings of all for each replica beyond that: they take some 350 bytes a second then, whatever the size
+	watchFor     = 10 * time.Second       // one waiting call; each call has a price, and a new one costs no more than that
+	rereadEvery  = 2 * time.Second        // a watch may stay silent while changes are made; half of the shortest bound on configurations
+	firstBackOff = 50 * time.Millisecond  // after a failed call
+	maxBackOff   = 600 * time.Millisecond // so that a publisher that is back is used within a second
+	lapseWait    = 2 * time.Second        // entries that lapsed while the publisher was away are back within this time
+	followLook   = 200 * time.Millisecond // between two looks whether it still follows
 )
 
 // Source is where the catalog is read. Read returns all of it. Wait returns what
@@ -168,95 +161,6 @@
 	}
 }
 
-// restAfter waits after a failed call. A follower may hear meanwhile from a box that
-// can read.
-func (d *Feed) restAfter(ctx context.Context, backOff time.Duration) {
-	if !d.follow() {
-		sleep.For(ctx, d.spread(backOff))
-		return
-	}
-	sleep.For(ctx, d.spread(followRetry))
-	d.restFollowing(ctx, 0)
-}
-
-// restFollowing waits until a follower has to read so many replicas: it no longer
-// follows, it can't get what another box knows, what it knows is too old, or a time is
-// over. While entries may still come back it waits for no longer than that.
-func (d *Feed) restFollowing(ctx context.Context, replicas int) {
-	limit := d.spread(staleAfter)
-	end := d.now().Add(d.longest(replicas))
-	look := time.NewTicker(followLook)
-	defer look.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-d.behind:
-			return
-		case <-look.C:
-		}
-		if !d.follow() || !d.now().Before(end) {
-			return
-		}
-		if d.age() < limit {
-			continue
-		}
-		if !d.large(replicas) || !d.isCurrent(ctx) {
-			return
-		}
-		limit = d.spread(staleAfter)
-	}
-}
-
-// longest returns how long a follower of so many replicas goes without reading.
-func (d *Feed) longest(replicas int) time.Duration {
-	out := followRead
-	if d.large(replicas) {
-		out = max(out, time.Duration(replicas)*replicaEvery)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if left := d.settled.Sub(d.now()); left > 0 {
-		out = min(out, left+firstBackOff)
-	}
-	return out
-}
-
-// large says whether it is worth a call to find out that nothing has changed, in
-// place of reading so many replicas.
-func (d *Feed) large(replicas int) bool { return d.source.Newest != nil && replicas > wholeUpTo }
-
-// isCurrent asks for the newest revision and says whether it is known here.
-func (d *Feed) isCurrent(ctx context.Context) bool {
-	rev, err := d.source.Newest(ctx)
-	if err != nil {
-		return false // reading all fails as well, and is what tells of it
-	}
-	if rev > d.known.Load() {
-		sleep.For(ctx, behindWait) // the watch, or another box, may be about to bring it
-	}
-	if rev > d.known.Load() {
-		return false
-	}
-	d.health(nil)
-	return true
-}
-
-// restLong waits until all of so many replicas is to be read again. Where they are
-// many, it asks for the newest revision in place of reading, and waits on while the
-// watch has brought it. What was read before all had settled is read again in any
-// case.
-func (d *Feed) restLong(ctx context.Context, replicas int, settled bool) {
-	end := d.now().Add(time.Duration(replicas) * replicaEvery)
-	for d.rest(ctx) && ctx.Err() == nil {
-		if !d.large(replicas) || !settled || !d.now().Before(end) || d.follow() {
-			return
-		}
-		if !d.isCurrent(ctx) {
-			return
-		}
-	}
-}
-
 // hand hands an update on.
 func (d *Feed) hand(u Update) {
 	d.Learned(u.Revision) // a lower one written at the same time only makes for one more call
@@ -301,44 +205,6 @@
 	return !d.away && !d.now().Before(d.settled)
 }
 
-// rest waits until all is to be read again: sooner while entries may still come
-// back. It returns whether that is for the time alone.
-func (d *Feed) rest(ctx context.Context) bool {
-	every := d.every
-	if !d.reader() {
-		every *= rereadOthers
-	}
-	wait := d.spread(every)
-	d.mu.Lock()
-	if left := d.settled.Sub(d.now()); left > 0 {
-		wait = min(wait, left+firstBackOff)
-	}
-	d.mu.Unlock()
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-t.C:
-			return true
-		case <-d.again:
-			return false
-		case <-d.behind:
-			sleep.For(ctx, behindWait) // the watch may be about to bring it
-			if d.known.Load() < d.wanted.Load() {
-				return false
-			}
-		}
-	}
-}
-
-// spread returns a time between three and five quarters of t, so that boxes
-// don't call as one.
-func (d *Feed) spread(t time.Duration) time.Duration {
-	return t*3/4 + time.Duration(d.jitter()*float64(t)/2)
-}
-
 // watch hands on what changes after a revision that was read. After a failure
 // all is read at once, and the watch goes on from there; when it keeps failing,
 // the time between two of them grows.
