--- a/roster/digest.go
+++ b/roster/digest.go
@@ -64,19 +64,26 @@
 			list = append(list, r)
 		}
 	}
-	fresh := func(r *record) int {
-		if r.fresh && t.digests%plainEvery != 0 {
+	fresh := func(r *record) bool { return r.fresh && t.digests%plainEvery != 0 }
+	inTurn(list, fresh, func(r *record) int { return r.due })
+	return list
+}
+
+// inTurn orders records to be passed on: the fresh ones first, then by turn, then
+// the latest heard.
+func inTurn(list []*record, fresh func(r *record) bool, turn func(r *record) int) {
+	rank := func(r *record) int {
+		if fresh(r) {
 			return 0
 		}
 		return 1
 	}
 	slices.SortFunc(list, func(a, b *record) int {
 		return cmp.Or(
-			cmp.Compare(fresh(a), fresh(b)),
-			cmp.Compare(a.due, b.due),
+			cmp.Compare(rank(a), rank(b)),
+			cmp.Compare(turn(a), turn(b)),
 			cmp.Compare(b.Heard, a.Heard),
 			cmp.Compare(a.Status.Box, b.Status.Box),
 		)
 	})
-	return list
 }
--- /dev/null
+++ b/roster/send.go
@@ -0,0 +1,158 @@
+package roster
+
+// This file says what each kind of datagram among many boxes holds and which boxes
+// get it; round.go says when they are sent.
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// sendNews passes on which boxes have begun, serve or leave, in whole statuses.
+func (t *Table) sendNews(out *outbox, c audience, rnd func(n int) int) {
+	l := &t.lean
+	n := min(len(l.news), newsLoads)
+	var list []wire.BoxStatus
+	for _, box := range l.news[:n] {
+		if r, ok := t.records[box]; ok {
+			list = append(list, r.bare())
+		}
+	}
+	l.news = slices.Delete(l.news, 0, n)
+	if len(list) == 0 {
+		return
+	}
+	targets := pick(slices.Clone(c.all), newsFan, rnd)
+	for chunk := range slices.Chunk(list, perAnswer) {
+		buf := t.gossip(chunk, false)
+		for _, m := range targets {
+			out.send(m.Status.Peers, buf)
+		}
+	}
+}
+
+// sendRevision tells a few boxes at once that there is a newer revision.
+func (t *Table) sendRevision(out *outbox, c audience, rnd func(n int) int) {
+	if t.lean.newest <= t.lean.passed {
+		return
+	}
+	t.lean.passed = t.lean.newest
+	buf := t.header().encode()
+	for _, m := range pick(slices.Clone(c.all), revisionFan, rnd) {
+		out.send(m.Status.Peers, buf)
+	}
+}
+
+// sendDeaths tells a few boxes at once of a death just known; they pass it on.
+func (t *Table) sendDeaths(out *outbox, c audience, now time.Duration, rnd func(n int) int) {
+	if !t.lean.died {
+		return
+	}
+	t.lean.died = false
+	b := t.header()
+	b.Silent = t.deaths(now)
+	if len(b.Silent) == 0 {
+		return
+	}
+	buf := b.encode()
+	for _, r := range pick(slices.Clone(c.all), deathFan, rnd) {
+		out.send(r.Status.Peers, buf)
+	}
+}
+
+// sendSilent tries boxes that fell silent and, more rarely, the seeds, so that
+// parts of a fleet that were cut off meet again.
+func (t *Table) sendSilent(out *outbox, now time.Duration, rnd func(n int) int) {
+	buf := t.header().encode()
+	if t.lean.rounds%silentEvery == 0 {
+		late := t.members(func(r *record) bool { return !t.alive(r, now) && now-r.Heard < silentFor })
+		for _, m := range pick(late, 1, rnd) {
+			out.send(m.Status.Peers, buf)
+		}
+	}
+	if t.lean.rounds%seedEvery != 0 {
+		return
+	}
+	for _, m := range t.longSilent(now, rnd) {
+		out.send(m.Status.Peers, buf)
+	}
+	if len(t.seeds) > 0 && rnd(len(t.records)+1) < seedsPace {
+		out.send(t.seeds[rnd(len(t.seeds))], t.gossip(nil, true))
+	}
+}
+
+// sendPings asks boxes of the region for a sign of life that are about to count as
+// dead, and a box of each other region that is, so that a box which only few others
+// heard of by chance isn't taken for dead.
+func (t *Table) sendPings(out *outbox, c audience, now time.Duration, rnd func(n int) int) {
+	b := t.header()
+	b.Ping = true
+	buf := b.encode()
+	var late []*record
+	for _, r := range c.all {
+		if r.Status.Region == t.self.Region && now-r.Heard > t.pace.own*pingAt/percent {
+			late = append(late, r)
+		}
+	}
+	for _, region := range slices.Sorted(maps.Keys(c.far)) {
+		if now-t.lean.regions[region].heard > t.pace.region*pingAt/percent {
+			late = append(late, c.far[region][rnd(len(c.far[region]))])
+		}
+	}
+	for _, r := range pick(late, mostPings, rnd) {
+		out.send(r.Status.Peers, buf)
+	}
+}
+
+// sendWhole sends a brief with signs of life to the next box of the region or, at
+// times, of another one.
+func (t *Table) sendWhole(out *outbox, c audience, now time.Duration, rnd func(n int) int) {
+	if t.lean.rounds%farWholes == 0 {
+		if m, ok := t.nextFar(c, rnd); ok {
+			out.send(m.Status.Peers, t.whole(c, now, true).encode())
+			return
+		}
+	}
+	if m, ok := t.nextNear(c, rnd); ok {
+		out.send(m.Status.Peers, t.whole(c, now, false).encode())
+	}
+}
+
+// sendLights tells the loads to more boxes of the region, each once at most.
+func (t *Table) sendLights(out *outbox, c audience, rnd func(n int) int) {
+	b := t.header()
+	b.Loads, b.Loaded = c.loads, c.full
+	buf := b.encode()
+	for sent := 1; sent < len(c.near) && out.left(); sent++ { // the whole brief was the first
+		if m, ok := t.nextNear(c, rnd); ok {
+			out.send(m.Status.Peers, buf)
+		}
+	}
+}
+
+// gossip returns a datagram with whole statuses.
+func (t *Table) gossip(others []wire.BoxStatus, ask bool) []byte {
+	from := t.lean.said
+	from.Loads = nil
+	from.Rooms = nil
+	buf, err := Encode(wire.Gossip{
+		From:   from,
+		Others: others,
+		Ask:    ask,
+	})
+	if err != nil {
+		return nil // Encode leaves out what doesn't fit; a bare status that doesn't is told nowhere
+	}
+	return buf
+}
+
+// bare returns the status without what changes all the time.
+func (r *record) bare() wire.BoxStatus {
+	s := r.Status
+	s.Loads = nil
+	s.Rooms = nil
+	return s
+}
