--- a/measure/gossip/box.go
+++ b/measure/gossip/box.go
@@ -89,17 +89,17 @@
 // take takes a datagram in.
 func (b *Box) take(buf []byte, from string) {
 	now := b.world.now
-	if roster.IsBrief(buf) {
-		brief, err := roster.DecodeBrief(buf)
+	if roster.IsCompact(buf) {
+		c, err := roster.DecodeCompact(buf)
 		if err != nil {
 			panic(err) // the world sends what package roster encodes
 		}
-		h := b.table.HearBrief(brief, from, now)
+		h := b.table.HearCompact(c, from, now)
 		if h.Newer && h.Status.Region == b.self.Region && (h.All || len(h.Loads) > 0) {
 			b.told[h.Sender] = now
 		}
 		b.post(h.Replies)
-		b.learn(int(max(brief.Catalog, brief.Newest)))
+		b.learn(int(max(c.Catalog, c.Newest)))
 		return
 	}
 	g, err := roster.Decode(buf)
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -18,7 +18,7 @@
 	for _, conn := range n.listeners.packets {
 		link := roster.NewLink(conn,
 			func(g wire.Gossip, _ net.Addr) { n.hear(ctx, g) },
-			roster.WithBriefs(func(b roster.Brief, from net.Addr) { n.hearBrief(ctx, b, from.String()) }))
+			roster.WithCompact(func(b roster.Compact, from net.Addr) { n.hearCompact(ctx, b, from.String()) }))
 		n.links = append(n.links, link)
 	}
 	for _, link := range n.links { // when all are there, for a message that comes is answered
@@ -109,13 +109,13 @@
 	n.learn(ctx, g.From, int64(g.From.Catalog))
 }
 
-// hearBrief takes a brief in.
-func (n *Node) hearBrief(ctx context.Context, b roster.Brief, from string) {
+// hearCompact takes a compact datagram in.
+func (n *Node) hearCompact(ctx context.Context, b roster.Compact, from string) {
 	var h roster.Heard
-	_ = n.state.Do(func(s *state) { h = s.hearBrief(b, from, n.now()) })
+	_ = n.state.Do(func(s *state) { h = s.hearCompact(b, from, n.now()) })
 	n.post(h.Replies)
 	if !h.Newer {
-		h.Status.ReadMs = 0 // it was so long ago when an earlier brief came
+		h.Status.ReadMs = 0 // it was so long ago when an earlier compact datagram came
 	}
 	n.learn(ctx, h.Status, max(b.Catalog, b.Newest))
 }
--- a/node/state.go
+++ b/node/state.go
@@ -133,9 +133,9 @@
 	}
 }
 
-// hearBrief takes another box's brief in.
-func (s *state) hearBrief(b roster.Brief, from string, now time.Duration) roster.Heard {
-	h := s.roster.HearBrief(b, from, now)
+// hearCompact takes another box's compact datagram in.
+func (s *state) hearCompact(b roster.Compact, from string, now time.Duration) roster.Heard {
+	h := s.roster.HearCompact(b, from, now)
 	if !h.Newer || h.Status.Region != s.settings.Region || (len(h.Loads) == 0 && !h.All) {
 		return h
 	}
--- a/roster/alive.go
+++ b/roster/alive.go
@@ -27,13 +27,13 @@
 	case r.Status.Region == t.self.Region:
 		return now-r.Heard <= t.pace.own
 	}
-	news, ok := t.lean.regions[r.Status.Region]
+	news, ok := t.compact.regions[r.Status.Region]
 	return ok && now-news.heard <= t.pace.region && now-r.Heard <= t.pace.far && r.Heard > news.since
 }
 
 // mark takes in a sign of life for the region of a box.
 func (t *Table) mark(r *record, now time.Duration) {
-	news, ok := t.lean.regions[r.Status.Region]
+	news, ok := t.compact.regions[r.Status.Region]
 	if !ok {
 		news = regionNews{
 			heard: never,
@@ -46,33 +46,33 @@
 		}
 		news.heard = r.Heard
 	}
-	t.lean.regions[r.Status.Region] = news
+	t.compact.regions[r.Status.Region] = news
 }
 
 // replace puts a new incarnation in the place of an older one.
 func (t *Table) replace(box string, r *record, now time.Duration) {
 	if old, ok := t.records[box]; ok {
-		t.lean.drop(old, now)
+		t.compact.drop(old, now)
 	}
 	t.records[box] = r
-	if _, taken := t.lean.byID[r.id]; taken {
-		t.lean.byID[r.id] = nil // two boxes share it, so neither is told by it
+	if _, taken := t.compact.byID[r.id]; taken {
+		t.compact.byID[r.id] = nil // two boxes share it, so neither is told by it
 		return
 	}
-	t.lean.byID[r.id] = r
+	t.compact.byID[r.id] = r
 }
 
 // note remembers news that all boxes should hear at once: a box that has begun, or
 // one that takes requests from now on or no longer. known says that the incarnation
 // may have been known before.
 func (t *Table) note(r *record, s wire.BoxStatus, known bool) {
-	if t.pace.plain || len(t.lean.news) >= mostNews {
+	if t.pace.plain || len(t.compact.news) >= mostNews {
 		return
 	}
 	begun := r.Status.Seq < 0 && s.Seq <= newsBeats
 	changed := known && r.Status.Seq >= 0 && s.Seq > r.Status.Seq && (r.State() != stateOf(s) || r.Status.Callers != s.Callers)
 	if begun || changed {
-		t.lean.news = append(t.lean.news, s.Box)
+		t.compact.news = append(t.compact.news, s.Box)
 	}
 }
 
@@ -86,10 +86,10 @@
 // tick keeps what follows from time: which boxes count as alive, and whether this
 // box was paused or hears nothing, so that it can't judge others.
 func (t *Table) tick(now time.Duration) {
-	if now-t.lean.lastTick > pausedFor || now-t.lean.lastHeard > pausedFor {
-		t.lean.mute = now + t.pace.own
+	if now-t.compact.lastTick > pausedFor || now-t.compact.lastHeard > pausedFor {
+		t.compact.mute = now + t.pace.own
 	}
-	t.lean.lastTick = now
+	t.compact.lastTick = now
 	if t.pace.plain {
 		return
 	}
@@ -101,17 +101,17 @@
 		}
 		if !r.judged && r.Status.Region == t.self.Region {
 			r.judged = true
-			t.lean.died = true
+			t.compact.died = true
 		}
 	}
 }
 
 // hearVital takes in that a box was alive; false for one that isn't known.
 func (t *Table) hearVital(v Vital, now time.Duration) (r *record, newer, ok bool) {
-	r, ok = t.lean.byID[v.ID]
+	r, ok = t.compact.byID[v.ID]
 	if !ok {
-		_, old := t.lean.old[v.ID]
-		return nil, false, old || v.ID == t.lean.self
+		_, old := t.compact.old[v.ID]
+		return nil, false, old || v.ID == t.compact.self
 	}
 	if r == nil {
 		return nil, false, true
@@ -132,7 +132,7 @@
 // A sign of life from later goes before it, and the own region is judged by what
 // this box knows itself.
 func (t *Table) hearSilent(v Vital, now time.Duration) {
-	r := t.lean.byID[v.ID]
+	r := t.compact.byID[v.ID]
 	if r == nil || r.Status.Region == t.self.Region {
 		return
 	}
@@ -143,7 +143,7 @@
 	}
 	if !r.silent {
 		r.deadSince = since
-		t.lean.died = true
+		t.compact.died = true
 	}
 	r.silent = true
 }
--- a/roster/brief.go
+++ b/roster/compact.go
@@ -13,16 +13,16 @@
 )
 
 const (
-	briefMark  = 1                      // first byte of a brief; gossip begins with a brace
-	vitalBytes = 7                      // of one box in a brief
-	ageUnit    = 100 * time.Millisecond // of an age in a brief; with one byte 25.5 s
-	tokenUnit  = 16                     // tokens in which loads are told; a step of an engine reads more
+	compactMark = 1                      // first byte of a compact datagram; gossip begins with a brace
+	vitalBytes  = 7                      // of one box in a compact datagram
+	ageUnit     = 100 * time.Millisecond // of an age in a compact datagram; with one byte 25.5 s
+	tokenUnit   = 16                     // tokens in which loads are told; a step of an engine reads more
 )
 
-// ErrBrief is the reason to refuse a brief that no box sends.
-var ErrBrief = errors.New("brief can't be read")
+// ErrCompact is the reason to refuse a compact datagram that no box sends.
+var ErrCompact = errors.New("brief can't be read")
 
-// ID stands for one incarnation of a box in briefs. Two boxes of 390 share one
+// ID stands for one incarnation of a box in compact datagrams. Two boxes of 390 share one
 // with a chance of 2 in 100,000; a box whose ID is taken is told in whole statuses.
 type ID uint32
 
@@ -34,7 +34,7 @@
 	return ID(h.Sum32())
 }
 
-// ReplicaID stands for a replica in briefs.
+// ReplicaID stands for a replica in compact datagrams.
 type ReplicaID uint32
 
 // ReplicaIDOf returns the short form of a replica's id.
@@ -48,43 +48,43 @@
 // ago by the sender's clock.
 type Vital struct {
 	ID   ID
-	Beat uint16 // low bits of the number of the heartbeat
-	Age  time.Duration
+	Beat uint16        // low bits of the number of the heartbeat
+	Age  time.Duration // rounded up to 100 ms, 25.5 s at most
 }
 
-// BriefLoad is what the sender has in flight at a replica.
-type BriefLoad struct {
+// CompactLoad is what the sender has in flight at a replica.
+type CompactLoad struct {
 	Replica ReplicaID
 	Load    wire.ReplicaLoad // without the id
 }
 
-// BriefRooms is what the region of a box can take, as that box told.
-type BriefRooms struct {
+// CompactRooms is what the region of a box can take, as that box told.
+type CompactRooms struct {
 	From  Vital
 	Rooms []wire.ServiceRoom
 }
 
-// Brief is a datagram of many boxes: it names them by ID, and what never changes
-// of a box is told once, in a whole status.
-type Brief struct {
+// Compact is a compact datagram, which boxes send where they are many: it names them
+// by ID, and what never changes of a box is told once, in a whole status.
+type Compact struct {
 	From    Vital
 	State   wire.ServingState
-	Closed  bool // it takes no requests of callers
-	Ping    bool // the sender asks for a sign of life at once
-	Loaded  bool // Loads are all that matter of the sender's; false where they were left out
-	Catalog int64
+	Closed  bool  // it takes no requests of callers
+	Ping    bool  // the sender asks for a sign of life at once
+	Loaded  bool  // Loads are all that matter of the sender's; false where they were left out
+	Catalog int64 // revision of the catalog that the sender has
 	Newest  int64 // newest revision of the catalog that the sender has heard of
-	Policy  int
-	ReadMs  int // how long ago the publisher was read with nothing newer than Catalog, as in a whole status
+	Policy  int   // version of the policy that the sender decides by
+	ReadMs  int   // milliseconds; how long ago the publisher was read with nothing newer than Catalog, as in a whole status
 	Vitals  []Vital
 	Silent  []Vital // boxes of whose death the sender knows; their last heartbeat
 	Leaving []ID    // boxes that live and have said that they leave
 	Unknown []ID    // boxes whose status the sender asks for
-	Loads   []BriefLoad
-	Rooms   []BriefRooms
+	Loads   []CompactLoad
+	Rooms   []CompactRooms
 }
 
-// states in the order of their numbers in a brief.
+// states in the order of their numbers in a compact datagram.
 var states = []wire.ServingState{wire.ServingStateServing, wire.ServingStateStarting, wire.ServingStateLeaving}
 
 // bits of the byte after the state.
@@ -96,9 +96,9 @@
 )
 
 // encode returns b as a datagram.
-func (b Brief) encode() []byte {
+func (b Compact) encode() []byte {
 	out := make([]byte, 0, datagramBytes)
-	out = append(out, briefMark)
+	out = append(out, compactMark)
 	out = appendVital(out, b.From)
 	out = append(out, b.flags())
 	out = binary.AppendUvarint(out, uint64(b.Catalog))
@@ -121,7 +121,7 @@
 }
 
 // flags returns the state and what is said by single bits.
-func (b Brief) flags() byte {
+func (b Compact) flags() byte {
 	out := byte(0)
 	for i, s := range states {
 		if s == b.State {
@@ -162,7 +162,7 @@
 	return append(out, byte(min(max(0, (v.Age+ageUnit-1)/ageUnit), math.MaxUint8)))
 }
 
-func appendLoad(out []byte, l BriefLoad) []byte {
+func appendLoad(out []byte, l CompactLoad) []byte {
 	out = binary.BigEndian.AppendUint32(out, uint32(l.Replica))
 	out = binary.AppendUvarint(out, uint64(l.Load.InFlight))
 	for _, tokens := range []int{l.Load.Tokens, l.Load.Prompt, l.Load.Reads} {
@@ -171,7 +171,7 @@
 	return out
 }
 
-func appendRooms(out []byte, r BriefRooms) []byte {
+func appendRooms(out []byte, r CompactRooms) []byte {
 	out = appendVital(out, r.From)
 	out = binary.AppendUvarint(out, uint64(len(r.Rooms)))
 	for _, s := range r.Rooms {
--- a/roster/brief_test.go
+++ b/roster/compact_test.go
@@ -28,11 +28,11 @@
 	return out
 }
 
-func drawBrief(t *rapid.T) Brief {
+func drawCompact(t *rapid.T) Compact {
 	number := func() int { return rapid.IntRange(0, 1<<20).Draw(t, "number") }
 	tokens := func() int { return number() * tokenUnit }
 	vital := func() Vital { return drawVital(t) }
-	return Brief{
+	return Compact{
 		From:    vital(),
 		State:   rapid.SampledFrom(states).Draw(t, "state"),
 		Closed:  rapid.Bool().Draw(t, "closed"),
@@ -46,8 +46,8 @@
 		Silent:  list(t, 4, "silent", vital),
 		Leaving: list(t, 4, "leaving", func() ID { return ID(rapid.Uint32().Draw(t, "leaves")) }),
 		Unknown: list(t, 4, "unknown", func() ID { return ID(rapid.Uint32().Draw(t, "asked")) }),
-		Loads: list(t, 9, "loads", func() BriefLoad {
-			return BriefLoad{
+		Loads: list(t, 9, "loads", func() CompactLoad {
+			return CompactLoad{
 				Replica: ReplicaID(rapid.Uint32().Draw(t, "replica")),
 				Load: wire.ReplicaLoad{
 					InFlight: number(),
@@ -57,8 +57,8 @@
 				},
 			}
 		}),
-		Rooms: list(t, 2, "rooms", func() BriefRooms {
-			return BriefRooms{
+		Rooms: list(t, 2, "rooms", func() CompactRooms {
+			return CompactRooms{
 				From: vital(),
 				Rooms: list(t, 2, "services", func() wire.ServiceRoom {
 					return wire.ServiceRoom{
@@ -76,8 +76,8 @@
 
 func TestABriefIsReadAsItWasWritten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := drawBrief(t)
-		got, err := DecodeBrief(b.encode())
+		b := drawCompact(t)
+		got, err := DecodeCompact(b.encode())
 		if err != nil || !reflect.DeepEqual(got, b) {
 			t.Fatalf("%+v\nbecame\n%+v\n(%v)", b, got, err)
 		}
@@ -86,30 +86,30 @@
 
 func TestABriefThatIsCutOrLongerIsRefused(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		buf := drawBrief(t).encode()
-		if _, err := DecodeBrief(buf[:rapid.IntRange(0, len(buf)-1).Draw(t, "cut")]); err == nil {
-			t.Fatal("a part of a brief was taken")
+		buf := drawCompact(t).encode()
+		if _, err := DecodeCompact(buf[:rapid.IntRange(0, len(buf)-1).Draw(t, "cut")]); err == nil {
+			t.Fatal("a part of a compact datagram was taken")
 		}
-		if _, err := DecodeBrief(append(buf, 0)); err == nil {
-			t.Fatal("a brief with more behind it was taken")
+		if _, err := DecodeCompact(append(buf, 0)); err == nil {
+			t.Fatal("a compact datagram with more behind it was taken")
 		}
 	})
 }
 
 func TestAnyBytesAreReadOrRefused(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		buf := append([]byte{briefMark}, rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "bytes")...)
-		_, _ = DecodeBrief(buf) // it must not panic, and takes no more memory than the bytes allow
+		buf := append([]byte{compactMark}, rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "bytes")...)
+		_, _ = DecodeCompact(buf) // it must not panic, and takes no more memory than the bytes allow
 	})
 }
 
 func TestAVitalTakesWhatTheBudgetCounts(t *testing.T) {
 	is := is.New(t)
 	is.Equal(len(appendVital(nil, Vital{})), vitalBytes)
-	empty := Brief{
+	empty := Compact{
 		Catalog: 1 << 40,
 		Newest:  1 << 40,
 		Policy:  1 << 20,
 	}
-	is.True(len(empty.encode()) <= leanBytes)
+	is.True(len(empty.encode()) <= compactBytes)
 }
--- a/roster/lean.go
+++ b/roster/compactstate.go
@@ -8,20 +8,20 @@
 
 // Limits of what is told among many boxes.
 const (
-	mostVitals   = 96               // boxes of the own region in one brief: all of a region of 91, as 1,000 boxes in 11 regions have
-	farVitals    = 8                // boxes of other regions in one brief, beside one of each region
-	mostSilent   = 24               // deaths in one brief; the rest in the next
-	mostLeaving  = 16               // boxes that leave in one brief
+	mostVitals   = 96               // boxes of the own region in one compact datagram: all of a region of 91, as 1,000 boxes in 11 regions have
+	farVitals    = 8                // boxes of other regions in one compact datagram, beside one of each region
+	mostSilent   = 24               // deaths in one compact datagram; the rest in the next
+	mostLeaving  = 16               // boxes that leave in one compact datagram
 	deathFan     = 3                // boxes that are told at once of a death just known
 	mostUnknown  = 32               // boxes asked for at once
 	mostAnswers  = 16               // datagrams of statuses in a tick for those who ask
-	mostNews     = 64               // boxes whose news wait to be passed on; of others the next briefs tell
-	newsFan      = 6                // boxes that each box passes news on to: all but one in 400 hear of it, and these by the next briefs
+	mostNews     = 64               // boxes whose news wait to be passed on; of others the next compact datagrams tell
+	newsFan      = 6                // boxes that each box passes news on to: all but one in 400 hear of it, and these by the next compact datagrams
 	newsLoads    = 8                // boxes in the news of one tick, in two datagrams
 	revisionFan  = 6                // boxes that are told of a newer revision at once
 	perAnswer    = 4                // statuses in one datagram, by TestSizesOfStatuses
 	newsBeats    = 20               // heartbeats until which a box has begun of late: 5 s
-	tellDeathFor = 25 * time.Second // after the last sign of life; an age in a brief has room for no more
+	tellDeathFor = 25 * time.Second // after the last sign of life; an age in a compact datagram has room for no more
 	deathSlack   = 2 * time.Second  // by which a sign of life that only another region had may be later than those of the own one
 	pausedFor    = time.Second      // a box that was paused for so long has missed what others told
 	askedFor     = time.Second      // a box is asked for again only after it
@@ -32,30 +32,32 @@
 	seedsPace    = 3 // boxes of all that ask a seed in the same round of seeds
 )
 
-// lean is what a table needs where boxes are many.
-type lean struct {
-	self      ID
-	said      wire.BoxStatus // of this box, without loads
-	byID      map[ID]*record // nil for an ID that two boxes share
-	old       map[ID]time.Duration
-	asked     map[ID]time.Duration
-	regions   map[string]regionNews
-	news      []string // boxes whose news were not passed on yet
-	near      []string // boxes of the own region still to be told in this round
-	farRegion []string // regions still to be told
-	rounds    int
-	purse     float64 // bytes that may be sent now
-	answers   int     // datagrams in this tick
-	newest    int64   // revision of the catalog that others tell of
-	passed    int64   // revision that others were told of at once
-	lastTick  time.Duration
-	lastHeard time.Duration
-	died      bool          // a death became known since the last round
-	mute      time.Duration // until then this box tells no deaths
+// compactState is what a table keeps, beside its records, where boxes are many and
+// tell each other in compact datagrams within a budget of bytes.
+type compactState struct {
+	self      ID                    // of this box
+	said      wire.BoxStatus        // what this box said of itself last
+	byID      map[ID]*record        // nil for an ID that two boxes share
+	old       map[ID]time.Duration  // replaced or forgotten incarnations, and when they were
+	asked     map[ID]time.Duration  // unknown boxes, and when their status was last asked for
+	regions   map[string]regionNews // by name, that of the own region too
+	news      []string              // boxes whose news were not passed on yet
+	near      []string              // boxes of the own region still to be told in this round
+	farRegion []string              // regions still to be told
+	rounds    int                   // calls of Round
+	budget    float64               // bytes that may be sent now
+	answers   int                   // datagrams sent in this tick to boxes that asked for statuses
+	newest    int64                 // revision of the catalog that others tell of
+	passed    int64                 // revision that others were told of at once
+	lastTick  time.Duration         // when Adapt was called last
+	lastHeard time.Duration         // when the last compact datagram came
+	died      bool                  // a death became known since the last round
+	mute      time.Duration         // until then this box tells no deaths
 }
 
-func newLean() lean {
-	return lean{
+// newCompactState returns the state of a box that knows of no other.
+func newCompactState() compactState {
+	return compactState{
 		byID:    make(map[ID]*record),
 		old:     make(map[ID]time.Duration),
 		asked:   make(map[ID]time.Duration),
@@ -64,13 +66,13 @@
 }
 
 // drop forgets the ID of a record, but remembers for a while that it is an old one.
-func (l *lean) drop(r *record, now time.Duration) {
+func (l *compactState) drop(r *record, now time.Duration) {
 	delete(l.byID, r.id)
 	l.old[r.id] = now
 }
 
 // asks says whether to ask for a box, and notes that it is asked for.
-func (l *lean) asks(id ID, now time.Duration) bool {
+func (l *compactState) asks(id ID, now time.Duration) bool {
 	if at, ok := l.asked[id]; ok && now-at < askedFor {
 		return false
 	}
@@ -79,7 +81,7 @@
 }
 
 // sweep forgets what was asked for and replaced long ago.
-func (l *lean) sweep(now time.Duration) {
+func (l *compactState) sweep(now time.Duration) {
 	for id, at := range l.asked {
 		if now-at >= askedFor {
 			delete(l.asked, id)
@@ -94,22 +96,23 @@
 
 // Packet is a datagram to send.
 type Packet struct {
-	Addr string
+	Addr string // IP:port
 	Buf  []byte
 }
 
-// outbox collects packets and takes their bytes off the purse.
+// outbox collects packets and takes their bytes off the budget of the table.
 type outbox struct {
-	lean *lean
-	own  string
-	list []Packet
+	compact *compactState
+	own     string
+	list    []Packet
 }
 
+// send adds a datagram; without an address, or for this box itself, it adds none.
 func (o *outbox) send(addr string, buf []byte) {
 	if addr == "" || addr == o.own || len(buf) == 0 {
 		return
 	}
-	o.lean.purse -= float64(len(buf) + headerBytes)
+	o.compact.budget -= float64(len(buf) + headerBytes)
 	o.list = append(o.list, Packet{
 		Addr: addr,
 		Buf:  buf,
@@ -117,4 +120,4 @@
 }
 
 // left says whether bytes are left to send.
-func (o *outbox) left() bool { return o.lean.purse > 0 }
+func (o *outbox) left() bool { return o.compact.budget > 0 }
--- a/roster/whole.go
+++ b/roster/full.go
@@ -9,26 +9,27 @@
 	"github.com/havenrudder/havenrudder/wire"
 )
 
-// header returns a brief without lists.
-func (t *Table) header() Brief {
-	s := t.lean.said
-	return Brief{
+// header returns a compact datagram without lists.
+func (t *Table) header() Compact {
+	s := t.compact.said
+	return Compact{
 		From: Vital{
-			ID:   t.lean.self,
+			ID:   t.compact.self,
 			Beat: uint16(s.Seq),
 		},
 		State:   stateOf(s),
 		Closed:  s.Callers == "",
 		Catalog: int64(s.Catalog),
-		Newest:  t.lean.newest,
+		Newest:  t.compact.newest,
 		Policy:  s.Policy,
 		ReadMs:  s.ReadMs,
 	}
 }
 
-// whole returns a brief with signs of life: of the own region's boxes all, of
-// others some in turn, and the deaths known. With far it is for another region.
-func (t *Table) whole(c audience, now time.Duration, far bool) Brief {
+// full returns a full datagram, a compact one with signs of life: of the own
+// region's boxes all, of others some in turn, and the deaths known. With far it is
+// for another region.
+func (t *Table) full(c audience, now time.Duration, far bool) Compact {
 	b := t.header()
 	b.Vitals = t.vitals(c, now, far)
 	b.Silent = t.deaths(now)
@@ -42,7 +43,7 @@
 		return b
 	}
 	b.Rooms = t.otherRooms(now)
-	b.Loads, b.Loaded = c.loads, c.full
+	b.Loads, b.Loaded = c.loads, c.allLoads
 	for len(b.encode()) > datagramBytes { // rooms of long names; statuses and loads are bounded below it
 		b.Rooms = nil
 		b.Loads = b.Loads[:len(b.Loads)/2]
@@ -56,7 +57,7 @@
 func (t *Table) vitals(c audience, now time.Duration, far bool) []Vital {
 	var own, others []*record
 	for _, r := range c.near {
-		if t.lean.byID[r.id] == r {
+		if t.compact.byID[r.id] == r {
 			own = append(own, r)
 		}
 	}
@@ -69,7 +70,7 @@
 		latest := slices.MaxFunc(c.far[region], func(a, b *record) int { return cmp.Compare(a.Heard, b.Heard) })
 		for _, r := range c.far[region] {
 			switch {
-			case t.lean.byID[r.id] != r:
+			case t.compact.byID[r.id] != r:
 			case r == latest:
 				out = t.pass(out, []*record{r}, 1, now)
 			default:
@@ -84,7 +85,7 @@
 // pass appends the first of a list, and notes that they were passed on.
 func (t *Table) pass(out []Vital, list []*record, limit int, now time.Duration) []Vital {
 	for _, r := range list[:min(len(list), limit)] {
-		r.turn = t.lean.rounds
+		r.turn = t.compact.rounds
 		r.fresh = false
 		out = append(out, r.vital(now))
 	}
@@ -109,9 +110,9 @@
 		own := r.Status.Region == t.self.Region
 		v := r.vital(now)
 		switch {
-		case t.lean.byID[r.id] != r:
+		case t.compact.byID[r.id] != r:
 			continue
-		case own && (now < t.lean.mute || t.alive(r, now)), !own && !r.silent:
+		case own && (now < t.compact.mute || t.alive(r, now)), !own && !r.silent:
 			continue
 		case !own:
 			v.Age = now - r.deadSince
@@ -128,16 +129,16 @@
 
 // loads returns the own loads that matter, as many as the budget pays for, and
 // whether these are all.
-func (t *Table) loads() (out []BriefLoad, all bool) {
+func (t *Table) loads() (out []CompactLoad, all bool) {
 	room := t.pace.loads
 	if room == 0 {
 		return nil, false
 	}
-	for _, l := range heaviest(t.lean.said.Loads) {
+	for _, l := range heaviest(t.compact.said.Loads) {
 		if !matters(l) {
 			continue
 		}
-		b := BriefLoad{
+		b := CompactLoad{
 			Replica: ReplicaIDOf(l.Replica),
 			Load:    l,
 		}
@@ -160,19 +161,19 @@
 }
 
 // ownRooms returns what this box's region can take.
-func (t *Table) ownRooms() []BriefRooms {
-	if len(t.lean.said.Rooms) == 0 {
+func (t *Table) ownRooms() []CompactRooms {
+	if len(t.compact.said.Rooms) == 0 {
 		return nil
 	}
-	return []BriefRooms{{
+	return []CompactRooms{{
 		From:  t.header().From,
-		Rooms: t.lean.said.Rooms,
+		Rooms: t.compact.said.Rooms,
 	}}
 }
 
 // otherRooms returns what one other region can take: the latest that was not
 // passed on yet.
-func (t *Table) otherRooms(now time.Duration) []BriefRooms {
+func (t *Table) otherRooms(now time.Duration) []CompactRooms {
 	newest := make(map[string]*record)
 	for _, r := range t.records {
 		if r.Status.Region == t.self.Region || len(r.Status.Rooms) == 0 || now-r.Told > t.RoomsAge() {
@@ -194,7 +195,7 @@
 	next.retold = next.Told
 	v := next.vital(now)
 	v.Age = now - next.Told
-	return []BriefRooms{{
+	return []CompactRooms{{
 		From:  v,
 		Rooms: next.Status.Rooms,
 	}}
--- a/roster/link.go
+++ b/roster/link.go
@@ -26,7 +26,7 @@
 type Link struct {
 	conn     net.PacketConn
 	handle   func(g wire.Gossip, from net.Addr)
-	brief    func(b Brief, from net.Addr)
+	compact  func(c Compact, from net.Addr)
 	sent     atomic.Int64
 	received atomic.Int64
 
@@ -38,18 +38,18 @@
 // LinkOption changes a Link that is made.
 type LinkOption func(*Link)
 
-// WithBriefs sets what is called for each brief.
-func WithBriefs(f func(b Brief, from net.Addr)) LinkOption {
-	return func(l *Link) { l.brief = f }
+// WithCompact sets what is called for each compact datagram.
+func WithCompact(f func(c Compact, from net.Addr)) LinkOption {
+	return func(l *Link) { l.compact = f }
 }
 
 // NewLink returns the link on conn. It calls handle for each datagram of whole
 // statuses, one after the other, from the goroutine that runs it.
 func NewLink(conn net.PacketConn, handle func(g wire.Gossip, from net.Addr), opts ...LinkOption) *Link {
 	l := &Link{
-		conn:   conn,
-		handle: handle,
-		brief:  func(Brief, net.Addr) {},
+		conn:    conn,
+		handle:  handle,
+		compact: func(Compact, net.Addr) {},
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -90,13 +90,13 @@
 		l.drop(errTooLong)
 		return
 	}
-	if IsBrief(buf) {
-		b, err := DecodeBrief(buf)
+	if IsCompact(buf) {
+		b, err := DecodeCompact(buf)
 		if err != nil {
 			l.drop(err)
 			return
 		}
-		l.brief(b, from)
+		l.compact(b, from)
 		return
 	}
 	g, err := Decode(buf)
--- a/roster/pace_test.go
+++ b/roster/pace_test.go
@@ -77,9 +77,9 @@
 	return tab
 }
 
-// word returns a brief of a box that has nothing else to say.
-func word(box string, beat uint16) Brief {
-	return Brief{
+// word returns a compact datagram of a box that has nothing else to say.
+func word(box string, beat uint16) Compact {
+	return Compact{
 		From: Vital{
 			ID:   IDOf(box, 1),
 			Beat: beat,
@@ -99,20 +99,20 @@
 	}
 	told := word("south-02", 9)
 	told.Silent = []Vital{dead}
-	tab.HearBrief(told, "south-02:1", now)
+	tab.HearCompact(told, "south-02:1", now)
 	is.True(!tab.Alive("south-01", now))
 	is.True(tab.Alive("south-02", now))
 	is.True(tab.Alive("south-03", now)) // its region is heard, and nobody says that it is dead
 
 	late := word("south-02", 10)
 	late.Vitals = []Vital{{ID: dead.ID, Beat: 2, Age: now - time.Second}} // heard by few, just before it died
-	tab.HearBrief(late, "south-02:1", now)
+	tab.HearCompact(late, "south-02:1", now)
 	is.True(!tab.Alive("south-01", now))
 
-	tab.HearBrief(word("south-01", 3), "south-01:1", now)
+	tab.HearCompact(word("south-01", 3), "south-01:1", now)
 	is.True(tab.Alive("south-01", now))
 	told.From.Beat = 11
-	tab.HearBrief(told, "south-02:1", now) // those who missed it go on telling
+	tab.HearCompact(told, "south-02:1", now) // those who missed it go on telling
 	is.True(tab.Alive("south-01", now))
 }
 
@@ -138,15 +138,15 @@
 	asker.Hear(status("b", "south", 1, 1), true, 0)
 	b := word("b", 2)
 	b.Vitals = []Vital{{ID: IDOf("new", 1), Beat: 1}}
-	h := asker.HearBrief(b, "b:1", 0)
+	h := asker.HearCompact(b, "b:1", 0)
 	is.Equal(len(h.Replies), 1)
 	is.Equal(h.Replies[0].Addr, "b:1")
-	q, err := DecodeBrief(h.Replies[0].Buf)
+	q, err := DecodeCompact(h.Replies[0].Buf)
 	is.NoErr(err)
-	answers := knows.HearBrief(q, "c:1", 0).Replies
+	answers := knows.HearCompact(q, "c:1", 0).Replies
 	found := false
 	for _, p := range answers {
-		if IsBrief(p.Buf) {
+		if IsCompact(p.Buf) {
 			continue
 		}
 		g, err := Decode(p.Buf)
@@ -158,7 +158,7 @@
 	}
 	is.True(found)
 	is.True(asker.Alive("new", 0))
-	is.Equal(len(asker.HearBrief(b, "b:1", 0).Replies), 0) // nothing is left to ask for
+	is.Equal(len(asker.HearCompact(b, "b:1", 0).Replies), 0) // nothing is left to ask for
 }
 
 func TestAPingIsAnsweredAtOnce(t *testing.T) {
@@ -167,9 +167,9 @@
 	tab.say(status("a", "north", 1, 5))
 	b := word("north-01", 2)
 	b.Ping = true
-	h := tab.HearBrief(b, "north-01:1", Tick)
+	h := tab.HearCompact(b, "north-01:1", Tick)
 	is.Equal(len(h.Replies), 1)
-	got, err := DecodeBrief(h.Replies[0].Buf)
+	got, err := DecodeCompact(h.Replies[0].Buf)
 	is.NoErr(err)
 	is.Equal(got.From.ID, IDOf("a", 1))
 }
--- a/roster/parse.go
+++ b/roster/parse.go
@@ -8,24 +8,25 @@
 	"github.com/havenrudder/havenrudder/wire"
 )
 
-// maxNumber bounds the numbers of a brief, so that sums of them stay numbers.
+// maxNumber bounds the numbers of a compact datagram, so that sums of them don't
+// overflow.
 const maxNumber = math.MaxInt32
 
 // maxService is the length of the longest name of a service, as in the schema.
 const maxService = 64
 
-// IsBrief says whether a datagram is a brief.
-func IsBrief(buf []byte) bool { return len(buf) > 0 && buf[0] == briefMark }
+// IsCompact says whether a datagram is a compact datagram.
+func IsCompact(buf []byte) bool { return len(buf) > 0 && buf[0] == compactMark }
 
-// DecodeBrief reads a brief and checks it.
-func DecodeBrief(buf []byte) (Brief, error) {
-	if !IsBrief(buf) {
-		return Brief{}, ErrBrief
+// DecodeCompact reads a compact datagram and checks it.
+func DecodeCompact(buf []byte) (Compact, error) {
+	if !IsCompact(buf) {
+		return Compact{}, ErrCompact
 	}
 	p := parser{
 		rest: buf[1:],
 	}
-	b := Brief{
+	b := Compact{
 		From: p.vital(),
 	}
 	flags := p.byte()
@@ -34,7 +35,7 @@
 	b.Ping = flags&bitPing != 0
 	state := int(flags & maskState)
 	if state >= len(states) {
-		return Brief{}, ErrBrief
+		return Compact{}, ErrCompact
 	}
 	b.State = states[state]
 	b.Catalog = p.long()
@@ -49,12 +50,12 @@
 	b.Loads = parseList(&p, 8, p.load)
 	b.Rooms = parseList(&p, vitalBytes+1, p.rooms)
 	if p.bad || len(p.rest) > 0 {
-		return Brief{}, ErrBrief
+		return Compact{}, ErrCompact
 	}
 	return b, nil
 }
 
-// parser reads the parts of a brief. After the first mistake it gives zeros.
+// parser reads the parts of a compact datagram. After the first mistake it gives zeros.
 type parser struct {
 	rest []byte
 	bad  bool
@@ -103,8 +104,8 @@
 	}
 }
 
-func (p *parser) load() BriefLoad {
-	out := BriefLoad{
+func (p *parser) load() CompactLoad {
+	out := CompactLoad{
 		Replica: ReplicaID(p.four()),
 	}
 	out.Load = wire.ReplicaLoad{
@@ -116,8 +117,8 @@
 	return out
 }
 
-func (p *parser) rooms() BriefRooms {
-	return BriefRooms{
+func (p *parser) rooms() CompactRooms {
+	return CompactRooms{
 		From:  p.vital(),
 		Rooms: parseList(p, 5, p.room),
 	}
--- a/roster/round.go
+++ b/roster/round.go
@@ -15,23 +15,23 @@
 	t.forget(now)
 	t.adapt(now)
 	t.tick(now)
-	t.lean.sweep(now)
-	t.lean.answers = 0
+	t.compact.sweep(now)
+	t.compact.answers = 0
 }
 
 // Round returns what a box among many sends at this tick, within its budget of
-// bytes: news, one brief with the signs of life of its region, and briefs with the
-// loads alone to as many boxes as are paid for. self is what it says of itself.
+// bytes: news, one full datagram with the signs of life of its region, and light ones
+// with the loads alone to as many boxes as are paid for. self is what it says of itself.
 // Adapt goes before it.
 func (t *Table) Round(self wire.BoxStatus, now time.Duration, rnd func(n int) int) []Packet {
 	t.say(self)
-	l := &t.lean
+	l := &t.compact
 	l.rounds++
 	income := t.pace.bytes * Tick.Seconds()
-	l.purse = min(max(l.purse, -debtTicks*income)+income, savedTicks*income)
+	l.budget = min(max(l.budget, -debtTicks*income)+income, savedTicks*income)
 	out := &outbox{
-		lean: l,
-		own:  t.self.Peers,
+		compact: l,
+		own:     t.self.Peers,
 	}
 	c := t.audience(now)
 	t.sendNews(out, c, rnd)
@@ -40,19 +40,19 @@
 	t.sendSilent(out, now, rnd)
 	t.sendPings(out, c, now, rnd)
 	if out.left() {
-		t.sendWhole(out, c, now, rnd)
+		t.sendFull(out, c, now, rnd)
 	}
-	t.sendLights(out, c, rnd)
+	t.sendLight(out, c, rnd)
 	return out.list
 }
 
 // audience is the boxes alive at one moment.
 type audience struct {
-	all   []*record
-	near  map[string]*record   // of the own region
-	far   map[string][]*record // of the others
-	loads []BriefLoad
-	full  bool // loads are all that matter
+	all      []*record
+	near     map[string]*record   // of the own region
+	far      map[string][]*record // of the others
+	loads    []CompactLoad
+	allLoads bool // loads are all that matter
 }
 
 // audience returns the boxes alive at now, and the loads that are told them.
@@ -61,7 +61,7 @@
 		near: make(map[string]*record),
 		far:  make(map[string][]*record),
 	}
-	c.loads, c.full = t.loads()
+	c.loads, c.allLoads = t.loads()
 	for _, r := range t.records {
 		if t.alive(r, now) {
 			c.all = append(c.all, r)
@@ -80,9 +80,9 @@
 
 // say takes in what this box says of itself.
 func (t *Table) say(self wire.BoxStatus) {
-	t.lean.self = IDOf(self.Box, self.Inc)
-	t.lean.said = self
-	t.lean.newest = max(t.lean.newest, int64(self.Catalog))
+	t.compact.self = IDOf(self.Box, self.Inc)
+	t.compact.said = self
+	t.compact.newest = max(t.compact.newest, int64(self.Catalog))
 }
 
 // Loads returns the datagrams that tell loads at once to the next boxes of the
@@ -90,10 +90,10 @@
 func (t *Table) Loads(self wire.BoxStatus, now time.Duration, rnd func(n int) int) []Packet {
 	t.say(self)
 	out := &outbox{
-		lean: &t.lean,
-		own:  t.self.Peers,
+		compact: &t.compact,
+		own:     t.self.Peers,
 	}
-	t.sendLights(out, t.audience(now), rnd)
+	t.sendLight(out, t.audience(now), rnd)
 	return out.list
 }
 
@@ -101,15 +101,15 @@
 // then all again in another one.
 func (t *Table) nextNear(c audience, rnd func(n int) int) (*record, bool) {
 	for range 2 {
-		for len(t.lean.near) > 0 {
-			box := t.lean.near[0]
-			t.lean.near = t.lean.near[1:]
+		for len(t.compact.near) > 0 {
+			box := t.compact.near[0]
+			t.compact.near = t.compact.near[1:]
 			if r, ok := c.near[box]; ok {
 				return r, true
 			}
 		}
-		t.lean.near = slices.Sorted(maps.Keys(c.near))
-		shuffle(t.lean.near, rnd)
+		t.compact.near = slices.Sorted(maps.Keys(c.near))
+		shuffle(t.compact.near, rnd)
 	}
 	return nil, false
 }
@@ -117,15 +117,15 @@
 // nextFar returns a random box of the next other region.
 func (t *Table) nextFar(c audience, rnd func(n int) int) (*record, bool) {
 	for range 2 {
-		for len(t.lean.farRegion) > 0 {
-			region := t.lean.farRegion[0]
-			t.lean.farRegion = t.lean.farRegion[1:]
+		for len(t.compact.farRegion) > 0 {
+			region := t.compact.farRegion[0]
+			t.compact.farRegion = t.compact.farRegion[1:]
 			if list := c.far[region]; len(list) > 0 {
 				return list[rnd(len(list))], true
 			}
 		}
-		t.lean.farRegion = slices.Sorted(maps.Keys(c.far))
-		shuffle(t.lean.farRegion, rnd)
+		t.compact.farRegion = slices.Sorted(maps.Keys(c.far))
+		shuffle(t.compact.farRegion, rnd)
 	}
 	return nil, false
 }
--- a/roster/send.go
+++ b/roster/send.go
@@ -13,7 +13,7 @@
 
 // sendNews passes on which boxes have begun, serve or leave, in whole statuses.
 func (t *Table) sendNews(out *outbox, c audience, rnd func(n int) int) {
-	l := &t.lean
+	l := &t.compact
 	n := min(len(l.news), newsLoads)
 	var list []wire.BoxStatus
 	for _, box := range l.news[:n] {
@@ -36,10 +36,10 @@
 
 // sendRevision tells a few boxes at once that there is a newer revision.
 func (t *Table) sendRevision(out *outbox, c audience, rnd func(n int) int) {
-	if t.lean.newest <= t.lean.passed {
+	if t.compact.newest <= t.compact.passed {
 		return
 	}
-	t.lean.passed = t.lean.newest
+	t.compact.passed = t.compact.newest
 	buf := t.header().encode()
 	for _, m := range pick(slices.Clone(c.all), revisionFan, rnd) {
 		out.send(m.Status.Peers, buf)
@@ -48,10 +48,10 @@
 
 // sendDeaths tells a few boxes at once of a death just known; they pass it on.
 func (t *Table) sendDeaths(out *outbox, c audience, now time.Duration, rnd func(n int) int) {
-	if !t.lean.died {
+	if !t.compact.died {
 		return
 	}
-	t.lean.died = false
+	t.compact.died = false
 	b := t.header()
 	b.Silent = t.deaths(now)
 	if len(b.Silent) == 0 {
@@ -67,13 +67,13 @@
 // parts of a fleet that were cut off meet again.
 func (t *Table) sendSilent(out *outbox, now time.Duration, rnd func(n int) int) {
 	buf := t.header().encode()
-	if t.lean.rounds%silentEvery == 0 {
+	if t.compact.rounds%silentEvery == 0 {
 		late := t.members(func(r *record) bool { return !t.alive(r, now) && now-r.Heard < silentFor })
 		for _, m := range pick(late, 1, rnd) {
 			out.send(m.Status.Peers, buf)
 		}
 	}
-	if t.lean.rounds%seedEvery != 0 {
+	if t.compact.rounds%seedEvery != 0 {
 		return
 	}
 	for _, m := range t.longSilent(now, rnd) {
@@ -98,7 +98,7 @@
 		}
 	}
 	for _, region := range slices.Sorted(maps.Keys(c.far)) {
-		if now-t.lean.regions[region].heard > t.pace.region*pingAt/percent {
+		if now-t.compact.regions[region].heard > t.pace.region*pingAt/percent {
 			late = append(late, c.far[region][rnd(len(c.far[region]))])
 		}
 	}
@@ -107,26 +107,27 @@
 	}
 }
 
-// sendWhole sends a brief with signs of life to the next box of the region or, at
-// times, of another one.
-func (t *Table) sendWhole(out *outbox, c audience, now time.Duration, rnd func(n int) int) {
-	if t.lean.rounds%farWholes == 0 {
+// sendFull sends a full datagram, with signs of life, to the next box of the region
+// or, at times, of another one.
+func (t *Table) sendFull(out *outbox, c audience, now time.Duration, rnd func(n int) int) {
+	if t.compact.rounds%farFullEvery == 0 {
 		if m, ok := t.nextFar(c, rnd); ok {
-			out.send(m.Status.Peers, t.whole(c, now, true).encode())
+			out.send(m.Status.Peers, t.full(c, now, true).encode())
 			return
 		}
 	}
 	if m, ok := t.nextNear(c, rnd); ok {
-		out.send(m.Status.Peers, t.whole(c, now, false).encode())
+		out.send(m.Status.Peers, t.full(c, now, false).encode())
 	}
 }
 
-// sendLights tells the loads to more boxes of the region, each once at most.
-func (t *Table) sendLights(out *outbox, c audience, rnd func(n int) int) {
+// sendLight sends light datagrams, with the header and the loads only, to more boxes
+// of the region, each once at most.
+func (t *Table) sendLight(out *outbox, c audience, rnd func(n int) int) {
 	b := t.header()
-	b.Loads, b.Loaded = c.loads, c.full
+	b.Loads, b.Loaded = c.loads, c.allLoads
 	buf := b.encode()
-	for sent := 1; sent < len(c.near) && out.left(); sent++ { // the whole brief was the first
+	for sent := 1; sent < len(c.near) && out.left(); sent++ { // the full datagram was the first
 		if m, ok := t.nextNear(c, rnd); ok {
 			out.send(m.Status.Peers, buf)
 		}
@@ -135,7 +136,7 @@
 
 // gossip returns a datagram with whole statuses.
 func (t *Table) gossip(others []wire.BoxStatus, ask bool) []byte {
-	from := t.lean.said
+	from := t.compact.said
 	from.Loads = nil
 	from.Rooms = nil
 	buf, err := Encode(wire.Gossip{
--- a/roster/table.go
+++ b/roster/table.go
@@ -43,7 +43,7 @@
 	due       int  // digest from which on it may be passed on again
 	fresh     bool // another region's box sent it itself, and it was not passed on yet
 	id        ID
-	turn      int           // round in which it was last passed on in a brief
+	turn      int           // round in which it was last passed on in a compact datagram
 	silent    bool          // its region says that it is dead, and nothing newer was heard
 	deadSince time.Duration // our clock when its region heard it last, where it is silent
 	judged    bool          // this box of the own region was found to be dead, and others were told at once
@@ -60,7 +60,7 @@
 	turn    int // first of the own region's members to send to next
 	silent  int // first of the silent members to send to next
 	pace    pace
-	lean    lean
+	compact compactState
 }
 
 // Option changes a table that is made.
@@ -79,7 +79,7 @@
 		self:    self,
 		records: make(map[string]*record),
 		pace:    plainPace(),
-		lean:    newLean(),
+		compact: newCompactState(),
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -222,7 +222,7 @@
 func (t *Table) forget(now time.Duration) {
 	for name, r := range t.records {
 		if now-r.Heard > forgetAfter {
-			t.lean.drop(r, now)
+			t.compact.drop(r, now)
 			delete(t.records, name)
 		}
 	}
--- a/roster/take.go
+++ b/roster/take.go
@@ -7,34 +7,34 @@
 	"github.com/havenrudder/havenrudder/wire"
 )
 
-// Heard is what a brief says to a box, beside what its table keeps.
+// Heard is what a compact datagram says to a box, beside what its table keeps.
 type Heard struct {
 	Sender  string // the box that sent it; empty for one that isn't known yet
 	Status  wire.BoxStatus
-	Loads   []BriefLoad
+	Loads   []CompactLoad
 	All     bool     // the loads are all that matter
 	Newer   bool     // it is no late or repeated one
 	Replies []Packet // to send at once
 }
 
-// HearBrief takes a brief in that came from an address.
-func (t *Table) HearBrief(b Brief, from string, now time.Duration) Heard {
-	t.lean.lastHeard = now
+// HearCompact takes a compact datagram in that came from an address.
+func (t *Table) HearCompact(b Compact, from string, now time.Duration) Heard {
+	t.compact.lastHeard = now
 	out := &outbox{
-		lean: &t.lean,
-		own:  t.self.Peers,
+		compact: &t.compact,
+		own:     t.self.Peers,
 	}
 	var h Heard
 	r, newer, known := t.hearVital(b.From, now)
 	switch {
 	case r != nil:
 		h = t.hearSender(r, b, newer)
-	case !known && t.lean.asks(b.From.ID, now):
+	case !known && t.compact.asks(b.From.ID, now):
 		out.send(from, t.gossip(nil, true))
 	}
 	t.hearOthers(out, b, r, from, now)
 	t.hearRooms(b, now)
-	t.lean.newest = max(t.lean.newest, b.Newest, b.Catalog)
+	t.compact.newest = max(t.compact.newest, b.Newest, b.Catalog)
 	if b.Ping {
 		out.send(from, t.header().encode())
 	}
@@ -44,7 +44,7 @@
 }
 
 // hearSender takes in what the sender says of itself.
-func (t *Table) hearSender(r *record, b Brief, newer bool) Heard {
+func (t *Table) hearSender(r *record, b Compact, newer bool) Heard {
 	if newer {
 		s := r.Status
 		s.State = b.State
@@ -57,8 +57,8 @@
 		if r.State() == wire.ServingStateLeaving {
 			s.State = wire.ServingStateLeaving
 		}
-		if stateOf(s) != r.State() && len(t.lean.news) < mostNews {
-			t.lean.news = append(t.lean.news, s.Box)
+		if stateOf(s) != r.State() && len(t.compact.news) < mostNews {
+			t.compact.news = append(t.compact.news, s.Box)
 		}
 		r.Status = s
 		if s.Region != t.self.Region {
@@ -76,11 +76,11 @@
 
 // hearOthers takes in which other boxes live and which don't, and asks for those
 // not known.
-func (t *Table) hearOthers(out *outbox, b Brief, sender *record, from string, now time.Duration) {
+func (t *Table) hearOthers(out *outbox, b Compact, sender *record, from string, now time.Duration) {
 	var unknown []ID
 	for _, v := range b.Vitals {
 		r, newer, known := t.hearVital(v, now)
-		if !known && len(unknown) < mostUnknown && t.lean.asks(v.ID, now) {
+		if !known && len(unknown) < mostUnknown && t.compact.asks(v.ID, now) {
 			unknown = append(unknown, v.ID)
 		}
 		if newer && sender != nil && r.Status.Region != t.self.Region && r.Status.Region == sender.Status.Region {
@@ -91,7 +91,7 @@
 		t.hearSilent(v, now)
 	}
 	for _, id := range b.Leaving {
-		if r := t.lean.byID[id]; r != nil {
+		if r := t.compact.byID[id]; r != nil {
 			r.Status.State = wire.ServingStateLeaving
 		}
 	}
@@ -104,9 +104,9 @@
 }
 
 // hearRooms takes in what other regions can take.
-func (t *Table) hearRooms(b Brief, now time.Duration) {
+func (t *Table) hearRooms(b Compact, now time.Duration) {
 	for _, rooms := range b.Rooms {
-		r := t.lean.byID[rooms.From.ID]
+		r := t.compact.byID[rooms.From.ID]
 		if r == nil || now-rooms.From.Age <= r.Told {
 			continue
 		}
@@ -120,15 +120,15 @@
 func (t *Table) answer(out *outbox, ids []ID, from string, now time.Duration) {
 	var list []wire.BoxStatus
 	for _, id := range ids {
-		if r := t.lean.byID[id]; r != nil && t.alive(r, now) {
+		if r := t.compact.byID[id]; r != nil && t.alive(r, now) {
 			list = append(list, r.bare())
 		}
 	}
 	for chunk := range slices.Chunk(list, perAnswer) {
-		if t.lean.answers >= mostAnswers {
+		if t.compact.answers >= mostAnswers {
 			return
 		}
-		t.lean.answers++
+		t.compact.answers++
 		out.send(from, t.gossip(chunk, false))
 	}
 }
