--- a/roster/compact.go
+++ b/roster/compact.go
@@ -140,6 +140,7 @@
 	return out
 }
 
+// appendIDs appends the number of IDs and then four bytes of each.
 func appendIDs(out []byte, list []ID) []byte {
 	out = binary.AppendUvarint(out, uint64(len(list)))
 	for _, id := range list {
@@ -148,6 +149,7 @@
 	return out
 }
 
+// appendVitals appends the number of signs of life and then each.
 func appendVitals(out []byte, list []Vital) []byte {
 	out = binary.AppendUvarint(out, uint64(len(list)))
 	for _, v := range list {
@@ -156,12 +158,14 @@
 	return out
 }
 
+// appendVital appends a sign of life in vitalBytes, its age rounded up to ageUnit.
 func appendVital(out []byte, v Vital) []byte {
 	out = binary.BigEndian.AppendUint32(out, uint32(v.ID))
 	out = binary.BigEndian.AppendUint16(out, v.Beat)
 	return append(out, byte(min(max(0, (v.Age+ageUnit-1)/ageUnit), math.MaxUint8)))
 }
 
+// appendLoad appends a load, its tokens rounded up to tokenUnit.
 func appendLoad(out []byte, l CompactLoad) []byte {
 	out = binary.BigEndian.AppendUint32(out, uint32(l.Replica))
 	out = binary.AppendUvarint(out, uint64(l.Load.InFlight))
@@ -171,6 +175,7 @@
 	return out
 }
 
+// appendRooms appends what a region can take, its services by name.
 func appendRooms(out []byte, r CompactRooms) []byte {
 	out = appendVital(out, r.From)
 	out = binary.AppendUvarint(out, uint64(len(r.Rooms)))
--- a/roster/compact_test.go
+++ b/roster/compact_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-func TestABriefIsReadAsItWasWritten(t *testing.T) {
+func TestACompactDatagramIsReadAsItWasWritten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := drawCompact(t)
 		got, err := DecodeCompact(b.encode())
@@ -84,7 +84,7 @@
 	})
 }
 
-func TestABriefThatIsCutOrLongerIsRefused(t *testing.T) {
+func TestACompactDatagramThatIsCutOrLongerIsRefused(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		buf := drawCompact(t).encode()
 		if _, err := DecodeCompact(buf[:rapid.IntRange(0, len(buf)-1).Draw(t, "cut")]); err == nil {
--- a/roster/parse.go
+++ b/roster/parse.go
@@ -72,10 +72,13 @@
 	return out
 }
 
-func (p *parser) byte() byte   { return p.take(1)[0] }
+// byte reads one byte.
+func (p *parser) byte() byte { return p.take(1)[0] }
+
+// four reads the four bytes of an ID.
 func (p *parser) four() uint32 { return binary.BigEndian.Uint32(p.take(4)) }
 
-// long reads a revision.
+// long reads a revision, or any number of up to 63 bits.
 func (p *parser) long() int64 {
 	n, used := binary.Uvarint(p.rest)
 	if used <= 0 || n > math.MaxInt64 {
@@ -86,7 +89,7 @@
 	return int64(n)
 }
 
-// number reads any other number.
+// number reads a number of up to maxNumber.
 func (p *parser) number() int {
 	n := p.long()
 	if n > maxNumber {
@@ -96,6 +99,7 @@
 	return int(n)
 }
 
+// vital reads what appendVital writes.
 func (p *parser) vital() Vital {
 	return Vital{
 		ID:   ID(p.four()),
@@ -104,6 +108,7 @@
 	}
 }
 
+// load reads what appendLoad writes.
 func (p *parser) load() CompactLoad {
 	out := CompactLoad{
 		Replica: ReplicaID(p.four()),
@@ -117,6 +122,7 @@
 	return out
 }
 
+// rooms reads what appendRooms writes.
 func (p *parser) rooms() CompactRooms {
 	return CompactRooms{
 		From:  p.vital(),
@@ -124,6 +130,7 @@
 	}
 }
 
+// room reads what one service of a region can take.
 func (p *parser) room() wire.ServiceRoom {
 	n := p.number()
 	if n == 0 || n > maxService {
