--- a/node/drain.go
+++ b/node/drain.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	lameTime    = 2500 * time.Millisecond // some callers hold an answer to "which box" for three times its time
-	lastCalls   = time.Second             // before the end, nothing more is taken: calls take half of that at most, as a rule
-	answerBy    = 250 * time.Millisecond  // before the end, each call that was taken has an answer
-	reliefCheck = 50 * time.Millisecond   // between two looks whether another box serves
+	acceptFor  = 2500 * time.Millisecond // after the order to stop all requests are still taken: some callers hold an answer to "which box" for three times its time
+	lastCalls  = time.Second             // before the end nothing more is taken: calls take half of that at most, as a rule
+	answerBy   = 250 * time.Millisecond  // before the end, each call that was taken has an answer
+	serveCheck = 50 * time.Millisecond   // between two looks whether another box serves
 )
 
 // Leave begins a planned stop: the box is no longer named to callers, finishes
@@ -44,10 +44,10 @@
 	n.tellEveryone(false)
 	limit, stop := context.WithTimeout(ctx, n.settings.Bounds.StopWithin-stopEarly)
 	defer stop()
-	sleep.For(limit, min(lameTime, n.settings.Bounds.StopWithin/2))
+	sleep.For(limit, min(acceptFor, n.settings.Bounds.StopWithin/2))
 	n.closed.Store(true)
 	n.tellEveryone(false)
-	n.awaitRelief(limit)
+	n.awaitOther(limit)
 	for _, s := range servers {
 		if err := s.Shutdown(limit); err != nil {
 			n.record(decision.Event{
@@ -60,18 +60,18 @@
 	cancel(ending.ErrPlanned)
 }
 
-// awaitRelief waits until another box of the region serves, or the box has to end.
+// awaitOther waits until another box of the region serves, or the box has to end.
 // Boxes of a region that are told to stop one soon after the other would otherwise
 // all refuse connections at the same time.
-func (n *Node) awaitRelief(limit context.Context) {
+func (n *Node) awaitOther(limit context.Context) {
 	last := time.Duration(n.ends.Load()) - lastCalls
-	for limit.Err() == nil && n.now() < last && !n.relieved() {
-		sleep.For(limit, reliefCheck)
+	for limit.Err() == nil && n.now() < last && !n.otherServes() {
+		sleep.For(limit, serveCheck)
 	}
 }
 
-// relieved says whether another box of the region serves.
-func (n *Node) relieved() (out bool) {
+// otherServes says whether another box of the region serves.
+func (n *Node) otherServes() (out bool) {
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		out = len(s.roster.Serving(s.settings.Region, n.now())) > 0
 	})
--- a/node/pull.go
+++ b/node/pull.go
@@ -15,7 +15,7 @@
 
 const (
 	peerDial  = 500 * time.Millisecond // between regions a connection takes 160 ms
-	pullLimit = 2 * time.Second        // for a whole catalog from another box
+	pullLimit = 2 * time.Second        // for the catalog, or what changed in it, from another box
 	pullPause = 300 * time.Millisecond // between two of them
 )
 
