--- a/roster/parse.go
+++ b/roster/parse.go
@@ -8,24 +8,25 @@
 	"github.com/havenrudder/havenrudder/wire"
 )
 
-// maxNumber bounds the numbers of a brief, so that sums of them stay numbers.
+// maxNumber bounds the numbers of a compact datagram, so that sums of them don't
+// overflow.
 const maxNumber = math.MaxInt32
 
 // maxService is the length of the longest name of a service, as in the schema.
 const maxService = 64
 
-// IsBrief says whether a datagram is a brief.
-func IsBrief(buf []byte) bool { return len(buf) > 0 && buf[0] == briefMark }
+// IsCompact says whether a datagram is a compact datagram.
+func IsCompact(buf []byte) bool { return len(buf) > 0 && buf[0] == compactMark }
 
-// DecodeBrief reads a brief and checks it.
-func DecodeBrief(buf []byte) (Brief, error) {
-	if !IsBrief(buf) {
-		return Brief{}, ErrBrief
+// DecodeCompact reads a compact datagram and checks it.
+func DecodeCompact(buf []byte) (Compact, error) {
+	if !IsCompact(buf) {
+		return Compact{}, ErrCompact
 	}
 	p := parser{
 		rest: buf[1:],
 	}
-	b := Brief{
+	b := Compact{
 		From: p.vital(),
 	}
 	flags := p.byte()
@@ -34,7 +35,7 @@
 	b.Ping = flags&bitPing != 0
 	state := int(flags & maskState)
 	if state >= len(states) {
-		return Brief{}, ErrBrief
+		return Compact{}, ErrCompact
 	}
 	b.State = states[state]
 	b.Catalog = p.long()
@@ -49,12 +50,12 @@
 	b.Loads = parseList(&p, 8, p.load)
 	b.Rooms = parseList(&p, vitalBytes+1, p.rooms)
 	if p.bad || len(p.rest) > 0 {
-		return Brief{}, ErrBrief
+		return Compact{}, ErrCompact
 	}
 	return b, nil
 }
 
-// parser reads the parts of a brief. After the first mistake it gives zeros.
+// parser reads the parts of a compact datagram. After the first mistake it gives zeros.
 type parser struct {
 	rest []byte
 	bad  bool
@@ -71,10 +72,13 @@
 	return out
 }
 
-func (p *parser) byte() byte   { return p.take(1)[0] }
+// byte reads one byte.
+func (p *parser) byte() byte { return p.take(1)[0] }
+
+// four reads the four bytes of an ID.
 func (p *parser) four() uint32 { return binary.BigEndian.Uint32(p.take(4)) }
 
-// long reads a revision.
+// long reads a revision, or any number of up to 63 bits.
 func (p *parser) long() int64 {
 	n, used := binary.Uvarint(p.rest)
 	if used <= 0 || n > math.MaxInt64 {
@@ -85,7 +89,7 @@
 	return int64(n)
 }
 
-// number reads any other number.
+// number reads a number of up to maxNumber.
 func (p *parser) number() int {
 	n := p.long()
 	if n > maxNumber {
@@ -95,6 +99,7 @@
 	return int(n)
 }
 
+// vital reads what appendVital writes.
 func (p *parser) vital() Vital {
 	return Vital{
 		ID:   ID(p.four()),
@@ -103,8 +108,9 @@
 	}
 }
 
-func (p *parser) load() BriefLoad {
-	out := BriefLoad{
+// load reads what appendLoad writes.
+func (p *parser) load() CompactLoad {
+	out := CompactLoad{
 		Replica: ReplicaID(p.four()),
 	}
 	out.Load = wire.ReplicaLoad{
@@ -116,13 +122,15 @@
 	return out
 }
 
-func (p *parser) rooms() BriefRooms {
-	return BriefRooms{
+// rooms reads what appendRooms writes.
+func (p *parser) rooms() CompactRooms {
+	return CompactRooms{
 		From:  p.vital(),
 		Rooms: parseList(p, 5, p.room),
 	}
 }
 
+// room reads what one service of a region can take.
 func (p *parser) room() wire.ServiceRoom {
 	n := p.number()
 	if n == 0 || n > maxService {
