roster: Count only newer heartbeats as later signs of life

A box that passes a sign of life on tells its age without the time on the way, 80 ms between regions, and the later of two counted, so two regions telling each other made a dead box's last sign later and later, until it went before the word of its death.

Now a sign of life counts as later only with a newer heartbeat.

The new test fails without it; measure/gossip passes.

--- a/roster/alive.go
+++ b/roster/alive.go
@@ -119,7 +119,7 @@
 	seq := widen(r.Status.Seq, v.Beat)
 	newer = seq > r.Status.Seq
 	r.Status.Seq = max(r.Status.Seq, seq)
-	if heard := now - v.Age; seq >= r.Status.Seq && heard > r.Heard {
+	if heard := now - v.Age; newer && heard > r.Heard { // the same one told again is no later: its age lacks the time on the way
 		r.Heard = heard
 		r.Seen = max(r.Seen, heard)
 		r.silent = r.silent && heard <= r.deadSince+deathSlack
--- /dev/null
+++ b/roster/creep_test.go
@@ -0,0 +1,50 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// The age of a sign of life doesn't hold the time on the way, so each box that passes
+// it on would make it later. It counts only when it is a newer one.
+func TestASignOfLifeThatIsPassedOnGetsNoLater(t *testing.T) {
+	is := is.New(t)
+	table := New(wire.BoxStatus{
+		Box:    "self",
+		Inc:    1,
+		Region: "a",
+	})
+	hear := func(box string, seq int, now time.Duration) {
+		table.Hear(wire.BoxStatus{
+			Box:    box,
+			Inc:    1,
+			Seq:    seq,
+			Region: "b",
+		}, true, now)
+	}
+	const crossing = 80 * time.Millisecond
+	start := time.Minute
+	hear("dead", 7, start)
+	hear("near", 1, start)
+	passed := Vital{
+		ID:   IDOf("dead", 1),
+		Beat: 7,
+	}
+	for hop := range 100 { // two regions tell each other what they heard last
+		now := start + time.Duration(hop)*crossing
+		r, _, known := table.hearVital(passed, now)
+		is.True(known)
+		is.Equal(r.Heard, start)
+		passed.Age = now - r.Heard
+	}
+	passed.Beat = 8
+	passed.Age = crossing
+	later := start + time.Minute
+	r, newer, _ := table.hearVital(passed, later)
+	is.True(newer)
+	is.Equal(r.Heard, later-crossing)
+}
