--- a/tools/play-mixes.sh
+++ b/tools/play-mixes.sh
@@ -1,32 +1,33 @@
 #!/usr/bin/env bash
 # Plays days of one's own on the users' bench and prints one line a day.
 #
-#   tools/play-mixes.sh [--jobs N] [--out DIR] [--why TEXT] BENCH SITE DAY.toml...
+#   tools/play-mixes.sh [--jobs N] [--out DIR] [--why TEXT] [--add N] BENCH SITE DAY.toml...
 #
 # BENCH is the bench's program, SITE a site file. N days are played at once (1), each on
 # one core. DIR keeps the bench's whole text (DAY.txt) and figures (DAY.json); left out,
-# they go. The last column says what was wrong: rules broken, what fell short of the gate,
-# a fault of the day, processes that ended by themselves; "ok" if nothing was. Ends with 1
-# if something was wrong on any day.
+# they go. --add N plays each day with its seed plus N. The last column says what was
+# wrong: rules broken, what fell short of the gate, a fault of the day, processes that
+# ended by themselves; "ok" if nothing was. Ends with 1 if something was wrong on any day.
 set -euo pipefail
 
 usage() {
-	sed -n '2,11s/^# \{0,1\}//p' "$0" >&2
+	sed -n '2,10s/^# \{0,1\}//p' "$0" >&2
 	exit 2
 }
 
-jobs=1 out='' why='mixes'
+jobs=1 out='' why='mixes' add=0
 while [[ "${1:-}" == --* ]]; do
 	[[ $# -ge 2 ]] || usage
 	case $1 in
 	--jobs) jobs=$2 ;;
 	--out) out=$2 ;;
 	--why) why=$2 ;;
+	--add) add=$2 ;;
 	*) usage ;;
 	esac
 	shift 2
 done
-[[ $# -ge 3 && $jobs =~ ^[1-9][0-9]*$ ]] || usage
+[[ $# -ge 3 && $jobs =~ ^[1-9][0-9]*$ && $add =~ ^[0-9]+$ ]] || usage
 bench=$1 site=$2
 shift 2
 
@@ -36,19 +37,17 @@
 mkdir -p "$keep"
 
 play() {
-	local file=$1 name seed text figures row worth served wrong='' found
+	local file=$1 name seed text figures worth served wrong='' found
 	name=$(basename "$file" .toml)
 	seed=$(sed -n 's/^seed *= *\([0-9]*\).*/\1/p' "$file" | head -n 1)
+	seed=$((seed + add))
 	text=$keep/$name.txt figures=$keep/$name.json
 	rm -f "$figures"
-	if ! "$bench" run "$site" "$file" --jobs 1 --report "$figures" --why "$why: $name" \
-		>"$text" 2>&1 && [[ ! -s $figures ]]; then
-		wrong=' not played;'
-	fi
-	row=$(awk -v n="$name" '$1 == n && $2 ~ /\// {print; exit}' "$text")
-	worth=$(awk '{print $4}' <<<"$row")
-	served=$(awk '{print $5}' <<<"$row")
-	[[ -n $row ]] || wrong=' not played;'
+	"$bench" run "$site" "$file" --seed "$seed" --jobs 1 --report "$figures" \
+		--why "$why: $name" >"$text" 2>&1 || true
+	worth=$(sed -n 's/^  "G": \([-0-9.]*\),$/\1/p' "$figures" 2>/dev/null || true)
+	served=$(sed -n 's/^  "served": \([0-9.]*\),$/\1/p' "$figures" 2>/dev/null || true)
+	[[ -n $worth ]] || wrong=' not played;'
 	found=$(sed -n 's/^rules broken: //p' "$text" | head -n 1)
 	[[ -z $found ]] || wrong+=" rules: $found;"
 	found=$(sed -n 's/^short of the gate: //p' "$text" | head -n 1)
@@ -58,7 +57,7 @@
 	found=$(sed -n 's/^  "exits_n": \([0-9]*\),\{0,1\}$/\1/p' "$figures" 2>/dev/null || true)
 	[[ -z $found || $found == 0 ]] || wrong+=" exits: $found;"
 	wrong=${wrong:- ok}
-	printf '%-8s seed %-8s worth %-7s served %-6s%s\n' "$name" "${seed:--}" "${worth:--}" "${served:--}" "${wrong%;}"
+	printf '%-8s seed %-8s worth %-7s served %-6s%s\n' "$name" "$seed" "${worth:--}" "${served:--}" "${wrong%;}"
 	[[ $wrong == ' ok' ]]
 }
 
