node: Name no box outside the homes of a host's bound data

Cause: where the caller's region and the homes had no serving box, the directory named the serving boxes of any region. A box without a policy did the same, for it does not know what is bound. Ruled out: that forwarding between boxes let data in (Route.Allows decides there, and no request was run outside its homes). Now: leaving boxes of the homes come after leaving ones of the region, and a host with bound data is named no other box; nor is any host by a box without a policy. Both new tests and the changed order in the property test failed first.

--- a/catalog/policy.go
+++ b/catalog/policy.go
@@ -209,14 +209,13 @@
 // HomeOfAll says whether a region may process the data of all routes of a host, of
 // which some are bound to regions.
 func (t *Table) HomeOfAll(host, region string) bool {
-	bound := false
-	for _, r := range t.byHost[hostName(host)] {
-		bound = bound || len(r.Homes) > 0
-		if !r.Allows(region) {
-			return false
-		}
-	}
-	return bound
+	barred := func(r *Route) bool { return !r.Allows(region) }
+	return t.Bound(host) && !slices.ContainsFunc(t.byHost[hostName(host)], barred)
+}
+
+// Bound says whether the data of any route of a host is bound to regions.
+func (t *Table) Bound(host string) bool {
+	return slices.ContainsFunc(t.byHost[hostName(host)], func(r *Route) bool { return len(r.Homes) > 0 })
 }
 
 // hostName returns a host without its port, in lower case.
--- a/node/state.go
+++ b/node/state.go
@@ -263,22 +263,32 @@
 
 // which returns the boxes to name to a caller in a region: the ready ones there.
 // Where there is none, those of regions that all data of the host may enter; then
-// those of the region that are leaving but still take requests; and at last those
-// of all other regions.
+// those of the region, and of these regions, that are leaving but still take requests;
+// and at last those of all other regions. Boxes of other regions than the caller's get
+// no data that may not enter them: a host whose data is bound, or not known to be
+// free, is named none of them, and its callers keep the answer that they have.
 func (s *state) which(host, region string, own wire.ServingState, now time.Duration) []string {
-	serving := wire.ServingStateServing
-	out := s.named(own, now, serving, func(r string) bool { return r == region })
-	if len(out) == 0 {
-		out = s.named(own, now, serving, func(r string) bool { return s.table != nil && s.table.HomeOfAll(host, r) })
+	serving, leaving := wire.ServingStateServing, wire.ServingStateLeaving
+	near := func(r string) bool { return r == region }
+	home := func(r string) bool { return s.table != nil && s.table.HomeOfAll(host, r) }
+	free := func(string) bool { return s.table != nil && !s.table.Bound(host) }
+	steps := []struct {
+		state wire.ServingState
+		in    func(region string) bool
+	}{
+		{serving, near},
+		{serving, home},
+		{leaving, near},
+		{leaving, home},
+		{serving, free},
 	}
-	if len(out) == 0 {
-		out = s.named(own, now, wire.ServingStateLeaving, func(r string) bool { return r == region })
-	}
-	if len(out) == 0 {
-		out = s.named(own, now, serving, func(string) bool { return true })
+	for _, step := range steps {
+		if out := s.named(own, now, step.state, step.in); len(out) > 0 {
+			slices.Sort(out)
+			return out[:min(len(out), maxNamed)]
+		}
 	}
-	slices.Sort(out)
-	return out[:min(len(out), maxNamed)]
+	return nil
 }
 
 // maxNamed is the most boxes that one answer to "which box" names.
--- a/node/which_test.go
+++ b/node/which_test.go
@@ -70,6 +70,28 @@
 	is.Equal(b.which(host, "d", servingState, start), callersOf("all"))
 }
 
+func TestCallersOfAHostWithBoundDataAreNamedNoBoxOutsideItsHomes(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "c", 0)
+	b.publish(2, policy(2, "a", "b"), nil)
+	b.told("goes", "b", leavingState, false, start)
+	b.told("begins", "a", startingState, false, start)
+	is.Equal(b.which(host, "a", servingState, start), callersOf("goes")) // also where it goes, it may read the data
+	b.told("goes", "b", leavingState, true, start+time.Millisecond)
+	is.Equal(len(b.which(host, "a", servingState, start+time.Millisecond)), 0)
+	is.Equal(b.which("other.example", "a", servingState, start), callersOf("self")) // nothing binds it
+	is.Equal(b.which(host, "c", servingState, start), callersOf("self"))            // the caller is there itself
+}
+
+func TestABoxWithoutAPolicyNamesNoBoxOfAnotherRegion(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 0)
+	b.state = newState(b.settings, b.self, 0)
+	b.told("far", "b", "", false, start)
+	is.Equal(len(b.which(host, "a", servingState, start)), 0) // the data may be bound
+	is.Equal(b.which(host, "b", servingState, start), callersOf("far"))
+}
+
 func TestBoxesThatLeaveAreNamedBeforeThoseOfOtherRegions(t *testing.T) {
 	is := is.New(t)
 	b := newBox("self", "a", 0)
@@ -177,7 +199,8 @@
 		func(p named) bool { return p.state == "" && p.region == region },
 		func(p named) bool { return p.state == "" && slices.Contains(homes, p.region) },
 		func(p named) bool { return p.state == leavingState && p.region == region },
-		func(p named) bool { return p.state == "" },
+		func(p named) bool { return p.state == leavingState && slices.Contains(homes, p.region) },
+		func(p named) bool { return p.state == "" && len(homes) == 0 },
 	}
 	for _, step := range steps {
 		var out []string
