node: Send prompts to the home region of their shared parts whenever that gains

Cause: the larger the gain, the more requests went away, so that not all boxes send to the same region at once. A home region differs from one subject to the next, so homes spread requests by themselves, yet a third of the long prompts stayed where their parts were read again, and the busiest region kept their load.

--- a/node/away.go
+++ b/node/away.go
@@ -42,10 +42,12 @@
 	s.paths[region] = path
 }
 
-// betterAway says whether a request goes away: the more often the more it gains.
-func betterAway(here, there float64, draw func(n int) int) bool {
+// betterAway says whether a request goes away: the more often the more it gains, for
+// all boxes see the same. It always goes to the home region of its shared parts if
+// that gains anything, for the homes of different parts divide requests by themselves.
+func betterAway(here, there float64, toHome bool, draw func(n int) int) bool {
 	gain := here - there - awayPrice
-	return gain > 0 && float64(draw(draws))*awayAll/draws < gain
+	return gain > 0 && (toHome || float64(draw(draws))*awayAll/draws < gain)
 }
 
 // draws is the number of values that one draw may take.
--- a/node/place_test.go
+++ b/node/place_test.go
@@ -294,7 +294,7 @@
 	share := func(gain float64) float64 {
 		n := 0
 		for i := range draws {
-			if betterAway(gain, 0, func(int) int { return i }) {
+			if betterAway(gain, 0, false, func(int) int { return i }) {
 				n++
 			}
 		}
@@ -313,6 +313,15 @@
 	})
 }
 
+func TestPromptsAlwaysGoToTheirHomeRegionWhereThatGains(t *testing.T) {
+	is := is.New(t)
+	for i := range draws {
+		draw := func(int) int { return i }
+		is.True(betterAway(awayPrice+1, 0, true, draw))
+		is.True(!betterAway(awayPrice, 0, true, draw))
+	}
+}
+
 func TestRequestsStayWhereTheyAreServedInTime(t *testing.T) {
 	is := is.New(t)
 	b := newBox("self", "a", 1)
--- a/node/state.go
+++ b/node/state.go
@@ -229,7 +229,7 @@
 	allowed := ask.Route.Allows(s.settings.Region)
 	if hasFar {
 		risk := riskHere(here, ask, goals, home, s.settings.Region)
-		if !allowed || here.Reason != placement.None || betterAway(risk, far.risk, draw) {
+		if !allowed || here.Reason != placement.None || betterAway(risk, far.risk, far.region == home, draw) {
 			t := sendAway(far, draw)
 			s.tryAgain(t.Box, now)
 			return t
--- a/placement/copy.go
+++ b/placement/copy.go
@@ -6,7 +6,6 @@
 const (
 	copySetup = 5 * time.Millisecond // until a copy begins, by the sheet of an engine that tells it
 	copyShare = 0.1                  // of the way between two engines that a copy counts on: copies go one after another
-	mayLack   = 0.3                  // share of shared parts that the first in their rank is taken to lack where this box sent them nowhere
 	bitsMega  = 1e6                  // bits in a megabit
 	bitsByte  = 8                    // bits in a byte
 )
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -241,9 +241,9 @@
 	case ok && keeper != nil && keeper != w.r:
 		copying = took
 		w.source = keeper
-		w.missing = int(mayLack * float64(keeper.missing(req.Parts, now)))
+		w.missing = mayLack(keeper.missing(req.Parts, now))
 	case first && w.missing > 0:
-		w.missing = int((1 - firstBonus) * float64(w.missing))
+		w.missing = mayLack(w.missing)
 	}
 	wait := ReadTime(w.load.Unread) + w.r.queueing(w.load, usual) + copying
 	step := time.Duration(stepPerKilo * float64(w.load.Tokens) / 1000 * float64(time.Millisecond))
@@ -255,6 +255,10 @@
 	w.cost = w.expect + scale(readAgain-1, ReadTime(w.missing)) + w.r.crowding(w.load, req) + scale(harm, harmTime)
 }
 
+// mayLack returns how many shared tokens the first in their rank is expected to lack
+// of those that this box has not sent there itself: other boxes send them there.
+func mayLack(unsent int) int { return int((1 - firstBonus) * float64(unsent)) }
+
 // ReadTime returns the time that an engine takes to read tokens of prompts.
 func ReadTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
