placement: Let the least urgent requests leave memory to more urgent ones

Hypothesis: an engine that the least urgent may fill to two thirds only serves more of the rest, and puts fewer running prompts back. Rank is by priority among the routes of a service, so a service with one priority keeps no reserve.

--- a/catalog/policy.go
+++ b/catalog/policy.go
@@ -170,6 +170,7 @@
 	policy   Policy
 	byHost   map[string][]*Route // the longest prefix first
 	services map[string]*Service
+	ranks    map[string]ranks // of the routes of each service
 }
 
 // NewTable returns the table of a policy.
@@ -178,11 +179,13 @@
 		policy:   p,
 		byHost:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(p.Services)),
+		ranks:    make(map[string]ranks, len(p.Services)),
 	}
 	for i := range p.Routes {
 		r := &p.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		t.addRanks(r)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
--- /dev/null
+++ b/catalog/rank_test.go
@@ -0,0 +1,42 @@
+package catalog_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/catalog"
+)
+
+func TestAPriorityRanksAmongTheRoutesOfItsService(t *testing.T) {
+	is := is.New(t)
+	route := func(priority int, services ...string) catalog.Route {
+		r := catalog.Route{
+			Priority: priority,
+		}
+		for _, s := range services {
+			r.Shares = append(r.Shares, catalog.Share{
+				Service: s,
+				Weight:  1,
+			})
+		}
+		return r
+	}
+	table := catalog.NewTable(catalog.Policy{
+		Version: 1,
+		Routes: []catalog.Route{
+			route(1, "engine"),
+			route(3, "engine", "spare"),
+			route(5, "engine"),
+			route(5, "plain"),
+		},
+	})
+	is.Equal(table.Rank("engine", 1), 0.0)
+	is.Equal(table.Rank("engine", 3), 0.5)
+	is.Equal(table.Rank("engine", 5), 1.0)
+	is.Equal(table.Rank("engine", 9), 1.0) // of an older policy
+	is.Equal(table.Rank("engine", 0), 0.0)
+	is.Equal(table.Rank("plain", 5), 0.0) // all are alike
+	is.Equal(table.Rank("spare", 3), 0.0)
+	is.Equal(table.Rank("unknown", 3), 0.0)
+}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -44,6 +44,7 @@
 	route   *catalog.Route
 	service string
 	version int
+	rank    float64 // of the route's priority among those of the service
 	body    []byte
 
 	state      state
@@ -124,6 +125,7 @@
 			Out:     out,
 			Gap:     c.route.GapGoal.Duration(),
 			Tried:   c.tried,
+			Rank:    c.rank,
 		},
 		Route:      c.route,
 		Left:       time.Until(c.end),
--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -42,6 +42,7 @@
 	if c.service == "" {
 		c.service = c.route.Service(c.facts.ID)
 	}
+	c.rank = table.Rank(c.service, c.route.Priority)
 	c.setEnd()
 	c.lastEvent = c.facts.LastEvent
 	if c.relay != nil && c.relay.LastEvent != "" {
--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -9,6 +9,7 @@
 // first users' engines.
 const (
 	memoryFull  = 0.97                    // share of memory up to which requests are sent; above it an engine preempts
+	memoryKept  = 0.3                     // share of memory that the least urgent leave to more urgent ones: at an overload these are served, and prompts in flight aren't put back
 	memoryTight = 0.75                    // share of memory from which more requests cost others
 	memoryCost  = 1500 * time.Millisecond // of a full memory, against an empty one
 	engineQueue = 0.5                     // requests that may wait at an engine, as a share of its slots
@@ -38,7 +39,7 @@
 func (r *Replica) full(l Load, req Request) bool {
 	slots := float64(r.slots())
 	if r.service != nil && r.service.Engine != nil {
-		return float64(l.Requests) >= slots*(1+engineQueue) || r.memory(l, req) > memoryFull
+		return float64(l.Requests) >= slots*(1+engineQueue) || r.memory(l, req) > memoryFull-memoryKept*req.Rank
 	}
 	return float64(l.Requests) >= slots*(1+plainQueue)
 }
--- /dev/null
+++ b/placement/rank_test.go
@@ -0,0 +1,42 @@
+package placement_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+func TestTheLeastUrgentLeaveMemoryToMoreUrgentRequests(t *testing.T) {
+	cases := []struct {
+		name   string
+		tokens int // of 100,000, held by another box's requests
+		rank   float64
+		want   placement.Reason
+	}{
+		{"room for all", 50_000, 1, placement.None},
+		{"the least urgent wait", 75_000, 1, placement.Full},
+		{"others don't yet", 75_000, 0.5, placement.None},
+		{"they wait later", 85_000, 0.5, placement.Full},
+		{"the most urgent don't", 85_000, 0, placement.None},
+		{"full for all", 97_000, 0, placement.Full},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBox("a", "hall", replicas("engine", 1)...)
+			b.Told("b", []placement.OwnLoad{{
+				Replica: "engine-0",
+				Load: placement.Load{
+					Requests: 1,
+					Tokens:   c.tokens,
+				},
+			}}, start)
+			req := ask("engine", "r-1")
+			req.Prompt = 1000
+			req.Rank = c.rank
+			is.Equal(b.Pick(req, alone, start).Reason, c.want)
+		})
+	}
+}
