placement: Tell the boxes of a region which prompts a replica was given

Cause: a box knew only what it had sent itself. Hypothesis: a prompt's last shared part in four bytes, told with the loads for 4 s, lets every box of the region send there or name the right replica to copy from.

--- a/node/state.go
+++ b/node/state.go
@@ -163,9 +163,28 @@
 			Unread:   l.Prompt,
 			Reads:    l.Reads,
 		},
+		Kept: partKeys(l.Kept),
 	}
 }
 
+// numbers returns keys of parts as they are told.
+func numbers(keys []placement.PartKey) []int {
+	out := make([]int, 0, len(keys))
+	for _, k := range keys {
+		out = append(out, int(k))
+	}
+	return out
+}
+
+// partKeys returns what numbers made of keys.
+func partKeys(list []int) []placement.PartKey {
+	out := make([]placement.PartKey, 0, len(list))
+	for _, n := range list {
+		out = append(out, placement.PartKey(n))
+	}
+	return out
+}
+
 // fill adds to a status what changes.
 func (s *state) fill(b wire.BoxStatus, now time.Duration) wire.BoxStatus {
 	s.seq++
@@ -182,6 +201,7 @@
 			Tokens:   l.Load.Tokens,
 			Prompt:   l.Load.Unread,
 			Reads:    l.Load.Reads,
+			Kept:     numbers(l.Kept),
 		})
 	}
 	b.Rooms = s.rooms(now)
--- a/placement/copy.go
+++ b/placement/copy.go
@@ -35,7 +35,7 @@
 		if r.info.Service != req.Service || v.unusable(r, req, now) != None {
 			continue
 		}
-		if n := r.missing(req.Parts, now); n < least {
+		if n := r.missing(req, now); n < least {
 			best = r
 			least = n
 		}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -99,6 +99,7 @@
 		g.load.Tokens = req.Prompt + int(answerShare*float64(cmp.Or(req.Out, defaultOut)))
 		g.load.Unread = best.missing + req.Own()
 		best.r.keep(req.Parts, now)
+		best.r.note(req, now)
 		best.r.given(g.load.Unread, now)
 	}
 	best.r.own = best.r.own.plus(g.load)
@@ -234,14 +235,14 @@
 // weighEngine fills in the expected time and the cost at an engine: what the
 // request waits for, and what it costs the requests that run there.
 func (v *View) weighEngine(w *weighed, req Request, keeper *Replica, first bool, usual, now time.Duration) {
-	w.missing = w.r.missing(req.Parts, now)
+	w.missing = w.r.missing(req, now)
 	w.unsent = w.missing
 	copying := time.Duration(0)
 	switch took, ok := w.r.copyTime(w.missing); {
 	case ok && keeper != nil && keeper != w.r:
 		copying = took
 		w.source = keeper
-		w.missing = mayLack(keeper.missing(req.Parts, now))
+		w.missing = mayLack(keeper.missing(req, now))
 	case first && w.missing > 0:
 		w.missing = mayLack(w.missing)
 	}
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -72,6 +72,8 @@
 	hold      time.Duration // smoothed time of a request; 0 when not known
 	heard     time.Duration // when bytes last came from it
 	warm      map[string]time.Duration
+	notes     []givenPart               // prompts that this box gave it of late, as it tells others
+	toldKept  map[PartKey]time.Duration // parts that other boxes had it read, and when they told so
 }
 
 // ID returns the replica's id.
@@ -139,10 +141,13 @@
 
 // missing returns the tokens of shared parts that have to be read there. Only a
 // beginning of the prompt can be kept.
-func (r *Replica) missing(parts []Part, now time.Duration) int {
+func (r *Replica) missing(req Request, now time.Duration) int {
+	if r.saidToKeep(req, now) {
+		return 0
+	}
 	n := 0
 	kept := true
-	for _, p := range parts {
+	for _, p := range req.Parts {
 		at, ok := r.warm[p.ID]
 		kept = kept && ok && now-at < warmFor
 		if !kept {
--- a/placement/view.go
+++ b/placement/view.go
@@ -110,6 +110,8 @@
 			others: make(map[string]told),
 			warm:   make(map[string]time.Duration),
 			heard:  now,
+
+			toldKept: make(map[PartKey]time.Duration),
 		}
 		v.replicas[info.ID] = r
 	}
@@ -151,6 +153,8 @@
 func (v *View) chill(r *Replica, left, now time.Duration) {
 	r.coldUntil = max(r.coldUntil, now+left)
 	clear(r.warm)
+	clear(r.toldKept)
+	r.notes = nil
 	v.chillUntil(r, r.coldUntil)
 }
 
@@ -219,6 +223,7 @@
 				load: l.Load,
 				till: now + v.othersFor,
 			}
+			r.hearKept(l.Kept, now)
 		}
 	}
 }
@@ -231,6 +236,7 @@
 type OwnLoad struct {
 	Replica string
 	Load    Load
+	Kept    []PartKey // last shared parts of the prompts that it was given of late
 }
 
 // Tell returns this box's work at every replica where it has any.
@@ -242,6 +248,7 @@
 			out = append(out, OwnLoad{
 				Replica: r.info.ID,
 				Load:    own,
+				Kept:    r.kept(now),
 			})
 		}
 	}
--- a/roster/compact.go
+++ b/roster/compact.go
@@ -172,6 +172,10 @@
 	for _, tokens := range []int{l.Load.Tokens, l.Load.Prompt, l.Load.Reads} {
 		out = binary.AppendUvarint(out, uint64(max(0, tokens+tokenUnit-1)/tokenUnit))
 	}
+	out = binary.AppendUvarint(out, uint64(len(l.Load.Kept)))
+	for _, key := range l.Load.Kept {
+		out = binary.BigEndian.AppendUint32(out, uint32(key))
+	}
 	return out
 }
 
--- a/roster/compact_test.go
+++ b/roster/compact_test.go
@@ -54,6 +54,7 @@
 					Tokens:   tokens(),
 					Prompt:   tokens(),
 					Reads:    tokens(),
+					Kept:     list(t, 4, "kept", func() int { return int(rapid.Uint32().Draw(t, "key")) }),
 				},
 			}
 		}),
--- a/roster/parse.go
+++ b/roster/parse.go
@@ -119,6 +119,9 @@
 		Prompt:   p.number() * tokenUnit,
 		Reads:    p.number() * tokenUnit,
 	}
+	if kept := parseList(p, 4, func() int { return int(p.four()) }); len(kept) > 0 {
+		out.Load.Kept = kept
+	}
 	return out
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -759,6 +759,9 @@
 
 // What one box has in flight on one replica.
 type ReplicaLoad struct {
+	// Short forms of the shared parts that this box had it read of late.
+	Kept []int `json:"k,omitempty,omitzero"`
+
 	// Requests in flight from this box.
 	InFlight int `json:"n,omitempty,omitzero"`
 
@@ -782,6 +785,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if len(plain.Kept) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "k", 64)
+	}
 	if 0 > plain.InFlight {
 		return fmt.Errorf("field %s: must be >= %v", "n", 0)
 	}
