node: Name the home of nearly all that a host's callers ask for

Cause: a host may have routes with different homes, here one to buc and clj and two that are hardly used to buc and to clj alone. Hypothesis: boxes see how often each bound route is asked for; a region that may process 97 in 100 of these requests can be named, and the rest stays under the platform's bound of one in 20.

--- a/catalog/policy.go
+++ b/catalog/policy.go
@@ -225,6 +225,17 @@
 	return slices.ContainsFunc(t.byHost[hostName(host)], func(r *Route) bool { return len(r.Homes) > 0 })
 }
 
+// Homes returns the bound routes of a host.
+func (t *Table) Homes(host string) []*Route {
+	var out []*Route
+	for _, r := range t.byHost[hostName(host)] {
+		if len(r.Homes) > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // hostName returns a host without its port, in lower case.
 func hostName(host string) string {
 	host = strings.ToLower(host)
--- a/node/state.go
+++ b/node/state.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/havenrudder/havenrudder/budget"
@@ -34,6 +33,7 @@
 	alive    map[string]bool           // boxes, as the log says last
 	paths    map[string]decay.Failures // of requests to other regions
 	lost     map[string]unreached      // boxes
+	asks     map[string]decay.Count    // requests by the name of a bound route
 	seq      int                       // of the last status told
 }
 
@@ -49,6 +49,7 @@
 		alive:    make(map[string]bool),
 		paths:    make(map[string]decay.Failures),
 		lost:     make(map[string]unreached),
+		asks:     make(map[string]decay.Count),
 	}
 }
 
@@ -76,6 +77,7 @@
 	if p := s.content.Policy(); p != nil && (s.table == nil || p.Version > s.table.Version()) {
 		s.table = catalog.NewTable(*p)
 		s.view.SetTable(s.table)
+		s.forgetRoutes()
 		out = append(out, placement.Belief{
 			Reason: "policy in force",
 			About:  fmt.Sprint(p.Version),
@@ -236,6 +238,9 @@
 // place chooses where a request goes: to a replica of this region, or to a box
 // of another one where that puts less of its worth at risk.
 func (s *state) place(ask ingress.Ask, now time.Duration, draw func(n int) int) ingress.Target {
+	if len(ask.Route.Homes) > 0 && !ask.Relayed {
+		s.asked(ask.Route.Name, now)
+	}
 	sharers := s.sharers(now)
 	goals := placement.Goals{
 		First: ask.Goal,
@@ -280,52 +285,3 @@
 // askAgain is when to ask for a target again where nothing says when there will
 // be one: other boxes are heard of, and replicas are listed, at any moment.
 const askAgain = 40 * time.Millisecond
-
-// which returns the boxes to name to a caller in a region: the ready ones there.
-// Where there is none, those of regions that all data of the host may enter; then
-// those of the region, and of these regions, that are leaving but still take requests;
-// and at last those of all other regions. Boxes of other regions than the caller's get
-// no data that may not enter them: a host whose data is bound, or not known to be
-// free, is named none of them, and its callers keep the answer that they have.
-func (s *state) which(host, region string, own wire.ServingState, now time.Duration) []string {
-	serving, leaving := wire.ServingStateServing, wire.ServingStateLeaving
-	near := func(r string) bool { return r == region }
-	home := func(r string) bool { return s.table != nil && s.table.HomeOfAll(host, r) }
-	free := func(string) bool { return s.table != nil && !s.table.Bound(host) }
-	steps := []struct {
-		state wire.ServingState
-		in    func(region string) bool
-	}{
-		{serving, near},
-		{serving, home},
-		{leaving, near},
-		{leaving, home},
-		{serving, free},
-	}
-	for _, step := range steps {
-		if out := s.named(own, now, step.state, step.in); len(out) > 0 {
-			slices.Sort(out)
-			return out[:min(len(out), maxNamed)]
-		}
-	}
-	return nil
-}
-
-// maxNamed is the most boxes that one answer to "which box" names.
-const maxNamed = 64
-
-// named returns where the boxes of some regions in a state take requests. One that
-// has closed to callers says so by telling no address for them; this one's own state
-// is empty then.
-func (s *state) named(own wire.ServingState, now time.Duration, want wire.ServingState, in func(region string) bool) []string {
-	var out []string
-	for _, m := range s.roster.Members() {
-		if m.State() == want && m.Status.Callers != "" && s.roster.Alive(m.Status.Box, now) && in(m.Status.Region) {
-			out = append(out, m.Status.Callers)
-		}
-	}
-	if s.table != nil && own == want && in(s.settings.Region) {
-		out = append(out, s.settings.Callers)
-	}
-	return out
-}
--- a/node/which_test.go
+++ b/node/which_test.go
@@ -83,6 +83,33 @@
 	is.Equal(b.which(host, "c", servingState, start), callersOf("self"))            // the caller is there itself
 }
 
+func TestCallersAreNamedTheHomeOfNearlyAllThatTheyAskFor(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "c", 0)
+	p := policy(2, "a", "b")
+	rare := *route("a")
+	rare.Name = "rare"
+	p.Routes = append(p.Routes, rare)
+	b.publish(2, p, nil)
+	b.told("home", "b", "", false, start)
+	named := func() []string { return b.which(host, "a", servingState, start) }
+	is.Equal(len(named()), 0) // nothing is known of what callers ask for
+	ask := func(name string, n int) {
+		for range n {
+			b.asked(name, start)
+		}
+	}
+	ask(p.Routes[0].Name, 19)
+	is.Equal(len(named()), 0) // too little is
+	ask(p.Routes[0].Name, 78)
+	ask("rare", 3)
+	is.Equal(named(), callersOf("home"))
+	ask("rare", 1)
+	is.Equal(len(named()), 0) // more than three in a hundred may not enter b
+	b.publish(3, policy(3, "a"), nil)
+	is.Equal(len(b.asks), 1) // the rare route is gone
+}
+
 func TestABoxWithoutAPolicyNamesNoBoxOfAnotherRegion(t *testing.T) {
 	is := is.New(t)
 	b := newBox("self", "a", 0)
