placement, ingress: Take a replica's own word of its load, and send callers elsewhere soon

Replicas of some services say in each answer how many requests run and wait. Nothing read that. Now it replaces, for 250 ms, what other boxes told of their requests there.

A box that is about to end told callers to come back in a second, also while another box of the region served; a second is beyond most goals. Now it says 100 ms there. Ruled out for the same refusals: an earlier one (they are at once), a longer wait.

--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -36,7 +36,7 @@
 		return false
 	}
 	if c.route.Kind == catalog.Stream && !c.server.core.Streams() {
-		c.refuse(reasonStopping, retryStopping)
+		c.refuse(reasonStopping, c.server.retryElsewhere())
 		return false
 	}
 	if c.service == "" {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -45,6 +45,7 @@
 	Owns    func(h http.Header, id string) bool  // an answer belongs to the request of that id
 	Ran     func(status int, h http.Header) bool // false: the replica says that it did not run the request
 	Genuine func(h http.Header) bool             // an answer of success is as a replica made it
+	Load    func(h http.Header) (int, bool)      // requests that the replica says it has; false where it doesn't say
 }
 
 // Target is where a request goes next: to a replica, to another box, or nowhere
@@ -76,6 +77,7 @@
 	Current func() bool              // what is published was read of late
 	Leaving func() bool              // a planned stop has begun
 	Streams func() bool              // a stream that comes now can be answered to its end
+	Others  func() bool              // another box of the region serves
 	EndsBy  func() (time.Time, bool) // when a planned stop is over, if one has begun
 	Place   func(Ask) Target
 	Begin   func(service string)      // a request is sent for the first time
@@ -83,6 +85,7 @@
 	First   func(c *placement.Choice, took time.Duration)
 	Heard   func(c *placement.Choice)
 	Quiet   func(next Ask, c *placement.Choice, sent time.Time) time.Duration // 0 when there is no other target
+	Loaded  func(c *placement.Choice, requests int)                           // the replica says that it has so many requests, this one included
 	End     func(c *placement.Choice, r placement.Result, took time.Duration)
 	BoxLost func(box string)                  // a box could not be reached
 	Crossed func(box, region string, ok bool) // whether a request to a box of a region was answered
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -22,7 +22,7 @@
 
 const (
 	retryStarting = 300 * time.Millisecond // a box knows a policy some 100 ms after it starts
-	retryStopping = time.Second            // a box that was stopped is back within about that time
+	retryStopping = time.Second            // a box that was stopped is back within about that time, where no other one serves
 	retrySoon     = 100 * time.Millisecond // when nothing says how long a shortage lasts
 	retryLongest  = time.Second            // longest that callers are told to stay away
 )
@@ -74,6 +74,15 @@
 	c.w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// retryElsewhere returns when callers should come back that this box, which is about to
+// end, takes no more: soon where another box of the region serves.
+func (s *Server) retryElsewhere() time.Duration {
+	if s.core.Others() {
+		return retrySoon
+	}
+	return retryStopping
+}
+
 // reject answers that the request is wrong.
 func (c *call) reject(status int, reason string) {
 	c.relayResult(resultNotRun)
--- /dev/null
+++ b/ingress/refuse_test.go
@@ -0,0 +1,20 @@
+package ingress
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestCallersOfABoxThatEndsComeBackSoonWhereAnotherServes(t *testing.T) {
+	is := is.New(t)
+	others := false
+	s := &Server{
+		core: Core{
+			Others: func() bool { return others },
+		},
+	}
+	is.Equal(s.retryElsewhere(), retryStopping)
+	others = true
+	is.Equal(s.retryElsewhere(), retrySoon)
+}
--- a/node/core.go
+++ b/node/core.go
@@ -16,6 +16,7 @@
 		Current: n.storeOK.Load,
 		Leaving: n.leaving.Load,
 		Streams: n.takesStreams,
+		Others:  n.otherServes,
 		EndsBy:  n.answersBy,
 		Place:   n.place,
 		Begin:   n.begin,
@@ -23,6 +24,7 @@
 		First:   n.first,
 		Heard:   n.heard,
 		Quiet:   n.quiet,
+		Loaded:  n.loaded,
 		End:     n.end,
 		BoxLost: n.boxLost,
 		Crossed: n.crossed,
@@ -84,6 +86,11 @@
 	_ = n.state.Do(func(s *state) { s.view.First(c, took, n.now()) })
 }
 
+// loaded takes in how many requests a replica says it has.
+func (n *Node) loaded(c *placement.Choice, requests int) {
+	_ = n.state.Do(func(s *state) { s.view.Loaded(c, requests, n.now()) })
+}
+
 // heard takes in that a replica goes on with an answer.
 func (n *Node) heard(c *placement.Choice) {
 	_ = n.state.Do(func(s *state) { s.view.Heard(c, n.now()) })
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -28,6 +28,20 @@
 	c.grant.load.Unread = 0
 }
 
+// Loaded takes in how many requests the replica itself says it has, this one included.
+func (v *View) Loaded(c *Choice, requests int, now time.Duration) {
+	r := c.grant.replica
+	if r == nil {
+		return
+	}
+	r.said = told{
+		load: Load{
+			Requests: max(requests-r.own.Requests, 0),
+		},
+		till: now + saidFor,
+	}
+}
+
 // Heard takes in that a replica goes on with an answer.
 func (v *View) Heard(c *Choice, now time.Duration) {
 	if r := c.grant.replica; r != nil {
--- a/placement/outcome_test.go
+++ b/placement/outcome_test.go
@@ -252,6 +252,30 @@
 	is.Equal(r.Load(start+time.Minute).Requests, r.Own().Requests)
 }
 
+func TestAReplicasOwnWordOfItsLoadGoesBeforeWhatBoxesTold(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("engine", 1)...)
+	r := b.Get("engine-0")
+	b.Told("b", []placement.OwnLoad{{
+		Replica: "engine-0",
+		Load: placement.Load{
+			Requests: 3,
+			Tokens:   30,
+		},
+	}}, start)
+	c := b.Pick(ask("engine", "k"), alone, start)
+	is.Equal(r.Load(start).Requests, 4)
+	b.Loaded(&c, 6, start)
+	is.Equal(r.Load(start).Requests, 6)
+	is.Equal(r.Load(start).Tokens, 30) // of that it says nothing
+	is.Equal(r.Load(start+time.Second/2).Requests, 4)
+	b.Loaded(&c, 0, start) // it said so before it took this one
+	is.Equal(r.Load(start).Requests, 1)
+	b.End(&c, placement.Answered, time.Millisecond, start)
+	b.Loaded(&c, 9, start) // it is counted out
+	is.Equal(r.Load(start).Requests, 0)
+}
+
 func TestABoxTellsItsOwnWorkOnly(t *testing.T) {
 	is := is.New(t)
 	b := newBox("a", "hall", replicas("engine", 3)...)
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -24,6 +24,7 @@
 	warmParts    = 512                    // prompt parts remembered of one replica; about its memory over a small part
 	warmFor      = 20 * time.Second       // a part not used for longer has probably given way
 	othersFor    = 1 * time.Second        // what another box told counts so long at least; four of its messages among few boxes
+	saidFor      = 250 * time.Millisecond // a replica's word of its load counts so long: until other boxes told of theirs again
 	defaultHold  = 40 * time.Millisecond  // of a request where none of the service was answered yet
 	defaultSlots = 16                     // of a replica that tells none
 )
@@ -59,6 +60,7 @@
 	listed  bool             // the catalog holds it
 	own     Load
 	others  map[string]told // by box
+	said    told            // requests of others, by the replica's own word
 
 	coldUntil time.Duration   // as far as is known
 	failures  int             // failures to connect in a row
@@ -114,6 +116,9 @@
 			l = l.plus(o.load)
 		}
 	}
+	if now < r.said.till {
+		l.Requests = r.own.Requests + r.said.load.Requests
+	}
 	return l
 }
 
