catalog, placement: Let followers read sooner, and leave more memory to urgent requests

Played again with every box's log it did not break, but of 1,456 lags from the first box that knew of a leaving replica to the others nine were 2.3 to 3.3 s beside a median of 0.28 s: followers that missed the word and found out by the age of what they knew alone. Cause: that age may be 2.7 to 4.5 s, and the look, the call and a slow box come on top, so a follower at the upper end is past 5 s. Ruled out: a box cut off from the store (all such were back by 29 s; the lags are from 31). Why the word is missed while boxes are stopped in turn is not traced. Now 1.8 to 3 s, each follower's own call of the newest revision. The new test with the longest wait failed before, and the old one holds 2.7 s in place of 4.7.

The least urgent leave 0.45 of the memory in place of 0.3.

--- a/catalog/following_test.go
+++ b/catalog/following_test.go
@@ -70,11 +70,22 @@
 	followerRun(t, func(f feedTest, w *word) {
 		w.sayFor(10 * time.Second)
 		f.put(plainReplica("c", 0))
-		time.Sleep(4700 * time.Millisecond) // as old as it lets its knowledge get, and the call
+		time.Sleep(2700 * time.Millisecond) // as old as it lets its knowledge get, and the call
 		f.True(f.has("c"))
 	})
 }
 
+func TestAFollowerThatWaitsLongestStillReadsWellBeforeAnyBound(t *testing.T) {
+	w := newWord()
+	longest := append(w.options(), catalog.WithJitter(func() float64 { return 0.999 }))
+	feedTestRun(t, func(f feedTest) {
+		w.sayFor(10 * time.Second)
+		f.put(plainReplica("c", 0))
+		time.Sleep(3400 * time.Millisecond) // the shortest bound is 4 s, and the reading takes time
+		f.True(f.has("c"))
+	}, longest...)
+}
+
 func TestAFollowerWhoseQuestionFailedReadsAtOnce(t *testing.T) {
 	followerRun(t, func(f feedTest, w *word) {
 		w.sayFor(2 * time.Second)
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -16,10 +16,10 @@
 		want   placement.Reason
 	}{
 		{"room for all", 50_000, 1, placement.None},
-		{"the least urgent wait", 75_000, 1, placement.Full},
-		{"others don't yet", 75_000, 0.5, placement.None},
-		{"they wait later", 85_000, 0.5, placement.Full},
-		{"the most urgent don't", 85_000, 0, placement.None},
+		{"the least urgent wait", 60_000, 1, placement.Full},
+		{"others don't yet", 60_000, 0.5, placement.None},
+		{"they wait later", 80_000, 0.5, placement.Full},
+		{"the most urgent don't", 80_000, 0, placement.None},
 		{"full for all", 97_000, 0, placement.Full},
 	}
 	for _, c := range cases {
