--- a/control/explain_test.go
+++ b/control/explain_test.go
@@ -133,3 +133,25 @@
 	is.Equal(len(events), 1)
 	is.Equal(events[0].Outcome, decision.Served)
 }
+
+func TestWhatDecidedAPlaceIsShown(t *testing.T) {
+	is := is.New(t)
+	e := decision.Event{
+		Kind:     decision.Place,
+		Upstream: "i-1",
+		TookMs:   120,
+		Prompt:   9000,
+		Tokens:   500,
+		CopyFrom: "192.0.2.1:80",
+		InFlight: 7,
+		Memory:   40_000,
+		Unread:   3000,
+	}
+	is.Equal(inputs(&e), "upstream=i-1 took=120ms prompt=9000 tokens=500 copy_from=192.0.2.1:80 in_flight=7 memory=40000 unread=3000")
+	e = decision.Event{
+		Kind:    decision.End,
+		FirstMs: 130,
+		PauseMs: 40,
+	}
+	is.Equal(inputs(&e), "first=130ms pause=40ms")
+}
--- a/decision/event.go
+++ b/decision/event.go
@@ -84,6 +84,7 @@
 	InFlight int       `json:"in_flight,omitempty"` // requests believed to be at the upstream
 	Memory   int       `json:"memory,omitempty"`    // tokens that they hold there
 	Unread   int       `json:"unread,omitempty"`    // tokens of theirs that are still to be read there
+	CopyFrom string    `json:"copy_from,omitempty"` // address of the replica that shared tokens are copied from
 	Tries    int       `json:"tries,omitempty"`
 	Region   string    `json:"region,omitempty"`
 	Detail   string    `json:"detail,omitempty"` // short text; cut at 256 bytes
@@ -113,6 +114,7 @@
 	e.Upstream = cut(e.Upstream)
 	e.Outcome = Outcome(cut(string(e.Outcome)))
 	e.Reason = cut(e.Reason)
+	e.CopyFrom = cut(e.CopyFrom)
 	e.Region = cut(e.Region)
 	e.Detail = cut(e.Detail)
 }
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -72,6 +72,7 @@
 	l.number("first_ms", e.FirstMs)
 	l.number("pause_ms", e.PauseMs)
 	l.number("tokens", int64(e.Tokens))
+	l.text("copy_from", e.CopyFrom)
 	l.number("tries", int64(e.Tries))
 	l.text("region", e.Region)
 	l.text("detail", e.Detail)
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -92,6 +92,7 @@
 		FirstMs:  41,
 		PauseMs:  43,
 		Tokens:   11,
+		CopyFrom: "192.0.2.1:80",
 		Tries:    2,
 		Region:   "eu",
 		Detail:   "a <b> & c",
