placement: Take a large prompt of the least urgent where others hold little memory

Cause: the reserve counted the request itself, so a prompt of the least urgent kind above half of an engine's memory would have been refused by every engine, idle ones too. Now the reserve counts only where others hold more than half of the bound. Tests with an idle engine and with 20 and 30 in 100 held; the first failed before.

--- a/catalog/policy.go
+++ b/catalog/policy.go
@@ -114,7 +114,6 @@
 	TokenBytes int     `json:"token_bytes,omitempty"` // of memory that a token takes
 	LinkMbps   float64 `json:"link_mbps,omitempty"`   // of the way between two replicas' memories, in Mbit/s; 0 for none
 	Copies     bool    `json:"copies,omitempty"`      // replicas copy what they keep to each other
-	Backups    bool    `json:"backups,omitempty"`     // a running request can be copied to another replica as it grows
 }
 
 // Service is a group of replicas that run the same requests.
--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -39,11 +39,20 @@
 func (r *Replica) full(l Load, req Request) bool {
 	slots := float64(r.slots())
 	if r.service != nil && r.service.Engine != nil {
-		return float64(l.Requests) >= slots*(1+engineQueue) || r.memory(l, req) > memoryFull-memoryKept*req.Rank
+		return float64(l.Requests) >= slots*(1+engineQueue) || r.memory(l, req) > memoryFull || r.leftToUrgent(l, req)
 	}
 	return float64(l.Requests) >= slots*(1+plainQueue)
 }
 
+// leftToUrgent says whether what is left of an engine's memory is for more urgent
+// requests. Where others hold less than half of the bound an engine takes any prompt
+// for which it has room, so that the largest are not refused for ever.
+func (r *Replica) leftToUrgent(l Load, req Request) bool {
+	bound := memoryFull - memoryKept*req.Rank
+	others := r.memory(l, Request{})
+	return r.memory(l, req) > bound && others > bound/2
+}
+
 // queueing returns the expected wait for a slot, where a request usually holds
 // one for so long.
 func (r *Replica) queueing(l Load, usual time.Duration) time.Duration {
--- a/placement/copy.go
+++ b/placement/copy.go
@@ -29,8 +29,8 @@
 }
 
 // keeper returns the usable replica that most likely keeps the shared parts of a
-// prompt: the one that this box sent most of them to, or else the first in their rank,
-// to which other boxes send them. It is nil for none.
+// prompt: the one that is known to have been given most of them, or else the first in
+// their rank, to which all boxes send them. It is nil for none.
 func (v *View) keeper(req Request, first *Replica, now time.Duration) *Replica {
 	best := first
 	least := req.Shared()
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -8,6 +8,37 @@
 	"github.com/havenrudder/havenrudder/placement"
 )
 
+func TestAnIdleEngineTakesALargePromptOfTheLeastUrgentToo(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("engine", 1)...)
+	req := ask("engine", "r-1")
+	req.Prompt = 80_000 // of 100,000
+	req.Rank = 1
+	is.Equal(b.Pick(req, alone, start).Reason, placement.None)
+	is.Equal(b.Pick(req, alone, start).Reason, placement.Full) // there is no room for two
+}
+
+func TestALargePromptOfTheLeastUrgentWaitsWhereOthersHoldMuch(t *testing.T) {
+	for tokens, want := range map[int]placement.Reason{
+		20_000: placement.None,
+		30_000: placement.Full,
+	} {
+		is := is.New(t)
+		b := newBox("a", "hall", replicas("engine", 1)...)
+		b.Told("b", []placement.OwnLoad{{
+			Replica: "engine-0",
+			Load: placement.Load{
+				Requests: 1,
+				Tokens:   tokens,
+			},
+		}}, start)
+		req := ask("engine", "r-1")
+		req.Prompt = 60_000 // of 100,000
+		req.Rank = 1
+		is.Equal(b.Pick(req, alone, start).Reason, want)
+	}
+}
+
 func TestTheLeastUrgentLeaveMemoryToMoreUrgentRequests(t *testing.T) {
 	cases := []struct {
 		name   string
