decision, meter, placement: Say among how many boxes a cold replica's pace is shared

The logs and metrics of the incident can't tell three hypotheses apart. Now the place line of a request to a cold replica has sharers (none: the box takes it for warm), the try line sent_ms from the choice to the first byte written, and the metric sharing_boxes tells how many boxes share the region's quotas. No decision changes.

--- a/control/explain_test.go
+++ b/control/explain_test.go
@@ -146,8 +146,9 @@
 		InFlight: 7,
 		Memory:   40_000,
 		Unread:   3000,
+		Sharers:  22,
 	}
-	is.Equal(inputs(&e), "upstream=i-1 took=120ms prompt=9000 tokens=500 copy_from=192.0.2.1:80 in_flight=7 memory=40000 unread=3000")
+	is.Equal(inputs(&e), "upstream=i-1 took=120ms prompt=9000 tokens=500 copy_from=192.0.2.1:80 in_flight=7 memory=40000 unread=3000 sharers=22")
 	e = decision.Event{
 		Kind:    decision.End,
 		FirstMs: 130,
--- a/control/explanation.go
+++ b/control/explanation.go
@@ -142,6 +142,7 @@
 	number("revision", e.Revision, "")
 	number("status", int64(e.Status), "")
 	number("took", e.TookMs, "ms")
+	number("sent", e.SentMs, "ms")
 	number("first", e.FirstMs, "ms")
 	number("pause", e.PauseMs, "ms")
 	number("prompt", int64(e.Prompt), "")
@@ -150,6 +151,7 @@
 	number("in_flight", int64(e.InFlight), "")
 	number("memory", int64(e.Memory), "")
 	number("unread", int64(e.Unread), "")
+	number("sharers", int64(e.Sharers), "")
 	number("tries", int64(e.Tries), "")
 	text("detail", e.Detail)
 	for _, c := range e.Counts {
--- a/decision/event.go
+++ b/decision/event.go
@@ -77,6 +77,7 @@
 	Revision int64     `json:"revision,omitempty"` // revision of the catalog
 	AgeMs    int64     `json:"age_ms,omitempty"`   // age of the belief that decided
 	TookMs   int64     `json:"took_ms,omitempty"`
+	SentMs   int64     `json:"sent_ms,omitempty"`   // from the choice of a replica until the request was written to it
 	FirstMs  int64     `json:"first_ms,omitempty"`  // until the caller got the first event of a stream
 	PauseMs  int64     `json:"pause_ms,omitempty"`  // the longest between two events of a stream
 	Tokens   int       `json:"tokens,omitempty"`    // shared tokens of a prompt that have to be read
@@ -84,6 +85,7 @@
 	InFlight int       `json:"in_flight,omitempty"` // requests believed to be at the upstream
 	Memory   int       `json:"memory,omitempty"`    // tokens that they hold there
 	Unread   int       `json:"unread,omitempty"`    // tokens of theirs that are still to be read there
+	Sharers  int       `json:"sharers,omitempty"`   // boxes among which the pace of the cold replica was shared; none for a warm one
 	CopyFrom string    `json:"copy_from,omitempty"` // address of the replica that shared tokens are copied from
 	Tries    int       `json:"tries,omitempty"`
 	Region   string    `json:"region,omitempty"`
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -89,6 +89,8 @@
 		InFlight: 53,
 		Memory:   59,
 		Unread:   61,
+		Sharers:  67,
+		SentMs:   71,
 		FirstMs:  41,
 		PauseMs:  43,
 		Tokens:   11,
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -45,6 +45,10 @@
 	// request. When it is nil, every answer does.
 	Owns func(h http.Header) bool
 
+	// Begin is called, where it is not nil, just before the request is written to a
+	// connection: twice when a kept one took no byte of it.
+	Begin func()
+
 	DialTimeout time.Duration // 500 ms when 0
 }
 
@@ -141,6 +145,9 @@
 // failure c is closed and nothing writes to it any more.
 func carry(ctx context.Context, req *Request, c *conn) (*Answer, *Error) {
 	stop := context.AfterFunc(ctx, c.close)
+	if req.Begin != nil {
+		req.Begin()
+	}
 	s := c.send(req)
 	stage := Write
 	err := s.early
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -323,3 +323,26 @@
 	is.Equal(stage, Dial)
 	is.True(errors.Is(err, context.Canceled))
 }
+
+func TestTheBeginOfARequestIsTold(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(c *peer) {
+		c.request()
+		c.say(whole)
+	})
+	begun := 0
+	_, _, err := fetch(newTestPool(t), Request{
+		Addr:   s.addr,
+		Target: "/",
+		Begin:  func() { begun++ },
+	})
+	is.NoErr(err)
+	is.Equal(begun, 1)
+	_, _, err = fetch(newTestPool(t), Request{
+		Addr:   "127.0.0.1:1", // nobody listens there
+		Target: "/",
+		Begin:  func() { begun++ },
+	})
+	is.True(err != nil)
+	is.Equal(begun, 1)
+}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -101,6 +101,7 @@
 		InFlight: t.Choice.Load.Requests,
 		Memory:   t.Choice.Load.Tokens,
 		Unread:   t.Choice.Load.Unread,
+		Sharers:  t.Choice.Sharers,
 		CopyFrom: t.Choice.CopyFrom,
 		AgeMs:    t.AgeMs,
 		TookMs:   t.Choice.Expect.Milliseconds(),
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -43,6 +43,7 @@
 	sent   time.Time
 	cancel context.CancelCauseFunc // nil for a box
 	result placement.Result
+	begun  time.Duration // until the request was written; 0 while it was not
 	first  time.Duration // until the answer's head; 0 while there is none
 	heard  time.Time     // when it was last said that the replica goes on
 }
@@ -86,6 +87,7 @@
 		Header:      h,
 		Body:        c.body,
 		Owns:        func(h http.Header) bool { return c.server.codec.Owns(h, c.facts.ID) },
+		Begin:       func() { a.begun = time.Since(a.sent) },
 		DialTimeout: replicaDial,
 	})
 	if err != nil {
@@ -154,6 +156,7 @@
 		Upstream: a.target.Choice.Replica + a.target.Box,
 		Outcome:  outcome,
 		Tries:    c.sent,
+		SentMs:   a.begun.Milliseconds(),
 		TookMs:   time.Since(a.sent).Milliseconds(),
 	})
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// WithSharingBoxes serves among how many boxes the quotas of the region are shared.
+func WithSharingBoxes(n func() int) Option {
+	return func(m *Meter) {
+		m.gauge("sharing_boxes", "Boxes of the region among which its quotas are shared.", func() float64 { return float64(n()) })
+	}
+}
+
 // WithDroppedLines serves how many lines the log of decisions has dropped since
 // the start.
 func WithDroppedLines(n func() int64) Option {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -34,6 +34,7 @@
 	m := New(
 		WithCatalogAge(func() time.Duration { return 1500 * time.Millisecond }),
 		WithBoxesAlive(func() int { return 3 }),
+		WithSharingBoxes(func() int { return 4 }),
 		WithDroppedLines(func() int64 { return 9 }),
 	)
 	m.Request("chat", "served")
@@ -81,6 +82,7 @@
 		`havenrudder_dropped_log_lines_total 9`,
 		`havenrudder_catalog_age_seconds 1.5`,
 		`havenrudder_alive_boxes 3`,
+		`havenrudder_sharing_boxes 4`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.05"} 0`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.2"} 1`,
 		`havenrudder_first_byte_seconds_sum{service="chat"} 0.1`,
@@ -106,7 +108,7 @@
 		is.True(slices.Contains([]string{"total", "seconds", "boxes"}, unit))
 		names++
 	}
-	is.Equal(names, 14)
+	is.Equal(names, 15)
 }
 
 func TestAMeterCountsForItselfAlone(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -100,6 +100,7 @@
 	n.meter = meter.New(
 		meter.WithCatalogAge(n.catalogAge),
 		meter.WithBoxesAlive(n.boxesAlive),
+		meter.WithSharingBoxes(n.sharingBoxes),
 		meter.WithDroppedLines(n.log.DroppedLines),
 	)
 	limitMemory(s.MemoryMB)
@@ -213,6 +214,13 @@
 	return alive
 }
 
+// sharingBoxes returns among how many boxes the quotas of the region are shared; it
+// is read after the box has begun to run.
+func (n *Node) sharingBoxes() (sharing int) {
+	_ = n.state.Do(func(s *state) { sharing = len(s.sharers(n.now())) }) // it fails only when the box has ended
+	return sharing
+}
+
 // record writes an event to the log of decisions.
 func (n *Node) record(e decision.Event) { n.log.Record(e) }
 
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -145,3 +145,10 @@
 	is.True(len(sends) > 0)
 	is.True(most(sends) <= mostCold)
 }
+
+func TestAChoiceSaysAmongHowManyBoxesAColdReplicaIsShared(t *testing.T) {
+	is := is.New(t)
+	cold := newBox("a", "hall", coldReplica(5000))
+	is.Equal(cold.Pick(ask("plain", "k"), alone, start).Sharers, len(alone))
+	is.Equal(cold.Pick(ask("plain", "k"), alone, start+5*time.Second).Sharers, 0)
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -52,6 +52,7 @@
 	Missing int           // shared tokens to be read
 	Load    Load          // work at the replica before
 	Reads   int           // prompt tokens that the request adds to it
+	Sharers int           // boxes among which its pace is shared while it is cold; 0 for a warm one
 	AgeMs   int64         // of the oldest belief about other boxes' work
 
 	CopyFrom string // address of a replica that may keep shared parts which this one lacks; empty for none
@@ -89,6 +90,10 @@
 			Wait:   v.pacer.Next(best.r.info.ID, boxes, now) - now,
 		}
 	}
+	sharers := 0
+	if v.pacer.IsCold(best.r.info.ID, now) {
+		sharers = len(boxes)
+	}
 	g := grant{
 		replica: best.r,
 		load: Load{
@@ -110,6 +115,7 @@
 		Missing: best.missing,
 		Load:    best.load,
 		Reads:   g.load.Unread,
+		Sharers: sharers,
 
 		CopyFrom: best.copyFrom(),
 
