roster, node: Take no share of a cold replica's pace until the region is known

Cause: a box worked its share out from the boxes that it knew, whether or not these were all; one that knew none supposed four. Boxes that begin together, the seeds last, know some each, and not the same ones, 1.1 s after their start. Now a box asks the boxes of its region and the seeds whether its list is complete, and sends nothing to a cold replica until a seed and all of its region that are alive have agreed, and one window more. Others that are gone, but may still use their share, are told with the answer.

Ruled out: a longer wait instead.

--- a/decision/event.go
+++ b/decision/event.go
@@ -85,7 +85,7 @@
 	InFlight int       `json:"in_flight,omitempty"` // requests believed to be at the upstream
 	Memory   int       `json:"memory,omitempty"`    // tokens that they hold there
 	Unread   int       `json:"unread,omitempty"`    // tokens of theirs that are still to be read there
-	Sharers  int       `json:"sharers,omitempty"`   // boxes among which the pace of the cold replica was shared; none for a warm one
+	Sharers  int       `json:"sharers,omitempty"`   // boxes among which the pace of the cold replica, or quotas of the region, are shared
 	CopyFrom string    `json:"copy_from,omitempty"` // address of the replica that shared tokens are copied from
 	Tries    int       `json:"tries,omitempty"`
 	Region   string    `json:"region,omitempty"`
--- /dev/null
+++ b/node/coldstart_fuzz_test.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	disruptions = 12               // in one run
+	calm        = 16 * time.Second // after which all boxes know each other: a minute in which one is remembered is not over
+)
+
+// outage is an installation whose boxes fail, and are cut off, at random.
+type outage struct {
+	*rapid.T
+	in    *installation
+	alone map[string]bool // addresses of machines that are cut off from all others, but not from replicas
+	added int
+}
+
+func newOutage(t *rapid.T) *outage {
+	regions := rapid.IntRange(1, 3).Draw(t, "regions")
+	perRegion := rapid.IntRange(1, 9).Draw(t, "boxes of a region")
+	o := &outage{
+		T:     t,
+		in:    newInstallation(rapid.Uint64().Draw(t, "seed"), regions, perRegion),
+		alone: make(map[string]bool),
+	}
+	o.in.greedy = true
+	o.in.lossy = rapid.SampledFrom([]float64{0, 0, 0.1, 0.3}).Draw(t, "lost datagrams")
+	o.in.cut = func(from, to *machine) bool { return o.alone[from.addr] || o.alone[to.addr] }
+	o.in.startAll(400*time.Millisecond, rapid.SampledFrom([]time.Duration{0, 700 * time.Millisecond, 5 * time.Second}).Draw(t, "seeds later"))
+	return o
+}
+
+func (o *outage) down() time.Duration {
+	return time.Duration(rapid.SampledFrom([]int{20, 400, 1500, 4000}).Draw(o.T, "down ms")) * time.Millisecond
+}
+
+func (o *outage) machine() *machine { return rapid.SampledFrom(o.in.machines).Draw(o.T, "machine") }
+
+func (o *outage) pass() {
+	o.in.run(time.Duration(rapid.IntRange(50, 3000).Draw(o.T, "ms")) * time.Millisecond)
+}
+
+func (o *outage) restart() { o.in.restart(o.machine(), o.down()) }
+
+// restartRegion restarts all boxes of a region at about the same time.
+func (o *outage) restartRegion() {
+	region := o.machine().region
+	down := o.down()
+	for _, m := range o.in.machines {
+		if m.region == region {
+			o.in.restart(m, down+o.in.upTo(300*time.Millisecond))
+		}
+	}
+}
+
+func (o *outage) restartAll() {
+	down := o.down()
+	for _, m := range o.in.machines {
+		o.in.restart(m, down+o.in.upTo(300*time.Millisecond))
+	}
+}
+
+func (o *outage) add() {
+	region := o.machine().region
+	o.added++
+	m := o.in.add(region, fmt.Sprint("added-", o.added), fmt.Sprintf("10.9.0.%d:7000", o.added))
+	o.in.start(m)
+}
+
+// cutOff cuts a machine off from the others, and restarts it at times.
+func (o *outage) cutOff() {
+	m := o.machine()
+	o.alone[m.addr] = true
+	if rapid.Bool().Draw(o.T, "restarts") {
+		o.in.restart(m, 20*time.Millisecond)
+	}
+	o.in.after(2*o.down(), func() { delete(o.alone, m.addr) })
+}
+
+func TestNoOutageFloodsAColdReplicaOrBreaksTheBudgetOfRepeats(t *testing.T) {
+	sends, complete := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		o := newOutage(t)
+		actions := []func(){o.pass, o.pass, o.restart, o.restart, o.restartRegion, o.restartAll, o.add, o.cutOff}
+		for range rapid.IntRange(1, disruptions).Draw(t, "actions") {
+			rapid.SampledFrom(actions).Draw(t, "action")()
+		}
+		o.in.run(calm)
+		if flood := o.in.flood(); flood != nil {
+			t.Fatalf("a cold replica got %d requests in a second: %v", len(flood), flood)
+		}
+		if n := o.in.mostRepeats(); n > repeatExtra {
+			t.Fatalf("%d repeats in a window, %d are allowed", n, repeatExtra)
+		}
+		if slow := slices.IndexFunc(o.in.machines, o.incomplete); slow >= 0 {
+			t.Fatalf("%s doesn't know its region", o.in.machines[slow].name)
+		}
+		sends += len(o.in.sends)
+		complete += len(o.in.machines)
+	})
+	t.Logf("%d sends to cold replicas, %d boxes know their region at last", sends, complete)
+	if sends < complete { // cold replicas are used
+		t.Fatal("hardly anything was sent")
+	}
+}
+
+// incomplete says whether a box doesn't know all of its region.
+func (o *outage) incomplete(m *machine) bool {
+	_, ok := m.state.roster.CompleteSince(m.age(o.in))
+	return !ok
+}
--- a/node/dump.go
+++ b/node/dump.go
@@ -12,7 +12,8 @@
 	Policy   int           `json:"policy_version"`
 	Revision int64         `json:"catalog_revision"`
 	AgeS     float64       `json:"catalog_age_s"`
-	Follows  bool          `json:"follows"` // other boxes watch the catalog for this one
+	Follows  bool          `json:"follows"`       // other boxes watch the catalog for this one
+	Sharing  int           `json:"sharing_boxes"` // boxes among which the region's quotas are shared; 0 until all are known
 	Closed   []string      `json:"closed_failure_domains"`
 	Boxes    []BoxDump     `json:"boxes"`
 	Replicas []ReplicaDump `json:"replicas"`
@@ -69,6 +70,7 @@
 // dump fills in what the state holds.
 func (s *state) dump(d *Dump, now time.Duration) {
 	d.Revision = s.content.Revision()
+	d.Sharing = len(s.sharers(now))
 	d.Closed = s.content.Evacuated()
 	for _, m := range s.roster.Members() {
 		d.Boxes = append(d.Boxes, BoxDump{
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -40,6 +40,7 @@
 			n.tell()
 			n.chooseRole()
 			n.watchMembers()
+			n.watchRegion()
 		}
 	})
 }
@@ -183,3 +184,29 @@
 		})
 	}
 }
+
+// watchRegion writes down from when on all boxes of the region are known, without
+// which this box takes no share of a quota, and when that is no longer so.
+func (n *Node) watchRegion() {
+	var complete, changed bool
+	var sharing int
+	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
+		sharing = len(s.sharers(n.now()))
+		complete = sharing > 0
+		changed = complete != s.complete
+		s.complete = complete
+	})
+	if !changed {
+		return
+	}
+	reason := "boxes of the region not all known"
+	if complete {
+		reason = "all boxes of the region known"
+	}
+	n.record(decision.Event{
+		Kind:     decision.Belief,
+		Upstream: n.settings.Region,
+		Reason:   reason,
+		Sharers:  sharing,
+	})
+}
--- a/node/state.go
+++ b/node/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/havenrudder/havenrudder/budget"
@@ -16,9 +17,8 @@
 )
 
 const (
-	lonelySharers = 4                // the same for a box that has heard of no other, whose region may have a spare one beside the usual three
-	fewestSharers = 3                // boxes that a region has at least, as far as quotas are concerned: one that starts while it is cut off knows of none
-	sharersFor    = 60 * time.Second // a box counts as one that may send to a cold replica, or repeat a request, so long after it was heard
+	lonelySharers = 4 // the same for a box that has heard of no other, whose region may have a spare one beside the usual three
+	fewestSharers = 3 // boxes that a region has at least, as far as quotas are concerned: one that starts while it is cut off knows of none
 )
 
 // state is all that a box believes. It belongs to one actor, and takes the time
@@ -31,6 +31,7 @@
 	content  *catalog.Content
 	table    *catalog.Table            // nil until a policy is known
 	alive    map[string]bool           // boxes, as the log says last
+	complete bool                      // all boxes of the region are known, as the log says last
 	paths    map[string]decay.Failures // of requests to other regions
 	lost     map[string]unreached      // boxes
 	asks     map[string]decay.Count    // requests by the name of a bound route
@@ -42,7 +43,7 @@
 	pacer := pacing.New(s.Box, coldTerms(s.Bounds), pacing.WithStart(now))
 	return &state{
 		settings: s,
-		roster:   roster.New(self, roster.WithSeeds(s.Seeds)),
+		roster:   roster.New(self, roster.WithSeeds(otherSeeds(s))),
 		view:     placement.NewView(s.Region, s.Domain, pacer),
 		budget:   budget.New(retryTerms(s.Bounds)),
 		content:  catalog.NewContent(),
@@ -53,6 +54,11 @@
 	}
 }
 
+// otherSeeds returns the seeds that are other boxes.
+func otherSeeds(s Settings) []string {
+	return slices.DeleteFunc(slices.Clone(s.Seeds), func(addr string) bool { return addr == s.Seed })
+}
+
 // coldTerms returns the bounds on requests to cold replicas.
 func coldTerms(b Bounds) pacing.Terms {
 	return pacing.Terms{
@@ -89,16 +95,18 @@
 	return append(out, s.view.Take(s.content, now)...)
 }
 
-// sharers returns the boxes of the region that may send to its replicas, this
-// one included: also those not heard of for a while, for a box that is cut off
-// from this one may still reach the replicas.
+// sharers returns the boxes of the region that may send to its replicas, this one
+// included: also those not heard of for a while, for a box that is cut off from this
+// one may still reach the replicas. There are none until this box knows all of them:
+// with shares among some, boxes that began together sent a cold replica a request
+// each.
 func (s *state) sharers(now time.Duration) []string {
-	out := []string{s.settings.Box}
-	for _, m := range s.roster.Members() {
-		if m.Status.Region == s.settings.Region && now-m.Seen < sharersFor {
-			out = append(out, m.Status.Box)
-		}
+	since, ok := s.roster.CompleteSince(now)
+	if !ok {
+		return nil
 	}
+	s.view.Pacer().SetStart(since)
+	out := append([]string{s.settings.Box}, s.roster.Sharers(s.settings.Region, now)...)
 	fewest := fewestSharers
 	if len(out) == 1 {
 		fewest = lonelySharers
@@ -112,13 +120,7 @@
 // spenders returns how many boxes of all regions may repeat requests, this one
 // included.
 func (s *state) spenders(now time.Duration) int {
-	n := 1
-	for _, m := range s.roster.Members() {
-		if now-m.Seen < sharersFor {
-			n++
-		}
-	}
-	return max(n, fewestSharers)
+	return max(1+len(s.roster.Sharers("", now)), fewestSharers)
 }
 
 // hear takes another box's message in.
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -15,9 +15,10 @@
 // the share is 1, or k = n and floor(bound/n) falls with n. A lower perSecond
 // never gives a box more either. So the bound holds in a window when the list
 // behind each send contains all boxes that send in that window. A box that has
-// just started waits for one window: until then the others have put it on their
-// lists, and the sends of a process of the same name before it are out of the
-// window. A lost box has to stay listed for a window after its last send.
+// just started sends nothing until it knows all the others and they know it, which
+// is not found out here, and waits for one window from then on: what they sent
+// before they knew it, and what a process of the same name before it sent, is out
+// of the window. A lost box has to stay listed for a window after its last send.
 //
 // Time is the monotonic clock since the start of the process. A Pacer belongs to
 // one actor: it is not safe for concurrent use.
@@ -105,6 +106,12 @@
 	p.terms = terms
 }
 
+// SetStart sets from when on the box knows the others that may send, in place of its
+// start. Nothing goes to cold replicas for one window after it.
+func (p *Pacer) SetStart(now time.Duration) {
+	p.start = now
+}
+
 // Cold notes that replica is cold until then and serves perSecond meanwhile. Of
 // several calls the latest until stays, and the rate of the last call.
 func (p *Pacer) Cold(replica string, perSecond float64, until time.Duration) {
--- /dev/null
+++ b/roster/agreement_test.go
@@ -0,0 +1,210 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// meeting is tables that send each other datagrams without delay.
+type meeting struct {
+	*is.I
+	tables map[string]*Table
+	seqs   map[string]int
+	down   map[string]bool
+}
+
+func newMeeting(t *testing.T) *meeting {
+	return &meeting{
+		I:      is.New(t),
+		tables: make(map[string]*Table),
+		seqs:   make(map[string]int),
+		down:   make(map[string]bool),
+	}
+}
+
+// join starts a box whose seeds are others.
+func (m *meeting) join(box, region string, seeds ...string) *Table {
+	addrs := make([]string, 0, len(seeds))
+	for _, s := range seeds {
+		addrs = append(addrs, s+":1")
+	}
+	m.seqs[box] = 0
+	m.tables[box] = New(status(box, region, 1, 0), WithSeeds(addrs))
+	return m.tables[box]
+}
+
+// tick lets boxes send what they send at a tick, and all answers to it.
+func (m *meeting) tick(now time.Duration, boxes ...string) {
+	for _, box := range boxes {
+		m.seqs[box]++
+		self := m.tables[box].self
+		self.Seq = m.seqs[box]
+		m.post(box, m.tables[box].Tell(self, now, first), now)
+	}
+}
+
+func (m *meeting) post(from string, list []Packet, now time.Duration) {
+	for _, p := range list {
+		to := p.Addr[:len(p.Addr)-len(":1")]
+		tab := m.tables[to]
+		if tab == nil || m.down[to] || m.down[from] {
+			continue
+		}
+		if IsCompact(p.Buf) {
+			b, err := DecodeCompact(p.Buf)
+			m.NoErr(err)
+			m.post(to, tab.HearCompact(b, from+":1", now).Replies, now)
+			continue
+		}
+		g, err := Decode(p.Buf)
+		m.NoErr(err)
+		tab.Hear(g.From, true, now)
+		for _, o := range g.Others {
+			tab.Hear(o, false, now)
+		}
+	}
+}
+
+// complete says whether a box knows all of its region.
+func (m *meeting) complete(box string, now time.Duration) bool {
+	_, ok := m.tables[box].CompleteSince(now)
+	return ok
+}
+
+func TestABoxThatHearsOfNobodyDoesNotKnowItsRegion(t *testing.T) {
+	m := newMeeting(t)
+	m.join("a", "north", "seed")
+	for now := time.Duration(0); now < time.Minute; now += Tick {
+		m.tick(now, "a")
+		m.True(!m.complete("a", now))
+	}
+}
+
+func TestABoxKnowsItsRegionWhenASeedAndAllOfTheRegionAgree(t *testing.T) {
+	m := newMeeting(t)
+	m.join("seed", "south", "a")
+	m.join("a", "north", "seed")
+	m.join("b", "north", "seed")
+	m.tick(0, "seed")
+	m.tick(Tick, "a")
+	m.True(!m.complete("a", Tick))
+	for n := range 8 {
+		m.tick(time.Duration(2+n)*Tick, "a", "b", "seed")
+	}
+	m.True(m.complete("a", 10*Tick))
+	m.True(m.complete("b", 10*Tick))
+	m.Equal(m.tables["a"].Sharers("north", 10*Tick), []string{"b"})
+}
+
+func TestABoxOfTheRegionThatDoesNotAnswerIsWaitedForWhileItCountsAsAlive(t *testing.T) {
+	m := newMeeting(t)
+	m.join("seed", "south", "a")
+	m.join("a", "north", "seed")
+	m.tables["a"].Hear(status("mute", "north", 1, 1), true, 0)
+	now := time.Duration(0)
+	for ; now <= aliveFor; now += Tick {
+		m.tick(now, "a", "seed")
+		m.True(!m.complete("a", now))
+	}
+	for range 4 {
+		m.tick(now, "a", "seed")
+		now += Tick
+	}
+	m.True(m.complete("a", now))
+	m.Equal(m.tables["a"].Sharers("north", now), []string{"mute"}) // it may still use its share
+}
+
+func TestABoxIsToldOfThoseThatAreGoneButMayUseTheirShare(t *testing.T) {
+	m := newMeeting(t)
+	const gone = 20 * time.Second
+	m.join("seed", "south", "a")
+	m.tables["seed"].Hear(status("gone", "north", 1, 1), true, 0)
+	m.join("a", "north", "seed")
+	now := gone
+	for ; now < gone+8*Tick; now += Tick {
+		m.tick(now, "seed", "a")
+	}
+	m.True(m.complete("a", now))
+	m.True(!m.tables["a"].Alive("gone", now)) // it gets no work
+	m.Equal(m.tables["a"].Sharers("north", now), []string{"gone"})
+	m.Equal(len(m.tables["a"].Sharers("north", SharesFor)), 0)
+}
+
+func TestWithoutASeedTheWordOfTheRegionIsEnoughAfterAWhile(t *testing.T) {
+	m := newMeeting(t)
+	m.join("b", "north", "a")
+	m.join("a", "north", "dead")
+	for now := time.Duration(0); now < seedless; now += Tick {
+		m.tick(now, "b", "a")
+		m.True(!m.complete("a", now))
+	}
+	m.tick(seedless+Tick, "b", "a")
+	m.True(m.complete("a", seedless+Tick))
+}
+
+func TestABoxWithoutSeedsIsAloneUnlessItIsFoundSoon(t *testing.T) {
+	m := newMeeting(t)
+	m.join("a", "north")
+	m.True(!m.complete("a", aloneAfter-1))
+	m.True(m.complete("a", aloneAfter))
+}
+
+func TestABoxThatWasCutOffFindsOutAnew(t *testing.T) {
+	m := newMeeting(t)
+	m.join("seed", "south", "a")
+	m.join("a", "north", "seed")
+	now := time.Duration(0)
+	run := func(d time.Duration, boxes ...string) {
+		for until := now + d; now < until; now += Tick {
+			m.tick(now, boxes...)
+		}
+	}
+	run(2*time.Second, "seed", "a")
+	m.True(m.complete("a", now))
+	m.down["a"] = true
+	run(aliveFor+2*Tick, "seed", "a")
+	m.True(!m.complete("a", now))
+	m.down["a"] = false
+	m.join("new", "north", "seed")
+	run(4*time.Second, "seed", "new", "a")
+	m.True(m.complete("a", now))
+	m.Equal(m.tables["a"].Sharers("north", now), []string{"new"})
+}
+
+func TestAnAnswerToAnotherProcessOfTheBoxIsNoAnswer(t *testing.T) {
+	m := newMeeting(t)
+	a := m.join("a", "north", "seed")
+	a.say(status("a", "north", 2, 1))
+	a.Hear(status("seed", "south", 1, 1), true, 0)
+	b := word("seed", 2)
+	b.Agreed = IDOf("seed:1", 1) // of the process before
+	a.HearCompact(b, "seed:1", 0)
+	a.Adapt(Tick)
+	m.True(!m.complete("a", Tick))
+	b.Agreed = IDOf("seed:1", 2)
+	a.HearCompact(b, "seed:1", Tick)
+	a.Adapt(2 * Tick)
+	m.True(m.complete("a", 2*Tick))
+}
+
+func TestAQuestionAndItsAnswersFitADatagram(t *testing.T) {
+	is := is.New(t)
+	tab := New(status("a", "north", 1, 1), WithSeeds([]string{"seed:1"}))
+	crowd(tab, "north", mostVitals, 0)
+	tab.say(status("a", "north", 1, 1))
+	question := tab.header()
+	question.Check = 1
+	question.Names = tab.ownNames(0)
+	is.True(len(question.encode()) <= datagramBytes)
+	answer := tab.header()
+	for n := range mostAbsent {
+		answer.Absent = append(answer.Absent, Absence{
+			Box: fmt.Sprintf("%0*d", maxName, n),
+			Age: SharesFor,
+		})
+	}
+	is.True(len(answer.encode()) <= datagramBytes)
+}
--- a/roster/compact.go
+++ b/roster/compact.go
@@ -79,6 +79,10 @@
 	Unknown []ID    // boxes whose status the sender asks for
 	Loads   []CompactLoad
 	Rooms   []CompactRooms
+	Check   ID        // marks the question whether Names are all boxes of the sender's region; 0 for none
+	Names   []ID      // boxes in whatever incarnation, of a question
+	Agreed  ID        // the mark of the question that the sender agrees to; 0 for none
+	Absent  []Absence // boxes that are gone and that the question lacked
 }
 
 // states in the order of their numbers in a compact datagram.
@@ -89,7 +93,10 @@
 	bitClosed = 1 << 7
 	bitLoaded = 1 << 6
 	bitPing   = 1 << 5
-	maskState = 0x0f
+	bitCheck  = 1 << 4
+	bitAgreed = 1 << 3
+	bitAbsent = 1 << 2
+	maskState = 0x03
 )
 
 // encode returns b as a datagram.
@@ -114,9 +121,36 @@
 	for _, r := range b.Rooms {
 		out = appendRooms(out, r)
 	}
+	return b.appendAgreement(out)
+}
+
+// appendAgreement appends a question or an answer about the boxes of a region, of
+// which only those that are there take bytes.
+func (b Compact) appendAgreement(out []byte) []byte {
+	if b.Check != 0 {
+		out = binary.BigEndian.AppendUint32(out, uint32(b.Check))
+		out = appendIDs(out, b.Names)
+	}
+	if b.Agreed != 0 {
+		out = binary.BigEndian.AppendUint32(out, uint32(b.Agreed))
+	}
+	if len(b.Absent) == 0 {
+		return out
+	}
+	out = binary.AppendUvarint(out, uint64(len(b.Absent)))
+	for _, gone := range b.Absent {
+		out = appendText(out, gone.Box)
+		out = binary.AppendUvarint(out, uint64(max(0, (gone.Age+ageUnit-1)/ageUnit)))
+	}
 	return out
 }
 
+// appendText appends the length of a text and the text.
+func appendText(out []byte, text string) []byte {
+	out = binary.AppendUvarint(out, uint64(len(text)))
+	return append(out, text...)
+}
+
 // flags returns the state and what is said by single bits.
 func (b Compact) flags() byte {
 	out := byte(0)
@@ -134,6 +168,15 @@
 	if b.Ping {
 		out |= bitPing
 	}
+	if b.Check != 0 {
+		out |= bitCheck
+	}
+	if b.Agreed != 0 {
+		out |= bitAgreed
+	}
+	if len(b.Absent) > 0 {
+		out |= bitAbsent
+	}
 	return out
 }
 
@@ -181,8 +224,7 @@
 	out = appendVital(out, r.From)
 	out = binary.AppendUvarint(out, uint64(len(r.Rooms)))
 	for _, s := range r.Rooms {
-		out = binary.AppendUvarint(out, uint64(len(s.Service)))
-		out = append(out, s.Service...)
+		out = appendText(out, s.Service)
 		for _, n := range []int{s.Usable, s.WaitMs, s.Busy, s.Fewest} {
 			out = binary.AppendUvarint(out, uint64(max(0, n)))
 		}
--- a/roster/compact_test.go
+++ b/roster/compact_test.go
@@ -32,7 +32,9 @@
 	number := func() int { return rapid.IntRange(0, 1<<20).Draw(t, "number") }
 	tokens := func() int { return number() * tokenUnit }
 	vital := func() Vital { return drawVital(t) }
-	return Compact{
+	name := func() string { return rapid.StringMatching(`[a-z]{1,64}`).Draw(t, "box") }
+	id := func(label string) ID { return ID(rapid.Uint32Min(1).Draw(t, label)) }
+	out := Compact{
 		From:    vital(),
 		State:   rapid.SampledFrom(states).Draw(t, "state"),
 		Closed:  rapid.Bool().Draw(t, "closed"),
@@ -73,6 +75,20 @@
 			}
 		}),
 	}
+	if rapid.Bool().Draw(t, "question") {
+		out.Check = id("check")
+		out.Names = list(t, 40, "names", func() ID { return id("named") })
+	}
+	if rapid.Bool().Draw(t, "agrees") {
+		out.Agreed = id("agreed")
+	}
+	out.Absent = list(t, mostAbsent, "absent", func() Absence {
+		return Absence{
+			Box: name(),
+			Age: time.Duration(rapid.IntRange(0, 600).Draw(t, "since")) * ageUnit,
+		}
+	})
+	return out
 }
 
 func TestACompactDatagramIsReadAsItWasWritten(t *testing.T) {
--- a/roster/parse.go
+++ b/roster/parse.go
@@ -12,8 +12,8 @@
 // overflow.
 const maxNumber = math.MaxInt32
 
-// maxService is the length of the longest name of a service, as in the schema.
-const maxService = 64
+// maxName is the length of the longest name of a service or box, as in the schema.
+const maxName = 64
 
 // IsCompact says whether a datagram is a compact datagram.
 func IsCompact(buf []byte) bool { return len(buf) > 0 && buf[0] == compactMark }
@@ -49,6 +49,16 @@
 	b.Unknown = parseList(&p, 4, id)
 	b.Loads = parseList(&p, 8, p.load)
 	b.Rooms = parseList(&p, vitalBytes+1, p.rooms)
+	if flags&bitCheck != 0 {
+		b.Check = p.mark()
+		b.Names = parseList(&p, 4, id)
+	}
+	if flags&bitAgreed != 0 {
+		b.Agreed = p.mark()
+	}
+	if flags&bitAbsent != 0 {
+		b.Absent = parseList(&p, 2, p.absence)
+	}
 	if p.bad || len(p.rest) > 0 {
 		return Compact{}, ErrCompact
 	}
@@ -65,7 +75,7 @@
 func (p *parser) take(n int) []byte {
 	if p.bad || n > len(p.rest) {
 		p.bad = true
-		return make([]byte, min(n, maxService))
+		return make([]byte, min(n, maxName))
 	}
 	out := p.rest[:n]
 	p.rest = p.rest[n:]
@@ -135,12 +145,8 @@
 
 // room reads what one service of a region can take.
 func (p *parser) room() wire.ServiceRoom {
-	n := p.number()
-	if n == 0 || n > maxService {
-		p.bad = true
-	}
 	return wire.ServiceRoom{
-		Service: string(p.take(min(n, maxService))),
+		Service: p.text(),
 		Usable:  p.number(),
 		WaitMs:  p.number(),
 		Busy:    p.number(),
@@ -148,6 +154,30 @@
 	}
 }
 
+// text reads what appendText writes.
+func (p *parser) text() string {
+	n := p.number()
+	if n == 0 || n > maxName {
+		p.bad = true
+	}
+	return string(p.take(min(n, maxName)))
+}
+
+// mark reads what marks a question, which is never 0.
+func (p *parser) mark() ID {
+	id := ID(p.four())
+	p.bad = p.bad || id == 0
+	return id
+}
+
+// absence reads a box that is gone.
+func (p *parser) absence() Absence {
+	return Absence{
+		Box: p.text(),
+		Age: time.Duration(p.number()) * ageUnit,
+	}
+}
+
 // parseList reads a list whose entries take some bytes at least.
 func parseList[T any](p *parser, least int, one func() T) []T {
 	n := p.number()
--- a/roster/round.go
+++ b/roster/round.go
@@ -15,6 +15,8 @@
 	t.forget(now)
 	t.adapt(now)
 	t.tick(now)
+	t.forgetAbsent(now)
+	t.agree(now)
 	t.compact.sweep(now)
 	t.compact.answers = 0
 }
@@ -39,6 +41,9 @@
 	t.sendDeaths(out, c, now, rnd)
 	t.sendSilent(out, now, rnd)
 	t.sendPings(out, c, now, rnd)
+	if l.rounds%checkTurn == 0 {
+		t.sendChecks(out, now)
+	}
 	if out.left() {
 		t.sendFull(out, c, now, rnd)
 	}
--- a/roster/table.go
+++ b/roster/table.go
@@ -61,13 +61,15 @@
 	silent  int // first of the silent members to send to next
 	pace    pace
 	compact compactState
+
+	agreement agreement
 }
 
 // Option changes a table that is made.
 type Option func(*Table)
 
 // WithSeeds names addresses of other boxes to begin with, as IP:port. They may
-// be stale or down.
+// be stale or down, and the own one is passed over.
 func WithSeeds(seeds []string) Option {
 	return func(t *Table) { t.seeds = slices.Clone(seeds) }
 }
@@ -80,10 +82,14 @@
 		records: make(map[string]*record),
 		pace:    plainPace(),
 		compact: newCompactState(),
+
+		agreement: newAgreement(),
 	}
 	for _, opt := range opts {
 		opt(t)
 	}
+	t.say(self) // others may ask before the first round
+	t.seeds = slices.DeleteFunc(t.seeds, func(addr string) bool { return addr == self.Peers })
 	return t
 }
 
@@ -95,6 +101,9 @@
 	if s.Box == t.self.Box {
 		return false // our own words, or those of a process that had our name
 	}
+	if direct {
+		t.touched(now)
+	}
 	r, ok := t.records[s.Box]
 	if ok && s.Inc < r.Status.Inc {
 		return false
--- a/roster/take.go
+++ b/roster/take.go
@@ -20,6 +20,7 @@
 // HearCompact takes a compact datagram in that came from an address.
 func (t *Table) HearCompact(b Compact, from string, now time.Duration) Heard {
 	t.compact.lastHeard = now
+	t.touched(now)
 	out := &outbox{
 		compact: &t.compact,
 		own:     t.self.Peers,
@@ -39,6 +40,12 @@
 		out.send(from, t.header().encode())
 	}
 	t.answer(out, b.Unknown, from, now)
+	if r != nil {
+		t.hearAnswer(b, r, now)
+	}
+	if r != nil && b.Check != 0 {
+		t.answerCheck(out, b, r, from, now)
+	}
 	h.Replies = out.list
 	return h
 }
--- a/roster/tell.go
+++ b/roster/tell.go
@@ -25,10 +25,10 @@
 		others = t.Digest(now, passedOn)
 	}
 	targets := t.Targets(now, rnd)
-	return plainPackets(targets, wire.Gossip{
+	return append(plainPackets(targets, wire.Gossip{
 		From:   self,
 		Others: others,
-	})
+	}), t.checks(now)...)
 }
 
 // TellLoads returns what tells the boxes of the region at once what this one has
