node: Test the budget of repeats while all boxes start, failing

The same cause as of the flooded cold replica, elsewhere: the budget of repeats is shared among the boxes known, at least three. 63 boxes that begin 6 s before their seeds repeat 688 requests in a window of 10 s, 168 are allowed.

--- a/node/coldstart_test.go
+++ b/node/coldstart_test.go
@@ -29,6 +29,18 @@
 	in.keepsPace(t)
 }
 
+// The same cause let boxes that knew nobody repeat as many requests as one of three
+// boxes may: the budget of repeats is shared among the boxes known as well.
+func TestBoxesThatAllStartBeforeTheirSeedsKeepTheBudgetOfRepeats(t *testing.T) {
+	in := newInstallation(1, 3, 21)
+	in.greedy = true
+	in.startAll(400*time.Millisecond, 6*time.Second)
+	in.run(15 * time.Second)
+	if n := in.mostRepeats(); n > repeatExtra {
+		t.Fatalf("%d repeats within %v, %d are allowed", n, repeatWindow, repeatExtra)
+	}
+}
+
 // startAll starts all boxes within a time, those of the seeds so much later.
 func (in *installation) startAll(within, seedsLater time.Duration) {
 	seeds := make(map[string]bool)
