catalog, node: Tell followers of replicas that were found gone by reading

Now the latest 64 removals found so are told with any news for 1,000 revisions, and heartbeats carry how many a box found, so that a follower asks also where its revision is no lower: after an outage in which nothing else changed, it was not told at all.

Ruled out: withholding the revision while removals are put off, for other news would then be late.

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -38,12 +38,19 @@
 // the 4,000 replicas to design for is far more than happens between two questions.
 const mostGone = 512
 
+const (
+	mostLapsed = 64   // replicas found gone by reading that are told again; a zone's worth that is lost while the publisher is away
+	lapsedFor  = 1000 // revisions for which they are told; minutes at the six changes a second of a service that is replaced
+)
+
 // past is what a copy remembers of its changes: what is gone and when other things
 // changed. Replicas tell the revision of their last change themselves.
 type past struct {
 	since     int64 // removals after this revision are known
 	policy    int64 // revision of the policy
 	gone      map[string]int64
+	lapsed    []string              // the latest that were found gone by reading all
+	lapses    int                   // how many were
 	evacuated map[string]evacuation // by failure domain
 }
 
@@ -77,6 +84,22 @@
 	p.gone[id] = revision
 }
 
+// lapse takes in that a replica was found gone by reading all at a revision.
+func (p *past) lapse(id string, revision int64) {
+	p.remove(id, revision)
+	p.lapses++
+	p.lapsed = append(p.lapsed, id)
+	p.lapsed = p.lapsed[max(0, len(p.lapsed)-mostLapsed):]
+}
+
+// tells says whether a box that knows a revision is told that a replica is gone. It
+// may have learned a later revision than that of a reading before the reading, and
+// would go on sending to the replica.
+func (p *past) tells(id string, revision int64) bool {
+	at := p.gone[id]
+	return at >= revision || (revision < at+lapsedFor && slices.Contains(p.lapsed, id))
+}
+
 // evacuate takes in that a failure domain gets no work from a revision on, or work
 // again.
 func (p *past) evacuate(domain string, on bool, revision int64) {
@@ -86,10 +109,14 @@
 	}
 }
 
+// Lapses returns how many replicas were found gone by reading all, which nobody who
+// learned of their revisions before was told of.
+func (c *Content) Lapses() int { return c.past.lapses }
+
 // Since returns what changed after a revision, as far as it is still so, and all of
 // the catalog where that isn't known. What changed at the revision itself is in it
-// too: a removal that was only found by reading again bears the revision of that
-// reading.
+// too, and the latest replicas that were only found gone by reading again, whatever
+// the revision: these bear that of the reading.
 func (c *Content) Since(revision int64) News {
 	if revision < c.past.since || revision == 0 {
 		s := c.Snapshot()
@@ -102,7 +129,7 @@
 		Revision: c.revision,
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.past.gone)) {
-		if _, back := c.replicas[id]; !back && c.past.gone[id] >= revision {
+		if _, back := c.replicas[id]; !back && c.past.tells(id, revision) {
 			out.Changes = append(out.Changes, Change{
 				Revision: c.past.gone[id],
 				Gone:     id,
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		if settled && !slices.Contains(s.Malformed, id) {
-			c.past.remove(id, s.Revision)
+			c.past.lapse(id, s.Revision)
 			continue
 		}
 		c.replicas[id] = r
--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/wire"
 )
 
 func TestBoxesOfASmallRegionAllWatch(t *testing.T) {
@@ -63,3 +65,21 @@
 	is.Equal(says(6, 1000), time.Second) // it has read, and there was less
 	is.Equal(says(7, 9000), time.Second)
 }
+
+func TestAFollowerAsksForReplicasThatABoxFoundGone(t *testing.T) {
+	is := is.New(t)
+	b := newBox("self", "a", 2)
+	watcher := newBox("near", "a", 2)
+	says := func() wire.BoxStatus { return watcher.says(start).From }
+	is.True(!b.untold(says()))
+	watcher.publish(1, policy(1), replicas("a", 1)) // read again at the revision that both know
+	is.Equal(says().Catalog, b.says(start).From.Catalog)
+	is.True(b.untold(says()))
+	b.take(watcher.content.Since(b.content.Revision()).Update(), start)
+	b.toldLapses(says())
+	is.Equal(len(b.content.Replicas()), 1)
+	is.True(!b.untold(says()))
+	again := says()
+	again.Inc++ // another process has found some of its own
+	is.True(b.untold(again))
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -125,11 +125,15 @@
 // that knows more is asked for it by one that follows others or can't read the
 // catalog itself.
 func (n *Node) learn(ctx context.Context, from wire.BoxStatus, newest int64) {
-	revision := int64(0)
-	_ = n.state.Do(func(s *state) { revision = s.content.Revision() })
+	var revision int64
+	var lapsed bool
+	_ = n.state.Do(func(s *state) {
+		revision = s.content.Revision()
+		lapsed = s.untold(from)
+	})
 	n.confirm(from, revision)
 	switch {
-	case from.Peers != "" && n.pulls(from, revision):
+	case from.Peers != "" && n.pulls(from, revision, lapsed):
 		n.startPull(ctx, from, revision)
 	case n.follows.Load(): // boxes of the own region will tell
 	default:
--- a/node/pull.go
+++ b/node/pull.go
@@ -26,15 +26,43 @@
 }
 
 // pulls says whether the catalog is asked for from another box: when this one
-// knows no policy, or doesn't read the publisher itself and the other knows more.
-func (n *Node) pulls(from wire.BoxStatus, revision int64) bool {
+// knows no policy, or doesn't read the publisher itself and the other knows more, or
+// has found replicas gone that this one was not told of.
+func (n *Node) pulls(from wire.BoxStatus, revision int64, lapsed bool) bool {
 	if n.table.Load() == nil {
 		return from.Policy > 0
 	}
 	near := n.follows.Load() && from.Region == n.settings.Region
+	if near && lapsed {
+		return true
+	}
 	return (near || !n.storeOK.Load()) && int64(from.Catalog) > revision
 }
 
+// lapses is how many replicas an incarnation of a box had found gone by reading.
+type lapses struct {
+	inc   int
+	found int
+}
+
+// untold says whether another box has found replicas gone that it has not told this
+// one of. Its revision doesn't show that: this one may have learned it before.
+func (s *state) untold(from wire.BoxStatus) bool {
+	told := s.lapses[from.Box]
+	return from.Lapses > 0 && (told.inc != from.Inc || told.found < from.Lapses)
+}
+
+// toldLapses takes in that a box has told what it found.
+func (s *state) toldLapses(from wire.BoxStatus) {
+	if from.Lapses == 0 {
+		return
+	}
+	s.lapses[from.Box] = lapses{
+		inc:   from.Inc,
+		found: from.Lapses,
+	}
+}
+
 // pull asks another box for what it knows beyond a revision.
 func (n *Node) pull(ctx context.Context, from wire.BoxStatus, revision int64) {
 	limit := pullLimit
@@ -61,6 +89,7 @@
 		return
 	}
 	n.takeUpdate(news.Update())
+	_ = n.state.Do(func(s *state) { s.toldLapses(from) }) // it fails only when the box has ended
 	n.feed.Learned(news.Revision)
 }
 
--- a/node/state.go
+++ b/node/state.go
@@ -36,6 +36,7 @@
 	paths    map[string]decay.Failures // of requests to other regions
 	lost     map[string]unreached      // boxes
 	asks     map[string]decay.Count    // requests by the name of a bound route
+	lapses   map[string]lapses         // by box: replicas found gone that it has told of
 	seq      int                       // of the last status told
 }
 
@@ -52,6 +53,7 @@
 		paths:    make(map[string]decay.Failures),
 		lost:     make(map[string]unreached),
 		asks:     make(map[string]decay.Count),
+		lapses:   make(map[string]lapses),
 	}
 }
 
@@ -201,6 +203,7 @@
 	s.seq++
 	b.Seq = s.seq
 	b.Catalog = int(s.content.Revision())
+	b.Lapses = s.content.Lapses()
 	if s.table == nil {
 		return b
 	}
--- a/roster/compact.go
+++ b/roster/compact.go
@@ -73,6 +73,7 @@
 	Newest  int64 // newest revision of the catalog that the sender has heard of
 	Policy  int   // version of the policy that the sender decides by
 	ReadMs  int   // milliseconds; how long ago the publisher was read with nothing newer than Catalog, as in a whole status
+	Lapses  int   // replicas that the sender found gone by reading all, as in a whole status
 	Vitals  []Vital
 	Silent  []Vital // boxes of whose death the sender knows; their last heartbeat
 	Leaving []ID    // boxes that live and have said that they leave
@@ -109,6 +110,7 @@
 	out = binary.AppendUvarint(out, uint64(b.Newest))
 	out = binary.AppendUvarint(out, uint64(b.Policy))
 	out = binary.AppendUvarint(out, uint64(b.ReadMs))
+	out = binary.AppendUvarint(out, uint64(b.Lapses))
 	out = appendVitals(out, b.Vitals)
 	out = appendVitals(out, b.Silent)
 	out = appendIDs(out, b.Leaving)
--- a/roster/compact_test.go
+++ b/roster/compact_test.go
@@ -44,6 +44,7 @@
 		Newest:  rapid.Int64Min(0).Draw(t, "newest"),
 		Policy:  number(),
 		ReadMs:  number(),
+		Lapses:  number(),
 		Vitals:  list(t, 40, "vitals", vital),
 		Silent:  list(t, 4, "silent", vital),
 		Leaving: list(t, 4, "leaving", func() ID { return ID(rapid.Uint32().Draw(t, "leaves")) }),
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -155,6 +155,10 @@
 
 	// Revision of the catalog the box has in force; 0 for none.
 	Catalog int `json:"v,omitempty,omitzero"`
+
+	// Replicas that the box has found gone by reading all of the catalog, since its
+	// start.
+	Lapses int `json:"x,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -200,6 +204,9 @@
 	if 0 > plain.Catalog {
 		return fmt.Errorf("field %s: must be >= %v", "v", 0)
 	}
+	if 0 > plain.Lapses {
+		return fmt.Errorf("field %s: must be >= %v", "x", 0)
+	}
 	*j = BoxStatus(plain)
 	return nil
 }
