roster: Ask for agreement by a sum where a region has many boxes

Now a sum stands for the names above 24 boxes, one question a second names them, and neither questions nor agreement wait for the pace. The form of compact datagrams changed, so their first byte did.

--- a/roster/agreement.go
+++ b/roster/agreement.go
@@ -30,8 +30,9 @@
 	SharesFor = silentFor
 
 	checkEvery = 500 * time.Millisecond // a box that did not agree is asked again; an answer from another region takes 160 ms
-	checkTurn  = 2                      // ticks; among many boxes the bytes of the other one are left to what else is told
-	mostChecks = 8                      // boxes that are asked at one tick: a region of 30 within a second, in 1.3 KB a tick
+	mostChecks = 6                      // boxes that are asked at one tick: a region of 22 within a second, with 1 KB a tick, one of 100 within five
+	fewNames   = 24                     // boxes of a region up to which each question names them, in 100 bytes; of more a sum stands for them
+	namesEvery = 4                      // ticks; in these the first question names more boxes, too, for the sum doesn't tell which one is missing
 	mostAbsent = 8                      // names of boxes that are gone in one answer; the rest in the next
 	aloneAfter = 3 * time.Second        // a box without seeds waits so long to be found; the others try each 2.5 s
 	seedless   = 10 * time.Second       // where no seed answers, the word of the region's boxes is enough after so long; ten seconds let boxes of 390 hear of each other
@@ -111,6 +112,7 @@
 	if now-a.heard > aliveFor {
 		clear(a.agreed)
 		clear(a.seeds)
+		clear(a.asked)
 		a.done = false
 		return
 	}
@@ -123,6 +125,7 @@
 	if len(t.undecided(now)) > 0 {
 		return
 	}
+	clear(a.asked)
 	a.done = true
 	a.since = now
 }
@@ -134,33 +137,32 @@
 	})
 }
 
-// checks returns the questions to those that have not agreed, where boxes are few.
+// checks returns the questions to those that have not agreed, the longest not asked
+// first. They are not paid for by the pace, which would make them wait a minute where
+// a region has 100 boxes: each start costs 10 KB there, once.
 func (t *Table) checks(now time.Duration) []Packet {
-	out := &outbox{
-		compact: &t.compact,
-		own:     t.self.Peers,
-	}
-	t.sendChecks(out, now)
-	return out.list
-}
-
-// sendChecks asks those that have not agreed, the longest not asked first.
-func (t *Table) sendChecks(out *outbox, now time.Duration) {
-	a := &t.agreement
-	if a.done || len(t.seeds) == 0 {
-		return
+	if t.agreement.done || len(t.seeds) == 0 {
+		return nil
 	}
 	list := t.toCheck(now)
+	list = list[:min(len(list), mostChecks)]
+	names := t.ownNames(now)
 	b := t.header()
-	b.Names = t.ownNames(now)
-	for _, addr := range list[:min(len(list), mostChecks)] {
-		if !t.pace.plain && !out.left() {
-			return
-		}
-		a.asked[addr] = now
+	b.Sum = sumOf(names)
+	out := make([]Packet, 0, len(list))
+	for i, addr := range list {
+		t.agreement.asked[addr] = now
 		b.Check = t.token(addr)
-		out.send(addr, b.encode())
+		b.Names = nil
+		if len(names) <= fewNames || (i == 0 && t.compact.rounds%namesEvery == 0) {
+			b.Names = names
+		}
+		out = append(out, Packet{
+			Addr: addr,
+			Buf:  b.encode(),
+		})
 	}
+	return out
 }
 
 // toCheck returns the addresses of those to ask now.
@@ -190,22 +192,48 @@
 // nameID stands for a box in whatever incarnation.
 func nameID(box string) ID { return IDOf(box, 0) }
 
+// sumOf returns what stands for a set of boxes.
+func sumOf(names []ID) ID {
+	out := ID(0)
+	for _, id := range names {
+		out ^= id
+	}
+	return out
+}
+
 // ownNames returns the boxes of the region that this one knows, with itself.
 func (t *Table) ownNames(now time.Duration) []ID {
-	out := []ID{nameID(t.self.Box)}
-	for _, name := range t.Sharers(t.self.Region, now) {
+	return nameIDs(append(t.Sharers(t.self.Region, now), t.self.Box))
+}
+
+// nameIDs returns the IDs of boxes in whatever incarnation.
+func nameIDs(names []string) []ID {
+	out := make([]ID, 0, len(names))
+	for _, name := range names {
 		out = append(out, nameID(name))
 	}
 	return out
 }
 
-// answerCheck agrees that a box's list is complete, or tells it what is missing.
+// answerCheck agrees that a box's list is complete, or tells it what is missing. It
+// says nothing to a sum that differs: the same box asks again with names.
 func (t *Table) answerCheck(out *outbox, b Compact, asker *record, from string, now time.Duration) {
-	alive, gone := t.missing(b.Names, asker, now)
+	known := t.namesIn(asker, now)
+	var alive []wire.BoxStatus
+	var gone []Absence
+	switch {
+	case len(b.Names) > 0:
+		alive, gone = t.missing(known, b.Names, now)
+	case b.Sum != sumOf(nameIDs(known)):
+		return
+	}
 	reply := t.header()
 	if len(alive)+len(gone) == 0 {
 		reply.Agreed = b.Check
-		out.send(from, reply.encode())
+		out.list = append(out.list, Packet{ // not paid for by the pace, like the question
+			Addr: from,
+			Buf:  reply.encode(),
+		})
 		return
 	}
 	if len(alive) > 0 && t.compact.answers < mostAnswers {
@@ -218,35 +246,55 @@
 	}
 }
 
-// missing returns the boxes of the asker's region that are not among names: the
-// statuses of those alive, and those gone that may still use a quota.
-func (t *Table) missing(names []ID, asker *record, now time.Duration) (alive []wire.BoxStatus, gone []Absence) {
-	region := asker.Status.Region
-	lacks := func(box string) bool { return box != asker.Status.Box && !slices.Contains(names, nameID(box)) }
-	if region == t.self.Region && lacks(t.self.Box) {
-		alive = append(alive, t.compact.said)
+// namesIn returns all boxes of an asker's region that this one knows, the asker and
+// itself with them.
+func (t *Table) namesIn(asker *record, now time.Duration) []string {
+	out := t.Sharers(asker.Status.Region, now)
+	if !slices.Contains(out, asker.Status.Box) {
+		out = append(out, asker.Status.Box)
 	}
-	for _, name := range t.Sharers(region, now) {
-		if !lacks(name) {
+	if asker.Status.Region == t.self.Region {
+		out = append(out, t.self.Box)
+	}
+	return out
+}
+
+// missing returns the known boxes that are not among names: the statuses of those
+// alive, and those gone that may still use a quota.
+func (t *Table) missing(known []string, names []ID, now time.Duration) (alive []wire.BoxStatus, gone []Absence) {
+	for _, name := range known {
+		if slices.Contains(names, nameID(name)) {
 			continue
 		}
 		r, ok := t.records[name]
-		if ok && t.alive(r, now) {
+		switch {
+		case name == t.self.Box:
+			alive = append(alive, t.compact.said)
+		case ok && t.alive(r, now):
 			alive = append(alive, r.bare())
-			continue
-		}
-		seen, remembered := t.agreement.absent[name]
-		if ok && (!remembered || r.Seen > seen) {
-			seen = r.Seen
+		default:
+			gone = append(gone, Absence{
+				Box: name,
+				Age: now - t.lastSeen(name),
+			})
 		}
-		gone = append(gone, Absence{
-			Box: name,
-			Age: now - seen,
-		})
 	}
 	return alive, gone
 }
 
+// lastSeen returns when a box that is gone was alive last, by this box's own word or
+// that of others.
+func (t *Table) lastSeen(box string) time.Duration {
+	seen := never
+	if r, ok := t.records[box]; ok {
+		seen = r.Seen
+	}
+	if remembered, ok := t.agreement.absent[box]; ok {
+		seen = max(seen, remembered)
+	}
+	return seen
+}
+
 // hearAnswer takes in what another box says to a question of this one.
 func (t *Table) hearAnswer(b Compact, r *record, now time.Duration) {
 	a := &t.agreement
--- a/roster/compact.go
+++ b/roster/compact.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	compactMark = 1                      // first byte of a compact datagram; gossip begins with a brace
+	compactMark = 2                      // first byte of a compact datagram of this form, which boxes of another one drop; gossip begins with a brace
 	vitalBytes  = 7                      // of one box in a compact datagram
 	ageUnit     = 100 * time.Millisecond // of an age in a compact datagram; with one byte 25.5 s
 	tokenUnit   = 16                     // tokens in which loads are told; a step of an engine reads more
@@ -81,7 +81,8 @@
 	Loads   []CompactLoad
 	Rooms   []CompactRooms
 	Check   ID        // marks the question whether Names are all boxes of the sender's region; 0 for none
-	Names   []ID      // boxes in whatever incarnation, of a question
+	Names   []ID      // boxes in whatever incarnation, of a question; none where Sum says enough
+	Sum     ID        // of Names, also where they are left out
 	Agreed  ID        // the mark of the question that the sender agrees to; 0 for none
 	Absent  []Absence // boxes that are gone and that the question lacked
 }
@@ -131,6 +132,7 @@
 func (b Compact) appendAgreement(out []byte) []byte {
 	if b.Check != 0 {
 		out = binary.BigEndian.AppendUint32(out, uint32(b.Check))
+		out = binary.BigEndian.AppendUint32(out, uint32(b.Sum))
 		out = appendIDs(out, b.Names)
 	}
 	if b.Agreed != 0 {
--- a/roster/compact_test.go
+++ b/roster/compact_test.go
@@ -78,6 +78,7 @@
 	}
 	if rapid.Bool().Draw(t, "question") {
 		out.Check = id("check")
+		out.Sum = id("sum")
 		out.Names = list(t, 40, "names", func() ID { return id("named") })
 	}
 	if rapid.Bool().Draw(t, "agrees") {
--- a/roster/parse.go
+++ b/roster/parse.go
@@ -52,6 +52,7 @@
 	b.Rooms = parseList(&p, vitalBytes+1, p.rooms)
 	if flags&bitCheck != 0 {
 		b.Check = p.mark()
+		b.Sum = id()
 		b.Names = parseList(&p, 4, id)
 	}
 	if flags&bitAgreed != 0 {
--- a/roster/round.go
+++ b/roster/round.go
@@ -41,14 +41,11 @@
 	t.sendDeaths(out, c, now, rnd)
 	t.sendSilent(out, now, rnd)
 	t.sendPings(out, c, now, rnd)
-	if l.rounds%checkTurn == 0 {
-		t.sendChecks(out, now)
-	}
 	if out.left() {
 		t.sendFull(out, c, now, rnd)
 	}
 	t.sendLight(out, c, rnd)
-	return out.list
+	return append(out.list, t.checks(now)...)
 }
 
 // audience is the boxes alive at one moment.
