catalog: Tell again only removals that were put off

A reading finds replicas gone before the watch tells so as a matter of course; followers are told of these by the revision. Only a removal that was put off, while entries may come back, can be missed, so only such ones are counted and told again: at 390 boxes 64 of them with each news, for an hour, would have taken more than the 3 KB/s of a box for control.

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -39,7 +39,7 @@
 const mostGone = 512
 
 const (
-	mostLapsed = 64   // replicas found gone by reading that are told again; a zone's worth that is lost while the publisher is away
+	mostLapsed = 64   // replicas that are told again; a failure domain's worth that is lost while the publisher is away
 	lapsedFor  = 1000 // revisions for which they are told; minutes at the six changes a second of a service that is replaced
 )
 
@@ -49,7 +49,8 @@
 	since     int64 // removals after this revision are known
 	policy    int64 // revision of the policy
 	gone      map[string]int64
-	lapsed    []string              // the latest that were found gone by reading all
+	putOff    map[string]bool       // replicas whose removal was not believed yet, though its revision is known
+	lapsed    []string              // the latest of these that were found gone by reading all
 	lapses    int                   // how many were
 	evacuated map[string]evacuation // by failure domain
 }
@@ -63,6 +64,7 @@
 func newPast() past {
 	return past{
 		gone:      make(map[string]int64),
+		putOff:    make(map[string]bool),
 		evacuated: make(map[string]evacuation),
 	}
 }
@@ -84,9 +86,14 @@
 	p.gone[id] = revision
 }
 
-// lapse takes in that a replica was found gone by reading all at a revision.
-func (p *past) lapse(id string, revision int64) {
+// missed takes in that a replica was found gone by reading all at a revision. Where
+// its removal was put off, others that asked meanwhile know its revision without it.
+func (p *past) missed(id string, revision int64) {
 	p.remove(id, revision)
+	if !p.putOff[id] {
+		return
+	}
+	delete(p.putOff, id)
 	p.lapses++
 	p.lapsed = append(p.lapsed, id)
 	p.lapsed = p.lapsed[max(0, len(p.lapsed)-mostLapsed):]
@@ -109,14 +116,14 @@
 	}
 }
 
-// Lapses returns how many replicas were found gone by reading all, which nobody who
-// learned of their revisions before was told of.
+// Lapses returns how many replicas were found gone by reading all after their removal
+// had been put off.
 func (c *Content) Lapses() int { return c.past.lapses }
 
 // Since returns what changed after a revision, as far as it is still so, and all of
 // the catalog where that isn't known. What changed at the revision itself is in it
-// too, and the latest replicas that were only found gone by reading again, whatever
-// the revision: these bear that of the reading.
+// too, and, whatever the revision, the latest replicas whose removal was put off until
+// they were found gone by reading again: these bear the revision of that reading.
 func (c *Content) Since(revision int64) News {
 	if revision < c.past.since || revision == 0 {
 		s := c.Snapshot()
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -112,16 +112,18 @@
 	c.replicas = make(map[string]Replica, len(s.Replicas))
 	for _, r := range s.Replicas {
 		c.replicas[r.ID] = r
+		delete(c.past.putOff, r.ID)
 	}
 	for id, r := range before {
 		if _, ok := c.replicas[id]; ok {
 			continue
 		}
 		if settled && !slices.Contains(s.Malformed, id) {
-			c.past.lapse(id, s.Revision)
+			c.past.missed(id, s.Revision)
 			continue
 		}
 		c.replicas[id] = r
+		c.putOff(id)
 	}
 	closed := make(map[string]bool, len(s.Evacuated))
 	for _, d := range s.Evacuated {
@@ -145,8 +147,12 @@
 		c.takePolicy(ch.Policy, ch.Revision)
 	case ch.Replica != nil && ch.Revision >= c.replicas[ch.Replica.ID].Revision:
 		c.replicas[ch.Replica.ID] = *ch.Replica
-	case ch.Gone != "" && settled && ch.Revision >= c.replicas[ch.Gone].Revision:
+		delete(c.past.putOff, ch.Replica.ID)
+	case ch.Gone != "" && !settled:
+		c.putOff(ch.Gone)
+	case ch.Gone != "" && ch.Revision >= c.replicas[ch.Gone].Revision:
 		delete(c.replicas, ch.Gone)
+		delete(c.past.putOff, ch.Gone)
 		c.past.remove(ch.Gone, ch.Revision)
 	case ch.Evacuated != "" && ch.Revision > c.read:
 		c.evacuated[ch.Evacuated] = true
@@ -157,6 +163,13 @@
 	}
 }
 
+// putOff notes that a replica may be gone, though this is not believed yet.
+func (c *Content) putOff(id string) {
+	if _, ok := c.replicas[id]; ok {
+		c.past.putOff[id] = true
+	}
+}
+
 // takePolicy takes a policy of a revision in if its version is higher.
 func (c *Content) takePolicy(p *Policy, revision int64) {
 	if p == nil || (c.policy != nil && p.Version <= c.policy.Version) {
--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -72,6 +73,14 @@
 	watcher := newBox("near", "a", 2)
 	says := func() wire.BoxStatus { return watcher.says(start).From }
 	is.True(!b.untold(says()))
+	watcher.take(catalog.Update{ // just after an outage, in which entries may have lapsed
+		Revision: 1,
+		Changes: []catalog.Change{{
+			Revision: 1,
+			Gone:     "a-1",
+		}},
+	}, start)
+	is.True(!b.untold(says()))
 	watcher.publish(1, policy(1), replicas("a", 1)) // read again at the revision that both know
 	is.Equal(says().Catalog, b.says(start).From.Catalog)
 	is.True(b.untold(says()))
--- a/node/pull.go
+++ b/node/pull.go
@@ -39,14 +39,15 @@
 	return (near || !n.storeOK.Load()) && int64(from.Catalog) > revision
 }
 
-// lapses is how many replicas an incarnation of a box had found gone by reading.
+// lapses is of how many replicas, whose removal it had put off, an incarnation of a
+// box has told.
 type lapses struct {
 	inc   int
 	found int
 }
 
-// untold says whether another box has found replicas gone that it has not told this
-// one of. Its revision doesn't show that: this one may have learned it before.
+// untold says whether another box has found such replicas gone that it has not told
+// this one of. Its revision doesn't show that: this one may have learned it before.
 func (s *state) untold(from wire.BoxStatus) bool {
 	told := s.lapses[from.Box]
 	return from.Lapses > 0 && (told.inc != from.Inc || told.found < from.Lapses)
--- a/node/state.go
+++ b/node/state.go
@@ -108,7 +108,7 @@
 	if !ok {
 		return nil
 	}
-	s.view.Pacer().SetStart(since)
+	s.view.Pacer().SetStart(since) // what others sent before they knew this box still counts for a window
 	out := append([]string{s.settings.Box}, s.roster.Sharers(s.settings.Region, now)...)
 	fewest := fewestSharers
 	if len(out) == 1 {
--- a/roster/agreement.go
+++ b/roster/agreement.go
@@ -96,8 +96,8 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
-// touched takes in that another box was heard directly.
-func (t *Table) touched(now time.Duration) {
+// inContact takes in that another box was heard directly.
+func (t *Table) inContact(now time.Duration) {
 	a := &t.agreement
 	if now-a.heard > aliveFor {
 		a.contact = now
--- a/roster/table.go
+++ b/roster/table.go
@@ -102,7 +102,7 @@
 		return false // our own words, or those of a process that had our name
 	}
 	if direct {
-		t.touched(now)
+		t.inContact(now)
 	}
 	r, ok := t.records[s.Box]
 	if ok && s.Inc < r.Status.Inc {
--- a/roster/take.go
+++ b/roster/take.go
@@ -20,7 +20,7 @@
 // HearCompact takes a compact datagram in that came from an address.
 func (t *Table) HearCompact(b Compact, from string, now time.Duration) Heard {
 	t.compact.lastHeard = now
-	t.touched(now)
+	t.inContact(now)
 	out := &outbox{
 		compact: &t.compact,
 		own:     t.self.Peers,
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -156,8 +156,8 @@
 	// Revision of the catalog the box has in force; 0 for none.
 	Catalog int `json:"v,omitempty,omitzero"`
 
-	// Replicas that the box has found gone by reading all of the catalog, since its
-	// start.
+	// Replicas that the box has found gone by reading all of the catalog after it had
+	// put their removal off, since its start.
 	Lapses int `json:"x,omitempty,omitzero"`
 }
 
