--- a/node/coldstart_fuzz_test.go
+++ b/node/coldstart_fuzz_test.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	disruptions = 12               // in one run
-	calm        = 16 * time.Second // after which all boxes know each other: a minute in which one is remembered is not over
+	disruptions = 12               // in one run, with the times that pass between them
+	calm        = 16 * time.Second // after the last of them, until all boxes know their region: one that is cut off is so for 8 s at most
 )
 
 // outage is an installation whose boxes fail, and are cut off, at random.
