catalog, node, placement: Believe removals in doubt after 2.1 s, and tell of doubts

What was put off was only believed by reading all again, which followers seldom do.

Now a removal found just after an outage is in doubt until a time, and is then believed without a call; news carry the doubts with the time that is left; a box asks for what changed since a revision that no doubt comes before. An outage is over from the first reading of any box. What is in doubt gets nothing new.

Ruled out: holding the revision back (other news would be late), and a reading in the doubt's place (a call for each box).

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -21,6 +21,7 @@
 type News struct {
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
 	Changes  []Change  `json:"changes,omitempty"`
+	Doubts   []Doubt   `json:"doubts,omitempty"` // removals that the box doesn't believe yet
 	Revision int64     `json:"revision"`
 }
 
@@ -29,8 +30,9 @@
 	return Update{
 		Snapshot: n.Snapshot,
 		Changes:  n.Changes,
+		Doubts:   n.Doubts,
 		Revision: n.Revision,
-		Settled:  true, // the other box has waited for entries that may come back
+		Settled:  true, // the other box says of which replicas it doesn't know whether they come back
 	}
 }
 
@@ -49,9 +51,8 @@
 	since     int64 // removals after this revision are known
 	policy    int64 // revision of the policy
 	gone      map[string]int64
-	putOff    map[string]bool       // replicas whose removal was not believed yet, though its revision is known
-	lapsed    []string              // the latest of these that were found gone by reading all
-	lapses    int                   // how many were
+	lapsed    []string              // the latest replicas whose removal was in doubt before it was believed
+	lapses    int                   // how many there were
 	evacuated map[string]evacuation // by failure domain
 }
 
@@ -64,7 +65,6 @@
 func newPast() past {
 	return past{
 		gone:      make(map[string]int64),
-		putOff:    make(map[string]bool),
 		evacuated: make(map[string]evacuation),
 	}
 }
@@ -86,19 +86,19 @@
 	p.gone[id] = revision
 }
 
-// missed takes in that a replica was found gone by reading all at a revision. Where
-// its removal was put off, others that asked meanwhile know its revision without it.
-func (p *past) missed(id string, revision int64) {
+// lapse takes in that a replica whose removal was in doubt is gone. Others that asked
+// meanwhile may know its revision without it.
+func (p *past) lapse(id string, revision int64) {
 	p.remove(id, revision)
-	if !p.putOff[id] {
-		return
-	}
-	delete(p.putOff, id)
 	p.lapses++
 	p.lapsed = append(p.lapsed, id)
 	p.lapsed = p.lapsed[max(0, len(p.lapsed)-mostLapsed):]
 }
 
+// isGone says whether a replica was removed after what an entry says of it. A box that
+// still has the removal in doubt tells others of the replica as it was.
+func (p *past) isGone(r Replica) bool { return p.gone[r.ID] > r.Revision }
+
 // tells says whether a box that knows a revision is told that a replica is gone. It
 // may have learned a later revision than that of a reading before the reading, and
 // would go on sending to the replica.
@@ -116,24 +116,26 @@
 	}
 }
 
-// Lapses returns how many replicas were found gone by reading all after their removal
-// had been put off.
+// Lapses returns how many replicas were found gone after their removal had been in
+// doubt.
 func (c *Content) Lapses() int { return c.past.lapses }
 
 // Since returns what changed after a revision, as far as it is still so, and all of
 // the catalog where that isn't known. What changed at the revision itself is in it
-// too, and, whatever the revision, the latest replicas whose removal was put off until
-// they were found gone by reading again: these bear the revision of that reading.
+// too, and, whatever the revision, what is in doubt and the latest replicas whose
+// removal was in doubt until it was believed: these may bear a later revision.
 func (c *Content) Since(revision int64) News {
 	if revision < c.past.since || revision == 0 {
 		s := c.Snapshot()
 		return News{
 			Snapshot: &s,
+			Doubts:   c.tell(),
 			Revision: s.Revision,
 		}
 	}
 	out := News{
-		Revision: c.revision,
+		Doubts:   c.tell(),
+		Revision: c.newest,
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.past.gone)) {
 		if _, back := c.replicas[id]; !back && c.past.tells(id, revision) {
--- /dev/null
+++ b/catalog/doubt.go
@@ -0,0 +1,130 @@
+package catalog
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// doubtFor is how long a removal is not believed where an update doesn't say it:
+// entries that lapsed are back within lapseWait, and news of that takes as long as
+// backSlack.
+const (
+	doubtFor  = lapseWait + backSlack
+	backSlack = 100 * time.Millisecond // until a watch has brought the last that is back; with 0.5 s a watcher that was turned away held to a removed replica for 3.55 s
+)
+
+// Doubt is a replica that was found removed while entries that lapsed may still come
+// back. It is believed when its time is over, unless the entry is back by then.
+type Doubt struct {
+	Replica  string `json:"replica"`
+	Revision int64  `json:"revision"` // from which on it may have been removed
+	Left     Millis `json:"left_ms"`  // until it is believed
+}
+
+// UnmarshalJSON decodes a doubt and checks it.
+func (d *Doubt) UnmarshalJSON(data []byte) error {
+	type plain Doubt
+	var v plain
+	if err := json.Unmarshal(data, &v); err != nil {
+		return errors.Wrap(err, "doubt")
+	}
+	*d = Doubt(v)
+	if d.Replica == "" || d.Left < 0 {
+		return errors.Newf("doubt of replica %q with %d ms left", d.Replica, d.Left)
+	}
+	return nil
+}
+
+// doubt is a Doubt as a copy holds it.
+type doubt struct {
+	revision int64
+	until    time.Time
+}
+
+// Revision returns the revision after which others are to be asked what changed: the
+// newest that was taken in or, where a removal is in doubt, one that it doesn't come
+// before. It never goes back.
+func (c *Content) Revision() int64 {
+	out := c.newest
+	for _, d := range c.doubts {
+		out = min(out, d.revision)
+	}
+	return out
+}
+
+// Newest returns the newest revision that was taken in. Each removal up to it is
+// either believed or in doubt.
+func (c *Content) Newest() int64 { return c.newest }
+
+// Doubtful says whether any removal is in doubt.
+func (c *Content) Doubtful() bool { return len(c.doubts) > 0 }
+
+// InDoubt says whether a replica may be gone.
+func (c *Content) InDoubt(id string) bool {
+	_, ok := c.doubts[id]
+	return ok
+}
+
+// doubt notes that a replica may be gone since a revision. An earlier end of the doubt
+// stays.
+func (c *Content) doubt(id string, revision int64, left time.Duration) {
+	if _, ok := c.replicas[id]; !ok {
+		return
+	}
+	next := doubt{
+		revision: max(revision, c.Revision()), // so that it doesn't go back
+		until:    c.now().Add(left),
+	}
+	if was, ok := c.doubts[id]; ok {
+		next.revision = min(next.revision, was.revision)
+		if was.until.Before(next.until) {
+			next.until = was.until
+		}
+	}
+	c.doubts[id] = next
+}
+
+// Settle believes the removals whose time is over, and says whether there were any.
+//
+// A box that had to read again for that, as followers seldom do, or that was not asked
+// again, went on sending to such a replica for up to 5 s.
+func (c *Content) Settle() bool {
+	settled := false
+	for id, d := range c.doubts {
+		if c.now().Before(d.until) {
+			continue
+		}
+		delete(c.replicas, id)
+		c.past.lapse(id, d.revision)
+		delete(c.doubts, id)
+		settled = true
+	}
+	return settled
+}
+
+// tell returns the doubts as another box is told of them.
+func (c *Content) tell() []Doubt {
+	var out []Doubt
+	for _, id := range slices.Sorted(maps.Keys(c.doubts)) {
+		d := c.doubts[id]
+		out = append(out, Doubt{
+			Replica:  id,
+			Revision: d.revision,
+			Left:     Millis(max(d.until.Sub(c.now()), 0).Milliseconds()),
+		})
+	}
+	return out
+}
+
+// hear takes in what another box has in doubt, but for what is known to be gone.
+func (c *Content) hear(list []Doubt) {
+	for _, d := range list {
+		if r, ok := c.replicas[d.Replica]; ok && r.Revision <= d.Revision {
+			c.doubt(d.Replica, d.Revision, d.Left.Duration())
+		}
+	}
+}
--- /dev/null
+++ b/catalog/doubt_test.go
@@ -0,0 +1,162 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/catalog"
+)
+
+// doubtAfter returns an update that has a removal in doubt for so long.
+func doubtAfter(revision int64, gone string, settles time.Duration) catalog.Update {
+	return catalog.Update{
+		Revision: revision,
+		Settles:  settles,
+		Changes: []catalog.Change{{
+			Revision: revision,
+			Gone:     gone,
+		}},
+	}
+}
+
+func ExampleContent_Newest() {
+	c := catalog.NewContent()
+	c.Take(snapshot(10, true, plainReplica("a", 1), plainReplica("b", 1)))
+	c.Take(snapshot(12, false, plainReplica("a", 1))) // read just after an outage
+	fmt.Println(c.Newest(), c.Revision(), replicaIDs(c), c.InDoubt("b"))
+	// Output: 12 10 [a b] true
+}
+
+func TestARemovalInDoubtIsBelievedWhenItsTimeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := catalog.NewContent()
+		c.Take(snapshot(10, true, plainReplica("a", 1), plainReplica("b", 1)))
+		c.Take(doubtAfter(11, "a", time.Second))
+		c.Take(doubtAfter(11, "a", time.Minute)) // it is told once more, and the earlier end stays
+		time.Sleep(time.Second - time.Millisecond)
+		is.True(!c.Settle())
+		is.Equal(replicaIDs(c), []string{"a", "b"})
+		time.Sleep(time.Millisecond)
+		is.True(c.Settle())
+		is.Equal(replicaIDs(c), []string{"b"})
+		is.True(!c.Doubtful())
+		is.Equal(c.Lapses(), 1)
+	})
+}
+
+func TestAnEntryThatIsBackIsNoLongerInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := catalog.NewContent()
+		c.Take(snapshot(10, true, plainReplica("a", 1)))
+		c.Take(doubtAfter(11, "a", time.Second))
+		back := plainReplica("a", 12)
+		c.Take(changed(12, true, catalog.Change{
+			Revision: 12,
+			Replica:  &back,
+		}))
+		time.Sleep(time.Minute)
+		is.True(!c.Settle())
+		is.Equal(replicaIDs(c), []string{"a"})
+	})
+}
+
+// A box that asks another learns its revision, and with it what that one doesn't
+// believe yet, for no longer than it does.
+func TestWhatIsInDoubtIsToldWithTheRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		teller, asks, starts := catalog.NewContent(), catalog.NewContent(), catalog.NewContent()
+		teller.Take(snapshot(10, true, plainReplica("a", 1), plainReplica("b", 1)))
+		asks.Take(teller.Since(0).Update())
+		teller.Take(doubtAfter(11, "a", 2*time.Second))
+		time.Sleep(1500 * time.Millisecond)
+		for _, c := range []*catalog.Content{asks, starts} {
+			c.Take(overTheWire(t, teller.Since(c.Revision())).Update())
+			is.Equal(c.Newest(), int64(11))
+			is.True(c.InDoubt("a"))
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, c := range []*catalog.Content{teller, asks, starts} {
+			is.True(c.Settle())
+			is.Equal(replicaIDs(c), []string{"b"})
+		}
+	})
+}
+
+func TestABoxThatStillDoubtsBringsNoReplicaBack(t *testing.T) {
+	is := is.New(t)
+	doubts, knows := catalog.NewContent(), catalog.NewContent()
+	first := snapshot(10, true, plainReplica("a", 1), plainReplica("b", 1))
+	doubts.Take(first)
+	knows.Take(first)
+	doubts.Take(doubtAfter(11, "a", time.Minute))
+	doubts.Take(changed(13, true))
+	knows.Take(changed(11, true, catalog.Change{
+		Revision: 11,
+		Gone:     "a",
+	}))
+	knows.Take(doubts.Since(11).Update())
+	is.Equal(replicaIDs(knows), []string{"b"})
+	knows.Take(doubts.Since(0).Update()) // all that it holds
+	is.Equal(replicaIDs(knows), []string{"b"})
+	is.Equal(knows.Newest(), int64(13))
+}
+
+func TestAMalformedEntryIsKeptAndHoldsNoRevisionBack(t *testing.T) {
+	is := is.New(t)
+	c := catalog.NewContent()
+	c.Take(snapshot(10, true, plainReplica("a", 1), plainReplica("b", 1)))
+	for _, settled := range []bool{true, false} {
+		u := snapshot(12, settled, plainReplica("a", 1))
+		u.Snapshot.Malformed = []string{"b"}
+		c.Take(u)
+		is.Equal(replicaIDs(c), []string{"a", "b"})
+		is.Equal(c.Revision(), int64(12))
+	}
+}
+
+func TestADoubtIsCheckedWhenDecoded(t *testing.T) {
+	is := is.New(t)
+	var d catalog.Doubt
+	is.NoErr(json.Unmarshal([]byte(`{"replica":"a","revision":3,"left_ms":20}`), &d))
+	is.Equal(d.Left.Duration(), 20*time.Millisecond)
+	is.True(json.Unmarshal([]byte(`{"revision":3,"left_ms":20}`), &d) != nil)
+	is.True(json.Unmarshal([]byte(`{"replica":"a","left_ms":-1}`), &d) != nil)
+}
+
+// overTheWire returns news as another box gets them.
+func overTheWire(t *testing.T, n catalog.News) catalog.News {
+	t.Helper()
+	data, err := json.Marshal(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out catalog.News
+	if err := json.Unmarshal(data, &out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestAFollowerThatFailedOnceBelievesItsNextReadingWhenOthersHaveReadSince(t *testing.T) {
+	w := newWord()
+	largeTestRun(t, large, func(f largeTest) {
+		f.set(failing)
+		before, _ := f.calls()
+		time.Sleep(10 * time.Second) // nobody says anything, so it calls, and fails
+		after, _ := f.calls()
+		f.True(after > before)
+		f.set(healthy)
+		w.sayFor(15 * time.Second)
+		f.drop("r-1")
+		time.Sleep(3400 * time.Millisecond) // nobody says anything again
+		f.True(!f.has("r-1"))
+	}, append(w.options(), catalog.WithJitter(func() float64 { return 0.999 }))...)
+}
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,10 +40,15 @@
 type Update struct {
 	Snapshot *Snapshot
 	Changes  []Change
+	Doubts   []Doubt // of another box that tells this
 	Revision int64
-	Settled  bool // false while entries may be missing because the publisher was away
+	Settled  bool          // false while entries may be missing because the publisher was away
+	Settles  time.Duration // until that is over, where it is known
 }
 
+// doubtFor returns how long what is missing in an update is not believed to be gone.
+func (u Update) doubtFor() time.Duration { return cmp.Or(u.Settles, doubtFor) }
+
 // Feed keeps a copy of the catalog current from a source.
 type Feed struct {
 	source Source
@@ -61,9 +68,13 @@
 
 	mu      sync.Mutex
 	away    bool      // the last reading failed; a watch may also end for other reasons
+	failed  time.Time // when it did
 	settled time.Time // until then entries may come back that lapsed
 }
 
+// neverRead is the age of what was never read.
+const neverRead = math.MaxInt64
+
 // FeedOption changes a Feed.
 type FeedOption func(*Feed)
 
@@ -100,7 +111,7 @@
 		every:  rereadEvery,
 		reader: func() bool { return true },
 		follow: func() bool { return false },
-		age:    func() time.Duration { return 0 },
+		age:    func() time.Duration { return neverRead },
 		behind: make(chan struct{}, 1),
 		at:     make(chan int64, 1),
 		again:  make(chan struct{}, 1),
@@ -139,18 +150,19 @@
 	for ctx.Err() == nil {
 		s, err := d.source.Read(ctx)
 		if err != nil {
-			d.failed(ctx, err)
+			d.readFailed(ctx, err)
 			d.restAfter(ctx, backOff)
 			backOff = min(2*backOff, maxBackOff)
 			continue
 		}
 		backOff = firstBackOff
 		d.succeeded()
-		settled := d.isSettled()
+		settled, settles := d.isSettled()
 		d.hand(Update{
 			Snapshot: &s,
 			Revision: s.Revision,
 			Settled:  settled,
+			Settles:  settles,
 		})
 		d.offer(s.Revision)
 		if d.follow() {
@@ -176,33 +188,60 @@
 	d.at <- revision // there is room, for nobody else puts any in
 }
 
-// failed takes in that all could not be read.
-func (d *Feed) failed(ctx context.Context, err error) {
+// readFailed takes in that all could not be read.
+func (d *Feed) readFailed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	d.mu.Lock()
 	d.away = true
+	d.failed = d.now()
 	d.mu.Unlock()
 	d.health(err)
 }
 
 // succeeded takes in that all was read.
 func (d *Feed) succeeded() {
+	d.witness()
 	d.mu.Lock()
 	if d.away {
-		d.away = false
-		d.settled = d.now().Add(lapseWait)
+		d.back(d.now())
 	}
 	d.mu.Unlock()
 	d.health(nil)
 }
 
-// isSettled says whether entries that are missing are gone.
-func (d *Feed) isSettled() bool {
+// witness takes in that the publisher has answered another box since it failed to
+// answer this one. Without that a follower that had nothing to read for 17 s after an
+// outage took what was missing then for entries that may come back, and sent to a
+// replica that was gone for 2 s more.
+func (d *Feed) witness() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at := d.now().Add(-d.age()); d.away && at.After(d.failed) {
+		d.back(at)
+	}
+}
+
+// back takes in that the publisher answered at a time, after a failure.
+func (d *Feed) back(at time.Time) {
+	d.away = false
+	d.settled = at.Add(lapseWait)
+}
+
+// isSettled says whether entries that are missing are gone, and otherwise when they
+// are.
+func (d *Feed) isSettled() (settled bool, left time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.away && !d.now().Before(d.settled)
+	if d.away {
+		return false, doubtFor
+	}
+	left = d.settled.Sub(d.now())
+	if left <= 0 {
+		return true, 0
+	}
+	return false, left + backSlack
 }
 
 // watch hands on what changes after a revision that was read. After a failure
@@ -250,10 +289,12 @@
 		succeeded = true
 		at = max(at, rev)
 		if len(changes) > 0 {
+			settled, settles := d.isSettled()
 			d.hand(Update{
 				Changes:  changes,
 				Revision: rev,
-				Settled:  d.isSettled(),
+				Settled:  settled,
+				Settles:  settles,
 			})
 		}
 	}
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -45,6 +45,7 @@
 		case <-d.behind:
 			return
 		case <-look.C:
+			d.witness()
 		}
 		if !d.follow() || !d.now().Before(end) {
 			return
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -47,12 +48,14 @@
 
 // Content is a box's copy of what is published.
 type Content struct {
-	revision  int64
+	newest    int64 // revision that was taken in
 	read      int64 // revision of the last snapshot
 	policy    *Policy
 	replicas  map[string]Replica
 	evacuated map[string]bool
+	doubts    map[string]doubt // by replica; each is in replicas
 	past      past
+	now       func() time.Time
 }
 
 // NewContent returns an empty copy.
@@ -60,13 +63,12 @@
 	return &Content{
 		replicas:  make(map[string]Replica),
 		evacuated: make(map[string]bool),
+		doubts:    make(map[string]doubt),
 		past:      newPast(),
+		now:       time.Now,
 	}
 }
 
-// Revision returns the newest revision that was taken in.
-func (c *Content) Revision() int64 { return c.revision }
-
 // Policy returns the newest policy, nil for none.
 func (c *Content) Policy() *Policy { return c.policy }
 
@@ -84,47 +86,71 @@
 
 // Take takes an update in. It returns false for a snapshot older than the copy.
 // A policy with a lower version never replaces a higher one, and replicas that
-// are missing while the feed isn't settled stay.
+// are missing while the feed isn't settled stay, in doubt.
 func (c *Content) Take(u Update) bool {
 	if u.Snapshot == nil {
 		for _, ch := range u.Changes {
-			c.apply(ch, u.Settled)
+			c.apply(ch, u)
 		}
-		c.revision = max(c.revision, u.Revision)
+		c.hear(u.Doubts)
+		c.newest = max(c.newest, u.Revision)
 		return true
 	}
-	if u.Snapshot.Revision < c.revision {
+	if u.Snapshot.Revision < c.newest {
 		c.takePolicy(u.Snapshot.Policy, u.Snapshot.Revision) // it may be the last good one
 		return false
 	}
-	c.replace(*u.Snapshot, u.Settled)
+	c.replace(*u.Snapshot, u)
+	c.hear(u.Doubts)
 	return true
 }
 
-// replace takes a snapshot in. While the feed isn't settled, replicas that are
-// missing in it stay.
-func (c *Content) replace(s Snapshot, settled bool) {
-	c.past.begin(c.revision, s.Revision)
-	c.revision = s.Revision
+// replace takes the snapshot of an update in. While the feed isn't settled, replicas
+// that are missing in it stay, in doubt.
+func (c *Content) replace(s Snapshot, u Update) {
+	known := c.Revision() // what is missing was removed after this
+	c.past.begin(c.newest, s.Revision)
 	c.read = s.Revision
 	c.takePolicy(s.Policy, s.Revision)
 	before := c.replicas
 	c.replicas = make(map[string]Replica, len(s.Replicas))
 	for _, r := range s.Replicas {
+		if c.past.isGone(r) {
+			continue
+		}
 		c.replicas[r.ID] = r
-		delete(c.past.putOff, r.ID)
+		delete(c.doubts, r.ID)
 	}
 	for id, r := range before {
-		if _, ok := c.replicas[id]; ok {
+		if _, ok := c.replicas[id]; ok || c.past.isGone(r) {
 			continue
 		}
-		if settled && !slices.Contains(s.Malformed, id) {
-			c.past.missed(id, s.Revision)
-			continue
+		switch {
+		case slices.Contains(s.Malformed, id):
+			c.replicas[id] = r
+		case u.Settled:
+			c.missed(id, s.Revision)
+		default:
+			c.replicas[id] = r
+			c.doubt(id, known, u.doubtFor())
 		}
-		c.replicas[id] = r
-		c.putOff(id)
 	}
+	c.replaceEvacuated(s)
+	c.newest = s.Revision
+}
+
+// missed takes in that a replica was found gone by reading all at a revision.
+func (c *Content) missed(id string, revision int64) {
+	if !c.InDoubt(id) {
+		c.past.remove(id, revision)
+		return
+	}
+	delete(c.doubts, id)
+	c.past.lapse(id, revision)
+}
+
+// replaceEvacuated takes in which failure domains a snapshot has as closed.
+func (c *Content) replaceEvacuated(s Snapshot) {
 	closed := make(map[string]bool, len(s.Evacuated))
 	for _, d := range s.Evacuated {
 		closed[d] = true
@@ -140,19 +166,19 @@
 	c.evacuated = closed
 }
 
-// apply takes a change in, unless what it is about is newer.
-func (c *Content) apply(ch Change, settled bool) {
+// apply takes a change of an update in, unless what it is about is newer.
+func (c *Content) apply(ch Change, u Update) {
 	switch {
 	case ch.Policy != nil:
 		c.takePolicy(ch.Policy, ch.Revision)
-	case ch.Replica != nil && ch.Revision >= c.replicas[ch.Replica.ID].Revision:
+	case ch.Replica != nil && ch.Revision >= c.replicas[ch.Replica.ID].Revision && !c.past.isGone(*ch.Replica):
 		c.replicas[ch.Replica.ID] = *ch.Replica
-		delete(c.past.putOff, ch.Replica.ID)
-	case ch.Gone != "" && !settled:
-		c.putOff(ch.Gone)
+		delete(c.doubts, ch.Replica.ID)
+	case ch.Gone != "" && !u.Settled:
+		c.doubt(ch.Gone, ch.Revision, u.doubtFor())
 	case ch.Gone != "" && ch.Revision >= c.replicas[ch.Gone].Revision:
 		delete(c.replicas, ch.Gone)
-		delete(c.past.putOff, ch.Gone)
+		delete(c.doubts, ch.Gone)
 		c.past.remove(ch.Gone, ch.Revision)
 	case ch.Evacuated != "" && ch.Revision > c.read:
 		c.evacuated[ch.Evacuated] = true
@@ -163,13 +189,6 @@
 	}
 }
 
-// putOff notes that a replica may be gone, though this is not believed yet.
-func (c *Content) putOff(id string) {
-	if _, ok := c.replicas[id]; ok {
-		c.past.putOff[id] = true
-	}
-}
-
 // takePolicy takes a policy of a revision in if its version is higher.
 func (c *Content) takePolicy(p *Policy, revision int64) {
 	if p == nil || (c.policy != nil && p.Version <= c.policy.Version) {
@@ -182,7 +201,7 @@
 // Snapshot returns the copy as one value, in a fixed order.
 func (c *Content) Snapshot() Snapshot {
 	return Snapshot{
-		Revision:  c.revision,
+		Revision:  c.newest,
 		Policy:    c.policy,
 		Replicas:  c.Replicas(),
 		Evacuated: c.Evacuated(),
--- a/node/dump.go
+++ b/node/dump.go
@@ -69,7 +69,7 @@
 
 // dump fills in what the state holds.
 func (s *state) dump(d *Dump, now time.Duration) {
-	d.Revision = s.content.Revision()
+	d.Revision = s.content.Newest()
 	d.Sharing = len(s.sharers(now))
 	d.Closed = s.content.Evacuated()
 	for _, m := range s.roster.Members() {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -33,16 +33,21 @@
 			})
 		}
 	})
-	n.tasks.Go(func() {
-		n.tellEveryone(true)
-		for ctx.Err() == nil {
-			sleep.For(ctx, roster.Tick)
-			n.tell()
-			n.chooseRole()
-			n.watchMembers()
-			n.watchRegion()
-		}
-	})
+	n.tasks.Go(func() { n.beat(ctx) })
+}
+
+// beat tells others of this box in each round, and works out again what depends on
+// what is known of them.
+func (n *Node) beat(ctx context.Context) {
+	n.tellEveryone(true)
+	for ctx.Err() == nil {
+		sleep.For(ctx, roster.Tick)
+		n.tell()
+		n.settle()
+		n.chooseRole()
+		n.watchMembers()
+		n.watchRegion()
+	}
 }
 
 // tell sends one round of datagrams.
@@ -79,7 +84,7 @@
 // post sends datagrams.
 func (n *Node) post(list []roster.Packet) {
 	for _, p := range list {
-		_ = n.links[0].Post(p) // a datagram may be lost anyway, and the next one follows
+		n.deliver(p)
 	}
 }
 
@@ -125,30 +130,27 @@
 // that knows more is asked for it by one that follows others or can't read the
 // catalog itself.
 func (n *Node) learn(ctx context.Context, from wire.BoxStatus, newest int64) {
-	var revision int64
-	var lapsed bool
-	_ = n.state.Do(func(s *state) {
-		revision = s.content.Revision()
-		lapsed = s.untold(from)
-	})
-	n.confirm(from, revision)
+	var has holds
+	_ = n.state.Do(func(s *state) { has = s.holds(from) })
+	n.confirm(from, has.newest)
 	switch {
-	case from.Peers != "" && n.pulls(from, revision, lapsed):
-		n.startPull(ctx, from, revision)
+	case from.Peers != "" && n.pulls(from, has):
+		n.startPull(ctx, from, has.after)
 	case n.follows.Load(): // boxes of the own region will tell
 	default:
 		n.feed.Behind(newest)
 	}
 }
 
-// startPull asks another box for its catalog, unless one is asked already.
-func (n *Node) startPull(ctx context.Context, from wire.BoxStatus, revision int64) {
+// startPull asks another box for what changed after a revision, unless one is asked
+// already.
+func (n *Node) startPull(ctx context.Context, from wire.BoxStatus, after int64) {
 	if !n.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	n.tasks.Go(func() {
 		defer n.pulling.Store(false)
-		n.pull(ctx, from, revision)
+		n.pull(ctx, from, after)
 		sleep.For(ctx, pullPause)
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -61,6 +61,8 @@
 	peers     *peer.Pool
 	listeners listeners
 	links     []*roster.Link
+	deliver   func(roster.Packet)                                                       // seam: sends a datagram
+	askBox    func(ctx context.Context, addr string, after int64) (catalog.News, error) // seam: asks another box for what changed
 	feed      *catalog.Feed
 	tasks     sync.WaitGroup
 	told      chan struct{} // asks for the settings to be read again
@@ -167,11 +169,17 @@
 	dialer := exchange.NewDialer()
 	dialer.Timeout = peerDial
 	n.peers = peer.NewPool(ctx, dialer.DialContext, func(peer.Method, int) {})
-	source := n.adapter.Source(n.store, Report{
+	n.askBox = n.callBox
+	n.deliver = func(p roster.Packet) { _ = n.links[0].Post(p) } // a datagram may be lost anyway, and the next one follows
+	n.feed = n.newFeed(n.adapter.Source(n.store, Report{
 		Call: n.meter.StoreCall,
 		Bad:  n.badValue,
-	})
-	n.feed = catalog.NewFeed(source, n.takeUpdate,
+	}))
+}
+
+// newFeed returns what keeps the copy of the catalog current from a source.
+func (n *Node) newFeed(source catalog.Source) *catalog.Feed {
+	return catalog.NewFeed(source, n.takeUpdate,
 		catalog.WithHealth(n.storeHealth),
 		catalog.WithReader(n.reads.Load),
 		catalog.WithFollowing(n.follows.Load, n.catalogAge),
--- a/node/pull.go
+++ b/node/pull.go
@@ -10,6 +10,7 @@
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/peer"
+	"github.com/havenrudder/havenrudder/placement"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -25,21 +26,39 @@
 	After int64 `json:"after"` // revision that the asking box knows; 0 for none
 }
 
+// holds is what a box holds of the catalog, beside what another one says.
+type holds struct {
+	newest   int64 // revision that was taken in
+	after    int64 // revision after which it needs to be told what changed
+	doubtful bool  // it has removals in doubt
+	untold   bool  // the other found replicas gone that it was not told of
+}
+
+// holds returns what this box holds beside what another one says.
+func (s *state) holds(from wire.BoxStatus) holds {
+	return holds{
+		newest:   s.content.Newest(),
+		after:    s.content.Revision(),
+		doubtful: s.content.Doubtful(),
+		untold:   s.untold(from),
+	}
+}
+
 // pulls says whether the catalog is asked for from another box: when this one
 // knows no policy, or doesn't read the publisher itself and the other knows more, or
-// has found replicas gone that this one was not told of.
-func (n *Node) pulls(from wire.BoxStatus, revision int64, lapsed bool) bool {
+// may know more of a removal that is in doubt here.
+func (n *Node) pulls(from wire.BoxStatus, has holds) bool {
 	if n.table.Load() == nil {
 		return from.Policy > 0
 	}
 	near := n.follows.Load() && from.Region == n.settings.Region
-	if near && lapsed {
+	if near && (has.untold || has.doubtful) {
 		return true
 	}
-	return (near || !n.storeOK.Load()) && int64(from.Catalog) > revision
+	return (near || !n.storeOK.Load()) && int64(from.Catalog) > has.newest
 }
 
-// lapses is of how many replicas, whose removal it had put off, an incarnation of a
+// lapses is of how many replicas, whose removal had been in doubt, an incarnation of a
 // box has told.
 type lapses struct {
 	inc   int
@@ -64,21 +83,18 @@
 	}
 }
 
-// pull asks another box for what it knows beyond a revision.
-func (n *Node) pull(ctx context.Context, from wire.BoxStatus, revision int64) {
+// pull asks another box for what changed after a revision.
+func (n *Node) pull(ctx context.Context, from wire.BoxStatus, after int64) {
 	limit := pullLimit
 	switch {
 	case n.table.Load() == nil:
-		revision = 0 // this box may have read a newer revision whose policy it could not decode
+		after = 0 // this box may have read a newer revision whose policy it could not decode
 	case from.Region == n.settings.Region:
 		limit = pullNear
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	var news catalog.News
-	err := n.peers.Call(ctx, from.Peers, peer.Catalog, catalogRequest{
-		After: revision,
-	}, &news)
+	news, err := n.askBox(ctx, from.Peers, after)
 	if err != nil {
 		n.record(decision.Event{
 			Kind:     decision.Belief,
@@ -94,6 +110,14 @@
 	n.feed.Learned(news.Revision)
 }
 
+// callBox asks the box at an address for what changed after a revision.
+func (n *Node) callBox(ctx context.Context, addr string, after int64) (news catalog.News, err error) {
+	err = n.peers.Call(ctx, addr, peer.Catalog, catalogRequest{
+		After: after,
+	}, &news)
+	return news, err
+}
+
 // answerPeer answers another box's question.
 func (n *Node) answerPeer(_ context.Context, m peer.Method, params json.RawMessage) (any, error) {
 	if m != peer.Catalog {
@@ -112,14 +136,7 @@
 func (n *Node) takeUpdate(u catalog.Update) {
 	first := n.table.Load() == nil
 	_ = n.state.Do(func(s *state) {
-		for _, b := range s.take(u, n.now()) {
-			n.record(decision.Event{
-				Kind:     decision.Belief,
-				Upstream: b.About,
-				Reason:   b.Reason,
-				Revision: b.Rev,
-			})
-		}
+		n.recordBeliefs(s.take(u, n.now()))
 		n.table.Store(s.table)
 	})
 	if first && n.table.Load() != nil {
@@ -127,6 +144,23 @@
 	}
 }
 
+// settle believes the removals whose time of doubt is over.
+func (n *Node) settle() {
+	_ = n.state.Do(func(s *state) { n.recordBeliefs(s.settle(n.now())) }) // it fails only when the box has ended
+}
+
+// recordBeliefs writes down what is believed now.
+func (n *Node) recordBeliefs(list []placement.Belief) {
+	for _, b := range list {
+		n.record(decision.Event{
+			Kind:     decision.Belief,
+			Upstream: b.About,
+			Reason:   b.Reason,
+			Revision: b.Rev,
+		})
+	}
+}
+
 // storeHealth takes in whether a call to the store succeeded.
 func (n *Node) storeHealth(err error) {
 	ok := err == nil
--- a/node/state.go
+++ b/node/state.go
@@ -98,6 +98,14 @@
 	return append(out, s.view.Take(s.content, now)...)
 }
 
+// settle believes the removals whose time of doubt is over, and returns what changed.
+func (s *state) settle(now time.Duration) []placement.Belief {
+	if !s.content.Settle() {
+		return nil
+	}
+	return s.view.Take(s.content, now)
+}
+
 // sharers returns the boxes of the region that may send to its replicas, this one
 // included: also those not heard of for a while, for a box that is cut off from this
 // one may still reach the replicas. There are none until this box knows all of them:
@@ -202,7 +210,7 @@
 func (s *state) fill(b wire.BoxStatus, now time.Duration) wire.BoxStatus {
 	s.seq++
 	b.Seq = s.seq
-	b.Catalog = int(s.content.Revision())
+	b.Catalog = int(s.content.Newest())
 	b.Lapses = s.content.Lapses()
 	if s.table == nil {
 		return b
--- /dev/null
+++ b/placement/doubt_test.go
@@ -0,0 +1,47 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/catalog"
+)
+
+// lapse has the catalog miss replicas just after an outage.
+func (b *box) lapse(left ...catalog.Replica) {
+	b.rev++
+	b.content.Take(catalog.Update{
+		Snapshot: &catalog.Snapshot{
+			Revision: b.rev,
+			Replicas: left,
+		},
+		Revision: b.rev,
+	})
+	b.Take(b.content, start)
+}
+
+func TestAReplicaThatMayBeGoneGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	all := replicas("engine", 10)
+	b := newBox("a", "hall", all...)
+	b.lapse(all[1:]...)
+	for range 20 {
+		c := b.Pick(ask("engine", "request"), alone, start)
+		is.True(c.Replica != all[0].ID)
+		is.True(c.Replica != "")
+	}
+	is.True(b.Get(all[0].ID).Listed())
+}
+
+func TestReplicasThatLapsedTogetherAreUsedOn(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("engine", 4)...)
+	b.lapse()
+	seen := make(map[string]bool)
+	for n := range 12 {
+		seen[b.Pick(ask("engine", fmt.Sprint(n)), alone, start).Replica] = true
+	}
+	is.Equal(len(seen), 4)
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -33,6 +33,7 @@
 	None     Reason = ""
 	Unlisted Reason = "not listed"
 	Leaving  Reason = "leaving"
+	Doubtful Reason = "may be gone"
 	Closed   Reason = "failure domain closed"
 	Tried    Reason = "tried before"
 	Out      Reason = "out of reach"
@@ -186,6 +187,8 @@
 		return Unlisted
 	case r.info.Leaving:
 		return Leaving
+	case r.doubtful:
+		return Doubtful
 	case v.closed[r.info.Domain]:
 		return Closed
 	case slices.Contains(req.Tried, r.info.ID):
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -55,12 +55,13 @@
 
 // Replica is what a box knows of one replica.
 type Replica struct {
-	info    catalog.Replica
-	service *catalog.Service // nil while the policy has none of that name
-	listed  bool             // the catalog holds it
-	own     Load
-	others  map[string]told // by box
-	said    told            // requests of others, by the replica's own word
+	info     catalog.Replica
+	service  *catalog.Service // nil while the policy has none of that name
+	listed   bool             // the catalog holds it
+	doubtful bool             // it may be gone, and gets nothing new
+	own      Load
+	others   map[string]told // by box
+	said     told            // requests of others, by the replica's own word
 
 	coldUntil time.Duration   // as far as is known
 	failures  int             // failures to connect in a row
--- a/placement/view.go
+++ b/placement/view.go
@@ -86,7 +86,7 @@
 			news = append(news, Belief{
 				About:  id,
 				Reason: "replica no longer listed",
-				Rev:    c.Revision(),
+				Rev:    c.Newest(),
 			})
 		}
 		if !r.listed && r.own.Requests == 0 && now-r.heard > forgetAfter {
@@ -94,6 +94,7 @@
 			v.pacer.Forget(id)
 		}
 	}
+	v.takeDoubts(c)
 	news = v.takeClosed(news, c, now)
 	v.byName = make([]*Replica, 0, len(v.replicas))
 	for _, id := range slices.Sorted(maps.Keys(v.replicas)) {
@@ -183,7 +184,7 @@
 			news = append(news, Belief{
 				About:  d,
 				Reason: "failure domain closed",
-				Rev:    c.Revision(),
+				Rev:    c.Newest(),
 			})
 		}
 	}
@@ -193,7 +194,7 @@
 			news = append(news, Belief{
 				About:  d,
 				Reason: "failure domain open again",
-				Rev:    c.Revision(),
+				Rev:    c.Newest(),
 			})
 		}
 	}
--- a/roster/compact.go
+++ b/roster/compact.go
@@ -73,7 +73,7 @@
 	Newest  int64 // newest revision of the catalog that the sender has heard of
 	Policy  int   // version of the policy that the sender decides by
 	ReadMs  int   // milliseconds; how long ago the publisher was read with nothing newer than Catalog, as in a whole status
-	Lapses  int   // replicas whose removal the sender had put off, as in a whole status
+	Lapses  int   // replicas whose removal the sender had in doubt, as in a whole status
 	Vitals  []Vital
 	Silent  []Vital // boxes of whose death the sender knows; their last heartbeat
 	Leaving []ID    // boxes that live and have said that they leave
