node, placement, roster: Go by engines' own words of their load among many boxes

Cause: among 295 boxes nobody tells its loads, for the bytes allowed hold none, so a box knew of an engine's work only what it sent itself, a hundredth of it.

Of a region's boxes 32 take callers. One of them, by rendezvous, asks each engine for its account every 400 ms, and the words are passed on by datagrams to two others at each beat. An engine with less than the mean counts as having the mean, a request is weighed between two engines by chance and the first two in the rank of its shared parts, and reading them again counts ten times: all boxes go by the same words, and sought the same engines.

Ruled out: load headers of answers (not every installation's replicas send any); telling loads box by box (18 KB for one round among 32 boxes).

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -42,10 +42,10 @@
 type Codec struct {
 	Facts   func(h http.Header) (Facts, error)
 	Send    func(h http.Header, s Send)
-	Owns    func(h http.Header, id string) bool  // an answer belongs to the request of that id
-	Ran     func(status int, h http.Header) bool // false: the replica says that it did not run the request
-	Genuine func(h http.Header) bool             // an answer of success is as a replica made it
-	Load    func(h http.Header) (int, bool)      // requests that the replica says it has; false where it doesn't say
+	Owns    func(h http.Header, id string) bool                  // an answer belongs to the request of that id
+	Ran     func(status int, h http.Header) bool                 // false: the replica says that it did not run the request
+	Genuine func(h http.Header) bool                             // an answer of success is as a replica made it
+	Load    func(h http.Header) (requests, waiting int, ok bool) // that the replica says it has, and how many of them wait; false where it doesn't say
 }
 
 // Target is where a request goes next: to a replica, to another box, or nowhere
@@ -85,7 +85,7 @@
 	First   func(c *placement.Choice, took time.Duration)
 	Heard   func(c *placement.Choice)
 	Quiet   func(next Ask, c *placement.Choice, sent time.Time) time.Duration // 0 when there is no other target
-	Loaded  func(c *placement.Choice, requests int)                           // the replica says that it has so many requests, this one included
+	Loaded  func(c *placement.Choice, requests, waiting int)                  // the replica says that it has so many requests, this one included, of which so many wait
 	End     func(c *placement.Choice, r placement.Result, took time.Duration)
 	BoxLost func(box string)                  // a box could not be reached
 	Crossed func(box, region string, ok bool) // whether a request to a box of a region was answered
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -96,8 +96,8 @@
 	defer func() { _ = answer.Close() }() // its connection is closed when it can't be used again
 	a.first = time.Since(a.sent)
 	c.server.core.First(&a.target.Choice, a.first)
-	if n, ok := c.server.codec.Load(answer.Header()); ok {
-		c.server.core.Loaded(&a.target.Choice, n)
+	if requests, waiting, ok := c.server.codec.Load(answer.Header()); ok {
+		c.server.core.Loaded(&a.target.Choice, requests, waiting)
 	}
 	if !c.server.codec.Ran(answer.Status(), answer.Header()) {
 		return a.refused(answer)
--- a/meter/count.go
+++ b/meter/count.go
@@ -39,6 +39,15 @@
 // StoreCall counts a call of the store.
 func (m *Meter) StoreCall(kind, result string) { m.store.WithLabelValues(kind, result).Inc() }
 
+// Account counts a question to an engine for its load.
+func (m *Meter) Account(answered bool) {
+	result := "ok"
+	if !answered {
+		result = "failed"
+	}
+	m.accounts.WithLabelValues(result).Inc()
+}
+
 // Dial counts a connection opened to an upstream.
 func (m *Meter) Dial() { m.dials.Inc() }
 
--- /dev/null
+++ b/node/account.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/havenrudder/havenrudder/common/rendezvous"
+	"github.com/havenrudder/havenrudder/common/sleep"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+const (
+	accountEvery = 400 * time.Millisecond // between two questions to an engine: a hundredth of what its requests cost in messages, and its word is 100 ms old itself
+	accountLimit = 300 * time.Millisecond // for an answer; a later one tells nothing new
+)
+
+// asked is an engine that this box asks for its account.
+type asked struct {
+	id   string
+	addr string
+}
+
+// engines returns the engines that this box asks on behalf of the others of its region.
+// One box asks each, by rendezvous of those that take callers, which agree on it;
+// while they don't, an engine is asked by two or by none.
+func (s *state) engines(now time.Duration) []asked {
+	here := s.taking[s.settings.Region]
+	if s.roster.TellsLoads() || s.table == nil || !here.has(s.settings.Box) {
+		return nil
+	}
+	names := []string{s.settings.Box}
+	for m := range s.roster.AllServing(s.settings.Region, now) {
+		if here.has(m.Status.Box) {
+			names = append(names, m.Status.Box)
+		}
+	}
+	var out []asked
+	for _, r := range s.view.Replicas() {
+		svc := s.table.Service(r.Info().Service)
+		if svc == nil || svc.Engine == nil || !r.Listed() || r.Out(now) {
+			continue
+		}
+		if rendezvous.Top(r.ID(), names, 1)[0] == s.settings.Box {
+			out = append(out, asked{
+				id:   r.ID(),
+				addr: r.Info().Addr,
+			})
+		}
+	}
+	return out
+}
+
+// runAccounts asks engines for their accounts again and again until ctx ends.
+func (n *Node) runAccounts(ctx context.Context) {
+	if n.adapter.Account == nil {
+		return
+	}
+	n.tasks.Go(func() {
+		for ctx.Err() == nil {
+			sleep.For(ctx, accountEvery)
+			var list []asked
+			_ = n.state.Do(func(s *state) { list = s.engines(n.now()) }) // it fails only when the box has ended
+			for _, a := range list {
+				n.tasks.Go(func() { n.askAccount(ctx, a) })
+			}
+		}
+	})
+}
+
+// askAccount asks an engine for its account. Where it doesn't answer, nothing is known
+// of its load beside this box's own; requests find out whether it is lost.
+func (n *Node) askAccount(ctx context.Context, a asked) {
+	ctx, cancel := context.WithTimeout(ctx, accountLimit)
+	defer cancel()
+	at := n.now()
+	got, err := n.adapter.Account(ctx, n.replicas, a.addr)
+	n.meter.Account(err == nil)
+	if err != nil {
+		return
+	}
+	n.state.Post(func(s *state) {
+		s.view.Says(a.id, placement.Word{
+			Requests: got.Running + got.Waiting,
+			Waiting:  got.Waiting,
+			Tokens:   got.Tokens,
+			At:       at,
+		})
+	})
+}
--- a/node/away.go
+++ b/node/away.go
@@ -65,7 +65,7 @@
 		if slices.Contains(ask.NoRegions, region) {
 			continue
 		}
-		if region == s.settings.Region || !ask.Route.Allows(region) {
+		if region == s.settings.Region || !ask.Route.Allows(region) || !s.taking[region].has(m.Status.Box) {
 			continue
 		}
 		if m.Status.Forward == "" || slices.Contains(ask.TriedBoxes, m.Status.Box) || s.isLost(m, now) {
--- a/node/core.go
+++ b/node/core.go
@@ -86,9 +86,17 @@
 	_ = n.state.Do(func(s *state) { s.view.First(c, took, n.now()) })
 }
 
-// loaded takes in how many requests a replica says it has.
-func (n *Node) loaded(c *placement.Choice, requests int) {
-	_ = n.state.Do(func(s *state) { s.view.Loaded(c, requests, n.now()) })
+// loaded takes in how many requests a replica says it has, and how many of them wait.
+func (n *Node) loaded(c *placement.Choice, requests, waiting int) {
+	_ = n.state.Do(func(s *state) {
+		now := n.now()
+		s.view.Loaded(c, requests, now)
+		s.view.Says(c.Replica, placement.Word{
+			Requests: requests,
+			Waiting:  waiting,
+			At:       now,
+		})
+	})
 }
 
 // heard takes in that a replica goes on with an answer.
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -53,9 +53,11 @@
 // tell sends one round of datagrams.
 func (n *Node) tell() {
 	n.send(func(s *state, self wire.BoxStatus) []roster.Packet {
-		out := s.roster.Tell(self, n.now(), rand.IntN)
+		now := n.now()
+		out := s.roster.Tell(self, now, rand.IntN)
 		s.view.OthersFor(s.roster.LoadsAge())
-		return out
+		s.chooseTaking(n.servingState(), now)
+		return append(out, s.tellWords(now, rand.IntN)...)
 	})
 }
 
@@ -70,6 +72,9 @@
 // tellLoads tells the boxes of the region what this one has at its replicas.
 func (n *Node) tellLoads() {
 	n.send(func(s *state, self wire.BoxStatus) []roster.Packet {
+		if !s.roster.TellsLoads() {
+			return nil
+		}
 		return s.roster.TellLoads(self, n.now(), rand.IntN)
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -140,6 +140,7 @@
 	n.tasks.Go(func() { n.feed.Run(ctx) })
 	n.runReload(ctx)
 	n.runIdentity(ctx)
+	n.runAccounts(ctx)
 	n.serve(ctx, cancel)
 	<-ctx.Done()
 	n.tasks.Wait()
--- a/node/settings.go
+++ b/node/settings.go
@@ -53,6 +53,15 @@
 
 	// Identify asks the replica at an address which one it is.
 	Identify func(ctx context.Context, pool *exchange.Pool, addr, healthPath string) (Identity, error)
+	// Account asks the engine at an address what it has to do.
+	Account func(ctx context.Context, pool *exchange.Pool, addr string) (Account, error)
+}
+
+// Account is what an engine says of its work when it is asked.
+type Account struct {
+	Running int
+	Waiting int
+	Tokens  int // of memory that its requests hold
 }
 
 // Report is what a source of the catalog tells beside what it reads.
--- a/node/state.go
+++ b/node/state.go
@@ -37,7 +37,9 @@
 	lost     map[string]unreached      // boxes
 	asks     map[string]decay.Count    // requests by the name of a bound route
 	lapses   map[string]lapses         // by box: replicas found gone that it has told of
-	seq      int                       // of the last status told
+	taking   map[string]taking         // by region
+	short    map[roster.ReplicaID]string
+	seq      int // of the last status told
 }
 
 // newState returns the state of a box that knows nothing yet.
@@ -54,6 +56,8 @@
 		lost:     make(map[string]unreached),
 		asks:     make(map[string]decay.Count),
 		lapses:   make(map[string]lapses),
+		taking:   make(map[string]taking),
+		short:    make(map[roster.ReplicaID]string),
 	}
 }
 
@@ -95,7 +99,14 @@
 	if !taken {
 		return out
 	}
-	return append(out, s.view.Take(s.content, now)...)
+	return append(out, s.takeView(now)...)
+}
+
+// takeView brings the view of the replicas to what the catalog holds.
+func (s *state) takeView(now time.Duration) []placement.Belief {
+	out := s.view.Take(s.content, now)
+	s.shorten()
+	return out
 }
 
 // settle believes the removals whose time of doubt is over, and returns what changed.
@@ -103,7 +114,7 @@
 	if !s.content.Settle() {
 		return nil
 	}
-	return s.view.Take(s.content, now)
+	return s.takeView(now)
 }
 
 // sharers returns the boxes of the region that may send to its replicas, this one
@@ -157,16 +168,13 @@
 // hearCompact takes another box's compact datagram in.
 func (s *state) hearCompact(b roster.Compact, from string, now time.Duration) roster.Heard {
 	h := s.roster.HearCompact(b, from, now)
+	s.hearWords(b.Words, now)
 	if !h.Newer || h.Status.Region != s.settings.Region || (len(h.Loads) == 0 && !h.All) {
 		return h
 	}
-	short := make(map[roster.ReplicaID]string)
-	for _, r := range s.view.Replicas() {
-		short[roster.ReplicaIDOf(r.ID())] = r.ID()
-	}
 	loads := make([]placement.OwnLoad, 0, len(h.Loads))
 	for _, l := range h.Loads {
-		if id, ok := short[l.Replica]; ok {
+		if id, ok := s.short[l.Replica]; ok {
 			loads = append(loads, ownLoad(id, l.Load))
 		}
 	}
--- a/node/which.go
+++ b/node/which.go
@@ -92,11 +92,14 @@
 func (s *state) named(own wire.ServingState, now time.Duration, want wire.ServingState, in func(region string) bool) []string {
 	var out []string
 	for m := range s.roster.All() {
-		if m.State() == want && m.Status.Callers != "" && s.roster.Alive(m.Status.Box, now) && in(m.Status.Region) {
+		if m.State() != want || m.Status.Callers == "" || !s.roster.Alive(m.Status.Box, now) || !in(m.Status.Region) {
+			continue
+		}
+		if want != wire.ServingStateServing || s.taking[m.Status.Region].has(m.Status.Box) {
 			out = append(out, m.Status.Callers)
 		}
 	}
-	if s.table != nil && own == want && in(s.settings.Region) {
+	if s.table != nil && own == want && in(s.settings.Region) && (want != wire.ServingStateServing || s.taking[s.settings.Region].has(s.settings.Box)) {
 		out = append(out, s.settings.Callers)
 	}
 	return out
--- /dev/null
+++ b/node/words.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"time"
+
+	"github.com/havenrudder/havenrudder/common/rendezvous"
+	"github.com/havenrudder/havenrudder/placement"
+	"github.com/havenrudder/havenrudder/roster"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+const (
+	mostTaking = 32 // boxes of a region that its callers are told to use
+	wordsFan   = 2  // boxes that the replicas' words are told at a beat, of those
+)
+
+// taking are the boxes that callers of a region are told to use, where it has more of
+// them than mostTaking; nil for all. The others stand by. A box before 98 others sees
+// a hundredth of what its region's replicas do, and tells and is told the more the
+// fewer these are.
+type taking map[string]bool
+
+// has says whether a box is one of them.
+func (t taking) has(box string) bool { return t == nil || t[box] }
+
+// chooseTaking works out again which boxes callers are told to use. All boxes that
+// know of the same ones agree, and one box more or less moves one.
+func (s *state) chooseTaking(own wire.ServingState, now time.Duration) {
+	byRegion := make(map[string][]string)
+	for m := range s.roster.AllServing("", now) {
+		if m.Status.Callers != "" {
+			byRegion[m.Status.Region] = append(byRegion[m.Status.Region], m.Status.Box)
+		}
+	}
+	if s.table != nil && own == wire.ServingStateServing {
+		byRegion[s.settings.Region] = append(byRegion[s.settings.Region], s.settings.Box)
+	}
+	clear(s.taking)
+	for region, names := range byRegion {
+		if len(names) <= mostTaking {
+			continue
+		}
+		set := make(taking)
+		for _, box := range rendezvous.Top("callers", names, mostTaking) {
+			set[box] = true
+		}
+		s.taking[region] = set
+	}
+	here := min(len(byRegion[s.settings.Region]), mostTaking)
+	s.view.ByWords(!s.roster.TellsLoads(), here)
+}
+
+// tellWords returns what tells other boxes the replicas' words, where boxes are so many
+// that they don't tell each other their loads.
+func (s *state) tellWords(now time.Duration, draw func(n int) int) []roster.Packet {
+	here := s.taking[s.settings.Region]
+	if s.roster.TellsLoads() || !here.has(s.settings.Box) {
+		return nil
+	}
+	var addrs []string
+	for m := range s.roster.AllServing(s.settings.Region, now) {
+		if here.has(m.Status.Box) && m.Status.Peers != "" {
+			addrs = append(addrs, m.Status.Peers)
+		}
+	}
+	for i := range min(wordsFan, len(addrs)) {
+		j := i + draw(len(addrs)-i)
+		addrs[i], addrs[j] = addrs[j], addrs[i]
+	}
+	var words []roster.CompactWord
+	for _, w := range s.view.Words(now) {
+		words = append(words, roster.CompactWord{
+			Replica:  roster.ReplicaIDOf(w.Replica),
+			Age:      now - w.At,
+			Requests: w.Requests,
+			Waiting:  w.Waiting,
+			Tokens:   w.Tokens,
+		})
+	}
+	return s.roster.TellWords(words, addrs[:min(wordsFan, len(addrs))])
+}
+
+// hearWords takes in the replicas' words that another box passes on.
+func (s *state) hearWords(list []roster.CompactWord, now time.Duration) {
+	for _, w := range list {
+		id, ok := s.short[w.Replica]
+		if !ok {
+			continue
+		}
+		s.view.Says(id, placement.Word{
+			Requests: w.Requests,
+			Waiting:  min(w.Waiting, w.Requests),
+			Tokens:   w.Tokens,
+			At:       now - w.Age,
+		})
+	}
+}
+
+// shorten works out again by which short ids boxes name the region's replicas.
+func (s *state) shorten() {
+	clear(s.short)
+	for _, r := range s.view.Replicas() {
+		s.short[roster.ReplicaIDOf(r.ID())] = r.ID()
+	}
+}
--- /dev/null
+++ b/node/words_test.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/roster"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// crowded returns a box of one of three regions of so many boxes each, with as many
+// engines as a large one.
+func crowded(name string, boxes int) *testBox {
+	b := newBox(name, "a", largeReplicas)
+	for n := range boxes {
+		if other := fmt.Sprintf("box-%03d", n); other != name {
+			s := status(other, "a")
+			s.Peers = "peers of " + other
+			b.tells(s, start)
+		}
+		for _, region := range regions[1:largeRegions] {
+			b.tells(status(fmt.Sprint(region, "-", n), region), start)
+		}
+	}
+	b.roster.Adapt(start)
+	b.chooseTaking(wire.ServingStateServing, start)
+	return b
+}
+
+func TestBoxesOfALargeRegionAgreeWhichOfThemTakeCallers(t *testing.T) {
+	is := is.New(t)
+	var all []string
+	taking := 0
+	for n := range largeBoxes {
+		b := crowded(fmt.Sprintf("box-%03d", n), largeBoxes)
+		named := b.which(host, "a", wire.ServingStateServing, start)
+		is.Equal(len(named), mostTaking)
+		if all == nil {
+			all = named
+		}
+		is.Equal(named, all)
+		if slices.Contains(named, b.settings.Callers) {
+			taking++
+		}
+	}
+	is.Equal(taking, mostTaking)
+}
+
+func TestAllBoxesOfASmallerRegionTakeCallers(t *testing.T) {
+	is := is.New(t)
+	b := crowded("box-000", mostTaking)
+	is.Equal(len(b.which(host, "a", wire.ServingStateServing, start)), mostTaking)
+	is.Equal(len(b.taking), 0) // in any region
+}
+
+func TestABoxThatIsLostIsReplacedAmongThoseThatTakeCallers(t *testing.T) {
+	is := is.New(t)
+	b := crowded("box-000", largeBoxes)
+	before := b.which(host, "a", wire.ServingStateServing, start)
+	later := start + 20*time.Second // all others are silent
+	for n := 1; n < largeBoxes/2; n++ {
+		s := status(fmt.Sprintf("box-%03d", n), "a")
+		b.tells(s, later)
+	}
+	b.chooseTaking(wire.ServingStateServing, later)
+	after := b.which(host, "a", wire.ServingStateServing, later)
+	is.Equal(len(after), mostTaking)
+	kept := 0
+	for _, addr := range before {
+		if slices.Contains(after, addr) {
+			kept++
+		}
+	}
+	is.True(kept >= mostTaking/4) // those that live stay
+}
+
+// An engine that nobody asks is known to nobody, and one that all ask answers for each.
+func TestEachEngineIsAskedForItsLoadByOneBox(t *testing.T) {
+	is := is.New(t)
+	asks := make(map[string]int)
+	for n := range largeBoxes {
+		b := crowded(fmt.Sprintf("box-%03d", n), largeBoxes)
+		is.True(!b.roster.TellsLoads())
+		for _, e := range b.engines(start) {
+			asks[e.id]++
+		}
+	}
+	is.Equal(len(asks), largeReplicas)
+	for id, n := range asks {
+		if n != 1 {
+			t.Errorf("%s is asked by %d boxes", id, n)
+		}
+	}
+	is.Equal(len(crowded("box-000", 9).engines(start)), 0) // few boxes tell each other
+}
+
+func TestWordsOfEnginesAreToldToBoxesThatTakeCallers(t *testing.T) {
+	is := is.New(t)
+	var b *testBox
+	for n := 0; b == nil || !b.taking["a"].has(b.settings.Box); n++ {
+		b = crowded(fmt.Sprintf("box-%03d", n), largeBoxes)
+	}
+	other := crowded("outside", largeBoxes)
+	id := replicas("a", 3)[2].ID
+	is.Equal(len(b.tellWords(start, lowest)), 0) // there are none
+	b.hearWords([]roster.CompactWord{{
+		Replica:  roster.ReplicaIDOf(id),
+		Age:      100 * time.Millisecond,
+		Requests: 7,
+		Waiting:  2,
+	}}, start)
+	packets := b.tellWords(start, lowest)
+	is.Equal(len(packets), wordsFan)
+	for _, p := range packets {
+		got, err := roster.DecodeCompact(p.Buf)
+		is.NoErr(err)
+		other.hearCompact(got, "peers of "+b.settings.Box, start)
+	}
+	words := other.view.Words(start)
+	is.Equal(len(words), 1)
+	is.Equal(words[0].Replica, id)
+	is.Equal(words[0].Requests, 7)
+	is.Equal(len(crowded("box-000", 9).tellWords(start, lowest)), 0)
+}
--- a/placement/outlook.go
+++ b/placement/outlook.go
@@ -30,7 +30,7 @@
 	reads := 0
 	for _, r := range v.byName {
 		if r.info.Service == req.Service && v.unusable(r, req, now) == None {
-			l := r.Load(now)
+			l := v.load(r, now)
 			if out.Usable == 0 || l.Requests < out.Fewest {
 				out.Fewest = l.Requests
 			}
@@ -38,8 +38,14 @@
 			reads += l.Reads
 		}
 	}
+	if v.byWords {
+		reads *= v.boxes // nobody tells what the others send
+	}
 	if out.Usable > 0 {
 		out.Busy = float64(reads) / (float64(out.Usable) * readRate * 1000)
 	}
+	if v.byWords && out.Usable > 0 {
+		out.Busy = max(out.Busy, v.occupied(req.Service, now))
+	}
 	return out
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -107,7 +107,11 @@
 		best.r.keep(req.Parts, now)
 		best.r.note(req, now)
 		best.r.given(g.load.Unread, now)
+		u := v.usual[req.Service]
+		u.add(g.load)
+		v.usual[req.Service] = u
 	}
+	best.r.begin(g.load, now)
 	best.r.own = best.r.own.plus(g.load)
 	return Choice{
 		Replica: best.r.info.ID,
@@ -127,11 +131,21 @@
 // best returns the usable replica with the least cost. Where there is none, none
 // says why, and when there may be one.
 func (v *View) best(req Request, boxes []string, now time.Duration) (best weighed, none Choice) {
-	none.Reason = Nothing
 	first := v.first(req, now)
 	keeper := v.keeper(req, first, now)
 	usual := v.usualHold(req.Service)
-	for _, r := range v.byName {
+	list := v.among(req, now)
+	best, none = v.bestOf(list, req, first, keeper, usual, boxes, now)
+	if best.r == nil && len(list) < len(v.byName) {
+		return v.bestOf(v.byName, req, first, keeper, usual, boxes, now)
+	}
+	return best, none
+}
+
+// bestOf is best of some replicas.
+func (v *View) bestOf(list []*Replica, req Request, first, keeper *Replica, usual time.Duration, boxes []string, now time.Duration) (best weighed, none Choice) {
+	none.Reason = Nothing
+	for _, r := range list {
 		if r.info.Service != req.Service {
 			continue
 		}
@@ -226,7 +240,7 @@
 func (v *View) weigh(r *Replica, req Request, keeper *Replica, first bool, usual, now time.Duration) weighed {
 	w := weighed{
 		r:    r,
-		load: r.Load(now),
+		load: v.load(r, now),
 	}
 	if r.service == nil || r.service.Engine == nil {
 		w.expect = scale(r.Slow(now), r.queueing(w.load, usual)+cmp.Or(r.hold, usual))
@@ -262,7 +276,7 @@
 	if req.Gap > 0 {
 		harm += harmBusy * float64(w.load.Reads) / (readRate * 1000)
 	}
-	w.cost = w.expect + scale(readAgain-1, ReadTime(w.missing)) + w.r.crowding(w.load, req) + scale(harm, harmTime)
+	w.cost = w.expect + scale(v.readAgain()-1, ReadTime(w.missing)) + w.r.crowding(w.load, req) + scale(harm, harmTime)
 }
 
 // mayLack returns how many shared tokens the first in their rank is expected to lack
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -62,6 +62,8 @@
 	own      Load
 	others   map[string]told // by box
 	said     told            // requests of others, by the replica's own word
+	word     Word            // the last one, by whatever box
+	begun    []begun         // since then
 
 	coldUntil time.Duration   // as far as is known
 	failures  int             // failures to connect in a row
--- a/placement/view.go
+++ b/placement/view.go
@@ -25,7 +25,11 @@
 	closed   map[string]bool
 	pacer    *pacing.Pacer
 
-	othersFor time.Duration // what another box told counts so long
+	othersFor time.Duration    // what another box told counts so long
+	byWords   bool             // loads are known by the replicas' own words
+	boxes     int              // of the region that callers are told to use
+	usual     map[string]usual // by service
+	means     map[string]mean  // by service
 }
 
 // NewView returns the view of a box in a failure domain of a region.
@@ -38,6 +42,9 @@
 		pacer:    pacer,
 
 		othersFor: othersFor,
+		boxes:     1,
+		usual:     make(map[string]usual),
+		means:     make(map[string]mean),
 	}
 }
 
--- /dev/null
+++ b/placement/word_test.go
@@ -0,0 +1,102 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+// says has an engine's word reach the box.
+func (b *box) says(replica string, requests, waiting int, at time.Duration) bool {
+	return b.Says(replica, placement.Word{
+		Requests: requests,
+		Waiting:  waiting,
+		Tokens:   1000 * requests,
+		At:       at,
+	})
+}
+
+// loadOf returns what a choice of the replica finds there.
+func (b *box) loadOf(replica string, now time.Duration) placement.Load {
+	req := askShared("part", "request")
+	for n := range 1000 {
+		req.Key = fmt.Sprint(replica, n)
+		c := b.Pick(req, alone, now)
+		b.End(&c, placement.Abandoned, 0, now)
+		if c.Replica == replica {
+			return c.Load
+		}
+	}
+	return placement.Load{}
+}
+
+func TestAnEnginesWordAndWhatWasSentSinceAreItsLoad(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("engine", 1)...)
+	b.ByWords(true, 32)
+	is.True(b.says("engine-0", 3, 1, start))
+	is.Equal(b.loadOf("engine-0", start+time.Millisecond).Requests, 3)
+	c := b.Pick(askShared("part", "k"), alone, start+2*time.Millisecond)
+	is.True(b.loadOf("engine-0", start+3*time.Millisecond).Requests >= 4) // the word doesn't have it yet
+	is.True(!b.says("engine-0", 9, 0, start))                             // no later word
+	is.True(!b.says("other", 9, 0, start+time.Second))
+	is.True(b.says("engine-0", 2, 0, start+100*time.Millisecond))
+	is.Equal(b.loadOf("engine-0", start+101*time.Millisecond).Requests, 2) // this one has it
+	b.End(&c, placement.Answered, time.Millisecond, start+102*time.Millisecond)
+	is.Equal(b.loadOf("engine-0", start+10*time.Second).Requests, 0) // too old
+}
+
+func TestWordsAreToldTheLatestFirstWhileTheyCount(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("engine", 3)...)
+	b.says("engine-0", 1, 0, start)
+	b.says("engine-1", 2, 0, start+2*time.Second)
+	b.says("engine-2", 3, 0, start+time.Second)
+	list := b.Words(start + 4500*time.Millisecond)
+	is.Equal(len(list), 2)
+	is.Equal(list[0].Replica, "engine-1")
+	is.Equal(list[1].Requests, 3)
+}
+
+// An engine with less than the mean looked best to all boxes until the next words came,
+// and got requests of all of them.
+func TestAnEngineWithLittleToDoIsNoBetterThanTheMean(t *testing.T) {
+	is := is.New(t)
+	all := replicas("engine", 40)
+	b := newBox("a", "hall", all...)
+	b.ByWords(true, 32)
+	for n, r := range all {
+		load := 6
+		switch n {
+		case 0:
+			load = 0
+		case 1:
+			load = 8
+		}
+		b.says(r.ID, load, 0, start)
+	}
+	got := make(map[string]int)
+	for n := range 400 {
+		c := b.Pick(ask("engine", fmt.Sprint("key-", n)), alone, start+time.Millisecond)
+		got[c.Replica]++
+		b.End(&c, placement.Answered, time.Millisecond, start+time.Millisecond)
+		b.says(c.Replica, 6, 0, start+time.Millisecond+time.Duration(n))
+	}
+	is.True(got["engine-0"] <= 40) // four times its part, not all
+	is.True(got["engine-1"] <= 10) // it has more than the mean
+}
+
+func TestARegionWhoseSlotsAreTakenIsBusy(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("engine", 4)...)
+	b.ByWords(true, 32)
+	for n := range 4 {
+		b.says(fmt.Sprint("engine-", n), 6, 0, start)
+	}
+	is.Equal(b.Outlook(ask("engine", "k"), alone, start+time.Millisecond).Busy, 0.75) // of eight slots
+	is.Equal(b.Outlook(ask("plain", "k"), alone, start+time.Millisecond).Busy, 0.0)
+}
--- a/roster/compact.go
+++ b/roster/compact.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	compactMark = 2                      // first byte of a compact datagram of this form, which boxes of another one drop; gossip begins with a brace
+	compactMark = 3                      // first byte of a compact datagram of this form, which boxes of another one drop; gossip begins with a brace
 	vitalBytes  = 7                      // of one box in a compact datagram
 	ageUnit     = 100 * time.Millisecond // of an age in a compact datagram; with one byte 25.5 s
+	wordUnit    = 20 * time.Millisecond  // of the age of a replica's word; with one byte 5.1 s
 	tokenUnit   = 16                     // tokens in which loads are told; a step of an engine reads more
 )
 
@@ -61,6 +62,15 @@
 	Rooms []wire.ServiceRoom
 }
 
+// CompactWord is what a replica said of its load to some box.
+type CompactWord struct {
+	Replica  ReplicaID
+	Age      time.Duration // rounded up to 20 ms, 5.1 s at most
+	Requests int
+	Waiting  int // of the requests
+	Tokens   int // of memory that they hold, rounded up to 16; 0 where it didn't say
+}
+
 // Compact is a compact datagram, which boxes send where they are many: it names them
 // by ID, and what never changes of a box is told once, in a whole status.
 type Compact struct {
@@ -80,11 +90,12 @@
 	Unknown []ID    // boxes whose status the sender asks for
 	Loads   []CompactLoad
 	Rooms   []CompactRooms
-	Check   ID        // marks the question whether Names are all boxes of the sender's region; 0 for none
-	Names   []ID      // boxes in whatever incarnation, of a question; none where Sum says enough
-	Sum     ID        // of Names, also where they are left out
-	Agreed  ID        // the mark of the question that the sender agrees to; 0 for none
-	Absent  []Absence // boxes that are gone and that the question lacked
+	Words   []CompactWord // the latest of the region's replicas that the sender knows
+	Check   ID            // marks the question whether Names are all boxes of the sender's region; 0 for none
+	Names   []ID          // boxes in whatever incarnation, of a question; none where Sum says enough
+	Sum     ID            // of Names, also where they are left out
+	Agreed  ID            // the mark of the question that the sender agrees to; 0 for none
+	Absent  []Absence     // boxes that are gone and that the question lacked
 }
 
 // states in the order of their numbers in a compact datagram.
@@ -124,6 +135,10 @@
 	for _, r := range b.Rooms {
 		out = appendRooms(out, r)
 	}
+	out = binary.AppendUvarint(out, uint64(len(b.Words)))
+	for _, w := range b.Words {
+		out = appendWord(out, w)
+	}
 	return b.appendAgreement(out)
 }
 
@@ -223,6 +238,15 @@
 	return out
 }
 
+// appendWord appends a replica's word.
+func appendWord(out []byte, w CompactWord) []byte {
+	out = binary.BigEndian.AppendUint32(out, uint32(w.Replica))
+	out = append(out, byte(min(max(0, (w.Age+wordUnit-1)/wordUnit), math.MaxUint8)))
+	out = binary.AppendUvarint(out, uint64(max(0, w.Requests)))
+	out = binary.AppendUvarint(out, uint64(max(0, w.Waiting)))
+	return binary.AppendUvarint(out, uint64(max(0, w.Tokens+tokenUnit-1)/tokenUnit))
+}
+
 // appendRooms appends what a region can take, its services by name.
 func appendRooms(out []byte, r CompactRooms) []byte {
 	out = appendVital(out, r.From)
--- a/roster/compact_test.go
+++ b/roster/compact_test.go
@@ -75,6 +75,15 @@
 				}),
 			}
 		}),
+		Words: list(t, 9, "words", func() CompactWord {
+			return CompactWord{
+				Replica:  ReplicaID(rapid.Uint32().Draw(t, "replica")),
+				Age:      time.Duration(rapid.IntRange(0, 255).Draw(t, "age")) * wordUnit,
+				Requests: number(),
+				Waiting:  number(),
+				Tokens:   tokens(),
+			}
+		}),
 	}
 	if rapid.Bool().Draw(t, "question") {
 		out.Check = id("check")
--- a/roster/parse.go
+++ b/roster/parse.go
@@ -50,6 +50,7 @@
 	b.Unknown = parseList(&p, 4, id)
 	b.Loads = parseList(&p, 8, p.load)
 	b.Rooms = parseList(&p, vitalBytes+1, p.rooms)
+	b.Words = parseList(&p, 8, p.word)
 	if flags&bitCheck != 0 {
 		b.Check = p.mark()
 		b.Sum = id()
@@ -137,6 +138,17 @@
 	return out
 }
 
+// word reads what appendWord writes.
+func (p *parser) word() CompactWord {
+	return CompactWord{
+		Replica:  ReplicaID(p.four()),
+		Age:      time.Duration(p.byte()) * wordUnit,
+		Requests: p.number(),
+		Waiting:  p.number(),
+		Tokens:   p.number() * tokenUnit,
+	}
+}
+
 // rooms reads what appendRooms writes.
 func (p *parser) rooms() CompactRooms {
 	return CompactRooms{
--- a/roster/table.go
+++ b/roster/table.go
@@ -57,10 +57,10 @@
 	seeds   []string
 	records map[string]*record
 	order   []*record // the same, by name
-	ticks   int // calls of Targets
-	digests int // calls of Digest
-	turn    int // first of the own region's members to send to next
-	silent  int // first of the silent members to send to next
+	ticks   int       // calls of Targets
+	digests int       // calls of Digest
+	turn    int       // first of the own region's members to send to next
+	silent  int       // first of the silent members to send to next
 	pace    pace
 	compact compactState
 
--- /dev/null
+++ b/roster/words_test.go
@@ -0,0 +1,49 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A word that is passed on from box to box must not get younger, or it would count for
+// ever.
+func TestAWordGetsNoYoungerHoweverOftenItIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	const transit = 2 * time.Millisecond
+	tab := New(status("a", "north", 1, 1))
+	age, said := 30*time.Millisecond, 30*time.Millisecond
+	for range 100 {
+		packets := tab.TellWords([]CompactWord{{
+			Replica:  7,
+			Age:      age,
+			Requests: 3,
+		}}, []string{"10.0.0.2:7000"})
+		is.Equal(len(packets), 1)
+		b, err := DecodeCompact(packets[0].Buf)
+		is.NoErr(err)
+		said += transit
+		age = b.Words[0].Age
+		is.True(age >= said)
+	}
+}
+
+func TestNoMoreWordsAreToldThanADatagramHolds(t *testing.T) {
+	is := is.New(t)
+	tab := New(status("a", "north", 1, 1))
+	is.Equal(len(tab.TellWords(nil, []string{"10.0.0.2:7000"})), 0)
+	var list []CompactWord
+	for n := range 1000 {
+		list = append(list, CompactWord{
+			Replica:  ReplicaID(n),
+			Age:      5 * time.Second,
+			Requests: 200,
+			Waiting:  150,
+			Tokens:   1 << 20,
+		})
+	}
+	packets := tab.TellWords(list, []string{"10.0.0.2:7000", "10.0.0.3:7000"})
+	is.Equal(len(packets), 2)
+	is.True(len(packets[0].Buf) <= datagramBytes)
+}
