placement, node: Learn the steps of an event, and tell of engines that fall silent

Causes: (1) an event of a stream was taken to need five steps of an engine, as on the first installations; here it needs nine, so a long prompt was thought to make pauses of 370 ms where they are 650 beyond an aim of 600, and no choice minded it. The steps are learned by service from callers' guesses of length, which are right in the median. (2) An engine that goes dark was found out by each box alone, by three requests. The box that asks for its account tells others when it has not answered twice, unless that box hears nobody itself; a box that hears the engine goes by its own ears.

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -56,6 +56,7 @@
 	counted    bool             // the budget of retries knows of it
 	paid       atomic.Bool      // the budget has given the next try already
 	lastEvent  string           // id of the last event passed on
+	events     int              // that were passed on
 	fromBox    bool             // the stream comes by way of another box
 	firstAt    time.Duration    // until the first event or byte was passed on
 	lastAt     time.Time        // when an event was passed on last
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -93,6 +93,9 @@
 			return abandoned
 		}
 	}
+	if c.sent == 1 && c.facts.LastEvent == "" {
+		c.server.core.Streamed(c.service, c.events, c.facts.Guess)
+	}
 	c.finished(decision.Served, http.StatusOK, "")
 	return served
 }
@@ -133,6 +136,7 @@
 	}
 	if id != "" {
 		c.lastEvent = id
+		c.events++
 	}
 	return true, nil
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -73,25 +73,26 @@
 
 // Core is the box behind the path. Its fields are the seams between them.
 type Core struct {
-	Table   func() *catalog.Table    // nil until a policy is known
-	Current func() bool              // what is published was read of late
-	Leaving func() bool              // a planned stop has begun
-	Streams func() bool              // a stream that comes now can be answered to its end
-	Others  func() bool              // another box of the region serves
-	EndsBy  func() (time.Time, bool) // when a planned stop is over, if one has begun
-	Place   func(Ask) Target
-	Begin   func(service string)      // a request is sent for the first time
-	Repeat  func(service string) bool // asks to send one again
-	First   func(c *placement.Choice, took time.Duration)
-	Heard   func(c *placement.Choice)
-	Quiet   func(next Ask, c *placement.Choice, sent time.Time) time.Duration // 0 when there is no other target
-	Loaded  func(c *placement.Choice, requests, waiting int)                  // the replica says that it has so many requests, this one included, of which so many wait
-	End     func(c *placement.Choice, r placement.Result, took time.Duration)
-	BoxLost func(box string)                  // a box could not be reached
-	Crossed func(box, region string, ok bool) // whether a request to a box of a region was answered
-	Behind  func()                            // another box knows a newer policy
-	Record  func(decision.Event)
-	Meter   Meter
+	Table    func() *catalog.Table    // nil until a policy is known
+	Current  func() bool              // what is published was read of late
+	Leaving  func() bool              // a planned stop has begun
+	Streams  func() bool              // a stream that comes now can be answered to its end
+	Others   func() bool              // another box of the region serves
+	EndsBy   func() (time.Time, bool) // when a planned stop is over, if one has begun
+	Place    func(Ask) Target
+	Begin    func(service string)      // a request is sent for the first time
+	Repeat   func(service string) bool // asks to send one again
+	First    func(c *placement.Choice, took time.Duration)
+	Heard    func(c *placement.Choice)
+	Quiet    func(next Ask, c *placement.Choice, sent time.Time) time.Duration // 0 when there is no other target
+	Loaded   func(c *placement.Choice, requests, waiting int)                  // the replica says that it has so many requests, this one included, of which so many wait
+	Streamed func(service string, events, guess int)                           // a whole stream had so many events, where the caller guessed so many tokens
+	End      func(c *placement.Choice, r placement.Result, took time.Duration)
+	BoxLost  func(box string)                  // a box could not be reached
+	Crossed  func(box, region string, ok bool) // whether a request to a box of a region was answered
+	Behind   func()                            // another box knows a newer policy
+	Record   func(decision.Event)
+	Meter    Meter
 }
 
 // Meter is told the figures of requests.
--- a/node/account.go
+++ b/node/account.go
@@ -12,6 +12,7 @@
 const (
 	accountEvery = 400 * time.Millisecond // between two questions to an engine: a hundredth of what its requests cost in messages, and its word is 100 ms old itself
 	accountLimit = 300 * time.Millisecond // for an answer; a later one tells nothing new
+	silentAfter  = 2                      // questions without an answer until others are told; 32 boxes that found it out by themselves sent three requests each to an engine that had gone dark
 )
 
 // asked is an engine that this box asks for its account.
@@ -37,7 +38,7 @@
 	var out []asked
 	for _, r := range s.view.Replicas() {
 		svc := s.table.Service(r.Info().Service)
-		if svc == nil || svc.Engine == nil || !r.Listed() || r.Out(now) {
+		if svc == nil || svc.Engine == nil || !r.Listed() {
 			continue
 		}
 		if rendezvous.Top(r.ID(), names, 1)[0] == s.settings.Box {
@@ -67,23 +68,34 @@
 	})
 }
 
-// askAccount asks an engine for its account. Where it doesn't answer, nothing is known
-// of its load beside this box's own; requests find out whether it is lost.
+// askAccount asks an engine for its account.
 func (n *Node) askAccount(ctx context.Context, a asked) {
 	ctx, cancel := context.WithTimeout(ctx, accountLimit)
 	defer cancel()
 	at := n.now()
 	got, err := n.adapter.Account(ctx, n.replicas, a.addr)
 	n.meter.Account(err == nil)
-	if err != nil {
-		return
-	}
-	n.state.Post(func(s *state) {
-		s.view.Says(a.id, placement.Word{
+	n.state.Post(func(s *state) { s.account(a.id, got, err == nil, at, n.now()) })
+}
+
+// account takes in an engine's account of a time, or that it gave none.
+func (s *state) account(id string, got Account, ok bool, at, now time.Duration) {
+	if ok {
+		delete(s.unanswered, id)
+		s.view.Says(id, placement.Word{
 			Requests: got.Running + got.Waiting,
 			Waiting:  got.Waiting,
 			Tokens:   got.Tokens,
 			At:       at,
 		})
+		return
+	}
+	s.unanswered[id]++
+	if s.unanswered[id] < silentAfter || !s.roster.HeardWithin(accountEvery*silentAfter, now) {
+		return // it may be this box that hears nothing
+	}
+	s.view.Says(id, placement.Word{
+		Silent: true,
+		At:     at,
 	})
 }
--- a/node/away.go
+++ b/node/away.go
@@ -132,9 +132,9 @@
 }
 
 // riskHere returns what is at risk in this region.
-func riskHere(here placement.Outlook, ask ingress.Ask, goals placement.Goals, home, region string) float64 {
+func (s *state) riskHere(here placement.Outlook, ask ingress.Ask, goals placement.Goals, home string) float64 {
 	risk := here.Risk(goals) + ask.Request.Harm(here.Missing, here.Fewest)
-	if home != "" && home != region {
+	if home != "" && home != s.settings.Region {
 		risk += againPrice * float64(here.Unsent) / 1000
 	}
 	return risk
--- a/node/core.go
+++ b/node/core.go
@@ -12,24 +12,25 @@
 // core returns the seams of the path of requests.
 func (n *Node) core() ingress.Core {
 	return ingress.Core{
-		Table:   n.table.Load,
-		Current: n.storeOK.Load,
-		Leaving: n.leaving.Load,
-		Streams: n.takesStreams,
-		Others:  n.otherServes,
-		EndsBy:  n.answersBy,
-		Place:   n.place,
-		Begin:   n.begin,
-		Repeat:  n.repeat,
-		First:   n.first,
-		Heard:   n.heard,
-		Quiet:   n.quiet,
-		Loaded:  n.loaded,
-		End:     n.end,
-		BoxLost: n.boxLost,
-		Crossed: n.crossed,
-		Behind:  func() { n.feed.Behind(n.feed.Known() + 1) },
-		Record:  n.record,
+		Table:    n.table.Load,
+		Current:  n.storeOK.Load,
+		Leaving:  n.leaving.Load,
+		Streams:  n.takesStreams,
+		Others:   n.otherServes,
+		EndsBy:   n.answersBy,
+		Place:    n.place,
+		Begin:    n.begin,
+		Repeat:   n.repeat,
+		First:    n.first,
+		Heard:    n.heard,
+		Quiet:    n.quiet,
+		Loaded:   n.loaded,
+		Streamed: n.streamed,
+		End:      n.end,
+		BoxLost:  n.boxLost,
+		Crossed:  n.crossed,
+		Behind:   func() { n.feed.Behind(n.feed.Known() + 1) },
+		Record:   n.record,
 		Meter: ingress.Meter{
 			Request: func(service, outcome string, took time.Duration) {
 				n.meter.Request(service, outcome)
@@ -99,6 +100,12 @@
 	})
 }
 
+// streamed takes in how many events a whole stream had, and the caller's guess of its
+// tokens.
+func (n *Node) streamed(service string, events, guess int) {
+	n.state.Post(func(s *state) { s.view.Streamed(service, events, guess) })
+}
+
 // heard takes in that a replica goes on with an answer.
 func (n *Node) heard(c *placement.Choice) {
 	_ = n.state.Do(func(s *state) { s.view.Heard(c, n.now()) })
--- a/node/state.go
+++ b/node/state.go
@@ -25,39 +25,41 @@
 // state is all that a box believes. It belongs to one actor, and takes the time
 // as an argument.
 type state struct {
-	settings Settings
-	roster   *roster.Table
-	view     *placement.View
-	budget   *budget.Budget
-	content  *catalog.Content
-	table    *catalog.Table            // nil until a policy is known
-	alive    map[string]bool           // boxes, as the log says last
-	complete bool                      // all boxes of the region are known, as the log says last
-	paths    map[string]decay.Failures // of requests to other regions
-	lost     map[string]unreached      // boxes
-	asks     map[string]decay.Count    // requests by the name of a bound route
-	lapses   map[string]lapses         // by box: replicas found gone that it has told of
-	taking   map[string]taking         // by region
-	short    map[roster.ReplicaID]string
-	seq      int // of the last status told
+	settings   Settings
+	roster     *roster.Table
+	view       *placement.View
+	budget     *budget.Budget
+	content    *catalog.Content
+	table      *catalog.Table            // nil until a policy is known
+	alive      map[string]bool           // boxes, as the log says last
+	complete   bool                      // all boxes of the region are known, as the log says last
+	paths      map[string]decay.Failures // of requests to other regions
+	lost       map[string]unreached      // boxes
+	asks       map[string]decay.Count    // requests by the name of a bound route
+	lapses     map[string]lapses         // by box: replicas found gone that it has told of
+	taking     map[string]taking         // by region
+	short      map[roster.ReplicaID]string
+	unanswered map[string]int // questions for an account in a row, by engine
+	seq        int            // of the last status told
 }
 
 // newState returns the state of a box that knows nothing yet.
 func newState(s Settings, self wire.BoxStatus, now time.Duration) *state {
 	pacer := pacing.New(s.Box, coldTerms(s.Bounds), pacing.WithStart(now))
 	return &state{
-		settings: s,
-		roster:   roster.New(self, roster.WithSeeds(otherSeeds(s))),
-		view:     placement.NewView(s.Region, s.Domain, pacer),
-		budget:   budget.New(retryTerms(s.Bounds)),
-		content:  catalog.NewContent(),
-		alive:    make(map[string]bool),
-		paths:    make(map[string]decay.Failures),
-		lost:     make(map[string]unreached),
-		asks:     make(map[string]decay.Count),
-		lapses:   make(map[string]lapses),
-		taking:   make(map[string]taking),
-		short:    make(map[roster.ReplicaID]string),
+		settings:   s,
+		roster:     roster.New(self, roster.WithSeeds(otherSeeds(s))),
+		view:       placement.NewView(s.Region, s.Domain, pacer),
+		budget:     budget.New(retryTerms(s.Bounds)),
+		content:    catalog.NewContent(),
+		alive:      make(map[string]bool),
+		paths:      make(map[string]decay.Failures),
+		lost:       make(map[string]unreached),
+		asks:       make(map[string]decay.Count),
+		lapses:     make(map[string]lapses),
+		taking:     make(map[string]taking),
+		short:      make(map[roster.ReplicaID]string),
+		unanswered: make(map[string]int),
 	}
 }
 
@@ -109,12 +111,14 @@
 	return out
 }
 
-// settle believes the removals whose time of doubt is over, and returns what changed.
+// settle believes the removals whose time of doubt is over, and returns what changed
+// since it was called last, by engines' words too.
 func (s *state) settle(now time.Duration) []placement.Belief {
+	out := s.view.Changed()
 	if !s.content.Settle() {
-		return nil
+		return out
 	}
-	return s.takeView(now)
+	return append(out, s.takeView(now)...)
 }
 
 // sharers returns the boxes of the region that may send to its replicas, this one
@@ -270,6 +274,7 @@
 		s.asked(ask.Route.Name, now)
 	}
 	sharers := s.sharers(now)
+	ask.Request.Steps = s.view.Steps(ask.Request.Service)
 	goals := placement.Goals{
 		First: ask.Goal,
 		Gap:   ask.Route.GapGoal.Duration(),
@@ -281,7 +286,7 @@
 	far, hasFar := s.weigh(others, ask, home, goals, now)
 	allowed := ask.Route.Allows(s.settings.Region)
 	if hasFar {
-		risk := riskHere(here, ask, goals, home, s.settings.Region)
+		risk := s.riskHere(here, ask, goals, home)
 		if !allowed || here.Reason != placement.None || betterAway(risk, far.risk, far.region == home, draw) {
 			t := sendAway(far, draw)
 			s.tryAgain(t.Box, now)
--- a/node/words.go
+++ b/node/words.go
@@ -75,6 +75,7 @@
 			Requests: w.Requests,
 			Waiting:  w.Waiting,
 			Tokens:   w.Tokens,
+			Silent:   w.Silent,
 		})
 	}
 	return s.roster.TellWords(words, addrs[:min(wordsFan, len(addrs))])
@@ -91,6 +92,7 @@
 			Requests: w.Requests,
 			Waiting:  min(w.Waiting, w.Requests),
 			Tokens:   w.Tokens,
+			Silent:   w.Silent,
 			At:       now - w.Age,
 		})
 	}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -207,7 +207,7 @@
 		return Closed
 	case slices.Contains(req.Tried, r.info.ID):
 		return Tried
-	case r.Out(now):
+	case r.Out(now), r.silent(now):
 		return Out
 	}
 	return None
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -240,6 +240,7 @@
 		Prompt:  k.shared + own,
 		Out:     out,
 		Gap:     replayGap,
+		Steps:   replayStride,
 		Rank:    k.rank,
 		Parts: []placement.Part{{
 			ID:     part,
@@ -426,7 +427,9 @@
 		alone := play("knows all", 1, loads)
 		for _, boxes := range []int{9, 32, 98} {
 			play("nothing", boxes, blind)
-			play("loads", boxes, loads)
+			if boxes == 32 {
+				play("loads", boxes, loads)
+			}
 			got := play("words", boxes, byWords)
 			if boxes > 32 {
 				continue // callers are told to use fewer
--- a/placement/risk.go
+++ b/placement/risk.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Figures of the risk that an answer comes late, in thousandths of what it is
 // worth in time.
@@ -48,19 +51,20 @@
 	pieceTime   = 58 * time.Millisecond  // of a piece at the beginning of a prompt; the sheet gives 53, pauses seen were a tenth longer
 	depthTime   = 1500 * time.Nanosecond // and for each token that lies before it
 	stepTime    = 8 * time.Millisecond   // of a step with some thirty requests
-	stepsEvent  = 5                      // steps until the next event of a stream
-	besideTime  = 4 * time.Millisecond   // that the prompts of others add in the meantime, for each request that runs: 8 prompts of 20 ms a second where 20 run
+	stepsEvent  = 5.0                    // steps until the next event of a stream, until its service's are learned
+	besideTime  = 4 * time.Millisecond   // that the prompts of others add in five steps, for each request that runs: 8 prompts of 20 ms a second where 20 run
 	pauseCalm   = 0.85                   // share of the aim for pauses below which no stream is late
 	harmEach    = 300.0                  // thousandths of a request's worth that a stream loses by being late
 )
 
-// pause returns the longest pause between two events of a stream while an engine
-// reads the last so many tokens of a prompt.
-func pause(prompt, unread, running int) time.Duration {
-	pieces := min(float64(unread)/pieceTokens, stepsEvent)
-	depth := max(prompt-stepsEvent*pieceTokens/2, prompt/2)
-	piece := pieceTime + time.Duration(depth)*depthTime
-	return stepsEvent*stepTime + scale(pieces, piece) + time.Duration(running)*besideTime
+// pause returns the longest pause between two events of a stream, which so many steps
+// of the engine make, while it reads the last so many tokens of a prompt.
+func pause(prompt, unread, running int, steps float64) time.Duration {
+	pieces := min(float64(unread)/pieceTokens, steps)
+	depth := max(float64(prompt)-steps*pieceTokens/2, float64(prompt)/2)
+	piece := pieceTime + scale(depth, depthTime)
+	beside := scale(float64(running)*steps/stepsEvent, besideTime)
+	return scale(steps, stepTime) + scale(pieces, piece) + beside
 }
 
 // Harm returns what reading a prompt, of whose shared parts so many tokens are
@@ -70,7 +74,8 @@
 	if req.Gap <= 0 || req.Prompt == 0 {
 		return 0
 	}
-	share := float64(pause(req.Prompt, missing+req.Own(), running)) / float64(req.Gap)
+	steps := cmp.Or(req.Steps, stepsEvent)
+	share := float64(pause(req.Prompt, missing+req.Own(), running, steps)) / float64(req.Gap)
 	return harmEach * min(max((share-pauseCalm)/(1-pauseCalm), 0), 1) * float64(running)
 }
 
--- a/placement/view.go
+++ b/placement/view.go
@@ -25,11 +25,13 @@
 	closed   map[string]bool
 	pacer    *pacing.Pacer
 
-	othersFor time.Duration    // what another box told counts so long
-	byWords   bool             // loads are known by the replicas' own words
-	boxes     int              // of the region that callers are told to use
-	usual     map[string]usual // by service
-	means     map[string]mean  // by service
+	othersFor time.Duration      // what another box told counts so long
+	byWords   bool               // loads are known by the replicas' own words
+	changed   []Belief           // by words, not asked for yet
+	boxes     int                // of the region that callers are told to use
+	usual     map[string]usual   // by service
+	means     map[string]mean    // by service
+	steps     map[string]float64 // of an engine until the next event, by service
 }
 
 // NewView returns the view of a box in a failure domain of a region.
@@ -45,6 +47,7 @@
 		boxes:     1,
 		usual:     make(map[string]usual),
 		means:     make(map[string]mean),
+		steps:     make(map[string]float64),
 	}
 }
 
--- a/placement/word.go
+++ b/placement/word.go
@@ -12,14 +12,16 @@
 const (
 	wordFor    = 4 * time.Second // a word counts so long: each is asked for twice a second, and passed on among boxes within a second
 	begunMost  = 64              // own requests to a replica remembered since its word
+	silentFor  = 2 * time.Second // an engine that didn't answer another box is left out so long, unless it is heard here
 	usualShare = 0.02            // weight of the newest request in the usual one's figures
 )
 
 // Word is what a replica said of its load.
 type Word struct {
-	Requests int // that it has, of all boxes
-	Waiting  int // of them, those that have not begun to run
-	Tokens   int // of memory that they hold; 0 where it doesn't say
+	Requests int  // that it has, of all boxes
+	Waiting  int  // of them, those that have not begun to run
+	Tokens   int  // of memory that they hold; 0 where it doesn't say
+	Silent   bool // it didn't answer, and the rest says nothing
 	At       time.Duration
 }
 
@@ -47,6 +49,9 @@
 	v.boxes = max(boxes, 1)
 }
 
+// GoesByWords says whether loads are known by the replicas' own words.
+func (v *View) GoesByWords() bool { return v.byWords }
+
 // Says takes in a replica's word. It returns false for one that is no later than that
 // known, or of a replica that isn't.
 func (v *View) Says(replica string, w Word) bool {
@@ -54,11 +59,39 @@
 	if !ok || w.At <= r.word.At {
 		return false
 	}
+	if w.Silent != r.word.Silent {
+		v.changed = append(v.changed, silence(replica, w.Silent))
+	}
 	r.word = w
 	r.begun = slices.DeleteFunc(r.begun, func(b begun) bool { return b.at <= w.At })
 	return true
 }
 
+// silence returns the belief that an engine answers another box no more, or again.
+func silence(replica string, silent bool) Belief {
+	out := Belief{
+		About:  replica,
+		Reason: "answers a box again",
+	}
+	if silent {
+		out.Reason = "doesn't answer a box"
+	}
+	return out
+}
+
+// Changed returns what is believed of replicas since it was last asked, by their words.
+func (v *View) Changed() []Belief {
+	out := v.changed
+	v.changed = nil
+	return out
+}
+
+// silent says whether a replica didn't answer another box of late, and nothing was heard
+// from it here since.
+func (r *Replica) silent(now time.Duration) bool {
+	return r.word.Silent && now-r.word.At < silentFor && r.heard <= r.word.At
+}
+
 // Words returns the words that still count, the latest first.
 func (v *View) Words(now time.Duration) []ReplicaWord {
 	var out []ReplicaWord
@@ -100,7 +133,7 @@
 // spoken returns the work at a replica by its last word and what this box sent since;
 // false where it said nothing of late.
 func (r *Replica) spoken(u usual, now time.Duration) (l Load, ok bool) {
-	if r.word.At == 0 || now-r.word.At >= wordFor {
+	if r.word.At == 0 || r.word.Silent || now-r.word.At >= wordFor {
 		return Load{}, false
 	}
 	l = Load{
--- a/placement/word_test.go
+++ b/placement/word_test.go
@@ -100,3 +100,32 @@
 	is.Equal(b.Outlook(ask("engine", "k"), alone, start+time.Millisecond).Busy, 0.75) // of eight slots
 	is.Equal(b.Outlook(ask("plain", "k"), alone, start+time.Millisecond).Busy, 0.0)
 }
+
+func TestAnEngineThatAnswersNoOtherBoxIsLeftOutUnlessItIsHeardHere(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("engine", 2)...)
+	b.ByWords(true, 32)
+	silent := placement.Word{
+		Silent: true,
+		At:     start,
+	}
+	is.True(b.Says("engine-0", silent))
+	is.Equal(b.Changed(), []placement.Belief{{About: "engine-0", Reason: "doesn't answer a box"}})
+	for n := range 20 {
+		c := b.Pick(ask("engine", fmt.Sprint(n)), alone, start+time.Millisecond)
+		is.Equal(c.Replica, "engine-1")
+		b.End(&c, placement.Answered, time.Millisecond, start+time.Millisecond)
+	}
+	is.Equal(b.Outlook(ask("engine", "k"), alone, start+time.Second).Usable, 1)
+	is.Equal(b.Outlook(ask("engine", "k"), alone, start+3*time.Second).Usable, 2) // the word is old
+	silent.At = start + 4*time.Second
+	req := ask("engine", "k")
+	req.Tried = []string{"engine-1"}
+	c := b.Pick(req, alone, silent.At-time.Millisecond)
+	is.Equal(c.Replica, "engine-0")
+	b.Says("engine-0", silent)
+	b.First(&c, time.Millisecond, silent.At+time.Millisecond)
+	is.Equal(b.Outlook(ask("engine", "k"), alone, silent.At+2*time.Millisecond).Usable, 2) // it is only the other box that can't hear it
+	is.True(b.says("engine-0", 1, 0, silent.At+time.Second))
+	is.Equal(len(b.Changed()), 1)
+}
--- a/roster/compact.go
+++ b/roster/compact.go
@@ -67,8 +67,9 @@
 	Replica  ReplicaID
 	Age      time.Duration // rounded up to 20 ms, 5.1 s at most
 	Requests int
-	Waiting  int // of the requests
-	Tokens   int // of memory that they hold, rounded up to 16; 0 where it didn't say
+	Waiting  int  // of the requests
+	Tokens   int  // of memory that they hold, rounded up to 16; 0 where it didn't say
+	Silent   bool // it didn't answer
 }
 
 // Compact is a compact datagram, which boxes send where they are many: it names them
@@ -110,6 +111,7 @@
 	bitAgreed = 1 << 3
 	bitAbsent = 1 << 2
 	maskState = 0x03
+	bitSilent = 1 // of the number of a word's requests, which begins above it
 )
 
 // encode returns b as a datagram.
@@ -242,7 +244,11 @@
 func appendWord(out []byte, w CompactWord) []byte {
 	out = binary.BigEndian.AppendUint32(out, uint32(w.Replica))
 	out = append(out, byte(min(max(0, (w.Age+wordUnit-1)/wordUnit), math.MaxUint8)))
-	out = binary.AppendUvarint(out, uint64(max(0, w.Requests)))
+	requests := uint64(max(0, w.Requests)) << 1
+	if w.Silent {
+		requests |= bitSilent
+	}
+	out = binary.AppendUvarint(out, requests)
 	out = binary.AppendUvarint(out, uint64(max(0, w.Waiting)))
 	return binary.AppendUvarint(out, uint64(max(0, w.Tokens+tokenUnit-1)/tokenUnit))
 }
--- a/roster/compact_test.go
+++ b/roster/compact_test.go
@@ -82,6 +82,7 @@
 				Requests: number(),
 				Waiting:  number(),
 				Tokens:   tokens(),
+				Silent:   rapid.Bool().Draw(t, "silent"),
 			}
 		}),
 	}
--- a/roster/parse.go
+++ b/roster/parse.go
@@ -140,13 +140,16 @@
 
 // word reads what appendWord writes.
 func (p *parser) word() CompactWord {
-	return CompactWord{
-		Replica:  ReplicaID(p.four()),
-		Age:      time.Duration(p.byte()) * wordUnit,
-		Requests: p.number(),
-		Waiting:  p.number(),
-		Tokens:   p.number() * tokenUnit,
+	out := CompactWord{
+		Replica: ReplicaID(p.four()),
+		Age:     time.Duration(p.byte()) * wordUnit,
 	}
+	requests := p.number()
+	out.Silent = requests&bitSilent != 0
+	out.Requests = requests >> 1
+	out.Waiting = p.number()
+	out.Tokens = p.number() * tokenUnit
+	return out
 }
 
 // rooms reads what appendRooms writes.
--- a/roster/words.go
+++ b/roster/words.go
@@ -1,5 +1,7 @@
 package roster
 
+import "time"
+
 // mostWords bounds the replicas' words in one datagram: some 12 bytes each at most.
 const mostWords = 90
 
@@ -7,6 +9,9 @@
 // many that takes too many bytes, and they tell the replicas' own words.
 func (t *Table) TellsLoads() bool { return t.pace.plain || t.pace.loads > 0 }
 
+// HeardWithin says whether a datagram of another box came within a time.
+func (t *Table) HeardWithin(d, now time.Duration) bool { return now-t.agreement.heard <= d }
+
 // TellWords returns what tells boxes at some addresses the replicas' words. It isn't
 // paid for by the pace: its bytes don't grow with the number of boxes.
 func (t *Table) TellWords(words []CompactWord, addrs []string) []Packet {
