--- a/placement/among.go
+++ b/placement/among.go
@@ -29,11 +29,7 @@
 	if !v.byWords {
 		return v.byName
 	}
-	chance := amongChance
-	if req.Shared() >= tellTokens {
-		chance = 0
-	}
-	out := v.top(req.Key, chance, req, now)
+	out := v.top(req.Key, amongChance, req, now)
 	if len(req.Parts) == 0 {
 		return out
 	}
