--- a/node/dump.go
+++ b/node/dump.go
@@ -13,6 +13,7 @@
 	Revision int64         `json:"catalog_revision"`
 	AgeS     float64       `json:"catalog_age_s"`
 	Follows  bool          `json:"follows"`       // other boxes watch the catalog for this one
+	Taking   bool          `json:"takes_callers"` // callers are told to use it; in a region of many boxes some stand by
 	Sharing  int           `json:"sharing_boxes"` // boxes among which the region's quotas are shared; 0 until all are known
 	Closed   []string      `json:"closed_failure_domains"`
 	Boxes    []BoxDump     `json:"boxes"`
@@ -43,6 +44,7 @@
 	Unread   int     `json:"unread_tokens"`
 	Failing  float64 `json:"failing"`
 	Slow     float64 `json:"slow"`
+	WordMs   int64   `json:"word_age_ms,omitempty"` // of its own word of its load, where boxes go by these
 	Revision int64   `json:"revision"`
 }
 
@@ -71,6 +73,7 @@
 func (s *state) dump(d *Dump, now time.Duration) {
 	d.Revision = s.content.Newest()
 	d.Sharing = len(s.sharers(now))
+	d.Taking = s.taking[s.settings.Region].has(s.settings.Box)
 	d.Closed = s.content.Evacuated()
 	for m := range s.roster.All() {
 		d.Boxes = append(d.Boxes, BoxDump{
@@ -82,7 +85,7 @@
 		})
 	}
 	for _, r := range s.view.Replicas() {
-		all := r.Load(now)
+		all := s.view.Load(r, now)
 		d.Replicas = append(d.Replicas, ReplicaDump{
 			ID:       r.ID(),
 			Service:  r.Info().Service,
@@ -96,6 +99,7 @@
 			Unread:   all.Unread,
 			Failing:  r.Failing(now),
 			Slow:     r.Slow(now),
+			WordMs:   max(0, r.WordAge(now).Milliseconds()),
 			Revision: r.Info().Revision,
 		})
 	}
--- a/placement/outlook.go
+++ b/placement/outlook.go
@@ -30,7 +30,7 @@
 	reads := 0
 	for _, r := range v.byName {
 		if r.info.Service == req.Service && v.unusable(r, req, now) == None {
-			l := v.load(r, now)
+			l := v.Load(r, now)
 			if out.Usable == 0 || l.Requests < out.Fewest {
 				out.Fewest = l.Requests
 			}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -240,7 +240,7 @@
 func (v *View) weigh(r *Replica, req Request, keeper *Replica, first bool, usual, now time.Duration) weighed {
 	w := weighed{
 		r:    r,
-		load: v.load(r, now),
+		load: v.Load(r, now),
 	}
 	if r.service == nil || r.service.Engine == nil {
 		w.expect = scale(r.Slow(now), r.queueing(w.load, usual)+cmp.Or(r.hold, usual))
--- a/placement/word.go
+++ b/placement/word.go
@@ -79,6 +79,14 @@
 	return out
 }
 
+// WordAge returns how old a replica's word is; below 0 where it said nothing of late.
+func (r *Replica) WordAge(now time.Duration) time.Duration {
+	if r.word.At == 0 || now-r.word.At >= wordFor {
+		return -1
+	}
+	return now - r.word.At
+}
+
 // Changed returns what is believed of replicas since it was last asked, by their words.
 func (v *View) Changed() []Belief {
 	out := v.changed
@@ -152,8 +160,10 @@
 	return l, true
 }
 
-// load returns all work at a replica, as believed at now.
-func (v *View) load(r *Replica, now time.Duration) Load {
+// Load returns all work at a replica, as believed at now: by its own word where many
+// boxes go by these, and no less than the mean of its service's then. An engine with less
+// looked best to all boxes until the next words came, and got requests of all of them.
+func (v *View) Load(r *Replica, now time.Duration) Load {
 	if !v.byWords {
 		return r.Load(now)
 	}
