node, placement: One way to rank replicas, shorter functions, and no counts of engines that are gone

first was top of one; naming boxes had its condition twice; what engines didn't answer was remembered of each that ever was.

--- a/control/measure.go
+++ b/control/measure.go
@@ -55,7 +55,7 @@
   bundle  how fast a bundle is in force, and what that costs, over real sockets
   relay   answers through a box beside direct ones, over real sockets
   control what one more box, replica, organisation, change, request or token costs
-  capacity works the tables of docs/CAPACITY.md out anew
+  capacity works the tables of docs/measured/capacity.md out anew
   policy  routing and admission beside baselines, in virtual time
 `
 }
@@ -71,7 +71,7 @@
 	f.IntVar(&c.changes, "changes", 10, "changes (bundle)")
 	f.IntVar(&c.touch, "touch", 1, "organisations that each change touches (bundle)")
 	f.Float64Var(&c.rate, "rate", control.ChangeRate, "changes a second (bundle)")
-	f.StringVar(&c.page, "page", "docs/CAPACITY.md", "page to fill (capacity)")
+	f.StringVar(&c.page, "page", "docs/measured/capacity.md", "page to fill (capacity)")
 	f.StringVar(&c.slopes, "slopes", "docs/measured/slopes.jsonl", "measured slopes (capacity)")
 	f.StringVar(&c.name, "case", "", "one case or slope only (policy, control)")
 	return f
--- a/measure/capacity/capacity.go
+++ b/measure/capacity/capacity.go
@@ -1,5 +1,5 @@
 // Package capacity works out what each role of a box costs at the size to design
-// for, from slopes that were measured. docs/CAPACITY.md holds its table, and a
+// for, from slopes that were measured. docs/measured/capacity.md holds its table, and a
 // test holds the page to it.
 package capacity
 
--- a/measure/capacity/capacity_test.go
+++ b/measure/capacity/capacity_test.go
@@ -14,7 +14,7 @@
 	defer func() { _ = f.Close() }()
 	slopes, order, err := Read(f)
 	is.NoErr(err)
-	page, err := os.ReadFile("../../docs/CAPACITY.md")
+	page, err := os.ReadFile("../../docs/measured/capacity.md")
 	is.NoErr(err)
 	want, err := Page(string(page), Letter(), slopes, order)
 	is.NoErr(err)
--- a/node/state.go
+++ b/node/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -108,6 +109,7 @@
 func (s *state) takeView(now time.Duration) []placement.Belief {
 	out := s.view.Take(s.content, now)
 	s.shorten()
+	maps.DeleteFunc(s.unanswered, func(id string, _ int) bool { return s.view.Get(id) == nil })
 	return out
 }
 
--- a/node/which.go
+++ b/node/which.go
@@ -91,16 +91,19 @@
 // is empty then.
 func (s *state) named(own wire.ServingState, now time.Duration, want wire.ServingState, in func(region string) bool) []string {
 	var out []string
-	for m := range s.roster.All() {
-		if m.State() != want || m.Status.Callers == "" || !s.roster.Alive(m.Status.Box, now) || !in(m.Status.Region) {
-			continue
+	consider := func(box, region, callers string) {
+		standsBy := want == wire.ServingStateServing && !s.taking[region].has(box)
+		if in(region) && !standsBy {
+			out = append(out, callers)
 		}
-		if want != wire.ServingStateServing || s.taking[m.Status.Region].has(m.Status.Box) {
-			out = append(out, m.Status.Callers)
+	}
+	for m := range s.roster.All() {
+		if m.State() == want && m.Status.Callers != "" && s.roster.Alive(m.Status.Box, now) {
+			consider(m.Status.Box, m.Status.Region, m.Status.Callers)
 		}
 	}
-	if s.table != nil && own == want && in(s.settings.Region) && (want != wire.ServingStateServing || s.taking[s.settings.Region].has(s.settings.Box)) {
-		out = append(out, s.settings.Callers)
+	if s.table != nil && own == want {
+		consider(s.settings.Box, s.settings.Region, s.settings.Callers)
 	}
 	return out
 }
--- a/node/words.go
+++ b/node/words.go
@@ -63,13 +63,25 @@
 			addrs = append(addrs, m.Status.Peers)
 		}
 	}
-	for i := range min(wordsFan, len(addrs)) {
-		j := i + draw(len(addrs)-i)
-		addrs[i], addrs[j] = addrs[j], addrs[i]
+	return s.roster.TellWords(s.compactWords(now), chosen(addrs, wordsFan, draw))
+}
+
+// chosen moves n of a list that are drawn to its beginning and returns them, or all
+// where there are fewer.
+func chosen(list []string, n int, draw func(n int) int) []string {
+	n = min(n, len(list))
+	for i := range n {
+		j := i + draw(len(list)-i)
+		list[i], list[j] = list[j], list[i]
 	}
-	var words []roster.CompactWord
+	return list[:n]
+}
+
+// compactWords returns the replicas' words as boxes tell them, the latest first.
+func (s *state) compactWords(now time.Duration) []roster.CompactWord {
+	var out []roster.CompactWord
 	for _, w := range s.view.Words(now) {
-		words = append(words, roster.CompactWord{
+		out = append(out, roster.CompactWord{
 			Replica:  roster.ReplicaIDOf(w.Replica),
 			Age:      now - w.At,
 			Requests: w.Requests,
@@ -78,7 +90,7 @@
 			Silent:   w.Silent,
 		})
 	}
-	return s.roster.TellWords(words, addrs[:min(wordsFan, len(addrs))])
+	return out
 }
 
 // hearWords takes in the replicas' words that another box passes on.
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -216,22 +216,13 @@
 // first returns the usable replica with the highest weight for the request's
 // shared parts, nil for none. Boxes of one region agree on it without talking.
 func (v *View) first(req Request, now time.Duration) *Replica {
-	var best *Replica
-	var top uint64
 	if len(req.Parts) == 0 {
 		return nil
 	}
-	key := req.Subject()
-	for _, r := range v.byName {
-		if r.info.Service != req.Service || v.unusable(r, req, now) != None {
-			continue
-		}
-		if score := rendezvous.Score(key, r.info.ID); best == nil || score > top {
-			best = r
-			top = score
-		}
+	if best := v.top(req.Subject(), 1, req, now); len(best) > 0 {
+		return best[0]
 	}
-	return best
+	return nil
 }
 
 // weigh returns what a request would cost at a replica; keeper is the replica that most
--- a/roster/pace.go
+++ b/roster/pace.go
@@ -11,7 +11,7 @@
 	leastBytes   = 1_200            // a second sent by one box however many there are; with as many received 2,400 of the 3,000 for control
 	steepness    = 1.5              // power of the number of boxes by which the budget of one falls; 12 KB/s at 86, where with 1 loads were known too late
 	headerBytes  = 28               // of UDP and IPv4 in front of each datagram
-	plainNear    = 450              // of a whole status with the loads of a usual day, docs/CAPACITY.md
+	plainNear    = 450              // of a whole status with the loads of a usual day, docs/measured/capacity.md
 	plainFar     = 900              // the same with others' statuses
 	debtTicks    = 1                // of the budget that news and answers may take in advance; what they take beyond it is not saved up again, for heartbeats must go on
 	savedTicks   = 2                // of the budget that are kept when less was sent
