--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -1,14 +1,13 @@
 package node
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/measure/virtual"
 	"github.com/havenrudder/havenrudder/placement"
 	"github.com/havenrudder/havenrudder/roster"
 	"github.com/havenrudder/havenrudder/wire"
@@ -28,32 +27,6 @@
 	repeatWindow = 10 * time.Second
 )
 
-// action is something that happens at a time.
-type action struct {
-	at  time.Duration
-	n   int // order of actions at the same time
-	act func()
-}
-
-// agenda holds actions, the next one first.
-type agenda []action
-
-var _ heap.Interface = (*agenda)(nil)
-
-func (a agenda) Len() int      { return len(a) }
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a agenda) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(a[i].at, a[j].at), cmp.Compare(a[i].n, a[j].n)) < 0
-}
-func (a *agenda) Push(x any) { *a = append(*a, x.(action)) }
-func (a *agenda) Pop() any {
-	last := len(*a) - 1
-	x := (*a)[last]
-	(*a)[last] = action{} // so that it holds nothing in memory
-	*a = (*a)[:last]
-	return x
-}
-
 // machine is one place of an installation and the process in it, if any.
 type machine struct {
 	name   string
@@ -77,9 +50,8 @@
 // them. Each region has a cold replica for which all its boxes have requests.
 type installation struct {
 	rnd      *rand.Rand
-	now      time.Duration
-	count    int
-	agenda   agenda
+	clock    virtual.Clock
+	now      time.Duration // of the clock
 	machines []*machine
 	byAddr   map[string]*machine
 	seeds    []string
@@ -122,23 +94,16 @@
 
 // after has something done later.
 func (in *installation) after(d time.Duration, act func()) {
-	in.count++
-	heap.Push(&in.agenda, action{
-		at:  in.now + d,
-		n:   in.count,
-		act: act,
+	in.clock.After(d, func() {
+		in.now = in.clock.Now()
+		act()
 	})
 }
 
 // run lets time pass.
 func (in *installation) run(d time.Duration) {
-	until := in.now + d
-	for len(in.agenda) > 0 && in.agenda[0].at <= until {
-		a := heap.Pop(&in.agenda).(action)
-		in.now = a.at
-		a.act()
-	}
-	in.now = until
+	in.clock.RunUntil(in.clock.Now() + d)
+	in.now = in.clock.Now()
 }
 
 // upTo returns a random time below d.
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -1,7 +1,6 @@
 package placement_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/measure/virtual"
 	"github.com/havenrudder/havenrudder/pacing"
 	"github.com/havenrudder/havenrudder/placement"
 )
@@ -62,53 +62,6 @@
 
 const replayGap = 600 * time.Millisecond // between events that is aimed at
 
-// replayRun is a request at an engine.
-type replayRun struct {
-	kind   *replayKind
-	box    int
-	choice placement.Choice
-	part   string
-	start  time.Duration
-	unread int
-	made   int
-	first  bool
-	last   time.Duration // of its last event
-	pause  time.Duration
-}
-
-// replayEngine runs requests in steps.
-type replayEngine struct {
-	wait  []*replayRun // not read whole yet, in order
-	runs  []*replayRun
-	kept  map[string]time.Duration // parts, and when they were last used
-	used  int                      // tokens of them
-	steps bool                     // a step is under way
-}
-
-// replayEvent is something that happens at a time.
-type replayEvent struct {
-	at  time.Duration
-	n   int
-	act func()
-}
-
-type replayAgenda []replayEvent
-
-var _ heap.Interface = (*replayAgenda)(nil)
-
-func (a replayAgenda) Len() int      { return len(a) }
-func (a replayAgenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a replayAgenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].n < a[j].n)
-}
-func (a *replayAgenda) Push(x any) { *a = append(*a, x.(replayEvent)) }
-func (a *replayAgenda) Pop() any {
-	last := len(*a) - 1
-	x := (*a)[last]
-	*a = (*a)[:last]
-	return x
-}
-
 // knowledge is what boxes know of each other's requests.
 type knowledge int
 
@@ -121,9 +74,7 @@
 // replay is a region: boxes before engines, in virtual time.
 type replay struct {
 	rnd     *rand.Rand
-	now     time.Duration
-	n       int
-	agenda  replayAgenda
+	clock   virtual.Clock
 	engines []*replayEngine
 	boxes   []*placement.View
 	names   []string
@@ -144,8 +95,8 @@
 		know: know,
 		load: load,
 		seen: make(map[string]bool),
-		now:  start,
 	}
+	c.clock.RunUntil(start)
 	var list []catalog.Replica
 	for n := range replayEngines {
 		c.engines = append(c.engines, &replayEngine{
@@ -186,33 +137,16 @@
 	return c
 }
 
-func (c *replay) after(d time.Duration, act func()) {
-	c.n++
-	heap.Push(&c.agenda, replayEvent{
-		at:  c.now + d,
-		n:   c.n,
-		act: act,
-	})
-}
-
-// play lets requests come for a time, and counts those that come after the first second.
+// play lets requests come for a time.
 func (c *replay) play(d time.Duration) {
-	until := c.now + d
 	for i := range replayKinds {
 		c.arrive(&replayKinds[i])
 	}
 	c.tell()
-	for len(c.agenda) > 0 {
-		e := heap.Pop(&c.agenda).(replayEvent)
-		if e.at > until {
-			break
-		}
-		c.now = e.at
-		e.act()
-	}
+	c.clock.RunUntil(c.clock.Now() + d)
 	for _, e := range c.engines {
 		for _, r := range e.runs {
-			if r.first && r.pause <= replayGap && c.now-r.last <= replayGap {
+			if r.first && r.pause <= replayGap && c.clock.Now()-r.last <= replayGap {
 				c.inTime++ // as far as it is known
 			}
 		}
@@ -221,7 +155,7 @@
 
 func (c *replay) arrive(k *replayKind) {
 	gap := c.rnd.ExpFloat64() / (k.rate * c.load)
-	c.after(time.Duration(gap*float64(time.Second)), func() {
+	c.clock.After(time.Duration(gap*float64(time.Second)), func() {
 		c.send(k)
 		c.arrive(k)
 	})
@@ -236,7 +170,7 @@
 	c.owed++
 	choice := c.boxes[b].Pick(placement.Request{
 		Service: "engine",
-		Key:     fmt.Sprint(c.n, c.rnd.Uint64()),
+		Key:     fmt.Sprint(c.rnd.Uint64()),
 		Prompt:  k.shared + own,
 		Out:     out,
 		Gap:     replayGap,
@@ -246,7 +180,7 @@
 			ID:     part,
 			Tokens: k.shared,
 		}},
-	}, c.names, c.now)
+	}, c.names, c.clock.Now())
 	if choice.Reason != placement.None {
 		c.refused++
 		return
@@ -258,83 +192,13 @@
 		box:    b,
 		choice: choice,
 		part:   part,
-		start:  c.now,
+		start:  c.clock.Now(),
 		unread: own,
 		made:   -out,
 	}
 	c.engines[n].take(c, r)
 }
 
-// take lets a request in.
-func (e *replayEngine) take(c *replay, r *replayRun) {
-	if _, ok := e.kept[r.part]; !ok {
-		r.unread += r.kind.shared
-		if c.seen[r.part] {
-			c.again += r.kind.shared
-		}
-		c.seen[r.part] = true
-		e.used += r.kind.shared
-		for e.used > replayMemory/2 { // the rest is for what runs
-			e.forget()
-		}
-	}
-	e.kept[r.part] = c.now
-	e.wait = append(e.wait, r)
-	c.worst = max(c.worst, len(e.wait)+len(e.runs))
-	if !e.steps {
-		e.steps = true
-		e.step(c)
-	}
-}
-
-// forget drops the part that was not used for longest.
-func (e *replayEngine) forget() {
-	oldest := ""
-	for p, at := range e.kept {
-		if oldest == "" || at < e.kept[oldest] {
-			oldest = p
-		}
-	}
-	shared := 0
-	_, _ = fmt.Sscanf(oldest, "%d-", &shared)
-	e.used -= shared
-	delete(e.kept, oldest)
-}
-
-// step makes a token for each request that runs, and reads a piece of those that wait.
-func (e *replayEngine) step(c *replay) {
-	if len(e.wait)+len(e.runs) == 0 {
-		e.steps = false
-		return
-	}
-	took := replayStep + time.Duration(len(e.runs))*replayStepMore
-	left := replayChunk
-	var read []*replayRun
-	for len(e.wait) > 0 && left > 0 && len(e.runs)+len(read) < replaySlots {
-		r := e.wait[0]
-		n := min(left, r.unread)
-		left -= n
-		r.unread -= n
-		if r.unread > 0 {
-			break
-		}
-		read = append(read, r)
-		e.wait = e.wait[1:]
-	}
-	took += time.Duration(float64(replayChunk-left) / replayReadRate * float64(time.Millisecond))
-	c.after(took, func() {
-		e.runs = append(e.runs, read...)
-		kept := e.runs[:0]
-		for _, r := range e.runs {
-			if !c.token(r) {
-				kept = append(kept, r)
-			}
-		}
-		e.runs = kept
-		e.step(c)
-	})
-}
-
 // token makes a token of a request's answer, and says whether it was the last.
 func (c *replay) token(r *replayRun) (done bool) {
 	r.made++
@@ -344,22 +208,22 @@
 	v := c.boxes[r.box]
 	if !r.first {
 		r.first = true
-		v.First(&r.choice, c.now-r.start, c.now)
+		v.First(&r.choice, c.clock.Now()-r.start, c.clock.Now())
 		r.pause = 0
-		if c.now-r.start > r.kind.goal {
+		if c.clock.Now()-r.start > r.kind.goal {
 			r.pause = time.Hour // late already
 		}
 	} else {
-		r.pause = max(r.pause, c.now-r.last)
+		r.pause = max(r.pause, c.clock.Now()-r.last)
 	}
-	r.last = c.now
+	r.last = c.clock.Now()
 	if r.made < 0 {
 		return false
 	}
-	v.End(&r.choice, placement.Answered, c.now-r.start, c.now)
+	v.End(&r.choice, placement.Answered, c.clock.Now()-r.start, c.clock.Now())
 	if r.pause <= replayGap {
 		c.inTime++
-	} else if c.now-r.start <= r.kind.left {
+	} else if c.clock.Now()-r.start <= r.kind.left {
 		c.late++
 	}
 	return true
@@ -370,19 +234,19 @@
 	switch c.know {
 	case loads:
 		for b, v := range c.boxes {
-			told := v.Tell(c.now)
+			told := v.Tell(c.clock.Now())
 			for o, other := range c.boxes {
 				if o != b {
-					other.Told(c.names[b], told, c.now)
+					other.Told(c.names[b], told, c.clock.Now())
 				}
 			}
 		}
-		c.after(250*time.Millisecond, c.tell)
+		c.clock.After(250*time.Millisecond, c.tell)
 	case byWords:
 		for n, e := range c.engines {
 			c.spread(n, e)
 		}
-		c.after(400*time.Millisecond, c.tell)
+		c.clock.After(400*time.Millisecond, c.tell)
 	case blind:
 	}
 }
@@ -397,13 +261,13 @@
 		Requests: len(e.runs) + len(e.wait),
 		Waiting:  len(e.wait),
 		Tokens:   tokens,
-		At:       c.now,
+		At:       c.clock.Now(),
 	}
 	id := fmt.Sprintf("engine-%02d", n)
 	rounds := math.Log(float64(len(c.boxes))) / math.Log(3)
 	for _, v := range c.boxes {
 		lag := 100*time.Millisecond + time.Duration(c.rnd.Float64()*2*rounds*float64(250*time.Millisecond)/2)
-		c.after(lag, func() { v.Says(id, w) })
+		c.clock.After(lag, func() { v.Says(id, w) })
 	}
 }
 
--- /dev/null
+++ b/placement/replayengine_test.go
@@ -0,0 +1,101 @@
+package placement_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+// replayRun is a request at an engine.
+type replayRun struct {
+	kind   *replayKind
+	box    int
+	choice placement.Choice
+	part   string
+	start  time.Duration
+	unread int
+	made   int
+	first  bool
+	last   time.Duration // of its last event
+	pause  time.Duration
+}
+
+// replayEngine runs requests in steps.
+type replayEngine struct {
+	wait  []*replayRun // not read whole yet, in order
+	runs  []*replayRun
+	kept  map[string]time.Duration // parts, and when they were last used
+	used  int                      // tokens of them
+	steps bool                     // a step is under way
+}
+
+// take lets a request in.
+func (e *replayEngine) take(c *replay, r *replayRun) {
+	if _, ok := e.kept[r.part]; !ok {
+		r.unread += r.kind.shared
+		if c.seen[r.part] {
+			c.again += r.kind.shared
+		}
+		c.seen[r.part] = true
+		e.used += r.kind.shared
+		for e.used > replayMemory/2 { // the rest is for what runs
+			e.forget()
+		}
+	}
+	e.kept[r.part] = c.clock.Now()
+	e.wait = append(e.wait, r)
+	c.worst = max(c.worst, len(e.wait)+len(e.runs))
+	if !e.steps {
+		e.steps = true
+		e.step(c)
+	}
+}
+
+// forget drops the part that was not used for longest.
+func (e *replayEngine) forget() {
+	oldest := ""
+	for p, at := range e.kept {
+		if oldest == "" || at < e.kept[oldest] {
+			oldest = p
+		}
+	}
+	shared := 0
+	_, _ = fmt.Sscanf(oldest, "%d-", &shared)
+	e.used -= shared
+	delete(e.kept, oldest)
+}
+
+// step makes a token for each request that runs, and reads a piece of those that wait.
+func (e *replayEngine) step(c *replay) {
+	if len(e.wait)+len(e.runs) == 0 {
+		e.steps = false
+		return
+	}
+	took := replayStep + time.Duration(len(e.runs))*replayStepMore
+	left := replayChunk
+	var read []*replayRun
+	for len(e.wait) > 0 && left > 0 && len(e.runs)+len(read) < replaySlots {
+		r := e.wait[0]
+		n := min(left, r.unread)
+		left -= n
+		r.unread -= n
+		if r.unread > 0 {
+			break
+		}
+		read = append(read, r)
+		e.wait = e.wait[1:]
+	}
+	took += time.Duration(float64(replayChunk-left) / replayReadRate * float64(time.Millisecond))
+	c.clock.After(took, func() {
+		e.runs = append(e.runs, read...)
+		kept := e.runs[:0]
+		for _, r := range e.runs {
+			if !c.token(r) {
+				kept = append(kept, r)
+			}
+		}
+		e.runs = kept
+		e.step(c)
+	})
+}
