--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -24,6 +24,7 @@
 	maxBackOff   = 600 * time.Millisecond // so that a publisher that is back is used within a second
 	lapseWait    = 2 * time.Second        // entries that lapsed while the publisher was away are back within this time
 	followLook   = 200 * time.Millisecond // between two looks whether it still follows
+	neverRead    = math.MaxInt64          // the age of what was never read, in nanoseconds
 )
 
 // Source is where the catalog is read. Read returns all of it. Wait returns what
@@ -72,9 +73,6 @@
 	settled time.Time // until then entries may come back that lapsed
 }
 
-// neverRead is the age of what was never read.
-const neverRead = math.MaxInt64
-
 // FeedOption changes a Feed.
 type FeedOption func(*Feed)
 
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -135,7 +135,7 @@
 // that knows more is asked for it by one that follows others or can't read the
 // catalog itself.
 func (n *Node) learn(ctx context.Context, from wire.BoxStatus, newest int64) {
-	var has holds
+	var has held
 	_ = n.state.Do(func(s *state) { has = s.holds(from) })
 	n.confirm(from, has.newest)
 	switch {
--- a/node/pull.go
+++ b/node/pull.go
@@ -26,8 +26,8 @@
 	After int64 `json:"after"` // revision that the asking box knows; 0 for none
 }
 
-// holds is what a box holds of the catalog, beside what another one says.
-type holds struct {
+// held is what a box holds of the catalog, beside what another one says.
+type held struct {
 	newest   int64 // revision that was taken in
 	after    int64 // revision after which it needs to be told what changed
 	doubtful bool  // it has removals in doubt
@@ -35,8 +35,8 @@
 }
 
 // holds returns what this box holds beside what another one says.
-func (s *state) holds(from wire.BoxStatus) holds {
-	return holds{
+func (s *state) holds(from wire.BoxStatus) held {
+	return held{
 		newest:   s.content.Newest(),
 		after:    s.content.Revision(),
 		doubtful: s.content.Doubtful(),
@@ -47,7 +47,7 @@
 // pulls says whether the catalog is asked for from another box: when this one
 // knows no policy, or doesn't read the publisher itself and the other knows more, or
 // may know more of a removal that is in doubt here.
-func (n *Node) pulls(from wire.BoxStatus, has holds) bool {
+func (n *Node) pulls(from wire.BoxStatus, has held) bool {
 	if n.table.Load() == nil {
 		return from.Policy > 0
 	}
