roster, node, placement: Draw who is told words by the roster's own pick, and drop an accessor

No decision changes: two boxes are drawn in the same way. The test's calls follow the new argument, its assertions stay, with the number in place of the constant's name.

--- a/node/words.go
+++ b/node/words.go
@@ -9,10 +9,7 @@
 	"github.com/havenrudder/havenrudder/wire"
 )
 
-const (
-	mostTaking = 32 // boxes of a region that its callers are told to use
-	wordsFan   = 2  // boxes that the replicas' words are told at a beat, of those
-)
+const mostTaking = 32 // boxes of a region that its callers are told to use
 
 // taking are the boxes that callers of a region are told to use, where it has more of
 // them than mostTaking; nil for all. The others stand by. A box before 98 others sees
@@ -63,18 +60,7 @@
 			addrs = append(addrs, m.Status.Peers)
 		}
 	}
-	return s.roster.TellWords(s.compactWords(now), chosen(addrs, wordsFan, draw))
-}
-
-// chosen moves n of a list that are drawn to its beginning and returns them, or all
-// where there are fewer.
-func chosen(list []string, n int, draw func(n int) int) []string {
-	n = min(n, len(list))
-	for i := range n {
-		j := i + draw(len(list)-i)
-		list[i], list[j] = list[j], list[i]
-	}
-	return list[:n]
+	return s.roster.TellWords(s.compactWords(now), addrs, draw)
 }
 
 // compactWords returns the replicas' words as boxes tell them, the latest first.
--- a/node/words_test.go
+++ b/node/words_test.go
@@ -114,7 +114,7 @@
 		Waiting:  2,
 	}}, start)
 	packets := b.tellWords(start, lowest)
-	is.Equal(len(packets), wordsFan)
+	is.Equal(len(packets), 2)
 	for _, p := range packets {
 		got, err := roster.DecodeCompact(p.Buf)
 		is.NoErr(err)
--- a/placement/word.go
+++ b/placement/word.go
@@ -49,9 +49,6 @@
 	v.boxes = max(boxes, 1)
 }
 
-// GoesByWords says whether loads are known by the replicas' own words.
-func (v *View) GoesByWords() bool { return v.byWords }
-
 // Says takes in a replica's word. It returns false for one that is no later than that
 // known, or of a replica that isn't.
 func (v *View) Says(replica string, w Word) bool {
--- a/roster/words.go
+++ b/roster/words.go
@@ -2,8 +2,10 @@
 
 import "time"
 
-// mostWords bounds the replicas' words in one datagram: some 12 bytes each at most.
-const mostWords = 90
+const (
+	mostWords = 90 // replicas' words in one datagram: some 12 bytes each at most
+	wordsFan  = 2  // boxes that they are told at a beat
+)
 
 // TellsLoads says whether boxes tell each other what each has at the replicas. Among
 // many that takes too many bytes, and they tell the replicas' own words.
@@ -12,9 +14,10 @@
 // HeardWithin says whether a datagram of another box came within a time.
 func (t *Table) HeardWithin(d, now time.Duration) bool { return now-t.agreement.heard <= d }
 
-// TellWords returns what tells boxes at some addresses the replicas' words. It isn't
-// paid for by the pace: its bytes don't grow with the number of boxes.
-func (t *Table) TellWords(words []CompactWord, addrs []string) []Packet {
+// TellWords returns what tells two boxes of those at some addresses, whose order it
+// changes, the replicas' words. It isn't paid for by the pace: its bytes don't grow with
+// the number of boxes.
+func (t *Table) TellWords(words []CompactWord, addrs []string, rnd func(n int) int) []Packet {
 	if len(words) == 0 {
 		return nil
 	}
@@ -24,8 +27,8 @@
 		b.Words = append(b.Words, w)
 	}
 	buf := b.encode()
-	out := make([]Packet, 0, len(addrs))
-	for _, addr := range addrs {
+	out := make([]Packet, 0, wordsFan)
+	for _, addr := range pick(addrs, wordsFan, rnd) {
 		out = append(out, Packet{
 			Addr: addr,
 			Buf:  buf,
--- a/roster/words_test.go
+++ b/roster/words_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 			Replica:  7,
 			Age:      age,
 			Requests: 3,
-		}}, []string{"10.0.0.2:7000"})
+		}}, []string{"10.0.0.2:7000"}, rand.IntN)
 		is.Equal(len(packets), 1)
 		b, err := DecodeCompact(packets[0].Buf)
 		is.NoErr(err)
@@ -32,7 +33,7 @@
 func TestNoMoreWordsAreToldThanADatagramHolds(t *testing.T) {
 	is := is.New(t)
 	tab := New(status("a", "north", 1, 1))
-	is.Equal(len(tab.TellWords(nil, []string{"10.0.0.2:7000"})), 0)
+	is.Equal(len(tab.TellWords(nil, []string{"10.0.0.2:7000"}, rand.IntN)), 0)
 	var list []CompactWord
 	for n := range 1000 {
 		list = append(list, CompactWord{
@@ -43,7 +44,7 @@
 			Tokens:   1 << 20,
 		})
 	}
-	packets := tab.TellWords(list, []string{"10.0.0.2:7000", "10.0.0.3:7000"})
+	packets := tab.TellWords(list, []string{"10.0.0.2:7000", "10.0.0.3:7000"}, rand.IntN)
 	is.Equal(len(packets), 2)
 	is.True(len(packets[0].Buf) <= datagramBytes)
 }
