node: Test boxes with narrow links while a policy of thousands of routes is published

Fails: with 60 boxes a box sends 12,860 KB of answers after a policy of 2,800 routes (621 KB), 15 at once, its queue grows to 6.8 s, boxes read the listing's policy 333 times, and one holds to a removed replica for 3.55 s (bound 3.5 s). Ruled out: the processor (virtual time), the listing's own lateness (4 ms a call beside the bytes).

--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -46,6 +46,7 @@
 	lapsing  map[string]bool      // replicas whose entries come back after the outage
 	dropped  int                  // times that a living box was seen without one of these
 	late     string               // what broke the bound
+	links    *links               // of the boxes, nil for wide ones
 }
 
 // followBox is one machine and the process on it, if any.
@@ -166,7 +167,7 @@
 		delay = farDelay
 	}
 	addr := net.JoinHostPort(from.settings.IP, "7001")
-	f.after(delay, func() {
+	f.after(delay+f.links.carry(from, len(p.Buf)), func() {
 		n := to.node.Load()
 		if n == nil {
 			return
@@ -196,7 +197,8 @@
 		return news, errors.Wrap(ctx.Err(), "box gone")
 	}
 	err = n.state.Do(func(s *state) { news = s.content.Since(after) })
-	return news, err
+	f.links.answer(ctx, b, sizeOf(news))
+	return news, errors.CombineErrors(err, ctx.Err())
 }
 
 // pass lets time go on and looks at all boxes now and then.
--- /dev/null
+++ b/node/links_test.go
@@ -0,0 +1,192 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/sleep"
+)
+
+const narrowLink = 1.25e6 // bytes a second of a link of 10 Mbit/s
+
+// links are the ways out of boxes: what a box sends goes in order, at a rate. A nil one
+// takes no time.
+type links struct {
+	mu      sync.Mutex
+	rate    float64 // bytes a second
+	free    map[*followBox]time.Time
+	sent    map[*followBox]int // bytes of answers
+	answers map[*followBox]int
+	open    map[*followBox]int // answers under way
+	most    int                // of these at one box at once
+	longest time.Duration      // that something waited for what was before it and for its own bytes
+}
+
+func newLinks(rate float64) *links {
+	return &links{
+		rate:    rate,
+		free:    make(map[*followBox]time.Time),
+		sent:    make(map[*followBox]int),
+		answers: make(map[*followBox]int),
+		open:    make(map[*followBox]int),
+	}
+}
+
+// carry returns how long a box takes to send so many bytes after what it sends already.
+func (l *links) carry(from *followBox, bytes int) time.Duration {
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	start := l.free[from]
+	if start.Before(now) {
+		start = now
+	}
+	l.free[from] = start.Add(time.Duration(float64(bytes) / l.rate * float64(time.Second)))
+	wait := l.free[from].Sub(now)
+	l.longest = max(l.longest, wait)
+	return wait
+}
+
+// answer has a box send an answer. It ends with ctx, but the bytes are sent all the
+// same: whoever asked has given up, and the box that answers doesn't know.
+func (l *links) answer(ctx context.Context, from *followBox, bytes int) {
+	if l == nil {
+		return
+	}
+	took := l.carry(from, bytes)
+	l.mu.Lock()
+	l.sent[from] += bytes
+	l.answers[from]++
+	l.open[from]++
+	l.most = max(l.most, l.open[from])
+	l.mu.Unlock()
+	time.AfterFunc(took, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.open[from]--
+	})
+	sleep.For(ctx, took)
+}
+
+// reset forgets what was counted.
+func (l *links) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.sent)
+	clear(l.answers)
+	l.most = 0
+	l.longest = 0
+}
+
+// mostSent returns the most bytes, and the most answers, that one box has sent.
+func (l *links) mostSent() (bytes, answers int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range l.sent {
+		bytes = max(bytes, n)
+	}
+	for _, n := range l.answers {
+		answers = max(answers, n)
+	}
+	return bytes, answers
+}
+
+var sizes sync.Map // of policies as JSON, by their addresses
+
+// sizeOf returns the bytes of news.
+func sizeOf(news catalog.News) int {
+	out := 0
+	for i := range news.Changes {
+		if p := news.Changes[i].Policy; p != nil {
+			news.Changes[i].Policy = nil
+			out += sizeOfPolicy(p)
+			defer func() { news.Changes[i].Policy = p }()
+		}
+	}
+	if s := news.Snapshot; s != nil && s.Policy != nil {
+		p := s.Policy
+		s.Policy = nil
+		out += sizeOfPolicy(p)
+		defer func() { s.Policy = p }()
+	}
+	data, err := json.Marshal(news)
+	if err != nil {
+		panic(err)
+	}
+	return out + len(data)
+}
+
+func sizeOfPolicy(p *catalog.Policy) int {
+	if n, ok := sizes.Load(p); ok {
+		return n.(int)
+	}
+	data, err := json.Marshal(p)
+	if err != nil {
+		panic(err)
+	}
+	sizes.Store(p, len(data))
+	return len(data)
+}
+
+// ways are the ways from a listing to boxes, of the same rate as their links.
+type ways struct {
+	mu   sync.Mutex
+	free map[string]time.Time // by box
+	read int                  // answers with a policy
+}
+
+// inBase64 is how much longer a value gets on its way from the listing.
+const inBase64 = 4.0 / 3
+
+// take lets a box take an answer in, after those before it.
+func (w *ways) take(ctx context.Context, box string, policies ...*catalog.Policy) {
+	bytes := 0
+	for _, p := range policies {
+		if p != nil {
+			bytes += sizeOfPolicy(p)
+		}
+	}
+	if bytes == 0 {
+		return
+	}
+	w.mu.Lock()
+	w.read++
+	start := w.free[box]
+	if now := time.Now(); start.Before(now) {
+		start = now
+	}
+	w.free[box] = start.Add(time.Duration(float64(bytes) * inBase64 / narrowLink * float64(time.Second)))
+	end := w.free[box]
+	w.mu.Unlock()
+	sleep.For(ctx, time.Until(end))
+}
+
+// narrowed returns a source whose answers take their time on the way to a box.
+func (l *listing) narrowed(box string, s catalog.Source) catalog.Source {
+	read, wait := s.Read, s.Wait
+	s.Read = func(ctx context.Context) (catalog.Snapshot, error) {
+		out, err := read(ctx)
+		if w := l.ways; w != nil {
+			w.take(ctx, box, out.Policy)
+		}
+		return out, err
+	}
+	s.Wait = func(ctx context.Context, after int64, d time.Duration) ([]catalog.Change, int64, error) {
+		changes, rev, err := wait(ctx, after, d)
+		if w := l.ways; w != nil {
+			var list []*catalog.Policy
+			for _, c := range changes {
+				list = append(list, c.Policy)
+			}
+			w.take(ctx, box, list...)
+		}
+		return changes, rev, err
+	}
+	return s
+}
--- a/node/listing_test.go
+++ b/node/listing_test.go
@@ -31,6 +31,7 @@
 	refuses  map[string]bool // boxes
 	changed  change.Signal
 	calls    int
+	ways     *ways // to the boxes, nil for wide ones
 }
 
 func newListing(list []catalog.Replica) *listing {
@@ -125,13 +126,13 @@
 
 // source returns the listing as a box meets it.
 func (l *listing) source(box string) catalog.Source {
-	return catalog.Source{
+	return l.narrowed(box, catalog.Source{
 		Read:   func(ctx context.Context) (catalog.Snapshot, error) { return l.read(ctx, box) },
 		Newest: func(ctx context.Context) (int64, error) { return l.newest(ctx, box) },
 		Wait: func(ctx context.Context, after int64, wait time.Duration) ([]catalog.Change, int64, error) {
 			return l.wait(ctx, box, after, wait)
 		},
-	}
+	})
 }
 
 // begin lets a call of a box take its time, and says whether it is answered.
