catalog, node: Tell policies apart from all else, as what differs, pressed

News between boxes carry the version of the policy only. Who lacks it asks for it over a connection of its own, one box at a time, by the version that it knows; the answer is what differs (a few versions are kept) or the whole, pressed, and no box gives more than 400 KB/s of them. Two questions a box asks at once no longer fill its link.

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -17,11 +17,13 @@
 }
 
 // News is what one box tells another of the catalog: the changes since a revision,
-// or all of it where the box doesn't know these.
+// or all of it where the box doesn't know these. Of the policy there is only the version:
+// with all its routes, which may be thousands, what is small and urgent would come late.
 type News struct {
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
 	Changes  []Change  `json:"changes,omitempty"`
 	Doubts   []Doubt   `json:"doubts,omitempty"` // removals that the box doesn't believe yet
+	Policy   int       `json:"policy,omitempty"` // version of the newest that the box has heard of
 	Revision int64     `json:"revision"`
 }
 
@@ -31,6 +33,7 @@
 		Snapshot: n.Snapshot,
 		Changes:  n.Changes,
 		Doubts:   n.Doubts,
+		Policy:   n.Policy,
 		Revision: n.Revision,
 		Settled:  true, // the other box says of which replicas it doesn't know whether they come back
 	}
@@ -49,7 +52,6 @@
 // changed. Replicas tell the revision of their last change themselves.
 type past struct {
 	since     int64 // removals after this revision are known
-	policy    int64 // revision of the policy
 	gone      map[string]int64
 	lapsed    []string              // the latest replicas whose removal was in doubt before it was believed
 	lapses    int                   // how many there were
@@ -121,20 +123,23 @@
 func (c *Content) Lapses() int { return c.past.lapses }
 
 // Since returns what changed after a revision, as far as it is still so, and all of
-// the catalog where that isn't known. What changed at the revision itself is in it
+// the catalog where that isn't known, but for the policy. What changed at the revision itself is in it
 // too, and, whatever the revision, what is in doubt and the latest replicas whose
 // removal was in doubt until it was believed: these may bear a later revision.
 func (c *Content) Since(revision int64) News {
 	if revision < c.past.since || revision == 0 {
 		s := c.Snapshot()
+		s.Policy = nil
 		return News{
 			Snapshot: &s,
 			Doubts:   c.tell(),
+			Policy:   c.newestPolicy(),
 			Revision: s.Revision,
 		}
 	}
 	out := News{
 		Doubts:   c.tell(),
+		Policy:   c.newestPolicy(),
 		Revision: c.newest,
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.past.gone)) {
@@ -158,12 +163,6 @@
 			out.Changes = append(out.Changes, e.change(d))
 		}
 	}
-	if c.policy != nil && c.past.policy >= revision {
-		out.Changes = append(out.Changes, Change{
-			Revision: c.past.policy,
-			Policy:   c.policy,
-		})
-	}
 	return out
 }
 
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -42,6 +42,7 @@
 	Snapshot *Snapshot
 	Changes  []Change
 	Doubts   []Doubt // of another box that tells this
+	Policy   int     // version of a policy that exists, 0 for none heard of
 	Revision int64
 	Settled  bool          // false while entries may be missing because the publisher was away
 	Settles  time.Duration // until that is over, where it is known
@@ -135,6 +136,10 @@
 // Learned takes in a revision up to which another box told what changed.
 func (d *Feed) Learned(revision int64) { d.known.Store(max(d.known.Load(), revision)) }
 
+// Reread has all read at once, as when a policy that others have heard of can be had
+// from none of them.
+func (d *Feed) Reread() { d.readAgain() }
+
 // Known returns the newest revision that was handed on.
 func (d *Feed) Known() int64 { return d.known.Load() }
 
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -44,6 +44,8 @@
 		case <-ctx.Done():
 		case <-d.behind:
 			return
+		case <-d.again:
+			return
 		case <-look.C:
 			d.witness()
 		}
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -50,7 +50,7 @@
 type Content struct {
 	newest    int64 // revision that was taken in
 	read      int64 // revision of the last snapshot
-	policy    *Policy
+	policies  policies
 	replicas  map[string]Replica
 	evacuated map[string]bool
 	doubts    map[string]doubt // by replica; each is in replicas
@@ -69,9 +69,6 @@
 	}
 }
 
-// Policy returns the newest policy, nil for none.
-func (c *Content) Policy() *Policy { return c.policy }
-
 // Replicas returns the replicas, in the order of their ids.
 func (c *Content) Replicas() []Replica {
 	out := make([]Replica, 0, len(c.replicas))
@@ -88,6 +85,7 @@
 // A policy with a lower version never replaces a higher one, and replicas that
 // are missing while the feed isn't settled stay, in doubt.
 func (c *Content) Take(u Update) bool {
+	c.HeardOfPolicy(u.Policy)
 	if u.Snapshot == nil {
 		for _, ch := range u.Changes {
 			c.apply(ch, u)
@@ -97,7 +95,7 @@
 		return true
 	}
 	if u.Snapshot.Revision < c.newest {
-		c.takePolicy(u.Snapshot.Policy, u.Snapshot.Revision) // it may be the last good one
+		c.policies.take(u.Snapshot.Policy) // it may be the last good one
 		return false
 	}
 	c.replace(*u.Snapshot, u)
@@ -111,7 +109,7 @@
 	known := c.Revision() // what is missing was removed after this
 	c.past.begin(c.newest, s.Revision)
 	c.read = s.Revision
-	c.takePolicy(s.Policy, s.Revision)
+	c.policies.take(s.Policy)
 	before := c.replicas
 	c.replicas = make(map[string]Replica, len(s.Replicas))
 	for _, r := range s.Replicas {
@@ -170,7 +168,7 @@
 func (c *Content) apply(ch Change, u Update) {
 	switch {
 	case ch.Policy != nil:
-		c.takePolicy(ch.Policy, ch.Revision)
+		c.policies.take(ch.Policy)
 	case ch.Replica != nil && ch.Revision >= c.replicas[ch.Replica.ID].Revision && !c.past.isGone(*ch.Replica):
 		c.replicas[ch.Replica.ID] = *ch.Replica
 		delete(c.doubts, ch.Replica.ID)
@@ -189,20 +187,11 @@
 	}
 }
 
-// takePolicy takes a policy of a revision in if its version is higher.
-func (c *Content) takePolicy(p *Policy, revision int64) {
-	if p == nil || (c.policy != nil && p.Version <= c.policy.Version) {
-		return
-	}
-	c.policy = p
-	c.past.policy = revision
-}
-
 // Snapshot returns the copy as one value, in a fixed order.
 func (c *Content) Snapshot() Snapshot {
 	return Snapshot{
 		Revision:  c.newest,
-		Policy:    c.policy,
+		Policy:    c.Policy(),
 		Replicas:  c.Replicas(),
 		Evacuated: c.Evacuated(),
 	}
--- a/node/core.go
+++ b/node/core.go
@@ -13,7 +13,7 @@
 func (n *Node) core() ingress.Core {
 	return ingress.Core{
 		Table:    n.table.Load,
-		Current:  n.storeOK.Load,
+		Current:  n.current,
 		Leaving:  n.leaving.Load,
 		Streams:  n.takesStreams,
 		Others:   n.otherServes,
@@ -45,6 +45,14 @@
 	}
 }
 
+// current says whether this box can read what is published, and knows of no newer policy
+// than its own.
+func (n *Node) current() bool {
+	due := 0
+	_ = n.state.Do(func(s *state) { due = s.content.PolicyDue() }) // it fails only when the box has ended
+	return n.storeOK.Load() && due == 0
+}
+
 // The accesses to the state below fail only when the box has ended; what they
 // give then is of no use to anybody.
 
--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -111,6 +111,9 @@
 	n.state = cell.New(context.WithoutCancel(f.ctx), f.system, "state", newState(n.settings, n.status(), n.now()))
 	n.feed = n.newFeed(f.listing.source(b.settings.Box))
 	n.askBox = f.askBox
+	n.askPolicy = f.askPolicy
+	n.amendments = catalog.NewAmendments()
+	n.outflow = newOutflow()
 	n.deliver = func(p roster.Packet) { f.deliver(b, p) }
 	b.stop = cancel
 	b.node.Store(n)
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -45,6 +45,7 @@
 		n.tell()
 		n.settle()
 		n.chooseRole()
+		n.seekPolicy(ctx)
 		n.watchMembers()
 		n.watchRegion()
 	}
@@ -138,6 +139,9 @@
 	var has held
 	_ = n.state.Do(func(s *state) { has = s.holds(from) })
 	n.confirm(from, has.newest)
+	if from.Policy > has.policy {
+		n.seekPolicy(ctx)
+	}
 	switch {
 	case from.Peers != "" && n.pulls(from, has):
 		n.startPull(ctx, from, has.after)
--- a/node/links_test.go
+++ b/node/links_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/common/sleep"
 )
@@ -190,3 +192,20 @@
 	}
 	return s
 }
+
+// askPolicy asks a box for its policy, as over a connection.
+func (f *follows) askPolicy(ctx context.Context, addr string, have int) (news catalog.PolicyNews, err error) {
+	b := f.byAddr[addr]
+	sleep.For(ctx, nearDelay)
+	var n *Node
+	if b != nil {
+		n = b.node.Load()
+	}
+	if n == nil {
+		<-ctx.Done() // it was killed, and nothing says so
+		return news, errors.Wrap(ctx.Err(), "box gone")
+	}
+	news, err = n.givePolicy(have)
+	f.links.answer(ctx, b, len(news.Pressed)*4/3)
+	return news, errors.CombineErrors(err, ctx.Err())
+}
--- a/node/node.go
+++ b/node/node.go
@@ -59,18 +59,28 @@
 	boxes     *exchange.Pool
 	store     *exchange.Pool
 	peers     *peer.Pool
+	bulk      *peer.Pool // for what is long, so that nothing waits behind it
 	listeners listeners
 	links     []*roster.Link
-	deliver   func(roster.Packet)                                                       // seam: sends a datagram
-	askBox    func(ctx context.Context, addr string, after int64) (catalog.News, error) // seam: asks another box for what changed
+	deliver   func(roster.Packet)                                                          // seam: sends a datagram
+	askBox    func(ctx context.Context, addr string, after int64) (catalog.News, error)    // seam: asks another box for what changed
+	askPolicy func(ctx context.Context, addr string, have int) (catalog.PolicyNews, error) // seam: asks another box for its policy
 	feed      *catalog.Feed
-	tasks     sync.WaitGroup
-	told      chan struct{} // asks for the settings to be read again
-	bounds    Bounds        // in force; the task that reloads owns it
-	unread    bool          // the settings could not be read last; the same task owns it
-	replaced  chan string   // ids of replicas whose addresses others have
-	stop      chan struct{} // closed when a planned stop begins
-	once      sync.Once     // for the begin of a planned stop
+
+	amendments  *catalog.Amendments
+	outflow     *outflow      // for the policies that this box gives to others
+	seeking     atomic.Bool   // a policy is got from another box; who has set it owns the next three
+	avoid       string        // box that didn't give its policy
+	lackedSince time.Duration // a policy that exists was known to be missing, or was read for; 0 for none
+	alone       time.Duration // after which this box reads for it
+
+	tasks    sync.WaitGroup
+	told     chan struct{} // asks for the settings to be read again
+	bounds   Bounds        // in force; the task that reloads owns it
+	unread   bool          // the settings could not be read last; the same task owns it
+	replaced chan string   // ids of replicas whose addresses others have
+	stop     chan struct{} // closed when a planned stop begins
+	once     sync.Once     // for the begin of a planned stop
 }
 
 // Option changes a Node.
@@ -92,6 +102,9 @@
 		told:     make(chan struct{}, 1),
 		replaced: make(chan string, maxReplaced),
 		bounds:   s.Bounds,
+
+		amendments: catalog.NewAmendments(),
+		outflow:    newOutflow(),
 	}
 	n.read.Store(-int64(neverRead))
 	n.reads.Store(true) // until others are known
@@ -170,7 +183,9 @@
 	dialer := exchange.NewDialer()
 	dialer.Timeout = peerDial
 	n.peers = peer.NewPool(ctx, dialer.DialContext, func(peer.Method, int) {})
+	n.bulk = peer.NewPool(ctx, dialer.DialContext, func(peer.Method, int) {})
 	n.askBox = n.callBox
+	n.askPolicy = n.callForPolicy
 	n.deliver = func(p roster.Packet) { _ = n.links[0].Post(p) } // a datagram may be lost anyway, and the next one follows
 	n.feed = n.newFeed(n.adapter.Source(n.store, Report{
 		Call: n.meter.StoreCall,
--- a/node/pull.go
+++ b/node/pull.go
@@ -31,25 +31,30 @@
 	newest   int64 // revision that was taken in
 	after    int64 // revision after which it needs to be told what changed
 	doubtful bool  // it has removals in doubt
+	policy   int   // version
 	untold   bool  // the other found replicas gone that it was not told of
 }
 
 // holds returns what this box holds beside what another one says.
 func (s *state) holds(from wire.BoxStatus) held {
-	return held{
+	out := held{
 		newest:   s.content.Newest(),
 		after:    s.content.Revision(),
 		doubtful: s.content.Doubtful(),
 		untold:   s.untold(from),
 	}
+	if s.table != nil {
+		out.policy = s.table.Version()
+	}
+	return out
 }
 
 // pulls says whether the catalog is asked for from another box: when this one
-// knows no policy, or doesn't read the publisher itself and the other knows more, or
+// knows nothing, or doesn't read the publisher itself and the other knows more, or
 // may know more of a removal that is in doubt here.
 func (n *Node) pulls(from wire.BoxStatus, has held) bool {
-	if n.table.Load() == nil {
-		return from.Policy > 0
+	if n.table.Load() == nil && from.Policy > 0 && has.newest == 0 {
+		return true
 	}
 	near := n.follows.Load() && from.Region == n.settings.Region
 	if near && (has.untold || has.doubtful) {
@@ -86,10 +91,7 @@
 // pull asks another box for what changed after a revision.
 func (n *Node) pull(ctx context.Context, from wire.BoxStatus, after int64) {
 	limit := pullLimit
-	switch {
-	case n.table.Load() == nil:
-		after = 0 // this box may have read a newer revision whose policy it could not decode
-	case from.Region == n.settings.Region:
+	if from.Region == n.settings.Region && n.table.Load() != nil {
 		limit = pullNear
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -106,6 +108,7 @@
 		return
 	}
 	n.takeUpdate(news.Update())
+	n.seekPolicy(ctx)
 	_ = n.state.Do(func(s *state) { s.toldLapses(from) }) // it fails only when the box has ended
 	n.feed.Learned(news.Revision)
 }
@@ -120,16 +123,23 @@
 
 // answerPeer answers another box's question.
 func (n *Node) answerPeer(_ context.Context, m peer.Method, params json.RawMessage) (any, error) {
-	if m != peer.Catalog {
-		return nil, errors.Newf("unknown message %q", string(m))
-	}
-	var req catalogRequest
-	if err := json.Unmarshal(params, &req); err != nil {
-		return nil, errors.Wrap(err, "catalog")
+	switch m {
+	case peer.Catalog:
+		var req catalogRequest
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, errors.Wrap(err, "catalog")
+		}
+		var out catalog.News
+		err := n.state.Do(func(s *state) { out = s.content.Since(req.After) })
+		return out, err
+	case peer.Policy:
+		var req policyRequest
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, errors.Wrap(err, "policy")
+		}
+		return n.givePolicy(req.Have)
 	}
-	var out catalog.News
-	err := n.state.Do(func(s *state) { out = s.content.Since(req.After) })
-	return out, err
+	return nil, errors.Newf("unknown message %q", string(m))
 }
 
 // takeUpdate takes an update of the catalog in.
--- a/node/state.go
+++ b/node/state.go
@@ -90,7 +90,8 @@
 func (s *state) take(u catalog.Update, now time.Duration) []placement.Belief {
 	var out []placement.Belief
 	taken := s.content.Take(u)
-	if p := s.content.Policy(); p != nil && (s.table == nil || p.Version > s.table.Version()) {
+	known := s.content.Newest() > 0 // a policy from another box may come before the replicas
+	if p := s.content.Policy(); known && p != nil && (s.table == nil || p.Version > s.table.Version()) {
 		s.table = catalog.NewTable(*p)
 		s.view.SetTable(s.table)
 		s.forgetRoutes()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -26,7 +26,8 @@
 	Part      Method = "part"     // wire.PartRequest, answered by wire.Part
 	Announce  Method = "announce" // wire.Announce, answered by wire.Announced
 	Seal      Method = "seal"     // wire.Seal, answered by wire.Sealed
-	Catalog   Method = "catalog"  // answered by catalog.Snapshot
+	Catalog   Method = "catalog"  // answered by catalog.News
+	Policy    Method = "policy"   // answered by catalog.PolicyNews
 )
 
 // Handler answers one message; its answer is left out for a notification.
