ingress: Say in the log why a try ended, and why nobody went on with an answer

The record of an answer that was closed in its middle says only "answer broke off", 0.96 s after its replica's run was cut: whether the box ended the try itself (silence), the connection broke, no retry was left, or no replica could be chosen stood nowhere. The line of a try and the end of a broken answer now carry one of a few fixed words.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -138,6 +138,7 @@
 func (a *attempt) broke(ctx context.Context) ended {
 	c := a.call
 	left := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errQuiet)
+	a.ending(ctx, nil)
 	if left {
 		c.state = max(c.state, maybeRan)
 		return abandoned
--- a/ingress/box.go
+++ b/ingress/box.go
@@ -71,6 +71,7 @@
 // boxFailed says what it means that a box gave no answer.
 func (a *attempt) boxFailed(ctx context.Context, err error) ended {
 	c := a.call
+	a.ending(ctx, err)
 	var e *exchange.Error
 	if errors.As(err, &e) && !e.Sent() {
 		if ctx.Err() != nil {
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -41,6 +41,8 @@
 	err := c.copyEvents(in)
 	switch {
 	case errors.Is(err, errCaller):
+		a.why = whyLeft
+		c.reason = reasonLeft
 		return abandoned
 	case errors.Is(err, io.EOF):
 		return a.endStream(in.Rest())
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -17,7 +17,8 @@
 	reasonStale    placement.Reason = "no route in a policy that may be old"
 	reasonBudget   placement.Reason = "no more tries"
 	reasonFailure  placement.Reason = "a replica's own failure, and no more tries"
-	reasonDeadline placement.Reason = "time is up"
+	reasonDeadline placement.Reason = whyTime
+	reasonLeft     placement.Reason = whyLeft
 )
 
 const (
@@ -32,9 +33,9 @@
 	switch {
 	case c.done:
 	case c.state == begun:
-		c.breakOff()
+		c.breakOff(c.brokenBy(ctx))
 	case c.r.Context().Err() != nil:
-		c.finished(decision.Left, 0, "caller left")
+		c.finished(decision.Left, 0, string(reasonLeft))
 	case c.failure != nil:
 		c.answer(*c.failure, reasonFailure)
 	case c.state == maybeRan && ctx.Err() != nil:
@@ -52,11 +53,24 @@
 
 // breakOff closes the caller's connection in the middle of an answer, so that it
 // can't be taken for a whole one.
-func (c *call) breakOff() {
-	c.finished(decision.Broken, 0, "answer broke off")
+func (c *call) breakOff(reason placement.Reason) {
+	c.finished(decision.Broken, 0, string(reason))
 	panic(http.ErrAbortHandler)
 }
 
+// brokenBy returns why nobody goes on with an answer.
+func (c *call) brokenBy(ctx context.Context) placement.Reason {
+	switch {
+	case c.r.Context().Err() != nil:
+		return reasonLeft
+	case ctx.Err() != nil:
+		return reasonDeadline
+	case c.reason != placement.None:
+		return c.reason
+	}
+	return reasonBudget
+}
+
 // fail answers that the request may have run.
 func (c *call) fail(status int, reason placement.Reason) {
 	c.relayResult(resultUnknown)
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -46,6 +46,7 @@
 	begun  time.Duration // until the request was written; 0 while it was not
 	first  time.Duration // until the answer's head; 0 while there is none
 	heard  time.Time     // when it was last said that the replica goes on
+	why    string        // why there is no answer, or no whole one
 }
 
 // tryReplica sends the request to a replica of this region.
@@ -129,6 +130,7 @@
 		a.call.tried = append(a.call.tried, a.target.Choice.Replica)
 	}
 	quiet := errors.Is(context.Cause(ctx), errQuiet)
+	a.ending(ctx, err)
 	switch {
 	case ctx.Err() != nil && !quiet && sent:
 		a.call.state = max(a.call.state, maybeRan)
@@ -143,6 +145,32 @@
 	return unknown
 }
 
+// Words of the log for why a try came to no whole answer.
+const (
+	whySilent = "replica silent"
+	whyLeft   = "caller left"
+	whyTime   = "time is up"
+	whyBody   = "body broke off"
+)
+
+// ending keeps why a try came to no whole answer: what this box did of itself is told
+// apart from what was done to it.
+func (a *attempt) ending(ctx context.Context, err error) {
+	var e *exchange.Error
+	switch {
+	case errors.Is(context.Cause(ctx), errQuiet):
+		a.why = whySilent
+	case a.call.r.Context().Err() != nil:
+		a.why = whyLeft
+	case ctx.Err() != nil:
+		a.why = whyTime
+	case errors.As(err, &e):
+		a.why = "failed to " + e.Stage().String()
+	default:
+		a.why = whyBody
+	}
+}
+
 // report writes down and counts what a try came to.
 func (a *attempt) report(e ended) {
 	c := a.call
@@ -155,6 +183,7 @@
 		Kind:     decision.Try,
 		Upstream: a.target.Choice.Replica + a.target.Box,
 		Outcome:  outcome,
+		Reason:   a.why,
 		Tries:    c.sent,
 		SentMs:   a.begun.Milliseconds(),
 		TookMs:   time.Since(a.sent).Milliseconds(),
