ingress: End a silent try only where another target answers, and hold a begun stream

Cause: a box whose own link is full hears no replica and reaches none. It took the silence for the replica's, cut the run, gave each connection to another 250 ms, paid for each of these with a retry, and closed the caller's connection when none was left.

Now a silent try is ended only when the next target has just taken a connection (which the retry then uses) and nothing came in the 50 ms after it; silence counts from when the request was written, not from the choice; a connection that could not be made gives its retry back, and the third one is given 500 ms, the fourth 1 s; a stream that was begun waits, as long as its caller does, for a target or a retry, and after 1 s goes on at the replica that broke it where there is no other.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -126,6 +126,21 @@
 	}
 }
 
+// Reach makes a connection to addr, whatever others are kept, and keeps it for the
+// next request there. Its error says that addr, or the way to it, answers nobody
+// within the limit.
+func (p *Pool) Reach(ctx context.Context, addr string, limit time.Duration) error {
+	c, err := p.open(ctx, &Request{
+		Addr:        addr,
+		DialTimeout: limit,
+	})
+	if err != nil {
+		return err
+	}
+	p.put(c, p.idleTime)
+	return nil
+}
+
 // conns returns the open connections to addr.
 func (p *Pool) conns(addr string) []*conn {
 	p.mu.Lock()
--- a/ingress/box.go
+++ b/ingress/box.go
@@ -45,7 +45,7 @@
 		Host:        c.r.Host,
 		Header:      h,
 		Body:        c.body,
-		DialTimeout: boxDial,
+		DialTimeout: c.dialTime(boxDial),
 	})
 	if err != nil {
 		return a.boxFailed(ctx, err)
@@ -78,6 +78,7 @@
 			return abandoned
 		}
 		c.server.core.BoxLost(a.target.Box)
+		c.unmadeOne()
 		return unsent
 	}
 	c.sent++ // the box may have sent it on
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -14,12 +14,15 @@
 )
 
 const (
-	endSlack       = 40 * time.Millisecond // a replica's own word at its deadline is waited for so long
-	maxRounds      = 24                    // targets asked for on behalf of one request
-	waitShare      = 0.2                   // of the goal that a request waits here for a replica that may take it
-	shortWait      = 5 * time.Millisecond  // shortest wait for a replica, so that no two rounds follow at once
-	maxPriority    = 9                     // last rank of urgency that a replica is told; 0 is the first
-	answerPerGuess = 1.3                   // guesses are right in the median, but long answers are longer
+	endSlack       = 40 * time.Millisecond  // a replica's own word at its deadline is waited for so long
+	maxRounds      = 24                     // targets asked for on behalf of one request
+	waitShare      = 0.2                    // of the goal that a request waits here for a replica that may take it
+	shortWait      = 5 * time.Millisecond   // shortest wait for a replica, so that no two rounds follow at once
+	heldCheck      = 100 * time.Millisecond // between two looks for a replica that goes on with a stream
+	sameAfter      = time.Second            // that a stream waits for another replica before it goes on at one that broke it off
+	longestDial    = 2 * time.Second        // for a connection through a full link
+	maxPriority    = 9                      // last rank of urgency that a replica is told; 0 is the first
+	answerPerGuess = 1.3                    // guesses are right in the median, but long answers are longer
 )
 
 // state says what is known of a request's fate so far.
@@ -53,6 +56,8 @@
 	tried      []string // replicas
 	triedBoxes []string
 	noRegions  []string         // that refused it or could not be reached
+	ran        []string         // of the replicas tried, those that got it
+	unmade     int              // connections that could not be made
 	counted    bool             // the budget of retries knows of it
 	paid       atomic.Bool      // the budget has given the next try already
 	lastEvent  string           // id of the last event passed on
@@ -74,7 +79,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		target := c.server.core.Place(c.ask())
+		target := c.place(ctx)
 		if target.Reason != placement.None {
 			if c.waitFor(ctx, target) {
 				continue
@@ -91,6 +96,52 @@
 	c.finish(ctx)
 }
 
+// place asks where the request goes next. A stream that was begun waits until there
+// is a target, for else it would be broken off.
+func (c *call) place(ctx context.Context) Target {
+	t := c.server.core.Place(c.ask())
+	began := time.Now()
+	for t.Reason != placement.None && c.held() && ctx.Err() == nil {
+		sleep.For(ctx, min(max(t.Wait, shortWait), heldCheck))
+		t = c.placeAgain(time.Since(began) > sameAfter)
+	}
+	return t
+}
+
+// held says whether the request waits for as long as its caller does: a stream that was
+// begun and can't go on at the moment. A box that passed it on may know another target.
+func (c *call) held() bool { return c.state == begun && c.relay == nil }
+
+// placeAgain asks once more, also for those that a request didn't get to, as this box's
+// own link may have been full, and at last for those that broke it off.
+func (c *call) placeAgain(same bool) Target {
+	c.tried = slices.Clone(c.ran)
+	c.triedBoxes = nil
+	c.noRegions = nil
+	t := c.server.core.Place(c.ask())
+	if t.Reason == placement.None || !same {
+		return t
+	}
+	c.tried = nil
+	return c.server.core.Place(c.ask())
+}
+
+// unmadeOne takes in that a connection could not be made. The retry that paid for it
+// pays for the next try.
+func (c *call) unmadeOne() {
+	c.unmade++
+	c.paid.Store(c.arrived)
+}
+
+// dialTime returns for how long the next connection is tried: longer after two that were
+// not made, for the link of this box may be full. Two replicas may well be dark.
+func (c *call) dialTime(usual time.Duration) time.Duration {
+	for range c.unmade - 1 {
+		usual *= 2
+	}
+	return min(usual, longestDial)
+}
+
 // recordPlace writes down where the request goes and what decided that.
 func (c *call) recordPlace(t Target) {
 	c.record(decision.Event{
@@ -168,7 +219,21 @@
 	if c.sent >= c.route.Attempts {
 		return false
 	}
-	return !c.arrived || c.paid.Swap(false) || c.server.core.Repeat(c.service)
+	return !c.arrived || c.paid.Swap(false) || c.repeat(ctx)
+}
+
+// repeat asks the budget for a retry; a stream that was begun waits for one.
+func (c *call) repeat(ctx context.Context) bool {
+	for !c.server.core.Repeat(c.service) {
+		if !c.held() {
+			return false
+		}
+		sleep.For(ctx, budgetCheck)
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
 }
 
 // ended is what one try came to.
@@ -211,6 +276,7 @@
 func (c *call) note(replica string) {
 	c.sent++
 	c.arrived = true
+	c.ran = append(c.ran, replica)
 	if !slices.Contains(c.tried, replica) {
 		c.tried = append(c.tried, replica)
 	}
--- a/ingress/choked_test.go
+++ b/ingress/choked_test.go
@@ -129,7 +129,7 @@
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := after + 1; i <= eventCount; i++ {
 		time.Sleep(eventEvery)
-		if u.tearAt == i {
+		if u.tears(i) {
 			panic(http.ErrAbortHandler)
 		}
 		if u.isDark() || r.Context().Err() != nil {
@@ -141,6 +141,18 @@
 	}
 }
 
+func (u *upstream) tears(event int) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.tearAt == event
+}
+
+func (u *upstream) tearBefore(event int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.tearAt = event
+}
+
 func (u *upstream) isDark() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -214,16 +226,17 @@
 	}
 }
 
-func (g *region) quiet(next Ask, c *placement.Choice, sent time.Time) time.Duration {
-	if g.place(next).Reason != placement.None {
-		return 0
+func (g *region) quiet(next Ask, c *placement.Choice, sent time.Time) (time.Duration, Target) {
+	other := g.place(next)
+	if other.Reason != placement.None {
+		return 0, other
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if heard := g.heard[c.Replica]; heard.After(sent) {
 		sent = heard
 	}
-	return time.Since(sent)
+	return time.Since(sent), other
 }
 
 func (g *region) hear(c *placement.Choice) {
@@ -358,7 +371,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := newRegion(t, 3)
-		g.list[0].tearAt = 5
+		g.list[0].tearBefore(5)
 		time.AfterFunc(300*time.Millisecond, func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
@@ -375,7 +388,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := newRegion(t, 3)
-		g.list[0].tearAt = 5
+		g.list[0].tearBefore(5)
 		began := time.Now()
 		g.spare = func() bool { return time.Since(began) > 2*time.Second }
 		a := g.call(t)
@@ -402,7 +415,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := newRegion(t, 4)
-		g.list[0].tearAt = 5
+		g.list[0].tearBefore(5)
 		left := 1
 		g.spare = func() bool {
 			left--
@@ -417,3 +430,16 @@
 		is.Equal(g.runs(), 2)
 	})
 }
+
+func TestAStreamGoesOnAtTheReplicaThatBrokeItWhereThereIsNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegion(t, 1)
+		g.list[0].tearBefore(5)
+		time.AfterFunc(time.Second, func() { g.list[0].tearBefore(0) })
+		a := g.call(t)
+		is.True(a.whole)
+		is.Equal(a.body, wholeStream())
+		is.Equal(g.runs(), 2)
+	})
+}
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -19,14 +19,15 @@
 	quietPerExpect  = 3                      // times the expected time
 	quietCheck      = 50 * time.Millisecond  // between two looks at least
 	budgetCheck     = 250 * time.Millisecond // between two questions whether a retry is left: requests that allow one come several times a second
+	reachedFor      = time.Second            // that a box which has just reached another replica counts as having its own way free
 )
 
 // errQuiet ends a try whose replica has fallen silent.
 var errQuiet = errors.New("ingress: replica silent")
 
-// watchSilence ends the try when its replica has fallen silent towards this box, and
-// the budget of retries gives a try elsewhere. Without that the replica is waited for:
-// it may only be busy.
+// watchSilence ends the try when its replica has fallen silent towards this box, the
+// next target answers and the budget of retries gives a try there. Without that the
+// replica is waited for: it may only be busy, or this box's own link may be full.
 func (a *attempt) watchSilence(ctx context.Context) (stop func()) {
 	c := a.call
 	if !c.route.Repeatable() || c.sent+1 >= c.route.Attempts {
@@ -34,35 +35,91 @@
 	}
 	next := c.ask()
 	next.Request.Tried = append(slices.Clone(next.Request.Tried), a.target.Choice.Replica)
-	done := make(chan struct{})
-	go func() {
-		limit := a.quietLimit()
-		timer := time.NewTimer(limit)
-		defer timer.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ctx.Done():
-				return
-			case <-timer.C:
-			}
-			quiet := c.server.core.Quiet(next, &a.target.Choice, a.sent)
-			switch {
-			case quiet > limit && c.server.core.Repeat(c.service):
-				c.paid.Store(true)
-				a.cancel(errQuiet)
-				return
-			case quiet > limit: // no retry is left
-				timer.Reset(budgetCheck)
-			case quiet == 0: // it may be silent, but there is no other: soon there may be
-				timer.Reset(quietCheck)
-			default:
-				timer.Reset(max(limit-quiet, quietCheck))
-			}
+	watch := silence{
+		attempt: a,
+		next:    next,
+		tried:   next.Request.Tried,
+		limit:   a.quietLimit(),
+	}
+	ctx, stop = context.WithCancel(ctx)
+	go watch.run(ctx)
+	return stop
+}
+
+// silence is the watch over one try.
+type silence struct {
+	attempt *attempt
+	next    Ask      // for where the request would go
+	tried   []string // by the request itself
+	limit   time.Duration
+	reached time.Time // when another target answered
+}
+
+// run looks again and again until ctx ends or the try was ended.
+func (s *silence) run(ctx context.Context) {
+	timer := time.NewTimer(s.limit)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
 		}
-	}()
-	return func() { close(done) }
+		wait, over := s.look(ctx)
+		if over {
+			return
+		}
+		timer.Reset(wait)
+	}
+}
+
+// look returns when to look again, or that the try was ended.
+func (s *silence) look(ctx context.Context) (wait time.Duration, over bool) {
+	c := s.attempt.call
+	quiet, other := s.quiet()
+	switch {
+	case quiet == 0: // it may be silent, but there is no other: soon there may be
+		s.next.Request.Tried = s.tried
+		return quietCheck, false
+	case quiet <= s.limit:
+		return max(s.limit-quiet, quietCheck), false
+	case time.Since(s.reached) > reachedFor:
+		s.reach(ctx, other)
+		return quietCheck, false // what had waited with the connection may come now
+	case !c.server.core.Repeat(c.service):
+		return budgetCheck, false
+	}
+	c.paid.Store(true)
+	s.attempt.cancel(errQuiet)
+	return 0, true
+}
+
+// quiet returns for how long the replica has said nothing since the request was
+// written to it, and the next target; 0 when there is none.
+func (s *silence) quiet() (time.Duration, Target) {
+	begun := s.attempt.begun.Load()
+	if begun == 0 {
+		return 0, Target{} // the way there is slow, not the replica
+	}
+	return s.attempt.call.server.core.Quiet(s.next, &s.attempt.target.Choice, s.attempt.sent.Add(time.Duration(begun)))
+}
+
+// reach notes whether the next target takes a connection. While this box's own link is
+// full or its processor is short, all replicas seem silent, and none is reached: an
+// answer that was cut then could not go on anywhere.
+func (s *silence) reach(ctx context.Context, other Target) {
+	server := s.attempt.call.server
+	var err error
+	if other.Box != "" {
+		err = server.boxes.Reach(ctx, other.BoxAddr, boxDial)
+	} else {
+		err = server.replicas.Reach(ctx, other.Choice.Addr, replicaDial)
+	}
+	if err != nil {
+		s.next.Request.Tried = append(slices.Clone(s.next.Request.Tried), other.Choice.Replica) // it may be dark itself
+		return
+	}
+	s.reached = time.Now()
 }
 
 // quietLimit returns how long the replica may be silent.
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,7 +44,7 @@
 	sent   time.Time
 	cancel context.CancelCauseFunc // nil for a box
 	result placement.Result
-	begun  time.Duration // until the request was written; 0 while it was not
+	begun  atomic.Int64  // nanoseconds until the request was written; 0 while it was not
 	first  time.Duration // until the answer's head; 0 while there is none
 	heard  time.Time     // when it was last said that the replica goes on
 	why    string        // why there is no answer, or no whole one
@@ -88,8 +89,8 @@
 		Header:      h,
 		Body:        c.body,
 		Owns:        func(h http.Header) bool { return c.server.codec.Owns(h, c.facts.ID) },
-		Begin:       func() { a.begun = time.Since(a.sent) },
-		DialTimeout: replicaDial,
+		Begin:       func() { a.begun.Store(max(int64(time.Since(a.sent)), 1)) },
+		DialTimeout: c.dialTime(replicaDial),
 	})
 	if err != nil {
 		return a.failed(ctx, err)
@@ -139,6 +140,7 @@
 		return abandoned
 	case !sent:
 		a.result = placement.Unreachable
+		a.call.unmadeOne()
 		return unsent
 	}
 	a.result = placement.Silent
@@ -185,7 +187,7 @@
 		Outcome:  outcome,
 		Reason:   a.why,
 		Tries:    c.sent,
-		SentMs:   a.begun.Milliseconds(),
+		SentMs:   time.Duration(a.begun.Load()).Milliseconds(),
 		TookMs:   time.Since(a.sent).Milliseconds(),
 	})
 }
--- a/node/core.go
+++ b/node/core.go
@@ -111,16 +111,20 @@
 	_ = n.state.Do(func(s *state) { s.view.Heard(c, n.now()) })
 }
 
-// quiet returns how long a replica has been silent towards this box, 0 when no
-// other could take the request, for then it is waited for.
-func (n *Node) quiet(ask ingress.Ask, c *placement.Choice, sent time.Time) (d time.Duration) {
+// quiet returns how long a replica has been silent towards this box, and who else could
+// take the request; 0 when nobody could, for then it is waited for.
+func (n *Node) quiet(ask ingress.Ask, c *placement.Choice, sent time.Time) (d time.Duration, other ingress.Target) {
 	_ = n.state.Do(func(s *state) {
 		d = s.view.Quiet(c, sent.Sub(n.started), n.now())
-		if d > 0 && !s.hasOther(ask, n.now()) {
+		if d <= 0 {
+			return
+		}
+		found := false
+		if other, found = s.other(ask, n.now(), rand.IntN); !found {
 			d = 0
 		}
 	})
-	return d
+	return d, other
 }
 
 // end counts a request out and takes in what became of it.
--- a/node/place_test.go
+++ b/node/place_test.go
@@ -260,7 +260,12 @@
 	q := ask(route())
 	q.Relayed = true
 	is.Equal(b.place(q, start, lowest).Reason, placement.Nothing)
-	is.True(!b.hasOther(q, start))
+	_, found := b.other(q, start, lowest)
+	is.True(!found)
+	q.Relayed = false
+	other, found := b.other(q, start, lowest)
+	is.True(found)
+	is.Equal(other.Box, "box-b")
 }
 
 func TestARegionThatToldNothingIsAskedAndOneWithoutRoomIsNot(t *testing.T) {
--- a/node/state.go
+++ b/node/state.go
@@ -309,12 +309,20 @@
 	}
 }
 
-// hasOther says whether a target is left that was not tried.
-func (s *state) hasOther(ask ingress.Ask, now time.Duration) bool {
-	if ask.Route.Allows(s.settings.Region) && s.view.Outlook(ask.Request, s.sharers(now), now).Usable > 0 {
-		return true
+// other returns a target that was not tried, without counting the request in; false
+// when there is none.
+func (s *state) other(ask ingress.Ask, now time.Duration, draw func(n int) int) (ingress.Target, bool) {
+	if ask.Route.Allows(s.settings.Region) {
+		if c := s.view.Next(ask.Request, s.sharers(now), now); c.Reason == placement.None {
+			return ingress.Target{
+				Choice: c,
+			}, true
+		}
+	}
+	if list := s.others(ask, now); len(list) > 0 {
+		return sendAway(list[draw(len(list))], draw), true
 	}
-	return len(s.others(ask, now)) > 0
+	return ingress.Target{}, false
 }
 
 // askAgain is when to ask for a target again where nothing says when there will
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// Next returns what Pick would choose, without counting the request in.
+func (v *View) Next(req Request, boxes []string, now time.Duration) Choice {
+	best, none := v.best(req, boxes, now)
+	if best.r == nil {
+		return none
+	}
+	return Choice{
+		Replica: best.r.info.ID,
+		Addr:    best.r.info.Addr,
+		Expect:  best.expect,
+	}
+}
+
 // best returns the usable replica with the least cost. Where there is none, none
 // says why, and when there may be one.
 func (v *View) best(req Request, boxes []string, now time.Duration) (best weighed, none Choice) {
