exchange, node: Let a request's own time end it, not the silence of its replica's connection

Sockets to replicas gave a peer up after 2 s without an acknowledgement (user time-out) or 3 s without an answer to probes, also under a request: a stream that can't be resumed was cut 3.0 s after its replica's last byte, and a once-request had its 502 after 2000 ms (docs/OPERATIONS.md). A full link of the box's own is as silent. Requests that may be sent again have the watch over silence, which asks another replica first; for the others nothing is gained by an earlier end. Connections at rest keep the 2 s, so that one that went silent is not used again. Connections between boxes keep them too: there they are the only sign of a lost box under a stream. Not measured yet.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -28,6 +28,7 @@
 	onDial    func(addr string)
 	idleLimit int
 	idleTime  time.Duration
+	patience  time.Duration // 0 for that of the dialer
 
 	mu      sync.Mutex
 	addrs   map[string]*members
@@ -67,6 +68,16 @@
 	}
 }
 
+// WithPatience sets how long a connection that carries a request bears a peer which
+// acknowledges nothing; one at rest keeps the time of NewDialer. A request has its own
+// time, and where it can't be sent again nothing is gained by an end before that: the
+// link of this side may be full.
+func WithPatience(d time.Duration) Option {
+	return func(p *Pool) {
+		p.patience = d
+	}
+}
+
 // WithOnDial sets a function that is called before each attempt to connect, by
 // the goroutine that wants the connection.
 func WithOnDial(f func(addr string)) Option {
@@ -170,6 +181,7 @@
 		_ = nc.Close() // never used: nothing can be lost on it
 		return nil, errPoolClosed
 	}
+	p.use(c)
 	return c, nil
 }
 
@@ -200,12 +212,20 @@
 		}
 		if fresh && quiet(c.nc) {
 			c.reused = true
+			p.use(c)
 			return c
 		}
 		c.close()
 	}
 }
 
+// use has a connection bear silence for as long as a request may take.
+func (p *Pool) use(c *conn) {
+	if p.patience > 0 {
+		bear(c.nc, p.patience)
+	}
+}
+
 // pop takes the connection out that came to rest last, since it is the likeliest
 // to be still open, and says whether it may be used at this time.
 func (p *Pool) pop(addr string) (c *conn, fresh bool) {
@@ -224,6 +244,9 @@
 
 // put keeps the connection for another request for at most the time of rest.
 func (p *Pool) put(c *conn, rest time.Duration) {
+	if p.patience > 0 {
+		bear(c.nc, userTimeout)
+	}
 	if surplus := p.keep(c, rest); surplus != nil {
 		surplus.close()
 	}
--- a/exchange/pool_test.go
+++ b/exchange/pool_test.go
@@ -245,6 +245,51 @@
 	p.Close()
 }
 
+// A stream that can't be resumed was cut 3.0 s after its replica's last byte, of the 12 s that its
+// caller would have waited, by the probes of its connection:
+//
+//	3.920 s  its run ends: 200 crashed
+//	6.922 s  the connection is closed in the middle of the answer (200)
+//
+// and a request that was written to a connection had its 502 after 2000 ms, by the user time-out. A
+// full link of this box's own is as silent: what is sent waits in it, and so do the
+// acknowledgements. Nothing is gained by that for a request that can't be sent again.
+func TestSilenceEndsNoRequestButAConnectionAtRest(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, always(whole))
+	var nc net.Conn
+	dial := func(ctx context.Context, network, addr string) (c net.Conn, err error) {
+		c, err = NewDialer().DialContext(ctx, network, addr)
+		nc = c
+		return c, err
+	}
+	p := NewPool(WithDial(dial), WithPatience(20*time.Second))
+	defer p.Close()
+	limit := func() int {
+		raw, err := nc.(*net.TCPConn).SyscallConn()
+		is.NoErr(err)
+		var value int
+		is.NoErr(raw.Control(func(fd uintptr) {
+			value, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+		}))
+		is.NoErr(err)
+		return value
+	}
+	for range 2 { // on a new connection, and on one that had rested
+		a, err := p.Do(t.Context(), Request{
+			Addr:   s.addr,
+			Target: "/",
+		})
+		is.NoErr(err)
+		is.Equal(limit(), 20000)
+		_, err = io.ReadAll(a)
+		is.NoErr(err)
+		is.NoErr(a.Close())
+		is.Equal(limit(), 2000)
+	}
+	is.Equal(s.conns.Load(), int32(1))
+}
+
 func TestADialledSocketNoticesADarkPeer(t *testing.T) {
 	is := is.New(t)
 	s := newServer(t, always(whole))
--- a/exchange/socket.go
+++ b/exchange/socket.go
@@ -42,11 +42,25 @@
 	if runtime.GOOS != "linux" {
 		return nil
 	}
-	return raw.Control(func(fd uintptr) {
-		// Without the option the connection works as well; a dark peer is then
-		// noticed later, by keep-alive.
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
+	return raw.Control(func(fd uintptr) { setUserTimeout(fd, userTimeout) })
+}
+
+// setUserTimeout sets how long a socket bears a peer that acknowledges nothing, also
+// probes. Without the option the connection works as well; a dark peer is then noticed
+// later, by keep-alive.
+func setUserTimeout(fd uintptr, d time.Duration) {
+	_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+}
+
+// bear changes how long a connection bears a peer that acknowledges nothing.
+func bear(nc net.Conn, d time.Duration) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok || runtime.GOOS != "linux" {
+		return
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { setUserTimeout(fd, d) }) // it fails when the connection is closed already
+	}
 }
 
 // quiet says whether the connection is open and has no unread bytes, as far as the
