--- a/ingress/box.go
+++ b/ingress/box.go
@@ -45,7 +45,7 @@
 		Host:        c.r.Host,
 		Header:      h,
 		Body:        c.body,
-		DialTimeout: boxDial,
+		DialTimeout: c.dialTime(boxDial),
 	})
 	if err != nil {
 		return a.boxFailed(ctx, err)
@@ -71,12 +71,14 @@
 // boxFailed says what it means that a box gave no answer.
 func (a *attempt) boxFailed(ctx context.Context, err error) ended {
 	c := a.call
+	a.ending(ctx, err)
 	var e *exchange.Error
 	if errors.As(err, &e) && !e.Sent() {
 		if ctx.Err() != nil {
 			return abandoned
 		}
 		c.server.core.BoxLost(a.target.Box)
+		c.unmadeOne()
 		return unsent
 	}
 	c.sent++ // the box may have sent it on
