node, catalog: Let the seed of a run of whole boxes decide the order of all that happens

Each datagram, question and call takes a time that follows from the seed, the instant and who talks to whom, so that no two things that meet happen at one instant; draws and jitter are seams of Node; a Feed's waits take what is ready in a fixed order.

--- a/catalog/doubt.go
+++ b/catalog/doubt.go
@@ -94,7 +94,8 @@
 // again, went on sending to such a replica for up to 5 s.
 func (c *Content) Settle() bool {
 	settled := false
-	for id, d := range c.doubts {
+	for _, id := range slices.Sorted(maps.Keys(c.doubts)) { // so that the latest that are told again don't depend on chance
+		d := c.doubts[id]
 		if c.now().Before(d.until) {
 			continue
 		}
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -40,6 +40,9 @@
 	look := time.NewTicker(followLook)
 	defer look.Stop()
 	for ctx.Err() == nil {
+		if asked(d.behind) { // while it called, beside the next look
+			return
+		}
 		select {
 		case <-ctx.Done():
 		case <-d.behind:
@@ -126,6 +129,12 @@
 	t := time.NewTimer(d.untilSettled(d.spread(every)))
 	defer t.Stop()
 	for {
+		if asked(d.again) { // while it waited for the watch, beside the others
+			return false
+		}
+		if asked(t.C) {
+			return true
+		}
 		select {
 		case <-ctx.Done():
 			return false
@@ -142,6 +151,17 @@
 	}
 }
 
+// asked says whether a channel has something, and takes it. Of several that do, chance
+// would decide otherwise.
+func asked[T any](c <-chan T) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // spread returns a time between three and five quarters of t, so that boxes
 // don't call as one.
 func (d *Feed) spread(t time.Duration) time.Duration {
--- a/node/core.go
+++ b/node/core.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/havenrudder/havenrudder/decision"
@@ -51,7 +50,7 @@
 // place chooses where a request goes and counts it in.
 func (n *Node) place(ask ingress.Ask) (t ingress.Target) {
 	t.Reason = placement.Nothing
-	_ = n.state.Do(func(s *state) { t = s.place(ask, n.now(), rand.IntN) })
+	_ = n.state.Do(func(s *state) { t = s.place(ask, n.now(), n.draw) })
 	if t.Reason == placement.Paced {
 		n.meter.ColdSendPaced()
 	}
--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -26,14 +28,23 @@
 	removalWithin = 3500 * time.Millisecond // of its publication a removal is believed by all living boxes: the shortest bound on sending is 4 s
 	settlesIn     = 6 * time.Second         // of a box's start, until it is held to that
 	lookEvery     = 50 * time.Millisecond
+	mostJitter    = time.Millisecond // of a datagram, a question and a call
 	regionsOf     = 3
 	listed        = 90 // replicas, so many that followers ask for the revision in place of reading
 )
 
 // follows is an installation of boxes that follow a listing: their own tasks, roles,
 // datagrams and questions to each other, without sockets, in a bubble of time.
+//
+// One seed is one run, though the tasks of the boxes run on several threads: a bubble's
+// time goes on when all tasks wait, and no two things that meet happen at one instant.
+// The harness acts at even nanoseconds; a box begins at an odd one, and each datagram,
+// question and call takes an even time that follows from the seed, the instant and who
+// talks to whom (jitter), not from the order in which tasks ask for it.
 type follows struct {
 	ctx      context.Context
+	seed     uint64
+	trace    atomic.Uint64 // sum of the hashes of all datagrams and answers, which is the same in any order
 	listing  *listing
 	system   *cell.System
 	rnd      *rand.Rand
@@ -62,13 +73,14 @@
 	}
 	f := &follows{
 		ctx:      ctx,
-		listing:  newListing(list),
+		seed:     seed,
 		rnd:      rand.New(rand.NewPCG(seed, 2)),
 		byAddr:   make(map[string]*followBox),
 		wellFrom: time.Now(),
 		removed:  make(map[string]time.Time),
 		lapsing:  make(map[string]bool),
 	}
+	f.listing = newListing(list, f.jitter)
 	f.system = cell.NewSystem(slog.New(slog.DiscardHandler), func(reason any) { panic(reason) })
 	for n := range boxes {
 		region := fmt.Sprint("region-", n%regionsOf)
@@ -104,19 +116,58 @@
 		log:      decision.New(b.settings.Box, io.Discard),
 		meter:    meter.New(),
 		system:   f.system,
+		jitter:   func() float64 { return f.chance("jitter", b.settings.Box) },
+		draw:     rand.New(rand.NewPCG(f.seed, f.hash("draw", b.settings.Box))).IntN, // the beats' alone
 	}
 	n.read.Store(-int64(neverRead))
 	n.reads.Store(true)
 	n.state = cell.New(context.WithoutCancel(f.ctx), f.system, "state", newState(n.settings, n.status(), n.now()))
 	n.feed = n.newFeed(f.listing.source(b.settings.Box))
 	n.askBox = f.askBox
-	n.deliver = func(p roster.Packet) { f.deliver(b, p) }
+	n.deliver = func(p roster.Packet) {
+		if b.node.Load() == n { // a process that was killed says nothing more
+			f.deliver(b, p)
+		}
+	}
 	b.stop = cancel
 	b.node.Store(n)
-	n.tasks.Go(func() { n.feed.Run(ctx) })
-	n.tasks.Go(func() { n.beat(ctx) })
+	n.tasks.Go(func() {
+		sleep.For(ctx, f.jitter(roster.Tick, "start", b.settings.Box))
+		n.tasks.Go(func() { n.feed.Run(ctx) })
+		n.beat(ctx)
+	})
+}
+
+// hash returns a number that follows from the seed, the instant and some words.
+func (f *follows) hash(what ...any) uint64 {
+	h := fnv.New64a()
+	buf := binary.BigEndian.AppendUint64(nil, f.seed)
+	buf = binary.BigEndian.AppendUint64(buf, uint64(time.Now().UnixNano()))
+	for _, w := range what {
+		if b, ok := w.([]byte); ok {
+			buf = append(buf, b...)
+			continue
+		}
+		buf = fmt.Append(buf, w, " ")
+	}
+	_, _ = h.Write(buf) // a hash takes everything
+	x := h.Sum64()
+	return rand.New(rand.NewPCG(x, x)).Uint64() // the last letters of two words count for all of it
+}
+
+// chance returns a number from 0 up to 1 that follows from the seed and the instant.
+func (f *follows) chance(what ...any) float64 { return float64(f.hash(what...)>>11) / (1 << 53) }
+
+// jitter returns a time up to most, until an odd nanosecond, that follows from the seed
+// and the instant.
+func (f *follows) jitter(most time.Duration, what ...any) time.Duration {
+	even := 2 * time.Duration(f.hash(what...)%uint64(most/2))
+	return even + time.Duration(1-time.Now().UnixNano()%2)
 }
 
+// note takes something that happens into the trace.
+func (f *follows) note(what ...any) { f.trace.Add(f.hash(what...)) }
+
 // kill ends the process on a machine at once.
 func (f *follows) kill(b *followBox) {
 	n := b.node.Swap(nil)
@@ -146,8 +197,13 @@
 	}
 }
 
-// after has something done later, in the order of the calls.
+// after has something done later, at an instant of its own.
 func (f *follows) after(d time.Duration, act func()) {
+	f.later(d+f.jitter(mostJitter, "after", f.rnd.Uint64())+1, act) // an even one
+}
+
+// later has something done after exactly so long.
+func (f *follows) later(d time.Duration, act func()) {
 	go func() {
 		sleep.For(f.ctx, d)
 		if f.ctx.Err() == nil {
@@ -166,7 +222,9 @@
 		delay = farDelay
 	}
 	addr := net.JoinHostPort(from.settings.IP, "7001")
-	f.after(delay, func() {
+	h := f.hash(from.settings.Box, p.Addr, p.Buf)
+	f.trace.Add(h)
+	f.later(delay+f.jitter(mostJitter, h), func() {
 		n := to.node.Load()
 		if n == nil {
 			return
@@ -186,7 +244,7 @@
 // askBox asks a box for what changed, as over a connection.
 func (f *follows) askBox(ctx context.Context, addr string, after int64) (news catalog.News, err error) {
 	b := f.byAddr[addr]
-	sleep.For(ctx, nearDelay)
+	sleep.For(ctx, nearDelay+f.jitter(mostJitter, "asked", addr, after))
 	var n *Node
 	if b != nil {
 		n = b.node.Load()
@@ -196,6 +254,7 @@
 		return news, errors.Wrap(ctx.Err(), "box gone")
 	}
 	err = n.state.Do(func(s *state) { news = s.content.Since(after) })
+	f.note("told", addr, after, news.Revision, len(news.Changes), news.Doubts)
 	return news, err
 }
 
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"time"
 
@@ -54,10 +53,10 @@
 func (n *Node) tell() {
 	n.send(func(s *state, self wire.BoxStatus) []roster.Packet {
 		now := n.now()
-		out := s.roster.Tell(self, now, rand.IntN)
+		out := s.roster.Tell(self, now, n.draw)
 		s.view.OthersFor(s.roster.LoadsAge())
 		s.chooseTaking(n.servingState(), now)
-		return append(out, s.tellWords(now, rand.IntN)...)
+		return append(out, s.tellWords(now, n.draw)...)
 	})
 }
 
@@ -75,7 +74,7 @@
 		if !s.roster.TellsLoads() {
 			return nil
 		}
-		return s.roster.TellLoads(self, n.now(), rand.IntN)
+		return s.roster.TellLoads(self, n.now(), n.draw)
 	})
 }
 
--- a/node/listing_test.go
+++ b/node/listing_test.go
@@ -31,10 +31,12 @@
 	refuses  map[string]bool // boxes
 	changed  change.Signal
 	calls    int
+	jitter   func(most time.Duration, what ...any) time.Duration // a short time by the seed
 }
 
-func newListing(list []catalog.Replica) *listing {
+func newListing(list []catalog.Replica, jitter func(most time.Duration, what ...any) time.Duration) *listing {
 	l := &listing{
+		jitter:   jitter,
 		rev:      1,
 		policy:   policy(1),
 		replicas: make(map[string]catalog.Replica),
@@ -136,7 +138,7 @@
 
 // begin lets a call of a box take its time, and says whether it is answered.
 func (l *listing) begin(ctx context.Context, box string) error {
-	sleep.For(ctx, listingTakes)
+	sleep.For(ctx, listingTakes+l.jitter(mostJitter, "call", box))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
@@ -188,6 +190,7 @@
 		rev = l.rev
 		return err != nil || len(changes) > 0, l.changed.Next()
 	})
+	sleep.For(ctx, l.jitter(mostJitter, "answer", box)) // those who wait don't hear at one instant
 	return changes, rev, err
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -63,6 +63,8 @@
 	links     []*roster.Link
 	deliver   func(roster.Packet)                                                       // seam: sends a datagram
 	askBox    func(ctx context.Context, addr string, after int64) (catalog.News, error) // seam: asks another box for what changed
+	draw      func(n int) int                                                           // seam: a random number from 0 to n-1
+	jitter    func() float64                                                            // seam: a random number from 0 up to 1
 	feed      *catalog.Feed
 	tasks     sync.WaitGroup
 	told      chan struct{} // asks for the settings to be read again
@@ -92,6 +94,8 @@
 		told:     make(chan struct{}, 1),
 		replaced: make(chan string, maxReplaced),
 		bounds:   s.Bounds,
+		draw:     rand.IntN,
+		jitter:   rand.Float64,
 	}
 	n.read.Store(-int64(neverRead))
 	n.reads.Store(true) // until others are known
@@ -184,7 +188,7 @@
 		catalog.WithHealth(n.storeHealth),
 		catalog.WithReader(n.reads.Load),
 		catalog.WithFollowing(n.follows.Load, n.catalogAge),
-		catalog.WithJitter(rand.Float64))
+		catalog.WithJitter(n.jitter))
 }
 
 // status returns what never changes of this box's status.
--- a/node/removal_test.go
+++ b/node/removal_test.go
@@ -31,7 +31,7 @@
 				f.restartWatchers(3 * time.Second)
 				f.remove(12)
 				f.pass(settlesIn)
-				t.Logf("the longest lag of a removal is %v, %d times a living replica was not listed", f.worst, f.dropped)
+				t.Logf("the longest lag of a removal is %v, %d times a living replica was not listed, trace %x", f.worst, f.dropped, f.trace.Load())
 				if f.late != "" {
 					t.Fatal(f.late)
 				}
