--- a/node/follow.go
+++ b/node/follow.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	readers     = 2                // boxes of a region that read the catalog again, so that one may be lost
-	watchers    = 3                // boxes of a larger region that watch it for the others, so that two may be lost
-	tellAge     = 10 * time.Second // of knowledge that is of use to no follower: each has read by then
-	allWatchers = 4                // boxes of a region up to which each watches for itself: three as a rule and a spare one
+	readers     = 2                      // boxes of a region that read the catalog again, so that one may be lost
+	watchers    = 3                      // boxes of a larger region that watch it for the others, so that two may be lost
+	tellAge     = 10 * time.Second       // of knowledge that is of use to no follower: each has read by then
+	nearWay     = 20 * time.Millisecond  // that a datagram takes at most, as a rule, within a region; a millisecond, and what its ends take
+	farWay      = 200 * time.Millisecond // the same between regions: 80 ms, and what its ends take
+	allWatchers = 4                      // boxes of a region up to which each watches for itself: three as a rule and a spare one
 )
 
 // role is what a box does to keep its copy of the catalog current.
@@ -67,13 +69,23 @@
 	return max(int(age.Milliseconds()), 1)
 }
 
+// wayFrom returns how long a datagram from a region takes at most, as a rule. Without it
+// a reading that boxes of several regions told each other got no older by its ways, and
+// when all watchers were lost no follower read for 3 s.
+func (n *Node) wayFrom(region string) time.Duration {
+	if region == n.settings.Region {
+		return nearWay
+	}
+	return farWay
+}
+
 // confirm takes in that another box knows of a reading of the catalog that found
 // nothing newer than what this one knows.
 func (n *Node) confirm(from wire.BoxStatus, revision int64) {
 	if from.ReadMs == 0 || int64(from.Catalog) > revision {
 		return
 	}
-	at := n.now() - time.Duration(from.ReadMs)*time.Millisecond
+	at := n.now() - time.Duration(from.ReadMs)*time.Millisecond - n.wayFrom(from.Region)
 	for {
 		was := n.read.Load()
 		if int64(at) <= was || n.read.CompareAndSwap(was, int64(at)) {
--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -67,6 +68,41 @@
 	is.Equal(says(7, 9000), time.Second)
 }
 
+// A reading that two boxes of different regions told each other stayed as old as it was,
+// for each left out the 81 ms on the way.
+func TestAReadingGetsNoYoungerOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		pair := []*Node{{
+			settings: Settings{
+				Box:    "near",
+				Region: "a",
+			},
+			started: time.Now(),
+		}, {
+			settings: Settings{
+				Box:    "far",
+				Region: "b",
+			},
+			started: time.Now(),
+		}}
+		time.Sleep(time.Minute)
+		pair[0].tellsAge.Store(true)
+		pair[1].tellsAge.Store(true)
+		read := time.Now()
+		pair[0].read.Store(int64(pair[0].now()))
+		pair[1].read.Store(0)
+		for i := range 20 {
+			from, to := pair[i%2], pair[(i+1)%2]
+			s := status(from.settings.Box, from.settings.Region)
+			s.ReadMs = from.readMs()
+			time.Sleep(farDelay)
+			to.confirm(s, 0)
+			is.True(to.catalogAge() >= time.Since(read))
+		}
+	})
+}
+
 func TestAFollowerAsksForReplicasThatABoxFoundGone(t *testing.T) {
 	is := is.New(t)
 	b := newBox("self", "a", 2)
--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -348,7 +349,8 @@
 			}
 		}
 	}
-	for id, at := range f.removed {
+	for _, id := range slices.Sorted(maps.Keys(f.removed)) {
+		at := f.removed[id]
 		lag := min(time.Since(at), time.Since(f.wellFrom))
 		if lag > settlesIn {
 			delete(f.removed, id)
--- a/node/removal_test.go
+++ b/node/removal_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,32 +17,59 @@
 // it again for 17 s. What was missing in its next reading it took for entries that may
 // come back: it sent to a replica for seconds after its removal, and other boxes that
 // asked it learned the revision without the removal.
+//
+// In some runs all watchers were lost as a replica was removed, and no follower read for
+// 2.97 s, though each does when what it knows is 1.8 to 3 s old: boxes tell each other how
+// long ago somebody read, and the time on the way was left out, 81 ms between regions.
+// Passed on and back, a reading of before the removal stayed young:
+//
+//	25.0000 - region-2-1 removed
+//	27.9711 box-2-050 asks for the newest: 63
+//	28.2879 box-2-041 asked 10.2.38.1:7001 after 39 told up to 39
+//	box-2-041 sends to region-2-1 3.55s after its removal
 func TestAReadingLongAfterAnOutageKeepsNoRemovedReplica(t *testing.T) {
-	for _, boxes := range []int{6, 60, 300} {
-		for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
-			t.Run(fmt.Sprint(boxes, " boxes, seed ", seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { longAfterAnOutage(t, seed, boxes) })
+	for _, run := range []struct {
+		boxes int
+		seed  uint64
+	}{
+		{6, 1},
+		{60, 4},  // lagged 3.55 s as all watchers were lost
+		{300, 2}, // the same
+	} {
+		first := cmp.Or(*firstSeed, run.seed)
+		for seed := first; seed < first+*seeds; seed++ {
+			t.Run(fmt.Sprint(run.boxes, " boxes, seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { longAfterAnOutage(t, seed, run.boxes) })
 			})
 		}
 	}
 }
 
-// All watchers were lost as a replica was removed. No follower read for 2.97 s, though
-// each does when what it knows is 1.8 to 3 s old: boxes tell each other how long ago
-// somebody read, and the time on the way was left out, 81 ms between regions. Passed on
-// and back, a reading of before the removal stayed young:
-//
-//	25.0000 - region-2-1 removed
-//	27.9711 box-2-050 asks for the newest: 63
-//	28.2879 box-2-041 asked 10.2.38.1:7001 after 39 told up to 39
-//	box-2-041 sends to region-2-1 3.55s after its removal
-func TestAReadingPassedOnBetweenRegionsGetsNoYounger(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) { longAfterAnOutage(t, 4, 60) })
+// A seed that fails shows its cause only if it fails again: with boxes on several threads
+// that met at one instant it did in one run of five.
+func TestOneSeedIsOneRun(t *testing.T) {
+	traces := make(map[uint64]bool)
+	for range 3 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFollows(t.Context(), 1, 24)
+			defer f.end()
+			f.pass(4 * time.Second)
+			f.outage(time.Second, 2)
+			f.pass(2 * time.Second)
+			f.remove(2)
+			f.restartWatchers(time.Second)
+			f.pass(4 * time.Second)
+			traces[f.trace.Load()] = true
+		})
+	}
+	if len(traces) > 1 {
+		t.Fatalf("one seed gave several runs: %x", slices.Sorted(maps.Keys(traces)))
+	}
 }
 
 // For a hunt by hand, such as -seeds=200 -run=/300_boxes.
 var (
-	firstSeed = flag.Uint64("seed", 1, "seed of the first run of an installation")
+	firstSeed = flag.Uint64("seed", 0, "seed of the first run of an installation; 0 for the one that CI runs")
 	seeds     = flag.Uint64("seeds", 1, "seeds that are run, one after the other")
 )
 
@@ -58,7 +88,7 @@
 	f.restartWatchers(3 * time.Second)
 	f.remove(12)
 	f.pass(settlesIn)
-	t.Logf("the longest lag of a removal is %v, %d times a living replica was not listed, trace %x", f.worst, f.dropped, f.trace.Load())
+	t.Logf("the longest lag of a removal is %v, %d times a living replica was not listed, %d calls, trace %x", f.worst, f.dropped, f.listing.calls, f.trace.Load())
 	if f.late != "" {
 		t.Fatal(f.late)
 	}
