catalog: Have a follower read when what it knows is 1.65 to 2.75 s old, and try replicas that leave

The longest way of a removal whose watchers are lost is then 2.75 s, 0.2 until the next look, 0.3 for others to bring it and two calls, 3.26 s in all, below the 3.5 s that are stated; with 3 s it was 3.51.

--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	staleAfter   = 2400 * time.Millisecond // that a follower's knowledge may be old, 1.8 to 3 s: the shortest bound on what is published is 4 s, and looking, reading and a slow box take some of that; with 2.7 to 4.5 s a request reached a leaving replica 5 s after its word
+	staleAfter   = 2200 * time.Millisecond // that a follower's knowledge may be old, 1.65 to 2.75 s: the shortest bound on what is published is 4 s, and looking, reading and a slow box take some of that; with 2.7 to 4.5 s a request reached a leaving replica 5 s after its word
 	followRead   = 20 * time.Second        // between two readings of a follower whatever it hears, for what others' word may lack
 	followRetry  = 2 * time.Second         // after a failed call of a follower: all followers fail at the same time, and calls have a price
 	wholeUpTo    = 64                      // replicas up to which all is read again each time: some 20 KB, and no call more
--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -59,10 +59,13 @@
 	byAddr   map[string]*followBox
 	seeds    []string
 	wellFrom time.Time            // since when the listing is not down
-	removed  map[string]time.Time // replicas that never come back
+	removed  map[string]time.Time // replicas that never come back, and those that leave
+	left     map[string]bool      // those of them that are listed as leaving
 	worst    time.Duration        // lag of a removal
+	newFor   time.Duration        // since its start until a box is held to the bound
 	lapsing  map[string]bool      // replicas whose entries come back after the outage
 	dropped  int                  // times that a living box was seen without one of these
+	replaced int                  // replicas
 	late     string               // what broke the bound
 	storied  map[string]string    // by box: what was told of the replica last
 }
@@ -83,12 +86,14 @@
 		ctx:      ctx,
 		began:    time.Now(),
 		seed:     seed,
+		newFor:   settlesIn,
 		storied:  make(map[string]string),
 		sooner:   make(chan struct{}, 1),
 		rnd:      rand.New(rand.NewPCG(seed, 2)),
 		byAddr:   make(map[string]*followBox),
 		wellFrom: time.Now(),
 		removed:  make(map[string]time.Time),
+		left:     make(map[string]bool),
 		lapsing:  make(map[string]bool),
 	}
 	f.listing = newListing(list, f.jitter)
@@ -346,6 +351,7 @@
 		for id := range f.lapsing {
 			if n != nil && n.now() >= settlesIn && strings.HasPrefix(id, b.settings.Region) && !n.lists(id) {
 				f.dropped++
+				f.tell(b.settings.Box, "doesn't list the living", id)
 			}
 		}
 	}
@@ -354,6 +360,7 @@
 		lag := min(time.Since(at), time.Since(f.wellFrom))
 		if lag > settlesIn {
 			delete(f.removed, id)
+			delete(f.left, id)
 			continue
 		}
 		if f.listing.isDown() {
@@ -361,22 +368,22 @@
 		}
 		for _, b := range f.boxes {
 			n := b.node.Load()
-			if n == nil || n.now() < settlesIn || !n.lists(id) {
+			if n == nil || n.now() < f.newFor || !n.lists(id) {
 				continue
 			}
 			f.worst = max(f.worst, lag)
 			if lag > removalWithin {
-				f.late = fmt.Sprintf("%s sends to %s %v after its removal", b.settings.Box, id, lag)
+				f.late = fmt.Sprintf("%s sends to %s %v after its removal (leaving: %t)", b.settings.Box, id, lag, f.left[id])
 			}
 		}
 	}
 }
 
-// lists says whether a box would send to a replica of its region.
+// lists says whether a box would send to a replica of its region, if it isn't in doubt.
 func (n *Node) lists(id string) (out bool) {
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		r := s.view.Get(id)
-		out = r != nil && r.Listed()
+		out = r != nil && r.Listed() && !r.Info().Leaving
 	})
 	return out
 }
@@ -417,8 +424,30 @@
 		f.listing.drop(id)
 		f.tell("-", id, "removed")
 		f.removed[id] = time.Now()
-		r.ID += "+"
+		delete(f.lapsing, id)
+		f.replaceReplica(r)
+	}
+}
+
+// replaceReplica lists another process in place of a replica that is gone or leaves.
+func (f *follows) replaceReplica(r catalog.Replica) {
+	f.replaced++
+	r.ID = fmt.Sprint(r.ID, "+", f.replaced)
+	r.Leaving = false
+	f.listing.put(r)
+}
+
+// leave has replicas say that they leave, and lists others.
+func (f *follows) leave(count int) {
+	for _, id := range f.some(count) {
+		r := f.listing.get(id)
+		r.Leaving = true
 		f.listing.put(r)
+		f.tell("-", id, "leaves")
+		f.removed[id] = time.Now()
+		f.left[id] = true
+		delete(f.lapsing, id)
+		f.replaceReplica(r)
 	}
 }
 
--- a/node/removal_test.go
+++ b/node/removal_test.go
@@ -45,6 +45,59 @@
 	}
 }
 
+// A replica that leaves is still listed, so its entry is no doubt; a removal may be one.
+func TestEachBoxLearnsInTimeThatAReplicaLeavesOrIsRemoved(t *testing.T) {
+	for _, run := range []struct {
+		boxes int
+		seed  uint64
+	}{
+		{6, 1},
+		{60, 1},
+	} {
+		first := cmp.Or(*firstSeed, run.seed)
+		for seed := first; seed < first+*seeds; seed++ {
+			t.Run(fmt.Sprint(run.boxes, " boxes, seed ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { leavingAndRemoved(t, seed, run.boxes) })
+			})
+		}
+	}
+}
+
+// leavingAndRemoved has replicas leave and removes others, in an outage and after it,
+// as boxes restart and as all watchers do.
+func leavingAndRemoved(t *testing.T, seed uint64, boxes int) {
+	f := newFollows(t.Context(), seed, boxes)
+	defer f.end()
+	f.pass(settlesIn)
+	f.newFor = 0 // from now on boxes that start know no less than others
+	f.turnAway(0.3, 10*time.Second)
+	f.outage(3*time.Second, 4)
+	f.pass(2500 * time.Millisecond)
+	f.leave(3)
+	f.remove(3)
+	for range 5 {
+		f.pass(1500 * time.Millisecond)
+		f.restart(f.someBox(), time.Second)
+		f.leave(2)
+		f.remove(1)
+	}
+	f.pass(2 * time.Second)
+	f.restartWatchers(3 * time.Second)
+	f.leave(6)
+	f.remove(6)
+	f.pass(settlesIn)
+	f.report(t)
+}
+
+// report fails the test if a box was late.
+func (f *follows) report(t *testing.T) {
+	t.Helper()
+	t.Logf("the longest lag of a removal is %v, %d times a living replica was not listed, %d calls, trace %x", f.worst, f.dropped, f.listing.calls, f.trace.Load())
+	if f.late != "" {
+		t.Fatal(f.late)
+	}
+}
+
 // A seed that fails shows its cause only if it fails again: with boxes on several threads
 // that met at one instant it did in one run of five.
 func TestOneSeedIsOneRun(t *testing.T) {
@@ -88,10 +141,7 @@
 	f.restartWatchers(3 * time.Second)
 	f.remove(12)
 	f.pass(settlesIn)
-	t.Logf("the longest lag of a removal is %v, %d times a living replica was not listed, %d calls, trace %x", f.worst, f.dropped, f.listing.calls, f.trace.Load())
-	if f.late != "" {
-		t.Fatal(f.late)
-	}
+	f.report(t)
 }
 
 const (
