--- a/node/core.go
+++ b/node/core.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/havenrudder/havenrudder/decision"
@@ -59,7 +58,7 @@
 // place chooses where a request goes and counts it in.
 func (n *Node) place(ask ingress.Ask) (t ingress.Target) {
 	t.Reason = placement.Nothing
-	_ = n.state.Do(func(s *state) { t = s.place(ask, n.now(), rand.IntN) })
+	_ = n.state.Do(func(s *state) { t = s.place(ask, n.now(), n.draw) })
 	if t.Reason == placement.Paced {
 		n.meter.ColdSendPaced()
 	}
@@ -128,7 +127,7 @@
 			return
 		}
 		found := false
-		if other, found = s.other(ask, n.now(), rand.IntN); !found {
+		if other, found = s.other(ask, n.now(), n.draw); !found {
 			d = 0
 		}
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,8 @@
 	deliver   func(roster.Packet)                                                          // seam: sends a datagram
 	askBox    func(ctx context.Context, addr string, after int64) (catalog.News, error)    // seam: asks another box for what changed
 	askPolicy func(ctx context.Context, addr string, have int) (catalog.PolicyNews, error) // seam: asks another box for its policy
+	draw      func(n int) int                                                              // seam: a random number from 0 to n-1
+	jitter    func() float64                                                               // seam: a random number from 0 up to 1
 	feed      *catalog.Feed
 
 	amendments  *catalog.Amendments
@@ -103,6 +105,8 @@
 		told:     make(chan struct{}, 1),
 		replaced: make(chan string, maxReplaced),
 		bounds:   s.Bounds,
+		draw:     rand.IntN,
+		jitter:   rand.Float64,
 
 		amendments: catalog.NewAmendments(),
 		outflow:    newOutflow(),
@@ -201,7 +205,7 @@
 		catalog.WithHealth(n.storeHealth),
 		catalog.WithReader(n.reads.Load),
 		catalog.WithFollowing(n.follows.Load, n.catalogAge),
-		catalog.WithJitter(rand.Float64))
+		catalog.WithJitter(n.jitter))
 }
 
 // status returns what never changes of this box's status.
--- a/node/policies.go
+++ b/node/policies.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -153,7 +152,7 @@
 		n.seeking.Store(false)
 		return
 	}
-	from := l.givers[rand.IntN(len(l.givers))]
+	from := l.givers[n.draw(len(l.givers))]
 	n.tasks.Go(func() {
 		defer n.seeking.Store(false)
 		sleep.For(ctx, max(n.getPolicy(ctx, from, l.have), policyPause))
