roster, node: Name no failure domain that fell silent as a whole

Cause: a box counts as lost 2.5 to 6 s after its last sign of life, which is for lone losses. When a failure domain went, callers of the region were named its boxes, half of all, for as long. Now a domain of three boxes or more of which none was heard for 1.25 s, while another domain of the region was, is left out of the answers and of the 32 that take callers. Quotas still count it.

--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -31,6 +31,7 @@
 type machine struct {
 	name   string
 	region string
+	domain string
 	addr   string
 	inc    int // of the process
 	born   time.Duration
@@ -85,6 +86,7 @@
 	m := &machine{
 		name:   name,
 		region: region,
+		domain: region,
 		addr:   addr,
 	}
 	in.machines = append(in.machines, m)
@@ -118,7 +120,7 @@
 	m.state = newState(Settings{
 		Box:    m.name,
 		Region: m.region,
-		Domain: m.region,
+		Domain: m.domain,
 		Seeds:  in.seeds,
 		Bounds: Bounds{
 			ColdOverage: 1.5,
@@ -192,7 +194,7 @@
 		Box:     m.name,
 		Inc:     m.inc,
 		Region:  m.region,
-		Domain:  m.region,
+		Domain:  m.domain,
 		Callers: m.addr,
 		Peers:   m.addr,
 		Forward: m.addr,
--- a/node/which.go
+++ b/node/which.go
@@ -88,7 +88,9 @@
 
 // named returns where the boxes of some regions in a state take requests. One that
 // has closed to callers says so by telling no address for them; this one's own state
-// is empty then.
+// is empty then. Boxes of a failure domain that fell silent as a whole are left out:
+// by the time after which a lone box counts as lost, callers were named them for up to
+// 6 s more.
 func (s *state) named(own wire.ServingState, now time.Duration, want wire.ServingState, in func(region string) bool) []string {
 	var out []string
 	consider := func(box, region, callers string) {
@@ -97,7 +99,11 @@
 			out = append(out, callers)
 		}
 	}
+	silent := s.roster.SilentDomains(now)
 	for m := range s.roster.All() {
+		if slices.Contains(silent, m.Status.Domain) {
+			continue
+		}
 		if m.State() == want && m.Status.Callers != "" && s.roster.Alive(m.Status.Box, now) {
 			consider(m.Status.Box, m.Status.Region, m.Status.Callers)
 		}
--- a/node/words.go
+++ b/node/words.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/havenrudder/havenrudder/common/rendezvous"
@@ -21,11 +22,13 @@
 func (t taking) has(box string) bool { return t == nil || t[box] }
 
 // chooseTaking works out again which boxes callers are told to use. All boxes that
-// know of the same ones agree, and one box more or less moves one.
+// know of the same ones agree, and one box more or less moves one. Those of a failure
+// domain that fell silent as a whole make place for others at once.
 func (s *state) chooseTaking(own wire.ServingState, now time.Duration) {
 	byRegion := make(map[string][]string)
+	silent := s.roster.SilentDomains(now)
 	for m := range s.roster.AllServing("", now) {
-		if m.Status.Callers != "" {
+		if m.Status.Callers != "" && !slices.Contains(silent, m.Status.Domain) {
 			byRegion[m.Status.Region] = append(byRegion[m.Status.Region], m.Status.Box)
 		}
 	}
--- a/roster/alive.go
+++ b/roster/alive.go
@@ -47,6 +47,7 @@
 		news.heard = r.Heard
 	}
 	t.compact.regions[r.Status.Region] = news
+	t.noteDomain(r)
 }
 
 // replace puts a new incarnation in the place of an older one.
--- a/roster/table.go
+++ b/roster/table.go
@@ -63,6 +63,7 @@
 	silent  int       // first of the silent members to send to next
 	pace    pace
 	compact compactState
+	domains map[string]time.Duration // failure domains of the own region, and our clock at the latest sign of life of any of their boxes
 
 	agreement agreement
 }
@@ -84,6 +85,7 @@
 		records: make(map[string]*record),
 		pace:    plainPace(),
 		compact: newCompactState(),
+		domains: make(map[string]time.Duration),
 
 		agreement: newAgreement(),
 	}
