--- a/node/bigpolicy_test.go
+++ b/node/bigpolicy_test.go
@@ -15,6 +15,7 @@
 	bigPolicies  = 3
 	bigEvery     = 6 * time.Second
 	idleAfter    = 1500 * time.Millisecond // a version without a difference follows
+	allFollow    = 12 * time.Second        // of a start, until no box waits for a watch of its own that follows others
 	leaveEvery   = 500 * time.Millisecond  // a replica leaves, another one comes
 	lingers      = 3                       // replicas of a region that leave at once
 	mostPolicies = 2                       // times the bytes of the last policy that a box sends in all
@@ -35,9 +36,7 @@
 func newBusy(t *testing.T, boxes int) *busy {
 	f := newFollows(t.Context(), 1, boxes)
 	f.links = newLinks(narrowLink)
-	f.listing.ways = &ways{
-		free: make(map[string]time.Time),
-	}
+	f.listing.ways = newWays()
 	return &busy{
 		follows: f,
 		t:       t,
@@ -116,6 +115,9 @@
 // lookAt notes what a box doesn't know yet.
 func (b *busy) lookAt(box *followBox) {
 	n := box.node.Load()
+	if n == nil {
+		return
+	}
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		if lag := time.Since(b.at); s.table == nil || s.table.Version() < b.version {
 			b.inForce = max(b.inForce, lag)
@@ -157,7 +159,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBusy(t, 60)
 		defer b.end()
-		b.watch(8 * time.Second)
+		b.watch(allFollow)
 		b.links.reset()
 		n, size := 0, 0
 		for i := range bigPolicies {
--- a/node/links_test.go
+++ b/node/links_test.go
@@ -136,37 +136,60 @@
 	return len(data)
 }
 
-// ways are the ways from a listing to boxes, of the same rate as their links.
+// ways are the ways from a listing to boxes, of the same rate as their links. A box
+// reads a policy as platform.Store does.
 type ways struct {
-	mu   sync.Mutex
-	free map[string]time.Time // by box
-	read int                  // answers with a policy
+	mu       sync.Mutex
+	free     map[string]time.Time       // by box
+	known    map[string]*catalog.Policy // the same
+	arriving map[string]bool            // the same: a watch brings a policy
+	read     int                        // answers with a policy
+}
+
+func newWays() *ways {
+	return &ways{
+		free:     make(map[string]time.Time),
+		known:    make(map[string]*catalog.Policy),
+		arriving: make(map[string]bool),
+	}
 }
 
 // inBase64 is how much longer a value gets on its way from the listing.
 const inBase64 = 4.0 / 3
 
-// take lets a box take an answer in, after those before it.
-func (w *ways) take(ctx context.Context, box string, policies ...*catalog.Policy) {
-	bytes := 0
-	for _, p := range policies {
-		if p != nil {
-			bytes += sizeOfPolicy(p)
-		}
-	}
-	if bytes == 0 {
-		return
-	}
+// take lets a box take a policy in, after what is on its way already.
+func (w *ways) take(ctx context.Context, box string, p *catalog.Policy, parts float64) {
 	w.mu.Lock()
 	w.read++
 	start := w.free[box]
 	if now := time.Now(); start.Before(now) {
 		start = now
 	}
-	w.free[box] = start.Add(time.Duration(float64(bytes) * inBase64 / narrowLink * float64(time.Second)))
+	w.free[box] = start.Add(time.Duration(parts * float64(sizeOfPolicy(p)) * inBase64 / narrowLink * float64(time.Second)))
 	end := w.free[box]
 	w.mu.Unlock()
 	sleep.For(ctx, time.Until(end))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if parts == 1 {
+		w.known[box] = p
+	}
+}
+
+// late returns what a box knows while a watch brings it a policy.
+func (w *ways) late(box string, p *catalog.Policy) (known *catalog.Policy, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if known = w.known[box]; known == nil || (known != p && !w.arriving[box]) {
+		return nil, false
+	}
+	return known, true
+}
+
+func (w *ways) arrives(box string, is bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arriving[box] = is
 }
 
 // narrowed returns a source whose answers take their time on the way to a box.
@@ -174,19 +197,37 @@
 	read, wait := s.Read, s.Wait
 	s.Read = func(ctx context.Context) (catalog.Snapshot, error) {
 		out, err := read(ctx)
-		if w := l.ways; w != nil {
-			w.take(ctx, box, out.Policy)
+		if w := l.ways; w != nil && err == nil {
+			known, ok := w.late(box, out.Policy)
+			if ok {
+				out.Policy = known
+			} else {
+				w.take(ctx, box, out.Policy, 1)
+			}
 		}
 		return out, err
 	}
 	s.Wait = func(ctx context.Context, after int64, d time.Duration) ([]catalog.Change, int64, error) {
 		changes, rev, err := wait(ctx, after, d)
-		if w := l.ways; w != nil {
-			var list []*catalog.Policy
-			for _, c := range changes {
+		w := l.ways
+		if w == nil {
+			return changes, rev, err
+		}
+		var list []*catalog.Policy
+		for _, c := range changes {
+			if c.Policy != nil {
 				list = append(list, c.Policy)
 			}
-			w.take(ctx, box, list...)
+		}
+		w.arrives(box, len(list) > 0)
+		defer w.arrives(box, false)
+		switch len(list) {
+		case 0:
+		case 1:
+			w.take(ctx, box, list[0], 1)
+		default:
+			w.take(ctx, box, list[0], 1.5)
+			return nil, 0, catalog.ErrHistoryGone
 		}
 		return changes, rev, err
 	}
--- a/node/policies.go
+++ b/node/policies.go
@@ -20,7 +20,8 @@
 	policyRate  = 400_000                 // bytes of policies that a box sends a second: a third of a link of 10 Mbit/s
 	policyBurst = 200_000                 // of these at once: two policies of 4,200 routes
 	policyLimit = 1500 * time.Millisecond // for a policy from another box: at that rate each comes within a second
-	policyPause = 100 * time.Millisecond  // between two questions for one; the other box may be out of room
+	policyPause = 100 * time.Millisecond  // between two questions for one
+	policyBusy  = 300 * time.Millisecond  // the same at most, where it said that it is: others have the policy by then
 	policyAlone = 2 * time.Second         // after which a box that gets no policy from others reads for itself: half of the shortest bound on it
 	mostAlone   = 20 * time.Second        // between two such readings, for a policy that nobody can decode
 )
@@ -192,7 +193,7 @@
 	defer cancel()
 	news, err := n.askPolicy(limit, from.Peers, have)
 	if err == nil && len(news.Pressed) == 0 {
-		return min(news.Wait.Duration(), policyLimit)
+		return min(news.Wait.Duration(), policyBusy)
 	}
 	var p *catalog.Policy
 	if err == nil {
