ingress, node: Watch requests passed on to another box in the same way

The same cause acted between regions: a box's connection to another one was given up by its socket after 2 s without an acknowledgement, also where its own link was full, and the stream was cut or begun anew. Now the watch over silence has these tries too, with 2 s (the other box resumes its streams itself after 700 ms), asks another target first, and ends no try of a box that has used the tries up; the sockets bear 30 s under a request and 2 s at rest, as those to replicas. Bytes of whole answers count as word of a replica, not only events: a long body through a slow link had seemed silent from its head on.

-race, 100 times: the two tests of a stream by way of another box, and the others of choked_test.go.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -50,17 +50,21 @@
 		a.result = placement.Failed
 		return torn // it doesn't go on with the stream
 	}
+	body := &heard{
+		attempt: a,
+		answer:  answer,
+	}
 	if success && c.route.Kind == catalog.Stream {
-		return a.passEvents(ctx, answer)
+		return a.passEvents(ctx, answer, body)
 	}
-	return a.passWhole(ctx, answer, success)
+	return a.passWhole(ctx, answer, body, success)
 }
 
 // passWhole reads an answer to its end and then passes it on.
-func (a *attempt) passWhole(ctx context.Context, answer *exchange.Answer, success bool) ended {
+func (a *attempt) passWhole(ctx context.Context, answer *exchange.Answer, body io.Reader, success bool) ended {
 	c := a.call
 	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(answer, heldAnswer+1))
+	n, err := io.Copy(&buf, io.LimitReader(body, heldAnswer+1))
 	if err != nil {
 		return a.broke(ctx)
 	}
@@ -85,7 +89,7 @@
 		c.tried = nil // a failure of its own may be of this run alone; how often a replica fails counts when it is chosen again
 		return unknown
 	case long:
-		return a.passLong(ctx, answer, whole)
+		return a.passLong(ctx, answer, body, whole)
 	}
 	if !success {
 		c.answer(whole, reasonFailure)
@@ -114,7 +118,7 @@
 
 // passLong passes on an answer that is too long to be held; begin is what was read
 // of it.
-func (a *attempt) passLong(ctx context.Context, answer *exchange.Answer, begin kept) ended {
+func (a *attempt) passLong(ctx context.Context, answer *exchange.Answer, body io.Reader, begin kept) ended {
 	c := a.call
 	length, chunked := answer.Framed()
 	c.setHeader(begin.head)
@@ -126,7 +130,7 @@
 	if _, err := c.w.Write(begin.body); err != nil {
 		return abandoned
 	}
-	if _, err := io.Copy(c.w, answer); err != nil {
+	if _, err := io.Copy(c.w, body); err != nil {
 		return a.broke(ctx)
 	}
 	c.finished(decision.Served, begin.status, "")
--- a/ingress/box.go
+++ b/ingress/box.go
@@ -13,15 +13,18 @@
 
 // tryBox passes the request on to a box of another region.
 func (c *call) tryBox(ctx context.Context, t Target) ended {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	a := &attempt{
 		call:   c,
 		target: &t,
 		sent:   time.Now(),
+		cancel: cancel,
 	}
 	c.triedBoxes = append(c.triedBoxes, t.Box)
+	stop := a.watchSilence(ctx)
 	e := a.box(ctx)
+	stop()
 	if e == unsent || e == notRun {
 		c.noRegions = append(c.noRegions, t.Region) // its other boxes would say the same
 	}
@@ -45,6 +48,7 @@
 		Host:        c.r.Host,
 		Header:      h,
 		Body:        c.body,
+		Begin:       a.begin,
 		DialTimeout: c.dialTime(boxDial),
 	})
 	if err != nil {
@@ -52,8 +56,10 @@
 	}
 	defer func() { _ = answer.Close() }()
 	a.first = time.Since(a.sent)
+	a.noteHeard()
 	there := sentThere(answer.Header())
 	c.sent += there
+	c.told.Store(int64(c.sent))
 	c.counted = c.counted || there > 0
 	c.arrived = c.arrived || there > 0
 	switch answer.Header().Get(headerResult) {
@@ -84,7 +90,7 @@
 	c.sent++ // the box may have sent it on
 	c.counted = true
 	c.arrived = true
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errQuiet) {
 		c.state = max(c.state, maybeRan)
 		return abandoned
 	}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -51,9 +51,10 @@
 	body    []byte
 
 	state      state
-	sent       int      // replicas it was sent to
-	arrived    bool     // some replica got it, whatever it did
-	tried      []string // replicas
+	sent       int          // replicas it was sent to
+	told       atomic.Int64 // the same, as a box that passed it on told last
+	arrived    bool         // some replica got it, whatever it did
+	tried      []string     // replicas
 	triedBoxes []string
 	noRegions  []string         // that refused it or could not be reached
 	ran        []string         // of the replicas tried, those that got it
--- a/ingress/choked_test.go
+++ b/ingress/choked_test.go
@@ -114,6 +114,7 @@
 // upstream is a replica of a service of streams.
 type upstream struct {
 	id, addr string
+	box      bool // it is a box of another region, before one replica
 	dark     bool // it takes no connection any more, and says nothing
 	tearAt   int  // event before which it breaks its streams off; 0 for never
 	mu       sync.Mutex
@@ -126,6 +127,10 @@
 	u.runs++
 	u.mu.Unlock()
 	_, _ = io.Copy(io.Discard, r.Body)
+	if u.box {
+		w.Header().Set(headerResult, resultAnswer)
+		w.Header().Set(headerSent, "1")
+	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := after + 1; i <= eventCount; i++ {
 		time.Sleep(eventEvery)
@@ -209,7 +214,14 @@
 	defer g.mu.Unlock()
 	if time.Now().After(g.none) {
 		for _, u := range g.list {
-			if !slices.Contains(ask.Request.Tried, u.id) {
+			if u.box && !slices.Contains(ask.TriedBoxes, u.id) {
+				return Target{
+					Box:     u.id,
+					BoxAddr: u.addr,
+					Region:  "b",
+				}
+			}
+			if !u.box && !slices.Contains(ask.Request.Tried, u.id) {
 				return Target{
 					Choice: placement.Choice{
 						Replica: u.id,
@@ -226,17 +238,18 @@
 	}
 }
 
-func (g *region) quiet(next Ask, c *placement.Choice, sent time.Time) (time.Duration, Target) {
-	other := g.place(next)
-	if other.Reason != placement.None {
-		return 0, other
-	}
+func (g *region) other(next Ask) (Target, bool) {
+	t := g.place(next)
+	return t, t.Reason == placement.None
+}
+
+func (g *region) quiet(c *placement.Choice, sent time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if heard := g.heard[c.Replica]; heard.After(sent) {
 		sent = heard
 	}
-	return time.Since(sent), other
+	return time.Since(sent)
 }
 
 func (g *region) hear(c *placement.Choice) {
@@ -276,8 +289,11 @@
 		First:    func(c *placement.Choice, _ time.Duration) { g.hear(c) },
 		Heard:    g.hear,
 		Quiet:    g.quiet,
+		Other:    g.other,
 		Streamed: func(string, int, int) {},
 		End:      func(*placement.Choice, placement.Result, time.Duration) {},
+		BoxLost:  func(string) {},
+		Crossed:  func(string, string, bool) {},
 		Record: func(e decision.Event) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
@@ -329,7 +345,14 @@
 		whole: true,
 	}
 	func() {
-		defer func() { out.whole = recover() == nil }()
+		defer func() {
+			if v := recover(); v != nil {
+				out.whole = false
+				if v != http.ErrAbortHandler {
+					panic(v)
+				}
+			}
+		}()
 		box.ServeHTTP(w, r)
 	}()
 	out.took = time.Since(began)
@@ -443,3 +466,30 @@
 		is.Equal(g.runs(), 2)
 	})
 }
+
+func TestAStreamByWayOfAnotherBoxIsNotEndedWhileTheBoxesOwnLinkIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegion(t, 3)
+		g.list[0].box = true
+		time.AfterFunc(450*time.Millisecond, func() { g.link.fill(4 * time.Second) })
+		a := g.call(t)
+		is.True(a.whole)
+		is.Equal(a.body, wholeStream())
+		is.Equal(g.runs(), 1)
+	})
+}
+
+func TestAStreamWhoseBoxGoesDarkIsTakenUpElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegion(t, 3)
+		g.list[0].box = true
+		time.AfterFunc(450*time.Millisecond, g.list[0].goDark)
+		a := g.call(t)
+		is.True(a.whole)
+		is.Equal(a.body, wholeStream())
+		is.Equal(g.runs(), 2)
+		is.True(a.took < eventCount*eventEvery+quietBox+2*eventEvery)
+	})
+}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -24,7 +24,7 @@
 
 // passEvents passes a stream on, whole events only, so that it can go on at
 // another replica after any of them.
-func (a *attempt) passEvents(ctx context.Context, answer *exchange.Answer) ended {
+func (a *attempt) passEvents(ctx context.Context, answer *exchange.Answer, body io.Reader) ended {
 	c := a.call
 	if c.state != begun {
 		c.openStream(answer)
@@ -33,10 +33,7 @@
 		c.tellSent()
 	}
 	c.fromBox = a.target.Box != ""
-	in := events.NewReader(&heard{
-		attempt: a,
-		answer:  answer,
-	})
+	in := events.NewReader(body)
 	defer in.Close()
 	err := c.copyEvents(in)
 	switch {
@@ -67,11 +64,14 @@
 
 // noteHeard says that the replica goes on, not for every event.
 func (a *attempt) noteHeard() {
-	if a.target.Choice.Replica == "" || time.Since(a.heard) < heardEvery {
+	now := time.Since(a.sent)
+	if now-time.Duration(a.heard.Load()) < heardEvery {
 		return
 	}
-	a.heard = time.Now()
-	a.call.server.core.Heard(&a.target.Choice)
+	a.heard.Store(int64(now))
+	if a.target.Choice.Replica != "" {
+		a.call.server.core.Heard(&a.target.Choice)
+	}
 }
 
 // openStream passes the head of a stream on.
@@ -127,6 +127,7 @@
 func (c *call) passEvent(event []byte) (passed bool, err error) {
 	if n, ok := sentEvent(event); ok && c.fromBox {
 		c.sent = max(c.sent, n)
+		c.told.Store(int64(c.sent))
 		return false, nil
 	}
 	id := events.ID(event)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -84,9 +84,10 @@
 	Repeat   func(service string) bool // asks to send one again
 	First    func(c *placement.Choice, took time.Duration)
 	Heard    func(c *placement.Choice)
-	Quiet    func(next Ask, c *placement.Choice, sent time.Time) (time.Duration, Target) // 0 when there is no other target, and the other one
-	Loaded   func(c *placement.Choice, requests, waiting int)                            // the replica says that it has so many requests, this one included, of which so many wait
-	Streamed func(service string, events, guess int)                                     // a whole stream had so many events, where the caller guessed so many tokens
+	Quiet    func(c *placement.Choice, sent time.Time) time.Duration // how long its replica has been silent towards this box
+	Other    func(next Ask) (Target, bool)                           // where a request would go, without counting it in
+	Loaded   func(c *placement.Choice, requests, waiting int)        // the replica says that it has so many requests, this one included, of which so many wait
+	Streamed func(service string, events, guess int)                 // a whole stream had so many events, where the caller guessed so many tokens
 	End      func(c *placement.Choice, r placement.Result, took time.Duration)
 	BoxLost  func(box string)                  // a box could not be reached
 	Crossed  func(box, region string, ok bool) // whether a request to a box of a region was answered
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -17,6 +17,7 @@
 	quietPlainShare = 0.4                    // of the goal of a call
 	quietStream     = 700 * time.Millisecond // an engine's steps take 60 ms, so an event takes 300 ms at most
 	quietPerExpect  = 3                      // times the expected time
+	quietBox        = 2 * time.Second        // of a box, which resumes streams itself after quietStream
 	quietCheck      = 50 * time.Millisecond  // between two looks at least
 	budgetCheck     = 250 * time.Millisecond // between two questions whether a retry is left: requests that allow one come several times a second
 	reachedFor      = time.Second            // that a box which has just reached another replica counts as having its own way free
@@ -25,7 +26,7 @@
 // errQuiet ends a try whose replica has fallen silent.
 var errQuiet = errors.New("ingress: replica silent")
 
-// watchSilence ends the try when its replica has fallen silent towards this box, the
+// watchSilence ends the try when its replica or box has fallen silent towards this box, the
 // next target answers and the budget of retries gives a try there. Without that the
 // replica is waited for: it may only be busy, or this box's own link may be full.
 func (a *attempt) watchSilence(ctx context.Context) (stop func()) {
@@ -34,11 +35,13 @@
 		return func() {}
 	}
 	next := c.ask()
-	next.Request.Tried = append(slices.Clone(next.Request.Tried), a.target.Choice.Replica)
+	if replica := a.target.Choice.Replica; replica != "" {
+		next.Request.Tried = append(slices.Clone(next.Request.Tried), replica)
+	}
 	watch := silence{
 		attempt: a,
 		next:    next,
-		tried:   next.Request.Tried,
+		asked:   next,
 		limit:   a.quietLimit(),
 	}
 	ctx, stop = context.WithCancel(ctx)
@@ -49,8 +52,8 @@
 // silence is the watch over one try.
 type silence struct {
 	attempt *attempt
-	next    Ask      // for where the request would go
-	tried   []string // by the request itself
+	next    Ask // for where the request would go
+	asked   Ask // the same without what the watch itself did not reach
 	limit   time.Duration
 	reached time.Time // when another target answered
 }
@@ -76,13 +79,18 @@
 // look returns when to look again, or that the try was ended.
 func (s *silence) look(ctx context.Context) (wait time.Duration, over bool) {
 	c := s.attempt.call
-	quiet, other := s.quiet()
+	if int(c.told.Load()) >= c.route.Attempts {
+		return 0, true // the box has used the tries up
+	}
+	quiet := s.quiet()
+	if quiet <= s.limit {
+		return max(s.limit-quiet, quietCheck), false
+	}
+	other, found := c.server.core.Other(s.next)
 	switch {
-	case quiet == 0: // it may be silent, but there is no other: soon there may be
-		s.next.Request.Tried = s.tried
+	case !found: // there is no other: soon there may be
+		s.next = s.asked
 		return quietCheck, false
-	case quiet <= s.limit:
-		return max(s.limit-quiet, quietCheck), false
 	case time.Since(s.reached) > reachedFor:
 		s.reach(ctx, other)
 		return quietCheck, false // what had waited with the connection may come now
@@ -94,14 +102,17 @@
 	return 0, true
 }
 
-// quiet returns for how long the replica has said nothing since the request was
-// written to it, and the next target; 0 when there is none.
-func (s *silence) quiet() (time.Duration, Target) {
-	begun := s.attempt.begun.Load()
+// quiet returns for how long nothing was heard since the request was written.
+func (s *silence) quiet() time.Duration {
+	a := s.attempt
+	begun := a.begun.Load()
 	if begun == 0 {
-		return 0, Target{} // the way there is slow, not the replica
+		return 0 // the way there is slow, not the replica
+	}
+	if a.target.Box != "" {
+		return time.Since(a.sent) - time.Duration(max(begun, a.heard.Load()))
 	}
-	return s.attempt.call.server.core.Quiet(s.next, &s.attempt.target.Choice, s.attempt.sent.Add(time.Duration(begun)))
+	return a.call.server.core.Quiet(&a.target.Choice, a.sent.Add(time.Duration(begun)))
 }
 
 // reach notes whether the next target takes a connection. While this box's own link is
@@ -117,14 +128,18 @@
 	}
 	if err != nil {
 		s.next.Request.Tried = append(slices.Clone(s.next.Request.Tried), other.Choice.Replica) // it may be dark itself
+		s.next.TriedBoxes = append(slices.Clone(s.next.TriedBoxes), other.Box)
 		return
 	}
 	s.reached = time.Now()
 }
 
-// quietLimit returns how long the replica may be silent.
+// quietLimit returns how long the replica or box may be silent.
 func (a *attempt) quietLimit() time.Duration {
 	expect := quietPerExpect * a.target.Choice.Expect
+	if a.target.Box != "" {
+		return max(quietBox, expect)
+	}
 	if a.call.route.Kind == catalog.Stream {
 		return max(quietStream, expect)
 	}
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -42,11 +42,11 @@
 	call   *call
 	target *Target
 	sent   time.Time
-	cancel context.CancelCauseFunc // nil for a box
+	cancel context.CancelCauseFunc
 	result placement.Result
 	begun  atomic.Int64  // nanoseconds until the request was written; 0 while it was not
 	first  time.Duration // until the answer's head; 0 while there is none
-	heard  time.Time     // when it was last said that the replica goes on
+	heard  atomic.Int64  // nanoseconds until bytes of the answer last came, to about heardEvery
 	why    string        // why there is no answer, or no whole one
 }
 
@@ -89,7 +89,7 @@
 		Header:      h,
 		Body:        c.body,
 		Owns:        func(h http.Header) bool { return c.server.codec.Owns(h, c.facts.ID) },
-		Begin:       func() { a.begun.Store(max(int64(time.Since(a.sent)), 1)) },
+		Begin:       a.begin,
 		DialTimeout: c.dialTime(replicaDial),
 	})
 	if err != nil {
@@ -108,6 +108,9 @@
 	return a.pass(ctx, answer)
 }
 
+// begin notes that the request is written now.
+func (a *attempt) begin() { a.begun.Store(max(int64(time.Since(a.sent)), 1)) }
+
 // refused takes in a replica's word that it did not run the request.
 func (a *attempt) refused(answer *exchange.Answer) ended {
 	a.result = placement.Refused
--- a/node/core.go
+++ b/node/core.go
@@ -24,6 +24,7 @@
 		First:    n.first,
 		Heard:    n.heard,
 		Quiet:    n.quiet,
+		Other:    n.other,
 		Loaded:   n.loaded,
 		Streamed: n.streamed,
 		End:      n.end,
@@ -111,20 +112,17 @@
 	_ = n.state.Do(func(s *state) { s.view.Heard(c, n.now()) })
 }
 
-// quiet returns how long a replica has been silent towards this box, and who else could
-// take the request; 0 when nobody could, for then it is waited for.
-func (n *Node) quiet(ask ingress.Ask, c *placement.Choice, sent time.Time) (d time.Duration, other ingress.Target) {
-	_ = n.state.Do(func(s *state) {
-		d = s.view.Quiet(c, sent.Sub(n.started), n.now())
-		if d <= 0 {
-			return
-		}
-		found := false
-		if other, found = s.other(ask, n.now(), rand.IntN); !found {
-			d = 0
-		}
-	})
-	return d, other
+// quiet returns how long a replica has been silent towards this box.
+func (n *Node) quiet(c *placement.Choice, sent time.Time) (d time.Duration) {
+	_ = n.state.Do(func(s *state) { d = s.view.Quiet(c, sent.Sub(n.started), n.now()) })
+	return d
+}
+
+// other returns where a request would go, without counting it in; false when there is
+// no target.
+func (n *Node) other(ask ingress.Ask) (t ingress.Target, found bool) {
+	_ = n.state.Do(func(s *state) { t, found = s.other(ask, n.now(), rand.IntN) })
+	return t, found
 }
 
 // end counts a request out and takes in what became of it.
--- a/node/node.go
+++ b/node/node.go
@@ -31,7 +31,7 @@
 	collectAt   = 20                     // percent of growth of the heap between collections: memory is dearer here than processor time
 	neverRead   = time.Hour              // the age of what was never read
 	idleReplica = 20 * time.Second       // a connection to a replica rests so long at most
-	borne       = 30 * time.Second       // silence of a replica at a request that can't be sent again: its own time ends it sooner
+	borne       = 30 * time.Second       // silence under a request that can't be sent again: its own time ends it sooner
 	idleBox     = 60 * time.Second       // the same between boxes: a new one takes 160 ms
 	stopEarly   = 400 * time.Millisecond // before the process is killed, it ends by itself
 )
@@ -167,7 +167,10 @@
 		exchange.WithPatience(borne),
 		exchange.WithOnDial(func(string) { n.meter.Dial() }),
 	)
-	n.boxes = exchange.NewPool(exchange.WithIdleTime(idleBox))
+	n.boxes = exchange.NewPool(
+		exchange.WithIdleTime(idleBox),
+		exchange.WithPatience(borne),
+	)
 	n.store = exchange.NewPool()
 	dialer := exchange.NewDialer()
 	dialer.Timeout = peerDial
