--- a/node/gossip.go
+++ b/node/gossip.go
@@ -139,7 +139,7 @@
 	n.confirm(from, has.newest)
 	switch {
 	case from.Peers != "" && n.pulls(from, has):
-		n.startPull(ctx, from, has.after)
+		n.startPull(ctx, from, has)
 	case n.follows.Load(): // boxes of the own region will tell
 	default:
 		n.feed.Behind(newest)
@@ -148,13 +148,21 @@
 
 // startPull asks another box for what changed after a revision, unless one is asked
 // already.
-func (n *Node) startPull(ctx context.Context, from wire.BoxStatus, after int64) {
+//
+// A question that is for a doubt alone seldom brings anything, and another one to a box
+// that knows more doesn't wait for it: replicas that came back late were not listed for
+// 0.4 s.
+func (n *Node) startPull(ctx context.Context, from wire.BoxStatus, has held) {
 	if !n.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	n.tasks.Go(func() {
 		defer n.pulling.Store(false)
-		n.pull(ctx, from, after)
+		n.pull(ctx, from, has.after)
+		if n.table.Load() != nil && int64(from.Catalog) <= has.newest && !has.untold {
+			n.doubtAsk.Store(int64(n.now() + pullPause))
+			return
+		}
 		sleep.For(ctx, pullPause)
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 	closed    atomic.Bool  // it is named to no caller any more
 	ends      atomic.Int64 // when a planned stop is over, in nanoseconds since the start
 	pulling   atomic.Bool  // another box is asked for its catalog
+	doubtAsk  atomic.Int64 // until then no box is asked for a doubt alone, in nanoseconds since the start
 	replicas  *exchange.Pool
 	boxes     *exchange.Pool
 	store     *exchange.Pool
--- a/node/pull.go
+++ b/node/pull.go
@@ -52,10 +52,10 @@
 		return from.Policy > 0
 	}
 	near := n.follows.Load() && from.Region == n.settings.Region
-	if near && (has.untold || has.doubtful) {
+	if (near || !n.storeOK.Load()) && int64(from.Catalog) > has.newest {
 		return true
 	}
-	return (near || !n.storeOK.Load()) && int64(from.Catalog) > has.newest
+	return near && (has.untold || (has.doubtful && n.now() >= time.Duration(n.doubtAsk.Load())))
 }
 
 // lapses is of how many replicas, whose removal had been in doubt, an incarnation of a
