--- a/node/removal_test.go
+++ b/node/removal_test.go
@@ -28,6 +28,7 @@
 //	28.2879 box-2-041 asked 10.2.38.1:7001 after 39 told up to 39
 //	box-2-041 sends to region-2-1 3.55s after its removal
 func TestAReadingLongAfterAnOutageKeepsNoRemovedReplica(t *testing.T) {
+	t.Parallel()
 	for _, run := range []struct {
 		boxes int
 		seed  uint64
@@ -39,6 +40,7 @@
 		first := cmp.Or(*firstSeed, run.seed)
 		for seed := first; seed < first+*seeds; seed++ {
 			t.Run(fmt.Sprint(run.boxes, " boxes, seed ", seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { longAfterAnOutage(t, seed, run.boxes) })
 			})
 		}
@@ -47,6 +49,7 @@
 
 // A replica that leaves is still listed, so its entry is no doubt; a removal may be one.
 func TestEachBoxLearnsInTimeThatAReplicaLeavesOrIsRemoved(t *testing.T) {
+	t.Parallel()
 	for _, run := range []struct {
 		boxes int
 		seed  uint64
@@ -57,6 +60,7 @@
 		first := cmp.Or(*firstSeed, run.seed)
 		for seed := first; seed < first+*seeds; seed++ {
 			t.Run(fmt.Sprint(run.boxes, " boxes, seed ", seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { leavingAndRemoved(t, seed, run.boxes) })
 			})
 		}
@@ -106,6 +110,7 @@
 //	13.2323 box-1-019 asked 10.1.43.1:7001 after 9 told up to 15 gone at 9
 //	13.5712 box-1-019 asked 10.1.55.1:7001 after 16 told up to 17 listed at 17
 func TestAnEntryThatComesBackAfterAnOutageStaysListed(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFollows(t.Context(), 8, 60) // with this seed 81 times a box was seen without one
 		defer f.end()
@@ -126,6 +131,7 @@
 // A seed that fails shows its cause only if it fails again: with boxes on several threads
 // that met at one instant it did in one run of five.
 func TestOneSeedIsOneRun(t *testing.T) {
+	t.Parallel()
 	traces := make(map[uint64]bool)
 	for range 3 {
 		synctest.Test(t, func(t *testing.T) {
@@ -194,6 +200,7 @@
 }
 
 func TestNoOutageMakesABoxSendToAReplicaLongAfterItsRemoval(t *testing.T) {
+	t.Parallel()
 	fewRuns(t)
 	worst := time.Duration(0)
 	rapid.Check(t, func(rt *rapid.T) {
