catalog, placement: Keep what is believed of a replica by its start

A replica that crashes may be back under its id within a heartbeat, and its entry never goes. What was believed of the process that is gone (prompts it keeps, loads, its word, silence, failures, slowness, that it leaves) was then believed of the new one. A replica now has the time of its start, Born, and placement keeps each start as a replica of its own; the id is only what it answers to. An earlier start never replaces a later one in the catalog, at whatever revision. Sends to cold replicas stay kept by id: boxes that know either start send to the same process.

Ruled out: clearing each belief when Born changes, for there are some fifteen of them and requests under way would be counted out of the wrong process.

In compact datagrams a start is a hash as the id was, so these stay as long.

--- a/catalog/doubt.go
+++ b/catalog/doubt.go
@@ -21,8 +21,9 @@
 // back. It is believed when its time is over, unless the entry is back by then.
 type Doubt struct {
 	Replica  string `json:"replica"`
-	Revision int64  `json:"revision"` // from which on it may have been removed
-	Left     Millis `json:"left_ms"`  // until it is believed
+	Born     int64  `json:"born,omitempty"` // which start of it, where that is told
+	Revision int64  `json:"revision"`       // from which on it may have been removed
+	Left     Millis `json:"left_ms"`        // until it is believed
 }
 
 // UnmarshalJSON decodes a doubt and checks it.
@@ -113,6 +114,7 @@
 		d := c.doubts[id]
 		out = append(out, Doubt{
 			Replica:  id,
+			Born:     c.replicas[id].Born,
 			Revision: d.revision,
 			Left:     Millis(max(d.until.Sub(c.now()), 0).Milliseconds()),
 		})
@@ -123,7 +125,7 @@
 // hear takes in what another box has in doubt, but for what is known to be gone.
 func (c *Content) hear(list []Doubt) {
 	for _, d := range list {
-		if r, ok := c.replicas[d.Replica]; ok && r.Revision <= d.Revision {
+		if r, ok := c.replicas[d.Replica]; ok && r.Revision <= d.Revision && isSameStart(r.Born, d.Born) {
 			c.doubt(d.Replica, d.Revision, d.Left.Duration())
 		}
 	}
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -11,7 +11,8 @@
 
 // Replica is one process of a service, as published.
 type Replica struct {
-	ID       string `json:"id"` // differs for every start of a process
+	ID       string `json:"id"`             // under which it is published, and which it answers to
+	Born     int64  `json:"born,omitempty"` // when its process started, in Unix milliseconds; 0 where that isn't said
 	Service  string `json:"service"`
 	Addr     string `json:"addr"`
 	Domain   string `json:"failure_domain"`
@@ -33,6 +34,9 @@
 	if r.ID == "" || r.Addr == "" || r.Service == "" {
 		return errors.Newf("replica %q: id, address and service are needed", r.ID)
 	}
+	if r.Born < 0 || r.Born > MaxBorn {
+		return errors.Newf("replica %q: no start at %d", r.ID, r.Born)
+	}
 	return nil
 }
 
@@ -118,6 +122,9 @@
 		if c.past.isGone(r) {
 			continue
 		}
+		if known, ok := before[r.ID]; ok && !r.replaces(known) {
+			r = known
+		}
 		c.replicas[r.ID] = r
 		delete(c.doubts, r.ID)
 	}
@@ -171,7 +178,7 @@
 	switch {
 	case ch.Policy != nil:
 		c.takePolicy(ch.Policy, ch.Revision)
-	case ch.Replica != nil && ch.Revision >= c.replicas[ch.Replica.ID].Revision && !c.past.isGone(*ch.Replica):
+	case ch.Replica != nil && ch.Replica.replaces(c.replicas[ch.Replica.ID]) && !c.past.isGone(*ch.Replica):
 		c.replicas[ch.Replica.ID] = *ch.Replica
 		delete(c.doubts, ch.Replica.ID)
 	case ch.Gone != "" && !u.Settled:
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -73,7 +73,7 @@
 	c.begin()
 	h := onward(c.r.Header)
 	c.server.codec.Send(h, Send{
-		Replica:   a.target.Choice.Replica,
+		Replica:   a.target.Choice.ID,
 		Left:      time.Until(c.end),
 		Urgency:   min(c.route.Priority, maxPriority),
 		LastEvent: c.lastEvent,
--- a/node/account.go
+++ b/node/account.go
@@ -17,8 +17,8 @@
 
 // asked is an engine that this box asks for its account.
 type asked struct {
-	id   string
-	addr string
+	start string
+	addr  string
 }
 
 // engines returns the engines that this box asks on behalf of the others of its region.
@@ -41,10 +41,10 @@
 		if svc == nil || svc.Engine == nil || !r.Listed() {
 			continue
 		}
-		if rendezvous.Top(r.ID(), names, 1)[0] == s.settings.Box {
+		if rendezvous.Top(r.Start(), names, 1)[0] == s.settings.Box {
 			out = append(out, asked{
-				id:   r.ID(),
-				addr: r.Info().Addr,
+				start: r.Start(),
+				addr:  r.Info().Addr,
 			})
 		}
 	}
@@ -75,14 +75,14 @@
 	at := n.now()
 	got, err := n.adapter.Account(ctx, n.replicas, a.addr)
 	n.meter.Account(err == nil)
-	n.state.Post(func(s *state) { s.account(a.id, got, err == nil, at, n.now()) })
+	n.state.Post(func(s *state) { s.account(a.start, got, err == nil, at, n.now()) })
 }
 
 // account takes in an engine's account of a time, or that it gave none.
-func (s *state) account(id string, got Account, ok bool, at, now time.Duration) {
+func (s *state) account(start string, got Account, ok bool, at, now time.Duration) {
 	if ok {
-		delete(s.unanswered, id)
-		s.view.Says(id, placement.Word{
+		delete(s.unanswered, start)
+		s.view.Says(start, placement.Word{
 			Requests: got.Running + got.Waiting,
 			Waiting:  got.Waiting,
 			Tokens:   got.Tokens,
@@ -90,11 +90,11 @@
 		})
 		return
 	}
-	s.unanswered[id]++
-	if s.unanswered[id] < silentAfter || !s.roster.HeardWithin(accountEvery*silentAfter, now) {
+	s.unanswered[start]++
+	if s.unanswered[start] < silentAfter || !s.roster.HeardWithin(accountEvery*silentAfter, now) {
 		return // it may be this box that hears nothing
 	}
-	s.view.Says(id, placement.Word{
+	s.view.Says(start, placement.Word{
 		Silent: true,
 		At:     at,
 	})
--- a/node/dump.go
+++ b/node/dump.go
@@ -87,7 +87,7 @@
 	for _, r := range s.view.Replicas() {
 		all := s.view.Load(r, now)
 		d.Replicas = append(d.Replicas, ReplicaDump{
-			ID:       r.ID(),
+			ID:       r.Start(),
 			Service:  r.Info().Service,
 			Addr:     r.Info().Addr,
 			Leaving:  r.Info().Leaving,
--- a/node/words.go
+++ b/node/words.go
@@ -96,10 +96,11 @@
 	}
 }
 
-// shorten works out again by which short ids boxes name the region's replicas.
+// shorten works out again by which short ids boxes name the starts of the
+// region's replicas. They cost no byte more than names of replicas would.
 func (s *state) shorten() {
 	clear(s.short)
 	for _, r := range s.view.Replicas() {
-		s.short[roster.ReplicaIDOf(r.ID())] = r.ID()
+		s.short[roster.ReplicaIDOf(r.Start())] = r.Start()
 	}
 }
--- a/node/words_test.go
+++ b/node/words_test.go
@@ -86,7 +86,7 @@
 		b := crowded(fmt.Sprintf("box-%03d", n), largeBoxes)
 		is.True(!b.roster.TellsLoads())
 		for _, e := range b.engines(start) {
-			asks[e.id]++
+			asks[e.start]++
 		}
 	}
 	is.Equal(len(asks), largeReplicas)
--- a/placement/among.go
+++ b/placement/among.go
@@ -54,7 +54,7 @@
 		}
 		s := scored{
 			r:     r,
-			score: rendezvous.Score(key, r.info.ID),
+			score: rendezvous.Score(key, r.start),
 		}
 		at := len(best)
 		for at > 0 && best[at-1].score < s.score {
--- a/placement/doubt.go
+++ b/placement/doubt.go
@@ -12,8 +12,8 @@
 func (v *View) takeDoubts(c *catalog.Content) {
 	listed := make(map[string]int)
 	doubtful := make(map[string]int)
-	for id, r := range v.replicas {
-		r.doubtful = r.listed && c.InDoubt(id)
+	for _, r := range v.replicas {
+		r.doubtful = r.listed && c.InDoubt(r.info.ID)
 		if !r.listed {
 			continue
 		}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -106,7 +106,7 @@
 // so it gets work at the pace of a cold one until it is known better.
 func (v *View) leaveOut(r *Replica, now time.Duration) {
 	r.leaveOut(now)
-	if r.service == nil {
+	if r.service == nil || v.isReplaced(r) {
 		return
 	}
 	v.chillReturn(r, r.out.Until())
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -45,7 +45,8 @@
 // Choice is the outcome of a decision. When Reason isn't None, there is no
 // replica, and Wait says when there may be one.
 type Choice struct {
-	Replica string
+	Replica string // its start
+	ID      string // which it answers to
 	Addr    string
 	Reason  Reason
 	Wait    time.Duration
@@ -114,7 +115,8 @@
 	best.r.begin(g.load, now)
 	best.r.own = best.r.own.plus(g.load)
 	return Choice{
-		Replica: best.r.info.ID,
+		Replica: best.r.start,
+		ID:      best.r.info.ID,
 		Addr:    best.r.info.Addr,
 		Expect:  best.expect,
 		Missing: best.missing,
@@ -180,7 +182,7 @@
 	if d := w.cost - o.cost; d > alike || d < -alike {
 		return d < 0
 	}
-	return rendezvous.Score(req.Key, w.r.info.ID) > rendezvous.Score(req.Key, o.r.info.ID)
+	return rendezvous.Score(req.Key, w.r.start) > rendezvous.Score(req.Key, o.r.start)
 }
 
 // note keeps the reason that can be waited for in preference to others.
@@ -205,7 +207,7 @@
 		return Doubtful
 	case v.closed[r.info.Domain]:
 		return Closed
-	case slices.Contains(req.Tried, r.info.ID):
+	case slices.Contains(req.Tried, r.start):
 		return Tried
 	case r.Out(now), r.silent(now):
 		return Out
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -53,8 +53,9 @@
 	till time.Duration
 }
 
-// Replica is what a box knows of one replica.
+// Replica is what a box knows of one start of a replica.
 type Replica struct {
+	start    string // by which all that is believed of it is kept
 	info     catalog.Replica
 	service  *catalog.Service // nil while the policy has none of that name
 	listed   bool             // the catalog holds it
@@ -81,7 +82,10 @@
 	toldKept  map[PartKey]time.Duration // parts that other boxes had it read, and when they told so
 }
 
-// ID returns the replica's id.
+// Start returns the name of the replica's start, which no other process has.
+func (r *Replica) Start() string { return r.start }
+
+// ID returns the id that the replica answers to, which other starts of it have too.
 func (r *Replica) ID() string { return r.info.ID }
 
 // Info returns what is published of the replica.
--- a/placement/request.go
+++ b/placement/request.go
@@ -16,7 +16,7 @@
 	Prompt  int           // tokens of the prompt; 0 for a plain service
 	Out     int           // expected tokens of the answer
 	Gap     time.Duration // between two events of a stream that is aimed at; 0 for none
-	Tried   []string      // ids of replicas that are not asked again
+	Tried   []string      // starts of replicas that are not asked again
 	Steps   float64       // of an engine until the next event of a stream; 0 where that isn't known
 	Rank    float64       // 0 for the most urgent requests of the service, 1 for the least
 }
--- /dev/null
+++ b/placement/start.go
@@ -0,0 +1,46 @@
+package placement
+
+// A replica that starts again under its id is another Replica here: what was believed of
+// the earlier start, and the requests that went to it, stay with that one. Only the pacer
+// keeps sends by id, since boxes that know of the new start and boxes that don't yet send
+// to the same process: by start each of them would take its share of a cold replica twice
+// within a second.
+
+// other returns another start of a replica, one that is listed before one that isn't,
+// nil for none.
+func (v *View) other(r *Replica) *Replica {
+	var out *Replica
+	for _, o := range v.replicas {
+		if o != r && o.info.ID == r.info.ID && (out == nil || o.listed) {
+			out = o
+		}
+	}
+	return out
+}
+
+// isReplaced says whether another start of a replica is listed in its place. What becomes
+// of requests to the earlier one says nothing of it.
+func (v *View) isReplaced(r *Replica) bool {
+	if r.listed {
+		return false
+	}
+	o := v.other(r)
+	return o != nil && o.listed
+}
+
+// describeEnd says why a replica is no longer listed.
+func (v *View) describeEnd(r *Replica) string {
+	if v.isReplaced(r) {
+		return "replica replaced by a later start"
+	}
+	return "replica no longer listed"
+}
+
+// forget drops what is known of a start that is gone and, with the last one, what was
+// sent to its id.
+func (v *View) forget(r *Replica) {
+	delete(v.replicas, r.start)
+	if v.other(r) == nil {
+		v.pacer.Forget(r.info.ID)
+	}
+}
--- /dev/null
+++ b/placement/start_test.go
@@ -0,0 +1,206 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+const (
+	firstBorn  = 1764720000000
+	secondBorn = firstBorn + 60_000
+)
+
+// started returns the only replica of a service, of a start.
+func started(service string, born int64) catalog.Replica {
+	r := replicas(service, 1)[0]
+	r.Born = born
+	r.Revision = born
+	return r
+}
+
+// A replica that crashed was back under its id before its entry went. What a box
+// believed of the process that was gone it went on believing of the new one: prompts
+// that it had read, a load, failures, silence, and that it was leaving.
+func TestNothingIsBelievedOfAStartThatWasBelievedOfTheOneBefore(t *testing.T) {
+	for name, teach := range map[string]func(b *box, replica string, now time.Duration){
+		"prompts that it was given": func(b *box, _ string, now time.Duration) {
+			c := b.Pick(askShared("manual", "r"), alone, now)
+			b.End(&c, placement.Answered, time.Millisecond, now)
+		},
+		"prompts that others gave it": func(b *box, replica string, now time.Duration) {
+			b.Told("b", []placement.OwnLoad{{
+				Replica: replica,
+				Kept:    []placement.PartKey{placement.KeyOf("manual")},
+			}}, now)
+		},
+		"requests under way": func(b *box, _ string, now time.Duration) {
+			b.Pick(ask("engine", "k"), alone, now)
+		},
+		"others' requests": func(b *box, replica string, now time.Duration) {
+			b.Told("b", []placement.OwnLoad{{
+				Replica: replica,
+				Load: placement.Load{
+					Requests: 7,
+				},
+			}}, now)
+		},
+		"its own word": func(b *box, replica string, now time.Duration) {
+			b.ByWords(true, 1)
+			b.Says(replica, placement.Word{
+				Requests: 7,
+				At:       now,
+			})
+		},
+		"its silence": func(b *box, replica string, now time.Duration) {
+			b.Says(replica, placement.Word{
+				Silent: true,
+				At:     now + time.Millisecond,
+			})
+		},
+		"failures": func(b *box, _ string, now time.Duration) {
+			pick(b, "engine", placement.Failed, now)
+		},
+		"that it is out of reach": func(b *box, _ string, now time.Duration) {
+			fail(b, "engine", placement.Unreachable, now)
+		},
+		"that another one answers at its address": func(b *box, _ string, now time.Duration) {
+			pick(b, "engine", placement.Misdirected, now)
+		},
+		"slowness": func(b *box, _ string, now time.Duration) {
+			c := b.Pick(ask("engine", "k"), alone, now)
+			b.First(&c, time.Second, now)
+			b.End(&c, placement.Answered, time.Second, now)
+		},
+		"that it leaves": func(b *box, _ string, now time.Duration) {
+			r := started("engine", firstBorn)
+			r.Leaving = true
+			r.Revision++
+			b.publish(now, nil, r)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fresh := newBox("a", "hall", started("engine", secondBorn))
+			b := newBox("a", "hall", started("engine", firstBorn))
+			old := started("engine", firstBorn).Start()
+			now := start + time.Second
+			teach(b, old, now)
+			next := started("engine", secondBorn)
+			news := b.publish(now, nil, next)
+			is.Equal(news[0].About, next.Start())
+			is.Equal(news[0].Reason, "replica started again")
+			is.Equal(news[1].About, old)
+			is.Equal(news[1].Reason, "replica replaced by a later start")
+
+			got, want := b.Get(next.Start()), fresh.Get(next.Start())
+			is.True(got.Listed())
+			is.Equal(got.Own(), placement.Load{})
+			is.Equal(b.Load(got, now), placement.Load{})
+			is.Equal(got.Failing(now), want.Failing(now))
+			is.Equal(got.Slow(now), want.Slow(now))
+			is.Equal(got.WordAge(now), want.WordAge(now))
+			is.True(!got.Out(now))
+			choice := b.Pick(askShared("manual", "r-1"), alone, now+time.Minute) // by then nothing is paced
+			is.Equal(choice.Reason, placement.None)
+			is.Equal(choice.Replica, next.Start())
+			is.Equal(choice.ID, "engine-0") // which it answers to
+			plain := fresh.Pick(askShared("manual", "r-1"), alone, now+time.Minute)
+			is.Equal(choice.Reads, plain.Reads)
+			is.Equal(choice.Expect, plain.Expect)
+		})
+	}
+}
+
+func TestWhatBecomesOfRequestsToAnEarlierStartSaysNothingOfTheNext(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", started("plain", firstBorn))
+	var under []placement.Choice
+	for n := range 5 {
+		under = append(under, b.Pick(ask("plain", fmt.Sprint(n)), alone, start))
+	}
+	next := started("plain", secondBorn)
+	b.publish(start, nil, next)
+	now := start + 10*time.Second
+	for i := range under {
+		b.End(&under[i], placement.Silent, time.Second, now)
+	}
+	is.Equal(b.Get(under[0].Replica).Own(), placement.Load{}) // they are counted out where they were counted in
+	got := b.Get(next.Start())
+	is.Equal(got.Own(), placement.Load{})
+	is.True(!got.Out(now))
+	is.Equal(got.Failing(now), 0.0)
+	is.Equal(len(sent([]*box{b}, alone, "plain", now, now+time.Second)), 100) // and it isn't paced
+}
+
+func TestAStartThatWasTriedDoesntStandForTheNext(t *testing.T) {
+	is := is.New(t)
+	first := started("plain", firstBorn)
+	b := newBox("a", "hall", first)
+	req := ask("plain", "k")
+	req.Tried = []string{first.Start()}
+	is.Equal(b.Pick(req, alone, start).Reason, placement.Tried)
+	b.publish(start, nil, started("plain", secondBorn))
+	is.Equal(b.Pick(req, alone, start).Reason, placement.None)
+}
+
+func TestAWordOfAnEarlierStartSaysNothingOfTheNext(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", started("engine", firstBorn))
+	next := started("engine", secondBorn)
+	b.publish(start, nil, next)
+	now := start + time.Second
+	word := placement.Word{
+		Requests: 7,
+		At:       now,
+	}
+	b.Says(started("engine", firstBorn).Start(), word)
+	is.True(b.Get(next.Start()).WordAge(now) < 0)
+	is.True(!b.Says("engine-0", word)) // of no start
+	is.True(b.Says(next.Start(), word))
+}
+
+// Boxes hear of a new start at different times, and those that have not yet send to the
+// same process by the name of the old one.
+func TestAColdReplicaThatStartedAgainIsPacedForBoxesThatKnowEitherStart(t *testing.T) {
+	is := is.New(t)
+	cold := func(born int64) catalog.Replica {
+		r := started("plain", born)
+		r.ColdLeft = 10_000
+		return r
+	}
+	names := []string{"a", "b", "c"}
+	var boxes []*box
+	for _, name := range names {
+		boxes = append(boxes, newBox(name, "hall", cold(firstBorn)))
+	}
+	until := start + 3*time.Second
+	sends := sent(boxes, names, "plain", start, until)
+	for _, b := range boxes {
+		b.publish(until, nil, cold(secondBorn))
+		from := until
+		until += 400 * time.Millisecond
+		sends = append(sends, sent(boxes, names, "plain", from, until)...)
+		is.Equal(b.Pacer().IsCold("plain-0", until), true)
+	}
+	sends = append(sends, sent(boxes, names, "plain", until, until+2*time.Second)...)
+	is.True(len(sends) > 10)
+	is.True(most(sends) <= mostCold)
+}
+
+func TestAStartIsForgottenWhileTheNextIsPaced(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", started("plain", firstBorn))
+	next := started("plain", secondBorn)
+	next.ColdLeft = 60_000
+	b.publish(start, nil, next)
+	now := start + 40*time.Second
+	b.publish(now, nil, next)
+	is.Equal(len(b.Replicas()), 1)
+	is.True(b.Pacer().IsCold("plain-0", now))
+}
--- a/placement/view.go
+++ b/placement/view.go
@@ -19,9 +19,9 @@
 type View struct {
 	region   string
 	domain   string
-	table    *catalog.Table // nil until there is a policy
-	replicas map[string]*Replica
-	byName   []*Replica // in the order of ids
+	table    *catalog.Table      // nil until there is a policy
+	replicas map[string]*Replica // by start
+	byName   []*Replica          // in the order of starts
 	closed   map[string]bool
 	pacer    *pacing.Pacer
 
@@ -54,11 +54,11 @@
 // Pacer returns what bounds the requests to cold replicas.
 func (v *View) Pacer() *pacing.Pacer { return v.pacer }
 
-// Replicas returns all replicas known, in the order of their ids.
+// Replicas returns all replicas known, in the order of their starts.
 func (v *View) Replicas() []*Replica { return v.byName }
 
-// Get returns a replica, nil for none of that id.
-func (v *View) Get(id string) *Replica { return v.replicas[id] }
+// Get returns a replica by its start, nil for none of that.
+func (v *View) Get(start string) *Replica { return v.replicas[start] }
 
 // Closed says whether the replicas of a failure domain get no work.
 func (v *View) Closed(domain string) bool { return v.closed[domain] }
@@ -74,7 +74,7 @@
 
 // Belief is a change of what is believed.
 type Belief struct {
-	About  string // a replica or failure domain
+	About  string // a replica, by its start, or failure domain
 	Reason string // what is believed of it now
 	Rev    int64  // revision of what is published that says so
 }
@@ -85,23 +85,22 @@
 	seen := make(map[string]bool)
 	for _, info := range c.Replicas() {
 		if info.Region == v.region {
-			seen[info.ID] = true
+			seen[info.Start()] = true
 			news = v.takeReplica(news, info, now)
 		}
 	}
-	for id, r := range v.replicas {
-		if !seen[id] && r.listed {
+	for start, r := range v.replicas {
+		if !seen[start] && r.listed {
 			r.listed = false
 			r.heard = now
 			news = append(news, Belief{
-				About:  id,
-				Reason: "replica no longer listed",
+				About:  start,
+				Reason: v.describeEnd(r),
 				Rev:    c.Newest(),
 			})
 		}
 		if !r.listed && r.own.Requests == 0 && now-r.heard > forgetAfter {
-			delete(v.replicas, id)
-			v.pacer.Forget(id)
+			v.forget(r)
 		}
 	}
 	v.takeDoubts(c)
@@ -115,16 +114,18 @@
 
 // takeReplica takes in what is published of one replica.
 func (v *View) takeReplica(news []Belief, info catalog.Replica, now time.Duration) []Belief {
-	r, ok := v.replicas[info.ID]
+	start := info.Start()
+	r, ok := v.replicas[start]
 	if !ok {
 		r = &Replica{
+			start:  start,
 			others: make(map[string]told),
 			warm:   make(map[string]time.Duration),
 			heard:  now,
 
 			toldKept: make(map[PartKey]time.Duration),
 		}
-		v.replicas[info.ID] = r
+		v.replicas[start] = r
 	}
 	changed := info.Revision != r.info.Revision || !ok
 	leaves := info.Leaving && !r.info.Leaving
@@ -139,8 +140,8 @@
 	}
 	if changed {
 		news = append(news, Belief{
-			About:  info.ID,
-			Reason: describe(info, ok, leaves),
+			About:  start,
+			Reason: v.describe(r, ok, leaves),
 			Rev:    info.Revision,
 		})
 	}
@@ -148,11 +149,13 @@
 }
 
 // describe says what a changed entry means, most important first.
-func describe(info catalog.Replica, known, leaves bool) string {
+func (v *View) describe(r *Replica, known, leaves bool) string {
 	switch {
 	case leaves:
 		return "replica leaving"
-	case info.ColdLeft > 0:
+	case !known && v.other(r) != nil:
+		return "replica started again"
+	case r.info.ColdLeft > 0:
 		return "replica cold"
 	case !known:
 		return "replica listed"
@@ -245,7 +248,7 @@
 
 // OwnLoad is one box's work at one replica.
 type OwnLoad struct {
-	Replica string
+	Replica string // its start
 	Load    Load
 	Kept    []PartKey // last shared parts of the prompts that it was given of late
 }
@@ -257,7 +260,7 @@
 		own := r.ownNow(now)
 		if own != (Load{}) {
 			out = append(out, OwnLoad{
-				Replica: r.info.ID,
+				Replica: r.start,
 				Load:    own,
 				Kept:    r.kept(now),
 			})
--- a/placement/word.go
+++ b/placement/word.go
@@ -103,7 +103,7 @@
 	for _, r := range v.byName {
 		if r.listed && r.word.At > 0 && now-r.word.At < wordFor {
 			out = append(out, ReplicaWord{
-				Replica: r.info.ID,
+				Replica: r.start,
 				Word:    r.word,
 			})
 		}
--- a/roster/compact.go
+++ b/roster/compact.go
@@ -36,11 +36,11 @@
 	return ID(h.Sum32())
 }
 
-// ReplicaID stands for a replica in compact datagrams.
+// ReplicaID stands for a start of a replica in compact datagrams.
 type ReplicaID uint32
 
-// ReplicaIDOf returns the short form of a replica's id.
-func ReplicaIDOf(id string) ReplicaID { return ReplicaID(short.Of(id)) }
+// ReplicaIDOf returns the short form of a replica's start.
+func ReplicaIDOf(start string) ReplicaID { return ReplicaID(short.Of(start)) }
 
 // Vital says that a box was alive: which heartbeat of it was heard, and how long
 // ago by the sender's clock.
