platform, catalog: Use no replica that an entry of another writer names

An entry whose fields are missing, of another type or out of range was used as far as it went: no zone, no slots, a state that isn't named counted as ready. One that couldn't be read left the last good one in force for as long as it stood, and one value that was no base64 made the whole page of a reading or watch unreadable.

Of an entry that never named a replica nothing is told to other boxes. One line in the log and one count in havenrudder_foreign_entries_total for each revision of a key. born may be missing, as an older replica writes it; then the id alone names it. A bad configuration leaves the last good one in force as before.

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -6,12 +6,13 @@
 )
 
 // Change is one thing that was published. Exactly one of its fields is set, but
-// for Revision.
+// for Revision, and for Unusable beside Gone.
 type Change struct {
 	Revision    int64    `json:"revision"`
 	Policy      *Policy  `json:"policy,omitempty"`
 	Replica     *Replica `json:"replica,omitempty"`
 	Gone        string   `json:"gone,omitempty"`        // id of a replica whose entry was removed
+	Unusable    bool     `json:"-"`                     // the entry is there, but names no replica any more
 	Evacuated   string   `json:"evacuated,omitempty"`   // failure domain
 	Unevacuated string   `json:"unevacuated,omitempty"` // failure domain that is taken back
 }
--- a/catalog/doubt_test.go
+++ b/catalog/doubt_test.go
@@ -109,16 +109,43 @@
 	is.Equal(knows.Newest(), int64(13))
 }
 
-func TestAMalformedEntryIsKeptAndHoldsNoRevisionBack(t *testing.T) {
-	is := is.New(t)
-	c := catalog.NewContent()
-	c.Take(snapshot(10, true, plainReplica("a", 1), plainReplica("b", 1)))
+// The last good entry was kept, and a replica whose entry somebody else had written over
+// got requests for as long as that stood.
+func TestAnEntryThatNamesNoReplicaAnyMoreIsOneLessAndHoldsNoRevisionBack(t *testing.T) {
 	for _, settled := range []bool{true, false} {
+		is := is.New(t)
+		c := catalog.NewContent()
+		c.Take(snapshot(10, true, plainReplica("a", 1), plainReplica("b", 1)))
 		u := snapshot(12, settled, plainReplica("a", 1))
-		u.Snapshot.Malformed = []string{"b"}
+		u.Snapshot.Unusable = []string{"b", "never-known"}
 		c.Take(u)
-		is.Equal(replicaIDs(c), []string{"a", "b"})
+		is.Equal(replicaIDs(c), []string{"a"}) // it is there, so it is none that lapsed
+		is.True(!c.Doubtful())
 		is.Equal(c.Revision(), int64(12))
+		c.Take(changed(13, settled, listed(plainReplica("b", 13))))
+		is.Equal(replicaIDs(c), []string{"a", "b"})
+	}
+}
+
+func TestAnEntryThatTurnsForeignIsARemovalAtItsRevision(t *testing.T) {
+	for _, settled := range []bool{true, false} {
+		is := is.New(t)
+		c := catalog.NewContent()
+		c.Take(snapshot(10, true, plainReplica("a", 1), plainReplica("b", 8)))
+		foreign := func(id string, revision int64) catalog.Change {
+			return catalog.Change{
+				Revision: revision,
+				Gone:     id,
+				Unusable: true,
+			}
+		}
+		c.Take(changed(11, settled, foreign("a", 11), foreign("never-known", 11), foreign("b", 7)))
+		is.Equal(replicaIDs(c), []string{"b"}) // what is newer holds
+		is.True(!c.Doubtful())
+		news := overTheWire(t, c.Since(10)) // others are told that it is gone, and nothing of what never named a replica
+		is.Equal(len(news.Changes), 1)
+		is.Equal(news.Changes[0].Gone, "a")
+		is.Equal(news.Changes[0].Revision, int64(11))
 	}
 }
 
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -47,7 +47,7 @@
 	Policy    *Policy   `json:"policy,omitempty"` // nil when none was published yet
 	Replicas  []Replica `json:"replicas"`
 	Evacuated []string  `json:"evacuated"` // failure domains whose replicas get no work
-	Malformed []string  `json:"-"`         // ids of replicas whose entries can't be used; the last good ones stay
+	Unusable  []string  `json:"-"`         // ids under which an entry names no replica
 }
 
 // Content is a box's copy of what is published.
@@ -133,9 +133,7 @@
 			continue
 		}
 		switch {
-		case slices.Contains(s.Malformed, id):
-			c.replicas[id] = r
-		case u.Settled:
+		case u.Settled, slices.Contains(s.Unusable, id): // an entry that is there is none that lapsed
 			c.missed(id, s.Revision)
 		default:
 			c.replicas[id] = r
@@ -181,7 +179,8 @@
 	case ch.Replica != nil && ch.Replica.replaces(c.replicas[ch.Replica.ID]) && !c.past.isGone(*ch.Replica):
 		c.replicas[ch.Replica.ID] = *ch.Replica
 		delete(c.doubts, ch.Replica.ID)
-	case ch.Gone != "" && !u.Settled:
+	case ch.Unusable && c.replicas[ch.Gone].ID == "": // of an entry that never named a replica nothing is told on
+	case ch.Gone != "" && !u.Settled && !ch.Unusable:
 		c.doubt(ch.Gone, ch.Revision, u.doubtFor())
 	case ch.Gone != "" && ch.Revision >= c.replicas[ch.Gone].Revision:
 		delete(c.replicas, ch.Gone)
--- a/catalog/start.go
+++ b/catalog/start.go
@@ -2,9 +2,9 @@
 
 import "strconv"
 
-// startMark stands between the id and the start of a replica. Ids don't contain it
-// where starts are told.
-const startMark = "@"
+// StartMark stands between the id and the time in the name of a start. Ids don't
+// contain it.
+const StartMark = '@'
 
 // startBase is the base in which starts are written: with eight digits in place of
 // thirteen a load takes five bytes less in a datagram.
@@ -20,7 +20,7 @@
 	if r.Born == 0 {
 		return r.ID
 	}
-	return r.ID + startMark + strconv.FormatInt(r.Born, startBase)
+	return r.ID + string(StartMark) + strconv.FormatInt(r.Born, startBase)
 }
 
 // replaces says whether what is said of a replica replaces what is known under its id.
--- a/meter/count.go
+++ b/meter/count.go
@@ -51,6 +51,9 @@
 // Dial counts a connection opened to an upstream.
 func (m *Meter) Dial() { m.dials.Inc() }
 
+// ForeignEntry counts an entry of the store that names no replica.
+func (m *Meter) ForeignEntry() { m.foreign.Inc() }
+
 // FirstByte observes the time from a request to the first byte of its answer.
 func (m *Meter) FirstByte(service string, d time.Duration) {
 	m.first.WithLabelValues(service).Observe(d.Seconds())
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -34,6 +34,7 @@
 	resumed   prometheus.Counter
 	store     *prometheus.CounterVec
 	accounts  *prometheus.CounterVec
+	foreign   prometheus.Counter
 	dials     prometheus.Counter
 	first     *prometheus.HistogramVec
 	answer    *prometheus.HistogramVec
@@ -89,6 +90,7 @@
 	m.resumed = m.counter("resumed_streams_total", "Broken streams that went on elsewhere.")
 	m.store = m.counters("store_calls_total", "Calls of the store by kind and result.", "kind", "result")
 	m.accounts = m.counters("engine_accounts_total", "Questions to engines for their load by result.", "result")
+	m.foreign = m.counter("foreign_entries_total", "Entries of the store that name no replica, once for each revision.")
 	m.dials = m.counter("upstream_dials_total", "Connections opened to upstreams.")
 	m.first = m.histograms("first_byte_seconds", "Time to the first byte of an answer.", firstBuckets)
 	m.answer = m.histograms("answer_seconds", "Time to the end of an answer.", answerBuckets)
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -49,6 +49,7 @@
 	m.Resumed()
 	m.StoreCall("get", "ok")
 	m.Dial()
+	m.ForeignEntry()
 	m.FirstByte("chat", 100*time.Millisecond)
 	m.Answer("chat", 3*time.Second)
 	return m
@@ -108,11 +109,11 @@
 		is.True(slices.Contains([]string{"total", "seconds", "boxes"}, unit))
 		names++
 	}
-	is.Equal(names, 15)
+	is.Equal(names, 16)
 }
 
 func TestAMeterCountsForItselfAlone(t *testing.T) {
 	is := is.New(t)
 	used()
-	is.Equal(len(scrape(is, New())), 3*2) // only the two counters without labels are there, at zero
+	is.Equal(len(scrape(is, New())), 3*3) // only the three counters without labels are there, at zero
 }
--- a/node/node.go
+++ b/node/node.go
@@ -173,8 +173,9 @@
 	n.askBox = n.callBox
 	n.deliver = func(p roster.Packet) { _ = n.links[0].Post(p) } // a datagram may be lost anyway, and the next one follows
 	n.feed = n.newFeed(n.adapter.Source(n.store, Report{
-		Call: n.meter.StoreCall,
-		Bad:  n.badValue,
+		Call:    n.meter.StoreCall,
+		Bad:     n.badValue,
+		Foreign: n.foreignEntry,
 	}))
 }
 
--- a/node/pull.go
+++ b/node/pull.go
@@ -190,3 +190,15 @@
 		Detail:   err.Error(),
 	})
 }
+
+// foreignEntry writes down an entry that names no replica. It was written by somebody
+// else, or by a replica of another version.
+func (n *Node) foreignEntry(name string, err error) {
+	n.meter.ForeignEntry()
+	n.record(decision.Event{
+		Kind:     decision.Belief,
+		Upstream: name,
+		Reason:   "entry names no replica",
+		Detail:   err.Error(),
+	})
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -66,6 +66,7 @@
 
 // Report is what a source of the catalog tells beside what it reads.
 type Report struct {
-	Call func(kind, result string)    // of every call
-	Bad  func(name string, err error) // of a value that can't be used
+	Call    func(kind, result string)    // of every call
+	Bad     func(name string, err error) // of a value that can't be used; the last good one stays
+	Foreign func(name string, err error) // of an entry that names no replica
 }
