--- a/node/account.go
+++ b/node/account.go
@@ -75,7 +75,31 @@
 	at := n.now()
 	got, err := n.adapter.Account(ctx, n.replicas, a.addr)
 	n.meter.Account(err == nil)
-	n.state.Post(func(s *state) { s.account(a.start, got, err == nil, at, n.now()) })
+	n.state.Post(func(s *state) {
+		start, news := s.startOf(a.start, got.Born, n.now())
+		n.recordBeliefs(news)
+		s.account(start, got, err == nil, at, n.now())
+	})
+}
+
+// startOf returns which start of a replica gave an account: one that began at a time,
+// where that is said. A later one than was known is taken in, for its entry may be a
+// heartbeat behind.
+func (s *state) startOf(known string, born int64, now time.Duration) (string, []placement.Belief) {
+	info, svc := s.listed(known)
+	if svc == nil || born == 0 || info.Born == 0 || born == info.Born {
+		return known, nil
+	}
+	id := Identity{
+		ID:   info.ID,
+		Born: born,
+	}
+	next := info
+	next.Born = born
+	if born < info.Born {
+		return next.Start(), nil // of which nothing is known any more
+	}
+	return next.Start(), s.take(adopted(info, svc, id), now)
 }
 
 // account takes in an engine's account of a time, or that it gave none.
--- a/node/identity.go
+++ b/node/identity.go
@@ -19,6 +19,7 @@
 // Identity is what a replica says of itself when it is asked.
 type Identity struct {
 	ID       string
+	Born     int64         // when its process started, in Unix milliseconds; 0 where it doesn't say
 	ColdLeft time.Duration // how much longer it is cold; 0 also where it doesn't say
 	Memory   int           // tokens; 0 for a replica that is no engine
 }
@@ -100,33 +101,41 @@
 // adopt takes the replica that has another's address into the copy of the catalog,
 // in its place. What is published goes before it as soon as it can be read again.
 func (n *Node) adopt(old catalog.Replica, svc *catalog.Service, id Identity) error {
-	if id.ID == old.ID {
+	if id.ID == old.ID && id.Born <= old.Born {
 		return nil // the other answer came from its predecessor
 	}
 	if !n.provesService(svc, id) {
 		return errOtherService
 	}
+	n.takeUpdate(adopted(old, svc, id))
+	return nil
+}
+
+// adopted returns the update that puts a start of a replica in the place of another one,
+// of the same id or not.
+func adopted(old catalog.Replica, svc *catalog.Service, id Identity) catalog.Update {
 	now := old
 	now.ID = id.ID
+	now.Born = id.Born
 	now.Leaving = false
 	now.ColdLeft = catalog.Millis(id.ColdLeft.Milliseconds())
 	if now.ColdLeft == 0 {
 		now.ColdLeft = svc.ColdFor // it has just started, and may be about to say so
 	}
-	n.takeUpdate(catalog.Update{
-		Changes: []catalog.Change{
-			{
-				Revision: old.Revision,
-				Gone:     old.ID,
-			},
-			{
-				Revision: old.Revision,
-				Replica:  &now,
-			},
-		},
+	out := catalog.Update{
 		Settled: true,
+	}
+	if now.ID != old.ID {
+		out.Changes = append(out.Changes, catalog.Change{
+			Revision: old.Revision,
+			Gone:     old.ID,
+		})
+	}
+	out.Changes = append(out.Changes, catalog.Change{
+		Revision: old.Revision,
+		Replica:  &now,
 	})
-	return nil
+	return out
 }
 
 // provesService says whether what a replica tells of itself shows that it belongs
--- a/node/pull.go
+++ b/node/pull.go
@@ -149,9 +149,13 @@
 	_ = n.state.Do(func(s *state) { n.recordBeliefs(s.settle(n.now())) }) // it fails only when the box has ended
 }
 
-// recordBeliefs writes down what is believed now.
+// recordBeliefs writes down what is believed now, and drops connections that rest at the
+// address of a replica that has started again.
 func (n *Node) recordBeliefs(list []placement.Belief) {
 	for _, b := range list {
+		if b.Addr != "" {
+			n.replicas.CloseResting(b.Addr)
+		}
 		n.record(decision.Event{
 			Kind:     decision.Belief,
 			Upstream: b.About,
--- a/node/settings.go
+++ b/node/settings.go
@@ -59,6 +59,7 @@
 
 // Account is what an engine says of its work when it is asked.
 type Account struct {
+	Born    int64 // when its process started, in Unix milliseconds; 0 where it doesn't say
 	Running int
 	Waiting int
 	Tokens  int // of memory that its requests hold
--- a/placement/view.go
+++ b/placement/view.go
@@ -77,6 +77,7 @@
 	About  string // a replica, by its start, or failure domain
 	Reason string // what is believed of it now
 	Rev    int64  // revision of what is published that says so
+	Addr   string // of a replica that has started again: connections there may be of the start before
 }
 
 // Take brings the view to what the catalog holds.
@@ -138,14 +139,18 @@
 	if changed && info.ColdLeft > 0 {
 		v.chill(r, info.ColdLeft.Duration(), now)
 	}
-	if changed {
-		news = append(news, Belief{
-			About:  start,
-			Reason: v.describe(r, ok, leaves),
-			Rev:    info.Revision,
-		})
+	if !changed {
+		return news
 	}
-	return news
+	b := Belief{
+		About:  start,
+		Reason: v.describe(r, ok, leaves),
+		Rev:    info.Revision,
+	}
+	if !ok && v.other(r) != nil {
+		b.Addr = info.Addr
+	}
+	return append(news, b)
 }
 
 // describe says what a changed entry means, most important first.
--- /dev/null
+++ b/roster/start_test.go
@@ -0,0 +1,65 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// namedReplicas are names of replicas of a large region, as their entries have them.
+func namedReplicas(born int64) []string {
+	var out []string
+	for n := range 166 {
+		out = append(out, catalog.Replica{
+			ID:   fmt.Sprintf("i-%08x", n*0x9e3779b1&0xffffffff),
+			Born: born,
+		}.Start())
+	}
+	return out
+}
+
+// bytesOf returns the bytes of a compact datagram with a load and a word of each.
+func bytesOf(names []string) int {
+	var b Compact
+	for _, name := range names {
+		b.Loads = append(b.Loads, CompactLoad{
+			Replica: ReplicaIDOf(name),
+			Load: wire.ReplicaLoad{
+				InFlight: 3,
+				Tokens:   9000,
+			},
+		})
+		b.Words = append(b.Words, CompactWord{
+			Replica:  ReplicaIDOf(name),
+			Requests: 12,
+		})
+	}
+	return len(b.encode())
+}
+
+// Where boxes are many, a replica is named by a hash of its start: that costs nothing.
+// Where they are few, each load names the start in full.
+func TestTheStartOfAReplicaTakesNoByteInCompactDatagrams(t *testing.T) {
+	is := is.New(t)
+	ids, starts := namedReplicas(0), namedReplicas(1764720000123)
+	is.Equal(bytesOf(starts), bytesOf(ids))
+	load := func(name string) int {
+		return size(wire.ReplicaLoad{
+			Replica:  name,
+			InFlight: 3,
+			Tokens:   9000,
+		})
+	}
+	more := load(starts[0]) - load(ids[0])
+	t.Logf("166 replicas: compact %d bytes and %d; a load in a whole status %d and %d", bytesOf(ids), bytesOf(starts), load(ids[0]), load(starts[0]))
+	is.Equal(more, 9)
+	short := make(map[ReplicaID]bool)
+	for _, name := range append(ids, starts...) {
+		short[ReplicaIDOf(name)] = true
+	}
+	is.Equal(len(short), 2*166) // two starts of a replica are told apart
+}
