--- a/catalog/publisher_test.go
+++ b/catalog/publisher_test.go
@@ -38,6 +38,7 @@
 	policy    *catalog.Policy
 	replicas  map[string]catalog.Replica
 	evacuated map[string]bool
+	unusable  map[string]bool // ids under which an entry names no replica
 	history   []catalog.Change
 	forgot    int64 // newest revision that history lacks
 	changed   change.Signal
@@ -49,6 +50,7 @@
 	return &publisher{
 		replicas:  make(map[string]catalog.Replica),
 		evacuated: make(map[string]bool),
+		unusable:  make(map[string]bool),
 	}
 }
 
@@ -74,8 +76,13 @@
 		r.Revision = p.rev
 		ch.Replica = &r
 		p.replicas[r.ID] = r
+		delete(p.unusable, r.ID)
 	case ch.Gone != "":
 		delete(p.replicas, ch.Gone)
+		delete(p.unusable, ch.Gone)
+		if ch.Unusable {
+			p.unusable[ch.Gone] = true
+		}
 	case ch.Evacuated != "":
 		p.evacuated[ch.Evacuated] = true
 	case ch.Unevacuated != "":
@@ -127,6 +134,7 @@
 		out.Replicas = append(out.Replicas, p.replicas[id])
 	}
 	out.Evacuated = slices.Sorted(maps.Keys(p.evacuated))
+	out.Unusable = slices.Sorted(maps.Keys(p.unusable))
 	return out
 }
 
