--- /dev/null
+++ b/roster/wirefuzz_test.go
@@ -0,0 +1,41 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// FuzzDecodeCompact looks for bytes that end a box, or that are read as something which
+// can't be told again.
+func FuzzDecodeCompact(f *testing.F) {
+	b := Compact{
+		State:   wire.ServingStateServing,
+		Catalog: 7,
+		Vitals: []Vital{{
+			ID:  1,
+			Age: time.Second,
+		}},
+		Words: []CompactWord{{
+			Replica:  ReplicaIDOf("i-1@mip8q2rf"),
+			Requests: 3,
+		}},
+		Check: 5,
+		Names: []ID{1, 2},
+	}
+	f.Add(b.encode())
+	f.Add(Compact{}.encode())
+	f.Add([]byte{})
+	f.Add([]byte{compactMark})
+	f.Add([]byte(`{"f":{}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := DecodeCompact(data)
+		if err != nil {
+			return
+		}
+		if _, err := DecodeCompact(got.encode()); err != nil {
+			t.Fatalf("%+v can't be told again: %v", got, err)
+		}
+	})
+}
