--- a/node/pull.go
+++ b/node/pull.go
@@ -159,9 +159,13 @@
 	_ = n.state.Do(func(s *state) { n.recordBeliefs(s.settle(n.now())) }) // it fails only when the box has ended
 }
 
-// recordBeliefs writes down what is believed now.
+// recordBeliefs writes down what is believed now, and drops connections that rest at the
+// address of a replica that has started again.
 func (n *Node) recordBeliefs(list []placement.Belief) {
 	for _, b := range list {
+		if b.Addr != "" {
+			n.replicas.CloseResting(b.Addr)
+		}
 		n.record(decision.Event{
 			Kind:     decision.Belief,
 			Upstream: b.About,
@@ -200,3 +204,15 @@
 		Detail:   err.Error(),
 	})
 }
+
+// foreignEntry writes down an entry that names no replica. It was written by somebody
+// else, or by a replica of another version.
+func (n *Node) foreignEntry(name string, err error) {
+	n.meter.ForeignEntry()
+	n.record(decision.Event{
+		Kind:     decision.Belief,
+		Upstream: name,
+		Reason:   "entry names no replica",
+		Detail:   err.Error(),
+	})
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -59,6 +59,7 @@
 
 // Account is what an engine says of its work when it is asked.
 type Account struct {
+	Born    int64 // when its process started, in Unix milliseconds; 0 where it doesn't say
 	Running int
 	Waiting int
 	Tokens  int // of memory that its requests hold
@@ -66,6 +67,7 @@
 
 // Report is what a source of the catalog tells beside what it reads.
 type Report struct {
-	Call func(kind, result string)    // of every call
-	Bad  func(name string, err error) // of a value that can't be used
+	Call    func(kind, result string)    // of every call
+	Bad     func(name string, err error) // of a value that can't be used; the last good one stays
+	Foreign func(name string, err error) // of an entry that names no replica
 }
