--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -11,7 +11,8 @@
 
 // Replica is one process of a service, as published.
 type Replica struct {
-	ID       string `json:"id"` // differs for every start of a process
+	ID       string `json:"id"`             // under which it is published, and which it answers to
+	Born     int64  `json:"born,omitempty"` // when its process started, in Unix milliseconds; 0 where that isn't said
 	Service  string `json:"service"`
 	Addr     string `json:"addr"`
 	Domain   string `json:"failure_domain"`
@@ -33,6 +34,9 @@
 	if r.ID == "" || r.Addr == "" || r.Service == "" {
 		return errors.Newf("replica %q: id, address and service are needed", r.ID)
 	}
+	if r.Born < 0 || r.Born > MaxBorn {
+		return errors.Newf("replica %q: no start at %d", r.ID, r.Born)
+	}
 	return nil
 }
 
@@ -43,7 +47,7 @@
 	Policy    *Policy   `json:"policy,omitempty"` // nil when none was published yet
 	Replicas  []Replica `json:"replicas"`
 	Evacuated []string  `json:"evacuated"` // failure domains whose replicas get no work
-	Malformed []string  `json:"-"`         // ids of replicas whose entries can't be used; the last good ones stay
+	Unusable  []string  `json:"-"`         // ids under which an entry names no replica
 }
 
 // Content is a box's copy of what is published.
@@ -116,6 +120,9 @@
 		if c.past.isGone(r) {
 			continue
 		}
+		if known, ok := before[r.ID]; ok && !r.replaces(known) {
+			r = known
+		}
 		c.replicas[r.ID] = r
 		delete(c.doubts, r.ID)
 	}
@@ -124,9 +131,7 @@
 			continue
 		}
 		switch {
-		case slices.Contains(s.Malformed, id):
-			c.replicas[id] = r
-		case u.Settled:
+		case u.Settled, slices.Contains(s.Unusable, id): // an entry that is there is none that lapsed
 			c.missed(id, s.Revision)
 		default:
 			c.replicas[id] = r
@@ -169,10 +174,11 @@
 	switch {
 	case ch.Policy != nil:
 		c.policies.take(ch.Policy)
-	case ch.Replica != nil && ch.Revision >= c.replicas[ch.Replica.ID].Revision && !c.past.isGone(*ch.Replica):
+	case ch.Replica != nil && ch.Replica.replaces(c.replicas[ch.Replica.ID]) && !c.past.isGone(*ch.Replica):
 		c.replicas[ch.Replica.ID] = *ch.Replica
 		delete(c.doubts, ch.Replica.ID)
-	case ch.Gone != "" && !u.Settled:
+	case ch.Unusable && c.replicas[ch.Gone].ID == "": // of an entry that never named a replica nothing is told on
+	case ch.Gone != "" && !u.Settled && !ch.Unusable:
 		c.doubt(ch.Gone, ch.Revision, u.doubtFor())
 	case ch.Gone != "" && ch.Revision >= c.replicas[ch.Gone].Revision:
 		delete(c.replicas, ch.Gone)
--- a/node/node.go
+++ b/node/node.go
@@ -31,7 +31,7 @@
 	collectAt   = 20                     // percent of growth of the heap between collections: memory is dearer here than processor time
 	neverRead   = time.Hour              // the age of what was never read
 	idleReplica = 20 * time.Second       // a connection to a replica rests so long at most
-	borne       = 30 * time.Second       // silence of a replica at a request that can't be sent again: its own time ends it sooner
+	borne       = 30 * time.Second       // silence under a request that can't be sent again: its own time ends it sooner
 	idleBox     = 60 * time.Second       // the same between boxes: a new one takes 160 ms
 	stopEarly   = 400 * time.Millisecond // before the process is killed, it ends by itself
 )
@@ -56,6 +56,7 @@
 	closed    atomic.Bool  // it is named to no caller any more
 	ends      atomic.Int64 // when a planned stop is over, in nanoseconds since the start
 	pulling   atomic.Bool  // another box is asked for its catalog
+	doubtAsk  atomic.Int64 // until then no box is asked for a doubt alone, in nanoseconds since the start
 	replicas  *exchange.Pool
 	boxes     *exchange.Pool
 	store     *exchange.Pool
@@ -184,7 +185,10 @@
 		exchange.WithPatience(borne),
 		exchange.WithOnDial(func(string) { n.meter.Dial() }),
 	)
-	n.boxes = exchange.NewPool(exchange.WithIdleTime(idleBox))
+	n.boxes = exchange.NewPool(
+		exchange.WithIdleTime(idleBox),
+		exchange.WithPatience(borne),
+	)
 	n.store = exchange.NewPool()
 	dialer := exchange.NewDialer()
 	dialer.Timeout = peerDial
@@ -194,8 +198,9 @@
 	n.askPolicy = n.callForPolicy
 	n.deliver = func(p roster.Packet) { _ = n.links[0].Post(p) } // a datagram may be lost anyway, and the next one follows
 	n.feed = n.newFeed(n.adapter.Source(n.store, Report{
-		Call: n.meter.StoreCall,
-		Bad:  n.badValue,
+		Call:    n.meter.StoreCall,
+		Bad:     n.badValue,
+		Foreign: n.foreignEntry,
 	}))
 }
 
