roster, node: Count how long a datagram waited into the age of what it tells

Cause: a box whose link or processor is full takes datagrams late, and took what they tell of the age of readings as of that moment. So it believed its knowledge current and did not read for itself. Each box now says how long it has been up; what a datagram is later than the quickest of the same process has waited, and is added to the age, also of what is told on.

A heartbeat takes 2 to 4 bytes more, 11 in JSON.

--- a/node/follow.go
+++ b/node/follow.go
@@ -80,12 +80,12 @@
 }
 
 // confirm takes in that another box knows of a reading of the catalog that found
-// nothing newer than what this one knows.
-func (n *Node) confirm(from wire.BoxStatus, revision int64) {
+// nothing newer than what this one knows. The word of it has waited for a time.
+func (n *Node) confirm(from wire.BoxStatus, revision int64, waited time.Duration) {
 	if from.ReadMs == 0 || int64(from.Catalog) > revision {
 		return
 	}
-	at := n.now() - time.Duration(from.ReadMs)*time.Millisecond - n.wayFrom(from.Region)
+	at := n.now() - time.Duration(from.ReadMs)*time.Millisecond - n.wayFrom(from.Region) - waited
 	for {
 		was := n.read.Load()
 		if int64(at) <= was || n.read.CompareAndSwap(was, int64(at)) {
--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -57,7 +57,7 @@
 		from := status("near", "a")
 		from.Catalog = revision
 		from.ReadMs = readMs
-		n.confirm(from, 7)
+		n.confirm(from, 7, 0)
 		return n.catalogAge().Round(time.Second)
 	}
 	is.Equal(says(7, 0), 50*time.Second)     // it says nothing
@@ -97,7 +97,7 @@
 			s := status(from.settings.Box, from.settings.Region)
 			s.ReadMs = from.readMs()
 			time.Sleep(farDelay)
-			to.confirm(s, 0)
+			to.confirm(s, 0, 0)
 			is.True(to.catalogAge() >= time.Since(read))
 		}
 	})
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -97,6 +97,7 @@
 func (n *Node) self(s *state) wire.BoxStatus {
 	out := s.fill(n.status(), n.now())
 	out.ReadMs = n.readMs()
+	out.UpMs = int(n.now().Milliseconds())
 	if n.closed.Load() {
 		out.Callers = ""
 	}
@@ -136,8 +137,12 @@
 // catalog itself.
 func (n *Node) learn(ctx context.Context, from wire.BoxStatus, newest int64) {
 	var has held
-	_ = n.state.Do(func(s *state) { has = s.holds(from) })
-	n.confirm(from, has.newest)
+	var waited time.Duration
+	_ = n.state.Do(func(s *state) {
+		has = s.holds(from)
+		waited = s.roster.Waited(from, n.now())
+	})
+	n.confirm(from, has.newest, waited)
 	if from.Policy > has.policy {
 		n.seekPolicy(ctx)
 	}
--- a/roster/compact.go
+++ b/roster/compact.go
@@ -84,6 +84,7 @@
 	Newest  int64 // newest revision of the catalog that the sender has heard of
 	Policy  int   // version of the policy that the sender decides by
 	ReadMs  int   // milliseconds; how long ago the publisher was read with nothing newer than Catalog, as in a whole status
+	UpMs    int   // milliseconds; how long ago the sender started when it said this
 	Lapses  int   // replicas whose removal the sender had in doubt, as in a whole status
 	Vitals  []Vital
 	Silent  []Vital // boxes of whose death the sender knows; their last heartbeat
@@ -124,6 +125,7 @@
 	out = binary.AppendUvarint(out, uint64(b.Newest))
 	out = binary.AppendUvarint(out, uint64(b.Policy))
 	out = binary.AppendUvarint(out, uint64(b.ReadMs))
+	out = binary.AppendUvarint(out, uint64(b.UpMs))
 	out = binary.AppendUvarint(out, uint64(b.Lapses))
 	out = appendVitals(out, b.Vitals)
 	out = appendVitals(out, b.Silent)
--- a/roster/compact_test.go
+++ b/roster/compact_test.go
@@ -44,6 +44,7 @@
 		Newest:  rapid.Int64Min(0).Draw(t, "newest"),
 		Policy:  number(),
 		ReadMs:  number(),
+		UpMs:    number(),
 		Lapses:  number(),
 		Vitals:  list(t, 40, "vitals", vital),
 		Silent:  list(t, 4, "silent", vital),
--- a/roster/full.go
+++ b/roster/full.go
@@ -23,6 +23,7 @@
 		Newest:  t.compact.newest,
 		Policy:  s.Policy,
 		ReadMs:  s.ReadMs,
+		UpMs:    s.UpMs,
 		Lapses:  s.Lapses,
 	}
 }
--- a/roster/parse.go
+++ b/roster/parse.go
@@ -42,6 +42,7 @@
 	b.Newest = p.long()
 	b.Policy = int(p.long())
 	b.ReadMs = p.number()
+	b.UpMs = p.number()
 	b.Lapses = p.number()
 	b.Vitals = parseList(&p, vitalBytes, p.vital)
 	b.Silent = parseList(&p, vitalBytes, p.vital)
--- a/roster/table.go
+++ b/roster/table.go
@@ -49,6 +49,8 @@
 	deadSince time.Duration // our clock when its region heard it last, where it is silent
 	judged    bool          // this box of the own region was found to be dead, and others were told at once
 	retold    time.Duration // as of when its rooms were last passed on
+	ahead     time.Duration // least that our clock was ahead of the box's time since its start, its words' way with it
+	timed     bool          // ahead is known
 }
 
 // Table is the view of one box. It belongs to one actor.
--- a/roster/take.go
+++ b/roster/take.go
@@ -61,6 +61,7 @@
 		s.Catalog = int(b.Catalog)
 		s.Policy = b.Policy
 		s.ReadMs = b.ReadMs
+		s.UpMs = b.UpMs
 		s.Lapses = b.Lapses
 		if r.State() == wire.ServingStateLeaving {
 			s.State = wire.ServingStateLeaving
--- /dev/null
+++ b/roster/waited_test.go
@@ -0,0 +1,37 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+func TestAWordIsAsMuchLaterAsItTookLongerThanTheQuickest(t *testing.T) {
+	is := is.New(t)
+	table := New(wire.BoxStatus{
+		Box:    "self",
+		Inc:    1,
+		Region: "a",
+	})
+	const clocks = 40 * time.Second // since the other's start, when this box started
+	waited := func(inc, seq int, up, way time.Duration) time.Duration {
+		s := wire.BoxStatus{
+			Box:    "other",
+			Inc:    inc,
+			Seq:    seq,
+			Region: "a",
+			UpMs:   int(up.Milliseconds()),
+		}
+		now := up - clocks + way
+		table.Hear(s, true, now)
+		return table.Waited(s, now)
+	}
+	is.Equal(waited(1, 1, 50*time.Second, 30*time.Millisecond), time.Duration(0))
+	is.Equal(waited(1, 2, 51*time.Second, 4*time.Second), 4*time.Second-30*time.Millisecond)
+	is.Equal(waited(1, 3, 52*time.Second, 5*time.Millisecond), time.Duration(0)) // the quickest
+	is.Equal(waited(1, 4, 53*time.Second, 2*time.Second), 2*time.Second-5*time.Millisecond)
+	is.Equal(waited(2, 1, 41*time.Second, 2*time.Second), time.Duration(0)) // another process, of which nothing is known
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -153,6 +153,9 @@
 	// State of the box; empty for serving.
 	State ServingState `json:"s,omitempty,omitzero"`
 
+	// How long ago the box started when it said this, in milliseconds.
+	UpMs int `json:"u,omitempty,omitzero"`
+
 	// Revision of the catalog the box has in force; 0 for none.
 	Catalog int `json:"v,omitempty,omitzero"`
 
@@ -201,6 +204,9 @@
 	if utf8.RuneCountInString(string(plain.Region)) > 64 {
 		return fmt.Errorf("field %s length: must be <= %d", "r", 64)
 	}
+	if 0 > plain.UpMs {
+		return fmt.Errorf("field %s: must be >= %v", "u", 0)
+	}
 	if 0 > plain.Catalog {
 		return fmt.Errorf("field %s: must be >= %v", "v", 0)
 	}
