--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -371,7 +371,10 @@
 			if n == nil || n.now() < f.newFor || !n.lists(id) {
 				continue
 			}
-			f.worst = max(f.worst, lag)
+			if lag > f.worst {
+				f.worst = lag
+				f.tell(b.settings.Box, "still lists", id, lag, "after its removal")
+			}
 			if lag > removalWithin {
 				f.late = fmt.Sprintf("%s sends to %s %v after its removal (leaving: %t)", b.settings.Box, id, lag, f.left[id])
 			}
