ingress, exchange: Give another box up only in the middle of its answer

Before the head nobody knows how often it was sent, so the watch doesn't count there, and the socket's 2 s stay. A box says before it resumes a relayed stream, not with the first event from there, that it sends it to one more replica, and takes that back when it was not reached.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -47,6 +47,7 @@
 	writeErr error // why the kernel took no more of them
 	reused   bool
 	hadHead  bool      // it has carried a HEAD request
+	patient  bool      // it bears silence for longer than one at rest
 	until    time.Time // when it has rested for long enough; held by pool.mu
 	closed   bool      // held by pool.mu
 }
@@ -91,6 +92,20 @@
 	_ = c.nc.Close() // given up: whatever the error, nothing is done with it again
 }
 
+// bear has the connection bear a peer that acknowledges nothing for d.
+func (c *conn) bear(d time.Duration) {
+	bear(c.nc, d)
+	c.patient = true
+}
+
+// calm has it bear no more than the dialer allows.
+func (c *conn) calm() {
+	if c.patient {
+		bear(c.nc, userTimeout)
+		c.patient = false
+	}
+}
+
 // answer reads the header of the answer that belongs to req. It skips 1xx answers
 // and one answer to another request, if that one has a definite length.
 func (c *conn) answer(req *Request) (*http.Response, Stage, error) {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -222,7 +222,7 @@
 // use has a connection bear silence for as long as a request may take.
 func (p *Pool) use(c *conn) {
 	if p.patience > 0 {
-		bear(c.nc, p.patience)
+		c.bear(p.patience)
 	}
 }
 
@@ -244,9 +244,7 @@
 
 // put keeps the connection for another request for at most the time of rest.
 func (p *Pool) put(c *conn, rest time.Duration) {
-	if p.patience > 0 {
-		bear(c.nc, userTimeout)
-	}
+	c.calm()
 	if surplus := p.keep(c, rest); surplus != nil {
 		surplus.close()
 	}
--- a/ingress/box.go
+++ b/ingress/box.go
@@ -9,7 +9,10 @@
 	"github.com/havenrudder/havenrudder/exchange"
 )
 
-const boxDial = 400 * time.Millisecond // between regions, two round trips of 160 ms and some
+const (
+	boxDial  = 400 * time.Millisecond // between regions, two round trips of 160 ms and some
+	boxBorne = 30 * time.Second       // silence of a box in the middle of an answer, as watchSilence looks at it
+)
 
 // tryBox passes the request on to a box of another region.
 func (c *call) tryBox(ctx context.Context, t Target) ended {
@@ -57,6 +60,7 @@
 	defer func() { _ = answer.Close() }()
 	a.first = time.Since(a.sent)
 	a.noteHeard()
+	answer.Bear(boxBorne)
 	there := sentThere(answer.Header())
 	c.sent += there
 	c.told.Store(int64(c.sent))
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -90,7 +90,12 @@
 			break
 		}
 		c.recordPlace(target)
-		if c.try(ctx, target) || !c.mayTryAgain(ctx) {
+		c.tellSent(c.sent + 1)
+		if c.try(ctx, target) {
+			break
+		}
+		c.tellSent(c.sent)
+		if !c.mayTryAgain(ctx) {
 			break
 		}
 	}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -30,7 +30,6 @@
 		c.openStream(answer)
 	} else {
 		c.server.core.Meter.Resumed(c.service)
-		c.tellSent()
 	}
 	c.fromBox = a.target.Box != ""
 	in := events.NewReader(body)
@@ -64,8 +63,8 @@
 
 // noteHeard says that the replica goes on, not for every event.
 func (a *attempt) noteHeard() {
-	now := time.Since(a.sent)
-	if now-time.Duration(a.heard.Load()) < heardEvery {
+	now := max(time.Since(a.sent), 1)
+	if last := time.Duration(a.heard.Load()); last > 0 && now-last < heardEvery {
 		return
 	}
 	a.heard.Store(int64(now))
@@ -126,7 +125,7 @@
 // passEvent passes an event on. One that the caller has already is left out.
 func (c *call) passEvent(event []byte) (passed bool, err error) {
 	if n, ok := sentEvent(event); ok && c.fromBox {
-		c.sent = max(c.sent, n)
+		c.sent = n
 		c.told.Store(int64(c.sent))
 		return false, nil
 	}
@@ -148,12 +147,15 @@
 // stream to how many replicas the request was sent by now.
 const sentPrefix = ":rudder-sent "
 
-// tellSent says so when the stream goes on at one more replica.
-func (c *call) tellSent() {
-	if c.relay == nil {
+// tellSent says so before the stream goes on at one more replica, and when that one was
+// not reached. When it was said with the first event from there, the other box could give
+// this one up meanwhile and send the request to one replica too many.
+func (c *call) tellSent(sent int) {
+	if c.relay == nil || c.state != begun {
 		return
 	}
-	_, _ = fmt.Fprintf(c.w, "%s%d\n\n", sentPrefix, c.sent) // the other box has gone when this fails
+	_, _ = fmt.Fprintf(c.w, "%s%d\n\n", sentPrefix, sent) // the other box has gone when this fails
+	c.flush()
 }
 
 // sentEvent reads what tellSent wrote.
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -110,11 +110,21 @@
 		return 0 // the way there is slow, not the replica
 	}
 	if a.target.Box != "" {
-		return time.Since(a.sent) - time.Duration(max(begun, a.heard.Load()))
+		return a.quietBox()
 	}
 	return a.call.server.core.Quiet(&a.target.Choice, a.sent.Add(time.Duration(begun)))
 }
 
+// quietBox returns how long a box has said nothing. Before the head of its answer it
+// doesn't count: nobody knows by then how often that box has sent the request.
+func (a *attempt) quietBox() time.Duration {
+	heard := a.heard.Load()
+	if heard == 0 {
+		return 0
+	}
+	return time.Since(a.sent) - time.Duration(heard)
+}
+
 // reach notes whether the next target takes a connection. While this box's own link is
 // full or its processor is short, all replicas seem silent, and none is reached: an
 // answer that was cut then could not go on anywhere.
--- a/node/node.go
+++ b/node/node.go
@@ -167,10 +167,7 @@
 		exchange.WithPatience(borne),
 		exchange.WithOnDial(func(string) { n.meter.Dial() }),
 	)
-	n.boxes = exchange.NewPool(
-		exchange.WithIdleTime(idleBox),
-		exchange.WithPatience(borne),
-	)
+	n.boxes = exchange.NewPool(exchange.WithIdleTime(idleBox))
 	n.store = exchange.NewPool()
 	dialer := exchange.NewDialer()
 	dialer.Timeout = peerDial
