--- a/ingress/choked_test.go
+++ b/ingress/choked_test.go
@@ -34,11 +34,12 @@
 // The silence was taken for the replica's, and its run was cut. The 0.96 s after that fit attempts
 // to connect to four others through the same link, each given up after 250 ms and each paid for
 // with a retry of the budget. With none left the caller's connection was closed 5 s into the 15 s
-// that it would have waited. The same here, with five replicas and four retries:
+// that it would have waited. A run with whole boxes and the reasons in their lines shows it, with
+// one such attempt (the connection was closed 0.251 s after the run was cut):
 //
-//	try  r-0  broken   replica silent   1150 ms
-//	try  r-1  not_run  failed to dial    250 ms (r-2, r-3 and r-4 alike)
-//	end       broken   no more tries    2150 ms
+//	18.2972 edge-iasi-b-8 try broken, replica silent, upstream i-b895014d70, 1874 ms
+//	18.5480 edge-iasi-b-8 try not_run, failed to dial, upstream i-fa2eb64571, 250 ms
+//	18.5480 edge-iasi-b-8 end broken, no more tries, 2126 ms
 
 const (
 	eventEvery = 100 * time.Millisecond
