--- a/node/start_again_test.go
+++ b/node/start_again_test.go
@@ -139,3 +139,28 @@
 	is.Equal(got[at].ColdLeft, svc.ColdFor)
 	is.Equal(len(believed(b, first.ID)), 1)
 }
+
+// A replica's own word of its start was held against every later entry that told another
+// one, so that its word in the store that it leaves would have been passed over for good.
+func TestTheStoreOverrulesAStartThatOnlyTheReplicaTold(t *testing.T) {
+	is := is.New(t)
+	b := newBox("box-1", "a", 1)
+	first := startAgain(b, firstBorn, 101)
+	second := first
+	second.Born = secondBorn
+	of, _ := b.startOf(first.Start(), secondBorn, start)
+	is.Equal(of, second.Start())
+	startAgain(b, firstBorn, 101) // what was published before
+	is.Equal(believed(b, first.ID), []string{second.Start()})
+	startAgain(b, firstBorn, 102) // a change of its entry
+	is.Equal(believed(b, first.ID), []string{first.Start()})
+	of, news := b.startOf(first.Start(), secondBorn, start+time.Second)
+	is.Equal(of, first.Start()) // it isn't taken in over and over, which would pace it for ever
+	is.Equal(len(news), 0)
+	startAgain(b, secondBorn, 103)
+	is.Equal(believed(b, first.ID), []string{second.Start()})
+	third := second
+	third.Born++
+	of, _ = b.startOf(second.Start(), third.Born, start+2*time.Second)
+	is.Equal(of, third.Start())
+}
