catalog, node: Let the store overrule a start that only a replica told

A start taken in from an engine's report held against every later entry that told an earlier one, so the entry's word that it leaves would have been passed over for good where report and entry differ. The next change of the entry now holds, and a start is taken in once, so that the two don't take turns and pace the engine for ever.

All of catalog, placement, platform and node pass.

--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -21,6 +21,7 @@
 	Leaving  bool   `json:"leaving,omitempty"`
 	ColdLeft Millis `json:"cold_left_ms,omitempty"` // how much longer it was cold when this was published
 	Revision int64  `json:"revision"`               // of its last change
+	Told     bool   `json:"told,omitempty"`         // this start was told by the replica itself, and isn't published yet
 }
 
 // UnmarshalJSON decodes a replica and checks it.
--- a/catalog/start.go
+++ b/catalog/start.go
@@ -25,8 +25,13 @@
 
 // replaces says whether what is said of a replica replaces what is known under its id.
 // What is said of an earlier start never does, at whatever revision: a process that
-// stood still may write once more after the next one has begun.
+// stood still may write once more after the next one has begun. A start that only the
+// replica told is overruled by whatever is published next: else its entry could not say
+// that it leaves, if it told another start than its word.
 func (r Replica) replaces(known Replica) bool {
+	if known.Told && r.Revision > known.Revision {
+		return true
+	}
 	if r.Born > 0 && known.Born > 0 && r.Born != known.Born {
 		return r.Born > known.Born
 	}
--- a/node/account.go
+++ b/node/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/havenrudder/havenrudder/common/rendezvous"
@@ -96,9 +97,13 @@
 	}
 	next := info
 	next.Born = born
-	if born < info.Born {
+	switch {
+	case born < info.Born:
 		return next.Start(), nil // of which nothing is known any more
+	case born <= s.told[info.ID]:
+		return known, nil // it was overruled
 	}
+	s.told[info.ID] = born
 	return next.Start(), s.take(adopted(info, svc, id), now)
 }
 
@@ -123,3 +128,12 @@
 		At:     at,
 	})
 }
+
+// forgetTold drops which starts engines told that are gone.
+func (s *state) forgetTold() {
+	known := make(map[string]bool)
+	for _, r := range s.view.Replicas() {
+		known[r.ID()] = true
+	}
+	maps.DeleteFunc(s.told, func(id string, _ int64) bool { return !known[id] })
+}
--- a/node/identity.go
+++ b/node/identity.go
@@ -117,6 +117,7 @@
 	now := old
 	now.ID = id.ID
 	now.Born = id.Born
+	now.Told = true
 	now.Leaving = false
 	now.ColdLeft = catalog.Millis(id.ColdLeft.Milliseconds())
 	if now.ColdLeft == 0 {
--- a/node/state.go
+++ b/node/state.go
@@ -40,8 +40,9 @@
 	lapses     map[string]lapses         // by box: replicas found gone that it has told of
 	taking     map[string]taking         // by region
 	short      map[roster.ReplicaID]string
-	unanswered map[string]int // questions for an account in a row, by engine
-	seq        int            // of the last status told
+	unanswered map[string]int   // questions for an account in a row, by engine
+	told       map[string]int64 // the latest start that was taken in by an engine's word, by its id
+	seq        int              // of the last status told
 }
 
 // newState returns the state of a box that knows nothing yet.
@@ -61,6 +62,7 @@
 		taking:     make(map[string]taking),
 		short:      make(map[roster.ReplicaID]string),
 		unanswered: make(map[string]int),
+		told:       make(map[string]int64),
 	}
 }
 
@@ -109,7 +111,10 @@
 func (s *state) takeView(now time.Duration) []placement.Belief {
 	out := s.view.Take(s.content, now)
 	s.shorten()
-	maps.DeleteFunc(s.unanswered, func(id string, _ int) bool { return s.view.Get(id) == nil })
+	maps.DeleteFunc(s.unanswered, func(start string, _ int) bool { return s.view.Get(start) == nil })
+	if len(s.told) > 0 {
+		s.forgetTold()
+	}
 	return out
 }
 
