node: Read for a policy only when others don't give it

The wait after which a box reads for a policy by itself belonged to no version: a box that got each of many within 100 ms read after 2 s of versions, all boxes at once and again at +6 and +14 s. It now belongs to the version that was missing first, begins anew when that or a newer one came, and is spread over its last quarter, so that it is never longer than before. A request passed on by a box with a newer policy made a follower read all at each such request (6 calls for 6 requests in 0.3 s); it now notes the version, and gets the policy from others within a beat. One that watches reads as before, 0.3 s later, unless the watch brings it. Boxes that fail to give a policy are left out until one gives it, so that other regions are asked once all of the own have failed; only one was, and two that had ended were asked by turns.

What a box sends of policies is counted in base64, as it goes on the link: 400 KB/s were 533.

TestABoxThatGetsOnePolicyAfterTheOther... and TestRequestsThatWerePassedOn... failed and pass. The first is written anew for the type that now holds the wait: it asks besides that the box does read once it gets none. The second passes the version, which the seam now has, and asks that the box knows itself behind.

--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -74,7 +74,7 @@
 		c.counted = c.sent > 0
 		c.arrived = c.counted
 		if c.relay.Version > c.version {
-			c.server.core.Behind()
+			c.server.core.Behind(c.relay.Version)
 		}
 		c.version = c.relay.Version
 		return true
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -91,7 +91,7 @@
 	End      func(c *placement.Choice, r placement.Result, took time.Duration)
 	BoxLost  func(box string)                  // a box could not be reached
 	Crossed  func(box, region string, ok bool) // whether a request to a box of a region was answered
-	Behind   func()                            // another box knows a newer policy
+	Behind   func(version int)                 // another box knows a newer policy, of a version
 	Record   func(decision.Event)
 	Meter    Meter
 }
--- a/node/behind_test.go
+++ b/node/behind_test.go
@@ -20,10 +20,14 @@
 				continue
 			}
 			before := f.callsBy(300*time.Millisecond, func() {})
-			got := f.callsBy(300*time.Millisecond, n.core().Behind) - before
+			newer := n.table.Load().Version() + 1
+			got := f.callsBy(300*time.Millisecond, func() { n.core().Behind(newer) }) - before
 			if got > 2 {
 				t.Fatalf("%d calls of the listing for 6 requests in 0.3 s", got)
 			}
+			if n.current() {
+				t.Error("it takes its policy for the newest")
+			}
 			return
 		}
 	})
--- a/node/core.go
+++ b/node/core.go
@@ -29,7 +29,7 @@
 		End:      n.end,
 		BoxLost:  n.boxLost,
 		Crossed:  n.crossed,
-		Behind:   func() { n.feed.Behind(n.feed.Known() + 1) },
+		Behind:   n.behind,
 		Record:   n.record,
 		Meter: ingress.Meter{
 			Request: func(service, outcome string, took time.Duration) {
@@ -53,6 +53,16 @@
 	return n.storeOK.Load() && due == 0
 }
 
+// behind takes in that a box which passed a request on decides by a policy of a version.
+// One that follows gets it from others, for a reading at each such request would fill its
+// link where the policy is large.
+func (n *Node) behind(version int) {
+	n.state.Post(func(s *state) { s.content.HeardOfPolicy(version) })
+	if !n.follows.Load() {
+		n.feed.Behind(n.feed.Known() + 1)
+	}
+}
+
 // The accesses to the state below fail only when the box has ended; what they
 // give then is of no use to anybody.
 
--- a/node/node.go
+++ b/node/node.go
@@ -71,12 +71,10 @@
 	jitter    func() float64                                                               // seam: a random number from 0 up to 1
 	feed      *catalog.Feed
 
-	amendments  *catalog.Amendments
-	outflow     *outflow      // for the policies that this box gives to others
-	seeking     atomic.Bool   // a policy is got from another box; who has set it owns the next three
-	avoid       string        // box that didn't give its policy
-	lackedSince time.Duration // a policy that exists was known to be missing, or was read for; 0 for none
-	alone       time.Duration // after which this box reads for it
+	amendments *catalog.Amendments
+	outflow    *outflow     // for the policies that this box gives to others
+	seeking    atomic.Bool  // a policy is got from another box; who has set it owns the next
+	seeker     policySeeker // of the policy that this box lacks
 
 	tasks    sync.WaitGroup
 	told     chan struct{} // asks for the settings to be read again
--- a/node/policies.go
+++ b/node/policies.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,13 +18,11 @@
 )
 
 const (
-	policyRate  = 400_000                 // bytes of policies that a box sends a second: a third of a link of 10 Mbit/s
-	policyBurst = 200_000                 // of these at once: two policies of 4,200 routes
+	policyRate  = 400_000                 // bytes of policies, in base64, that a box sends a second: a third of a link of 10 Mbit/s
+	policyBurst = 267_000                 // of these at once: two policies of 4,200 routes; 0.2 s of that link
 	policyLimit = 1500 * time.Millisecond // for a policy from another box: at that rate each comes within a second
 	policyPause = 100 * time.Millisecond  // between two questions for one
 	policyBusy  = 300 * time.Millisecond  // the same at most, where it said that it is: others have the policy by then
-	policyAlone = 2 * time.Second         // after which a box that gets no policy from others reads for itself: half of the shortest bound on it
-	mostAlone   = 20 * time.Second        // between two such readings, for a policy that nobody can decode
 )
 
 // policyRequest asks another box for the newest policy.
@@ -71,7 +71,7 @@
 	if err != nil {
 		return out, err
 	}
-	if wait := n.outflow.take(len(pressed), n.now()); wait > 0 {
+	if wait := n.outflow.take(base64.StdEncoding.EncodedLen(len(pressed)), n.now()); wait > 0 {
 		out.Wait = catalog.Millis(wait.Milliseconds() + 1)
 		return out, nil
 	}
@@ -95,17 +95,25 @@
 	givers []wire.BoxStatus
 }
 
+// version returns the version of the policy that the box has, 0 for none.
+func (l lack) version() int { return versionOf(l.have) }
+
+// versionOf returns the version of a policy, 0 for none.
+func versionOf(p *catalog.Policy) int {
+	if p == nil {
+		return 0
+	}
+	return p.Version
+}
+
 // lacks returns what this box lacks and who has the newest of it: boxes of the region,
 // and of other regions where there is none or this box knows no policy at all.
-func (s *state) lacks(avoid string, now time.Duration) lack {
+func (s *state) lacks(avoid []string, now time.Duration) lack {
 	var near, far []wire.BoxStatus
 	out := lack{
 		have: s.content.Policy(),
 	}
-	have := 0
-	if out.have != nil {
-		have = out.have.Version
-	}
+	have := out.version()
 	for m := range s.roster.All() {
 		b := m.Status
 		if b.Policy <= have || b.Peers == "" || !s.roster.Alive(b.Box, now) {
@@ -113,7 +121,7 @@
 		}
 		s.content.HeardOfPolicy(b.Policy)
 		switch {
-		case b.Box == avoid:
+		case slices.Contains(avoid, b.Box):
 		case b.Region == s.settings.Region:
 			near = newestOf(near, b)
 		default:
@@ -146,10 +154,12 @@
 		return
 	}
 	var l lack
-	_ = n.state.Do(func(s *state) { l = s.lacks(n.avoid, n.now()) }) // it fails only when the box has ended
-	n.readAlone(l.due)
+	_ = n.state.Do(func(s *state) { l = s.lacks(n.seeker.avoided(), n.now()) }) // it fails only when the box has ended
+	if n.seeker.readsFor(l.version(), l.due, n.now(), n.jitter) {
+		n.feed.Reread()
+	}
 	if l.due == 0 || len(l.givers) == 0 || !n.leansOnOthers() {
-		n.avoid = "" // it may be the only one
+		n.seeker.forgive() // they may be the only ones
 		n.seeking.Store(false)
 		return
 	}
@@ -165,33 +175,15 @@
 	return n.follows.Load() || !n.storeOK.Load() || n.table.Load() == nil
 }
 
-// readAlone has all read when no other box has given a policy for too long.
-func (n *Node) readAlone(due int) {
-	switch {
-	case due == 0:
-		n.lackedSince = 0
-	case n.lackedSince == 0:
-		n.lackedSince = n.now()
-		n.alone = policyAlone
-	case n.now()-n.lackedSince >= n.alone:
-		n.feed.Reread()
-		n.lackedSince = n.now()
-		n.alone = min(2*n.alone, mostAlone)
-	}
-}
-
 // getPolicy asks a box for its policy and takes it in. It returns how long to wait until
 // another question.
 func (n *Node) getPolicy(ctx context.Context, from wire.BoxStatus, known *catalog.Policy) (wait time.Duration) {
-	n.avoid = from.Box
-	have := 0
-	if known != nil {
-		have = known.Version
-	}
+	have := versionOf(known)
 	limit, cancel := context.WithTimeout(ctx, policyLimit)
 	defer cancel()
 	news, err := n.askPolicy(limit, from.Peers, have)
 	if err == nil && len(news.Pressed) == 0 {
+		n.seeker.busy = from.Box
 		return min(news.Wait.Duration(), policyBusy)
 	}
 	var p *catalog.Policy
@@ -199,6 +191,7 @@
 		p, err = amended(news, known)
 	}
 	if err != nil {
+		n.seeker.failed = append(n.seeker.failed, from.Box)
 		n.record(decision.Event{
 			Kind:     decision.Belief,
 			Upstream: from.Box,
@@ -207,7 +200,7 @@
 		})
 		return 0
 	}
-	n.avoid = ""
+	n.seeker.forgive()
 	n.takeUpdate(catalog.Update{
 		Changes: []catalog.Change{{
 			Policy: p,
--- /dev/null
+++ b/node/seeker.go
@@ -0,0 +1,56 @@
+package node
+
+import "time"
+
+const (
+	policyAlone  = 2 * time.Second  // after which a box at the latest that gets no policy from others reads for itself: half of the shortest bound on it
+	mostAlone    = 20 * time.Second // between two such readings, for a policy that nobody can decode
+	spreadsAlone = 4                // part of these by which boxes read apart: together they would fill their links
+)
+
+// policySeeker is how a box fares with a policy that it lacks.
+type policySeeker struct {
+	failed []string // boxes that couldn't be asked since one gave a policy
+	busy   string   // box that had no room to give one
+
+	first int           // version that was missing first, 0 for none
+	since time.Duration // when it was known to be missing, or was read for
+	wait  time.Duration // after which this box reads for it
+}
+
+// avoided returns the boxes that are not asked while there are others.
+func (p *policySeeker) avoided() []string {
+	return append(p.failed[:len(p.failed):len(p.failed)], p.busy)
+}
+
+// forgive lets all boxes be asked again.
+func (p *policySeeker) forgive() {
+	p.failed = nil
+	p.busy = ""
+}
+
+// readsFor says whether a box with a policy of a version has to read by itself for one
+// that is due, 0 for none: others have given neither that which was missing first nor a
+// newer one for too long. A box that gets each of many soon reads for none of them.
+func (p *policySeeker) readsFor(have, due int, now time.Duration, jitter func() float64) bool {
+	if due == 0 || have >= p.first {
+		p.first = 0
+	}
+	switch {
+	case due == 0:
+	case p.first == 0:
+		p.first = due
+		p.since = now
+		p.wait = spreadAlone(policyAlone, jitter)
+	case now-p.since >= p.wait:
+		p.since = now
+		p.wait = spreadAlone(min(2*p.wait, mostAlone), jitter)
+		return true
+	}
+	return false
+}
+
+// spreadAlone returns a time of three quarters of t at least.
+func spreadAlone(t time.Duration, jitter func() float64) time.Duration {
+	return t - time.Duration(jitter()*float64(t)/spreadsAlone)
+}
--- a/node/storm_test.go
+++ b/node/storm_test.go
@@ -1,28 +1,65 @@
 package node
 
 import (
+	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/matryer/is"
 )
 
+// noJitter lets a box wait as long as it may.
+func noJitter() float64 { return 0 }
+
 // A box that gets each version soon is not one that can't get a policy.
 func TestABoxThatGetsOnePolicyAfterTheOtherReadsForItselfOnlyOnceItGetsNone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		reads := 0
-		n := &Node{started: time.Now()}
-		n.feed = catalog.NewFeed(catalog.Source{}, func(catalog.Update) {})
-		for v := 1; v <= 60; v++ { // the one before is in force by now
-			n.readAlone(v)
-			if n.alone > policyAlone {
-				reads++
-			}
-			time.Sleep(policyPause)
-		}
-		if reads > 0 {
-			t.Errorf("it read for itself, and waits %v for the next time", n.alone)
+	is := is.New(t)
+	var p policySeeker
+	const versions = 60
+	now := time.Duration(0)
+	for v := 1; v <= versions; v++ { // the one before is in force by now
+		is.True(!p.readsFor(v-1, v, now, noJitter))
+		now += policyPause
+	}
+	reads := 0
+	for end := now + policyAlone; now < end; now += policyPause { // and the last never
+		if p.readsFor(versions-1, versions, now, noJitter) {
+			reads++
 		}
-	})
+	}
+	is.Equal(reads, 1)
+	is.True(p.readsFor(versions-1, versions, now+2*policyAlone, noJitter)) // later each time
+	is.True(!p.readsFor(versions-1, versions, now+5*policyAlone, noJitter))
+}
+
+func TestABoxThatGetsNoneOfManyPoliciesReadsForItself(t *testing.T) {
+	is := is.New(t)
+	var p policySeeker
+	is.True(!p.readsFor(3, 4, 0, noJitter))
+	is.True(!p.readsFor(3, 20, policyAlone-1, noJitter))
+	is.True(p.readsFor(3, 21, policyAlone, noJitter))
+}
+
+func TestBoxesReadAloneApart(t *testing.T) {
+	is := is.New(t)
+	var early, late policySeeker
+	is.True(!early.readsFor(0, 1, 0, func() float64 { return 1 }))
+	is.True(!late.readsFor(0, 1, 0, noJitter))
+	is.True(early.readsFor(0, 1, policyAlone*3/4, noJitter))
+	is.True(!late.readsFor(0, 1, policyAlone-1, noJitter))
+	is.True(late.readsFor(0, 1, policyAlone, noJitter))
+}
+
+// Two boxes of the region that ended are asked by turns otherwise, 1.5 s each, and those
+// of other regions never.
+func TestAPolicyIsAskedOfOtherRegionsWhereTheOwnFails(t *testing.T) {
+	is := is.New(t)
+	var p policySeeker
+	p.failed = append(p.failed, "a", "b")
+	p.busy = "c"
+	is.True(slices.Equal(p.avoided(), []string{"a", "b", "c"}))
+	p.busy = "d"
+	is.True(slices.Equal(p.avoided(), []string{"a", "b", "d"}))
+	p.forgive()
+	is.Equal(p.avoided(), []string{""})
 }
