platform, catalog: Keep what is known of a large configuration between rare readings

A follower reads all each 20 s or more rarely, and stores keep some 20 s of history: each of its readings was refused (410), and took 1.4 MB with 4,200 routes and three calls more. Boxes that read so rarely now ask each 4.5 to 7.5 s whether the configuration has changed, so that two questions fall within the history: some 3 small calls in 20 s in place of the 3 that were wasted. With more than 512 replicas all is read so rarely that it doesn't pay. Ruled out: to believe other boxes' word of the version, for the reading is there to check it.

--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -30,11 +30,13 @@
 // Source is where the catalog is read. Read returns all of it. Wait returns what
 // changed after a revision, and up to which one, as soon as there is any or after
 // a time; it fails with ErrHistoryGone where that is no longer known. Newest, which
-// may be nil, returns the newest revision alone.
+// may be nil, returns the newest revision alone. Keep, which may be nil, is called so
+// often that the source can go on to tell Read that something large hasn't changed.
 type Source struct {
 	Read   func(ctx context.Context) (Snapshot, error)
 	Wait   func(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
 	Newest func(ctx context.Context) (int64, error)
+	Keep   func(ctx context.Context) error
 }
 
 // Update is what a feed hands on: a whole snapshot or changes up to a revision.
@@ -53,20 +55,21 @@
 
 // Feed keeps a copy of the catalog current from a source.
 type Feed struct {
-	source Source
-	update func(Update)
-	health func(err error)
-	now    func() time.Time
-	jitter func() float64
-	every  time.Duration
-	reader func() bool          // this box reads again on behalf of others
-	follow func() bool          // other boxes watch on behalf of this one
-	age    func() time.Duration // of what this box knows, by what others say
-	behind chan struct{}        // another box knows more
-	wanted atomic.Int64         // the revision that it knows
-	known  atomic.Int64         // the newest that was handed on
-	at     chan int64           // revisions read, from which the watch goes on
-	again  chan struct{}        // asks for all to be read at once
+	source   Source
+	update   func(Update)
+	health   func(err error)
+	now      func() time.Time
+	jitter   func() float64
+	every    time.Duration
+	reader   func() bool          // this box reads again on behalf of others
+	follow   func() bool          // other boxes watch on behalf of this one
+	age      func() time.Duration // of what this box knows, by what others say
+	behind   chan struct{}        // another box knows more
+	wanted   atomic.Int64         // the revision that it knows
+	known    atomic.Int64         // the newest that was handed on
+	replicas atomic.Int64         // that were read last
+	at       chan int64           // revisions read, from which the watch goes on
+	again    chan struct{}        // asks for all to be read at once
 
 	mu      sync.Mutex
 	away    bool      // the last reading failed; a watch may also end for other reasons
@@ -149,6 +152,9 @@
 	var watching sync.WaitGroup
 	watching.Go(func() { d.watch(ctx) })
 	defer watching.Wait()
+	if d.source.Keep != nil {
+		watching.Go(func() { d.keep(ctx) })
+	}
 	backOff := firstBackOff
 	for ctx.Err() == nil {
 		s, err := d.source.Read(ctx)
@@ -168,6 +174,7 @@
 			Settles:  settles,
 		})
 		d.offer(s.Revision)
+		d.replicas.Store(int64(len(s.Replicas)))
 		if d.follow() {
 			d.restFollowing(ctx, len(s.Replicas))
 		} else {
--- /dev/null
+++ b/catalog/keep_test.go
@@ -0,0 +1,62 @@
+package catalog_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/catalog"
+)
+
+// keeps returns how often a feed of so many replicas calls Keep in a minute.
+func keeps(t *testing.T, replicas int, follows bool) (n int) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute-time.Second)
+		defer cancel()
+		source := catalog.Source{
+			Read: func(context.Context) (catalog.Snapshot, error) {
+				return catalog.Snapshot{
+					Revision: 1,
+					Replicas: make([]catalog.Replica, replicas),
+				}, nil
+			},
+			Wait: func(ctx context.Context, after int64, wait time.Duration) ([]catalog.Change, int64, error) {
+				select {
+				case <-ctx.Done():
+				case <-time.After(wait):
+				}
+				return nil, after, ctx.Err()
+			},
+			Newest: func(context.Context) (int64, error) { return 1, nil },
+			Keep: func(context.Context) error {
+				n++
+				return nil
+			},
+		}
+		follow := catalog.WithFollowing(func() bool { return follows }, func() time.Duration { return 0 })
+		catalog.NewFeed(source, func(catalog.Update) {}, follow).Run(ctx)
+	})
+	return n
+}
+
+// A source with 20 s of history can then tell a box that reads each 20 s, or more rarely,
+// whether something large has changed.
+func TestWhatIsLargeIsKeptByBoxesThatReadRarely(t *testing.T) {
+	is := is.New(t)
+	is.Equal(keeps(t, 6, true), 9)
+	is.Equal(keeps(t, 300, true), 9)
+	is.Equal(keeps(t, 300, false), 9)
+}
+
+func TestWhatIsLargeIsNotKeptByBoxesThatReadOften(t *testing.T) {
+	is := is.New(t)
+	is.Equal(keeps(t, 6, false), 0)
+}
+
+func TestWhatIsLargeIsNotKeptWhereItIsReadVeryRarely(t *testing.T) {
+	is := is.New(t)
+	is.Equal(keeps(t, 600, true), 0)
+}
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -16,6 +16,8 @@
 	followRetry  = 2 * time.Second         // after a failed call of a follower: all followers fail at the same time, and calls have a price
 	wholeUpTo    = 64                      // replicas up to which all is read again each time: some 20 KB, and no call more
 	replicaEvery = time.Second             // between two readings of all for each replica beyond that: they take some 350 bytes a second then, whatever the size
+	keepEvery    = 6 * time.Second         // between two questions that keep a source's answers; two of these are within the 20 s for which it knows what changed
+	keepUpTo     = 512                     // replicas up to which they are asked: with more, all is read so rarely that a configuration of 1 MiB takes less than 3 KB a second
 	behindWait   = 300 * time.Millisecond  // that a watch may lag behind what another box knows
 	rereadOthers = 3                       // times as long where other boxes read again too, and say when they know more
 )
@@ -74,6 +76,18 @@
 	return d.untilSettled(out)
 }
 
+// keep asks the source again and again for what it would forget, while this box reads too
+// rarely for that. A call that fails is told of by the next reading.
+func (d *Feed) keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep.For(ctx, d.spread(keepEvery))
+		replicas := int(d.replicas.Load())
+		if ctx.Err() == nil && replicas <= keepUpTo && (d.follow() || d.large(replicas)) {
+			_ = d.source.Keep(ctx)
+		}
+	}
+}
+
 // untilSettled shortens a wait to the time at which entries that are missing are
 // gone, and a little more, while that is still to come.
 func (d *Feed) untilSettled(wait time.Duration) time.Duration {
