--- a/node/storm_test.go
+++ b/node/storm_test.go
@@ -3,9 +3,12 @@
 import (
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/catalog"
 )
 
 // noJitter lets a box wait as long as it may.
@@ -50,9 +53,7 @@
 	is.True(late.readsFor(0, 1, policyAlone, noJitter))
 }
 
-// Two boxes of the region that ended are asked by turns otherwise, 1.5 s each, and those
-// of other regions never.
-func TestAPolicyIsAskedOfOtherRegionsWhereTheOwnFails(t *testing.T) {
+func TestBoxesThatFailedAreLeftOutUntilOneGivesAPolicy(t *testing.T) {
 	is := is.New(t)
 	var p policySeeker
 	p.failed = append(p.failed, "a", "b")
@@ -63,3 +64,41 @@
 	p.forgive()
 	is.Equal(p.avoided(), []string{""})
 }
+
+// Two boxes of the region that ended were asked by turns otherwise, 1.5 s each, and those
+// of other regions never.
+func TestAPolicyIsAskedOfOtherRegionsWhereAllOfTheOwnFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFollows(t.Context(), 1, fewBusy)
+		defer f.end()
+		f.pass(8 * time.Second)
+		n := f.boxes[0].node.Load()
+		var own []string
+		regions := func(avoid []string) (near, far int) {
+			_ = n.state.Do(func(s *state) {
+				known := s.content
+				s.content = catalog.NewContent()
+				for _, b := range s.lacks(avoid, n.now()).givers {
+					if b.Region == n.settings.Region {
+						near++
+						own = append(own, b.Box)
+					} else {
+						far++
+					}
+				}
+				s.content = known
+			})
+			return near, far
+		}
+		near, far := regions(nil)
+		is.True(near >= 2)
+		is.Equal(far, 0)
+		near, far = regions(own[1:])
+		is.Equal(near, 1)
+		is.Equal(far, 0)
+		near, far = regions(own)
+		is.Equal(near, 0)
+		is.True(far > 0)
+	})
+}
