--- a/node/gossip.go
+++ b/node/gossip.go
@@ -46,6 +46,7 @@
 		n.settle()
 		n.chooseRole()
 		n.seekPolicy(ctx)
+		n.readAlone()
 		n.watchMembers()
 		n.watchRegion()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -69,9 +69,9 @@
 
 	amendments  *catalog.Amendments
 	outflow     *outflow      // for the policies that this box gives to others
-	seeking     atomic.Bool   // a policy is got from another box; who has set it owns the next three
+	seeking     atomic.Bool   // a policy is got from another box; who has set it owns the next field
 	avoid       string        // box that didn't give its policy
-	lackedSince time.Duration // a policy that exists was known to be missing, or was read for; 0 for none
+	lackedSince time.Duration // a policy that exists was known to be missing, or was read for; 0 for none; the task that beats owns it and the next
 	alone       time.Duration // after which this box reads for it
 
 	tasks    sync.WaitGroup
--- a/node/policies.go
+++ b/node/policies.go
@@ -17,13 +17,13 @@
 )
 
 const (
-	policyRate  = 400_000                 // bytes of policies that a box sends a second: a third of a link of 10 Mbit/s
-	policyBurst = 200_000                 // of these at once: two policies of 4,200 routes
-	policyLimit = 1500 * time.Millisecond // for a policy from another box: at that rate each comes within a second
-	policyPause = 100 * time.Millisecond  // between two questions for one
-	policyBusy  = 300 * time.Millisecond  // the same at most, where it said that it is: others have the policy by then
-	policyAlone = 2 * time.Second         // after which a box that gets no policy from others reads for itself: half of the shortest bound on it
-	mostAlone   = 20 * time.Second        // between two such readings, for a policy that nobody can decode
+	policyRate  = 400_000                // bytes of policies that a box sends a second: a third of a link of 10 Mbit/s
+	policyBurst = 200_000                // of these at once: two policies of 4,200 routes
+	policyLimit = time.Second            // for a policy from another box: at that rate each comes within half of that
+	policyPause = 100 * time.Millisecond // between two questions for one
+	policyBusy  = 300 * time.Millisecond // the same at most, where it said that it is: others have the policy by then
+	policyAlone = 2 * time.Second        // after which a box that gets no policy from others reads for itself: half of the shortest bound on it
+	mostAlone   = 20 * time.Second       // between two such readings, for a policy that nobody can decode
 )
 
 // policyRequest asks another box for the newest policy.
@@ -148,7 +148,6 @@
 	}
 	var l lack
 	_ = n.state.Do(func(s *state) { l = s.lacks(n.avoid, n.now()) }) // it fails only when the box has ended
-	n.readAlone(l.due)
 	if l.due == 0 || len(l.givers) == 0 || !n.leansOnOthers() {
 		n.avoid = "" // it may be the only one
 		n.seeking.Store(false)
@@ -166,8 +165,11 @@
 	return n.follows.Load() || !n.storeOK.Load() || n.table.Load() == nil
 }
 
-// readAlone has all read when no other box has given a policy for too long.
-func (n *Node) readAlone(due int) {
+// readAlone has all read when no other box has given a policy for too long, whether or
+// not one is asked: it may be lost.
+func (n *Node) readAlone() {
+	due := 0
+	_ = n.state.Do(func(s *state) { due = s.content.PolicyDue() }) // it fails only when the box has ended
 	switch {
 	case due == 0:
 		n.lackedSince = 0
--- a/node/policies_test.go
+++ b/node/policies_test.go
@@ -28,6 +28,9 @@
 	})
 }
 
+// The boxes that watch are lost when they have just learned a policy, or are about to. The
+// others find out by reading once what they know is 3 s old, as of any change, so that the
+// time counts from the loss.
 func TestALargePolicyIsInForceThoughThoseWhoWatchAreLost(t *testing.T) {
 	for _, after := range []time.Duration{200 * time.Millisecond, 1200 * time.Millisecond} {
 		t.Run(after.String(), func(t *testing.T) {
@@ -39,6 +42,7 @@
 						b.kill(box)
 					}
 				}
+				b.at = time.Now()
 				b.watch(policyWithin + time.Second)
 			})
 		})
