--- a/node/gossip.go
+++ b/node/gossip.go
@@ -45,6 +45,7 @@
 		n.settle()
 		n.chooseRole()
 		n.seekPolicy(ctx)
+		n.readAlone()
 		n.watchMembers()
 		n.watchRegion()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -74,7 +74,8 @@
 	amendments *catalog.Amendments
 	outflow    *outflow     // for the policies that this box gives to others
 	seeking    atomic.Bool  // a policy is got from another box; who has set it owns the next
-	seeker     policySeeker // of the policy that this box lacks
+	seeker     policySeeker // where to get the policy that this box lacks
+	alone      loneReader   // of the same; the task that beats owns it
 
 	tasks    sync.WaitGroup
 	told     chan struct{} // asks for the settings to be read again
--- a/node/policies.go
+++ b/node/policies.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	policyRate  = 400_000                 // bytes of policies, in base64, that a box sends a second: a third of a link of 10 Mbit/s
-	policyBurst = 267_000                 // of these at once: two policies of 4,200 routes; 0.2 s of that link
-	policyLimit = 1500 * time.Millisecond // for a policy from another box: at that rate each comes within a second
-	policyPause = 100 * time.Millisecond  // between two questions for one
-	policyBusy  = 300 * time.Millisecond  // the same at most, where it said that it is: others have the policy by then
+	policyRate  = 400_000                // bytes of policies, in base64, that a box sends a second: a third of a link of 10 Mbit/s
+	policyBurst = 267_000                // of these at once: two policies of 4,200 routes; 0.2 s of that link
+	policyLimit = time.Second            // for a policy from another box: at that rate each comes within half of that
+	policyPause = 100 * time.Millisecond // between two questions for one
+	policyBusy  = 300 * time.Millisecond // the same at most, where it said that it is: others have the policy by then
 )
 
 // policyRequest asks another box for the newest policy.
@@ -155,9 +155,6 @@
 	}
 	var l lack
 	_ = n.state.Do(func(s *state) { l = s.lacks(n.seeker.avoided(), n.now()) }) // it fails only when the box has ended
-	if n.seeker.readsFor(l.version(), l.due, n.now(), n.jitter) {
-		n.feed.Reread()
-	}
 	if l.due == 0 || len(l.givers) == 0 || !n.leansOnOthers() {
 		n.seeker.forgive() // they may be the only ones
 		n.seeking.Store(false)
@@ -175,6 +172,16 @@
 	return n.follows.Load() || !n.storeOK.Load() || n.table.Load() == nil
 }
 
+// readAlone has all read when no other box has given a policy for too long, whether or
+// not one is asked: it may be lost.
+func (n *Node) readAlone() {
+	have, due := 0, 0
+	_ = n.state.Do(func(s *state) { have, due = versionOf(s.content.Policy()), s.content.PolicyDue() }) // it fails only when the box has ended
+	if n.alone.readsFor(have, due, n.now(), n.jitter) {
+		n.feed.Reread()
+	}
+}
+
 // getPolicy asks a box for its policy and takes it in. It returns how long to wait until
 // another question.
 func (n *Node) getPolicy(ctx context.Context, from wire.BoxStatus, known *catalog.Policy) (wait time.Duration) {
--- a/node/seeker.go
+++ b/node/seeker.go
@@ -8,11 +8,14 @@
 	spreadsAlone = 4                // part of these by which boxes read apart: together they would fill their links
 )
 
-// policySeeker is how a box fares with a policy that it lacks.
+// policySeeker is how a box fares with others of which it asks a policy that it lacks.
 type policySeeker struct {
 	failed []string // boxes that couldn't be asked since one gave a policy
 	busy   string   // box that had no room to give one
+}
 
+// loneReader says when a box reads by itself for a policy that others don't give.
+type loneReader struct {
 	first int           // version that was missing first, 0 for none
 	since time.Duration // when it was known to be missing, or was read for
 	wait  time.Duration // after which this box reads for it
@@ -32,7 +35,7 @@
 // readsFor says whether a box with a policy of a version has to read by itself for one
 // that is due, 0 for none: others have given neither that which was missing first nor a
 // newer one for too long. A box that gets each of many soon reads for none of them.
-func (p *policySeeker) readsFor(have, due int, now time.Duration, jitter func() float64) bool {
+func (p *loneReader) readsFor(have, due int, now time.Duration, jitter func() float64) bool {
 	if due == 0 || have >= p.first {
 		p.first = 0
 	}
--- a/node/storm_test.go
+++ b/node/storm_test.go
@@ -17,7 +17,7 @@
 // A box that gets each version soon is not one that can't get a policy.
 func TestABoxThatGetsOnePolicyAfterTheOtherReadsForItselfOnlyOnceItGetsNone(t *testing.T) {
 	is := is.New(t)
-	var p policySeeker
+	var p loneReader
 	const versions = 60
 	now := time.Duration(0)
 	for v := 1; v <= versions; v++ { // the one before is in force by now
@@ -37,7 +37,7 @@
 
 func TestABoxThatGetsNoneOfManyPoliciesReadsForItself(t *testing.T) {
 	is := is.New(t)
-	var p policySeeker
+	var p loneReader
 	is.True(!p.readsFor(3, 4, 0, noJitter))
 	is.True(!p.readsFor(3, 20, policyAlone-1, noJitter))
 	is.True(p.readsFor(3, 21, policyAlone, noJitter))
@@ -45,7 +45,7 @@
 
 func TestBoxesReadAloneApart(t *testing.T) {
 	is := is.New(t)
-	var early, late policySeeker
+	var early, late loneReader
 	is.True(!early.readsFor(0, 1, 0, func() float64 { return 1 }))
 	is.True(!late.readsFor(0, 1, 0, noJitter))
 	is.True(early.readsFor(0, 1, policyAlone*3/4, noJitter))
