--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -103,6 +104,42 @@
 	})
 }
 
+// After an outage each box of a large region tells of replicas that it found gone, and a
+// follower asked one after the other, with 300 ms between two. It passed over those that
+// told a newer revision meanwhile, and learned it 1.9 s after the first of its region:
+//
+//	25.9968 box-0-126 reads all: 63
+//	26.8768 box-0-171 asked 10.0.69.1:7001 after 39 told up to 39
+//	27.7808 box-0-171 asks for the newest: 63
+func TestAQuestionThatBringsNoRevisionHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFollows(t.Context(), 1, 6)
+		defer f.end()
+		f.pass(settlesIn)
+		n := f.boxes[0].node.Load()
+		n.follows.Store(true)
+		var asked []string
+		n.askBox = func(_ context.Context, addr string, _ int64) (catalog.News, error) {
+			asked = append(asked, addr)
+			return catalog.News{}, nil
+		}
+		hear := func(addr string, newer, lapses int) {
+			s := status(addr, n.settings.Region)
+			s.Peers = addr
+			s.Catalog = int(n.feed.Known()) + newer
+			s.Lapses = lapses
+			n.learn(t.Context(), s, 0)
+			synctest.Wait()
+		}
+		hear("found some gone", 0, 1)
+		hear("found others gone", 0, 1)
+		hear("knows more", 1, 0)
+		hear("knows more, too", 1, 0)
+		is.Equal(asked, []string{"found some gone", "knows more"})
+	})
+}
+
 func TestAFollowerAsksForReplicasThatABoxFoundGone(t *testing.T) {
 	is := is.New(t)
 	b := newBox("self", "a", 2)
