--- a/node/gossip.go
+++ b/node/gossip.go
@@ -159,7 +159,7 @@
 	n.tasks.Go(func() {
 		defer n.pulling.Store(false)
 		n.pull(ctx, from, has.after)
-		if n.table.Load() != nil && int64(from.Catalog) <= has.newest && !has.untold {
+		if n.table.Load() != nil && int64(from.Catalog) <= has.newest {
 			n.doubtAsk.Store(int64(n.now() + pullPause))
 			return
 		}
--- a/node/pull.go
+++ b/node/pull.go
@@ -55,7 +55,7 @@
 	if (near || !n.storeOK.Load()) && int64(from.Catalog) > has.newest {
 		return true
 	}
-	return near && (has.untold || (has.doubtful && n.now() >= time.Duration(n.doubtAsk.Load())))
+	return near && (has.untold || has.doubtful) && n.now() >= time.Duration(n.doubtAsk.Load())
 }
 
 // lapses is of how many replicas, whose removal had been in doubt, an incarnation of a
