--- a/catalog/large_test.go
+++ b/catalog/large_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,7 @@
 // largeTest is a large catalog that tells its newest revision, and a copy of it.
 type largeTest struct {
 	feedTest
-	asked *int
+	asked *atomic.Int64
 }
 
 func largeTestRun(t *testing.T, replicas int, f func(f largeTest), opts ...catalog.FeedOption) {
@@ -27,10 +28,10 @@
 		for n := range replicas {
 			p.put(plainReplica(fmt.Sprint("r-", n), 0))
 		}
-		asked := 0
+		asked := new(atomic.Int64)
 		source := p.source()
 		source.Newest = func(ctx context.Context) (int64, error) {
-			asked++
+			asked.Add(1)
 			var none int
 			if p.begin(ctx, &none) == failing {
 				return 0, errAway
@@ -46,7 +47,7 @@
 		time.Sleep(soon)
 		f(largeTest{
 			feedTest: run,
-			asked:    &asked,
+			asked:    asked,
 		})
 	})
 }
@@ -59,7 +60,7 @@
 		}
 		reads, _ := f.calls()
 		f.Equal(reads, 1)
-		f.True(*f.asked >= 20) // about every two seconds
+		f.True(f.asked.Load() >= 20) // about every two seconds
 		time.Sleep(2 * large * time.Second)
 		reads, _ = f.calls()
 		f.True(reads >= 2) // but now and then, whatever the revisions say
@@ -102,6 +103,6 @@
 		time.Sleep(time.Minute)
 		reads, _ := f.calls()
 		f.True(reads >= 20)
-		f.Equal(*f.asked, 0)
+		f.Equal(f.asked.Load(), int64(0))
 	})
 }
--- a/node/behind_test.go
+++ b/node/behind_test.go
@@ -36,10 +36,10 @@
 // callsBy returns how many calls of the listing there are in a time, in which something
 // is done each 50 ms.
 func (f *follows) callsBy(d time.Duration, act func()) int {
-	before := f.listing.calls
+	before := f.listing.called()
 	for range int(d / (50 * time.Millisecond)) {
 		act()
 		f.pass(50 * time.Millisecond)
 	}
-	return f.listing.calls - before
+	return f.listing.called() - before
 }
--- a/node/listing_test.go
+++ b/node/listing_test.go
@@ -112,6 +112,13 @@
 	return l.down
 }
 
+// called returns how many calls there were.
+func (l *listing) called() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls
+}
+
 // get returns the entry of a replica.
 func (l *listing) get(id string) catalog.Replica {
 	l.mu.Lock()
