ingress: Show what the retry, a held stream and one without ids do wrong

Three faults that a review of the mends of a full link found: the retry goes to the target that the watch over silence has just found dark (250 ms more, 400 ms for a box), a held stream ends after 24 rounds (1.38 s of 15 s) where the only other replica refuses connections, and a stream whose events have no ids is gone on with from its beginning.

--- a/ingress/choked_test.go
+++ b/ingress/choked_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/internal/fakes"
@@ -116,7 +117,10 @@
 	id, addr string
 	box      bool // it is a box of another region, before one replica
 	dark     bool // it takes no connection any more, and says nothing
+	noIDs    bool // its events have none
 	tearAt   int  // event before which it breaks its streams off; 0 for never
+	pauseAt  int  // event before which it pauses; 0 for never
+	pause    time.Duration
 	mu       sync.Mutex
 	runs     int
 }
@@ -133,7 +137,7 @@
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := after + 1; i <= eventCount; i++ {
-		time.Sleep(eventEvery)
+		sleep.For(r.Context(), eventEvery+u.pauses(i))
 		if u.tears(i) {
 			panic(http.ErrAbortHandler)
 		}
@@ -141,7 +145,11 @@
 			<-r.Context().Done()
 			return
 		}
-		_, _ = io.WriteString(w, event(i, "e"))
+		piece := event(i, "e")
+		if u.noIDs {
+			piece = "data: e\n\n"
+		}
+		_, _ = io.WriteString(w, piece)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
@@ -158,6 +166,22 @@
 	u.tearAt = event
 }
 
+func (u *upstream) pauses(event int) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.pauseAt != event {
+		return 0
+	}
+	return u.pause
+}
+
+func (u *upstream) pauseBefore(event int, d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pauseAt = event
+	u.pause = d
+}
+
 func (u *upstream) isDark() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
