ingress: Let the retry know what the watch found dark; hold a held stream

The watch over silence kept the targets that took no connection to itself: the retry now leaves them out, and placement and the beliefs of boxes are told, once another target has answered (before that it may be this box's own link). stop waits for the watch, which asks for no retry any more after the try has ended.

What was passed on of an event without an id, or of a long call, can't be gone on with by another run: such a try is neither ended for its silence nor repeated.

Ruled out: handing the reached target over as the next one. It would go past placement's pacing and counts.

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -66,6 +66,8 @@
 	fromBox    bool             // the stream comes by way of another box
 	firstAt    time.Duration    // until the first event or byte was passed on
 	lastAt     time.Time        // when an event was passed on last
+	tornAt     time.Time        // when the stream was last broken off
+	bound      atomic.Bool      // what was passed on can't be gone on with by another run
 	pause      time.Duration    // the longest between two events
 	done       bool             // the caller has its answer
 	failure    *kept            // a replica's own answer that says it failed
@@ -76,9 +78,9 @@
 // run sends the request to one target after another until the caller has an
 // answer.
 func (c *call) run(ctx context.Context) {
-	for range maxRounds {
-		if ctx.Err() != nil {
-			break
+	for rounds := 0; rounds < maxRounds && ctx.Err() == nil; {
+		if !c.held() { // its caller's time bounds the rounds of a stream that was begun
+			rounds++
 		}
 		target := c.place(ctx)
 		if target.Reason != placement.None {
@@ -101,29 +103,44 @@
 // is a target, for else it would be broken off.
 func (c *call) place(ctx context.Context) Target {
 	t := c.server.core.Place(c.ask())
-	began := time.Now()
 	for t.Reason != placement.None && c.held() && ctx.Err() == nil {
-		sleep.For(ctx, min(max(t.Wait, shortWait), heldCheck))
-		t = c.placeAgain(time.Since(began) > sameAfter)
+		sleep.For(ctx, c.heldWait(t))
+		t = c.placeAgain()
 	}
 	return t
 }
 
+// heldWait returns how long a held stream waits for a target. Those that just refused a
+// connection would be asked again at once.
+func (c *call) heldWait(t Target) time.Duration {
+	if c.unmade > 0 {
+		return heldCheck
+	}
+	return min(max(t.Wait, shortWait), heldCheck)
+}
+
 // held says whether the request waits for as long as its caller does: a stream that was
 // begun and can't go on at the moment. A box that passed it on may know another target.
 func (c *call) held() bool { return c.state == begun && c.relay == nil }
 
-// placeAgain asks once more, also for those that a request didn't get to, as this box's
-// own link may have been full, and at last for those that broke it off.
-func (c *call) placeAgain(same bool) Target {
-	c.tried = slices.Clone(c.ran)
-	c.triedBoxes = nil
-	c.noRegions = nil
+// placeAgain asks once more: for one that was not tried, after a while for those that broke
+// it off, and then for those that a request didn't get to, as this box's own link may have
+// been full. They come last, for they may refuse all connections.
+func (c *call) placeAgain() Target {
 	t := c.server.core.Place(c.ask())
-	if t.Reason == placement.None || !same {
+	if t.Reason == placement.None {
 		return t
 	}
-	c.tried = nil
+	if time.Since(c.tornAt) > sameAfter {
+		c.tried = slices.DeleteFunc(slices.Clone(c.tried), func(replica string) bool { return slices.Contains(c.ran, replica) })
+		t = c.server.core.Place(c.ask())
+		if t.Reason == placement.None {
+			return t
+		}
+	}
+	c.tried = slices.Clone(c.ran)
+	c.triedBoxes = nil
+	c.noRegions = nil
 	return c.server.core.Place(c.ask())
 }
 
@@ -214,7 +231,7 @@
 	if c.state != untouched && !c.route.Repeatable() {
 		return false
 	}
-	if c.state == begun && c.route.Kind != catalog.Stream {
+	if c.state == begun && (c.route.Kind != catalog.Stream || c.bound.Load()) {
 		return false
 	}
 	if c.sent >= c.route.Attempts {
@@ -268,6 +285,7 @@
 		c.state = max(c.state, maybeRan)
 	case torn:
 		c.state = begun
+		c.tornAt = time.Now()
 	case unsent, notRun:
 	}
 	return false
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -140,6 +140,10 @@
 	if id != "" {
 		c.lastEvent = id
 		c.events++
+		return true, nil
+	}
+	for range events.Data(event) {
+		c.bound.Store(true) // another run would begin with it, or before it
 	}
 	return true, nil
 }
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/placement"
 )
 
 // Times after which a replica from which nothing comes is taken for silent. They
@@ -44,9 +45,17 @@
 		asked:   next,
 		limit:   a.quietLimit(),
 	}
-	ctx, stop = context.WithCancel(ctx)
-	go watch.run(ctx)
-	return stop
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		watch.run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+		watch.tell()
+	}
 }
 
 // silence is the watch over one try.
@@ -56,6 +65,26 @@
 	asked   Ask // the same without what the watch itself did not reach
 	limit   time.Duration
 	reached time.Time // when another target answered
+	dark    []Target  // those that did not, before it
+	ended   bool      // the watch has ended the try
+}
+
+// tell has the retry, and those of others, leave out what the watch found dark. While no
+// target had answered it may have been this box's own link.
+func (s *silence) tell() {
+	if !s.ended {
+		return
+	}
+	c := s.attempt.call
+	c.tried = s.next.Request.Tried
+	c.triedBoxes = s.next.TriedBoxes
+	for _, t := range s.dark {
+		if t.Box != "" {
+			c.server.core.BoxLost(t.Box)
+			continue
+		}
+		c.server.core.End(&t.Choice, placement.Unreachable, replicaDial)
+	}
 }
 
 // run looks again and again until ctx ends or the try was ended.
@@ -79,8 +108,8 @@
 // look returns when to look again, or that the try was ended.
 func (s *silence) look(ctx context.Context) (wait time.Duration, over bool) {
 	c := s.attempt.call
-	if int(c.told.Load()) >= c.route.Attempts {
-		return 0, true // the box has used the tries up
+	if int(c.told.Load()) >= c.route.Attempts || c.bound.Load() {
+		return 0, true // the box has used the tries up, or no other run can go on
 	}
 	quiet := s.quiet()
 	if quiet <= s.limit {
@@ -90,13 +119,17 @@
 	switch {
 	case !found: // there is no other: soon there may be
 		s.next = s.asked
+		s.dark = nil
 		return quietCheck, false
 	case time.Since(s.reached) > reachedFor:
 		s.reach(ctx, other)
 		return quietCheck, false // what had waited with the connection may come now
+	case ctx.Err() != nil:
+		return 0, true // the try has come to its end, and needs no retry
 	case !c.server.core.Repeat(c.service):
 		return budgetCheck, false
 	}
+	s.ended = true
 	c.paid.Store(true)
 	s.attempt.cancel(errQuiet)
 	return 0, true
@@ -126,12 +159,18 @@
 	} else {
 		err = server.replicas.Reach(ctx, other.Choice.Addr, replicaDial)
 	}
-	if err != nil {
-		s.next.Request.Tried = append(slices.Clone(s.next.Request.Tried), other.Choice.Replica) // it may be dark itself
-		s.next.TriedBoxes = append(slices.Clone(s.next.TriedBoxes), other.Box)
+	switch {
+	case ctx.Err() != nil:
+		return // the try has ended
+	case err == nil:
+		s.reached = time.Now()
 		return
+	case other.Box != "":
+		s.next.TriedBoxes = append(slices.Clone(s.next.TriedBoxes), other.Box) // it may be dark itself
+	default:
+		s.next.Request.Tried = append(slices.Clone(s.next.Request.Tried), other.Choice.Replica)
 	}
-	s.reached = time.Now()
+	s.dark = append(s.dark, other)
 }
 
 // quietLimit returns how long the replica or box may be silent.
