placement: Show that Next names no start

What was tried is held against starts, Next told ids: the watch over silence could leave no replica out.

--- a/placement/start_test.go
+++ b/placement/start_test.go
@@ -204,3 +204,31 @@
 	is.Equal(len(b.Replicas()), 1)
 	is.True(b.Pacer().IsCold("plain-0", now))
 }
+
+// The watch over silence asks where a request would go and leaves those out that take no
+// connection. It was told their ids, while what was tried is held against starts, so that it
+// was told the same dark one again and again.
+func TestWhereARequestWouldGoIsNamedByItsStart(t *testing.T) {
+	is := is.New(t)
+	replica := started("plain", firstBorn)
+	b := newBox("a", "hall", replica)
+	req := ask("plain", "k")
+	next := b.Next(req, alone, start)
+	is.Equal(next.Replica, replica.Start())
+	req.Tried = []string{next.Replica}
+	is.Equal(b.Next(req, alone, start).Reason, placement.Tried)
+}
+
+// That it took no connection counts as for one that was chosen, but it had nothing counted in.
+func TestOneThatOnlyWouldHaveBeenChosenMayBeFoundUnreachable(t *testing.T) {
+	is := is.New(t)
+	replica := started("plain", firstBorn)
+	b := newBox("a", "hall", replica)
+	for range 2 {
+		next := b.Next(ask("plain", "k"), alone, start)
+		b.End(&next, placement.Unreachable, time.Second, start)
+	}
+	got := b.Get(replica.Start())
+	is.True(got.Out(start))
+	is.Equal(got.Own(), placement.Load{})
+}
