--- a/placement/pick.go
+++ b/placement/pick.go
@@ -137,9 +137,14 @@
 		return none
 	}
 	return Choice{
-		Replica: best.r.info.ID,
+		Replica: best.r.start, // as requests name those that they have tried
+		ID:      best.r.info.ID,
 		Addr:    best.r.info.Addr,
 		Expect:  best.expect,
+
+		grant: grant{
+			replica: best.r, // with no load: End may be told that it took no connection
+		},
 	}
 }
 
