ingress, exchange: Prove a box's way once, and cut no run whose answer has come

A watch over silence made a connection of its own, and one more each second while the budget gave no retry. Now something heard from any other address within 250 ms (at most half of the silence) proves the way, whatever request it was for; only where nothing was heard does one watch at a time make a connection, which the others hear of. The silent one is still given 50 ms after that.

Before a try is ended the box looks whether its own socket holds bytes of the answer: a box whose processor is behind reaches others, as kernels take connections, and doesn't read what has come.

Ruled out: the view's own word of when a replica was heard. It is in the state's cell, which a busy box gets to late, and knows of no connections.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -68,6 +68,9 @@
 		return 0, errHeadTooLong
 	}
 	n, err := c.nc.Read(p)
+	if n > 0 {
+		c.pool.heard.note(c.addr)
+	}
 	c.headLeft -= int64(n)
 	return n, err
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -46,8 +46,10 @@
 	Owns func(h http.Header) bool
 
 	// Begin is called, where it is not nil, just before the request is written to a
-	// connection: twice when a kept one took no byte of it.
-	Begin func()
+	// connection: twice when a kept one took no byte of it. unread may be called at any
+	// time until Do has failed or the answer is closed; it says whether the other side
+	// has sent what this one has not read yet.
+	Begin func(unread func() bool)
 
 	DialTimeout time.Duration // 500 ms when 0
 }
@@ -146,7 +148,7 @@
 func carry(ctx context.Context, req *Request, c *conn) (*Answer, *Error) {
 	stop := context.AfterFunc(ctx, c.close)
 	if req.Begin != nil {
-		req.Begin()
+		req.Begin(func() bool { return unread(c.nc) })
 	}
 	s := c.send(req)
 	stage := Write
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -334,14 +334,14 @@
 	_, _, err := fetch(newTestPool(t), Request{
 		Addr:   s.addr,
 		Target: "/",
-		Begin:  func() { begun++ },
+		Begin:  func(func() bool) { begun++ },
 	})
 	is.NoErr(err)
 	is.Equal(begun, 1)
 	_, _, err = fetch(newTestPool(t), Request{
 		Addr:   "127.0.0.1:1", // nobody listens there
 		Target: "/",
-		Begin:  func() { begun++ },
+		Begin:  func(func() bool) { begun++ },
 	})
 	is.True(err != nil)
 	is.Equal(begun, 1)
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -29,6 +29,7 @@
 	idleLimit int
 	idleTime  time.Duration
 	patience  time.Duration // 0 for that of the dialer
+	heard     heard
 
 	mu      sync.Mutex
 	addrs   map[string]*members
@@ -176,6 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.heard.note(req.Addr)
 	c := newConn(p, req.Addr, nc)
 	if !p.add(c) {
 		_ = nc.Close() // never used: nothing can be lost on it
--- a/exchange/socket.go
+++ b/exchange/socket.go
@@ -82,6 +82,22 @@
 	return err == nil && peeked == syscall.EAGAIN
 }
 
+// unread says whether the connection has unread bytes, or its other side has closed it, as
+// far as the kernel knows. It doesn't wait for a read that is under way, unlike quiet.
+func unread(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	peeked := error(syscall.EAGAIN)
+	err = raw.Control(func(fd uintptr) { peeked = peek(int(fd)) })
+	return err == nil && peeked == nil
+}
+
 // peek looks for unread bytes without taking them. It returns EAGAIN when there
 // are none, and nil when there are some or the other side has closed.
 func peek(fd int) error {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
@@ -60,6 +61,14 @@
 	AgeMs   int64            // age of what is believed of the other region
 }
 
+// addr returns where the target takes requests.
+func (t *Target) addr() string {
+	if t.Box != "" {
+		return t.BoxAddr
+	}
+	return t.Choice.Addr
+}
+
 // Ask is a question for a target.
 type Ask struct {
 	Request    placement.Request
@@ -114,6 +123,7 @@
 	core     Core
 	replicas *exchange.Pool
 	boxes    *exchange.Pool
+	reaching atomic.Bool // a watch over silence makes a connection, which proves the way for all
 }
 
 // New returns the path of a box in a region.
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -22,6 +22,7 @@
 	quietCheck      = 50 * time.Millisecond  // between two looks at least
 	budgetCheck     = 250 * time.Millisecond // between two questions whether a retry is left: requests that allow one come several times a second
 	reachedFor      = time.Second            // that a box which has just reached another replica counts as having its own way free
+	heardFor        = 250 * time.Millisecond // the same of one that was heard; at most half of the silence, for the way may since be full
 )
 
 // errQuiet ends a try whose replica has fallen silent.
@@ -115,6 +116,9 @@
 	if quiet <= s.limit {
 		return max(s.limit-quiet, quietCheck), false
 	}
+	if s.attempt.hasUnread() {
+		return quietCheck, false // this box is behind, not the replica
+	}
 	other, found := c.server.core.Other(s.next)
 	switch {
 	case !found: // there is no other: soon there may be
@@ -148,11 +152,19 @@
 	return a.call.server.core.Quiet(&a.target.Choice, a.sent.Add(time.Duration(begun)))
 }
 
-// reach notes whether the next target takes a connection. While this box's own link is
-// full or its processor is short, all replicas seem silent, and none is reached: an
-// answer that was cut then could not go on anywhere.
+// reach notes whether this box reaches others: one was just heard, or the next target takes
+// a connection. While this box's own link is full or its processor is short, all replicas
+// seem silent, and none is reached: an answer that was cut then could not go on anywhere.
 func (s *silence) reach(ctx context.Context, other Target) {
 	server := s.attempt.call.server
+	if server.hears(s.attempt.target.addr(), min(heardFor, s.limit/2)) {
+		s.reached = time.Now()
+		return
+	}
+	if !server.reaching.CompareAndSwap(false, true) {
+		return // another request finds out
+	}
+	defer server.reaching.Store(false)
 	var err error
 	if other.Box != "" {
 		err = server.boxes.Reach(ctx, other.BoxAddr, boxDial)
@@ -173,6 +185,11 @@
 	s.dark = append(s.dark, other)
 }
 
+// hears says whether something came from any other address than one within a time.
+func (s *Server) hears(but string, within time.Duration) bool {
+	return time.Since(s.replicas.Heard(but)) < within || time.Since(s.boxes.Heard(but)) < within
+}
+
 // quietLimit returns how long the replica or box may be silent.
 func (a *attempt) quietLimit() time.Duration {
 	expect := quietPerExpect * a.target.Choice.Expect
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -44,7 +44,8 @@
 	sent   time.Time
 	cancel context.CancelCauseFunc
 	result placement.Result
-	begun  atomic.Int64  // nanoseconds until the request was written; 0 while it was not
+	begun  atomic.Int64  // nanoseconds until the request was about to be written; 0 while it was not
+	unread atomic.Value  // a func() bool: something of the answer has come and is not read
 	first  time.Duration // until the answer's head; 0 while there is none
 	heard  atomic.Int64  // nanoseconds until bytes of the answer last came, to about heardEvery
 	why    string        // why there is no answer, or no whole one
@@ -109,7 +110,17 @@
 }
 
 // begin notes that the request is written now.
-func (a *attempt) begin() { a.begun.Store(max(int64(time.Since(a.sent)), 1)) }
+func (a *attempt) begin(unread func() bool) {
+	a.unread.Store(unread)
+	a.begun.Store(max(int64(time.Since(a.sent)), 1))
+}
+
+// hasUnread says whether something of the answer has come that this box, whose processor
+// may be behind, has not read.
+func (a *attempt) hasUnread() bool {
+	unread, ok := a.unread.Load().(func() bool)
+	return ok && unread()
+}
 
 // refused takes in a replica's word that it did not run the request.
 func (a *attempt) refused(answer *exchange.Answer) ended {
