--- a/ingress/way_test.go
+++ b/ingress/way_test.go
@@ -1,11 +1,16 @@
 package ingress
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/exchange"
 )
 
 // Each request that a replica was silent under made a connection of its own to the next target,
@@ -62,3 +67,36 @@
 		is.Equal(g.runs(), 1)
 	})
 }
+
+// silentWay returns a call of which three connections could not be made, by a box that has heard
+// nobody, and that box's pool.
+func silentWay(t *testing.T) (*call, *exchange.Pool) {
+	pool := exchange.NewPool()
+	t.Cleanup(pool.Close)
+	return &call{
+		server: New("box", "a", Codec{}, Core{}, pool, pool),
+		start:  time.Now(),
+		unmade: 3,
+		route: &catalog.Route{
+			Goal: 800,
+		},
+	}, pool
+}
+
+// A connection was tried for longer after two that were not made, whatever the request: with three
+// dark replicas a call with a goal of 800 ms was turned away after 1,000 ms in place of 750. Dark
+// replicas are no reason to wait where others are heard.
+func TestAConnectionIsTriedForLongerOnlyWhereTheBoxesOwnWayIsInDoubt(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	c, pool := silentWay(t)
+	is.True(c.dialTime(replicaDial) > 2*replicaDial)
+	is.True(c.dialTime(replicaDial) <= c.route.Goal.Duration()) // what can't be served in time is turned away
+	c.state = begun
+	is.Equal(c.dialTime(replicaDial), 4*replicaDial) // its caller has a part of the answer, and waits
+	is.NoErr(pool.Reach(t.Context(), s.Listener.Addr().String(), time.Second))
+	is.Equal(c.dialTime(replicaDial), 4*replicaDial)
+	c.state = untouched
+	is.Equal(c.dialTime(replicaDial), replicaDial)
+}
