ingress: Lengthen a dial only where the box's own way is in doubt

After two connections that were not made the next had 500 ms and more, whatever the request and whoever else was heard: with three dark replicas and a goal of 800 ms what can't be served was turned away after 1,000 ms in place of 750. Now only for a held stream, or where nothing was heard for 250 ms, and there within the goal.

go test ./ingress: green.

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -152,12 +152,20 @@
 }
 
 // dialTime returns for how long the next connection is tried: longer after two that were
-// not made, for the link of this box may be full. Two replicas may well be dark.
+// not made, if the stream is held or nobody was heard just now, for the link of this box may
+// be full. Two replicas may well be dark. A request that isn't held is turned away in time.
 func (c *call) dialTime(usual time.Duration) time.Duration {
+	if c.unmade < 2 || (!c.held() && c.server.hears("", heardFor)) {
+		return usual
+	}
+	longer := usual
 	for range c.unmade - 1 {
-		usual *= 2
+		longer = min(2*longer, longestDial)
+	}
+	if c.held() {
+		return longer
 	}
-	return min(usual, longestDial)
+	return max(usual, min(longer, c.route.Goal.Duration()-time.Since(c.start)))
 }
 
 // recordPlace writes down where the request goes and what decided that.
