--- a/ingress/way_test.go
+++ b/ingress/way_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,13 +24,13 @@
 		began := time.Now()
 		g.spare = func() bool { return time.Since(began) > 5*time.Second }
 		time.AfterFunc(450*time.Millisecond, g.list[0].goDark)
-		dials := 0
-		time.AfterFunc(4900*time.Millisecond, func() { dials = g.link.dialled() })
+		var dials atomic.Int64
+		time.AfterFunc(4900*time.Millisecond, func() { dials.Store(int64(g.link.dialled())) })
 		for _, a := range g.calls(t, 20) {
 			is.True(a.whole)
 			is.Equal(a.body, wholeStream())
 		}
-		is.True(dials <= 20+5) // one for each request, and one a second
+		is.True(dials.Load() <= 20+5) // one for each request, and one a second
 	})
 }
 
@@ -43,13 +44,13 @@
 		began := time.Now()
 		g.spare = func() bool { return time.Since(began) > 1800*time.Millisecond }
 		time.AfterFunc(450*time.Millisecond, g.list[0].goDark)
-		dials := 0
-		time.AfterFunc(1750*time.Millisecond, func() { dials = g.link.dialled() })
+		var dials atomic.Int64
+		time.AfterFunc(1750*time.Millisecond, func() { dials.Store(int64(g.link.dialled())) })
 		for _, a := range g.calls(t, 6) {
 			is.True(a.whole)
 			is.Equal(a.body, wholeStream())
 		}
-		is.Equal(dials, 6) // one for each request
+		is.Equal(dials.Load(), int64(6)) // one for each request
 	})
 }
 
