--- a/ingress/call.go
+++ b/ingress/call.go
@@ -52,7 +52,7 @@
 
 	state      state
 	sent       int          // replicas it was sent to
-	told       atomic.Int64 // the same, as a box that passed it on told last
+	told       atomic.Int64 // the same, as the box that it was passed on to told last
 	arrived    bool         // some replica got it, whatever it did
 	tried      []string     // replicas
 	triedBoxes []string
@@ -76,10 +76,7 @@
 // run sends the request to one target after another until the caller has an
 // answer.
 func (c *call) run(ctx context.Context) {
-	for range maxRounds {
-		if ctx.Err() != nil {
-			break
-		}
+	for rounds := 0; c.mayAsk(ctx, rounds); rounds++ {
 		target := c.place(ctx)
 		if target.Reason != placement.None {
 			if c.waitFor(ctx, target) {
@@ -102,6 +99,16 @@
 	c.finish(ctx)
 }
 
+// mayAsk says whether one more target may be asked for. A stream that was begun asks for
+// as long as its caller waits, but no more often then than it looks for a free replica.
+func (c *call) mayAsk(ctx context.Context, rounds int) bool {
+	if rounds >= maxRounds && c.held() {
+		sleep.For(ctx, heldCheck)
+		return ctx.Err() == nil
+	}
+	return rounds < maxRounds && ctx.Err() == nil
+}
+
 // place asks where the request goes next. A stream that was begun waits until there
 // is a target, for else it would be broken off.
 func (c *call) place(ctx context.Context) Target {
--- a/ingress/choked_test.go
+++ b/ingress/choked_test.go
@@ -50,7 +50,21 @@
 type link struct {
 	net  *fakes.Network
 	mu   sync.Mutex
-	till time.Time
+	till time.Time // until when it is full
+	down time.Time // until when every connection is refused
+}
+
+func (l *link) isDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().Before(l.down)
+}
+
+// refuse has every connection be refused for a time.
+func (l *link) refuse(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = time.Now().Add(d)
 }
 
 // fill makes the link full for a time.
@@ -75,6 +89,9 @@
 }
 
 func (l *link) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if l.isDown() {
+		return nil, net.ErrClosed
+	}
 	if err := l.pass(ctx.Done()); err != nil {
 		return nil, ctx.Err()
 	}
@@ -494,3 +511,16 @@
 		is.True(a.took < eventCount*eventEvery+quietBox+2*eventEvery)
 	})
 }
+
+func TestAStreamThatBreaksWhileAllRefuseConnectionsGoesOnLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegion(t, 30)
+		g.list[0].tearBefore(5)
+		time.AfterFunc(300*time.Millisecond, func() { g.link.refuse(3 * time.Second) })
+		a := g.call(t)
+		is.True(a.whole)
+		is.Equal(a.body, wholeStream())
+		is.Equal(g.runs(), 2)
+	})
+}
