--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -85,6 +85,7 @@
 	First    func(c *placement.Choice, took time.Duration)
 	Heard    func(c *placement.Choice)
 	Quiet    func(c *placement.Choice, sent time.Time) time.Duration // how long its replica has been silent towards this box
+	Muted    func(c *placement.Choice)                               // its replica is silent under a request that waits on
 	Other    func(next Ask) (Target, bool)                           // where a request would go, without counting it in
 	Loaded   func(c *placement.Choice, requests, waiting int)        // the replica says that it has so many requests, this one included, of which so many wait
 	Streamed func(service string, events, guess int)                 // a whole stream had so many events, where the caller guessed so many tokens
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -28,10 +28,13 @@
 
 // watchSilence ends the try when its replica or box has fallen silent towards this box, the
 // next target answers and the budget of retries gives a try there. Without that the
-// replica is waited for: it may only be busy, or this box's own link may be full.
+// replica is waited for: it may only be busy, or this box's own link may be full. Where
+// another target answers, its silence is told all the same, so that nothing more goes
+// there: a request that can't be sent again waits alone.
 func (a *attempt) watchSilence(ctx context.Context) (stop func()) {
 	c := a.call
-	if !c.route.Repeatable() || c.sent+1 >= c.route.Attempts {
+	ends := c.route.Repeatable() && c.sent+1 < c.route.Attempts
+	if !ends && a.target.Box != "" {
 		return func() {}
 	}
 	next := c.ask()
@@ -42,6 +45,7 @@
 		attempt: a,
 		next:    next,
 		asked:   next,
+		ends:    ends,
 		limit:   a.quietLimit(),
 	}
 	ctx, stop = context.WithCancel(ctx)
@@ -52,8 +56,9 @@
 // silence is the watch over one try.
 type silence struct {
 	attempt *attempt
-	next    Ask // for where the request would go
-	asked   Ask // the same without what the watch itself did not reach
+	next    Ask  // for where the request would go
+	asked   Ask  // the same without what the watch itself did not reach
+	ends    bool // the try may be ended
 	limit   time.Duration
 	reached time.Time // when another target answered
 }
@@ -79,7 +84,7 @@
 // look returns when to look again, or that the try was ended.
 func (s *silence) look(ctx context.Context) (wait time.Duration, over bool) {
 	c := s.attempt.call
-	if int(c.told.Load()) >= c.route.Attempts {
+	if s.ends && int(c.told.Load()) >= c.route.Attempts {
 		return 0, true // the box has used the tries up
 	}
 	quiet := s.quiet()
@@ -94,7 +99,11 @@
 	case time.Since(s.reached) > reachedFor:
 		s.reach(ctx, other)
 		return quietCheck, false // what had waited with the connection may come now
+	case !s.ends:
+		s.tell()
+		return 0, true
 	case !c.server.core.Repeat(c.service):
+		s.tell()
 		return budgetCheck, false
 	}
 	c.paid.Store(true)
@@ -102,6 +111,14 @@
 	return 0, true
 }
 
+// tell says once that the replica is silent, for it is waited for.
+func (s *silence) tell() {
+	a := s.attempt
+	if a.target.Choice.Replica != "" && !a.muted.Swap(true) {
+		a.call.server.core.Muted(&a.target.Choice)
+	}
+}
+
 // quiet returns for how long nothing was heard since the request was written.
 func (s *silence) quiet() time.Duration {
 	a := s.attempt
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -47,6 +47,7 @@
 	begun  atomic.Int64  // nanoseconds until the request was written; 0 while it was not
 	first  time.Duration // until the answer's head; 0 while there is none
 	heard  atomic.Int64  // nanoseconds until bytes of the answer last came, to about heardEvery
+	muted  atomic.Bool   // the silence of its replica was taken in already
 	why    string        // why there is no answer, or no whole one
 }
 
@@ -64,6 +65,9 @@
 	e := a.replica(ctx)
 	stop()
 	cancel(nil) // the replica stops its work when its connection closes
+	if a.result == placement.Silent && a.muted.Load() {
+		a.result = placement.Abandoned
+	}
 	c.server.core.End(&t.Choice, a.result, time.Since(a.sent))
 	a.report(e)
 	return e
--- a/node/core.go
+++ b/node/core.go
@@ -24,6 +24,7 @@
 		First:    n.first,
 		Heard:    n.heard,
 		Quiet:    n.quiet,
+		Muted:    n.muted,
 		Other:    n.other,
 		Loaded:   n.loaded,
 		Streamed: n.streamed,
@@ -132,12 +133,25 @@
 	}
 	out := false
 	_ = n.state.Do(func(s *state) { out = s.view.End(c, r, took, n.now()) })
-	if !out {
-		return
+	if out {
+		n.outOfReach(c.Replica)
 	}
+}
+
+// muted takes in that a replica is silent under a request that waits on.
+func (n *Node) muted(c *placement.Choice) {
+	out := false
+	_ = n.state.Do(func(s *state) { out = s.view.Muted(c, n.now()) })
+	if out {
+		n.outOfReach(c.Replica)
+	}
+}
+
+// outOfReach writes down that a replica is left out.
+func (n *Node) outOfReach(replica string) {
 	n.record(decision.Event{
 		Kind:     decision.Belief,
-		Upstream: c.Replica,
+		Upstream: replica,
 		Reason:   "replica out of reach",
 	})
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -84,11 +84,7 @@
 		r.outcomes.Add(true, now) // it has no room, however idle it looks
 		r.answered(now)
 	case Silent:
-		r.outcomes.Add(true, now)
-		r.muted++
-		if r.muted >= mutedOut && now-r.heard >= mutedFor {
-			v.leaveOut(r, now)
-		}
+		v.mute(r, now)
 	case Unreachable:
 		r.outcomes.Add(true, now)
 		r.failures++
@@ -102,6 +98,27 @@
 	return !wasOut && r.Out(now)
 }
 
+// Muted takes in that a replica is silent towards this box under a request which goes on
+// waiting for it. It returns true when the replica is left out from now on.
+func (v *View) Muted(c *Choice, now time.Duration) bool {
+	r := c.grant.replica
+	if r == nil {
+		return false
+	}
+	wasOut := r.Out(now)
+	v.mute(r, now)
+	return !wasOut && r.Out(now)
+}
+
+// mute counts a request that got nothing more from a replica.
+func (v *View) mute(r *Replica, now time.Duration) {
+	r.outcomes.Add(true, now)
+	r.muted++
+	if r.muted >= mutedOut && now-r.heard >= mutedFor {
+		v.leaveOut(r, now)
+	}
+}
+
 // leaveOut gives a replica no work for a while. When it is back it may be cold,
 // so it gets work at the pace of a cold one until it is known better.
 func (v *View) leaveOut(r *Replica, now time.Duration) {
--- a/placement/outcome_test.go
+++ b/placement/outcome_test.go
@@ -303,3 +303,16 @@
 	is.True(b.Get("steady-0").Out(start))
 	is.Equal(len(b.Tell(start)), 0)
 }
+
+func TestSilenceUnderRequestsThatWaitOnLeavesAReplicaOut(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("steady", 2)...)
+	req := ask("steady", "k")
+	req.Tried = []string{"steady-1"}
+	for i := range 3 {
+		c := b.Pick(req, alone, start)
+		is.Equal(b.Muted(&c, start+time.Second), i == 2) // the third in a row without any answer
+	}
+	is.True(b.Get("steady-0").Out(start + time.Second))
+	is.True(!b.Get("steady-1").Out(start + time.Second))
+}
