--- a/ingress/call.go
+++ b/ingress/call.go
@@ -52,7 +52,7 @@
 
 	state      state
 	sent       int          // replicas it was sent to
-	told       atomic.Int64 // the same, as a box that passed it on told last
+	told       atomic.Int64 // the same, as the box that it was passed on to told last
 	arrived    bool         // some replica got it, whatever it did
 	tried      []string     // replicas
 	triedBoxes []string
@@ -67,6 +67,7 @@
 	firstAt    time.Duration    // until the first event or byte was passed on
 	lastAt     time.Time        // when an event was passed on last
 	tornAt     time.Time        // when the stream was last broken off
+	sameNext   bool             // the next target is one that broke the stream off
 	bound      atomic.Bool      // what was passed on can't be gone on with by another run
 	pause      time.Duration    // the longest between two events
 	done       bool             // the caller has its answer
@@ -109,6 +110,10 @@
 func (c *call) place(ctx context.Context) Target {
 	t := c.server.core.Place(c.ask())
 	for t.Reason != placement.None && c.held() && ctx.Err() == nil {
+		if c.sameNext {
+			t = c.placeSame()
+			continue
+		}
 		sleep.For(ctx, c.heldWait(t))
 		t = c.placeAgain()
 	}
@@ -128,24 +133,20 @@
 // begun and can't go on at the moment. A box that passed it on may know another target.
 func (c *call) held() bool { return c.state == begun && c.relay == nil }
 
-// placeAgain asks once more: for one that was not tried, after a while for those that broke
-// it off, and then for those that a request didn't get to, as this box's own link may have
-// been full. They come last, for they may refuse all connections.
+// placeAgain asks once more, also for those that the request didn't get to: this box's own
+// link may have been full, or they may have been starting.
 func (c *call) placeAgain() Target {
-	t := c.server.core.Place(c.ask())
-	if t.Reason == placement.None {
-		return t
-	}
-	if time.Since(c.tornAt) > sameAfter {
-		c.tried = slices.DeleteFunc(slices.Clone(c.tried), func(replica string) bool { return slices.Contains(c.ran, replica) })
-		t = c.server.core.Place(c.ask())
-		if t.Reason == placement.None {
-			return t
-		}
-	}
 	c.tried = slices.Clone(c.ran)
 	c.triedBoxes = nil
 	c.noRegions = nil
+	c.sameNext = time.Since(c.tornAt) > sameAfter
+	return c.server.core.Place(c.ask())
+}
+
+// placeSame asks for those that broke the stream off, once all others have refused it anew.
+func (c *call) placeSame() Target {
+	c.sameNext = false
+	c.tried = slices.DeleteFunc(slices.Clone(c.tried), func(replica string) bool { return slices.Contains(c.ran, replica) })
 	return c.server.core.Place(c.ask())
 }
 
--- a/ingress/choked_test.go
+++ b/ingress/choked_test.go
@@ -141,3 +141,42 @@
 		is.True(a.took < eventCount*eventEvery+quietBox+2*eventEvery)
 	})
 }
+
+func TestAStreamThatBreaksWhileAllRefuseConnectionsGoesOnLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegion(t, 30)
+		g.list[0].tearBefore(5)
+		time.AfterFunc(300*time.Millisecond, func() { g.link.refuse(3 * time.Second) })
+		a := g.call(t)
+		is.True(a.whole)
+		is.Equal(a.body, wholeStream())
+		is.Equal(g.runs(), 2)
+	})
+}
+
+func TestASilentReplicaIsToldOfWhileAStreamThatCantBeResumedWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegion(t, 3)
+		g.fixed = true
+		time.AfterFunc(450*time.Millisecond, g.list[0].goDark)
+		a := g.call(t)
+		is.True(!a.whole)
+		is.True(a.took >= 15*time.Second) // it waits as long as its caller
+		is.Equal(g.muted, []string{"r-0"})
+	})
+}
+
+func TestNoReplicaIsToldOfWhileTheBoxesOwnLinkIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegion(t, 3)
+		g.fixed = true
+		time.AfterFunc(450*time.Millisecond, func() { g.link.fill(4 * time.Second) })
+		a := g.call(t)
+		is.True(a.whole)
+		is.Equal(a.body, wholeStream())
+		is.Equal(len(g.muted), 0)
+	})
+}
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -37,7 +37,21 @@
 	mu     sync.Mutex
 	till   time.Time
 	behind time.Time
-	dials  int // that were begun
+	down   time.Time // until when every connection is refused
+	dials  int       // that were begun
+}
+
+func (l *link) isDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().Before(l.down)
+}
+
+// refuse has every connection be refused for a time.
+func (l *link) refuse(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = time.Now().Add(d)
 }
 
 // fill makes the link full for a time.
@@ -94,6 +108,9 @@
 	l.mu.Lock()
 	l.dials++
 	l.mu.Unlock()
+	if l.isDown() {
+		return nil, net.ErrClosed
+	}
 	if err := waitTill(l.full(), ctx.Done()); err != nil {
 		return nil, ctx.Err()
 	}
@@ -252,6 +269,8 @@
 	turns int  // requests that were placed for the first time
 	share bool // these go to the replicas by turns
 	lines []decision.Event
+	muted []string // replicas whose silence was told
+	fixed bool     // the stream can't be resumed
 }
 
 func newRegion(t *testing.T, replicas int) *region {
@@ -330,6 +349,12 @@
 	return time.Since(sent)
 }
 
+func (g *region) mute(c *placement.Choice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.muted = append(g.muted, c.Replica)
+}
+
 func (g *region) hear(c *placement.Choice) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -350,7 +375,7 @@
 				Goal:      1200,
 				GapGoal:   600,
 				Shares:    []catalog.Share{{Service: "engine", Weight: 1}},
-				Resumable: true,
+				Resumable: !g.fixed,
 			},
 		},
 	})
@@ -367,6 +392,7 @@
 		First:    func(c *placement.Choice, _ time.Duration) { g.hear(c) },
 		Heard:    g.hear,
 		Quiet:    g.quiet,
+		Muted:    g.mute,
 		Other:    g.other,
 		Streamed: func(string, int, int) {},
 		End:      func(*placement.Choice, placement.Result, time.Duration) {},
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -48,6 +48,7 @@
 	unread atomic.Value  // a func() bool: something of the answer has come and is not read
 	first  time.Duration // until the answer's head; 0 while there is none
 	heard  atomic.Int64  // nanoseconds until bytes of the answer last came, to about heardEvery
+	muted  atomic.Bool   // the silence of its replica was taken in already
 	why    string        // why there is no answer, or no whole one
 }
 
@@ -65,6 +66,9 @@
 	e := a.replica(ctx)
 	stop()
 	cancel(nil) // the replica stops its work when its connection closes
+	if a.result == placement.Silent && a.muted.Load() {
+		a.result = placement.Abandoned
+	}
 	c.server.core.End(&t.Choice, a.result, time.Since(a.sent))
 	a.report(e)
 	return e
