--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -40,13 +40,13 @@
 	boxes    []*followBox
 	byAddr   map[string]*followBox
 	seeds    []string
-	wellFrom time.Time            // since when the listing is not down
-	removed  map[string]time.Time // replicas that never come back
-	worst    time.Duration        // lag of a removal
-	lapsing  map[string]bool      // replicas whose entries come back after the outage
-	dropped  int                  // times that a living box was seen without one of these
-	late     string               // what broke the bound
-	links    *links               // of the boxes, nil for wide ones
+	wellFrom time.Time             // since when the listing is not down
+	removed  map[string]time.Time  // replicas that never come back
+	worst    time.Duration         // lag of a removal
+	lapsing  map[string]bool       // replicas whose entries come back after the outage
+	dropped  int                   // times that a living box was seen without one of these
+	late     string                // what broke the bound
+	links    atomic.Pointer[links] // of the boxes, nil for wide ones
 }
 
 // followBox is one machine and the process on it, if any.
@@ -170,7 +170,7 @@
 		delay = farDelay
 	}
 	addr := net.JoinHostPort(from.settings.IP, "7001")
-	f.after(delay+f.links.carry(from, len(p.Buf)), func() {
+	f.after(delay+f.links.Load().carry(from, len(p.Buf)), func() {
 		n := to.node.Load()
 		if n == nil {
 			return
@@ -200,7 +200,7 @@
 		return news, errors.Wrap(ctx.Err(), "box gone")
 	}
 	err = n.state.Do(func(s *state) { news = s.content.Since(after) })
-	f.links.answer(ctx, b, sizeOf(news))
+	f.links.Load().answer(ctx, b, sizeOf(news))
 	return news, errors.CombineErrors(err, ctx.Err())
 }
 
--- a/node/links_test.go
+++ b/node/links_test.go
@@ -212,7 +212,7 @@
 	read, wait := s.Read, s.Wait
 	s.Read = func(ctx context.Context) (catalog.Snapshot, error) {
 		out, err := read(ctx)
-		if w := l.ways; w != nil && err == nil {
+		if w := l.ways.Load(); w != nil && err == nil {
 			known, ok := w.late(box, out.Policy)
 			if ok {
 				out.Policy = known
@@ -224,7 +224,7 @@
 	}
 	s.Wait = func(ctx context.Context, after int64, d time.Duration) ([]catalog.Change, int64, error) {
 		changes, rev, err := wait(ctx, after, d)
-		w := l.ways
+		w := l.ways.Load()
 		if w == nil {
 			return changes, rev, err
 		}
@@ -265,6 +265,6 @@
 		return news, errors.Wrap(ctx.Err(), "box gone")
 	}
 	news, err = n.givePolicy(have)
-	f.links.answer(ctx, b, len(news.Pressed)*4/3)
+	f.links.Load().answer(ctx, b, len(news.Pressed)*4/3)
 	return news, errors.CombineErrors(err, ctx.Err())
 }
--- a/node/listing_test.go
+++ b/node/listing_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,7 +32,7 @@
 	refuses  map[string]bool // boxes
 	changed  change.Signal
 	calls    int
-	ways     *ways // to the boxes, nil for wide ones
+	ways     atomic.Pointer[ways] // to the boxes, nil for wide ones
 }
 
 func newListing(list []catalog.Replica) *listing {
--- a/node/policies_test.go
+++ b/node/policies_test.go
@@ -17,14 +17,14 @@
 		b := newBusy(t, fewBusy)
 		defer b.end()
 		b.watch(allFollow)
-		b.links.reset()
+		b.links.Load().reset()
 		f(b)
 		if b.late != "" {
 			t.Error(b.late)
 		}
-		bytes, answers := b.links.mostSent()
+		bytes, answers := b.links.Load().mostSent()
 		t.Logf("a box sent %d KB in %d answers, longest queue %v; in force after %v, leaving known after %v, removals after %v",
-			bytes/1000, answers, b.links.longest, b.inForce, b.learned, b.worst)
+			bytes/1000, answers, b.links.Load().longest, b.inForce, b.learned, b.worst)
 	})
 }
 
