--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -60,17 +60,17 @@
 	boxes    []*followBox
 	byAddr   map[string]*followBox
 	seeds    []string
-	wellFrom time.Time            // since when the listing is not down
-	removed  map[string]time.Time // replicas that never come back, and those that leave
-	left     map[string]bool      // those of them that are listed as leaving
-	worst    time.Duration        // lag of a removal
-	newFor   time.Duration        // since its start until a box is held to the bound
-	lapsing  map[string]bool      // replicas whose entries come back after the outage
-	dropped  int                  // times that a living box was seen without one of these
-	replaced int                  // replicas
-	late     string               // what broke the bound
-	links    *links               // of the boxes, nil for wide ones
-	storied  map[string]string    // by box: what was told of the replica last
+	wellFrom time.Time             // since when the listing is not down
+	removed  map[string]time.Time  // replicas that never come back, and those that leave
+	left     map[string]bool       // those of them that are listed as leaving
+	worst    time.Duration         // lag of a removal
+	newFor   time.Duration         // since its start until a box is held to the bound
+	lapsing  map[string]bool       // replicas whose entries come back after the outage
+	dropped  int                   // times that a living box was seen without one of these
+	replaced int                   // replicas
+	late     string                // what broke the bound
+	links    atomic.Pointer[links] // of the boxes, nil for wide ones
+	storied  map[string]string     // by box: what was told of the replica last
 }
 
 // followBox is one machine and the process on it, if any.
@@ -307,7 +307,7 @@
 	addr := net.JoinHostPort(from.settings.IP, "7001")
 	h := f.hash(from.settings.Box, p.Addr, p.Buf)
 	f.trace.Add(h)
-	f.later(delay+f.jitter(mostJitter, h)+f.links.carry(from, len(p.Buf)), func() {
+	f.later(delay+f.jitter(mostJitter, h)+f.links.Load().carry(from, len(p.Buf)), func() {
 		n := to.node.Load()
 		if n == nil {
 			return
@@ -337,7 +337,7 @@
 		return news, errors.Wrap(ctx.Err(), "box gone")
 	}
 	err = n.state.Do(func(s *state) { news = s.content.Since(after) })
-	f.links.answer(ctx, b, sizeOf(news))
+	f.links.Load().answer(ctx, b, sizeOf(news))
 	f.note("told", addr, after, news.Revision, len(news.Changes), news.Doubts)
 	return news, errors.CombineErrors(err, ctx.Err())
 }
