--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	staleAfter   = 2400 * time.Millisecond // that a follower's knowledge may be old, 1.8 to 3 s: the shortest bound on what is published is 4 s, and looking, reading and a slow box take some of that; with 2.7 to 4.5 s a request reached a leaving replica 5 s after its word
+	staleAfter   = 2200 * time.Millisecond // that a follower's knowledge may be old, 1.65 to 2.75 s: the shortest bound on what is published is 4 s, and looking, reading and a slow box take some of that; with 2.7 to 4.5 s a request reached a leaving replica 5 s after its word
 	followRead   = 20 * time.Second        // between two readings of a follower whatever it hears, for what others' word may lack
 	followRetry  = 2 * time.Second         // after a failed call of a follower: all followers fail at the same time, and calls have a price
 	wholeUpTo    = 64                      // replicas up to which all is read again each time: some 20 KB, and no call more
@@ -40,10 +40,15 @@
 	look := time.NewTicker(followLook)
 	defer look.Stop()
 	for ctx.Err() == nil {
+		if asked(d.behind) { // while it called, beside the next look
+			return
+		}
 		select {
 		case <-ctx.Done():
 		case <-d.behind:
 			return
+		case <-d.again:
+			return
 		case <-look.C:
 			d.witness()
 		}
@@ -126,6 +131,12 @@
 	t := time.NewTimer(d.untilSettled(d.spread(every)))
 	defer t.Stop()
 	for {
+		if asked(d.again) { // while it waited for the watch, beside the others
+			return false
+		}
+		if asked(t.C) {
+			return true
+		}
 		select {
 		case <-ctx.Done():
 			return false
@@ -142,6 +153,17 @@
 	}
 }
 
+// asked says whether a channel has something, and takes it. Of several that do, chance
+// would decide otherwise.
+func asked[T any](c <-chan T) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // spread returns a time between three and five quarters of t, so that boxes
 // don't call as one.
 func (d *Feed) spread(t time.Duration) time.Duration {
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -11,7 +11,8 @@
 
 // Replica is one process of a service, as published.
 type Replica struct {
-	ID       string `json:"id"` // differs for every start of a process
+	ID       string `json:"id"`             // under which it is published, and which it answers to
+	Born     int64  `json:"born,omitempty"` // when its process started, in Unix milliseconds; 0 where that isn't said
 	Service  string `json:"service"`
 	Addr     string `json:"addr"`
 	Domain   string `json:"failure_domain"`
@@ -20,6 +21,7 @@
 	Leaving  bool   `json:"leaving,omitempty"`
 	ColdLeft Millis `json:"cold_left_ms,omitempty"` // how much longer it was cold when this was published
 	Revision int64  `json:"revision"`               // of its last change
+	Told     bool   `json:"told,omitempty"`         // this start was told by the replica itself, and isn't published yet
 }
 
 // UnmarshalJSON decodes a replica and checks it.
@@ -33,6 +35,9 @@
 	if r.ID == "" || r.Addr == "" || r.Service == "" {
 		return errors.Newf("replica %q: id, address and service are needed", r.ID)
 	}
+	if r.Born < 0 || r.Born > MaxBorn {
+		return errors.Newf("replica %q: no start at %d", r.ID, r.Born)
+	}
 	return nil
 }
 
@@ -43,14 +48,14 @@
 	Policy    *Policy   `json:"policy,omitempty"` // nil when none was published yet
 	Replicas  []Replica `json:"replicas"`
 	Evacuated []string  `json:"evacuated"` // failure domains whose replicas get no work
-	Malformed []string  `json:"-"`         // ids of replicas whose entries can't be used; the last good ones stay
+	Unusable  []string  `json:"-"`         // ids under which an entry names no replica
 }
 
 // Content is a box's copy of what is published.
 type Content struct {
 	newest    int64 // revision that was taken in
 	read      int64 // revision of the last snapshot
-	policy    *Policy
+	policies  policies
 	replicas  map[string]Replica
 	evacuated map[string]bool
 	doubts    map[string]doubt // by replica; each is in replicas
@@ -69,9 +74,6 @@
 	}
 }
 
-// Policy returns the newest policy, nil for none.
-func (c *Content) Policy() *Policy { return c.policy }
-
 // Replicas returns the replicas, in the order of their ids.
 func (c *Content) Replicas() []Replica {
 	out := make([]Replica, 0, len(c.replicas))
@@ -88,6 +90,7 @@
 // A policy with a lower version never replaces a higher one, and replicas that
 // are missing while the feed isn't settled stay, in doubt.
 func (c *Content) Take(u Update) bool {
+	c.HeardOfPolicy(u.Policy)
 	if u.Snapshot == nil {
 		for _, ch := range u.Changes {
 			c.apply(ch, u)
@@ -97,7 +100,7 @@
 		return true
 	}
 	if u.Snapshot.Revision < c.newest {
-		c.takePolicy(u.Snapshot.Policy, u.Snapshot.Revision) // it may be the last good one
+		c.policies.take(u.Snapshot.Policy) // it may be the last good one
 		return false
 	}
 	c.replace(*u.Snapshot, u)
@@ -111,13 +114,16 @@
 	known := c.Revision() // what is missing was removed after this
 	c.past.begin(c.newest, s.Revision)
 	c.read = s.Revision
-	c.takePolicy(s.Policy, s.Revision)
+	c.policies.take(s.Policy)
 	before := c.replicas
 	c.replicas = make(map[string]Replica, len(s.Replicas))
 	for _, r := range s.Replicas {
 		if c.past.isGone(r) {
 			continue
 		}
+		if known, ok := before[r.ID]; ok && !r.replaces(known) {
+			r = known
+		}
 		c.replicas[r.ID] = r
 		delete(c.doubts, r.ID)
 	}
@@ -126,9 +132,7 @@
 			continue
 		}
 		switch {
-		case slices.Contains(s.Malformed, id):
-			c.replicas[id] = r
-		case u.Settled:
+		case u.Settled, slices.Contains(s.Unusable, id): // an entry that is there is none that lapsed
 			c.missed(id, s.Revision)
 		default:
 			c.replicas[id] = r
@@ -170,11 +174,12 @@
 func (c *Content) apply(ch Change, u Update) {
 	switch {
 	case ch.Policy != nil:
-		c.takePolicy(ch.Policy, ch.Revision)
-	case ch.Replica != nil && ch.Revision >= c.replicas[ch.Replica.ID].Revision && !c.past.isGone(*ch.Replica):
+		c.policies.take(ch.Policy)
+	case ch.Replica != nil && ch.Replica.replaces(c.replicas[ch.Replica.ID]) && !c.past.isGone(*ch.Replica):
 		c.replicas[ch.Replica.ID] = *ch.Replica
 		delete(c.doubts, ch.Replica.ID)
-	case ch.Gone != "" && !u.Settled:
+	case ch.Unusable && c.replicas[ch.Gone].ID == "": // of an entry that never named a replica nothing is told on
+	case ch.Gone != "" && !u.Settled && !ch.Unusable:
 		c.doubt(ch.Gone, ch.Revision, u.doubtFor())
 	case ch.Gone != "" && ch.Revision >= c.replicas[ch.Gone].Revision:
 		delete(c.replicas, ch.Gone)
@@ -189,20 +194,11 @@
 	}
 }
 
-// takePolicy takes a policy of a revision in if its version is higher.
-func (c *Content) takePolicy(p *Policy, revision int64) {
-	if p == nil || (c.policy != nil && p.Version <= c.policy.Version) {
-		return
-	}
-	c.policy = p
-	c.past.policy = revision
-}
-
 // Snapshot returns the copy as one value, in a fixed order.
 func (c *Content) Snapshot() Snapshot {
 	return Snapshot{
 		Revision:  c.newest,
-		Policy:    c.policy,
+		Policy:    c.Policy(),
 		Replicas:  c.Replicas(),
 		Evacuated: c.Evacuated(),
 	}
--- a/ingress/box.go
+++ b/ingress/box.go
@@ -9,19 +9,25 @@
 	"github.com/havenrudder/havenrudder/exchange"
 )
 
-const boxDial = 400 * time.Millisecond // between regions, two round trips of 160 ms and some
+const (
+	boxDial  = 400 * time.Millisecond // between regions, two round trips of 160 ms and some
+	boxBorne = 30 * time.Second       // silence of a box in the middle of an answer, as watchSilence looks at it
+)
 
 // tryBox passes the request on to a box of another region.
 func (c *call) tryBox(ctx context.Context, t Target) ended {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	a := &attempt{
 		call:   c,
 		target: &t,
 		sent:   time.Now(),
+		cancel: cancel,
 	}
 	c.triedBoxes = append(c.triedBoxes, t.Box)
+	stop := a.watchSilence(ctx)
 	e := a.box(ctx)
+	stop()
 	if e == unsent || e == notRun {
 		c.noRegions = append(c.noRegions, t.Region) // its other boxes would say the same
 	}
@@ -45,15 +51,19 @@
 		Host:        c.r.Host,
 		Header:      h,
 		Body:        c.body,
-		DialTimeout: boxDial,
+		Begin:       a.begin,
+		DialTimeout: c.dialTime(boxDial),
 	})
 	if err != nil {
 		return a.boxFailed(ctx, err)
 	}
 	defer func() { _ = answer.Close() }()
 	a.first = time.Since(a.sent)
+	a.noteHeard()
+	answer.Bear(boxBorne)
 	there := sentThere(answer.Header())
 	c.sent += there
+	c.told.Store(int64(c.sent))
 	c.counted = c.counted || there > 0
 	c.arrived = c.arrived || there > 0
 	switch answer.Header().Get(headerResult) {
@@ -71,18 +81,20 @@
 // boxFailed says what it means that a box gave no answer.
 func (a *attempt) boxFailed(ctx context.Context, err error) ended {
 	c := a.call
+	a.ending(ctx, err)
 	var e *exchange.Error
 	if errors.As(err, &e) && !e.Sent() {
 		if ctx.Err() != nil {
 			return abandoned
 		}
 		c.server.core.BoxLost(a.target.Box)
+		c.unmadeOne()
 		return unsent
 	}
 	c.sent++ // the box may have sent it on
 	c.counted = true
 	c.arrived = true
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errQuiet) {
 		c.state = max(c.state, maybeRan)
 		return abandoned
 	}
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,11 +42,12 @@
 	call   *call
 	target *Target
 	sent   time.Time
-	cancel context.CancelCauseFunc // nil for a box
+	cancel context.CancelCauseFunc
 	result placement.Result
-	begun  time.Duration // until the request was written; 0 while it was not
+	begun  atomic.Int64  // nanoseconds until the request was written; 0 while it was not
 	first  time.Duration // until the answer's head; 0 while there is none
-	heard  time.Time     // when it was last said that the replica goes on
+	heard  atomic.Int64  // nanoseconds until bytes of the answer last came, to about heardEvery
+	why    string        // why there is no answer, or no whole one
 }
 
 // tryReplica sends the request to a replica of this region.
@@ -73,7 +75,7 @@
 	c.begin()
 	h := onward(c.r.Header)
 	c.server.codec.Send(h, Send{
-		Replica:   a.target.Choice.Replica,
+		Replica:   a.target.Choice.ID,
 		Left:      time.Until(c.end),
 		Urgency:   min(c.route.Priority, maxPriority),
 		LastEvent: c.lastEvent,
@@ -87,8 +89,8 @@
 		Header:      h,
 		Body:        c.body,
 		Owns:        func(h http.Header) bool { return c.server.codec.Owns(h, c.facts.ID) },
-		Begin:       func() { a.begun = time.Since(a.sent) },
-		DialTimeout: replicaDial,
+		Begin:       a.begin,
+		DialTimeout: c.dialTime(replicaDial),
 	})
 	if err != nil {
 		return a.failed(ctx, err)
@@ -106,6 +108,9 @@
 	return a.pass(ctx, answer)
 }
 
+// begin notes that the request is written now.
+func (a *attempt) begin() { a.begun.Store(max(int64(time.Since(a.sent)), 1)) }
+
 // refused takes in a replica's word that it did not run the request.
 func (a *attempt) refused(answer *exchange.Answer) ended {
 	a.result = placement.Refused
@@ -129,6 +134,7 @@
 		a.call.tried = append(a.call.tried, a.target.Choice.Replica)
 	}
 	quiet := errors.Is(context.Cause(ctx), errQuiet)
+	a.ending(ctx, err)
 	switch {
 	case ctx.Err() != nil && !quiet && sent:
 		a.call.state = max(a.call.state, maybeRan)
@@ -137,12 +143,39 @@
 		return abandoned
 	case !sent:
 		a.result = placement.Unreachable
+		a.call.unmadeOne()
 		return unsent
 	}
 	a.result = placement.Silent
 	return unknown
 }
 
+// Words of the log for why a try came to no whole answer.
+const (
+	whySilent = "replica silent"
+	whyLeft   = "caller left"
+	whyTime   = "time is up"
+	whyBody   = "body broke off"
+)
+
+// ending keeps why a try came to no whole answer: what this box did of itself is told
+// apart from what was done to it.
+func (a *attempt) ending(ctx context.Context, err error) {
+	var e *exchange.Error
+	switch {
+	case errors.Is(context.Cause(ctx), errQuiet):
+		a.why = whySilent
+	case a.call.r.Context().Err() != nil:
+		a.why = whyLeft
+	case ctx.Err() != nil:
+		a.why = whyTime
+	case errors.As(err, &e):
+		a.why = "failed to " + e.Stage().String()
+	default:
+		a.why = whyBody
+	}
+}
+
 // report writes down and counts what a try came to.
 func (a *attempt) report(e ended) {
 	c := a.call
@@ -155,8 +188,9 @@
 		Kind:     decision.Try,
 		Upstream: a.target.Choice.Replica + a.target.Box,
 		Outcome:  outcome,
+		Reason:   a.why,
 		Tries:    c.sent,
-		SentMs:   a.begun.Milliseconds(),
+		SentMs:   time.Duration(a.begun.Load()).Milliseconds(),
 		TookMs:   time.Since(a.sent).Milliseconds(),
 	})
 }
--- a/node/core.go
+++ b/node/core.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/havenrudder/havenrudder/decision"
@@ -13,7 +12,7 @@
 func (n *Node) core() ingress.Core {
 	return ingress.Core{
 		Table:    n.table.Load,
-		Current:  n.storeOK.Load,
+		Current:  n.current,
 		Leaving:  n.leaving.Load,
 		Streams:  n.takesStreams,
 		Others:   n.otherServes,
@@ -24,6 +23,7 @@
 		First:    n.first,
 		Heard:    n.heard,
 		Quiet:    n.quiet,
+		Other:    n.other,
 		Loaded:   n.loaded,
 		Streamed: n.streamed,
 		End:      n.end,
@@ -45,13 +45,21 @@
 	}
 }
 
+// current says whether this box can read what is published, and knows of no newer policy
+// than its own.
+func (n *Node) current() bool {
+	due := 0
+	_ = n.state.Do(func(s *state) { due = s.content.PolicyDue() }) // it fails only when the box has ended
+	return n.storeOK.Load() && due == 0
+}
+
 // The accesses to the state below fail only when the box has ended; what they
 // give then is of no use to anybody.
 
 // place chooses where a request goes and counts it in.
 func (n *Node) place(ask ingress.Ask) (t ingress.Target) {
 	t.Reason = placement.Nothing
-	_ = n.state.Do(func(s *state) { t = s.place(ask, n.now(), rand.IntN) })
+	_ = n.state.Do(func(s *state) { t = s.place(ask, n.now(), n.draw) })
 	if t.Reason == placement.Paced {
 		n.meter.ColdSendPaced()
 	}
@@ -111,18 +119,19 @@
 	_ = n.state.Do(func(s *state) { s.view.Heard(c, n.now()) })
 }
 
-// quiet returns how long a replica has been silent towards this box, 0 when no
-// other could take the request, for then it is waited for.
-func (n *Node) quiet(ask ingress.Ask, c *placement.Choice, sent time.Time) (d time.Duration) {
-	_ = n.state.Do(func(s *state) {
-		d = s.view.Quiet(c, sent.Sub(n.started), n.now())
-		if d > 0 && !s.hasOther(ask, n.now()) {
-			d = 0
-		}
-	})
+// quiet returns how long a replica has been silent towards this box.
+func (n *Node) quiet(c *placement.Choice, sent time.Time) (d time.Duration) {
+	_ = n.state.Do(func(s *state) { d = s.view.Quiet(c, sent.Sub(n.started), n.now()) })
 	return d
 }
 
+// other returns where a request would go, without counting it in; false when there is
+// no target.
+func (n *Node) other(ask ingress.Ask) (t ingress.Target, found bool) {
+	_ = n.state.Do(func(s *state) { t, found = s.other(ask, n.now(), n.draw) })
+	return t, found
+}
+
 // end counts a request out and takes in what became of it.
 func (n *Node) end(c *placement.Choice, r placement.Result, took time.Duration) {
 	if r == placement.Misdirected {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"time"
 
@@ -45,6 +44,7 @@
 		n.tell()
 		n.settle()
 		n.chooseRole()
+		n.seekPolicy(ctx)
 		n.watchMembers()
 		n.watchRegion()
 	}
@@ -54,10 +54,10 @@
 func (n *Node) tell() {
 	n.send(func(s *state, self wire.BoxStatus) []roster.Packet {
 		now := n.now()
-		out := s.roster.Tell(self, now, rand.IntN)
+		out := s.roster.Tell(self, now, n.draw)
 		s.view.OthersFor(s.roster.LoadsAge())
 		s.chooseTaking(n.servingState(), now)
-		return append(out, s.tellWords(now, rand.IntN)...)
+		return append(out, s.tellWords(now, n.draw)...)
 	})
 }
 
@@ -75,7 +75,7 @@
 		if !s.roster.TellsLoads() {
 			return nil
 		}
-		return s.roster.TellLoads(self, n.now(), rand.IntN)
+		return s.roster.TellLoads(self, n.now(), n.draw)
 	})
 }
 
@@ -97,6 +97,7 @@
 func (n *Node) self(s *state) wire.BoxStatus {
 	out := s.fill(n.status(), n.now())
 	out.ReadMs = n.readMs()
+	out.UpMs = int(n.now().Milliseconds())
 	if n.closed.Load() {
 		out.Callers = ""
 	}
@@ -136,11 +137,18 @@
 // catalog itself.
 func (n *Node) learn(ctx context.Context, from wire.BoxStatus, newest int64) {
 	var has held
-	_ = n.state.Do(func(s *state) { has = s.holds(from) })
-	n.confirm(from, has.newest)
+	var waited time.Duration
+	_ = n.state.Do(func(s *state) {
+		has = s.holds(from)
+		waited = s.roster.Waited(from, n.now())
+	})
+	n.confirm(from, has.newest, waited)
+	if from.Policy > has.policy {
+		n.seekPolicy(ctx)
+	}
 	switch {
 	case from.Peers != "" && n.pulls(from, has):
-		n.startPull(ctx, from, has.after)
+		n.startPull(ctx, from, has)
 	case n.follows.Load(): // boxes of the own region will tell
 	default:
 		n.feed.Behind(newest)
@@ -149,13 +157,21 @@
 
 // startPull asks another box for what changed after a revision, unless one is asked
 // already.
-func (n *Node) startPull(ctx context.Context, from wire.BoxStatus, after int64) {
+//
+// A question that is for a doubt alone seldom brings anything, and another one to a box
+// that knows more doesn't wait for it: replicas that came back late were not listed for
+// 0.4 s.
+func (n *Node) startPull(ctx context.Context, from wire.BoxStatus, has held) {
 	if !n.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	n.tasks.Go(func() {
 		defer n.pulling.Store(false)
-		n.pull(ctx, from, after)
+		n.pull(ctx, from, has.after)
+		if n.table.Load() != nil && int64(from.Catalog) <= has.newest && !has.untold {
+			n.doubtAsk.Store(int64(n.now() + pullPause))
+			return
+		}
 		sleep.For(ctx, pullPause)
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	collectAt   = 20                     // percent of growth of the heap between collections: memory is dearer here than processor time
 	neverRead   = time.Hour              // the age of what was never read
 	idleReplica = 20 * time.Second       // a connection to a replica rests so long at most
+	borne       = 30 * time.Second       // silence under a request that can't be sent again: its own time ends it sooner
 	idleBox     = 60 * time.Second       // the same between boxes: a new one takes 160 ms
 	stopEarly   = 400 * time.Millisecond // before the process is killed, it ends by itself
 )
@@ -55,22 +56,35 @@
 	closed    atomic.Bool  // it is named to no caller any more
 	ends      atomic.Int64 // when a planned stop is over, in nanoseconds since the start
 	pulling   atomic.Bool  // another box is asked for its catalog
+	doubtAsk  atomic.Int64 // until then no box is asked for a doubt alone, in nanoseconds since the start
 	replicas  *exchange.Pool
 	boxes     *exchange.Pool
 	store     *exchange.Pool
 	peers     *peer.Pool
+	bulk      *peer.Pool // for what is long, so that nothing waits behind it
 	listeners listeners
 	links     []*roster.Link
-	deliver   func(roster.Packet)                                                       // seam: sends a datagram
-	askBox    func(ctx context.Context, addr string, after int64) (catalog.News, error) // seam: asks another box for what changed
+	deliver   func(roster.Packet)                                                          // seam: sends a datagram
+	askBox    func(ctx context.Context, addr string, after int64) (catalog.News, error)    // seam: asks another box for what changed
+	askPolicy func(ctx context.Context, addr string, have int) (catalog.PolicyNews, error) // seam: asks another box for its policy
+	draw      func(n int) int                                                              // seam: a random number from 0 to n-1
+	jitter    func() float64                                                               // seam: a random number from 0 up to 1
 	feed      *catalog.Feed
-	tasks     sync.WaitGroup
-	told      chan struct{} // asks for the settings to be read again
-	bounds    Bounds        // in force; the task that reloads owns it
-	unread    bool          // the settings could not be read last; the same task owns it
-	replaced  chan string   // ids of replicas whose addresses others have
-	stop      chan struct{} // closed when a planned stop begins
-	once      sync.Once     // for the begin of a planned stop
+
+	amendments  *catalog.Amendments
+	outflow     *outflow      // for the policies that this box gives to others
+	seeking     atomic.Bool   // a policy is got from another box; who has set it owns the next three
+	avoid       string        // box that didn't give its policy
+	lackedSince time.Duration // a policy that exists was known to be missing, or was read for; 0 for none
+	alone       time.Duration // after which this box reads for it
+
+	tasks    sync.WaitGroup
+	told     chan struct{} // asks for the settings to be read again
+	bounds   Bounds        // in force; the task that reloads owns it
+	unread   bool          // the settings could not be read last; the same task owns it
+	replaced chan string   // ids of replicas whose addresses others have
+	stop     chan struct{} // closed when a planned stop begins
+	once     sync.Once     // for the begin of a planned stop
 }
 
 // Option changes a Node.
@@ -92,6 +106,11 @@
 		told:     make(chan struct{}, 1),
 		replaced: make(chan string, maxReplaced),
 		bounds:   s.Bounds,
+		draw:     rand.IntN,
+		jitter:   rand.Float64,
+
+		amendments: catalog.NewAmendments(),
+		outflow:    newOutflow(),
 	}
 	n.read.Store(-int64(neverRead))
 	n.reads.Store(true) // until others are known
@@ -163,6 +182,7 @@
 	n.state = cell.New(ctx, n.system, "state", newState(n.settings, n.status(), n.now()))
 	n.replicas = exchange.NewPool(
 		exchange.WithIdleTime(idleReplica),
+		exchange.WithPatience(borne),
 		exchange.WithOnDial(func(string) { n.meter.Dial() }),
 	)
 	n.boxes = exchange.NewPool(exchange.WithIdleTime(idleBox))
@@ -170,11 +190,14 @@
 	dialer := exchange.NewDialer()
 	dialer.Timeout = peerDial
 	n.peers = peer.NewPool(ctx, dialer.DialContext, func(peer.Method, int) {})
+	n.bulk = peer.NewPool(ctx, dialer.DialContext, func(peer.Method, int) {})
 	n.askBox = n.callBox
+	n.askPolicy = n.callForPolicy
 	n.deliver = func(p roster.Packet) { _ = n.links[0].Post(p) } // a datagram may be lost anyway, and the next one follows
 	n.feed = n.newFeed(n.adapter.Source(n.store, Report{
-		Call: n.meter.StoreCall,
-		Bad:  n.badValue,
+		Call:    n.meter.StoreCall,
+		Bad:     n.badValue,
+		Foreign: n.foreignEntry,
 	}))
 }
 
@@ -184,7 +207,7 @@
 		catalog.WithHealth(n.storeHealth),
 		catalog.WithReader(n.reads.Load),
 		catalog.WithFollowing(n.follows.Load, n.catalogAge),
-		catalog.WithJitter(rand.Float64))
+		catalog.WithJitter(n.jitter))
 }
 
 // status returns what never changes of this box's status.
--- a/node/state.go
+++ b/node/state.go
@@ -40,8 +40,9 @@
 	lapses     map[string]lapses         // by box: replicas found gone that it has told of
 	taking     map[string]taking         // by region
 	short      map[roster.ReplicaID]string
-	unanswered map[string]int // questions for an account in a row, by engine
-	seq        int            // of the last status told
+	unanswered map[string]int   // questions for an account in a row, by engine
+	told       map[string]int64 // the latest start that was taken in by an engine's word, by its id
+	seq        int              // of the last status told
 }
 
 // newState returns the state of a box that knows nothing yet.
@@ -61,6 +62,7 @@
 		taking:     make(map[string]taking),
 		short:      make(map[roster.ReplicaID]string),
 		unanswered: make(map[string]int),
+		told:       make(map[string]int64),
 	}
 }
 
@@ -90,7 +92,8 @@
 func (s *state) take(u catalog.Update, now time.Duration) []placement.Belief {
 	var out []placement.Belief
 	taken := s.content.Take(u)
-	if p := s.content.Policy(); p != nil && (s.table == nil || p.Version > s.table.Version()) {
+	known := s.content.Newest() > 0 // a policy from another box may come before the replicas
+	if p := s.content.Policy(); known && p != nil && (s.table == nil || p.Version > s.table.Version()) {
 		s.table = catalog.NewTable(*p)
 		s.view.SetTable(s.table)
 		s.forgetRoutes()
@@ -109,7 +112,10 @@
 func (s *state) takeView(now time.Duration) []placement.Belief {
 	out := s.view.Take(s.content, now)
 	s.shorten()
-	maps.DeleteFunc(s.unanswered, func(id string, _ int) bool { return s.view.Get(id) == nil })
+	maps.DeleteFunc(s.unanswered, func(start string, _ int) bool { return s.view.Get(start) == nil })
+	if len(s.told) > 0 {
+		s.forgetTold()
+	}
 	return out
 }
 
@@ -309,12 +315,20 @@
 	}
 }
 
-// hasOther says whether a target is left that was not tried.
-func (s *state) hasOther(ask ingress.Ask, now time.Duration) bool {
-	if ask.Route.Allows(s.settings.Region) && s.view.Outlook(ask.Request, s.sharers(now), now).Usable > 0 {
-		return true
+// other returns a target that was not tried, without counting the request in; false
+// when there is none.
+func (s *state) other(ask ingress.Ask, now time.Duration, draw func(n int) int) (ingress.Target, bool) {
+	if ask.Route.Allows(s.settings.Region) {
+		if c := s.view.Next(ask.Request, s.sharers(now), now); c.Reason == placement.None {
+			return ingress.Target{
+				Choice: c,
+			}, true
+		}
+	}
+	if list := s.others(ask, now); len(list) > 0 {
+		return sendAway(list[draw(len(list))], draw), true
 	}
-	return len(s.others(ask, now)) > 0
+	return ingress.Target{}, false
 }
 
 // askAgain is when to ask for a target again where nothing says when there will
