--- a/common/cell/cell.go
+++ b/common/cell/cell.go
@@ -26,8 +26,8 @@
 type Option func(*System)
 
 // InPlace has each access run in the task that asks for it, when no other runs, in
-// place of a task of its own: half of the time of a test with hundreds of cells in one
-// process goes into these.
+// place of a task of its own. It is for tests with hundreds of cells in one process: in a box
+// who asks first would run the accesses of all who ask meanwhile.
 func InPlace() Option {
 	return func(s *System) {
 		s.props = append(s.props, actor.WithDispatcher(actor.NewSynchronizedDispatcher(throughput)))
