--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -47,7 +47,7 @@
 	writeErr error // why the kernel took no more of them
 	reused   bool
 	hadHead  bool      // it has carried a HEAD request
-	busy  bool      // it may be silent for longer than one at rest
+	busy     bool      // it may be silent for longer than one at rest
 	until    time.Time // when it has rested for long enough; held by pool.mu
 	closed   bool      // held by pool.mu
 }
