--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
