--- a/node/gossip.go
+++ b/node/gossip.go
@@ -48,6 +48,7 @@
 		n.readMissingPolicy()
 		n.watchMembers()
 		n.watchRegion()
+		n.watchDomains()
 	}
 }
 
--- a/node/state.go
+++ b/node/state.go
@@ -34,6 +34,7 @@
 	table      *catalog.Table            // nil until a policy is known
 	alive      map[string]bool           // boxes, as the log says last
 	complete   bool                      // all boxes of the region are known, as the log says last
+	silent     []string                  // failure domains that fell silent as a whole, as the log says last
 	paths      map[string]decay.Failures // of requests to other regions
 	lost       map[string]unreached      // boxes
 	asks       map[string]decay.Count    // requests by the name of a bound route
