--- a/catalog/fuzz_test.go
+++ b/catalog/fuzz_test.go
@@ -183,20 +183,27 @@
 
 func checkWorlds(t *testing.T, othersRead bool) {
 	rapid.Check(t, func(rt *rapid.T) {
-		var ended any // what ends a run has to reach the library in its own goroutine
-		synctest.Test(t, func(t *testing.T) {
-			defer func() { ended = recover() }()
-			runWorld(t.Context(), rt, othersRead)
-		})
-		if f, ok := ended.(failure); ok {
-			rt.Fatal(string(f))
-		}
-		if ended != nil {
-			panic(ended)
-		}
+		inBubble(t, rt, func(ctx context.Context) { runWorld(ctx, rt, othersRead) })
 	})
 }
 
+// inBubble does a run in virtual time. What ends it has to reach the library in its own
+// goroutine.
+func inBubble(t *testing.T, rt *rapid.T, run func(ctx context.Context)) {
+	t.Helper()
+	var ended any
+	synctest.Test(t, func(t *testing.T) {
+		defer func() { ended = recover() }()
+		run(t.Context())
+	})
+	if f, ok := ended.(failure); ok {
+		rt.Fatal(string(f))
+	}
+	if ended != nil {
+		panic(ended)
+	}
+}
+
 func runWorld(ctx context.Context, t *rapid.T, othersRead bool) {
 	p := newPublisher()
 	w := &world{
--- a/catalog/starts_fuzz_test.go
+++ b/catalog/starts_fuzz_test.go
@@ -199,17 +199,7 @@
 // words of the starts before and another writer's entries came between.
 func TestTheCopiesHoldTheLatestStartWhateverComesBetween(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		var ended any // what ends a run has to reach the library in its own goroutine
-		synctest.Test(t, func(t *testing.T) {
-			defer func() { ended = recover() }()
-			runStarting(t.Context(), rt)
-		})
-		if f, ok := ended.(failure); ok {
-			rt.Fatal(string(f))
-		}
-		if ended != nil {
-			panic(ended)
-		}
+		inBubble(t, rt, func(ctx context.Context) { runStarting(ctx, rt) })
 	})
 }
 
--- a/node/policies.go
+++ b/node/policies.go
@@ -37,7 +37,7 @@
 	at   time.Duration
 }
 
-// newPolicyBucket returns an policyBucket of which nothing is taken.
+// newPolicyBucket returns a policyBucket of which nothing is taken.
 func newPolicyBucket() *policyBucket {
 	return &policyBucket{
 		left: policyBurst,
@@ -45,15 +45,15 @@
 }
 
 // take takes room for so many bytes, or returns how long there is none.
-func (r *policyBucket) take(bytes int, now time.Duration) (wait time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.left = min(r.left+policyRate*(now-r.at).Seconds(), policyBurst)
-	r.at = now
-	if r.left < 0 {
-		return time.Duration(-r.left / policyRate * float64(time.Second))
-	}
-	r.left -= float64(bytes)
+func (b *policyBucket) take(bytes int, now time.Duration) (wait time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left = min(b.left+policyRate*(now-b.at).Seconds(), policyBurst)
+	b.at = now
+	if b.left < 0 {
+		return time.Duration(-b.left / policyRate * float64(time.Second))
+	}
+	b.left -= float64(bytes)
 	return 0
 }
 
--- a/node/seeker.go
+++ b/node/seeker.go
@@ -35,19 +35,19 @@
 // readsFor says whether a box with a policy of a version has to read by itself for one
 // that is due, 0 for none: others have given neither that which was missing first nor a
 // newer one for too long. A box that gets each of many soon reads for none of them.
-func (p *ownReading) readsFor(have, due int, now time.Duration, jitter func() float64) bool {
-	if due == 0 || have >= p.first {
-		p.first = 0
+func (r *ownReading) readsFor(have, due int, now time.Duration, jitter func() float64) bool {
+	if due == 0 || have >= r.first {
+		r.first = 0
 	}
 	switch {
 	case due == 0:
-	case p.first == 0:
-		p.first = due
-		p.since = now
-		p.wait = spreadOwnRead(ownReadAfter, jitter)
-	case now-p.since >= p.wait:
-		p.since = now
-		p.wait = spreadOwnRead(min(2*p.wait, mostOwnRead), jitter)
+	case r.first == 0:
+		r.first = due
+		r.since = now
+		r.wait = spreadOwnRead(ownReadAfter, jitter)
+	case now-r.since >= r.wait:
+		r.since = now
+		r.wait = spreadOwnRead(min(2*r.wait, mostOwnRead), jitter)
 		return true
 	}
 	return false
