--- a/tools/play-mixes.sh
+++ b/tools/play-days.sh
@@ -1,22 +1,28 @@
 #!/usr/bin/env bash
 # Plays days of one's own on the users' bench and prints one line a day.
 #
-#   tools/play-mixes.sh [--jobs N] [--out DIR] [--why TEXT] [--add N] BENCH SITE DAY.toml...
+#   tools/play-days.sh [--jobs N] [--out DIR] [--why TEXT] [--add N] [--vary] BENCH SITE DAY.toml...
 #
 # BENCH is the bench's program, SITE a site file. N days are played at once (1), each on
 # one core. DIR keeps the bench's whole text (DAY.txt) and figures (DAY.json); left out,
-# they go. --add N plays each day with its seed plus N. The last column says what was
-# wrong: rules broken, what fell short of the gate, a fault of the day, processes that
-# ended by themselves; "ok" if nothing was. Ends with 1 if something was wrong on any day.
+# they go. --add N plays each with its seed plus N; --vary also varies times and figures,
+# as the bench's hunt does. The last column says what was wrong: rules broken, what fell
+# short of the gate, a fault of the day, processes that ended by themselves; "ok" if nothing
+# was. Ends with 1 if something was wrong on any day.
 set -euo pipefail
 
 usage() {
-	sed -n '2,10s/^# \{0,1\}//p' "$0" >&2
+	sed -n '2,11s/^# \{0,1\}//p' "$0" >&2
 	exit 2
 }
 
-jobs=1 out='' why='mixes' add=0
+jobs=1 out='' why='days of our own' add=0 vary=()
 while [[ "${1:-}" == --* ]]; do
+	if [[ $1 == --vary ]]; then
+		vary=(--vary)
+		shift
+		continue
+	fi
 	[[ $# -ge 2 ]] || usage
 	case $1 in
 	--jobs) jobs=$2 ;;
@@ -43,7 +49,7 @@
 	seed=$((seed + add))
 	text=$keep/$name.txt figures=$keep/$name.json
 	rm -f "$figures"
-	"$bench" run "$site" "$file" --seed "$seed" --jobs 1 --report "$figures" \
+	"$bench" run "$site" "$file" --seed "$seed" "${vary[@]}" --jobs 1 --report "$figures" \
 		--why "$why: $name" >"$text" 2>&1 || true
 	worth=$(sed -n 's/^  "G": \([-0-9.]*\),$/\1/p' "$figures" 2>/dev/null || true)
 	served=$(sed -n 's/^  "served": \([0-9.]*\),$/\1/p' "$figures" 2>/dev/null || true)
