poison, ingress: Write a digest of what a request asks where a replica gave no whole answer

The log could not tell whether requests under different ids, cut at replicas that ended, were one request that came again: lines hold no path and no body, and the size of the prompt had to stand in for them.

--- a/decision/event.go
+++ b/decision/event.go
@@ -88,6 +88,7 @@
 	Sharers  int       `json:"sharers,omitempty"`   // boxes among which the pace of the cold replica, or quotas of the region, are shared
 	CopyFrom string    `json:"copy_from,omitempty"` // address of the replica that shared tokens are copied from
 	Tries    int       `json:"tries,omitempty"`
+	Digest   string    `json:"digest,omitempty"` // of what the request asks, the same whenever it comes again
 	Region   string    `json:"region,omitempty"`
 	Detail   string    `json:"detail,omitempty"` // short text; cut at 256 bytes
 	Counts   []Count   `json:"counts,omitempty"` // of a line of kind Dropped
@@ -117,6 +118,7 @@
 	e.Outcome = Outcome(cut(string(e.Outcome)))
 	e.Reason = cut(e.Reason)
 	e.CopyFrom = cut(e.CopyFrom)
+	e.Digest = cut(e.Digest)
 	e.Region = cut(e.Region)
 	e.Detail = cut(e.Detail)
 }
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -76,6 +76,7 @@
 	l.number("sharers", int64(e.Sharers))
 	l.text("copy_from", e.CopyFrom)
 	l.number("tries", int64(e.Tries))
+	l.text("digest", e.Digest)
 	l.text("region", e.Region)
 	l.text("detail", e.Detail)
 	if len(e.Counts) > 0 {
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -96,6 +96,7 @@
 		Tokens:   11,
 		CopyFrom: "192.0.2.1:80",
 		Tries:    2,
+		Digest:   "50fd6db2",
 		Region:   "eu",
 		Detail:   "a <b> & c",
 	}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -11,6 +11,7 @@
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/placement"
+	"github.com/havenrudder/havenrudder/poison"
 )
 
 const (
@@ -49,6 +50,7 @@
 	version int
 	rank    float64 // of the route's priority among those of the service
 	body    []byte
+	asks    *poison.Digest // of what it asks; nil until that is needed
 
 	state       state
 	sent        int          // replicas it was sent to
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -28,6 +28,7 @@
 	Guess     int           // tokens of the answer as the caller guesses; 0 for none
 	Parts     []Part        // of the prompt; the last one is the request's own
 	LastEvent string        // id of the last event that the caller has of a broken stream
+	Caller    string        // credentials of the caller; empty for none
 }
 
 // Send is what a replica is told beside the caller's own headers.
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -199,11 +199,16 @@
 	if a.first > 0 && e == served {
 		c.server.core.Meter.First(c.service, a.first)
 	}
+	digest := ""
+	if a.target.Choice.Replica != "" && (e == unknown || e == torn) {
+		digest = c.digest().String() // tells whether one request is behind the ends of several replicas
+	}
 	c.record(decision.Event{
 		Kind:     decision.Try,
 		Upstream: a.target.Choice.Replica + a.target.Box,
 		Outcome:  outcome,
 		Reason:   a.why,
+		Digest:   digest,
 		Tries:    c.sent,
 		SentMs:   time.Duration(a.begun.Load()).Milliseconds(),
 		TookMs:   time.Since(a.sent).Milliseconds(),
