poison, node, ingress: Turn a request away under which three replicas ended

A request that ends each replica which runs it came again under new ids, at any box, and each call began with nothing known. Boxes now know it by a digest over method, host, path, caller and body. A replica that cuts an answer and then refuses a connection, or is no longer listed, has ended; its end is held against the requests that it ran. Three boxes that the digest chooses add the ends up, all boxes learn of the second, and after the third each turns the request away, at once and with the time for which it does. A whole answer acquits.

Ruled out: threshold of two, for a request cut twice beside a guilty one would be turned away; telling each end to all boxes, 390 times the bytes.

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -50,7 +50,7 @@
 	version int
 	rank    float64 // of the route's priority among those of the service
 	body    []byte
-	asks    *poison.Digest // of what it asks; nil until that is needed
+	content poison.Content // what it asks
 
 	state       state
 	sent        int          // replicas it was sent to
@@ -85,7 +85,13 @@
 		if !c.held() { // its caller's time bounds the rounds of a stream that was begun
 			rounds++
 		}
+		if c.isBarred() {
+			break
+		}
 		target := c.place(ctx)
+		if c.reason == reasonPoison {
+			break // it was barred while it was held
+		}
 		if target.Reason != placement.None {
 			if c.waitFor(ctx, target) {
 				continue
@@ -111,7 +117,7 @@
 // is a target, for else it would be broken off.
 func (c *call) place(ctx context.Context) Target {
 	t := c.server.core.Place(c.ask())
-	for t.Reason != placement.None && c.held() && ctx.Err() == nil {
+	for t.Reason != placement.None && c.held() && ctx.Err() == nil && !c.isBarred() {
 		if c.sameNext {
 			t = c.placeSame()
 			continue
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -104,6 +104,7 @@
 	Crossed  func(box, region string, ok bool) // whether a request to a box of a region was answered
 	Behind   func(version int)                 // another box knows a newer policy, of a version
 	Record   func(decision.Event)
+	Poison   Poison
 	Meter    Meter
 }
 
@@ -177,6 +178,7 @@
 	if !c.identify() || !c.readBody() {
 		return
 	}
+	c.takeContent()
 	ctx, cancel := context.WithTimeout(r.Context(), time.Until(c.end)+endSlack)
 	defer cancel()
 	c.run(ctx)
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -1,20 +1,61 @@
 package ingress
 
-import "github.com/havenrudder/havenrudder/poison"
+import (
+	"strconv"
+	"time"
 
-// digest returns the digest of what the request asks.
-func (c *call) digest() poison.Digest {
-	if c.asks != nil {
-		return *c.asks
-	}
-	content := poison.Content{
+	"github.com/havenrudder/havenrudder/placement"
+	"github.com/havenrudder/havenrudder/poison"
+)
+
+// reasonPoison is of a request that is turned away since replicas ended under it.
+const reasonPoison placement.Reason = "ends its replicas"
+
+// Poison is what a box knows of requests under which replicas ended. Its fields are seams.
+type Poison struct {
+	Barred func(content *poison.Content) (left time.Duration, barred bool)        // no replica may get the request, for so long
+	Cut    func(c *placement.Choice, content *poison.Content, closed bool)        // a replica got the request and gave no whole answer; closed says that it closed the connection
+	Whole  func(c *placement.Choice, content *poison.Content, took time.Duration) // a replica gave the request a whole answer of success
+}
+
+// takeContent keeps what the request asks, once its body is read.
+func (c *call) takeContent() {
+	c.content = poison.Content{
 		Method: c.r.Method,
 		Host:   c.r.Host,
 		Target: c.r.RequestURI,
 		Caller: c.facts.Caller,
 		Body:   c.body,
 	}
-	d := content.Digest()
-	c.asks = &d
-	return d
+}
+
+// isBarred says whether the request may go to no replica any more. It is asked before each
+// try: the request may have been barred since the last.
+func (c *call) isBarred() bool {
+	left, barred := c.server.core.Poison.Barred(&c.content)
+	if barred {
+		c.reason = reasonPoison
+		c.wait = left
+	}
+	return barred
+}
+
+// judge tells what the try says of the request.
+func (a *attempt) judge(e ended) {
+	c := a.call
+	p := &c.server.core.Poison
+	timeUp := e == abandoned && a.why == whyTime && a.begun.Load() > 0
+	switch {
+	case a.result == placement.Answered:
+		p.Whole(&a.target.Choice, &c.content, time.Since(a.sent))
+	case a.result == placement.Silent, timeUp:
+		p.Cut(&a.target.Choice, &c.content, !timeUp && a.why != whySilent)
+	}
+}
+
+// refusePoison turns a request away that ends its replicas. It would only be turned away
+// again before the time is over.
+func (c *call) refusePoison() {
+	c.w.Header().Set("Retry-After", strconv.FormatFloat(c.wait.Seconds(), 'f', 0, 64))
+	c.turnAway(reasonPoison)
 }
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -41,7 +42,9 @@
 	case c.state == maybeRan && ctx.Err() != nil:
 		c.fail(http.StatusGatewayTimeout, reasonDeadline)
 	case c.state == maybeRan:
-		c.fail(http.StatusBadGateway, reasonBudget)
+		c.fail(http.StatusBadGateway, c.lastReason())
+	case c.reason == reasonPoison:
+		c.refusePoison()
 	case ctx.Err() != nil:
 		c.refuse(reasonDeadline, 0)
 	case c.reason != placement.None:
@@ -65,12 +68,13 @@
 		return reasonLeft
 	case ctx.Err() != nil:
 		return reasonDeadline
-	case c.reason != placement.None:
-		return c.reason
 	}
-	return reasonBudget
+	return c.lastReason()
 }
 
+// lastReason returns why there was no target at last.
+func (c *call) lastReason() placement.Reason { return cmp.Or(c.reason, reasonBudget) }
+
 // fail answers that the request may have run.
 func (c *call) fail(status int, reason placement.Reason) {
 	c.relayResult(resultUnknown)
@@ -80,9 +84,14 @@
 
 // refuse answers that the request has not run, and when to come back.
 func (c *call) refuse(reason placement.Reason, wait time.Duration) {
-	c.relayResult(resultNotRun)
 	wait = min(max(wait, retrySoon), retryLongest)
 	c.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
+	c.turnAway(reason)
+}
+
+// turnAway answers that the request has not run.
+func (c *call) turnAway(reason placement.Reason) {
+	c.relayResult(resultNotRun)
 	c.server.core.Meter.Refusal(string(reason))
 	c.finished(decision.Refused, http.StatusServiceUnavailable, string(reason))
 	c.w.WriteHeader(http.StatusServiceUnavailable)
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -17,6 +17,7 @@
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/internal/fakes"
 	"github.com/havenrudder/havenrudder/placement"
+	"github.com/havenrudder/havenrudder/poison"
 )
 
 const (
@@ -119,6 +120,16 @@
 	lines []decision.Event
 	muted []string // replicas whose silence was told
 	fixed bool     // the stream can't be resumed
+	known Poison   // the seams to what is known of requests that end their replicas
+}
+
+// noPoison returns the seams where no replica ends under a request.
+func noPoison() Poison {
+	return Poison{
+		Barred: func(*poison.Content) (time.Duration, bool) { return 0, false },
+		Cut:    func(*placement.Choice, *poison.Content, bool) {},
+		Whole:  func(*placement.Choice, *poison.Content, time.Duration) {},
+	}
 }
 
 func newRegion(t *testing.T, replicas int) *region {
@@ -128,6 +139,7 @@
 		},
 		heard: make(map[string]time.Time),
 		spare: func() bool { return true },
+		known: noPoison(),
 	}
 	for i := range replicas {
 		u := &upstream{
@@ -251,6 +263,7 @@
 			defer g.mu.Unlock()
 			g.lines = append(g.lines, e)
 		},
+		Poison: g.known,
 		Meter: Meter{
 			Request: func(string, string, time.Duration) {},
 			First:   func(string, time.Duration) {},
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -66,6 +66,7 @@
 	e := a.replica(ctx)
 	stop()
 	cancel(nil) // the replica stops its work when its connection closes
+	a.judge(e)
 	if a.result == placement.Silent && a.muted.Load() {
 		a.result = placement.Abandoned
 	}
@@ -201,7 +202,7 @@
 	}
 	digest := ""
 	if a.target.Choice.Replica != "" && (e == unknown || e == torn) {
-		digest = c.digest().String() // tells whether one request is behind the ends of several replicas
+		digest = c.content.Digest().String() // tells whether one request is behind the ends of several replicas
 	}
 	c.record(decision.Event{
 		Kind:     decision.Try,
--- a/meter/count.go
+++ b/meter/count.go
@@ -63,3 +63,7 @@
 func (m *Meter) Answer(service string, d time.Duration) {
 	m.answer.WithLabelValues(service).Observe(d.Seconds())
 }
+
+// Acquitted counts a request under which replicas had ended and that one then answered
+// whole.
+func (m *Meter) Acquitted() { m.acquitted.Inc() }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -36,6 +36,7 @@
 	accounts  *prometheus.CounterVec
 	foreign   prometheus.Counter
 	dials     prometheus.Counter
+	acquitted prometheus.Counter
 	first     *prometheus.HistogramVec
 	answer    *prometheus.HistogramVec
 }
@@ -76,6 +77,14 @@
 	}
 }
 
+// WithBarredRequests serves how many requests are turned away because replicas ended under
+// them.
+func WithBarredRequests(n func() int) Option {
+	return func(m *Meter) {
+		m.gauge("barred_requests", "Requests that are turned away because replicas ended under them.", func() float64 { return float64(n()) })
+	}
+}
+
 // New returns metrics that all start at zero.
 func New(opts ...Option) *Meter {
 	m := &Meter{
@@ -91,6 +100,7 @@
 	m.store = m.counters("store_calls_total", "Calls of the store by kind and result.", "kind", "result")
 	m.accounts = m.counters("engine_accounts_total", "Questions to engines for their load by result.", "result")
 	m.foreign = m.counter("foreign_entries_total", "Entries of the store that name no replica, once for each revision.")
+	m.acquitted = m.counter("acquitted_requests_total", "Requests under which replicas had ended and that one then answered whole.")
 	m.dials = m.counter("upstream_dials_total", "Connections opened to upstreams.")
 	m.first = m.histograms("first_byte_seconds", "Time to the first byte of an answer.", firstBuckets)
 	m.answer = m.histograms("answer_seconds", "Time to the end of an answer.", answerBuckets)
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -36,6 +36,7 @@
 		WithBoxesAlive(func() int { return 3 }),
 		WithSharingBoxes(func() int { return 4 }),
 		WithDroppedLines(func() int64 { return 9 }),
+		WithBarredRequests(func() int { return 5 }),
 	)
 	m.Request("chat", "served")
 	m.Request("chat", "served")
@@ -50,6 +51,7 @@
 	m.StoreCall("get", "ok")
 	m.Dial()
 	m.ForeignEntry()
+	m.Acquitted()
 	m.FirstByte("chat", 100*time.Millisecond)
 	m.Answer("chat", 3*time.Second)
 	return m
@@ -84,6 +86,8 @@
 		`havenrudder_catalog_age_seconds 1.5`,
 		`havenrudder_alive_boxes 3`,
 		`havenrudder_sharing_boxes 4`,
+		`havenrudder_barred_requests 5`,
+		`havenrudder_acquitted_requests_total 1`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.05"} 0`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.2"} 1`,
 		`havenrudder_first_byte_seconds_sum{service="chat"} 0.1`,
@@ -106,14 +110,14 @@
 		name, _, _ := strings.Cut(rest, " ")
 		unit := name[strings.LastIndex(name, "_")+1:]
 		is.True(strings.HasPrefix(name, "havenrudder_"))
-		is.True(slices.Contains([]string{"total", "seconds", "boxes"}, unit))
+		is.True(slices.Contains([]string{"total", "seconds", "boxes", "requests"}, unit))
 		names++
 	}
-	is.Equal(names, 16)
+	is.Equal(names, 18)
 }
 
 func TestAMeterCountsForItselfAlone(t *testing.T) {
 	is := is.New(t)
 	used()
-	is.Equal(len(scrape(is, New())), 3*3) // only the three counters without labels are there, at zero
+	is.Equal(len(scrape(is, New())), 4*3) // only the four counters without labels are there, at zero
 }
--- a/node/behind_test.go
+++ b/node/behind_test.go
@@ -21,7 +21,7 @@
 			}
 			before := f.callsBy(300*time.Millisecond, func() {})
 			newer := n.table.Load().Version() + 1
-			got := f.callsBy(300*time.Millisecond, func() { n.core().Behind(newer) }) - before
+			got := f.callsBy(300*time.Millisecond, func() { n.core(t.Context()).Behind(newer) }) - before
 			if got > 2 {
 				t.Fatalf("%d calls of the listing for 6 requests in 0.3 s", got)
 			}
--- a/node/core.go
+++ b/node/core.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/havenrudder/havenrudder/decision"
@@ -9,7 +10,7 @@
 )
 
 // core returns the seams of the path of requests.
-func (n *Node) core() ingress.Core {
+func (n *Node) core(ctx context.Context) ingress.Core {
 	return ingress.Core{
 		Table:    n.table.Load,
 		Current:  n.current,
@@ -32,6 +33,7 @@
 		Crossed:  n.crossed,
 		Behind:   n.behind,
 		Record:   n.record,
+		Poison:   n.poison(ctx),
 		Meter: ingress.Meter{
 			Request: func(service, outcome string, took time.Duration) {
 				n.meter.Request(service, outcome)
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -8,6 +8,7 @@
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/peer"
+	"github.com/havenrudder/havenrudder/poison"
 	"github.com/havenrudder/havenrudder/roster"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -17,7 +18,8 @@
 	for _, conn := range n.listeners.packets {
 		link := roster.NewLink(conn,
 			func(g wire.Gossip, _ net.Addr) { n.hear(ctx, g) },
-			roster.WithCompact(func(b roster.Compact, from net.Addr) { n.hearCompact(ctx, b, from.String()) }))
+			roster.WithCompact(func(b roster.Compact, from net.Addr) { n.hearCompact(ctx, b, from.String()) }),
+			roster.WithOther(poison.Mark, func(buf []byte, from net.Addr) { n.hearPoison(buf, from.String()) }))
 		n.links = append(n.links, link)
 	}
 	for _, link := range n.links { // when all are there, for a message that comes is answered
@@ -43,6 +45,8 @@
 		sleep.For(ctx, roster.Tick)
 		n.tell()
 		n.settle()
+		n.endsListed()
+		n.tellPoison()
 		n.chooseRole()
 		n.seekPolicy(ctx)
 		n.readMissingPolicy()
@@ -59,6 +63,7 @@
 		out := s.roster.Tell(self, now, n.draw)
 		s.view.OthersFor(s.roster.LoadsAge())
 		s.chooseTaking(n.servingState(), now)
+		s.forgetPoison(now)
 		return append(out, s.tellWords(now, n.draw)...)
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/havenrudder/havenrudder/ingress"
 	"github.com/havenrudder/havenrudder/meter"
 	"github.com/havenrudder/havenrudder/peer"
+	"github.com/havenrudder/havenrudder/poison"
 	"github.com/havenrudder/havenrudder/roster"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -56,6 +57,8 @@
 	closed    atomic.Bool  // it is named to no caller any more
 	ends      atomic.Int64 // when a planned stop is over, in nanoseconds since the start
 	pulling   atomic.Bool  // another box is asked for its catalog
+	known     atomic.Int32 // requests that replicas ended under, of which all boxes are told
+	proofs    *poison.Proofs
 	doubtAsk  atomic.Int64 // until then no box is asked for a doubt alone, in nanoseconds since the start
 	replicas  *exchange.Pool
 	boxes     *exchange.Pool
@@ -110,6 +113,7 @@
 
 		deltas:       catalog.NewDeltas(),
 		policyBucket: newPolicyBucket(),
+		proofs:       poison.NewProofs(),
 	}
 	n.read.Store(-int64(neverRead))
 	n.reads.Store(true) // until others are known
@@ -122,6 +126,7 @@
 		meter.WithBoxesAlive(n.boxesAlive),
 		meter.WithSharingBoxes(n.sharingBoxes),
 		meter.WithDroppedLines(n.log.DroppedLines),
+		meter.WithBarredRequests(n.barredRequests),
 	)
 	limitMemory(s.MemoryMB)
 	return n, n.listeners.open(s)
@@ -256,6 +261,6 @@
 func (n *Node) record(e decision.Event) { n.log.Record(e) }
 
 // ingress returns the path of requests.
-func (n *Node) ingress() *ingress.Server {
-	return ingress.New(n.settings.Box, n.settings.Region, n.adapter.Codec, n.core(), n.replicas, n.boxes)
+func (n *Node) ingress(ctx context.Context) *ingress.Server {
+	return ingress.New(n.settings.Box, n.settings.Region, n.adapter.Codec, n.core(ctx), n.replicas, n.boxes)
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -81,7 +81,7 @@
 // serve answers callers, boxes and the platform until ctx ends or a planned stop
 // is over.
 func (n *Node) serve(ctx context.Context, cancel context.CancelCauseFunc) {
-	path := n.ingress()
+	path := n.ingress(ctx)
 	callers := newServer(path.Callers())
 	boxes := newServer(path.Boxes())
 	servers := []*http.Server{callers, boxes}
--- a/node/state.go
+++ b/node/state.go
@@ -44,6 +44,7 @@
 	unanswered map[string]int   // questions for an account in a row, by engine
 	told       map[string]int64 // the latest start that was taken in by an engine's word, by its id
 	seq        int              // of the last status told
+	poison     suspects
 }
 
 // newState returns the state of a box that knows nothing yet.
@@ -64,6 +65,7 @@
 		short:      make(map[roster.ReplicaID]string),
 		unanswered: make(map[string]int),
 		told:       make(map[string]int64),
+		poison:     newSuspects(s.Box),
 	}
 }
 
--- a/poison/content.go
+++ b/poison/content.go
@@ -21,24 +21,33 @@
 // String returns the digest as the log and the dump show it.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
-// Content is what two requests have in common that are the same to a replica.
+// Content is what two requests have in common that are the same to a replica. It belongs
+// to one goroutine.
 type Content struct {
 	Method string
 	Host   string
 	Target string // path and query
 	Caller string // credentials of the caller, so that nobody has another's requests turned away; empty for none
 	Body   []byte
+	digest *Digest // nil until it is asked for
 }
 
 // Digest returns the digest of the content.
 func (c *Content) Digest() Digest {
+	if c.digest != nil {
+		return *c.digest
+	}
 	h := sha256.New()
 	c.writeTo(h)
 	var d Digest
 	copy(d[:], h.Sum(nil))
+	c.digest = &d
 	return d
 }
 
+// Digested says whether the digest was asked for.
+func (c *Content) Digested() bool { return c.digest != nil }
+
 // writeTo writes the content to a hash, each field behind its length, so that no two
 // contents are written alike.
 func (c *Content) writeTo(h hash.Hash) {
--- a/poison/content_test.go
+++ b/poison/content_test.go
@@ -53,6 +53,7 @@
 	b.SetBytes(int64(len(c.Body)))
 	b.ReportAllocs()
 	for b.Loop() {
+		c.digest = nil
 		c.Digest()
 	}
 }
--- /dev/null
+++ b/poison/cuts.go
@@ -0,0 +1,90 @@
+package poison
+
+import "time"
+
+const (
+	cutFor    = 10 * time.Second // for which a replica that ended may still be listed: its entry lapses after three heartbeats, some 4 s
+	maxCuts   = 1024             // of one start, more than it runs at once
+	maxStarts = 4096             // with cuts; replicas of an installation
+)
+
+// cut is the requests that a start of a replica gave no whole answer.
+type cut struct {
+	digests map[Digest]struct{}
+	at      time.Duration // of the latest
+	ended   bool          // the start is known to have ended
+}
+
+// Cuts holds requests that got no whole answer until it is known whether the replica has
+// ended. One that lives may have cut a single answer, for which no request is to blame.
+type Cuts struct {
+	starts map[string]*cut
+}
+
+// NewCuts returns an empty Cuts.
+func NewCuts() *Cuts {
+	return &Cuts{
+		starts: make(map[string]*cut),
+	}
+}
+
+// Add notes that a start gave a request no whole answer, and returns whether the start is
+// known to have ended.
+func (c *Cuts) Add(start string, d Digest, now time.Duration) (ended bool) {
+	k := c.starts[start]
+	if k == nil {
+		if len(c.starts) >= maxStarts {
+			return false
+		}
+		k = &cut{
+			digests: make(map[Digest]struct{}),
+		}
+		c.starts[start] = k
+	}
+	if len(k.digests) < maxCuts {
+		k.digests[d] = struct{}{}
+	}
+	k.at = now
+	return k.ended
+}
+
+// Ended notes that a start has ended, and returns the requests that it ran.
+func (c *Cuts) Ended(start string) []Digest {
+	k := c.starts[start]
+	if k == nil || k.ended {
+		return nil
+	}
+	k.ended = true
+	out := make([]Digest, 0, len(k.digests))
+	for d := range k.digests {
+		out = append(out, d)
+	}
+	return out
+}
+
+// Lives notes that a start gave a whole answer to a request that was sent to it at a time.
+func (c *Cuts) Lives(start string, sent time.Duration) {
+	if k := c.starts[start]; k != nil && !k.ended && sent > k.at {
+		delete(c.starts, start)
+	}
+}
+
+// Open returns the starts of which it isn't known whether they have ended.
+func (c *Cuts) Open() []string {
+	var out []string
+	for start, k := range c.starts {
+		if !k.ended {
+			out = append(out, start)
+		}
+	}
+	return out
+}
+
+// Forget drops what was cut long ago.
+func (c *Cuts) Forget(now time.Duration) {
+	for start, k := range c.starts {
+		if now-k.at > cutFor {
+			delete(c.starts, start)
+		}
+	}
+}
--- a/roster/link.go
+++ b/roster/link.go
@@ -27,6 +27,8 @@
 	conn     net.PacketConn
 	handle   func(g wire.Gossip, from net.Addr)
 	compact  func(c Compact, from net.Addr)
+	mark     byte // first byte of datagrams of another package; 0 for none
+	other    func(buf []byte, from net.Addr)
 	sent     atomic.Int64
 	received atomic.Int64
 
@@ -43,6 +45,15 @@
 	return func(l *Link) { l.compact = f }
 }
 
+// WithOther sets what is called for each datagram of another package, which its first byte
+// tells. The buffer is used again after the call.
+func WithOther(mark byte, f func(buf []byte, from net.Addr)) LinkOption {
+	return func(l *Link) {
+		l.mark = mark
+		l.other = f
+	}
+}
+
 // NewLink returns the link on conn. It calls handle for each datagram of whole
 // statuses, one after the other, from the goroutine that runs it.
 func NewLink(conn net.PacketConn, handle func(g wire.Gossip, from net.Addr), opts ...LinkOption) *Link {
@@ -90,6 +101,10 @@
 		l.drop(errTooLong)
 		return
 	}
+	if l.mark != 0 && len(buf) > 0 && buf[0] == l.mark {
+		l.other(buf, from)
+		return
+	}
 	if IsCompact(buf) {
 		b, err := DecodeCompact(buf)
 		if err != nil {
