--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/sleep"
 )
 
@@ -108,7 +109,7 @@
 		source: source,
 		update: update,
 		health: func(error) {},
-		now:    time.Now,
+		now:    clock.Now,
 		jitter: func() float64 { return 0.5 },
 		every:  rereadEvery,
 		reader: func() bool { return true },
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/common/clock"
 )
 
 // Replica is one process of a service, as published.
@@ -70,7 +72,7 @@
 		evacuated: make(map[string]bool),
 		doubts:    make(map[string]doubt),
 		past:      newPast(),
-		now:       time.Now,
+		now:       clock.Now,
 	}
 }
 
--- a/control/explain.go
+++ b/control/explain.go
@@ -149,7 +149,7 @@
 // concerns reports whether e is of the request id or may explain what happened
 // to it.
 func concerns(e *decision.Event, id string) bool {
-	if e.Request == id {
+	if e.Request == id || e.Digest != "" {
 		return true
 	}
 	return isBelief(e) || e.Kind == decision.Dropped
@@ -165,6 +165,10 @@
 	var buf bytes.Buffer
 	fmt.Fprintf(&buf, "request %s: %s\n", printable(x.id), x.summary())
 	writeTable(&buf, x.path)
+	if len(x.same) > 0 {
+		fmt.Fprintf(&buf, "\nthe same under other ids, and what boxes held of it\n")
+		writeTable(&buf, x.same)
+	}
 	if len(x.beliefs) > 0 {
 		fmt.Fprintf(&buf, "\nbeliefs in the %s before its end\n", beliefWindow)
 		writeTable(&buf, x.beliefs)
--- a/control/explain_test.go
+++ b/control/explain_test.go
@@ -156,3 +156,26 @@
 	}
 	is.Equal(inputs(&e), "first=130ms pause=40ms")
 }
+
+// The logs of two boxes at which a request came that ends its replicas.
+const logPoison = `{"box":"box-1","kind":"try","request":"r-1","upstream":"u-1","outcome":"broken","digest":"50fd","time":"2026-12-02T09:00:01Z"}
+{"box":"box-1","kind":"try","request":"r-2","upstream":"u-1","outcome":"broken","digest":"77aa","time":"2026-12-02T09:00:01Z"}
+{"box":"box-2","kind":"belief","reason":"request barred, replicas ended under it","digest":"50fd","tries":3,"time":"2026-12-02T09:00:03Z"}
+{"box":"box-2","kind":"end","request":"r-9","outcome":"refused","reason":"ends its replicas","digest":"50fd","status":503,"time":"2026-12-02T09:00:04Z"}
+`
+
+func TestTheEndsThatBarARequestAreExplained(t *testing.T) {
+	is := is.New(t)
+	events, _, err := readLog("r-9", strings.NewReader(logPoison))
+	is.NoErr(err)
+	found := explain("r-9", events)
+	is.Equal(len(found.path), 1)
+	is.Equal(len(found.same), 2)
+	is.Equal(found.same[0].Upstream, "u-1")
+	is.Equal(found.same[1].Tries, 3)
+	is.Equal(len(found.beliefs), 0)
+	var out bytes.Buffer
+	is.NoErr(found.print(&out, 0))
+	is.True(strings.Contains(out.String(), "the same under other ids, and what boxes held of it\n"))
+	is.True(strings.Contains(out.String(), "tries=3 digest=50fd"))
+}
--- a/control/explanation.go
+++ b/control/explanation.go
@@ -29,6 +29,7 @@
 type explanation struct {
 	id      string
 	path    []decision.Event
+	same    []decision.Event // of requests that ask the same under other ids, and what is held of them
 	beliefs []decision.Event
 	dropped []decision.Event
 }
@@ -54,6 +55,8 @@
 	for _, e := range events {
 		switch {
 		case e.Request == id:
+		case e.Digest != "" && concerned.digests[e.Digest]:
+			x.same = append(x.same, e)
 		case isBelief(&e) && within(e.At, end.Add(-beliefWindow), end) && concerned.include(&e):
 			x.beliefs = append(x.beliefs, e)
 		case e.Kind == decision.Dropped && within(e.At, begin, end.Add(droppedDelay)) && concerned.boxes[e.Box]:
@@ -71,6 +74,7 @@
 	boxes     map[string]bool // boxes that wrote the lines
 	upstreams map[string]bool // replicas and boxes that were chosen
 	regions   map[string]bool
+	digests   map[string]bool // of what the request asks
 }
 
 // subjectsOf returns the names on a path.
@@ -79,11 +83,13 @@
 		boxes:     make(map[string]bool),
 		upstreams: make(map[string]bool),
 		regions:   make(map[string]bool),
+		digests:   make(map[string]bool),
 	}
 	for _, e := range path {
 		s.boxes[e.Box] = true
 		s.upstreams[e.Upstream] = true
 		s.regions[e.Region] = true
+		s.digests[e.Digest] = true
 	}
 	return s
 }
@@ -92,6 +98,9 @@
 // of the path. A belief that names none of them, as of the policy or the store,
 // is about the box that wrote it.
 func (s subjects) include(e *decision.Event) bool {
+	if e.Digest != "" {
+		return false // it is about another request
+	}
 	if e.Upstream != "" {
 		return s.upstreams[e.Upstream] || s.boxes[e.Upstream]
 	}
@@ -153,6 +162,7 @@
 	number("unread", int64(e.Unread), "")
 	number("sharers", int64(e.Sharers), "")
 	number("tries", int64(e.Tries), "")
+	text("digest", e.Digest)
 	text("detail", e.Detail)
 	for _, c := range e.Counts {
 		number(string(c.Kind), c.Lines, "")
--- a/control/measure.go
+++ b/control/measure.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/havenrudder/havenrudder/commands"
+	"github.com/havenrudder/havenrudder/measure/barring"
 	"github.com/havenrudder/havenrudder/measure/capacity"
 	"github.com/havenrudder/havenrudder/measure/control"
 	"github.com/havenrudder/havenrudder/measure/gossip"
@@ -48,10 +49,12 @@
 measure relay
 measure capacity [-page FILE] [-slopes FILE]
 measure gossip [-seed S]
+measure barring [-boxes N] [-seed S]
 measure bundle [-boxes N] [-changes N] [-rate R] [-seed S]
   Run an experiment; each row is one JSON object.
   once    calls that may not be repeated, under faults, in virtual time
   gossip  what heartbeats cost, and how fast boxes know of each other, in virtual time
+  barring how many replicas a request ends before no box sends it on, in virtual time
   bundle  how fast a bundle is in force, and what that costs, over real sockets
   relay   answers through a box beside direct ones, over real sockets
   control what one more box, replica, organisation, change, request or token costs
@@ -67,7 +70,7 @@
 	f := flag.NewFlagSet(name, flag.ContinueOnError)
 	f.Uint64Var(&c.seed, "seed", 1, "seed")
 	f.IntVar(&c.ops, "ops", 20_000, "operations of each row (once)")
-	f.IntVar(&c.boxes, "boxes", 0, "boxes (bundle, 48 if none are named; gossip, all sizes)")
+	f.IntVar(&c.boxes, "boxes", 0, "boxes (bundle, 48 if none are named; gossip and barring, all sizes)")
 	f.IntVar(&c.changes, "changes", 10, "changes (bundle)")
 	f.IntVar(&c.touch, "touch", 1, "organisations that each change touches (bundle)")
 	f.Float64Var(&c.rate, "rate", control.ChangeRate, "changes a second (bundle)")
@@ -101,6 +104,8 @@
 		return c.policy()
 	case "gossip":
 		return c.gossip()
+	case "barring":
+		return c.barring()
 	case "bundle":
 		return c.bundle(ctx)
 	case "control":
@@ -148,6 +153,18 @@
 	return nil
 }
 
+func (c *measureCmd) barring() error {
+	for _, terms := range barring.Sizes(c.seed) {
+		if c.boxes > 0 && c.boxes != terms.Regions*terms.PerRegion {
+			continue
+		}
+		if err := printRow(barring.Measure(terms)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *measureCmd) policy() error {
 	known := false
 	for _, one := range policy.Cases() {
--- a/exchange/heard.go
+++ b/exchange/heard.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/havenrudder/havenrudder/common/clock"
 )
 
 // heard keeps which two addresses something came from last, and when: bytes, or a
@@ -21,7 +23,7 @@
 
 // note takes in that something came from addr now.
 func (h *heard) note(addr string) {
-	now := time.Now()
+	now := clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.last.addr != addr {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/common/clock"
 )
 
 const (
@@ -241,7 +243,7 @@
 	c = m.idle[last]
 	m.idle[last] = nil // so that the slice doesn't hold it in memory
 	m.idle = m.idle[:last]
-	return c, time.Now().Before(c.until)
+	return c, clock.Now().Before(c.until)
 }
 
 // put keeps the connection for another request for at most the time of rest.
@@ -264,7 +266,7 @@
 		return c
 	}
 	m := p.addrs[c.addr]
-	c.until = time.Now().Add(rest)
+	c.until = clock.Now().Add(rest)
 	m.idle = append(m.idle, c)
 	p.schedule(c.until)
 	if len(m.idle) <= p.idleLimit {
@@ -303,10 +305,10 @@
 	}
 	p.sweepAt = at
 	if p.timer == nil {
-		p.timer = time.AfterFunc(time.Until(at), p.sweep)
+		p.timer = time.AfterFunc(clock.Until(at), p.sweep)
 		return
 	}
-	p.timer.Reset(time.Until(at))
+	p.timer.Reset(clock.Until(at))
 }
 
 // sweep closes the connections that have rested for long enough.
@@ -325,7 +327,7 @@
 	if p.closed {
 		return nil
 	}
-	now := time.Now()
+	now := clock.Now()
 	var out []*conn
 	for _, m := range p.addrs {
 		m.idle = slices.DeleteFunc(m.idle, func(c *conn) bool {
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -6,11 +6,11 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/placement"
@@ -182,10 +182,15 @@
 
 // finished writes down what the caller got.
 func (c *call) finished(o decision.Outcome, status int, reason string) {
-	took := time.Since(c.start)
+	took := clock.Since(c.start)
 	c.server.core.Meter.Request(c.service, string(o), took)
+	digest := ""
+	if reason == string(reasonPoison) {
+		digest = c.content.Digest().String() // leads to the ends that bar it
+	}
 	c.record(decision.Event{
 		Kind:    decision.End,
+		Digest:  digest,
 		Outcome: o,
 		Status:  status,
 		Reason:  reason,
--- a/ingress/box.go
+++ b/ingress/box.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/exchange"
 )
 
@@ -21,7 +22,7 @@
 	a := &attempt{
 		call:   c,
 		target: &t,
-		sent:   time.Now(),
+		sent:   clock.Now(),
 		cancel: cancel,
 	}
 	c.triedBoxes = append(c.triedBoxes, t.Box)
@@ -58,7 +59,7 @@
 		return a.boxFailed(ctx, err)
 	}
 	defer func() { _ = answer.Close() }()
-	a.first = time.Since(a.sent)
+	a.first = clock.Since(a.sent)
 	a.noteHeard()
 	answer.LimitUnacked(boxBorne)
 	there := sentThere(answer.Header())
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/placement"
@@ -85,7 +86,8 @@
 		if !c.held() { // its caller's time bounds the rounds of a stream that was begun
 			rounds++
 		}
-		if c.isBarred() {
+		clock.Check()
+		if c.isLate() || c.isBarred() {
 			break
 		}
 		target := c.place(ctx)
@@ -113,6 +115,10 @@
 	c.finish(ctx)
 }
 
+// isLate says whether the answer is of no use any more. The context alone doesn't tell: its
+// timer stands still while the machine is suspended.
+func (c *call) isLate() bool { return clock.Until(c.end) <= 0 }
+
 // place asks where the request goes next. A stream that was begun waits until there
 // is a target, for else it would be broken off.
 func (c *call) place(ctx context.Context) Target {
@@ -147,7 +153,7 @@
 	c.tried = slices.Clone(c.receivers)
 	c.triedBoxes = nil
 	c.noRegions = nil
-	c.sameNext = time.Since(c.tornAt) > sameAfter
+	c.sameNext = clock.Since(c.tornAt) > sameAfter
 	return c.server.core.Place(c.ask())
 }
 
@@ -179,7 +185,7 @@
 	if c.held() {
 		return longer
 	}
-	return max(usual, min(longer, c.route.Goal.Duration()-time.Since(c.start)))
+	return max(usual, min(longer, c.route.Goal.Duration()-clock.Since(c.start)))
 }
 
 // recordPlace writes down where the request goes and what decided that.
@@ -222,8 +228,8 @@
 			Rank:    c.rank,
 		},
 		Route:      c.route,
-		Left:       time.Until(c.end),
-		Goal:       c.route.Goal.Duration() - time.Since(c.start),
+		Left:       clock.Until(c.end),
+		Goal:       c.route.Goal.Duration() - clock.Since(c.start),
 		Relayed:    c.relay != nil,
 		TriedBoxes: c.triedBoxes,
 		NoRegions:  c.noRegions,
@@ -238,7 +244,7 @@
 	}
 	limit := time.Duration(waitShare * float64(c.route.Goal.Duration()))
 	wait := max(t.Wait, shortWait)
-	if time.Since(c.start)+wait > limit {
+	if clock.Since(c.start)+wait > limit {
 		return false
 	}
 	sleep.For(ctx, wait)
@@ -247,7 +253,7 @@
 
 // mayTryAgain says whether the request may be sent to one more replica.
 func (c *call) mayTryAgain(ctx context.Context) bool {
-	if ctx.Err() != nil || time.Until(c.end) <= 0 {
+	if ctx.Err() != nil || c.isLate() {
 		return false
 	}
 	if c.state != untouched && !c.route.Repeatable() {
@@ -307,7 +313,7 @@
 		c.state = max(c.state, maybeRan)
 	case torn:
 		c.state = begun
-		c.tornAt = time.Now()
+		c.tornAt = clock.Now()
 	case unsent, notRun:
 	}
 	return false
--- a/ingress/choked_test.go
+++ b/ingress/choked_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/common/clock"
 )
 
 // A box whose link was full of configuration ended a stream that its replica was still
@@ -46,7 +48,7 @@
 		time.AfterFunc(300*time.Millisecond, func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			g.none = time.Now().Add(2 * time.Second)
+			g.none = clock.Now().Add(2 * time.Second)
 		})
 		a := g.call(t)
 		is.True(a.whole)
@@ -60,8 +62,8 @@
 		is := is.New(t)
 		g := newRegion(t, 3)
 		g.list[0].tearBefore(5)
-		began := time.Now()
-		g.spare = func() bool { return time.Since(began) > 2*time.Second }
+		began := clock.Now()
+		g.spare = func() bool { return clock.Since(began) > 2*time.Second }
 		a := g.call(t)
 		is.True(a.whole)
 		is.Equal(a.body, wholeStream())
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/events"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
@@ -63,7 +64,7 @@
 
 // noteHeard says that the replica goes on, not for every event.
 func (a *attempt) noteHeard() {
-	now := max(time.Since(a.sent), 1)
+	now := max(clock.Since(a.sent), 1)
 	if last := time.Duration(a.heard.Load()); last > 0 && now-last < heardEvery {
 		return
 	}
@@ -118,7 +119,7 @@
 		if passed && !in.More() {
 			passed = false
 			c.flush()
-			c.notePause(time.Now())
+			c.notePause(clock.Now())
 		}
 	}
 }
--- a/ingress/events_test.go
+++ b/ingress/events_test.go
@@ -7,12 +7,12 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/events"
 	_ "github.com/havenrudder/havenrudder/internal/fixed"
 )
@@ -22,7 +22,7 @@
 	w := httptest.NewRecorder()
 	return &call{
 		w:         w,
-		start:     time.Now(),
+		start:     clock.Now(),
 		lastEvent: lastEvent,
 	}, w
 }
--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/sleep"
 )
 
@@ -56,7 +57,7 @@
 func (c *call) firstTable() *catalog.Table {
 	for {
 		table := c.server.core.Table()
-		if table != nil || time.Since(c.start) > policyWait || c.r.Context().Err() != nil {
+		if table != nil || clock.Since(c.start) > policyWait || c.r.Context().Err() != nil {
 			return table
 		}
 		sleep.For(c.r.Context(), policyLook)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/placement"
@@ -172,14 +173,14 @@
 		w:      w,
 		r:      r,
 		relay:  relay,
-		start:  time.Now(),
+		start:  clock.Now(),
 		state:  untouched,
 	}
 	if !c.identify() || !c.readBody() {
 		return
 	}
 	c.takeContent()
-	ctx, cancel := context.WithTimeout(r.Context(), time.Until(c.end)+endSlack)
+	ctx, cancel := context.WithTimeout(r.Context(), clock.Until(c.end)+endSlack)
 	defer cancel()
 	c.run(ctx)
 }
--- a/ingress/link_test.go
+++ b/ingress/link_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/internal/fakes"
 )
 
@@ -27,28 +28,28 @@
 func (l *link) isDown() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Now().Before(l.down)
+	return clock.Now().Before(l.down)
 }
 
 // refuse has every connection be refused for a time.
 func (l *link) refuse(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.down = time.Now().Add(d)
+	l.down = clock.Now().Add(d)
 }
 
 // fill makes the link full for a time.
 func (l *link) fill(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.till = time.Now().Add(d)
+	l.till = clock.Now().Add(d)
 }
 
 // fallBehind has the box's processor read nothing for a time.
 func (l *link) fallBehind(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.behind = time.Now().Add(d)
+	l.behind = clock.Now().Add(d)
 }
 
 // full returns until when the link is full.
@@ -77,7 +78,7 @@
 
 // waitTill waits until a time, or done is closed.
 func waitTill(till time.Time, done <-chan struct{}) error {
-	timer := time.NewTimer(time.Until(till))
+	timer := time.NewTimer(clock.Until(till))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -120,7 +121,7 @@
 // Read reads what came through the link.
 func (c *throughLink) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.unread.Store(n > 0 && time.Now().After(c.link.full()))
+	c.unread.Store(n > 0 && clock.Now().After(c.link.full()))
 	defer c.unread.Store(false)
 	if passed := waitTill(c.link.late(), c.done); passed != nil {
 		return 0, passed
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/placement"
 	"github.com/havenrudder/havenrudder/poison"
 )
@@ -53,7 +54,7 @@
 	switch {
 	case a.borne:
 	case a.result == placement.Answered:
-		p.Borne(&a.target.Choice, &c.content, time.Since(a.sent))
+		p.Borne(&a.target.Choice, &c.content, clock.Since(a.sent))
 	case a.result == placement.Silent, timeUp:
 		p.Cut(&a.target.Choice, &c.content, !timeUp && a.why != whySilent)
 	}
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -31,6 +31,7 @@
 
 // finish gives the caller a final answer when the tries gave none.
 func (c *call) finish(ctx context.Context) {
+	late := ctx.Err() != nil || c.isLate()
 	switch {
 	case c.done:
 	case c.state == begun:
@@ -39,13 +40,13 @@
 		c.finished(decision.Left, 0, string(reasonLeft))
 	case c.failure != nil:
 		c.answer(*c.failure, reasonFailure)
-	case c.state == maybeRan && ctx.Err() != nil:
+	case c.state == maybeRan && late:
 		c.fail(http.StatusGatewayTimeout, reasonDeadline)
 	case c.state == maybeRan:
 		c.fail(http.StatusBadGateway, c.lastReason())
 	case c.reason == reasonPoison:
 		c.refusePoison()
-	case ctx.Err() != nil:
+	case late:
 		c.refuse(reasonDeadline, 0)
 	case c.reason != placement.None:
 		c.refuse(c.reason, c.wait)
@@ -66,7 +67,7 @@
 	switch {
 	case c.r.Context().Err() != nil:
 		return reasonLeft
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, c.isLate():
 		return reasonDeadline
 	}
 	return c.lastReason()
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
@@ -169,7 +170,7 @@
 		list = g.list[g.turns%len(g.list):]
 		g.turns++
 	}
-	if time.Now().After(g.none) {
+	if clock.Now().After(g.none) {
 		for _, u := range list {
 			if u.box && !slices.Contains(ask.TriedBoxes, u.id) {
 				return Target{
@@ -206,7 +207,7 @@
 	if heard := g.heard[c.Replica]; heard.After(sent) {
 		sent = heard
 	}
-	return time.Since(sent)
+	return clock.Since(sent)
 }
 
 func (g *region) mute(c *placement.Choice) {
@@ -218,7 +219,7 @@
 func (g *region) hear(c *placement.Choice) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.heard[c.Replica] = time.Now()
+	g.heard[c.Replica] = clock.Now()
 }
 
 func (g *region) core() Core {
@@ -324,7 +325,7 @@
 func receive(t *testing.T, box http.Handler) received {
 	w := httptest.NewRecorder()
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://shop.example/chat/1", nil)
-	began := time.Now()
+	began := clock.Now()
 	out := received{
 		whole: true,
 	}
@@ -339,7 +340,7 @@
 		}()
 		box.ServeHTTP(w, r)
 	}()
-	out.took = time.Since(began)
+	out.took = clock.Since(began)
 	out.body = w.Body.String()
 	return out
 }
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -4,11 +4,11 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/clock"
 )
 
 // Headers between boxes. They never reach callers or replicas.
@@ -102,7 +102,7 @@
 		Version:   c.version,
 		Route:     c.route,
 		Service:   c.service,
-		LeftMs:    time.Until(c.end).Milliseconds(),
+		LeftMs:    clock.Until(c.end).Milliseconds(),
 		Sent:      c.sent,
 		LastEvent: c.lastEvent,
 	}
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/placement"
 )
 
@@ -130,7 +131,7 @@
 		s.next = s.asked
 		s.dark = nil
 		return quietCheck, false
-	case time.Since(s.reached) > reachedFor:
+	case clock.Since(s.reached) > reachedFor:
 		s.reach(ctx, other)
 		return quietCheck, false // what had waited with the connection may come now
 	case ctx.Err() != nil:
@@ -176,7 +177,7 @@
 	if heard == 0 {
 		return 0
 	}
-	return time.Since(a.sent) - time.Duration(heard)
+	return clock.Since(a.sent) - time.Duration(heard)
 }
 
 // reach notes whether this box reaches others: one was just heard, or the next target takes
@@ -185,7 +186,7 @@
 func (s *silence) reach(ctx context.Context, other Target) {
 	server := s.attempt.call.server
 	if server.hears(s.attempt.target.addr(), min(heardFor, s.limit/2)) {
-		s.reached = time.Now()
+		s.reached = clock.Now()
 		return
 	}
 	if !server.reaching.CompareAndSwap(false, true) {
@@ -202,7 +203,7 @@
 	case ctx.Err() != nil:
 		return // the try has ended
 	case err == nil:
-		s.reached = time.Now()
+		s.reached = clock.Now()
 		return
 	case other.Box != "":
 		s.next.TriedBoxes = append(slices.Clone(s.next.TriedBoxes), other.Box) // it may be dark itself
@@ -214,7 +215,7 @@
 
 // hears says whether something came from any other address than one within a time.
 func (s *Server) hears(but string, within time.Duration) bool {
-	return time.Since(s.replicas.Heard(but)) < within || time.Since(s.boxes.Heard(but)) < within
+	return clock.Since(s.replicas.Heard(but)) < within || clock.Since(s.boxes.Heard(but)) < within
 }
 
 // quietLimit returns how long the replica or box may be silent.
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/placement"
@@ -59,7 +60,7 @@
 	a := &attempt{
 		call:   c,
 		target: &t,
-		sent:   time.Now(),
+		sent:   clock.Now(),
 		cancel: cancel,
 		result: placement.Abandoned,
 	}
@@ -71,7 +72,7 @@
 	if a.result == placement.Silent && a.muted.Load() {
 		a.result = placement.Abandoned
 	}
-	c.server.core.End(&t.Choice, a.result, time.Since(a.sent))
+	c.server.core.End(&t.Choice, a.result, clock.Since(a.sent))
 	a.report(e)
 	return e
 }
@@ -83,7 +84,7 @@
 	h := onward(c.r.Header)
 	c.server.codec.Send(h, Send{
 		Replica:   a.target.Choice.ID,
-		Left:      time.Until(c.end),
+		Left:      clock.Until(c.end),
 		Urgency:   min(c.route.Priority, maxPriority),
 		LastEvent: c.lastEvent,
 		CopyFrom:  a.target.Choice.CopyFrom,
@@ -103,7 +104,7 @@
 		return a.failed(ctx, err)
 	}
 	defer func() { _ = answer.Close() }() // its connection is closed when it can't be used again
-	a.first = time.Since(a.sent)
+	a.first = clock.Since(a.sent)
 	c.server.core.First(&a.target.Choice, a.first)
 	if requests, waiting, ok := c.server.codec.Load(answer.Header()); ok {
 		c.server.core.Loaded(&a.target.Choice, requests, waiting)
@@ -118,7 +119,7 @@
 // begin notes that the request is written now.
 func (a *attempt) begin(unread func() bool) {
 	a.unread.Store(unread)
-	a.begun.Store(max(int64(time.Since(a.sent)), 1))
+	a.begun.Store(max(int64(clock.Since(a.sent)), 1))
 }
 
 // hasUnread says whether something of the answer has come that this box, whose processor
@@ -213,7 +214,7 @@
 		Digest:   digest,
 		Tries:    c.sent,
 		SentMs:   time.Duration(a.begun.Load()).Milliseconds(),
-		TookMs:   time.Since(a.sent).Milliseconds(),
+		TookMs:   clock.Since(a.sent).Milliseconds(),
 	})
 }
 
--- a/ingress/way_test.go
+++ b/ingress/way_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/exchange"
 )
 
@@ -21,8 +22,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := newRegion(t, 3)
-		began := time.Now()
-		g.spare = func() bool { return time.Since(began) > 5*time.Second }
+		began := clock.Now()
+		g.spare = func() bool { return clock.Since(began) > 5*time.Second }
 		time.AfterFunc(450*time.Millisecond, g.list[0].goDark)
 		var dials atomic.Int64
 		time.AfterFunc(4900*time.Millisecond, func() { dials.Store(int64(g.link.dialled())) })
@@ -41,8 +42,8 @@
 		is := is.New(t)
 		g := newRegion(t, 2)
 		g.share = true
-		began := time.Now()
-		g.spare = func() bool { return time.Since(began) > 1800*time.Millisecond }
+		began := clock.Now()
+		g.spare = func() bool { return clock.Since(began) > 1800*time.Millisecond }
 		time.AfterFunc(450*time.Millisecond, g.list[0].goDark)
 		var dials atomic.Int64
 		time.AfterFunc(1750*time.Millisecond, func() { dials.Store(int64(g.link.dialled())) })
@@ -76,7 +77,7 @@
 	t.Cleanup(pool.Close)
 	return &call{
 		server:      New("box", "a", Codec{}, Core{}, pool, pool),
-		start:       time.Now(),
+		start:       clock.Now(),
 		failedDials: 3,
 		route: &catalog.Route{
 			Goal: 800,
--- a/meter/count.go
+++ b/meter/count.go
@@ -67,3 +67,6 @@
 // Acquitted counts a request under which replicas had ended and that one then answered
 // whole.
 func (m *Meter) Acquitted() { m.acquitted.Inc() }
+
+// Suspended adds a time for which the machine was suspended.
+func (m *Meter) Suspended(d time.Duration) { m.suspended.Add(d.Seconds()) }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -37,6 +37,7 @@
 	foreign   prometheus.Counter
 	dials     prometheus.Counter
 	acquitted prometheus.Counter
+	suspended prometheus.Counter
 	first     *prometheus.HistogramVec
 	answer    *prometheus.HistogramVec
 }
@@ -101,6 +102,7 @@
 	m.accounts = m.counters("engine_accounts_total", "Questions to engines for their load by result.", "result")
 	m.foreign = m.counter("foreign_entries_total", "Entries of the store that name no replica, once for each revision.")
 	m.acquitted = m.counter("acquitted_requests_total", "Requests under which replicas had ended and that one then answered whole.")
+	m.suspended = m.counter("suspended_seconds_total", "Time for which the machine was suspended while this process ran.")
 	m.dials = m.counter("upstream_dials_total", "Connections opened to upstreams.")
 	m.first = m.histograms("first_byte_seconds", "Time to the first byte of an answer.", firstBuckets)
 	m.answer = m.histograms("answer_seconds", "Time to the end of an answer.", answerBuckets)
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -52,6 +52,7 @@
 	m.Dial()
 	m.ForeignEntry()
 	m.Acquitted()
+	m.Suspended(8 * time.Second)
 	m.FirstByte("chat", 100*time.Millisecond)
 	m.Answer("chat", 3*time.Second)
 	return m
@@ -88,6 +89,7 @@
 		`havenrudder_sharing_boxes 4`,
 		`havenrudder_barred_requests 5`,
 		`havenrudder_acquitted_requests_total 1`,
+		`havenrudder_suspended_seconds_total 8`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.05"} 0`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.2"} 1`,
 		`havenrudder_first_byte_seconds_sum{service="chat"} 0.1`,
@@ -113,11 +115,11 @@
 		is.True(slices.Contains([]string{"total", "seconds", "boxes", "requests"}, unit))
 		names++
 	}
-	is.Equal(names, 18)
+	is.Equal(names, 19)
 }
 
 func TestAMeterCountsForItselfAlone(t *testing.T) {
 	is := is.New(t)
 	used()
-	is.Equal(len(scrape(is, New())), 4*3) // only the four counters without labels are there, at zero
+	is.Equal(len(scrape(is, New())), 5*3) // only the five counters without labels are there, at zero
 }
--- a/node/dump.go
+++ b/node/dump.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Dump is the state of a box, for operators.
 type Dump struct {
@@ -19,6 +23,16 @@
 	Boxes    []BoxDump     `json:"boxes"`
 	Replicas []ReplicaDump `json:"replicas"`
 	Retries  []RetryDump   `json:"retries_left"`
+	Poison   []PoisonDump  `json:"requests_that_end_replicas"`
+}
+
+// PoisonDump is what is believed of a request under which replicas ended, of which all
+// boxes are told.
+type PoisonDump struct {
+	Digest     string  `json:"digest"`
+	Ends       int     `json:"ends"`                     // of replicas, since a whole answer
+	BarredForS float64 `json:"barred_for_s"`             // how much longer it is turned away; 0 for a suspect
+	AnsweredS  float64 `json:"answered_ago_s,omitempty"` // since a replica bore it last; 0 where none did
 }
 
 // BoxDump is what is believed of another box.
@@ -103,6 +117,7 @@
 			Revision: r.Info().Revision,
 		})
 	}
+	d.Poison = s.dumpPoison(now)
 	if s.table == nil {
 		return
 	}
@@ -114,3 +129,23 @@
 		})
 	}
 }
+
+// dumpPoison returns what is believed of requests under which replicas ended, in the order
+// of their digests.
+func (s *state) dumpPoison(now time.Duration) []PoisonDump {
+	var out []PoisonDump
+	for _, r := range s.poison.Records() {
+		left, _ := r.Barred(now)
+		p := PoisonDump{
+			Digest:     r.Digest.String(),
+			Ends:       len(r.Ends),
+			BarredForS: max(left, 0).Seconds(),
+		}
+		if ago, ok := r.AnsweredAgo(now); ok {
+			p.AnsweredS = ago.Seconds()
+		}
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b PoisonDump) int { return cmp.Compare(a.Digest, b.Digest) })
+	return out
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/peer"
@@ -43,6 +44,7 @@
 	n.tellEveryone(true)
 	for ctx.Err() == nil {
 		sleep.For(ctx, roster.Tick)
+		n.noticeSuspension()
 		n.tell()
 		n.settle()
 		n.unlistedEnds()
@@ -56,6 +58,24 @@
 	}
 }
 
+// noticeSuspension writes down that the machine was suspended. All that is held with a time
+// has grown older by then, as after a freeze.
+func (n *Node) noticeSuspension() {
+	clock.Check()
+	total := clock.Suspended()
+	gap := total - n.suspended
+	if gap == 0 {
+		return
+	}
+	n.suspended = total
+	n.meter.Suspended(gap)
+	n.record(decision.Event{
+		Kind:   decision.Regained,
+		Reason: "machine was suspended",
+		AgeMs:  gap.Milliseconds(),
+	})
+}
+
 // tell sends one round of datagrams.
 func (n *Node) tell() {
 	n.send(func(s *state, self wire.BoxStatus) []roster.Packet {
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/common/cell"
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/ending"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
@@ -80,13 +81,14 @@
 	seeker       policySeeker  // where to get the policy that this box lacks
 	ownReading   ownReading    // of the same; the task that beats owns it
 
-	tasks    sync.WaitGroup
-	told     chan struct{} // asks for the settings to be read again
-	bounds   Bounds        // in force; the task that reloads owns it
-	unread   bool          // the settings could not be read last; the same task owns it
-	replaced chan string   // ids of replicas whose addresses others have
-	stop     chan struct{} // closed when a planned stop begins
-	once     sync.Once     // for the begin of a planned stop
+	tasks     sync.WaitGroup
+	told      chan struct{} // asks for the settings to be read again
+	bounds    Bounds        // in force; the task that reloads owns it
+	unread    bool          // the settings could not be read last; the same task owns it
+	suspended time.Duration // of the machine, as the log says last; the task that beats owns it
+	replaced  chan string   // ids of replicas whose addresses others have
+	stop      chan struct{} // closed when a planned stop begins
+	once      sync.Once     // for the begin of a planned stop
 }
 
 // Option changes a Node.
@@ -103,7 +105,7 @@
 		settings: s,
 		adapter:  a,
 		inc:      int(time.Now().UnixMilli()),
-		started:  time.Now(),
+		started:  clock.Now(),
 		stop:     make(chan struct{}),
 		told:     make(chan struct{}, 1),
 		replaced: make(chan string, maxReplaced),
@@ -140,7 +142,7 @@
 }
 
 // now returns the monotonic clock of the box.
-func (n *Node) now() time.Duration { return time.Since(n.started) }
+func (n *Node) now() time.Duration { return clock.Since(n.started) }
 
 // Run runs the box until ctx ends, at once, or until a planned stop is over.
 func (n *Node) Run(ctx context.Context) error {
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -42,7 +42,7 @@
 type Record struct {
 	Digest   Digest
 	Ends     []End         // since the last whole answer, in the order of their times
-	Answered time.Duration // when a replica last gave a whole answer, of the box's clock; never where none did
+	Answered time.Duration // when a replica last bore it, of the box's clock; never where none did
 	open     bool          // all boxes were told of it, or are being told
 }
 
@@ -56,6 +56,11 @@
 	return left, left > 0
 }
 
+// AnsweredAgo returns how long ago a replica last bore the request; false where none did.
+func (r *Record) AnsweredAgo(now time.Duration) (ago time.Duration, ok bool) {
+	return now - r.Answered, r.Answered != never
+}
+
 // last returns when something was last known of the request.
 func (r *Record) last() time.Duration {
 	if len(r.Ends) == 0 {
--- a/roster/link.go
+++ b/roster/link.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -96,6 +97,7 @@
 
 // take handles one datagram.
 func (l *Link) take(buf []byte, from net.Addr) {
+	clock.Check() // it may have waited while the machine was suspended
 	l.received.Add(int64(len(buf)))
 	if len(buf) > datagramBytes {
 		l.drop(errTooLong)
