--- a/measure/barring/barring_test.go
+++ b/measure/barring/barring_test.go
@@ -1,6 +1,7 @@
 package barring
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -112,3 +113,29 @@
 	fmt.Println(row.Boxes, row.MostEnded, row.MostLate)
 	// Output: 9 3 0
 }
+
+// For a hunt by hand, such as -seeds=200 -regions=10.
+var (
+	first   = flag.Uint64("first", 0, "the first seed")
+	seeds   = flag.Uint64("seeds", 2, "seeds that are run, one after the other")
+	regions = flag.Int("regions", 2, "regions of 30 boxes")
+)
+
+func TestManyBoxesBesideKillsCutsAndLostDatagrams(t *testing.T) {
+	is := is.New(t)
+	for seed := *first; seed < *first+*seeds; seed++ {
+		terms := usual(seed)
+		terms.Regions = *regions
+		terms.PerRegion = 30
+		terms.Replicas = 60
+		terms.Guilty = 10
+		terms.Rate = 1
+		terms.Loss = 0.05
+		terms.KillEvery = 500 * time.Millisecond
+		terms.CutEvery = 9 * time.Second
+		row := Measure(terms)
+		t.Logf("seed %d: %+v", seed, row)
+		is.True(row.MostLate <= mayBeLate)
+		is.Equal(row.InnocentRefused, 0)
+	}
+}
--- a/measure/barring/world.go
+++ b/measure/barring/world.go
@@ -276,7 +276,7 @@
 	}
 	dialed[watch] = true
 	b := r.box
-	w.clock.After(dialTime, func() {
+	w.clock.After(dialTime+poison.Settles, func() {
 		if b.watch == watch {
 			watch.Ended(start, w.now())
 			w.tell(b)
--- a/node/poison.go
+++ b/node/poison.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/ingress"
 	"github.com/havenrudder/havenrudder/placement"
@@ -92,19 +93,24 @@
 		return
 	}
 	d := content.Digest()
-	charged, dials := false, false
+	charged, dials, suspect := false, false, false
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		if s.isLeaving(c.Replica) {
 			return // it was to end
 		}
 		charged = s.poison.Cut(c.Replica, d, now)
 		dials = closed && !charged && s.poison.Dials(c.Replica, now)
+		suspect = s.poison.Suspects(d)
 	})
 	if charged {
 		n.tellPoison()
 	}
-	if dials {
-		start, addr := c.Replica, c.Addr
+	start, addr := c.Replica, c.Addr
+	switch {
+	case !dials:
+	case suspect:
+		n.dialCut(ctx, start, addr) // else the request would end one replica more before it is known
+	default:
 		n.tasks.Go(func() { n.dialCut(ctx, start, addr) })
 	}
 }
@@ -123,6 +129,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
+	sleep.For(ctx, poison.Settles)
 	charged := 0
 	_ = n.state.Do(func(s *state) { charged = s.poison.Ended(start, n.now()) }) // it fails only when the box has ended
 	n.recordEnd(start, charged)
--- a/poison/build_test.go
+++ b/poison/build_test.go
@@ -108,6 +108,7 @@
 
 // end has a replica end under a request at a box.
 func (b *boxes) end(name, replica string, d Digest) {
+	b.now += 2 * together // replicas that end together say nothing of a request
 	w := b.watches[name]
 	w.Cut(replica, d, b.now)
 	w.Ended(replica, b.now)
--- a/poison/cuts.go
+++ b/poison/cuts.go
@@ -6,13 +6,22 @@
 	cutFor    = 10 * time.Second // for which a replica that ended may still be listed: its entry lapses after three heartbeats, some 4 s
 	maxCuts   = 1024             // of one start, more than it runs at once
 	maxStarts = 4096             // with cuts; replicas of an installation
+
+	together    = 50 * time.Millisecond // between the first cuts of replicas that end for one cause
+	manyReplica = 3                     // that end together, as with a rack or a power line: of their requests only those are held to be the cause that more than one of them ran
 )
 
+// Settles is how long the end of a replica is left open, so that those that end together
+// with it are known.
+const Settles = 2 * together
+
 // cut is the requests that a start of a replica gave no whole answer.
 type cut struct {
-	digests map[Digest]struct{}
-	at      time.Duration // of the latest
-	ended   bool          // the start is known to have ended
+	digests   map[Digest]struct{}
+	first     time.Duration // when the first was cut
+	at        time.Duration // of the latest
+	ended     bool          // the start is known to have ended
+	explained bool          // by others that ended together with it
 }
 
 // Cuts holds requests that got no whole answer until it is known whether the replica has
@@ -29,7 +38,7 @@
 }
 
 // Add notes that a start gave a request no whole answer, and returns whether the start is
-// known to have ended.
+// known to have ended under its requests.
 func (c *Cuts) Add(start string, d Digest, now time.Duration) (ended bool) {
 	k := c.starts[start]
 	if k == nil {
@@ -38,6 +47,7 @@
 		}
 		k = &cut{
 			digests: make(map[Digest]struct{}),
+			first:   now,
 		}
 		c.starts[start] = k
 	}
@@ -45,19 +55,48 @@
 		k.digests[d] = struct{}{}
 	}
 	k.at = now
-	return k.ended
+	return k.ended && c.blames(k, d)
 }
 
-// Ended notes that a start has ended, and returns the requests that it ran.
+// Ended notes that a start has ended, and returns the requests that it ran and that may be
+// the cause.
 func (c *Cuts) Ended(start string) []Digest {
 	k := c.starts[start]
 	if k == nil || k.ended {
 		return nil
 	}
 	k.ended = true
+	k.explained = len(c.cutWith(k)) >= manyReplica
 	out := make([]Digest, 0, len(k.digests))
 	for d := range k.digests {
-		out = append(out, d)
+		if c.blames(k, d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// blames says whether a request may be the cause of an end. A request that comes at several
+// boxes at once may well end several replicas together.
+func (c *Cuts) blames(k *cut, d Digest) bool {
+	if !k.explained {
+		return true
+	}
+	n := 0
+	for _, other := range c.cutWith(k) {
+		if _, ok := other.digests[d]; ok {
+			n++
+		}
+	}
+	return n > 1
+}
+
+// cutWith returns the cuts that began together with one, itself included.
+func (c *Cuts) cutWith(k *cut) (out []*cut) {
+	for _, other := range c.starts {
+		if (other.first - k.first).Abs() <= together {
+			out = append(out, other)
+		}
 	}
 	return out
 }
--- a/poison/watch.go
+++ b/poison/watch.go
@@ -119,8 +119,14 @@
 // have ended.
 func (w *Watch) Doubtful() []string { return w.cuts.Open() }
 
+// Suspects says whether all boxes are told of a request.
+func (w *Watch) Suspects(d Digest) bool {
+	r := w.ledger.Get(d)
+	return r != nil && r.open
+}
+
 // Ended takes in that a start has ended, and returns against how many requests that is
-// held.
+// held. It is called once the time that Settles gives is over.
 func (w *Watch) Ended(start string, now time.Duration) int {
 	list := w.cuts.Ended(start)
 	for _, d := range list {
--- a/poison/watch_test.go
+++ b/poison/watch_test.go
@@ -50,6 +50,27 @@
 	is.Equal(len(w.ledger.Get(guilty.Digest()).Ends), 1)
 }
 
+func TestOfReplicasThatEndTogetherOnlyWhatSeveralRanIsBlamed(t *testing.T) {
+	is := is.New(t)
+	w := NewWatch("box")
+	name := func(i int) string { return fmt.Sprint("replica-", i) }
+	for i := range manyReplica {
+		at := start + time.Duration(i)*together/manyReplica
+		w.Cut(name(i), digestOf(i), at) // each ran an innocent one
+		w.Cut(name(i), guilty.Digest(), at)
+	}
+	for i := range manyReplica {
+		is.Equal(w.Ended(name(i), start+Settles), 1)
+		is.True(!w.Cut(name(i), digestOf(10+i), start+Settles)) // nor one that notices later
+	}
+	_, barred := w.Barred(guilty.Digest(), start+Settles)
+	is.True(barred)
+	w.Cut("alone", digestOf(20), start+time.Second)
+	w.Cut("beside", digestOf(21), start+time.Second)
+	is.Equal(w.Ended("alone", start+time.Second+Settles), 1)
+	is.Equal(w.Ended("beside", start+time.Second+Settles), 1)
+}
+
 func TestACutIsForgottenAfterAWhile(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch("box")
@@ -159,8 +180,9 @@
 	is := is.New(t)
 	w := NewWatch("box")
 	for i := range endsToBar {
-		w.Cut(fmt.Sprint("replica-", i), guilty.Digest(), start)
-		w.Ended(fmt.Sprint("replica-", i), start)
+		now := start + time.Duration(i-endsToBar+1)*time.Second // the last at start
+		w.Cut(fmt.Sprint("replica-", i), guilty.Digest(), now)
+		w.Ended(fmt.Sprint("replica-", i), now)
 	}
 	list := w.Verdicts(start)
 	is.Equal(len(list), 1)
