placement: Give no work to an id whose address a newer entry has

An address belongs to one replica at a time, so the newest entry there counts. The fuzzed model had all replicas at one address, and revisions below the store's; it draws both as they are published now, and checks that no superseded replica is chosen.

--- a/placement/fuzz_test.go
+++ b/placement/fuzz_test.go
@@ -29,7 +29,6 @@
 	*rapid.T
 	*box
 	now       time.Duration
-	rev       int64
 	published map[string]catalog.Replica
 	left      map[string]bool // ids that were published as leaving
 	evacuated []string
@@ -41,7 +40,6 @@
 		T:         t,
 		box:       newBox("a", "hall"),
 		now:       start,
-		rev:       1,
 		published: make(map[string]catalog.Replica),
 		left:      make(map[string]bool),
 	}
@@ -83,17 +81,16 @@
 		r.republish()
 		return
 	}
-	r.rev++
 	info := catalog.Replica{
 		ID:       id,
 		Service:  id[:len(id)-2],
-		Addr:     "127.0.0.1:9",
+		Addr:     fmt.Sprintf("127.0.0.1:%d", rapid.IntRange(1, 2*known).Draw(r.T, "address")), // at times that of another
 		Domain:   rapid.SampledFrom([]string{"hall", "attic"}).Draw(r.T, "domain"),
 		Region:   "north",
 		Slots:    rapid.IntRange(0, 4).Draw(r.T, "slots"),
 		Leaving:  rapid.IntRange(0, 5).Draw(r.T, "leaving") == 0,
 		ColdLeft: catalog.Millis(rapid.SampledFrom([]int{0, 0, 300, 3000}).Draw(r.T, "cold")),
-		Revision: r.rev,
+		Revision: r.rev + 1, // as it is published below
 	}
 	if info.Leaving {
 		r.left[id] = true
@@ -163,6 +160,16 @@
 	})
 }
 
+// superseded says whether a newer entry has the address of a replica.
+func (r *region) superseded(info catalog.Replica) bool {
+	for _, other := range r.published {
+		if other.Addr == info.Addr && other.Revision > info.Revision {
+			return true
+		}
+	}
+	return false
+}
+
 // mayServe checks that a replica may be chosen for a request.
 func (r *region) mayServe(c placement.Choice, req placement.Request) {
 	info, listed := r.published[c.Replica]
@@ -171,6 +178,8 @@
 		r.Fatalf("%s is not listed", c.Replica)
 	case info.Service != req.Service:
 		r.Fatalf("%s is of another service", c.Replica)
+	case r.superseded(info):
+		r.Fatalf("another replica is at %s", info.Addr)
 	case info.Addr != c.Addr:
 		r.Fatalf("%s is at %s, not %s", c.Replica, info.Addr, c.Addr)
 	case r.left[c.Replica]:
--- a/placement/start.go
+++ b/placement/start.go
@@ -28,10 +28,14 @@
 	return o != nil && o.listed
 }
 
-// describeEnd says why a replica is no longer listed.
-func (v *View) describeEnd(r *Replica) string {
-	if v.isReplaced(r) {
+// describeEnd says why a replica is no longer listed; newest has the revision of the newest
+// entry at each address.
+func (v *View) describeEnd(r *Replica, newest map[string]int64) string {
+	switch {
+	case v.isReplaced(r):
 		return "replica replaced by a later start"
+	case newest[r.info.Addr] > r.info.Revision:
+		return "replica's address has another"
 	}
 	return "replica no longer listed"
 }
--- a/placement/view.go
+++ b/placement/view.go
@@ -84,8 +84,13 @@
 func (v *View) Take(c *catalog.Content, now time.Duration) []Belief {
 	var news []Belief
 	seen := make(map[string]bool)
+	newest := v.newestAt(c)
 	for _, info := range c.Replicas() {
-		if info.Region == v.region {
+		switch {
+		case info.Region != v.region:
+		case info.Revision < newest[info.Addr]:
+			v.supersede(info, now)
+		default:
 			seen[info.Start()] = true
 			news = v.takeReplica(news, info, now)
 		}
@@ -96,7 +101,7 @@
 			r.heard = now
 			news = append(news, Belief{
 				About:  start,
-				Reason: v.describeEnd(r),
+				Reason: v.describeEnd(r, newest),
 				Rev:    c.Newest(),
 			})
 		}
@@ -113,21 +118,23 @@
 	return news
 }
 
+// newestAt returns the revision of the newest entry at each address of the region. A replica
+// that starts again may do so under a new id while the entry of the old one has not lapsed;
+// requests to the old one would come back misdirected.
+func (v *View) newestAt(c *catalog.Content) map[string]int64 {
+	out := make(map[string]int64)
+	for _, info := range c.Replicas() {
+		if info.Region == v.region {
+			out[info.Addr] = max(out[info.Addr], info.Revision)
+		}
+	}
+	return out
+}
+
 // takeReplica takes in what is published of one replica.
 func (v *View) takeReplica(news []Belief, info catalog.Replica, now time.Duration) []Belief {
 	start := info.Start()
-	r, ok := v.replicas[start]
-	if !ok {
-		r = &Replica{
-			start:  start,
-			others: make(map[string]told),
-			warm:   make(map[string]time.Duration),
-			heard:  now,
-
-			toldKept: make(map[PartKey]time.Duration),
-		}
-		v.replicas[start] = r
-	}
+	r, ok := v.known(start, now)
 	changed := info.Revision != r.info.Revision || !ok
 	leaves := info.Leaving && !r.info.Leaving
 	info.Leaving = info.Leaving || r.info.Leaving // a replica that leaves doesn't come back
@@ -153,6 +160,32 @@
 	return append(news, b)
 }
 
+// known returns what is known of a start, and whether anything was.
+func (v *View) known(start string, now time.Duration) (r *Replica, ok bool) {
+	if r, ok = v.replicas[start]; ok {
+		return r, true
+	}
+	r = &Replica{
+		start:  start,
+		others: make(map[string]told),
+		warm:   make(map[string]time.Duration),
+		heard:  now,
+
+		toldKept: make(map[PartKey]time.Duration),
+	}
+	v.replicas[start] = r
+	return r, false
+}
+
+// supersede takes in what is published of a replica whose address another has by now. It
+// isn't listed, but should its entry be the newest again, it has not forgotten that it
+// leaves.
+func (v *View) supersede(info catalog.Replica, now time.Duration) {
+	r, _ := v.known(info.Start(), now)
+	info.Leaving = info.Leaving || r.info.Leaving
+	r.info = info
+}
+
 // describe says what a changed entry means, most important first.
 func (v *View) describe(r *Replica, known, leaves bool) string {
 	switch {
