--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -19,9 +19,9 @@
 
 // Poison is what a box knows of requests under which replicas ended. Its fields are seams.
 type Poison struct {
-	Barred func(content *poison.Content) (left time.Duration, barred bool)        // no replica may get the request, for so long
-	Cut    func(c *placement.Choice, content *poison.Content, closed bool)        // a replica got the request and gave no whole answer; closed says that it closed the connection
-	Borne  func(c *placement.Choice, content *poison.Content, took time.Duration) // a replica gave the request a whole answer, or has gone on with one for long
+	Barred func(content *poison.Content) (left time.Duration, barred bool)                     // no replica may get the request, for so long
+	Cut    func(c *placement.Choice, content *poison.Content, took time.Duration, closed bool) // a replica got the request and gave no whole answer; closed says that it closed the connection
+	Borne  func(c *placement.Choice, content *poison.Content, took time.Duration)              // a replica gave the request a whole answer, or has gone on with one for long
 }
 
 // takeContent keeps what the request asks, once its body is read.
@@ -56,7 +56,7 @@
 	case a.result == placement.Answered:
 		p.Borne(&a.target.Choice, &c.content, clock.Since(a.sent))
 	case a.result == placement.Silent, timeUp:
-		p.Cut(&a.target.Choice, &c.content, !timeUp && a.why != whySilent)
+		p.Cut(&a.target.Choice, &c.content, clock.Since(a.sent), !timeUp && a.why != whySilent)
 	}
 }
 
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -128,7 +128,7 @@
 func noPoison() Poison {
 	return Poison{
 		Barred: func(*poison.Content) (time.Duration, bool) { return 0, false },
-		Cut:    func(*placement.Choice, *poison.Content, bool) {},
+		Cut:    func(*placement.Choice, *poison.Content, time.Duration, bool) {},
 		Borne:  func(*placement.Choice, *poison.Content, time.Duration) {},
 	}
 }
--- a/measure/barring/world.go
+++ b/measure/barring/world.go
@@ -270,7 +270,7 @@
 	if watch == nil || watch.Proofs().Has(r.content, w.now()) {
 		return
 	}
-	watch.Cut(start, r.content.Digest(), w.now())
+	watch.Cut(start, r.content.Digest(), r.at, w.now())
 	if dialed[watch] || !watch.Dials(start, w.now()) {
 		return
 	}
--- a/node/poison.go
+++ b/node/poison.go
@@ -22,8 +22,8 @@
 func (n *Node) poison(ctx context.Context) ingress.Poison {
 	return ingress.Poison{
 		Barred: n.barred,
-		Cut: func(c *placement.Choice, content *poison.Content, closed bool) {
-			n.cut(ctx, c, content, closed)
+		Cut: func(c *placement.Choice, content *poison.Content, took time.Duration, closed bool) {
+			n.cut(ctx, c, content, took, closed)
 		},
 		Borne: n.borne,
 	}
@@ -84,10 +84,10 @@
 	}
 }
 
-// cut takes in that a replica got a request and gave no whole answer; closed says that it
-// closed the connection. Whether it has ended is found out with a connection then. Of one
+// cut takes in that a replica got a request and gave no whole answer in a time; closed says
+// that it closed the connection. Whether it has ended is found out with a connection then. Of one
 // that fell silent, and of one that the connection doesn't tell of, the catalog does.
-func (n *Node) cut(ctx context.Context, c *placement.Choice, content *poison.Content, closed bool) {
+func (n *Node) cut(ctx context.Context, c *placement.Choice, content *poison.Content, took time.Duration, closed bool) {
 	now := n.now()
 	if n.proofs.Has(content, now) {
 		return
@@ -98,7 +98,7 @@
 		if s.isLeaving(c.Replica) {
 			return // it was to end
 		}
-		charged = s.poison.Cut(c.Replica, d, now)
+		charged = s.poison.Cut(c.Replica, d, now-took, now)
 		dials = closed && !charged && s.poison.Dials(c.Replica, now)
 		suspect = s.poison.Suspects(d)
 	})
--- a/poison/build_test.go
+++ b/poison/build_test.go
@@ -9,7 +9,10 @@
 	_ "github.com/havenrudder/havenrudder/internal/fixed"
 )
 
-const start = time.Hour // of the tests' clock
+const (
+	start      = time.Hour           // of the tests' clock
+	sentBefore = start - time.Minute // when requests were sent that are cut later
+)
 
 // guilty is a request that ends its replicas.
 var guilty = Content{
@@ -110,7 +113,7 @@
 func (b *boxes) end(name, replica string, d Digest) {
 	b.now += 2 * together // replicas that end together say nothing of a request
 	w := b.watches[name]
-	w.Cut(replica, d, b.now)
+	w.Cut(replica, d, sentBefore, b.now)
 	w.Ended(replica, b.now)
 	b.tell(name)
 }
--- a/poison/cuts.go
+++ b/poison/cuts.go
@@ -37,10 +37,14 @@
 	}
 }
 
-// Add notes that a start gave a request no whole answer, and returns whether the start is
-// known to have ended under its requests.
-func (c *Cuts) Add(start string, d Digest, now time.Duration) (ended bool) {
+// Add notes that a start gave a request that was sent to it at a time no whole answer, and
+// returns whether the start is known to have ended under its requests. What was sent just
+// after the start had cut others can't be the cause: it went to a process that was gone.
+func (c *Cuts) Add(start string, d Digest, sent, now time.Duration) (ended bool) {
 	k := c.starts[start]
+	if k != nil && sent >= k.first && (k.ended || sent-k.first < dialGap) {
+		return false
+	}
 	if k == nil {
 		if len(c.starts) >= maxStarts {
 			return false
--- a/poison/watch.go
+++ b/poison/watch.go
@@ -11,7 +11,7 @@
 )
 
 // dialGap is the least time between two connections to a replica that cut requests: some
-// 60 are cut with it, and one connection tells for all.
+// 60 are cut with it, and one connection tells for all. By then it is known whether it lives.
 const dialGap = time.Second
 
 // Watch is all that a box holds of requests that end their replicas. It belongs to one
@@ -95,10 +95,10 @@
 // time.
 func (w *Watch) Lives(start string, sent time.Duration) { w.cuts.Lives(start, sent) }
 
-// Cut takes in that a start gave a request no whole answer, and returns whether that is held
-// against the request: the start is known to have ended.
-func (w *Watch) Cut(start string, d Digest, now time.Duration) bool {
-	if !w.cuts.Add(start, d, now) {
+// Cut takes in that a start gave a request that was sent to it at a time no whole answer, and
+// returns whether that is held against the request: the start is known to have ended.
+func (w *Watch) Cut(start string, d Digest, sent, now time.Duration) bool {
+	if !w.cuts.Add(start, d, sent, now) {
 		return false
 	}
 	w.charge(d, start, now)
--- a/poison/watch_test.go
+++ b/poison/watch_test.go
@@ -31,7 +31,7 @@
 func TestAReplicaThatCutsAnAnswerAndLivesIsHeldAgainstNobody(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch("box")
-	is.True(!w.Cut("replica", guilty.Digest(), start))
+	is.True(!w.Cut("replica", guilty.Digest(), sentBefore, start))
 	is.Equal(w.Doubtful(), []string{"replica"})
 	w.Lives("replica", start-time.Second) // it was sent before
 	is.Equal(w.Doubtful(), []string{"replica"})
@@ -43,10 +43,10 @@
 func TestARequestThatIsCutAfterItsReplicaIsKnownToHaveEndedCountsToo(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch("box")
-	w.Cut("replica", digestOf(1), start)
+	w.Cut("replica", digestOf(1), sentBefore, start)
 	is.Equal(w.Ended("replica", start), 1)
 	is.Equal(w.Ended("replica", start), 0) // only once
-	is.True(w.Cut("replica", guilty.Digest(), start))
+	is.True(w.Cut("replica", guilty.Digest(), sentBefore, start))
 	is.Equal(len(w.ledger.Get(guilty.Digest()).Ends), 1)
 }
 
@@ -56,25 +56,39 @@
 	name := func(i int) string { return fmt.Sprint("replica-", i) }
 	for i := range manyReplica {
 		at := start + time.Duration(i)*together/manyReplica
-		w.Cut(name(i), digestOf(i), at) // each ran an innocent one
-		w.Cut(name(i), guilty.Digest(), at)
+		w.Cut(name(i), digestOf(i), sentBefore, at) // each ran an innocent one
+		w.Cut(name(i), guilty.Digest(), sentBefore, at)
 	}
 	for i := range manyReplica {
 		is.Equal(w.Ended(name(i), start+Settles), 1)
-		is.True(!w.Cut(name(i), digestOf(10+i), start+Settles)) // nor one that notices later
+		is.True(!w.Cut(name(i), digestOf(10+i), sentBefore, start+Settles)) // nor one that notices later
 	}
 	_, barred := w.Barred(guilty.Digest(), start+Settles)
 	is.True(barred)
-	w.Cut("alone", digestOf(20), start+time.Second)
-	w.Cut("beside", digestOf(21), start+time.Second)
+	w.Cut("alone", digestOf(20), sentBefore, start+time.Second)
+	w.Cut("beside", digestOf(21), sentBefore, start+time.Second)
 	is.Equal(w.Ended("alone", start+time.Second+Settles), 1)
 	is.Equal(w.Ended("beside", start+time.Second+Settles), 1)
 }
 
+// A call was cut at two replicas of twelve that ended together: its retry went to the second
+// a moment after that had ended, on a connection at rest.
+func TestWhatWasSentAfterAReplicaHadEndedIsNotBlamed(t *testing.T) {
+	is := is.New(t)
+	w := NewWatch("box")
+	w.Cut("replica", guilty.Digest(), sentBefore, start)
+	w.Cut("replica", digestOf(1), start+time.Millisecond, start+2*time.Millisecond)
+	is.Equal(w.Ended("replica", start+Settles), 1)
+	is.True(!w.Cut("replica", digestOf(2), start+time.Minute, start+time.Minute))
+	w.Cut("lives", digestOf(1), sentBefore, start) // it cut this one only
+	w.Cut("lives", guilty.Digest(), start+dialGap, start+2*dialGap)
+	is.Equal(w.Ended("lives", start+2*dialGap+Settles), 2)
+}
+
 func TestACutIsForgottenAfterAWhile(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch("box")
-	w.Cut("replica", guilty.Digest(), start)
+	w.Cut("replica", guilty.Digest(), sentBefore, start)
 	w.Forget(start + cutFor + 1)
 	is.Equal(w.Ended("replica", start+cutFor+1), 0)
 }
@@ -181,7 +195,7 @@
 	w := NewWatch("box")
 	for i := range endsToBar {
 		now := start + time.Duration(i-endsToBar+1)*time.Second // the last at start
-		w.Cut(fmt.Sprint("replica-", i), guilty.Digest(), now)
+		w.Cut(fmt.Sprint("replica-", i), guilty.Digest(), sentBefore, now)
 		w.Ended(fmt.Sprint("replica-", i), now)
 	}
 	list := w.Verdicts(start)
