--- a/measure/barring/world.go
+++ b/measure/barring/world.go
@@ -20,7 +20,7 @@
 	backAfter  = 3 * time.Second        // that it is away
 	tick       = 250 * time.Millisecond // between two rounds of a box
 	unnoticed  = 2 * time.Second        // for which a box that is gone still counts as alive
-	Contact    = 6 * time.Second        // for which a box must have been whole to be in touch
+	contact    = 6 * time.Second        // for which a box must have been whole to be in touch
 	headerSize = 28                     // bytes of UDP and IPv4 in front of each datagram
 	longestRun = 5 * time.Second        // of an innocent request
 	borneAfter = 2 * time.Second        // that a replica goes on with an answer, as package ingress has it
@@ -79,7 +79,7 @@
 	content poison.Content
 	ends    int
 	third   time.Duration // when it ended the third replica; 0 while it has not
-	late    int           // sends later than Contact after that, by boxes in touch
+	late    int           // sends later than contact    after that, by boxes in touch
 	knownBy []time.Duration
 }
 
@@ -350,7 +350,7 @@
 
 // sendGuilty has a replica end under a request.
 func (w *World) sendGuilty(g *guilty, p *replica, b *box) {
-	if g.third > 0 && w.now()-g.third > Contact && w.now()-b.whole > Contact {
+	if g.third > 0 && w.now()-g.third > contact && w.now()-b.whole > contact {
 		g.late++
 	}
 	start := p.start
--- a/node/poison.go
+++ b/node/poison.go
@@ -107,7 +107,7 @@
 	}
 	start, addr := c.Replica, c.Addr
 	switch {
-	case !dials:
+	case !dials, ctx.Err() != nil:
 	case suspect:
 		n.dialCut(ctx, start, addr) // else the request would end one replica more before it is known
 	default:
--- a/poison/cuts.go
+++ b/poison/cuts.go
@@ -4,7 +4,7 @@
 
 const (
 	cutFor    = 10 * time.Second // for which a replica that ended may still be listed: its entry lapses after three heartbeats, some 4 s
-	maxCuts   = 1024             // of one start, more than it runs at once
+	maxCuts   = 256              // of one start, more than it runs at once
 	maxStarts = 4096             // with cuts; replicas of an installation
 
 	together    = 50 * time.Millisecond // between the first cuts of replicas that end for one cause
