--- a/measure/barring/world.go
+++ b/measure/barring/world.go
@@ -79,7 +79,7 @@
 	content poison.Content
 	ends    int
 	third   time.Duration // when it ended the third replica; 0 while it has not
-	late    int           // sends later than contact    after that, by boxes in touch
+	late    int           // sends later than the time of contact after that, by boxes in touch
 	knownBy []time.Duration
 }
 
