--- a/control/explain_test.go
+++ b/control/explain_test.go
@@ -160,7 +160,7 @@
 // The logs of two boxes at which a request came that ends its replicas.
 const logPoison = `{"box":"box-1","kind":"try","request":"r-1","upstream":"u-1","outcome":"broken","digest":"50fd","time":"2026-12-02T09:00:01Z"}
 {"box":"box-1","kind":"try","request":"r-2","upstream":"u-1","outcome":"broken","digest":"77aa","time":"2026-12-02T09:00:01Z"}
-{"box":"box-2","kind":"belief","reason":"request barred, replicas ended under it","digest":"50fd","tries":3,"time":"2026-12-02T09:00:03Z"}
+{"box":"box-2","kind":"belief","reason":"request quarantined, replicas ended under it","digest":"50fd","tries":3,"time":"2026-12-02T09:00:03Z"}
 {"box":"box-2","kind":"end","request":"r-9","outcome":"refused","reason":"ends its replicas","digest":"50fd","status":503,"time":"2026-12-02T09:00:04Z"}
 `
 
--- a/control/measure.go
+++ b/control/measure.go
@@ -11,12 +11,12 @@
 	"github.com/google/subcommands"
 
 	"github.com/havenrudder/havenrudder/commands"
-	"github.com/havenrudder/havenrudder/measure/barring"
 	"github.com/havenrudder/havenrudder/measure/capacity"
 	"github.com/havenrudder/havenrudder/measure/control"
 	"github.com/havenrudder/havenrudder/measure/gossip"
 	"github.com/havenrudder/havenrudder/measure/once"
 	"github.com/havenrudder/havenrudder/measure/policy"
+	"github.com/havenrudder/havenrudder/measure/quarantine"
 )
 
 // measureCmd runs an experiment and prints JSON lines.
@@ -49,12 +49,12 @@
 measure relay
 measure capacity [-page FILE] [-slopes FILE]
 measure gossip [-seed S]
-measure barring [-boxes N] [-seed S]
+measure quarantine [-boxes N] [-seed S]
 measure bundle [-boxes N] [-changes N] [-rate R] [-seed S]
   Run an experiment; each row is one JSON object.
   once    calls that may not be repeated, under faults, in virtual time
   gossip  what heartbeats cost, and how fast boxes know of each other, in virtual time
-  barring how many replicas a request ends before no box sends it on, in virtual time
+  quarantine how many replicas a request ends before no box sends it on, in virtual time
   bundle  how fast a bundle is in force, and what that costs, over real sockets
   relay   answers through a box beside direct ones, over real sockets
   control what one more box, replica, organisation, change, request or token costs
@@ -70,7 +70,7 @@
 	f := flag.NewFlagSet(name, flag.ContinueOnError)
 	f.Uint64Var(&c.seed, "seed", 1, "seed")
 	f.IntVar(&c.ops, "ops", 20_000, "operations of each row (once)")
-	f.IntVar(&c.boxes, "boxes", 0, "boxes (bundle, 48 if none are named; gossip and barring, all sizes)")
+	f.IntVar(&c.boxes, "boxes", 0, "boxes (bundle, 48 if none are named; gossip and quarantine, all sizes)")
 	f.IntVar(&c.changes, "changes", 10, "changes (bundle)")
 	f.IntVar(&c.touch, "touch", 1, "organisations that each change touches (bundle)")
 	f.Float64Var(&c.rate, "rate", control.ChangeRate, "changes a second (bundle)")
@@ -104,8 +104,8 @@
 		return c.policy()
 	case "gossip":
 		return c.gossip()
-	case "barring":
-		return c.barring()
+	case "quarantine":
+		return c.quarantine()
 	case "bundle":
 		return c.bundle(ctx)
 	case "control":
@@ -153,12 +153,12 @@
 	return nil
 }
 
-func (c *measureCmd) barring() error {
-	for _, terms := range barring.Sizes(c.seed) {
+func (c *measureCmd) quarantine() error {
+	for _, terms := range quarantine.Sizes(c.seed) {
 		if c.boxes > 0 && c.boxes != terms.Regions*terms.PerRegion {
 			continue
 		}
-		if err := printRow(barring.Measure(terms)); err != nil {
+		if err := printRow(quarantine.Measure(terms)); err != nil {
 			return err
 		}
 	}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -87,12 +87,12 @@
 			rounds++
 		}
 		clock.Check()
-		if c.isLate() || c.isBarred() {
+		if c.isLate() || c.isQuarantined() {
 			break
 		}
 		target := c.place(ctx)
 		if c.reason == reasonPoison {
-			break // it was barred while it was held
+			break // it was quarantined while it was held
 		}
 		if target.Reason != placement.None {
 			if c.waitFor(ctx, target) {
@@ -123,7 +123,7 @@
 // is a target, for else it would be broken off.
 func (c *call) place(ctx context.Context) Target {
 	t := c.server.core.Place(c.ask())
-	for t.Reason != placement.None && c.held() && ctx.Err() == nil && !c.isBarred() {
+	for t.Reason != placement.None && c.held() && ctx.Err() == nil && !c.isQuarantined() {
 		if c.sameNext {
 			t = c.placeSame()
 			continue
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -71,7 +71,7 @@
 	a.heard.Store(int64(now))
 	if a.target.Choice.Replica != "" {
 		a.call.server.core.Heard(&a.target.Choice)
-		a.noteBorne(now)
+		a.noteSurvived(now)
 	}
 }
 
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -12,16 +12,16 @@
 // reasonPoison is of a request that is turned away since replicas ended under it.
 const reasonPoison placement.Reason = "ends its replicas"
 
-// outlives is how long a replica must have gone on with an answer to be held to bear the
+// survivesAfter is how long a replica must have gone on with an answer to be held to bear the
 // request. Requests that end their replicas do so some 0.1 s after they begin to run; of the
 // streams that are cut with them most have run for longer.
-const outlives = 2 * time.Second
+const survivesAfter = 2 * time.Second
 
 // Poison is what a box knows of requests under which replicas ended. Its fields are seams.
 type Poison struct {
-	Barred func(content *poison.Content) (left time.Duration, barred bool)                     // no replica may get the request, for so long
-	Cut    func(c *placement.Choice, content *poison.Content, took time.Duration, closed bool) // a replica got the request and gave no whole answer; closed says that it closed the connection
-	Borne  func(c *placement.Choice, content *poison.Content, took time.Duration)              // a replica gave the request a whole answer, or has gone on with one for long
+	Quarantined func(content *poison.Content) (left time.Duration, quarantined bool)                // no replica may get the request, for so long
+	Cut         func(c *placement.Choice, content *poison.Content, took time.Duration, closed bool) // a replica got the request and gave no whole answer; closed says that it closed the connection
+	Survived    func(c *placement.Choice, content *poison.Content, took time.Duration)              // a replica gave the request a whole answer, or has gone on with one for long
 }
 
 // takeContent keeps what the request asks, once its body is read.
@@ -35,15 +35,15 @@
 	}
 }
 
-// isBarred says whether the request may go to no replica any more. It is asked before each
-// try: the request may have been barred since the last.
-func (c *call) isBarred() bool {
-	left, barred := c.server.core.Poison.Barred(&c.content)
-	if barred {
+// isQuarantined says whether the request may go to no replica any more. It is asked before each
+// try: the request may have been quarantined since the last.
+func (c *call) isQuarantined() bool {
+	left, quarantined := c.server.core.Poison.Quarantined(&c.content)
+	if quarantined {
 		c.reason = reasonPoison
 		c.wait = left
 	}
-	return barred
+	return quarantined
 }
 
 // judge tells what the try says of the request.
@@ -52,21 +52,21 @@
 	p := &c.server.core.Poison
 	timeUp := e == abandoned && a.why == whyTime && a.begun.Load() > 0
 	switch {
-	case a.borne:
+	case a.survived:
 	case a.result == placement.Answered:
-		p.Borne(&a.target.Choice, &c.content, clock.Since(a.sent))
+		p.Survived(&a.target.Choice, &c.content, clock.Since(a.sent))
 	case a.result == placement.Silent, timeUp:
 		p.Cut(&a.target.Choice, &c.content, clock.Since(a.sent), !timeUp && a.why != whySilent)
 	}
 }
 
-// noteBorne tells, once, that the replica has gone on with its answer for long.
-func (a *attempt) noteBorne(since time.Duration) {
-	if a.borne || a.first == 0 || since-a.first < outlives {
+// noteSurvived tells, once, that the replica has gone on with its answer for long.
+func (a *attempt) noteSurvived(since time.Duration) {
+	if a.survived || a.first == 0 || since-a.first < survivesAfter {
 		return
 	}
-	a.borne = true
-	a.call.server.core.Poison.Borne(&a.target.Choice, &a.call.content, since)
+	a.survived = true
+	a.call.server.core.Poison.Survived(&a.target.Choice, &a.call.content, since)
 }
 
 // refusePoison turns a request away that ends its replicas. It would only be turned away
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -127,9 +127,9 @@
 // noPoison returns the seams where no replica ends under a request.
 func noPoison() Poison {
 	return Poison{
-		Barred: func(*poison.Content) (time.Duration, bool) { return 0, false },
-		Cut:    func(*placement.Choice, *poison.Content, time.Duration, bool) {},
-		Borne:  func(*placement.Choice, *poison.Content, time.Duration) {},
+		Quarantined: func(*poison.Content) (time.Duration, bool) { return 0, false },
+		Cut:         func(*placement.Choice, *poison.Content, time.Duration, bool) {},
+		Survived:    func(*placement.Choice, *poison.Content, time.Duration) {},
 	}
 }
 
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -40,18 +40,18 @@
 
 // attempt is one try at one replica or box.
 type attempt struct {
-	call   *call
-	target *Target
-	sent   time.Time
-	cancel context.CancelCauseFunc
-	result placement.Result
-	begun  atomic.Int64  // nanoseconds until the request was about to be written; 0 while it was not
-	unread atomic.Value  // a func() bool: something of the answer has come and is not read
-	first  time.Duration // until the answer's head; 0 while there is none
-	heard  atomic.Int64  // nanoseconds until bytes of the answer last came, to about heardEvery
-	muted  atomic.Bool   // the silence of its replica was taken in already
-	borne  bool          // the replica has gone on with its answer for long
-	why    string        // why there is no answer, or no whole one
+	call     *call
+	target   *Target
+	sent     time.Time
+	cancel   context.CancelCauseFunc
+	result   placement.Result
+	begun    atomic.Int64  // nanoseconds until the request was about to be written; 0 while it was not
+	unread   atomic.Value  // a func() bool: something of the answer has come and is not read
+	first    time.Duration // until the answer's head; 0 while there is none
+	heard    atomic.Int64  // nanoseconds until bytes of the answer last came, to about heardEvery
+	muted    atomic.Bool   // the silence of its replica was taken in already
+	survived bool          // the replica has gone on with its answer for long
+	why      string        // why there is no answer, or no whole one
 }
 
 // tryReplica sends the request to a replica of this region.
--- a/measure/barring/barring_test.go
+++ b/measure/quarantine/quarantine_test.go
@@ -1,4 +1,4 @@
-package barring
+package quarantine
 
 import (
 	"flag"
@@ -13,7 +13,7 @@
 )
 
 const (
-	mayBeLate = 3 // sends of a guilty request after the time of contact, by all boxes in touch together
+	mayBeLate = 3 // sends of a poison request after the time of contact, by all boxes in touch together
 	mayEnd    = 6 // replicas that it ends: three, and those that it had been sent to when the third ended
 )
 
@@ -24,7 +24,7 @@
 		Regions:   3,
 		PerRegion: 3,
 		Replicas:  10,
-		Guilty:    1,
+		Poison:    1,
 		ComeEvery: 400 * time.Millisecond,
 		AtOnce:    1,
 		Rate:      10,
@@ -33,7 +33,7 @@
 	}
 }
 
-func TestAGuiltyRequestEndsThreeReplicasAndIsKnownToAllBoxesWithinASecond(t *testing.T) {
+func TestAPoisonRequestEndsThreeReplicasAndIsKnownToAllBoxesWithinASecond(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(20) {
 		row := Measure(usual(seed))
@@ -41,26 +41,26 @@
 		is.Equal(row.MostLate, 0)
 		is.True(row.KnownLastMs > 0)
 		is.True(row.KnownLastMs < 1000)
-		is.Equal(row.InnocentRefused+row.PopularRefused, 0)
+		is.Equal(row.OthersRefused+row.PopularRefused, 0)
 	}
 }
 
 func TestTheSameSeedIsTheSameRun(t *testing.T) {
 	is := is.New(t)
 	terms := usual(7)
-	terms.Guilty = 5
+	terms.Poison = 5
 	terms.KillEvery = time.Second
 	is.Equal(Measure(terms), Measure(terms))
 }
 
-func TestAPopularRequestIsServedBesideTenGuiltyOnes(t *testing.T) {
+func TestAPopularRequestIsServedBesideTenPoisonOnes(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(10) {
 		terms := usual(seed)
-		terms.Guilty = 10
+		terms.Poison = 10
 		terms.Replicas = 20
 		row := Measure(terms)
-		is.Equal(row.InnocentRefused+row.PopularRefused, 0)
+		is.Equal(row.OthersRefused+row.PopularRefused, 0)
 		is.True(row.MostEnded <= mayEnd)
 	}
 }
@@ -69,11 +69,11 @@
 	is := is.New(t)
 	for seed := range uint64(10) {
 		terms := usual(seed)
-		terms.Guilty = 0
+		terms.Poison = 0
 		terms.Domains = 3 * time.Second
 		row := Measure(terms)
-		is.True(row.InnocentCut > 0)
-		is.Equal(row.InnocentRefused+row.PopularRefused, 0)
+		is.True(row.OthersCut > 0)
+		is.Equal(row.OthersRefused+row.PopularRefused, 0)
 	}
 }
 
@@ -86,7 +86,7 @@
 	terms.Regions = rapid.IntRange(1, 10).Draw(t, "regions")
 	terms.PerRegion = rapid.IntRange(1, max(1, most/terms.Regions)).Draw(t, "boxes")
 	terms.Replicas = rapid.IntRange(4, 60).Draw(t, "replicas")
-	terms.Guilty = rapid.IntRange(1, 4).Draw(t, "guilty")
+	terms.Poison = rapid.IntRange(1, 4).Draw(t, "poison")
 	terms.ComeEvery = span(50*time.Millisecond, 4*time.Second, "come")
 	terms.AtOnce = rapid.IntRange(1, 4).Draw(t, "at once")
 	terms.Loss = rapid.Float64Range(0, 0.2).Draw(t, "loss")
@@ -100,7 +100,7 @@
 	return terms
 }
 
-func TestBoxesInTouchSendAGuiltyRequestNoMoreThanThreeTimes(t *testing.T) {
+func TestBoxesInTouchSendAPoisonRequestNoMoreThanThreeTimes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
 		row := Measure(drawTerms(t, 30))
@@ -128,7 +128,7 @@
 		terms.Regions = *regions
 		terms.PerRegion = 30
 		terms.Replicas = 60
-		terms.Guilty = 10
+		terms.Poison = 10
 		terms.Rate = 1
 		terms.Loss = 0.05
 		terms.KillEvery = 500 * time.Millisecond
@@ -136,6 +136,6 @@
 		row := Measure(terms)
 		t.Logf("seed %d: %+v", seed, row)
 		is.True(row.MostLate <= mayBeLate)
-		is.Equal(row.InnocentRefused, 0)
+		is.Equal(row.OthersRefused, 0)
 	}
 }
--- /dev/null
+++ b/measure/quarantine/requests.go
@@ -0,0 +1,171 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/havenrudder/havenrudder/poison"
+)
+
+// begin starts a replica.
+func (w *World) begin(p *replica) {
+	p.starts++
+	w.serial++
+	p.start = fmt.Sprint("start-", w.serial)
+}
+
+// end ends a replica. Each box that has requests there finds it out and tells.
+func (w *World) end(p *replica) {
+	if p.start == "" {
+		return
+	}
+	start, runs := p.start, p.runs
+	p.start = ""
+	p.runs = make(map[*run]struct{})
+	dialed := make(map[*poison.Watch]bool)
+	for _, r := range ordered(runs) {
+		w.cutRun(r, start, dialed)
+	}
+	w.clock.After(backAfter, func() { w.begin(p) })
+}
+
+// cutRun has the box of a run find out that its replica has ended.
+func (w *World) cutRun(r *run, start string, dialed map[*poison.Watch]bool) {
+	if r.deadly == nil {
+		w.row.OthersCut++
+		if !r.again {
+			w.clock.After(comeAgain, func() { w.send(w.boxes[w.rnd.IntN(len(w.boxes))], r.content, nil, true) })
+		}
+	}
+	watch := r.box.watch
+	if r.deadly == nil && w.now()-r.at > survivesAfter {
+		return
+	}
+	if watch == nil || watch.Served().Lately(r.content, w.now()) {
+		return
+	}
+	watch.Cut(start, r.content.Digest(), r.at, w.now())
+	if dialed[watch] || !watch.Dials(start, w.now()) {
+		return
+	}
+	dialed[watch] = true
+	b := r.box
+	w.clock.After(dialTime+poison.Settles, func() {
+		if b.watch == watch {
+			watch.Ended(start, w.now())
+			w.tell(b)
+		}
+	})
+}
+
+// quarantined says whether a box turns a request away.
+func (w *World) quarantined(b *box, c *poison.Content) bool {
+	_, quarantined := b.watch.Quarantined(c.Digest(), w.now())
+	switch {
+	case !quarantined:
+		return false
+	case b.watch.Served().Lately(c, w.now()):
+		w.clear(b, c)
+		return false
+	}
+	return !b.watch.Served().Before(c) || !b.watch.Tries(c.Digest(), w.others(b), w.now())
+}
+
+// clear has a box know that a request was answered whole.
+func (w *World) clear(b *box, c *poison.Content) {
+	if b.watch.Clear(c.Digest(), w.now()) {
+		w.tell(b)
+	}
+}
+
+// send has a request come at a box, and be run by a replica of its region.
+func (w *World) send(b *box, c *poison.Content, g *deadly, again bool) {
+	if b.watch == nil {
+		return
+	}
+	if w.quarantined(b, c) {
+		w.noteRefused(c, g)
+		return
+	}
+	p := w.pick(b.region)
+	if p == nil {
+		return
+	}
+	r := &run{
+		box:     b,
+		content: c,
+		again:   again,
+		deadly:  g,
+		at:      w.now(),
+	}
+	p.runs[r] = struct{}{}
+	if g != nil {
+		w.sendPoison(g, p, b)
+		return
+	}
+	w.row.Others++
+	length := w.upTo(longestRun)
+	if length > survivesAfter {
+		w.clock.After(survivesAfter, func() { w.bear(p, r) })
+	}
+	w.clock.After(length, func() { w.answer(p, r) })
+}
+
+// noteRefused counts another request that was turned away.
+func (w *World) noteRefused(c *poison.Content, g *deadly) {
+	switch {
+	case g != nil:
+	case c.Target == w.popular.Target:
+		w.row.PopularRefused++
+	default:
+		w.row.OthersRefused++
+	}
+}
+
+// sendPoison has a replica end under a request.
+func (w *World) sendPoison(g *deadly, p *replica, b *box) {
+	if g.third > 0 && w.now()-g.third > contact && w.now()-b.whole > contact {
+		g.late++
+	}
+	start := p.start
+	w.clock.After(endsAfter, func() {
+		if p.start != start {
+			return
+		}
+		g.ends++
+		if g.ends == endsThatCount {
+			g.third = w.now()
+			g.knownBy = make([]time.Duration, len(w.boxes))
+		}
+		w.end(p)
+	})
+}
+
+// answer gives a run a whole answer.
+func (w *World) answer(p *replica, r *run) {
+	w.bear(p, r)
+	delete(p.runs, r)
+}
+
+// bear has the box of a run know that the replica bears it, unless it was cut.
+func (w *World) bear(p *replica, r *run) {
+	if _, ok := p.runs[r]; !ok || r.box.watch == nil {
+		return
+	}
+	r.box.watch.Served().Add(r.content, w.now())
+	r.box.watch.Lives(p.start, r.at)
+	if r.box.watch.Known() > 0 || r.content.Digested() {
+		w.clear(r.box, r.content)
+	}
+}
+
+// pick returns a replica of a region, nil for none.
+func (w *World) pick(region int) *replica {
+	first := region * w.terms.Replicas
+	for range w.terms.Replicas {
+		if p := w.replicas[first+w.rnd.IntN(w.terms.Replicas)]; p.start != "" {
+			return p
+		}
+	}
+	return nil
+}
--- a/measure/barring/row.go
+++ b/measure/quarantine/row.go
@@ -1,4 +1,4 @@
-package barring
+package quarantine
 
 import (
 	"cmp"
@@ -12,24 +12,24 @@
 const (
 	endsThatCount = 3                // of a request's ends, after which it may reach few more
 	cutFor        = 4 * time.Second  // that a region is cut off
-	warmUp        = 12 * time.Second // before the first guilty request comes
+	warmUp        = 12 * time.Second // before the first poison request comes
 )
 
 // Row is what one installation went through.
 type Row struct {
-	Boxes           int     `json:"boxes"`
-	Guilty          int     `json:"guilty"`
-	MostEnded       int     `json:"most_ended"`       // replicas, by one guilty request
-	MeanEnded       float64 `json:"mean_ended"`       // by each
-	MostLate        int     `json:"most_late"`        // sends of one by boxes in touch, later than the time of contact after its third end
-	KnownMs         int64   `json:"known_ms"`         // after the third end, median of the boxes
-	KnownLastMs     int64   `json:"known_last_ms"`    // until the last box of any request knew
-	Innocent        int     `json:"innocent"`         // requests that were sent
-	InnocentCut     int     `json:"innocent_cut"`     // with a replica that ended
-	InnocentRefused int     `json:"innocent_refused"` // turned away as if they were guilty
-	PopularRefused  int     `json:"popular_refused"`  // the same, of the popular request
-	BytesPerBox     float64 `json:"bytes_per_box_s"`  // sent and received in a second, with the headers of UDP and IPv4
-	MostBytes       float64 `json:"most_bytes_per_s"` // of the box with the most
+	Boxes          int     `json:"boxes"`
+	Poison         int     `json:"poison"`
+	MostEnded      int     `json:"most_ended"`       // replicas, by one poison request
+	MeanEnded      float64 `json:"mean_ended"`       // by each
+	MostLate       int     `json:"most_late"`        // sends of one by boxes in touch, later than the time of contact after its third end
+	KnownMs        int64   `json:"known_ms"`         // after the third end, median of the boxes
+	KnownLastMs    int64   `json:"known_last_ms"`    // until the last box of any request knew
+	Others         int     `json:"others"`           // requests that were sent
+	OthersCut      int     `json:"others_cut"`       // with a replica that ended
+	OthersRefused  int     `json:"others_refused"`   // turned away as if they ended replicas
+	PopularRefused int     `json:"popular_refused"`  // the same, of the popular request
+	BytesPerBox    float64 `json:"bytes_per_box_s"`  // sent and received in a second, with the headers of UDP and IPv4
+	MostBytes      float64 `json:"most_bytes_per_s"` // of the box with the most
 }
 
 // Sizes returns the installations that are measured.
@@ -42,7 +42,7 @@
 				Regions:   size.regions,
 				PerRegion: size.perRegion,
 				Replicas:  size.replicas,
-				Guilty:    n,
+				Poison:    n,
 				ComeEvery: 400 * time.Millisecond,
 				AtOnce:    1,
 				Rate:      5,
@@ -60,40 +60,40 @@
 	w := newWorld(t)
 	w.load()
 	w.disturb()
-	for _, g := range w.guilty {
+	for _, g := range w.deadly {
 		w.clock.After(warmUp+w.upTo(t.ComeEvery), func() { w.come(g) })
 	}
 	w.clock.RunUntil(warmUp + t.For)
 	return w.result()
 }
 
-// load has innocent requests come at all boxes.
+// load has other requests come at all boxes.
 func (w *World) load() {
 	for _, b := range w.boxes {
 		gap := time.Duration(float64(time.Second) / w.terms.Rate)
 		var next func()
 		next = func() {
-			w.send(b, w.innocent(), nil, false)
+			w.send(b, w.harmless(), nil, false)
 			w.clock.After(w.upTo(2*gap), next)
 		}
 		w.clock.After(w.upTo(gap), next)
 	}
 }
 
-// innocent returns a request that ends no replica.
-func (w *World) innocent() *poison.Content {
+// harmless returns a request that ends no replica.
+func (w *World) harmless() *poison.Content {
 	if w.rnd.Float64() < w.terms.Popular {
 		c := w.popular // each has a digest of its own
 		return &c
 	}
 	w.serial++
 	return &poison.Content{
-		Target: fmt.Sprint("/innocent/", w.serial),
+		Target: fmt.Sprint("/other/", w.serial),
 	}
 }
 
-// come has a guilty request come, again and again.
-func (w *World) come(g *guilty) {
+// come has a poison request come, again and again.
+func (w *World) come(g *deadly) {
 	for range w.terms.AtOnce {
 		c := poison.Content{
 			Target: g.content.Target,
@@ -138,8 +138,8 @@
 	})
 }
 
-// noteKnown notes which boxes know by now that a request is barred.
-func (w *World) noteKnown(g *guilty) {
+// noteKnown notes which boxes know by now that a request is quarantined.
+func (w *World) noteKnown(g *deadly) {
 	if g.third == 0 {
 		return
 	}
@@ -148,7 +148,7 @@
 		if g.knownBy[i] > 0 || b.watch == nil {
 			continue
 		}
-		if _, barred := b.watch.Barred(d, w.now()); barred {
+		if _, quarantined := b.watch.Quarantined(d, w.now()); quarantined {
 			g.knownBy[i] = max(w.now()-g.third, 1)
 		}
 	}
@@ -158,11 +158,11 @@
 func (w *World) result() Row {
 	out := w.row
 	out.Boxes = len(w.boxes)
-	out.Guilty = len(w.guilty)
+	out.Poison = len(w.deadly)
 	var known []time.Duration
-	for _, g := range w.guilty {
+	for _, g := range w.deadly {
 		out.MostEnded = max(out.MostEnded, g.ends)
-		out.MeanEnded += float64(g.ends) / float64(len(w.guilty))
+		out.MeanEnded += float64(g.ends) / float64(len(w.deadly))
 		out.MostLate = max(out.MostLate, g.late)
 		known = append(known, g.knownBy...)
 	}
--- a/meter/count.go
+++ b/meter/count.go
@@ -64,9 +64,9 @@
 	m.answer.WithLabelValues(service).Observe(d.Seconds())
 }
 
-// Acquitted counts a request under which replicas had ended and that one then answered
+// Cleared counts a request under which replicas had ended and that one then answered
 // whole.
-func (m *Meter) Acquitted() { m.acquitted.Inc() }
+func (m *Meter) Cleared() { m.cleared.Inc() }
 
 // Suspended adds a time for which the machine was suspended.
 func (m *Meter) Suspended(d time.Duration) { m.suspended.Add(d.Seconds()) }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -36,7 +36,7 @@
 	accounts  *prometheus.CounterVec
 	foreign   prometheus.Counter
 	dials     prometheus.Counter
-	acquitted prometheus.Counter
+	cleared   prometheus.Counter
 	suspended prometheus.Counter
 	first     *prometheus.HistogramVec
 	answer    *prometheus.HistogramVec
@@ -78,11 +78,11 @@
 	}
 }
 
-// WithBarredRequests serves how many requests are turned away because replicas ended under
+// WithQuarantinedRequests serves how many requests are turned away because replicas ended under
 // them.
-func WithBarredRequests(n func() int) Option {
+func WithQuarantinedRequests(n func() int) Option {
 	return func(m *Meter) {
-		m.gauge("barred_requests", "Requests that are turned away because replicas ended under them.", func() float64 { return float64(n()) })
+		m.gauge("quarantined_requests", "Requests that are turned away because replicas ended under them.", func() float64 { return float64(n()) })
 	}
 }
 
@@ -101,7 +101,7 @@
 	m.store = m.counters("store_calls_total", "Calls of the store by kind and result.", "kind", "result")
 	m.accounts = m.counters("engine_accounts_total", "Questions to engines for their load by result.", "result")
 	m.foreign = m.counter("foreign_entries_total", "Entries of the store that name no replica, once for each revision.")
-	m.acquitted = m.counter("acquitted_requests_total", "Requests under which replicas had ended and that one then answered whole.")
+	m.cleared = m.counter("cleared_requests_total", "Requests under which replicas had ended and that one then answered whole.")
 	m.suspended = m.counter("suspended_seconds_total", "Time for which the machine was suspended while this process ran.")
 	m.dials = m.counter("upstream_dials_total", "Connections opened to upstreams.")
 	m.first = m.histograms("first_byte_seconds", "Time to the first byte of an answer.", firstBuckets)
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -36,7 +36,7 @@
 		WithBoxesAlive(func() int { return 3 }),
 		WithSharingBoxes(func() int { return 4 }),
 		WithDroppedLines(func() int64 { return 9 }),
-		WithBarredRequests(func() int { return 5 }),
+		WithQuarantinedRequests(func() int { return 5 }),
 	)
 	m.Request("chat", "served")
 	m.Request("chat", "served")
@@ -51,7 +51,7 @@
 	m.StoreCall("get", "ok")
 	m.Dial()
 	m.ForeignEntry()
-	m.Acquitted()
+	m.Cleared()
 	m.Suspended(8 * time.Second)
 	m.FirstByte("chat", 100*time.Millisecond)
 	m.Answer("chat", 3*time.Second)
@@ -87,8 +87,8 @@
 		`havenrudder_catalog_age_seconds 1.5`,
 		`havenrudder_alive_boxes 3`,
 		`havenrudder_sharing_boxes 4`,
-		`havenrudder_barred_requests 5`,
-		`havenrudder_acquitted_requests_total 1`,
+		`havenrudder_quarantined_requests 5`,
+		`havenrudder_cleared_requests_total 1`,
 		`havenrudder_suspended_seconds_total 8`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.05"} 0`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.2"} 1`,
--- a/node/dump.go
+++ b/node/dump.go
@@ -29,10 +29,10 @@
 // PoisonDump is what is believed of a request under which replicas ended, of which all
 // boxes are told.
 type PoisonDump struct {
-	Digest     string  `json:"digest"`
-	Ends       int     `json:"ends"`                     // of replicas, since a whole answer
-	BarredForS float64 `json:"barred_for_s"`             // how much longer it is turned away; 0 for a suspect
-	AnsweredS  float64 `json:"answered_ago_s,omitempty"` // since a replica bore it last; 0 where none did
+	Digest          string  `json:"digest"`
+	Ends            int     `json:"ends"`                     // of replicas, since a whole answer
+	QuarantinedForS float64 `json:"quarantined_for_s"`        // how much longer it is turned away; 0 for a suspect
+	AnsweredS       float64 `json:"answered_ago_s,omitempty"` // since a replica bore it last; 0 where none did
 }
 
 // BoxDump is what is believed of another box.
@@ -135,11 +135,11 @@
 func (s *state) dumpPoison(now time.Duration) []PoisonDump {
 	var out []PoisonDump
 	for _, r := range s.poison.Records() {
-		left, _ := r.Barred(now)
+		left, _ := r.Quarantined(now)
 		p := PoisonDump{
-			Digest:     r.Digest.String(),
-			Ends:       len(r.Ends),
-			BarredForS: max(left, 0).Seconds(),
+			Digest:          r.Digest.String(),
+			Ends:            len(r.Ends),
+			QuarantinedForS: max(left, 0).Seconds(),
 		}
 		if ago, ok := r.AnsweredAgo(now); ok {
 			p.AnsweredS = ago.Seconds()
--- a/node/node.go
+++ b/node/node.go
@@ -59,7 +59,7 @@
 	ends      atomic.Int64 // when a planned stop is over, in nanoseconds since the start
 	pulling   atomic.Bool  // another box is asked for its catalog
 	suspects  atomic.Int32 // requests under which replicas ended, of which all boxes are told
-	proofs    *poison.Proofs
+	served    *poison.Served
 	doubtAsk  atomic.Int64 // until then no box is asked for a doubt alone, in nanoseconds since the start
 	replicas  *exchange.Pool
 	boxes     *exchange.Pool
@@ -127,7 +127,7 @@
 		meter.WithBoxesAlive(n.boxesAlive),
 		meter.WithSharingBoxes(n.sharingBoxes),
 		meter.WithDroppedLines(n.log.DroppedLines),
-		meter.WithBarredRequests(n.barredRequests),
+		meter.WithQuarantinedRequests(n.quarantinedRequests),
 	)
 	limitMemory(s.MemoryMB)
 	return n, n.listeners.open(s)
@@ -185,7 +185,7 @@
 	broken := func(reason any) { cancel(errors.Newf("broken invariant: %v", reason)) }
 	n.system = cell.NewSystem(slog.New(slog.DiscardHandler), broken)
 	s := newState(n.settings, n.status(), n.now())
-	n.proofs = s.poison.Proofs()
+	n.served = s.poison.Served()
 	n.state = cell.New(ctx, n.system, "state", s)
 	n.replicas = exchange.NewPool(
 		exchange.WithIdleTime(idleReplica),
--- a/node/poison.go
+++ b/node/poison.go
@@ -21,65 +21,65 @@
 // their replicas.
 func (n *Node) poison(ctx context.Context) ingress.Poison {
 	return ingress.Poison{
-		Barred: n.barred,
+		Quarantined: n.quarantined,
 		Cut: func(c *placement.Choice, content *poison.Content, took time.Duration, closed bool) {
 			n.cut(ctx, c, content, took, closed)
 		},
-		Borne: n.borne,
+		Survived: n.survived,
 	}
 }
 
-// barred says whether a request is turned away, and for how long. One that was proved
-// innocent here of late is acquitted instead, and one that was so before may be tried.
-func (n *Node) barred(content *poison.Content) (left time.Duration, barred bool) {
+// quarantined says whether a request is turned away, and for how long. One that was served
+// here of late is cleared instead, and one that was so before may be tried.
+func (n *Node) quarantined(content *poison.Content) (left time.Duration, quarantined bool) {
 	if n.suspects.Load() == 0 {
 		return 0, false
 	}
 	d := content.Digest()
 	now := n.now()
-	_ = n.state.Do(func(s *state) { left, barred = s.poison.Barred(d, now) }) // it fails only when the box has ended
+	_ = n.state.Do(func(s *state) { left, quarantined = s.poison.Quarantined(d, now) }) // it fails only when the box has ended
 	switch {
-	case !barred:
+	case !quarantined:
 		return 0, false
-	case n.proofs.Has(content, now):
-		n.acquit(d, now)
+	case n.served.Lately(content, now):
+		n.clear(d, now)
 		return 0, false
-	case n.proofs.Had(content) && n.triesBarred(d, now):
+	case n.served.Before(content) && n.triesQuarantined(d, now):
 		return 0, false
 	}
 	return left, true
 }
 
-// triesBarred says whether this box tries a barred request once more.
-func (n *Node) triesBarred(d poison.Digest, now time.Duration) (tries bool) {
+// triesQuarantined says whether this box tries a quarantined request once more.
+func (n *Node) triesQuarantined(d poison.Digest, now time.Duration) (tries bool) {
 	_ = n.state.Do(func(s *state) { tries = s.poison.Tries(d, s.poisonBoxes(now), now) }) // it fails only when the box has ended
 	if tries {
 		n.record(decision.Event{
 			Kind:   decision.Belief,
 			Digest: d.String(),
-			Reason: "barred request tried again, it was answered before",
+			Reason: "quarantined request tried again, it was answered before",
 		})
 	}
 	return tries
 }
 
-// borne takes in that a replica gave a request a whole answer, or has gone on with one for
+// survived takes in that a replica gave a request a whole answer, or has gone on with one for
 // long.
-func (n *Node) borne(c *placement.Choice, content *poison.Content, took time.Duration) {
+func (n *Node) survived(c *placement.Choice, content *poison.Content, took time.Duration) {
 	now := n.now()
-	n.proofs.Add(content, now)
+	n.served.Add(content, now)
 	n.state.Post(func(s *state) { s.poison.Lives(c.Replica, now-took) })
 	if n.suspects.Load() > 0 || content.Digested() {
-		n.acquit(content.Digest(), now)
+		n.clear(content.Digest(), now)
 	}
 }
 
-// acquit takes in that a request was answered whole.
-func (n *Node) acquit(d poison.Digest, now time.Duration) {
+// clear takes in that a request was answered whole.
+func (n *Node) clear(d poison.Digest, now time.Duration) {
 	news := false
-	_ = n.state.Do(func(s *state) { news = s.poison.Acquit(d, now) }) // it fails only when the box has ended
+	_ = n.state.Do(func(s *state) { news = s.poison.Clear(d, now) }) // it fails only when the box has ended
 	if news {
-		n.meter.Acquitted()
+		n.meter.Cleared()
 		n.tellPoison()
 	}
 }
@@ -89,20 +89,20 @@
 // that fell silent, and of one that the connection doesn't tell of, the catalog does.
 func (n *Node) cut(ctx context.Context, c *placement.Choice, content *poison.Content, took time.Duration, closed bool) {
 	now := n.now()
-	if n.proofs.Has(content, now) {
+	if n.served.Lately(content, now) {
 		return
 	}
 	d := content.Digest()
-	charged, dials, suspect := false, false, false
+	counted, dials, suspect := false, false, false
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		if s.isLeaving(c.Replica) {
 			return // it was to end
 		}
-		charged = s.poison.Cut(c.Replica, d, now-took, now)
-		dials = closed && !charged && s.poison.Dials(c.Replica, now)
+		counted = s.poison.Cut(c.Replica, d, now-took, now)
+		dials = closed && !counted && s.poison.Dials(c.Replica, now)
 		suspect = s.poison.Suspects(d)
 	})
-	if charged {
+	if counted {
 		n.tellPoison()
 	}
 	start, addr := c.Replica, c.Addr
@@ -130,9 +130,9 @@
 		return
 	}
 	sleep.For(ctx, poison.Settles)
-	charged := 0
-	_ = n.state.Do(func(s *state) { charged = s.poison.Ended(start, n.now()) }) // it fails only when the box has ended
-	n.recordEnd(start, charged)
+	counted := 0
+	_ = n.state.Do(func(s *state) { counted = s.poison.Ended(start, n.now()) }) // it fails only when the box has ended
+	n.recordEnd(start, counted)
 	n.tellPoison()
 }
 
@@ -170,34 +170,34 @@
 // down what is held of them now.
 func (n *Node) tellPoison() {
 	var out []roster.Packet
-	var verdicts []poison.Verdict
+	var changes []poison.Change
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		now := n.now()
 		out = s.tellPoison(now, n.draw)
-		verdicts = s.poison.Verdicts(now)
+		changes = s.poison.Changes(now)
 		n.suspects.Store(int32(s.poison.Known()))
 	})
 	n.post(out)
-	for _, v := range verdicts {
-		n.recordVerdict(v)
+	for _, v := range changes {
+		n.recordPoisonChange(v)
 	}
 }
 
-// recordVerdict writes down what is held of a request now.
-func (n *Node) recordVerdict(v poison.Verdict) {
+// recordPoisonChange writes down what is held of a request now.
+func (n *Node) recordPoisonChange(v poison.Change) {
 	e := decision.Event{
 		Kind:   decision.Belief,
 		Digest: v.Digest.String(),
 	}
 	switch {
-	case v.Barred:
-		e.Reason = "request barred, replicas ended under it"
+	case v.Quarantined:
+		e.Reason = "request quarantined, replicas ended under it"
 		e.Tries = v.Ends
 		e.Detail = "for " + v.Left.Round(time.Second).String()
-	case v.Acquitted:
-		e.Reason = "request acquitted by a whole answer"
+	case v.Cleared:
+		e.Reason = "request cleared by a whole answer"
 	default:
-		e.Reason = "request no longer barred"
+		e.Reason = "request no longer quarantined"
 	}
 	n.record(e)
 }
@@ -244,13 +244,13 @@
 	return out
 }
 
-// barredRequests returns how many requests are turned away; it is read after the box has
+// quarantinedRequests returns how many requests are turned away; it is read after the box has
 // begun to run.
-func (n *Node) barredRequests() (count int) {
+func (n *Node) quarantinedRequests() (count int) {
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		now := n.now()
 		for _, r := range s.poison.Records() {
-			if _, barred := r.Barred(now); barred {
+			if _, quarantined := r.Quarantined(now); quarantined {
 				count++
 			}
 		}
--- a/poison/build_test.go
+++ b/poison/build_test.go
@@ -14,9 +14,9 @@
 	sentBefore = start - time.Minute // when requests were sent that are cut later
 )
 
-// guilty is a request that ends its replicas.
-var guilty = Content{
-	Target: "/guilty",
+// deadly is a request that ends its replicas.
+var deadly = Content{
+	Target: "/deadly",
 }
 
 // digestOf returns a digest by a number.
@@ -118,10 +118,10 @@
 	b.tell(name)
 }
 
-// barring returns at how many boxes a request is barred.
-func (b *boxes) barring(d Digest) (n int) {
+// quarantine returns at how many boxes a request is quarantined.
+func (b *boxes) quarantine(d Digest) (n int) {
 	for _, w := range b.watches {
-		if _, barred := w.Barred(d, b.now); barred {
+		if _, quarantined := w.Quarantined(d, b.now); quarantined {
 			n++
 		}
 	}
--- a/poison/cuts.go
+++ b/poison/cuts.go
@@ -7,13 +7,13 @@
 	maxCuts   = 256              // of one start, more than it runs at once
 	maxStarts = 4096             // with cuts; replicas of an installation
 
-	together    = 50 * time.Millisecond // between the first cuts of replicas that end for one cause
+	together    = 10 * time.Millisecond // between the first cuts of replicas that end for one cause, as a box sees them: eleven that crashed together were within 1 ms; with 50 ms those that several poison requests end by turns seemed to
 	manyReplica = 3                     // that end together, as with a rack or a power line: of their requests only those are held to be the cause that more than one of them ran
 )
 
 // Settles is how long the end of a replica is left open, so that those that end together
 // with it are known.
-const Settles = 2 * together
+const Settles = 50 * time.Millisecond
 
 // cut is the requests that a start of a replica gave no whole answer.
 type cut struct {
@@ -25,7 +25,7 @@
 }
 
 // Cuts holds requests that got no whole answer until it is known whether the replica has
-// ended. One that lives may have cut a single answer, for which no request is to blame.
+// ended. One that lives may have cut a single answer, of which no request is the cause.
 type Cuts struct {
 	starts map[string]*cut
 }
@@ -59,7 +59,7 @@
 		k.digests[d] = struct{}{}
 	}
 	k.at = now
-	return k.ended && c.blames(k, d)
+	return k.ended && c.mayCause(k, d)
 }
 
 // Ended notes that a start has ended, and returns the requests that it ran and that may be
@@ -73,16 +73,16 @@
 	k.explained = len(c.cutWith(k)) >= manyReplica
 	out := make([]Digest, 0, len(k.digests))
 	for d := range k.digests {
-		if c.blames(k, d) {
+		if c.mayCause(k, d) {
 			out = append(out, d)
 		}
 	}
 	return out
 }
 
-// blames says whether a request may be the cause of an end. A request that comes at several
+// mayCause says whether a request may be the cause of an end. A request that comes at several
 // boxes at once may well end several replicas together.
-func (c *Cuts) blames(k *cut, d Digest) bool {
+func (c *Cuts) mayCause(k *cut, d Digest) bool {
 	if !k.explained {
 		return true
 	}
--- a/poison/ledger_test.go
+++ b/poison/ledger_test.go
@@ -8,46 +8,46 @@
 	"pgregory.net/rapid"
 )
 
-func TestABarLastsTwiceAsLongAfterEachFurtherEnd(t *testing.T) {
+func TestAQuarantineLastsTwiceAsLongAfterEachFurtherEnd(t *testing.T) {
 	is := is.New(t)
 	for n, want := range map[int]time.Duration{
-		endsToBar - 1: 0,
-		endsToBar:     barredFor,
-		endsToBar + 1: 2 * barredFor,
-		maxEnds:       barredFor << (maxEnds - endsToBar),
+		endsToQuarantine - 1: 0,
+		endsToQuarantine:     quarantinedFor,
+		endsToQuarantine + 1: 2 * quarantinedFor,
+		maxEnds:              quarantinedFor << (maxEnds - endsToQuarantine),
 	} {
-		r := endsUnder(guilty.Digest(), n, start)
-		left, barred := r.Barred(start)
+		r := endsUnder(deadly.Digest(), n, start)
+		left, quarantined := r.Quarantined(start)
 		is.Equal(left, want)
-		is.Equal(barred, want > 0)
-		_, barred = r.Barred(start + want)
-		is.True(!barred)
+		is.Equal(quarantined, want > 0)
+		_, quarantined = r.Quarantined(start + want)
+		is.True(!quarantined)
 	}
 }
 
-func TestAfterABarASingleEndBarsAnew(t *testing.T) {
+func TestAfterAQuarantineASingleEndIsEnoughForAnother(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger()
-	l.Take(endsUnder(guilty.Digest(), endsToBar, start), start)
-	now := start + barredFor + time.Second
+	l.Take(endsUnder(deadly.Digest(), endsToQuarantine, start), start)
+	now := start + quarantinedFor + time.Second
 	l.Forget(now)
-	_, barred := l.Get(guilty.Digest()).Barred(now)
-	is.True(!barred)
-	is.True(l.Charge(guilty.Digest(), 99, now))
-	left, _ := l.Get(guilty.Digest()).Barred(now)
-	is.Equal(left, 2*barredFor)
+	_, quarantined := l.Get(deadly.Digest()).Quarantined(now)
+	is.True(!quarantined)
+	is.True(l.AddEnd(deadly.Digest(), 99, now))
+	left, _ := l.Get(deadly.Digest()).Quarantined(now)
+	is.Equal(left, 2*quarantinedFor)
 }
 
-func TestSuspicionsAndBarsAreForgotten(t *testing.T) {
+func TestSuspectsAndQuarantinesAreForgotten(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger()
 	l.Take(endsUnder(digestOf(1), 1, start), start)
-	l.Take(endsUnder(digestOf(2), endsToBar, start), start)
+	l.Take(endsUnder(digestOf(2), endsToQuarantine, start), start)
 	l.Forget(start + suspectFor)
 	is.Equal(l.Len(), 2)
 	l.Forget(start + suspectFor + 1)
 	is.Equal(l.Len(), 1)
-	l.Forget(start + 2*barredFor + 1)
+	l.Forget(start + 2*quarantinedFor + 1)
 	is.Equal(l.Len(), 0)
 	is.True(!l.Take(endsUnder(digestOf(1), 1, start), start+suspectFor+1)) // nor taken from others
 	is.Equal(l.Len(), 0)
@@ -56,21 +56,21 @@
 func TestEndsBeforeAnAnswerAndJustAfterItDoNotCount(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger()
-	d := guilty.Digest()
-	l.Take(endsUnder(d, endsToBar, start), start)
-	is.True(l.Acquit(d, start+1))
-	is.True(!l.Charge(d, 7, start))
-	is.True(!l.Charge(d, 8, start+1+acquitsFor))
-	is.True(l.Charge(d, 9, start+2+acquitsFor))
+	d := deadly.Digest()
+	l.Take(endsUnder(d, endsToQuarantine, start), start)
+	is.True(l.Clear(d, start+1))
+	is.True(!l.AddEnd(d, 7, start))
+	is.True(!l.AddEnd(d, 8, start+1+clearsFor))
+	is.True(l.AddEnd(d, 9, start+2+clearsFor))
 	is.Equal(len(l.Get(d).Ends), 1)
 }
 
 func TestAnAnswerIsNotToldYoungerFromBoxToBox(t *testing.T) {
 	is := is.New(t)
 	a, b := NewLedger(), NewLedger()
-	d := guilty.Digest()
+	d := deadly.Digest()
 	a.Take(endsUnder(d, endsToTell, start), start)
-	a.Acquit(d, start+time.Second)
+	a.Clear(d, start+time.Second)
 	now := start + time.Second
 	for range 1000 { // each way takes 80 ms, by which the answer seems later
 		pass := func(from, to *Ledger) {
--- a/poison/spread.go
+++ b/poison/spread.go
@@ -4,13 +4,10 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/havenrudder/havenrudder/common/rendezvous"
 )
 
 const (
-	owners       = 3                      // boxes that add the ends of a request up; two of them may be lost
-	callers      = 2                      // of the owners that tell all boxes; the first may be gone unnoticed
+	announcers   = 2                      // of the owners that tell all boxes; the first may be gone unnoticed
 	tellings     = 3                      // of an end to the owners: one datagram may be lost
 	tellAfter    = 200 * time.Millisecond // between two of them
 	compareEvery = time.Second            // between two comparisons with another box: one that joins, or comes back, knows the same within about that time
@@ -96,7 +93,7 @@
 	told := false
 	if t.all {
 		t.all = false
-		if told = r.open && rank < callers; told {
+		if told = r.open && rank < announcers; told {
 			put(out, r, g.others)
 		}
 	}
@@ -116,42 +113,6 @@
 	}
 }
 
-// group is the boxes that are alive at one moment.
-type group struct {
-	self   string
-	others []Box
-	names  []string // of all, this one too
-	byName map[string]Box
-}
-
-func newGroup(self string, others []Box) *group {
-	g := &group{
-		self:   self,
-		others: others,
-		names:  []string{self},
-		byName: make(map[string]Box),
-	}
-	for _, b := range others {
-		g.names = append(g.names, b.Name)
-		g.byName[b.Name] = b
-	}
-	return g
-}
-
-// ownersOf returns the other boxes that own a request, and this one's rank among the owners;
-// theirs number where it is none.
-func (g *group) ownersOf(d Digest) (rank int, others []Box) {
-	rank = owners
-	for i, name := range rendezvous.Top(string(d[:]), g.names, owners) {
-		if name == g.self {
-			rank = i
-			continue
-		}
-		others = append(others, g.byName[name])
-	}
-	return rank, others
-}
-
 // packets returns the datagrams that hold records, by address.
 func (s *Spread) packets(records map[string][]Record, now time.Duration) []Packet {
 	var out []Packet
--- a/poison/watch.go
+++ b/poison/watch.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	tryAfter = 2 * time.Second // after the third end until a request that was proved innocent before is tried again
+	tryAfter = 2 * time.Second // after the third end until a request that was served before is tried again
 	tryLater = 4               // times as long after each further end: after 8, 32 and 128 s
 )
 
@@ -15,34 +15,33 @@
 const dialGap = time.Second
 
 // Watch is all that a box holds of requests that end their replicas. It belongs to one
-// actor, but for its proofs.
+// actor, but for Served.
 type Watch struct {
-	ledger *Ledger
-	cuts   *Cuts
-	spread *Spread
-	proofs *Proofs
-	dialed map[string]time.Duration // when a start that cut requests was last connected to
-	tried  map[Digest]time.Duration // when this box tried a barred request last
-	barred map[Digest]bool          // as Verdicts said last
+	ledger      *Ledger
+	cuts        *Cuts
+	spread      *Spread
+	served      *Served
+	dialed      map[string]time.Duration // when a start that cut requests was last connected to
+	tried       map[Digest]time.Duration // when this box tried a quarantined request last
+	quarantined map[Digest]bool          // as Changes said last
 }
 
 // NewWatch returns the watch of a box that knows of no such request.
 func NewWatch(box string) *Watch {
 	ledger := NewLedger()
 	return &Watch{
-		ledger: ledger,
-		cuts:   NewCuts(),
-		spread: NewSpread(box, ledger),
-		proofs: NewProofs(),
-		dialed: make(map[string]time.Duration),
-		tried:  make(map[Digest]time.Duration),
-		barred: make(map[Digest]bool),
+		ledger:      ledger,
+		cuts:        NewCuts(),
+		spread:      NewSpread(box, ledger),
+		served:      NewServed(),
+		dialed:      make(map[string]time.Duration),
+		tried:       make(map[Digest]time.Duration),
+		quarantined: make(map[Digest]bool),
 	}
 }
 
-// Proofs returns the requests that were proved innocent here. They may be used by any
-// goroutine.
-func (w *Watch) Proofs() *Proofs { return w.proofs }
+// Served returns the requests that were served here. It may be used by any goroutine.
+func (w *Watch) Served() *Served { return w.served }
 
 // Known returns how many requests all boxes are told of.
 func (w *Watch) Known() int { return len(w.ledger.Open()) }
@@ -50,28 +49,28 @@
 // Records returns what is known of requests that all boxes are told of, in no order.
 func (w *Watch) Records() []*Record { return w.ledger.Open() }
 
-// Barred says whether a request is turned away, and for how long.
-func (w *Watch) Barred(d Digest, now time.Duration) (left time.Duration, barred bool) {
+// Quarantined says whether a request is turned away, and for how long.
+func (w *Watch) Quarantined(d Digest, now time.Duration) (left time.Duration, quarantined bool) {
 	r := w.ledger.Get(d)
 	if r == nil {
 		return 0, false
 	}
-	return r.Barred(now)
+	return r.Quarantined(now)
 }
 
-// Tries says whether this box tries a request that is barred once more, for it was proved
-// innocent before: only the first of its owners does, so that all boxes together do so
+// Tries says whether this box tries a request that is quarantined once more, for it was served
+// before: only the first of its owners does, so that all boxes together do so
 // once, and each time later than the last.
 func (w *Watch) Tries(d Digest, others []Box, now time.Duration) bool {
 	r := w.ledger.Get(d)
-	if r == nil || len(r.Ends) < endsToBar {
+	if r == nil || len(r.Ends) < endsToQuarantine {
 		return false
 	}
 	if rank, _ := newGroup(w.spread.self, others).ownersOf(d); rank > 0 {
 		return false
 	}
 	wait := tryAfter
-	for range len(r.Ends) - endsToBar {
+	for range len(r.Ends) - endsToQuarantine {
 		wait *= tryLater
 	}
 	if now-max(r.last(), w.tried[d]) < wait {
@@ -81,10 +80,10 @@
 	return true
 }
 
-// Acquit takes in that a replica answered a request whole, and returns whether that is news
+// Clear takes in that a replica answered a request whole, and returns whether that is news
 // for others.
-func (w *Watch) Acquit(d Digest, now time.Duration) bool {
-	if !w.ledger.Acquit(d, now) {
+func (w *Watch) Clear(d Digest, now time.Duration) bool {
+	if !w.ledger.Clear(d, now) {
 		return false
 	}
 	w.spread.Learned(d, now)
@@ -101,7 +100,7 @@
 	if !w.cuts.Add(start, d, sent, now) {
 		return false
 	}
-	w.charge(d, start, now)
+	w.addEnd(d, start, now)
 	return true
 }
 
@@ -130,14 +129,14 @@
 func (w *Watch) Ended(start string, now time.Duration) int {
 	list := w.cuts.Ended(start)
 	for _, d := range list {
-		w.charge(d, start, now)
+		w.addEnd(d, start, now)
 	}
 	return len(list)
 }
 
-// charge holds the end of a start against a request.
-func (w *Watch) charge(d Digest, start string, now time.Duration) {
-	if w.ledger.Charge(d, StartOf(start), now) {
+// addEnd holds the end of a start against a request.
+func (w *Watch) addEnd(d Digest, start string, now time.Duration) {
+	if w.ledger.AddEnd(d, StartOf(start), now) {
 		w.spread.Learned(d, now)
 	}
 }
@@ -159,30 +158,30 @@
 	return w.spread.Hear(d, from, now)
 }
 
-// Verdict is a change of what is held of a request.
-type Verdict struct {
-	Digest    Digest
-	Barred    bool
-	Acquitted bool          // by a whole answer; else the time of the bar is over
-	Ends      int           // of replicas
-	Left      time.Duration // for which it is barred
+// Change is a change of what is held of a request.
+type Change struct {
+	Digest      Digest
+	Quarantined bool
+	Cleared     bool          // by a whole answer; else its time is over
+	Ends        int           // of replicas
+	Left        time.Duration // for which it is quarantined
 }
 
-// Verdicts returns what has changed since the last call.
-func (w *Watch) Verdicts(now time.Duration) []Verdict {
-	var out []Verdict
+// Changes returns what has changed since the last call.
+func (w *Watch) Changes(now time.Duration) []Change {
+	var out []Change
 	for _, r := range w.ledger.Open() {
-		left, barred := r.Barred(now)
-		if barred == w.barred[r.Digest] {
+		left, quarantined := r.Quarantined(now)
+		if quarantined == w.quarantined[r.Digest] {
 			continue
 		}
-		w.barred[r.Digest] = barred
-		out = append(out, Verdict{
-			Digest:    r.Digest,
-			Barred:    barred,
-			Acquitted: !barred && len(r.Ends) == 0,
-			Ends:      len(r.Ends),
-			Left:      left,
+		w.quarantined[r.Digest] = quarantined
+		out = append(out, Change{
+			Digest:      r.Digest,
+			Quarantined: quarantined,
+			Cleared:     !quarantined && len(r.Ends) == 0,
+			Ends:        len(r.Ends),
+			Left:        left,
 		})
 	}
 	return out
@@ -194,5 +193,5 @@
 	w.cuts.Forget(now)
 	maps.DeleteFunc(w.dialed, func(_ string, at time.Duration) bool { return now-at > dialGap })
 	maps.DeleteFunc(w.tried, func(d Digest, _ time.Duration) bool { return w.ledger.Get(d) == nil })
-	maps.DeleteFunc(w.barred, func(d Digest, _ bool) bool { return w.ledger.Get(d) == nil })
+	maps.DeleteFunc(w.quarantined, func(d Digest, _ bool) bool { return w.ledger.Get(d) == nil })
 }
--- a/poison/watch_test.go
+++ b/poison/watch_test.go
@@ -8,30 +8,30 @@
 	"github.com/matryer/is"
 )
 
-func TestThreeEndsAtThreeBoxesBarARequestAtAll(t *testing.T) {
+func TestThreeEndsAtThreeBoxesQuarantineARequestAtAll(t *testing.T) {
 	is := is.New(t)
 	b := newBoxes(t, 9)
-	for i := range endsToBar {
-		is.Equal(b.barring(guilty.Digest()), 0)
-		b.end(fmt.Sprint("box-", i), fmt.Sprint("replica-", i), guilty.Digest())
+	for i := range endsToQuarantine {
+		is.Equal(b.quarantine(deadly.Digest()), 0)
+		b.end(fmt.Sprint("box-", i), fmt.Sprint("replica-", i), deadly.Digest())
 	}
-	is.Equal(b.barring(guilty.Digest()), 9)
+	is.Equal(b.quarantine(deadly.Digest()), 9)
 }
 
 func TestOneEndThatThreeBoxesSeeIsOne(t *testing.T) {
 	is := is.New(t)
 	b := newBoxes(t, 9)
-	for i := range endsToBar {
-		b.end(fmt.Sprint("box-", i), "replica", guilty.Digest())
+	for i := range endsToQuarantine {
+		b.end(fmt.Sprint("box-", i), "replica", deadly.Digest())
 	}
 	b.run(time.Second)
-	is.Equal(b.barring(guilty.Digest()), 0)
+	is.Equal(b.quarantine(deadly.Digest()), 0)
 }
 
 func TestAReplicaThatCutsAnAnswerAndLivesIsHeldAgainstNobody(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch("box")
-	is.True(!w.Cut("replica", guilty.Digest(), sentBefore, start))
+	is.True(!w.Cut("replica", deadly.Digest(), sentBefore, start))
 	is.Equal(w.Doubtful(), []string{"replica"})
 	w.Lives("replica", start-time.Second) // it was sent before
 	is.Equal(w.Doubtful(), []string{"replica"})
@@ -46,25 +46,25 @@
 	w.Cut("replica", digestOf(1), sentBefore, start)
 	is.Equal(w.Ended("replica", start), 1)
 	is.Equal(w.Ended("replica", start), 0) // only once
-	is.True(w.Cut("replica", guilty.Digest(), sentBefore, start))
-	is.Equal(len(w.ledger.Get(guilty.Digest()).Ends), 1)
+	is.True(w.Cut("replica", deadly.Digest(), sentBefore, start))
+	is.Equal(len(w.ledger.Get(deadly.Digest()).Ends), 1)
 }
 
-func TestOfReplicasThatEndTogetherOnlyWhatSeveralRanIsBlamed(t *testing.T) {
+func TestOfReplicasThatEndTogetherOnlyWhatSeveralRanMayBeTheCause(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch("box")
 	name := func(i int) string { return fmt.Sprint("replica-", i) }
 	for i := range manyReplica {
 		at := start + time.Duration(i)*together/manyReplica
-		w.Cut(name(i), digestOf(i), sentBefore, at) // each ran an innocent one
-		w.Cut(name(i), guilty.Digest(), sentBefore, at)
+		w.Cut(name(i), digestOf(i), sentBefore, at) // each ran another one, too
+		w.Cut(name(i), deadly.Digest(), sentBefore, at)
 	}
 	for i := range manyReplica {
 		is.Equal(w.Ended(name(i), start+Settles), 1)
 		is.True(!w.Cut(name(i), digestOf(10+i), sentBefore, start+Settles)) // nor one that notices later
 	}
-	_, barred := w.Barred(guilty.Digest(), start+Settles)
-	is.True(barred)
+	_, quarantined := w.Quarantined(deadly.Digest(), start+Settles)
+	is.True(quarantined)
 	w.Cut("alone", digestOf(20), sentBefore, start+time.Second)
 	w.Cut("beside", digestOf(21), sentBefore, start+time.Second)
 	is.Equal(w.Ended("alone", start+time.Second+Settles), 1)
@@ -73,59 +73,59 @@
 
 // A call was cut at two replicas of twelve that ended together: its retry went to the second
 // a moment after that had ended, on a connection at rest.
-func TestWhatWasSentAfterAReplicaHadEndedIsNotBlamed(t *testing.T) {
+func TestWhatWasSentAfterAReplicaHadEndedIsNotTheCause(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch("box")
-	w.Cut("replica", guilty.Digest(), sentBefore, start)
+	w.Cut("replica", deadly.Digest(), sentBefore, start)
 	w.Cut("replica", digestOf(1), start+time.Millisecond, start+2*time.Millisecond)
 	is.Equal(w.Ended("replica", start+Settles), 1)
 	is.True(!w.Cut("replica", digestOf(2), start+time.Minute, start+time.Minute))
 	w.Cut("lives", digestOf(1), sentBefore, start) // it cut this one only
-	w.Cut("lives", guilty.Digest(), start+dialGap, start+2*dialGap)
+	w.Cut("lives", deadly.Digest(), start+dialGap, start+2*dialGap)
 	is.Equal(w.Ended("lives", start+2*dialGap+Settles), 2)
 }
 
 func TestACutIsForgottenAfterAWhile(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch("box")
-	w.Cut("replica", guilty.Digest(), sentBefore, start)
+	w.Cut("replica", deadly.Digest(), sentBefore, start)
 	w.Forget(start + cutFor + 1)
 	is.Equal(w.Ended("replica", start+cutFor+1), 0)
 }
 
-func TestABoxThatJoinsKnowsWithinTwoSecondsWhatIsBarred(t *testing.T) {
+func TestABoxThatJoinsKnowsWithinTwoSecondsWhatIsQuarantined(t *testing.T) {
 	is := is.New(t)
 	b := newBoxes(t, 9)
-	for i := range endsToBar {
-		b.end("box-0", fmt.Sprint("replica-", i), guilty.Digest())
+	for i := range endsToQuarantine {
+		b.end("box-0", fmt.Sprint("replica-", i), deadly.Digest())
 	}
 	b.run(time.Minute)
 	b.join("young")
 	b.run(2 * time.Second)
-	is.Equal(b.barring(guilty.Digest()), 10)
+	is.Equal(b.quarantine(deadly.Digest()), 10)
 }
 
 func TestBoxesThatHeardNothingLearnItByComparing(t *testing.T) {
 	is := is.New(t)
 	b := newBoxes(t, 9)
 	b.lose = func(string, string) bool { return true }
-	for i := range endsToBar {
-		b.end("box-0", fmt.Sprint("replica-", i), guilty.Digest())
+	for i := range endsToQuarantine {
+		b.end("box-0", fmt.Sprint("replica-", i), deadly.Digest())
 	}
 	b.run(time.Second)
-	is.Equal(b.barring(guilty.Digest()), 1)
+	is.Equal(b.quarantine(deadly.Digest()), 1)
 	b.lose = func(string, string) bool { return false }
 	b.run(5 * time.Second)
-	is.Equal(b.barring(guilty.Digest()), 9)
+	is.Equal(b.quarantine(deadly.Digest()), 9)
 }
 
 func TestTheEndsOfOwnersThatAreGoneAreKnownToTheOthers(t *testing.T) {
 	is := is.New(t)
 	b := newBoxes(t, 9)
-	b.end("box-0", "replica-0", guilty.Digest())
-	b.end("box-1", "replica-1", guilty.Digest())
+	b.end("box-0", "replica-0", deadly.Digest())
+	b.end("box-1", "replica-1", deadly.Digest())
 	for name, w := range b.watches {
-		if w.ledger.Get(guilty.Digest()) != nil && name != "box-2" {
+		if w.ledger.Get(deadly.Digest()) != nil && name != "box-2" {
 			delete(b.watches, name) // those that saw an end, and the owners but perhaps one
 		}
 		if len(b.watches) == 2 {
@@ -133,34 +133,34 @@
 		}
 	}
 	for name := range b.watches {
-		b.end(name, "replica-2", guilty.Digest())
+		b.end(name, "replica-2", deadly.Digest())
 		break
 	}
 	b.run(5 * time.Second)
-	is.Equal(b.barring(guilty.Digest()), len(b.watches))
+	is.Equal(b.quarantine(deadly.Digest()), len(b.watches))
 }
 
-func TestAWholeAnswerAtAnyBoxAcquitsAtAll(t *testing.T) {
+func TestAWholeAnswerAtAnyBoxClearsARequestAtAll(t *testing.T) {
 	is := is.New(t)
 	b := newBoxes(t, 9)
-	for i := range endsToBar {
-		b.end("box-0", fmt.Sprint("replica-", i), guilty.Digest())
+	for i := range endsToQuarantine {
+		b.end("box-0", fmt.Sprint("replica-", i), deadly.Digest())
 	}
 	b.now += time.Second
-	is.True(b.watches["box-5"].Acquit(guilty.Digest(), b.now))
+	is.True(b.watches["box-5"].Clear(deadly.Digest(), b.now))
 	b.tell("box-5")
 	b.run(5 * time.Second)
-	is.Equal(b.barring(guilty.Digest()), 0)
-	b.end("box-1", "replica-9", guilty.Digest()) // one end more is one only
+	is.Equal(b.quarantine(deadly.Digest()), 0)
+	b.end("box-1", "replica-9", deadly.Digest()) // one end more is one only
 	b.run(time.Second)
-	is.Equal(b.barring(guilty.Digest()), 0)
+	is.Equal(b.quarantine(deadly.Digest()), 0)
 }
 
 func TestOneOwnerTriesARequestThatWasAnsweredBefore(t *testing.T) {
 	is := is.New(t)
 	b := newBoxes(t, 9)
-	for i := range endsToBar {
-		b.end("box-0", fmt.Sprint("replica-", i), guilty.Digest())
+	for i := range endsToQuarantine {
+		b.end("box-0", fmt.Sprint("replica-", i), deadly.Digest())
 	}
 	tries := func() (n int) {
 		for name, w := range b.watches {
@@ -173,7 +173,7 @@
 					})
 				}
 			}
-			if w.Tries(guilty.Digest(), others, b.now) {
+			if w.Tries(deadly.Digest(), others, b.now) {
 				n++
 			}
 		}
@@ -183,40 +183,40 @@
 	b.now += tryAfter
 	is.Equal(tries(), 1)
 	is.Equal(tries(), 0) // while that is under way
-	b.end("box-0", "replica-4", guilty.Digest())
+	b.end("box-0", "replica-4", deadly.Digest())
 	b.now += 2 * tryAfter
 	is.Equal(tries(), 0) // each time later than before
 	b.now += tryLater * tryAfter
 	is.Equal(tries(), 1)
 }
 
-func TestVerdictsAreToldOnce(t *testing.T) {
+func TestChangesAreToldOnce(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch("box")
-	for i := range endsToBar {
-		now := start + time.Duration(i-endsToBar+1)*time.Second // the last at start
-		w.Cut(fmt.Sprint("replica-", i), guilty.Digest(), sentBefore, now)
+	for i := range endsToQuarantine {
+		now := start + time.Duration(i-endsToQuarantine+1)*time.Second // the last at start
+		w.Cut(fmt.Sprint("replica-", i), deadly.Digest(), sentBefore, now)
 		w.Ended(fmt.Sprint("replica-", i), now)
 	}
-	list := w.Verdicts(start)
+	list := w.Changes(start)
 	is.Equal(len(list), 1)
-	is.True(list[0].Barred)
-	is.Equal(list[0].Left, barredFor)
-	is.Equal(len(w.Verdicts(start)), 0)
-	w.Acquit(guilty.Digest(), start+time.Second)
-	list = w.Verdicts(start + time.Second)
+	is.True(list[0].Quarantined)
+	is.Equal(list[0].Left, quarantinedFor)
+	is.Equal(len(w.Changes(start)), 0)
+	w.Clear(deadly.Digest(), start+time.Second)
+	list = w.Changes(start + time.Second)
 	is.Equal(len(list), 1)
-	is.True(list[0].Acquitted)
+	is.True(list[0].Cleared)
 }
 
-func TestAFloodOfCutRequestsPushesOutNoBarredOne(t *testing.T) {
+func TestAFloodOfCutRequestsPushesOutNoQuarantinedOne(t *testing.T) {
 	is := is.New(t)
 	w := NewWatch("box")
-	w.ledger.Take(endsUnder(guilty.Digest(), endsToBar, start), start)
+	w.ledger.Take(endsUnder(deadly.Digest(), endsToQuarantine, start), start)
 	for i := range 100_000 {
-		w.ledger.Charge(digestOf(i), Start(i), start+time.Duration(i)*time.Millisecond/2)
+		w.ledger.AddEnd(digestOf(i), Start(i), start+time.Duration(i)*time.Millisecond/2)
 		is.True(w.ledger.Len() <= maxRecords)
 	}
-	_, barred := w.Barred(guilty.Digest(), start+time.Minute)
-	is.True(barred)
+	_, quarantined := w.Quarantined(deadly.Digest(), start+time.Minute)
+	is.True(quarantined)
 }
