--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -186,7 +186,7 @@
 	c.server.core.Meter.Request(c.service, string(o), took)
 	digest := ""
 	if reason == string(reasonPoison) {
-		digest = c.content.Digest().String() // leads to the ends that bar it
+		digest = c.content.Digest().String() // leads to the ends for which it is turned away
 	}
 	c.record(decision.Event{
 		Kind:    decision.End,
