--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -12,7 +12,7 @@
 // reasonPoison is of a request that is turned away since replicas ended under it.
 const reasonPoison placement.Reason = "ends its replicas"
 
-// survivesAfter is how long a replica must have gone on with an answer to be held to bear the
+// survivesAfter is how long a replica must have gone on with an answer to have survived its
 // request. Requests that end their replicas do so some 0.1 s after they begin to run; of the
 // streams that are cut with them most have run for longer.
 const survivesAfter = 2 * time.Second
@@ -46,8 +46,8 @@
 	return quarantined
 }
 
-// judge tells what the try says of the request.
-func (a *attempt) judge(e ended) {
+// tellOutcome tells what the try says of the request.
+func (a *attempt) tellOutcome(e ended) {
 	c := a.call
 	p := &c.server.core.Poison
 	timeUp := e == abandoned && a.why == whyTime && a.begun.Load() > 0
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -50,7 +50,7 @@
 	first    time.Duration // until the answer's head; 0 while there is none
 	heard    atomic.Int64  // nanoseconds until bytes of the answer last came, to about heardEvery
 	muted    atomic.Bool   // the silence of its replica was taken in already
-	survived bool          // the replica has gone on with its answer for long
+	survived bool          // the replica has gone on with its answer for long, and that was told
 	why      string        // why there is no answer, or no whole one
 }
 
@@ -68,7 +68,7 @@
 	e := a.replica(ctx)
 	stop()
 	cancel(nil) // the replica stops its work when its connection closes
-	a.judge(e)
+	a.tellOutcome(e)
 	if a.result == placement.Silent && a.muted.Load() {
 		a.result = placement.Abandoned
 	}
--- a/measure/quarantine/requests.go
+++ b/measure/quarantine/requests.go
@@ -106,7 +106,7 @@
 	w.row.Others++
 	length := w.upTo(longestRun)
 	if length > survivesAfter {
-		w.clock.After(survivesAfter, func() { w.bear(p, r) })
+		w.clock.After(survivesAfter, func() { w.survive(p, r) })
 	}
 	w.clock.After(length, func() { w.answer(p, r) })
 }
@@ -143,12 +143,12 @@
 
 // answer gives a run a whole answer.
 func (w *World) answer(p *replica, r *run) {
-	w.bear(p, r)
+	w.survive(p, r)
 	delete(p.runs, r)
 }
 
-// bear has the box of a run know that the replica bears it, unless it was cut.
-func (w *World) bear(p *replica, r *run) {
+// survive has the box of a run know that the replica survives it, unless it was cut.
+func (w *World) survive(p *replica, r *run) {
 	if _, ok := p.runs[r]; !ok || r.box.watch == nil {
 		return
 	}
--- a/node/dump.go
+++ b/node/dump.go
@@ -32,7 +32,7 @@
 	Digest          string  `json:"digest"`
 	Ends            int     `json:"ends"`                     // of replicas, since a whole answer
 	QuarantinedForS float64 `json:"quarantined_for_s"`        // how much longer it is turned away; 0 for a suspect
-	AnsweredS       float64 `json:"answered_ago_s,omitempty"` // since a replica bore it last; 0 where none did
+	AnsweredS       float64 `json:"answered_ago_s,omitempty"` // since a replica last survived it; 0 where none did
 }
 
 // BoxDump is what is believed of another box.
--- a/poison/cuts.go
+++ b/poison/cuts.go
@@ -7,8 +7,8 @@
 	maxCuts   = 256              // of one start, more than it runs at once
 	maxStarts = 4096             // with cuts; replicas of an installation
 
-	together    = 10 * time.Millisecond // between the first cuts of replicas that end for one cause, as a box sees them: eleven that crashed together were within 1 ms; with 50 ms those that several poison requests end by turns seemed to
-	manyReplica = 3                     // that end together, as with a rack or a power line: of their requests only those are held to be the cause that more than one of them ran
+	together     = 10 * time.Millisecond // between the first cuts of replicas that end for one cause, as a box sees them: eleven that crashed together were within 1 ms; with 50 ms those that several poison requests end by turns seemed to
+	manyReplicas = 3                     // that end together, as with a rack or a power line: of their requests only those may be the cause that more than one of them ran
 )
 
 // Settles is how long the end of a replica is left open, so that those that end together
@@ -70,7 +70,7 @@
 		return nil
 	}
 	k.ended = true
-	k.explained = len(c.cutWith(k)) >= manyReplica
+	k.explained = len(c.cutWith(k)) >= manyReplicas
 	out := make([]Digest, 0, len(k.digests))
 	for d := range k.digests {
 		if c.mayCause(k, d) {
--- a/poison/record.go
+++ b/poison/record.go
@@ -39,7 +39,7 @@
 type Record struct {
 	Digest   Digest
 	Ends     []End         // since the last whole answer, in the order of their times
-	Answered time.Duration // when a replica last bore it, of the box's clock; never where none did
+	Answered time.Duration // when a replica last survived it, of the box's clock; never where none did
 	open     bool          // all boxes were told of it, or are being told
 }
 
@@ -53,7 +53,7 @@
 	return left, left > 0
 }
 
-// AnsweredAgo returns how long ago a replica last bore the request; false where none did.
+// AnsweredAgo returns how long ago a replica last survived the request; false where none did.
 func (r *Record) AnsweredAgo(now time.Duration) (ago time.Duration, ok bool) {
 	return now - r.Answered, r.Answered != never
 }
@@ -66,8 +66,8 @@
 	return max(r.Ends[len(r.Ends)-1].At, r.Answered)
 }
 
-// isOver says whether the record says nothing any more. One that was quarantined is kept for as
-// long again, so that a single end is enough then.
+// isOver says whether the record says nothing any more. One that was quarantined is
+// kept for as long again, so that a single end is enough then.
 func (r *Record) isOver(now time.Duration) bool {
 	keep := suspectFor
 	if n := min(len(r.Ends), maxEnds); n >= endsToQuarantine {
--- a/poison/served.go
+++ b/poison/served.go
@@ -54,7 +54,7 @@
 	p.young[key] = now
 }
 
-// Lately says whether a request was served so lately that no end is held against it.
+// Lately says whether a request was served so lately that no end counts for it.
 func (p *Served) Lately(c *Content, now time.Duration) bool {
 	at, ok := p.last(c)
 	return ok && now-at <= latelyFor
--- a/poison/watch.go
+++ b/poison/watch.go
@@ -58,9 +58,9 @@
 	return r.Quarantined(now)
 }
 
-// Tries says whether this box tries a request that is quarantined once more, for it was served
-// before: only the first of its owners does, so that all boxes together do so
-// once, and each time later than the last.
+// Tries says whether this box tries a request that is quarantined once more, since it was
+// served before: only the first of its owners does, so that all boxes together do so once, and
+// each time later than the last.
 func (w *Watch) Tries(d Digest, others []Box, now time.Duration) bool {
 	r := w.ledger.Get(d)
 	if r == nil || len(r.Ends) < endsToQuarantine {
@@ -80,7 +80,7 @@
 	return true
 }
 
-// Clear takes in that a replica answered a request whole, and returns whether that is news
+// Clear takes in that a replica survived a request, and returns whether that is news
 // for others.
 func (w *Watch) Clear(d Digest, now time.Duration) bool {
 	if !w.ledger.Clear(d, now) {
@@ -90,12 +90,11 @@
 	return true
 }
 
-// Lives takes in that a start gave a whole answer to a request that was sent to it at a
-// time.
+// Lives takes in that a start survived a request that was sent to it at a time.
 func (w *Watch) Lives(start string, sent time.Duration) { w.cuts.Lives(start, sent) }
 
 // Cut takes in that a start gave a request that was sent to it at a time no whole answer, and
-// returns whether that is held against the request: the start is known to have ended.
+// returns whether that counts for the request: the start is known to have ended.
 func (w *Watch) Cut(start string, d Digest, sent, now time.Duration) bool {
 	if !w.cuts.Add(start, d, sent, now) {
 		return false
@@ -124,8 +123,8 @@
 	return r != nil && r.open
 }
 
-// Ended takes in that a start has ended, and returns against how many requests that is
-// held. It is called once the time that Settles gives is over.
+// Ended takes in that a start has ended, and returns for how many requests that counts. It is
+// called once the time that Settles gives is over.
 func (w *Watch) Ended(start string, now time.Duration) int {
 	list := w.cuts.Ended(start)
 	for _, d := range list {
@@ -134,7 +133,7 @@
 	return len(list)
 }
 
-// addEnd holds the end of a start against a request.
+// addEnd counts the end of a start for a request.
 func (w *Watch) addEnd(d Digest, start string, now time.Duration) {
 	if w.ledger.AddEnd(d, StartOf(start), now) {
 		w.spread.Learned(d, now)
--- a/poison/watch_test.go
+++ b/poison/watch_test.go
@@ -54,12 +54,12 @@
 	is := is.New(t)
 	w := NewWatch("box")
 	name := func(i int) string { return fmt.Sprint("replica-", i) }
-	for i := range manyReplica {
-		at := start + time.Duration(i)*together/manyReplica
+	for i := range manyReplicas {
+		at := start + time.Duration(i)*together/manyReplicas
 		w.Cut(name(i), digestOf(i), sentBefore, at) // each ran another one, too
 		w.Cut(name(i), deadly.Digest(), sentBefore, at)
 	}
-	for i := range manyReplica {
+	for i := range manyReplicas {
 		is.Equal(w.Ended(name(i), start+Settles), 1)
 		is.True(!w.Cut(name(i), digestOf(10+i), sentBefore, start+Settles)) // nor one that notices later
 	}
