placement: No entry of an unknown service, and no copy, takes the address of a replica

Another writer's entry with the address of a replica and a service that nobody has took the replica out of use; so did a copy of its entry under another id. Both tests failed first.

--- a/placement/address_test.go
+++ b/placement/address_test.go
@@ -48,3 +48,27 @@
 	}
 	is.Equal(len(seen), 3)
 }
+
+// Another writer's entry may name a service that nobody has, and the address of a replica.
+func TestAnEntryOfAServiceThatIsNotKnownTakesNoAddress(t *testing.T) {
+	is := is.New(t)
+	foreign := at("foreign", "127.0.0.1:1", 2)
+	foreign.Service = "nobody's"
+	b := newBox("a", "hall", at("real", "127.0.0.1:1", 1))
+	b.publish(start, nil, at("real", "127.0.0.1:1", 1), foreign)
+	c := b.Pick(ask("engine", "k"), alone, start)
+	is.Equal(c.ID, "real")
+}
+
+func TestACopyOfAnEntryTakesNoAddressFromAReplicaThatTellsItsStart(t *testing.T) {
+	is := is.New(t)
+	real, copied := at("real", "127.0.0.1:1", 1), at("copied", "127.0.0.1:1", 2)
+	real.Born, copied.Born = firstBorn, firstBorn
+	b := newBox("a", "hall", real)
+	b.publish(start, nil, real, copied)
+	is.True(b.Get(real.Start()).Listed())
+	copied.Born = secondBorn // a later start
+	copied.Revision = 3
+	b.publish(start, nil, real, copied)
+	is.True(!b.Get(real.Start()).Listed())
+}
--- a/placement/start.go
+++ b/placement/start.go
@@ -1,5 +1,7 @@
 package placement
 
+import "github.com/havenrudder/havenrudder/catalog"
+
 // A replica that starts again under its id is another Replica here: what was believed of
 // the earlier start, and the requests that went to it, stay with that one. Only the pacer
 // keeps sends by id, since boxes that know of the new start and boxes that don't yet send
@@ -28,13 +30,13 @@
 	return o != nil && o.listed
 }
 
-// describeEnd says why a replica is no longer listed; newest has the revision of the newest
-// entry at each address.
-func (v *View) describeEnd(r *Replica, newest map[string]int64) string {
+// describeEnd says why a replica is no longer listed; newest has the newest entry at each
+// address.
+func (v *View) describeEnd(r *Replica, newest map[string]catalog.Replica) string {
 	switch {
 	case v.isReplaced(r):
 		return "replica replaced by a later start"
-	case newest[r.info.Addr] > r.info.Revision:
+	case isSuperseded(r.info, newest[r.info.Addr]):
 		return "replica's address has another"
 	}
 	return "replica no longer listed"
--- a/placement/view.go
+++ b/placement/view.go
@@ -88,7 +88,7 @@
 	for _, info := range c.Replicas() {
 		switch {
 		case info.Region != v.region:
-		case info.Revision < newest[info.Addr]:
+		case isSuperseded(info, newest[info.Addr]):
 			v.supersede(info, now)
 		default:
 			seen[info.Start()] = true
@@ -118,19 +118,32 @@
 	return news
 }
 
-// newestAt returns the revision of the newest entry at each address of the region. A replica
-// that starts again may do so under a new id while the entry of the old one has not lapsed;
-// requests to the old one would come back misdirected.
-func (v *View) newestAt(c *catalog.Content) map[string]int64 {
-	out := make(map[string]int64)
+// newestAt returns the newest entry at each address of the region. An entry of a service that
+// no policy names may be another writer's, and takes nobody's address.
+func (v *View) newestAt(c *catalog.Content) map[string]catalog.Replica {
+	out := make(map[string]catalog.Replica)
 	for _, info := range c.Replicas() {
-		if info.Region == v.region {
-			out[info.Addr] = max(out[info.Addr], info.Revision)
+		if info.Region != v.region || v.table == nil || v.table.Service(info.Service) == nil {
+			continue
+		}
+		if info.Revision > out[info.Addr].Revision {
+			out[info.Addr] = info
 		}
 	}
 	return out
 }
 
+// isSuperseded says whether a newer entry has the address of a replica. A replica that starts
+// again may do so under a new id while the entry of the old one has not lapsed; requests to
+// the old one would come back misdirected. A copy of its entry, which tells of no later start,
+// doesn't count.
+func isSuperseded(info, newest catalog.Replica) bool {
+	if newest.Revision <= info.Revision {
+		return false
+	}
+	return newest.Born == 0 || info.Born == 0 || newest.Born > info.Born
+}
+
 // takeReplica takes in what is published of one replica.
 func (v *View) takeReplica(news []Belief, info catalog.Replica, now time.Duration) []Belief {
 	start := info.Start()
