--- a/placement/address_test.go
+++ b/placement/address_test.go
@@ -62,13 +62,13 @@
 
 func TestACopyOfAnEntryTakesNoAddressFromAReplicaThatTellsItsStart(t *testing.T) {
 	is := is.New(t)
-	real, copied := at("real", "127.0.0.1:1", 1), at("copied", "127.0.0.1:1", 2)
-	real.Born, copied.Born = firstBorn, firstBorn
-	b := newBox("a", "hall", real)
-	b.publish(start, nil, real, copied)
-	is.True(b.Get(real.Start()).Listed())
+	original, copied := at("real", "127.0.0.1:1", 1), at("copied", "127.0.0.1:1", 2)
+	original.Born, copied.Born = firstBorn, firstBorn
+	b := newBox("a", "hall", original)
+	b.publish(start, nil, original, copied)
+	is.True(b.Get(original.Start()).Listed())
 	copied.Born = secondBorn // a later start
 	copied.Revision = 3
-	b.publish(start, nil, real, copied)
-	is.True(!b.Get(real.Start()).Listed())
+	b.publish(start, nil, original, copied)
+	is.True(!b.Get(original.Start()).Listed())
 }
