--- a/poison/build_test.go
+++ b/poison/build_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,16 +76,24 @@
 
 // tell has a box send what is due.
 func (b *boxes) tell(name string) {
-	var others []Box
-	for other := range b.watches {
+	b.post(name, b.watches[name].Due(b.others(name), b.now, b.rnd.IntN))
+}
+
+// names returns the boxes that run, in order, so that one seed is one run.
+func (b *boxes) names() []string { return slices.Sorted(maps.Keys(b.watches)) }
+
+// others returns all boxes but one.
+func (b *boxes) others(name string) []Box {
+	var out []Box
+	for _, other := range b.names() {
 		if other != name {
-			others = append(others, Box{
+			out = append(out, Box{
 				Name: other,
 				Addr: other,
 			})
 		}
 	}
-	b.post(name, b.watches[name].Due(others, b.now, b.rnd.IntN))
+	return out
 }
 
 func (b *boxes) post(from string, list []Packet) {
@@ -103,7 +113,7 @@
 // run has all boxes tell each other for a time.
 func (b *boxes) run(d time.Duration) {
 	for until := b.now + d; b.now < until; b.now += 250 * time.Millisecond {
-		for name := range b.watches {
+		for _, name := range b.names() {
 			b.tell(name)
 		}
 	}
--- a/poison/watch_test.go
+++ b/poison/watch_test.go
@@ -124,18 +124,15 @@
 	b := newBoxes(t, 9)
 	b.end("box-0", "replica-0", deadly.Digest())
 	b.end("box-1", "replica-1", deadly.Digest())
-	for name, w := range b.watches {
-		if w.ledger.Get(deadly.Digest()) != nil && name != "box-2" {
+	for _, name := range b.names() {
+		if b.watches[name].ledger.Get(deadly.Digest()) != nil && name != "box-2" {
 			delete(b.watches, name) // those that saw an end, and the owners but perhaps one
 		}
 		if len(b.watches) == 2 {
 			break
 		}
 	}
-	for name := range b.watches {
-		b.end(name, "replica-2", deadly.Digest())
-		break
-	}
+	b.end(b.names()[0], "replica-2", deadly.Digest())
 	b.run(5 * time.Second)
 	is.Equal(b.quarantine(deadly.Digest()), len(b.watches))
 }
@@ -163,17 +160,8 @@
 		b.end("box-0", fmt.Sprint("replica-", i), deadly.Digest())
 	}
 	tries := func() (n int) {
-		for name, w := range b.watches {
-			var others []Box
-			for other := range b.watches {
-				if other != name {
-					others = append(others, Box{
-						Name: other,
-						Addr: other,
-					})
-				}
-			}
-			if w.Tries(deadly.Digest(), others, b.now) {
+		for _, name := range b.names() {
+			if b.watches[name].Tries(deadly.Digest(), b.others(name), b.now) {
 				n++
 			}
 		}
