--- a/measure/quarantine/requests.go
+++ b/measure/quarantine/requests.go
@@ -34,7 +34,7 @@
 	if r.deadly == nil {
 		w.row.OthersCut++
 		if !r.again {
-			w.clock.After(comeAgain, func() { w.send(w.boxes[w.rnd.IntN(len(w.boxes))], r.content, nil, true) })
+			w.clock.After(comeAgain, func() { w.comeAgain(r.content) })
 		}
 	}
 	watch := r.box.watch
@@ -58,6 +58,15 @@
 	})
 }
 
+// comeAgain has a request that was cut come once more, at any box.
+func (w *World) comeAgain(c *poison.Content) {
+	w.send(&run{
+		box:     w.boxes[w.rnd.IntN(len(w.boxes))],
+		content: c,
+		again:   true,
+	}, nil)
+}
+
 // quarantined says whether a box turns a request away.
 func (w *World) quarantined(b *box, c *poison.Content) bool {
 	_, quarantined := b.watch.Quarantined(c.Digest(), w.now())
@@ -78,44 +87,64 @@
 	}
 }
 
-// send has a request come at a box, and be run by a replica of its region.
-func (w *World) send(b *box, c *poison.Content, g *deadly, again bool) {
+// send has a request come at a box, and be run by a replica of its region: p, if it is one.
+func (w *World) send(r *run, p *replica) {
+	b := r.box
 	if b.watch == nil {
 		return
 	}
-	if w.quarantined(b, c) {
-		w.noteRefused(c, g)
+	if w.quarantined(b, r.content) {
+		w.noteRefused(r)
 		return
 	}
-	p := w.pick(b.region)
+	if p == nil || p.start == "" {
+		p = w.pick(b.region)
+	}
 	if p == nil {
 		return
 	}
-	r := &run{
-		box:     b,
-		content: c,
-		again:   again,
-		deadly:  g,
-		at:      w.now(),
-	}
+	r.at = w.now()
 	p.runs[r] = struct{}{}
-	if g != nil {
-		w.sendPoison(g, p, b)
+	if r.deadly != nil {
+		w.sendPoison(r.deadly, p, b)
 		return
 	}
 	w.row.Others++
 	length := w.upTo(longestRun)
+	if r.beside != nil {
+		length += 2 * endsAfter // it is cut where the poison request runs
+	}
 	if length > survivesAfter {
 		w.clock.After(survivesAfter, func() { w.survive(p, r) })
 	}
 	w.clock.After(length, func() { w.answer(p, r) })
 }
 
+// sendBeside has an innocent request come where a poison one does. Each coming has a digest
+// to make of its own.
+func (w *World) sendBeside(b *box, o *beside, p *replica) {
+	c := poison.Content{
+		Target: o.content.Target,
+	}
+	w.send(&run{
+		box:     b,
+		content: &c,
+		again:   true, // it comes again with the poison one only
+		beside:  o,
+	}, p)
+}
+
 // noteRefused counts another request that was turned away.
-func (w *World) noteRefused(c *poison.Content, g *deadly) {
+func (w *World) noteRefused(r *run) {
 	switch {
-	case g != nil:
-	case c.Target == w.popular.Target:
+	case r.deadly != nil:
+	case r.beside != nil:
+		w.row.BesideRefused++
+		if r.beside.first == 0 {
+			r.beside.first = w.now()
+		}
+		r.beside.last = w.now()
+	case r.content.Target == w.popular.Target:
 		w.row.PopularRefused++
 	default:
 		w.row.OthersRefused++
--- a/measure/quarantine/row.go
+++ b/measure/quarantine/row.go
@@ -28,6 +28,8 @@
 	OthersCut      int     `json:"others_cut"`       // with a replica that ended
 	OthersRefused  int     `json:"others_refused"`   // turned away as if they ended replicas
 	PopularRefused int     `json:"popular_refused"`  // the same, of the popular request
+	BesideRefused  int     `json:"beside_refused"`   // the same, of those that come with a poison one
+	BesideLongMs   int64   `json:"beside_long_ms"`   // from the first to the last time that one of them was, the longest
 	BytesPerBox    float64 `json:"bytes_per_box_s"`  // sent and received in a second, with the headers of UDP and IPv4
 	MostBytes      float64 `json:"most_bytes_per_s"` // of the box with the most
 }
@@ -73,7 +75,10 @@
 		gap := time.Duration(float64(time.Second) / w.terms.Rate)
 		var next func()
 		next = func() {
-			w.send(b, w.harmless(), nil, false)
+			w.send(&run{
+				box:     b,
+				content: w.harmless(),
+			}, nil)
 			w.clock.After(w.upTo(2*gap), next)
 		}
 		w.clock.After(w.upTo(gap), next)
@@ -92,13 +97,25 @@
 	}
 }
 
-// come has a poison request come, again and again.
+// come has a poison request come, again and again, and others with it.
 func (w *World) come(g *deadly) {
 	for range w.terms.AtOnce {
 		c := poison.Content{
 			Target: g.content.Target,
 		}
-		w.send(w.boxes[w.rnd.IntN(len(w.boxes))], &c, g, false)
+		r := &run{
+			box:     w.boxes[w.rnd.IntN(len(w.boxes))],
+			content: &c,
+			deadly:  g,
+		}
+		var p *replica
+		if len(g.beside) > 0 {
+			p = w.pick(r.box.region)
+		}
+		for _, o := range g.beside {
+			w.sendBeside(r.box, o, p)
+		}
+		w.send(r, p)
 	}
 	w.clock.After(w.terms.ComeEvery, func() { w.come(g) })
 }
@@ -166,6 +183,11 @@
 		out.MostLate = max(out.MostLate, g.late)
 		known = append(known, g.knownBy...)
 	}
+	for _, g := range w.deadly {
+		for _, o := range g.beside {
+			out.BesideLongMs = max(out.BesideLongMs, (o.last - o.first).Milliseconds())
+		}
+	}
 	slices.Sort(known)
 	if n := len(known); n > 0 {
 		out.KnownMs = known[n/2].Milliseconds()
--- a/measure/quarantine/world.go
+++ b/measure/quarantine/world.go
@@ -38,6 +38,7 @@
 	AtOnce    int           // boxes at which it comes in the same instant
 	Rate      float64       // other requests a second at each box
 	Popular   float64       // share of them that are all the same request
+	Beside    int           // innocent requests that come with each poison one, at the same box, and are put on its replica
 	Loss      float64       // share of datagrams that are lost
 	KillEvery time.Duration // of boxes; 0 for none
 	CutEvery  time.Duration // of regions, from all others for as long as a cut lasts; 0 for none
@@ -60,9 +61,17 @@
 type run struct {
 	box     *box
 	content *poison.Content
-	again   bool // its caller has sent it again already
-	deadly  *deadly
-	at      time.Duration
+	again   bool          // its caller has sent it again already
+	deadly  *deadly       // nil for an innocent request
+	beside  *beside       // nil but for one that comes with a poison one
+	at      time.Duration // when it was sent
+}
+
+// beside is an innocent request that comes with a poison one, again and again.
+type beside struct {
+	content poison.Content
+	first   time.Duration // when it was first turned away; 0 while it was not
+	last    time.Duration // when it was last
 }
 
 // replica is one place of a replica and the start in it.
@@ -81,6 +90,7 @@
 	third   time.Duration // when it ended the third replica; 0 while it has not
 	late    int           // sends later than the time of contact after that, by boxes in touch
 	knownBy []time.Duration
+	beside  []*beside
 }
 
 // World is an installation in virtual time.
@@ -118,13 +128,26 @@
 		}
 	}
 	for i := range t.Poison {
-		w.deadly = append(w.deadly, &deadly{
+		w.addDeadly(i)
+	}
+	return w
+}
+
+// addDeadly adds a poison request, and those that come with it.
+func (w *World) addDeadly(i int) {
+	g := &deadly{
+		content: poison.Content{
+			Target: fmt.Sprint("/poison/", i),
+		},
+	}
+	for k := range w.terms.Beside {
+		g.beside = append(g.beside, &beside{
 			content: poison.Content{
-				Target: fmt.Sprint("/poison/", i),
+				Target: fmt.Sprint("/beside/", i, "/", k),
 			},
 		})
 	}
-	return w
+	w.deadly = append(w.deadly, g)
 }
 
 func (w *World) addBox(region, i int) {
