poison, ingress, node: One run alone tells an innocent request from one that ends its replicas

Symptom: a request that came beside a guilty one was turned away by all boxes for 600 s. Mended: an end counts from its cut, and an answer after it takes the request out and is told to its owners, who correct a box that counts on. A request whose ends another has as well is on trial: one run at a time over all boxes, allowed by an owner, put where the fewest others on trial are, waited for 0.6 s at most. A whole answer clears it, an end of its own is held against it, and who lacks that end is free. Found beside: ends beyond the eight that are kept were told from box to box for ever. Ruled out: a lower bar for all (a trial of each would cost a fourth end: kept at three where nothing else explains the ends).

--- a/ingress/box.go
+++ b/ingress/box.go
@@ -29,6 +29,7 @@
 	stop := a.watchSilence(ctx)
 	e := a.box(ctx)
 	stop()
+	c.trial = c.trial && e == unsent
 	if e == unsent || e == notRun {
 		c.noRegions = append(c.noRegions, t.Region) // its other boxes would say the same
 	}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -52,6 +52,7 @@
 	rank    float64 // of the route's priority among those of the service
 	body    []byte
 	content poison.Content // what it asks
+	trial   bool           // the next try is the run on trial
 
 	state       state
 	sent        int          // replicas it was sent to
@@ -87,7 +88,7 @@
 			rounds++
 		}
 		clock.Check()
-		if c.isLate() || c.isQuarantined() {
+		if c.isLate() || c.isQuarantined() || !c.awaitTrial(ctx) {
 			break
 		}
 		target := c.place(ctx)
@@ -216,7 +217,13 @@
 	if out == 0 || (c.facts.MostOut > 0 && out > c.facts.MostOut) {
 		out = c.facts.MostOut
 	}
+	var trial *poison.Digest
+	if c.trial {
+		d := c.content.Digest()
+		trial = &d
+	}
 	return Ask{
+		Trial: trial,
 		Request: placement.Request{
 			Service: c.service,
 			Key:     c.facts.ID,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/placement"
+	"github.com/havenrudder/havenrudder/poison"
 )
 
 // Part is a part of a prompt.
@@ -73,6 +74,7 @@
 
 // Ask is a question for a target.
 type Ask struct {
+	Trial      *poison.Digest // of a request on trial: it runs apart from others that are
 	Request    placement.Request
 	Route      *catalog.Route
 	Left       time.Duration // time until the answer is of no use
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -130,6 +130,9 @@
 		Quarantined: func(*poison.Content) (time.Duration, bool) { return 0, false },
 		Cut:         func(*placement.Choice, *poison.Content, time.Duration, bool) {},
 		Survived:    func(*placement.Choice, *poison.Content, time.Duration) {},
+		OnTrial:     func(*poison.Content) bool { return false },
+		TakeTrial:   func(*poison.Content) bool { return false },
+		EndTrial:    func(*placement.Choice, *poison.Content) {},
 	}
 }
 
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -69,6 +69,7 @@
 	stop()
 	cancel(nil) // the replica stops its work when its connection closes
 	a.tellOutcome(e)
+	a.endTrial(e)
 	if a.result == placement.Silent && a.muted.Load() {
 		a.result = placement.Abandoned
 	}
--- a/measure/quarantine/requests.go
+++ b/measure/quarantine/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/havenrudder/havenrudder/poison"
@@ -45,6 +46,9 @@
 		return
 	}
 	watch.Cut(start, r.content.Digest(), r.at, w.now())
+	if r.alone {
+		watch.EndTrial(start, r.content.Digest())
+	}
 	if dialed[watch] || !watch.Dials(start, w.now()) {
 		return
 	}
@@ -71,11 +75,13 @@
 func (w *World) quarantined(b *box, c *poison.Content) bool {
 	_, quarantined := b.watch.Quarantined(c.Digest(), w.now())
 	switch {
-	case !quarantined:
+	case !quarantined && !b.watch.OnTrial(c.Digest(), w.now()):
 		return false
 	case b.watch.Served().Lately(c, w.now()):
 		w.clear(b, c)
 		return false
+	case !quarantined:
+		return false
 	}
 	return !b.watch.Served().Before(c) || !b.watch.Tries(c.Digest(), w.others(b), w.now())
 }
@@ -97,14 +103,20 @@
 		w.noteRefused(r)
 		return
 	}
-	if p == nil || p.start == "" {
-		p = w.pick(b.region)
+	if w.waits(r, p) {
+		return
+	}
+	if p == nil || p.start == "" || r.alone {
+		p = w.pick(r)
 	}
 	if p == nil {
 		return
 	}
 	r.at = w.now()
 	p.runs[r] = struct{}{}
+	if r.alone {
+		b.watch.BeginTrial(p.start, r.content.Digest())
+	}
 	if r.deadly != nil {
 		w.sendPoison(r.deadly, p, b)
 		return
@@ -120,6 +132,30 @@
 	w.clock.After(length, func() { w.answer(p, r) })
 }
 
+// waits says whether a request waits until it may run on trial, and has it come back then.
+func (w *World) waits(r *run, p *replica) bool {
+	d := r.content.Digest()
+	watch := r.box.watch
+	if !watch.OnTrial(d, w.now()) {
+		return false
+	}
+	if r.came == 0 {
+		r.came = w.now()
+	}
+	may, asks := watch.Try(d, func() []poison.Box { return w.others(r.box) }, w.now())
+	w.post(r.box, asks)
+	if may {
+		r.alone = true
+		return false
+	}
+	if w.now()-r.came > trialWait {
+		w.noteRefused(r)
+		return true
+	}
+	w.clock.After(trialCheck, func() { w.send(r, p) })
+	return true
+}
+
 // sendBeside has an innocent request come where a poison one does. Each coming has a digest
 // to make of its own.
 func (w *World) sendBeside(b *box, o *beside, p *replica) {
@@ -183,16 +219,33 @@
 	}
 	r.box.watch.Served().Add(r.content, w.now())
 	r.box.watch.Lives(p.start, r.at)
+	if r.alone {
+		r.box.watch.EndTrial(p.start, r.content.Digest())
+	}
 	if r.box.watch.Known() > 0 || r.content.Digested() {
 		w.clear(r.box, r.content)
 	}
 }
 
-// pick returns a replica of a region, nil for none.
-func (w *World) pick(region int) *replica {
+// pick returns a replica for a request, nil for none.
+func (w *World) pick(r *run) *replica {
+	if !r.alone {
+		return w.pickBut(r.box.region, nil)
+	}
+	for most := 0; ; most++ {
+		but := r.box.watch.Trials(r.content.Digest(), most)
+		if p := w.pickBut(r.box.region, but); p != nil || len(but) == 0 {
+			return p
+		}
+	}
+}
+
+// pickBut returns a replica of a region, but for some starts.
+func (w *World) pickBut(region int, but []string) *replica {
 	first := region * w.terms.Replicas
 	for range w.terms.Replicas {
-		if p := w.replicas[first+w.rnd.IntN(w.terms.Replicas)]; p.start != "" {
+		p := w.replicas[first+w.rnd.IntN(w.terms.Replicas)]
+		if p.start != "" && !slices.Contains(but, p.start) {
 			return p
 		}
 	}
--- a/measure/quarantine/row.go
+++ b/measure/quarantine/row.go
@@ -110,7 +110,7 @@
 		}
 		var p *replica
 		if len(g.beside) > 0 {
-			p = w.pick(r.box.region)
+			p = w.pick(r)
 		}
 		for _, o := range g.beside {
 			w.sendBeside(r.box, o, p)
--- a/measure/quarantine/world.go
+++ b/measure/quarantine/world.go
@@ -25,6 +25,8 @@
 	longestRun    = 5 * time.Second        // of another request
 	survivesAfter = 2 * time.Second        // that a replica goes on with an answer, as package ingress has it
 	comeAgain     = 200 * time.Millisecond // after which the caller of a cut request sends it again, once
+	trialWait     = 600 * time.Millisecond // for which a request waits for its run on trial, as package ingress has it
+	trialCheck    = 40 * time.Millisecond  // between two looks, the same
 )
 
 // Terms are what an installation is put through.
@@ -65,6 +67,8 @@
 	deadly  *deadly       // nil for an innocent request
 	beside  *beside       // nil but for one that comes with a poison one
 	at      time.Duration // when it was sent
+	came    time.Duration // when it began to wait for its run on trial
+	alone   bool          // it is on trial
 }
 
 // beside is an innocent request that comes with a poison one, again and again.
--- a/meter/count.go
+++ b/meter/count.go
@@ -64,6 +64,9 @@
 	m.answer.WithLabelValues(service).Observe(d.Seconds())
 }
 
+// Trial counts a run of a request on trial.
+func (m *Meter) Trial() { m.trials.Inc() }
+
 // Cleared counts a request under which replicas had ended and that one then answered
 // whole.
 func (m *Meter) Cleared() { m.cleared.Inc() }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -37,6 +37,7 @@
 	foreign   prometheus.Counter
 	dials     prometheus.Counter
 	cleared   prometheus.Counter
+	trials    prometheus.Counter
 	suspended prometheus.Counter
 	first     *prometheus.HistogramVec
 	answer    *prometheus.HistogramVec
@@ -101,6 +102,7 @@
 	m.store = m.counters("store_calls_total", "Calls of the store by kind and result.", "kind", "result")
 	m.accounts = m.counters("engine_accounts_total", "Questions to engines for their load by result.", "result")
 	m.foreign = m.counter("foreign_entries_total", "Entries of the store that name no replica, once for each revision.")
+	m.trials = m.counter("trial_runs_total", "Runs of requests that ended the same replicas as others, apart from these.")
 	m.cleared = m.counter("cleared_requests_total", "Requests under which replicas had ended and that one then answered whole.")
 	m.suspended = m.counter("suspended_seconds_total", "Time for which the machine was suspended while this process ran.")
 	m.dials = m.counter("upstream_dials_total", "Connections opened to upstreams.")
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -52,6 +52,7 @@
 	m.Dial()
 	m.ForeignEntry()
 	m.Cleared()
+	m.Trial()
 	m.Suspended(8 * time.Second)
 	m.FirstByte("chat", 100*time.Millisecond)
 	m.Answer("chat", 3*time.Second)
@@ -89,6 +90,7 @@
 		`havenrudder_sharing_boxes 4`,
 		`havenrudder_quarantined_requests 5`,
 		`havenrudder_cleared_requests_total 1`,
+		`havenrudder_trial_runs_total 1`,
 		`havenrudder_suspended_seconds_total 8`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.05"} 0`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.2"} 1`,
@@ -115,11 +117,11 @@
 		is.True(slices.Contains([]string{"total", "seconds", "boxes", "requests"}, unit))
 		names++
 	}
-	is.Equal(names, 19)
+	is.Equal(names, 20)
 }
 
 func TestAMeterCountsForItselfAlone(t *testing.T) {
 	is := is.New(t)
 	used()
-	is.Equal(len(scrape(is, New())), 5*3) // only the five counters without labels are there, at zero
+	is.Equal(len(scrape(is, New())), 6*3) // only the six counters without labels are there, at zero
 }
--- a/node/poison.go
+++ b/node/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -24,10 +25,55 @@
 		Cut: func(c *placement.Choice, content *poison.Content, took time.Duration, closed bool) {
 			n.cut(ctx, c, content, took, closed)
 		},
-		Survived: n.survived,
+		Survived:  n.survived,
+		OnTrial:   n.onTrial,
+		TakeTrial: n.takeTrial,
+		EndTrial:  n.endTrial,
 	}
 }
 
+// onTrial says whether one run of a request at a time may be under way, over all boxes. One that
+// was served here of late is cleared instead.
+func (n *Node) onTrial(content *poison.Content) (onTrial bool) {
+	if n.suspects.Load() == 0 {
+		return false
+	}
+	d := content.Digest()
+	now := n.now()
+	_ = n.state.Do(func(s *state) { onTrial = s.poison.OnTrial(d, now) }) // it fails only when the box has ended
+	if onTrial && n.served.Lately(content, now) {
+		n.clear(d, now)
+		return false
+	}
+	return onTrial
+}
+
+// takeTrial asks to run a request on trial now.
+func (n *Node) takeTrial(content *poison.Content) (taken bool) {
+	d := content.Digest()
+	var asks []poison.Packet
+	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
+		now := n.now()
+		taken, asks = s.poison.Try(d, func() []poison.Box { return s.poisonBoxes(now) }, now)
+	})
+	n.post(packets(asks))
+	if taken {
+		n.meter.Trial()
+		n.record(decision.Event{
+			Kind:   decision.Belief,
+			Digest: d.String(),
+			Reason: "request runs on trial, apart from others",
+		})
+	}
+	return taken
+}
+
+// endTrial takes in that the run of a request on trial is over.
+func (n *Node) endTrial(c *placement.Choice, content *poison.Content) {
+	d := content.Digest()
+	n.state.Post(func(s *state) { s.poison.EndTrial(c.Replica, d) })
+}
+
 // quarantined says whether a request is turned away, and for how long. One that was served
 // here of late is cleared instead, and one that was so before may be tried.
 func (n *Node) quarantined(content *poison.Content) (left time.Duration, quarantined bool) {
@@ -129,38 +175,56 @@
 		return
 	}
 	sleep.For(ctx, poison.Settles)
-	counted := 0
-	_ = n.state.Do(func(s *state) { counted = s.poison.Ended(start, n.now()) }) // it fails only when the box has ended
-	n.recordEnd(start, counted)
+	var e replicaEnd
+	_ = n.state.Do(func(s *state) { e = s.replicaEnded(start, n.now()) }) // it fails only when the box has ended
+	n.recordEnd(e)
 	n.tellPoison()
 }
 
-// recordEnd writes down that a replica ended under requests.
-func (n *Node) recordEnd(start string, requests int) {
-	if requests == 0 {
+// replicaEnd is the end of a replica under requests.
+type replicaEnd struct {
+	start    string
+	counted  int             // requests that it counts for
+	requests []poison.Digest // some of those
+}
+
+// replicaEnded counts the end of a replica for the requests that it ran.
+func (s *state) replicaEnded(start string, now time.Duration) replicaEnd {
+	return replicaEnd{
+		start:    start,
+		counted:  s.poison.Ended(start, now),
+		requests: s.poison.CutBy(start),
+	}
+}
+
+// recordEnd writes down that a replica ended under requests. By the start and the digests the
+// line is found from those of a request that is quarantined.
+func (n *Node) recordEnd(e replicaEnd) {
+	if e.counted == 0 {
 		return
 	}
 	n.record(decision.Event{
 		Kind:     decision.Belief,
-		Upstream: start,
+		Upstream: e.start,
 		Reason:   "replica ended under requests",
-		InFlight: requests,
+		InFlight: e.counted,
+		Detail:   fmt.Sprintf("start %v, requests %v", poison.StartOf(e.start), e.requests),
 	})
 }
 
 // unlistedEnds takes in which replicas that cut requests are no longer listed, though they
 // had not said that they leave.
 func (n *Node) unlistedEnds() {
-	ends := make(map[string]int)
+	var ends []replicaEnd
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		for _, start := range s.poison.Doubtful() {
 			r := s.view.Get(start)
 			if r == nil || (!r.Listed() && !r.Info().Leaving) {
-				ends[start] = s.poison.Ended(start, n.now())
+				ends = append(ends, s.replicaEnded(start, n.now()))
 			}
 		}
 	})
-	for start, requests := range ends {
-		n.recordEnd(start, requests)
+	for _, e := range ends {
+		n.recordEnd(e)
 	}
 }
--- a/node/poisongossip.go
+++ b/node/poisongossip.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/havenrudder/havenrudder/decision"
@@ -35,7 +36,7 @@
 	case c.Quarantined:
 		e.Reason = "request quarantined, replicas ended under it"
 		e.Tries = c.Ends
-		e.Detail = "for " + c.Left.Round(time.Second).String()
+		e.Detail = fmt.Sprintf("for %s, starts %v", c.Left.Round(time.Second), c.Starts)
 	case c.Cleared:
 		e.Reason = "request cleared by a whole answer"
 	default:
--- a/node/state.go
+++ b/node/state.go
@@ -311,7 +311,7 @@
 			Wait:   askAgain,
 		}
 	}
-	c := s.view.Pick(ask.Request, sharers, now)
+	c := s.pick(ask, sharers, now)
 	return ingress.Target{
 		Choice: c,
 		Reason: c.Reason,
@@ -319,6 +319,25 @@
 	}
 }
 
+// pick chooses a replica. A request on trial goes where the fewest others on trial run.
+func (s *state) pick(ask ingress.Ask, sharers []string, now time.Duration) placement.Choice {
+	if ask.Trial == nil {
+		return s.view.Pick(ask.Request, sharers, now)
+	}
+	for most := 0; ; most++ {
+		but := s.poison.Trials(*ask.Trial, most)
+		request := ask.Request
+		request.Tried = slices.Concat(request.Tried, but)
+		c := s.view.Pick(request, sharers, now)
+		if c.Replica != "" {
+			s.poison.BeginTrial(c.Replica, *ask.Trial)
+		}
+		if c.Replica != "" || len(but) == 0 {
+			return c
+		}
+	}
+}
+
 // other returns a target that was not tried, without counting the request in; false
 // when there is none.
 func (s *state) other(ask ingress.Ask, now time.Duration, draw func(n int) int) (ingress.Target, bool) {
--- a/poison/datagram.go
+++ b/poison/datagram.go
@@ -16,7 +16,7 @@
 	sumsBytes     = 2 + parts*sumBytes
 	sumBytes      = 4
 	endBytes      = 8 + binary.MaxVarintLen32
-	recordBytes   = digestBytes + 1 + binary.MaxVarintLen32 // without its ends
+	recordBytes   = digestBytes + 2 + binary.MaxVarintLen32 // without its ends
 	oldest        = 24 * time.Hour                          // age that is told of what is older
 )
 
@@ -26,10 +26,17 @@
 	bitAnswer              // answers such a question
 )
 
+// The word of a run on trial is told by the two bits above them.
+const (
+	shiftWord = 2
+	maskWord  = 1<<2 - 1
+)
+
 // Bits of the byte that tells the ends of a record.
 const (
 	bitAnswered = 1 << 7
 	bitOpen     = 1 << 6
+	bitAlone    = 1 << 5 // behind the ends a byte tells which were on trial, the first by its lowest bit
 	maskEnds    = 1<<4 - 1
 )
 
@@ -38,9 +45,11 @@
 
 // Datagram is what a box tells another of requests under which replicas ended.
 type Datagram struct {
-	Compare bool // asks for the records that all boxes are to know, where the sums differ
-	Answer  bool // such records, for sums that differed
-	Sums    Sums // of the sender's records, where it asks or answers
+	Compare bool   // asks for the records that all boxes are to know, where the sums differ
+	Answer  bool   // such records, for sums that differed
+	Sums    Sums   // of the sender's records, where it asks or answers
+	Word    word   // of a run on trial
+	Trial   Digest // of the request that the word is of
 	Records []Record
 }
 
@@ -56,10 +65,14 @@
 	if d.Answer {
 		flags |= bitAnswer
 	}
+	flags |= byte(d.Word) << shiftWord
 	out := append(make([]byte, 0, datagramBytes), Mark, flags)
 	if d.Compare || d.Answer {
 		out = d.Sums.append(out)
 	}
+	if d.Word != noWord {
+		out = append(out, d.Trial[:]...)
+	}
 	for i := range d.Records {
 		out = d.Records[i].append(out, now)
 	}
@@ -93,6 +106,10 @@
 	if r.open {
 		head |= bitOpen
 	}
+	alone := r.alone()
+	if alone != 0 {
+		head |= bitAlone
+	}
 	out = append(out, head)
 	if r.Answered != never {
 		out = appendAge(out, now-r.Answered)
@@ -101,9 +118,22 @@
 		out = binary.LittleEndian.AppendUint64(out, uint64(e.Start))
 		out = appendAge(out, now-e.At)
 	}
+	if alone != 0 {
+		out = append(out, alone)
+	}
 	return out
 }
 
+// alone returns the bits of the ends that were on trial.
+func (r *Record) alone() (bits byte) {
+	for i, e := range r.Ends {
+		if e.Alone {
+			bits |= 1 << i
+		}
+	}
+	return bits
+}
+
 // appendAge writes an age in milliseconds.
 func appendAge(out []byte, age time.Duration) []byte {
 	age = min(max(age, 0), oldest)
@@ -125,6 +155,9 @@
 	if d.Compare || d.Answer {
 		d.Sums = in.sums()
 	}
+	if d.Word = word(buf[1] >> shiftWord & maskWord); d.Word != noWord {
+		copy(d.Trial[:], in.bytes(digestBytes))
+	}
 	for len(in.rest) > 0 && !in.failed {
 		d.Records = append(d.Records, in.record())
 	}
@@ -176,9 +209,19 @@
 			At:    in.now - in.age(),
 		})
 	}
+	if head&bitAlone != 0 {
+		r.takeAlone(in.bytes(1)[0])
+	}
 	return r
 }
 
+// takeAlone takes the bits of the ends that were on trial.
+func (r *Record) takeAlone(bits byte) {
+	for i := range r.Ends {
+		r.Ends[i].Alone = bits&(1<<i) != 0
+	}
+}
+
 // bytes reads n bytes, zeros where there are too few.
 func (in *reader) bytes(n int) []byte {
 	if len(in.rest) < n {
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -24,6 +24,7 @@
 // actor.
 type Ledger struct {
 	records map[Digest]*Record
+	weighed *weighed // nil after a change
 }
 
 // NewLedger returns an empty ledger.
@@ -73,14 +74,19 @@
 // AddEnd notes that a start of a replica ended under a request, and returns whether that
 // was new.
 func (l *Ledger) AddEnd(d Digest, s Start, at time.Duration) bool {
+	return l.addEnd(d, End{
+		Start: s,
+		At:    at,
+	})
+}
+
+// addEnd is AddEnd, also for ends of runs on trial.
+func (l *Ledger) addEnd(d Digest, e End) bool {
 	return l.Take(Record{
-		Digest: d,
-		Ends: []End{{
-			Start: s,
-			At:    at,
-		}},
+		Digest:   d,
+		Ends:     []End{e},
 		Answered: never,
-	}, at)
+	}, e.At)
 }
 
 // Clear notes that a replica survived a request that is known, and returns
@@ -91,6 +97,12 @@
 	if r == nil || len(r.Ends) == 0 {
 		return false
 	}
+	return l.Answer(d, at)
+}
+
+// Answer notes that a replica survived a request, also of one that isn't known, and returns
+// whether that changed anything.
+func (l *Ledger) Answer(d Digest, at time.Duration) bool {
 	return l.Take(Record{
 		Digest:   d,
 		Answered: at,
@@ -113,6 +125,9 @@
 		l.records[in.Digest] = r
 	}
 	news := r.merge(in)
+	if news {
+		l.weighed = nil
+	}
 	r.open = r.open || in.open || len(r.Ends) >= endsToTell
 	return news
 }
@@ -122,6 +137,7 @@
 	for d, r := range l.records {
 		if r.isOver(now) {
 			delete(l.records, d)
+			l.weighed = nil
 		}
 	}
 }
@@ -138,6 +154,7 @@
 	slices.SortFunc(all, func(a, b *Record) int {
 		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(b.last(), a.last()))
 	})
+	l.weighed = nil
 	for _, r := range all[min(len(all), recordsLeft):] {
 		delete(l.records, r.Digest)
 	}
--- a/poison/record.go
+++ b/poison/record.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/bits"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,9 @@
 // Start stands for one start of a replica.
 type Start uint64
 
+// String returns the start as the log shows it.
+func (s Start) String() string { return strconv.FormatUint(uint64(s), 16) }
+
 // StartOf returns what stands for a start.
 func StartOf(start string) Start { return Start(xxhash.Sum64String(start)) }
 
@@ -30,6 +34,7 @@
 type End struct {
 	Start Start
 	At    time.Duration // of the box's clock
+	Alone bool          // the request was on trial there, apart from others that were
 }
 
 // never is the time of an answer that did not come.
@@ -79,19 +84,55 @@
 // clears says whether an answer of the request outweighs an end.
 func (r *Record) clears(e End) bool { return e.At <= r.Answered+clearsFor }
 
-// merge adds what another record of the request knows, and returns whether it changed.
+// shares returns how many ends two requests have in common.
+func (r *Record) shares(other *Record) (n int) {
+	for _, e := range r.Ends {
+		if other.has(e.Start) {
+			n++
+		}
+	}
+	return n
+}
+
+// exceeds says whether a request has all ends of another, and returns one on trial that the
+// other lacks.
+func (r *Record) exceeds(other *Record) (e End, ok bool) {
+	if len(r.Ends) <= len(other.Ends) || other.shares(r) < len(other.Ends) {
+		return End{}, false
+	}
+	i := slices.IndexFunc(r.Ends, func(e End) bool { return e.Alone && !other.has(e.Start) })
+	if i < 0 {
+		return End{}, false
+	}
+	return r.Ends[i], true
+}
+
+// starts returns the starts that ended under the request.
+func (r *Record) starts() []Start {
+	out := make([]Start, 0, len(r.Ends))
+	for _, e := range r.Ends {
+		out = append(out, e.Start)
+	}
+	return out
+}
+
+// has says whether an end is one of the request's.
+func (r *Record) has(s Start) bool {
+	return slices.ContainsFunc(r.Ends, func(e End) bool { return e.Start == s })
+}
+
+// clearsAny says whether an answer of the request outweighs one of some ends.
+func (r *Record) clearsAny(ends []End) bool { return slices.ContainsFunc(ends, r.clears) }
+
+// merge adds what another record of the request knows, and returns whether that changed its
+// ends. An end beyond those that are kept is no news: it would be told for ever.
 func (r *Record) merge(in Record) bool {
-	before := len(r.Ends)
-	news := false
+	before := slices.Clone(r.Ends)
 	if in.Answered > r.Answered+skew {
 		r.Answered = in.Answered
 	}
 	for _, e := range in.Ends {
-		if r.clears(e) || slices.ContainsFunc(r.Ends, func(k End) bool { return k.Start == e.Start }) {
-			continue
-		}
-		r.Ends = append(r.Ends, e)
-		news = true
+		r.take(e)
 	}
 	r.Ends = slices.DeleteFunc(r.Ends, r.clears)
 	slices.SortFunc(r.Ends, func(a, b End) int {
@@ -100,7 +141,17 @@
 	if n := len(r.Ends); n > maxEnds {
 		r.Ends = slices.Clone(r.Ends[n-maxEnds:])
 	}
-	return news || len(r.Ends) != before
+	return !slices.Equal(before, r.Ends)
+}
+
+// take adds an end; of one that is known it may be told that the request was on trial there.
+func (r *Record) take(e End) {
+	i := slices.IndexFunc(r.Ends, func(k End) bool { return k.Start == e.Start })
+	if i < 0 {
+		r.Ends = append(r.Ends, e)
+		return
+	}
+	r.Ends[i].Alone = r.Ends[i].Alone || e.Alone
 }
 
 // sum returns what stands for the record in the sum of its part.
--- a/poison/spread.go
+++ b/poison/spread.go
@@ -147,7 +147,11 @@
 // Hear takes a datagram from an address in. It returns the datagrams that answer it, and
 // whether there was news in it.
 func (s *Spread) Hear(d Datagram, from string, now time.Duration) (answers []Packet, news bool) {
+	var better []Record
 	for _, r := range d.Records {
+		if own := s.ledger.Get(r.Digest); own != nil && own.clearsAny(r.Ends) {
+			better = append(better, *own)
+		}
 		if !s.ledger.Take(r, now) {
 			continue
 		}
@@ -157,7 +161,7 @@
 	if own := s.ledger.Sums(); (d.Compare || d.Answer) && d.Sums != own {
 		answers = s.answer(from, d, own, now)
 	}
-	return answers, news
+	return append(answers, s.packets(map[string][]Record{from: better}, now)...), news
 }
 
 // passOn has the owners of a request tell all boxes of it, unless all were told: what
--- a/poison/watch.go
+++ b/poison/watch.go
@@ -21,6 +21,7 @@
 	cuts        *Cuts
 	spread      *Spread
 	served      *Served
+	trials      trials
 	dialed      map[string]time.Duration // when a start that cut requests was last connected to
 	tried       map[Digest]time.Duration // when this box tried a quarantined request last
 	quarantined map[Digest]bool          // as Changes said last
@@ -34,6 +35,7 @@
 		cuts:        NewCuts(),
 		spread:      NewSpread(box, ledger),
 		served:      NewServed(),
+		trials:      newTrials(),
 		dialed:      make(map[string]time.Duration),
 		tried:       make(map[Digest]time.Duration),
 		quarantined: make(map[Digest]bool),
@@ -51,11 +53,14 @@
 
 // Quarantined says whether a request is turned away, and for how long.
 func (w *Watch) Quarantined(d Digest, now time.Duration) (left time.Duration, quarantined bool) {
-	r := w.ledger.Get(d)
-	if r == nil {
-		return 0, false
-	}
-	return r.Quarantined(now)
+	v, left := w.ledger.Verdict(d, now)
+	return left, v == Quarantined
+}
+
+// OnTrial says whether of a request only one run at a time may be under way, over all boxes.
+func (w *Watch) OnTrial(d Digest, now time.Duration) bool {
+	v, _ := w.ledger.Verdict(d, now)
+	return v == OnTrial
 }
 
 // Tries says whether this box tries a request that is quarantined once more, since it was
@@ -83,7 +88,10 @@
 // Clear takes in that a replica survived a request, and returns whether that is news
 // for others.
 func (w *Watch) Clear(d Digest, now time.Duration) bool {
-	if !w.ledger.Clear(d, now) {
+	waited := w.cuts.Clear(d)
+	if waited {
+		w.ledger.Answer(d, now) // others may count ends of it
+	} else if !w.ledger.Clear(d, now) {
 		return false
 	}
 	w.spread.Learned(d, now)
@@ -96,10 +104,15 @@
 // Cut takes in that a start gave a request that was sent to it at a time no whole answer, and
 // returns whether that counts for the request: the start is known to have ended.
 func (w *Watch) Cut(start string, d Digest, sent, now time.Duration) bool {
-	if !w.cuts.Add(start, d, sent, now) {
+	_, alone := w.trials.runs[start][d]
+	if !w.cuts.Add(start, d, alone, sent, now) {
 		return false
 	}
-	w.addEnd(d, start, now)
+	w.addEnd(d, End{
+		Start: StartOf(start),
+		At:    now,
+		Alone: alone,
+	}, now)
 	return true
 }
 
@@ -127,15 +140,18 @@
 // called once the time that Settles gives is over.
 func (w *Watch) Ended(start string, now time.Duration) int {
 	list := w.cuts.Ended(start)
-	for _, d := range list {
-		w.addEnd(d, start, now)
+	for _, e := range list {
+		w.addEnd(e.Digest, e.End, now)
 	}
 	return len(list)
 }
 
+// CutBy returns requests that a start gave no whole answer, as many as a line of the log holds.
+func (w *Watch) CutBy(start string) []Digest { return w.cuts.CutBy(start) }
+
 // addEnd counts the end of a start for a request.
-func (w *Watch) addEnd(d Digest, start string, now time.Duration) {
-	if w.ledger.AddEnd(d, StartOf(start), now) {
+func (w *Watch) addEnd(d Digest, e End, now time.Duration) {
+	if w.ledger.addEnd(d, e) {
 		w.spread.Learned(d, now)
 	}
 }
@@ -154,7 +170,11 @@
 	if err != nil {
 		return nil, false
 	}
-	return w.spread.Hear(d, from, now)
+	answers, news = w.spread.Hear(d, from, now)
+	if d.Word != noWord {
+		answers = append(answers, w.hearWord(d, from, now)...)
+	}
+	return answers, news
 }
 
 // Change is a change of what is held of a request.
@@ -164,13 +184,14 @@
 	Cleared     bool          // by a whole answer; else its time is over
 	Ends        int           // of replicas
 	Left        time.Duration // for which it is quarantined
+	Starts      []Start       // that ended
 }
 
 // Changes returns what has changed since the last call.
 func (w *Watch) Changes(now time.Duration) []Change {
 	var out []Change
 	for _, r := range w.ledger.Open() {
-		left, quarantined := r.Quarantined(now)
+		left, quarantined := w.Quarantined(r.Digest, now)
 		if quarantined == w.quarantined[r.Digest] {
 			continue
 		}
@@ -181,6 +202,7 @@
 			Cleared:     !quarantined && len(r.Ends) == 0,
 			Ends:        len(r.Ends),
 			Left:        left,
+			Starts:      r.starts(),
 		})
 	}
 	return out
@@ -190,6 +212,7 @@
 func (w *Watch) Forget(now time.Duration) {
 	w.ledger.Forget(now)
 	w.cuts.Forget(now)
+	w.trials.forget(w.ledger, now)
 	maps.DeleteFunc(w.dialed, func(_ string, at time.Duration) bool { return now-at > dialGap })
 	maps.DeleteFunc(w.tried, func(d Digest, _ time.Duration) bool { return w.ledger.Get(d) == nil })
 	maps.DeleteFunc(w.quarantined, func(d Digest, _ bool) bool { return w.ledger.Get(d) == nil })
