poison: Hold a third end that came just now, and try a request that was served before

Cause: its whole answers were told by nobody, since nobody knew of its ends yet. While the third end is fresh and another suspect has one of the ends, the request is held; a box that served it in the last minute has it tried at once instead of after 2 s.

--- a/measure/quarantine/requests.go
+++ b/measure/quarantine/requests.go
@@ -80,12 +80,17 @@
 	case b.watch.Served().Lately(c, w.now()):
 		w.clear(b, c)
 		return false
-	case !quarantined:
+	case !quarantined, w.isUntried(b, c):
 		return false
 	}
 	return !b.watch.Served().Before(c) || !b.watch.Tries(c.Digest(), w.others(b), w.now())
 }
 
+// isUntried says whether a box has a quarantined request tried, which it has served before.
+func (w *World) isUntried(b *box, c *poison.Content) bool {
+	return b.watch.Served().Before(c) && b.watch.Untried(c.Digest())
+}
+
 // clear has a box know that a request was answered whole.
 func (w *World) clear(b *box, c *poison.Content) {
 	if b.watch.Clear(c.Digest(), w.now()) {
@@ -136,7 +141,11 @@
 func (w *World) waits(r *run, p *replica) bool {
 	d := r.content.Digest()
 	watch := r.box.watch
-	if !watch.OnTrial(d, w.now()) {
+	_, quarantined := watch.Quarantined(d, w.now())
+	if !quarantined && !watch.OnTrial(d, w.now()) {
+		return false // one that is quarantined comes here untried, or for its owner to try again
+	}
+	if quarantined && !w.isUntried(r.box, r.content) {
 		return false
 	}
 	if r.came == 0 {
--- a/node/poison.go
+++ b/node/poison.go
@@ -32,15 +32,19 @@
 	}
 }
 
-// onTrial says whether one run of a request at a time may be under way, over all boxes. One that
-// was served here of late is cleared instead.
+// onTrial says whether one run of a request at a time may be under way, over all boxes: also one
+// that is quarantined untried, and was served here before. One that was served here of late is
+// cleared instead.
 func (n *Node) onTrial(content *poison.Content) (onTrial bool) {
 	if n.suspects.Load() == 0 {
 		return false
 	}
 	d := content.Digest()
 	now := n.now()
-	_ = n.state.Do(func(s *state) { onTrial = s.poison.OnTrial(d, now) }) // it fails only when the box has ended
+	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
+		_, quarantined := s.poison.Quarantined(d, now)
+		onTrial = s.poison.OnTrial(d, now) || (quarantined && s.poison.Untried(d) && n.served.Before(content))
+	})
 	if onTrial && n.served.Lately(content, now) {
 		n.clear(d, now)
 		return false
@@ -89,12 +93,18 @@
 	case n.served.Lately(content, now):
 		n.clear(d, now)
 		return 0, false
-	case n.served.Before(content) && n.triesQuarantined(d, now):
+	case n.served.Before(content) && (n.isUntried(d) || n.triesQuarantined(d, now)):
 		return 0, false
 	}
 	return left, true
 }
 
+// isUntried says whether a quarantined request was not on trial yet.
+func (n *Node) isUntried(d poison.Digest) (untried bool) {
+	_ = n.state.Do(func(s *state) { untried = s.poison.Untried(d) }) // it fails only when the box has ended
+	return untried
+}
+
 // triesQuarantined says whether this box tries a quarantined request once more.
 func (n *Node) triesQuarantined(d poison.Digest, now time.Duration) (tries bool) {
 	_ = n.state.Do(func(s *state) { tries = s.poison.Tries(d, s.poisonBoxes(now), now) }) // it fails only when the box has ended
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -104,7 +104,7 @@
 // news of the request have come since.
 func (w *Watch) allow(d Digest, now time.Duration) bool {
 	v, _ := w.ledger.Verdict(d, now)
-	if v != OnTrial {
+	if v != OnTrial && (v != Quarantined || !w.Untried(d)) { // the other box has served the latter
 		return false
 	}
 	r := w.ledger.Get(d)
@@ -207,7 +207,7 @@
 		}
 	}
 	for d := range t.questions {
-		if v, _ := l.Verdict(d, now); v != OnTrial {
+		if v, _ := l.Verdict(d, now); v == Free {
 			delete(t.questions, d)
 		}
 	}
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -178,14 +178,15 @@
 	return wait - (now - r.last())
 }
 
-// isUnsettled says whether another request may turn out to have all ends of one: it has all
-// but the latest, which came just now.
+// isUnsettled says whether the third end of a request came just now, and another suspect has one
+// of its ends: that one may turn out to have the others too, or several guilty ones to explain
+// them, or a box may be about to tell that it has served the request.
 func (l *Ledger) isUnsettled(r *Record, now time.Duration) bool {
 	if now-r.last() > settlesIn || len(r.Ends) != endsToQuarantine {
 		return false
 	}
 	for _, other := range l.records {
-		if other != r && other.shares(r) == endsToQuarantine-1 {
+		if other != r && len(other.Ends) >= endsToTell && other.shares(r) > 0 {
 			return true
 		}
 	}
--- a/poison/watch.go
+++ b/poison/watch.go
@@ -63,6 +63,14 @@
 	return v == OnTrial
 }
 
+// Untried says whether a quarantined request was not on trial yet. One that was served before is
+// then: several guilty ones may have ended three replicas, within less time than the second end
+// of one of them takes to be known, on each of which a popular one was under way.
+func (w *Watch) Untried(d Digest) bool {
+	r := w.ledger.Get(d)
+	return r != nil && r.alone() == 0
+}
+
 // Tries says whether this box tries a request that is quarantined once more, since it was
 // served before: only the first of its owners does, so that all boxes together do so once, and
 // each time later than the last.
