--- a/node/dump.go
+++ b/node/dump.go
@@ -31,6 +31,7 @@
 type PoisonDump struct {
 	Digest          string  `json:"digest"`
 	Ends            int     `json:"ends"`                     // of replicas, since a whole answer
+	OnTrial         bool    `json:"on_trial,omitempty"`       // one run of it at a time, until it is known whether replicas survive it
 	QuarantinedForS float64 `json:"quarantined_for_s"`        // how much longer it is turned away; 0 for a suspect
 	AnsweredS       float64 `json:"answered_ago_s,omitempty"` // since a replica last survived it; 0 where none did
 }
@@ -135,10 +136,11 @@
 func (s *state) dumpPoison(now time.Duration) []PoisonDump {
 	var out []PoisonDump
 	for _, r := range s.poison.Records() {
-		left, _ := r.Quarantined(now)
+		left, _ := s.poison.Quarantined(r.Digest, now)
 		p := PoisonDump{
 			Digest:          r.Digest.String(),
 			Ends:            len(r.Ends),
+			OnTrial:         s.poison.OnTrial(r.Digest, now),
 			QuarantinedForS: max(left, 0).Seconds(),
 		}
 		if ago, ok := r.AnsweredAgo(now); ok {
--- a/node/poisongossip.go
+++ b/node/poisongossip.go
@@ -93,7 +93,7 @@
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		now := n.now()
 		for _, r := range s.poison.Records() {
-			if _, quarantined := r.Quarantined(now); quarantined {
+			if _, quarantined := s.poison.Quarantined(r.Digest, now); quarantined {
 				count++
 			}
 		}
