node, box, accept: A planned stop ends in time without descriptors, or at the bound of connections

Cause: the stop waits for net/http's sleep after failed accepts, up to 1 s, and for an Accept that waits for a connection to end. Listeners wait for these themselves now, and end when they are closed. Ruled out: the listener for other boxes, whose wait ends with its context.

--- a/box/serve.go
+++ b/box/serve.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/havenrudder/havenrudder/common/accept"
 	"github.com/havenrudder/havenrudder/common/ending"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/gateway"
@@ -88,7 +89,7 @@
 	}
 	front := gateway.New(b.settings.Box, b.settings.Region, *b.settings.Limits, newID, b.core(), opts...)
 	server := b.httpServer(front)
-	l := newBounded(secure(b.listeners[0], cfg), b.settings.Limits.Connections)
+	l := newBounded(secure(b.steady(b.listeners[0]), cfg), b.settings.Limits.Connections)
 	b.tasks.Go(func() { b.drain(ctx, cancel, server) })
 	err := server.Serve(l)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -136,28 +137,41 @@
 	server := b.httpServer(mux)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err := server.Serve(secure(b.listeners[2], cfg))
+	err := server.Serve(secure(b.steady(b.listeners[2]), cfg))
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
 		cancel(errors.Wrap(err, "operators"))
 	}
 }
 
+// steady returns a listener that waits out a want of descriptors.
+func (b *Box) steady(l net.Listener) net.Listener {
+	return accept.NewSteady(l, func(err error) { b.log.WithError(err).Warn("no connection can be accepted") })
+}
+
 // bounded is a listener that holds no more than so many open connections.
 type bounded struct {
 	net.Listener
-	free chan struct{}
+	free   chan struct{}
+	once   sync.Once
+	closed chan struct{}
 }
 
 func newBounded(l net.Listener, n int) *bounded {
 	return &bounded{
 		Listener: l,
 		free:     make(chan struct{}, n),
+		closed:   make(chan struct{}),
 	}
 }
 
-// Accept waits until a connection may be opened.
+// Accept waits until a connection may be opened, or the listener is closed: a planned stop
+// waits for that longer than its context lasts.
 func (l *bounded) Accept() (net.Conn, error) {
-	l.free <- struct{}{}
+	select {
+	case l.free <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
 		<-l.free
@@ -169,6 +183,12 @@
 	}, nil
 }
 
+// Close closes the listener; connections stay open.
+func (l *bounded) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
 type boundedConn struct {
 	net.Conn
 	free chan struct{}
--- a/node/serve.go
+++ b/node/serve.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/havenrudder/havenrudder/common/accept"
+	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -109,13 +111,24 @@
 
 // serveOn runs a server; its failure ends the box.
 func (n *Node) serveOn(cancel context.CancelCauseFunc, s *http.Server, l net.Listener) {
+	steady := accept.NewSteady(l, func(err error) { n.recordShortage(l, err) })
 	n.tasks.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(steady); !errors.Is(err, http.ErrServerClosed) {
 			cancel(errors.Wrapf(err, "serve on %s", l.Addr()))
 		}
 	})
 }
 
+// recordShortage writes down that no connection can be accepted.
+func (n *Node) recordShortage(l net.Listener, err error) {
+	n.record(decision.Event{
+		Kind:     decision.Lost,
+		Upstream: l.Addr().String(),
+		Reason:   "no connection can be accepted",
+		Detail:   err.Error(),
+	})
+}
+
 // isReady says whether the box can serve callers and will go on.
 func (n *Node) isReady() bool { return n.table.Load() != nil && !n.leaving.Load() }
 
