--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -18,7 +18,7 @@
 const (
 	mostTrials = 3                      // runs on trial under which a replica ended, one soon after the other: of an innocent request some may share their replica with the guilty one's
 	allTrials  = 5                      // the same, with those that come later
-	trialsIn   = 5 * time.Second        // after the third end; else no more than mostTrials are made, so that of a guilty one no more come late
+	trialsIn   = 5 * time.Second        // from the first end that is kept to the last of mostTrials; else no more are made, so that of a guilty one no more come late
 	settlesIn  = 500 * time.Millisecond // an end is known to all boxes: told twice to the owners, 0.28 s, by these to all, 0.08 s, and two rounds of what is due
 )
 
@@ -74,8 +74,7 @@
 	return l.weighed.guilt[r.Digest]
 }
 
-// weigh works out what the records say of each other. A request of which another has all ends,
-// and one on trial beside, explains none.
+// weigh works out what the records say of each other.
 func (l *Ledger) weigh() {
 	w := &weighed{
 		times: make(map[Start]int),
@@ -84,6 +83,13 @@
 	}
 	l.weighed = w
 	list := l.listed()
+	w.findExceeded(list)
+	w.findExplained(list, w.findCauses(list))
+}
+
+// findExceeded finds the requests of which another has all ends, and one on trial beside. Their
+// own ends explain none of another.
+func (w *weighed) findExceeded(list []*Record) {
 	var tried []*Record // few are on trial, where thousands may be listed
 	for _, r := range list {
 		if r.alone() != 0 {
@@ -100,6 +106,10 @@
 			w.times[e.Start]++
 		}
 	}
+}
+
+// findCauses finds the requests that are the cause of their ends, and returns these ends.
+func (w *weighed) findCauses(list []*Record) map[Start]bool {
 	caused := make(map[Start]bool)
 	for _, r := range list {
 		if w.guilt[r.Digest] != unsure || !w.isCause(r) {
@@ -110,6 +120,11 @@
 			caused[e.Start] = true
 		}
 	}
+	return caused
+}
+
+// findExplained finds the requests whose ends all have a cause.
+func (w *weighed) findExplained(list []*Record, caused map[Start]bool) {
 	for _, r := range list {
 		isOpen := slices.ContainsFunc(r.Ends, func(e End) bool { return !caused[e.Start] })
 		if w.guilt[r.Digest] == unsure && !isOpen {
