--- a/measure/quarantine/beside_test.go
+++ b/measure/quarantine/beside_test.go
@@ -55,16 +55,7 @@
 func TestAPopularRequestIsServedAmongManyBoxesBesideTenPoisonOnes(t *testing.T) {
 	is := is.New(t)
 	for seed := *first; seed < *first+*seeds; seed++ {
-		terms := usual(seed)
-		terms.Regions = *regions
-		terms.PerRegion = 30
-		terms.Replicas = 60
-		terms.Poison = 10
-		terms.Rate = 1
-		terms.Loss = 0.05
-		terms.KillEvery = 500 * time.Millisecond
-		terms.CutEvery = 9 * time.Second
-		row := Measure(terms)
+		row := Measure(manyBoxes(seed))
 		t.Logf("seed %d: %+v", seed, row)
 		is.Equal(row.PopularRefused, 0)
 		is.Equal(row.OthersRefused, 0)
--- a/measure/quarantine/quarantine_test.go
+++ b/measure/quarantine/quarantine_test.go
@@ -121,19 +121,24 @@
 	regions = flag.Int("regions", 2, "regions of 30 boxes")
 )
 
+// manyBoxes returns an installation of many boxes beside kills, cuts and lost datagrams.
+func manyBoxes(seed uint64) Terms {
+	terms := usual(seed)
+	terms.Regions = *regions
+	terms.PerRegion = 30
+	terms.Replicas = 60
+	terms.Poison = 10
+	terms.Rate = 1
+	terms.Loss = 0.05
+	terms.KillEvery = 500 * time.Millisecond
+	terms.CutEvery = 9 * time.Second
+	return terms
+}
+
 func TestManyBoxesBesideKillsCutsAndLostDatagrams(t *testing.T) {
 	is := is.New(t)
 	for seed := *first; seed < *first+*seeds; seed++ {
-		terms := usual(seed)
-		terms.Regions = *regions
-		terms.PerRegion = 30
-		terms.Replicas = 60
-		terms.Poison = 10
-		terms.Rate = 1
-		terms.Loss = 0.05
-		terms.KillEvery = 500 * time.Millisecond
-		terms.CutEvery = 9 * time.Second
-		row := Measure(terms)
+		row := Measure(manyBoxes(seed))
 		t.Logf("seed %d: %+v", seed, row)
 		is.True(row.MostLate <= mayBeLate)
 		is.Equal(row.OthersRefused, 0)
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -19,6 +19,7 @@
 // is not found out here, and waits for one window from then on: what they sent
 // before they knew it, and what a process of the same name before it sent, is out
 // of the window. A lost box has to stay listed for a window after its last send.
+// A send counts from its write, where that is told to be later than Take (see Sent).
 //
 // Time is the monotonic clock since the start of the process. A Pacer belongs to
 // one actor: it is not safe for concurrent use.
@@ -35,8 +36,8 @@
 )
 
 const (
-	// window is the second of the bound and a tenth for the delay between Take
-	// and the arrival of the send.
+	// window is the second of the bound and a tenth for the delay between the write
+	// of a send, or Take where it is written soon after, and its arrival.
 	window = 1100 * time.Millisecond
 	// spread is how many sends of one box would fit into a window at the least
 	// gap, as a multiple of its share: 2 leaves room to catch up after a pause.
