catalog, ingress, node, lease: Organisations, their keys and homes, and a lease on keys

A policy has organisations; their keys are held as digests alone. The key ends at the first box, replicas and other boxes get the organisation's name. A box lets a key in only for 80% of the bound on keys that are taken away after a moment at which its policy surely was the newest. It learns that moment from a reading of the policy that left then, or from another box, whose age counts from when the question left. Ruled out: the age that heartbeats carry, which takes the way of a datagram for the usual one (a queue, a freeze or a suspension makes it younger than it is); a watch that hears nothing, which looks the same while a publisher loses its history.

Quotas are not counted yet.

--- a/catalog/delta.go
+++ b/catalog/delta.go
@@ -21,19 +21,21 @@
 
 // Delta is a policy as what differs from an earlier one.
 type Delta struct {
-	From     int       `json:"from"` // version of the earlier one; 0 for none
-	Version  int       `json:"version"`
-	Routes   []Span    `json:"routes"`
-	Services []Service `json:"services"`
-	Limits   Limits    `json:"limits"`
-	Sum      uint64    `json:"sum"` // of the whole policy
+	From          int                  `json:"from"` // version of the earlier one; 0 for none
+	Version       int                  `json:"version"`
+	Routes        []Span[Route]        `json:"routes"`
+	Services      []Service            `json:"services"`
+	Limits        Limits               `json:"limits"`
+	Keyed         bool                 `json:"keyed,omitempty"`
+	Organisations []Span[Organisation] `json:"organisations,omitempty"`
+	Sum           uint64               `json:"sum"` // of the whole policy
 }
 
-// Span is a part of a list of routes: routes of the earlier list, or new ones.
-type Span struct {
-	At    int     `json:"at,omitempty"` // in the earlier list
-	Count int     `json:"count,omitempty"`
-	New   []Route `json:"new,omitempty"`
+// Span is a part of a list: items of the earlier list, or new ones.
+type Span[T any] struct {
+	At    int `json:"at,omitempty"` // in the earlier list
+	Count int `json:"count,omitempty"`
+	New   []T `json:"new,omitempty"`
 }
 
 // routeKey tells the routes of a policy apart.
@@ -57,73 +59,83 @@
 		Version:  later.Version,
 		Services: later.Services,
 		Limits:   later.Limits,
+		Keyed:    later.Keyed,
 	}
 	var err error
 	if out.Sum, err = later.sum(); err != nil {
 		return out, err
 	}
-	var known []Route
+	known := &Policy{}
 	if earlier != nil {
 		out.From = earlier.Version
-		known = earlier.Routes
+		known = earlier
 	}
-	at := make(map[routeKey]int, len(known))
-	for i := range known {
-		at[known[i].key()] = i
+	out.Routes = spans(known.Routes, later.Routes, (*Route).key)
+	out.Organisations = spans(known.Organisations, later.Organisations, func(o *Organisation) string { return o.Name })
+	return out, nil
+}
+
+// spans returns a later list as what differs from an earlier one, whose items have a key.
+func spans[T any, K comparable](earlier, later []T, key func(*T) K) (out []Span[T]) {
+	at := make(map[K]int, len(earlier))
+	for i := range earlier {
+		at[key(&earlier[i])] = i
 	}
-	for i := range later.Routes {
-		r := &later.Routes[i]
-		if n, ok := at[r.key()]; ok && reflect.DeepEqual(known[n], *r) {
-			out.keep(n)
+	for i := range later {
+		item := &later[i]
+		if n, ok := at[key(item)]; ok && reflect.DeepEqual(earlier[n], *item) {
+			out = keep(out, n)
 		} else {
-			out.add(*r)
+			out = add(out, *item)
 		}
 	}
-	return out, nil
+	return out
 }
 
-// keep adds a route of the earlier list.
-func (a *Delta) keep(at int) {
-	if n := len(a.Routes) - 1; n >= 0 && a.Routes[n].Count > 0 && a.Routes[n].At+a.Routes[n].Count == at {
-		a.Routes[n].Count++
-		return
+// keep adds an item of the earlier list.
+func keep[T any](list []Span[T], at int) []Span[T] {
+	if n := len(list) - 1; n >= 0 && list[n].Count > 0 && list[n].At+list[n].Count == at {
+		list[n].Count++
+		return list
 	}
-	a.Routes = append(a.Routes, Span{
+	return append(list, Span[T]{
 		At:    at,
 		Count: 1,
 	})
 }
 
-// add adds a route that the earlier list lacks.
-func (a *Delta) add(r Route) {
-	if n := len(a.Routes) - 1; n < 0 || a.Routes[n].Count > 0 {
-		a.Routes = append(a.Routes, Span{})
+// add adds an item that the earlier list lacks.
+func add[T any](list []Span[T], item T) []Span[T] {
+	if n := len(list) - 1; n < 0 || list[n].Count > 0 {
+		list = append(list, Span[T]{})
 	}
-	last := &a.Routes[len(a.Routes)-1]
-	last.New = append(last.New, r)
+	last := &list[len(list)-1]
+	last.New = append(last.New, item)
+	return list
 }
 
 // Apply returns the later policy. It fails when the earlier one isn't what the
 // delta was made from.
 func (a Delta) Apply(earlier *Policy) (*Policy, error) {
-	var known []Route
+	known := &Policy{}
 	if a.From > 0 {
 		if earlier == nil || earlier.Version != a.From {
 			return nil, errors.Newf("delta of policy %d, which isn't known", a.From)
 		}
-		known = earlier.Routes
+		known = earlier
 	}
 	out := &Policy{
 		Version:  a.Version,
 		Services: a.Services,
 		Limits:   a.Limits,
+		Keyed:    a.Keyed,
 	}
-	for _, r := range a.Routes {
-		if r.At < 0 || r.Count < 0 || r.Count > len(known) || r.At > len(known)-r.Count {
-			return nil, errors.Newf("delta of policy %d: no routes %d to %d", a.From, r.At, r.At+r.Count)
-		}
-		out.Routes = append(out.Routes, known[r.At:r.At+r.Count]...)
-		out.Routes = append(out.Routes, r.New...)
+	var err error
+	if out.Routes, err = joined(known.Routes, a.Routes); err != nil {
+		return nil, errors.Wrapf(err, "delta of policy %d: routes", a.From)
+	}
+	if out.Organisations, err = joined(known.Organisations, a.Organisations); err != nil {
+		return nil, errors.Wrapf(err, "delta of policy %d: organisations", a.From)
 	}
 	sum, err := out.sum()
 	if err != nil {
@@ -135,6 +147,18 @@
 	return out, out.Check()
 }
 
+// joined returns the later list.
+func joined[T any](earlier []T, list []Span[T]) (out []T, err error) {
+	for _, s := range list {
+		if s.At < 0 || s.Count < 0 || s.Count > len(earlier) || s.At > len(earlier)-s.Count {
+			return nil, errors.Newf("none from %d to %d", s.At, s.At+s.Count)
+		}
+		out = append(out, earlier[s.At:s.At+s.Count]...)
+		out = append(out, s.New...)
+	}
+	return out, nil
+}
+
 // sum returns a sum of all that a policy says.
 func (p *Policy) sum() (uint64, error) {
 	h := xxhash.New()
@@ -143,11 +167,16 @@
 		Services []Service
 		Limits   Limits
 		Version  int
+
+		Keyed         bool           `json:",omitempty"` // boxes of a version without keys come to the same sum
+		Organisations []Organisation `json:",omitempty"`
 	}{
-		Routes:   orNone(p.Routes),
-		Services: orNone(p.Services),
-		Limits:   p.Limits,
-		Version:  p.Version,
+		Routes:        orNone(p.Routes),
+		Services:      orNone(p.Services),
+		Limits:        p.Limits,
+		Version:       p.Version,
+		Keyed:         p.Keyed,
+		Organisations: p.Organisations,
 	})
 	return h.Sum64(), errors.Wrap(err, "policy")
 }
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -33,11 +33,14 @@
 // a time; it fails with ErrHistoryGone where that is no longer known. Newest, which
 // may be nil, returns the newest revision alone. Keep, which may be nil, is called so
 // often that the source can go on to tell Read that something large hasn't changed.
+// Confirm, which may be nil, returns the policy and the evacuations alone.
 type Source struct {
 	Read   func(ctx context.Context) (Snapshot, error)
 	Wait   func(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
 	Newest func(ctx context.Context) (int64, error)
 	Keep   func(ctx context.Context) error
+
+	Confirm func(ctx context.Context) (Snapshot, error)
 }
 
 // Update is what a feed hands on: a whole snapshot or changes up to a revision.
@@ -62,8 +65,10 @@
 	now      func() time.Time
 	jitter   func() float64
 	every    time.Duration
-	reader   func() bool          // this box reads again on behalf of others
-	follow   func() bool          // other boxes watch on behalf of this one
+	reader   func() bool // this box reads again on behalf of others
+	follow   func() bool // other boxes watch on behalf of this one
+	confirms func() bool // this box has to know that the policy is the newest
+	proved   func(version int, at time.Time)
 	age      func() time.Duration // of what this box knows, by what others say
 	behind   chan struct{}        // another box knows more
 	wanted   atomic.Int64         // the revision that it knows
@@ -76,6 +81,8 @@
 	away    bool      // the last reading failed; a watch may also end for other reasons
 	failed  time.Time // when it did
 	settled time.Time // until then entries may come back that lapsed
+
+	confirmed confirmed // the last answer about the policy
 }
 
 // FeedOption changes a Feed.
@@ -114,6 +121,10 @@
 		every:  rereadEvery,
 		reader: func() bool { return true },
 		follow: func() bool { return false },
+
+		confirms: func() bool { return false },
+		proved:   func(int, time.Time) {},
+
 		age:    func() time.Duration { return neverRead },
 		behind: make(chan struct{}, 1),
 		at:     make(chan int64, 1),
@@ -156,6 +167,9 @@
 	if d.source.Keep != nil {
 		watching.Go(func() { d.keep(ctx) })
 	}
+	if d.source.Confirm != nil {
+		watching.Go(func() { d.confirm(ctx) })
+	}
 	backOff := firstBackOff
 	for ctx.Err() == nil {
 		s, err := d.source.Read(ctx)
@@ -174,6 +188,7 @@
 			Settled:  settled,
 			Settles:  settles,
 		})
+		d.prove(s)
 		d.offer(s.Revision)
 		d.replicas.Store(int64(len(s.Replicas)))
 		if d.follow() {
--- /dev/null
+++ b/catalog/organisation.go
@@ -0,0 +1,158 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Key is the digest of a credential that callers show. The credential itself is kept
+// nowhere, so no dump, log or answer to another box can give it away.
+type Key [keyBytes]byte
+
+// keyBytes are the bytes of a Key: no two credentials have the same.
+const keyBytes = 16
+
+// KeyOf returns the key of a credential.
+func KeyOf(credential string) Key {
+	var buf [mostCredential]byte
+	sum := sha256.Sum256(append(buf[:0], credential...))
+	return Key(sum[:keyBytes])
+}
+
+// mostCredential are the bytes of a credential up to which KeyOf takes no memory.
+const mostCredential = 128
+
+// MarshalText encodes a key.
+func (k Key) MarshalText() ([]byte, error) {
+	return base64.RawURLEncoding.AppendEncode(nil, k[:]), nil
+}
+
+// UnmarshalText decodes a key.
+func (k *Key) UnmarshalText(text []byte) error {
+	data, err := base64.RawURLEncoding.AppendDecode(nil, text)
+	if err != nil || len(data) != keyBytes {
+		return errors.Newf("key of %d bytes", len(text))
+	}
+	*k = Key(data)
+	return nil
+}
+
+// Unit says what a quota counts.
+type Unit string
+
+// Units of quotas.
+const (
+	Requests Unit = "requests"
+	Tokens   Unit = "tokens" // of the prompt and, at most, of the answer
+)
+
+// Quota bounds what an organisation's requests may use over all boxes together.
+type Quota struct {
+	PerSecond float64 `json:"per_second,omitempty"` // in units; 0 for no bound
+	Burst     float64 `json:"burst,omitempty"`      // units on top of that
+	Unit      Unit    `json:"unit,omitempty"`
+	Plain     float64 `json:"plain,omitempty"` // tokens that a request without a count of its own stands for
+}
+
+// Bounded says whether there is a bound.
+func (q Quota) Bounded() bool { return q.PerSecond > 0 || q.Burst > 0 }
+
+// Organisation is a customer whose callers show keys.
+type Organisation struct {
+	Name     string   `json:"name"`
+	Keys     []Key    `json:"keys"`
+	Priority int      `json:"priority"`        // 0 goes first; it goes before that of a route
+	Homes    []string `json:"homes,omitempty"` // regions that its data may enter; empty for all
+	Quota    Quota    `json:"quota"`
+}
+
+// UnmarshalJSON decodes an organisation and checks it.
+func (o *Organisation) UnmarshalJSON(data []byte) error {
+	type plain Organisation
+	var v plain
+	if err := json.Unmarshal(data, &v); err != nil {
+		return errors.Wrap(err, "organisation")
+	}
+	*o = Organisation(v)
+	return o.check()
+}
+
+// check says what is wrong with the organisation first, nil for nothing.
+func (o *Organisation) check() error {
+	switch {
+	case o.Name == "" || len(o.Name) > mostName:
+		return errors.Newf("organisation %.60q: a name of %d bytes", o.Name, len(o.Name))
+	case !fitsHeader(o.Name):
+		return errors.Newf("organisation %.60q: a name that no header can hold", o.Name)
+	case !(o.Quota.PerSecond >= 0) || !(o.Quota.Burst >= 0) || !(o.Quota.Plain >= 0):
+		return errors.Newf("organisation %q: a quota below zero", o.Name)
+	case o.Quota.Unit != Requests && o.Quota.Unit != Tokens:
+		return errors.Newf("organisation %q: unknown unit %q", o.Name, o.Quota.Unit)
+	}
+	return nil
+}
+
+// mostName are the bytes of the longest name of an organisation.
+const mostName = 200
+
+// fitsHeader says whether a text can be the value of a header as it is.
+func fitsHeader(text string) bool {
+	for i := range len(text) {
+		if c := text[i]; c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// checkOrganisations says what is wrong with the organisations of a policy first, nil
+// for nothing.
+func (p *Policy) checkOrganisations() error {
+	names := make(map[string]bool, len(p.Organisations))
+	owners := make(map[Key]string, len(p.Organisations))
+	for i := range p.Organisations {
+		o := &p.Organisations[i]
+		if err := o.check(); err != nil {
+			return err
+		}
+		if names[o.Name] {
+			return errors.Newf("organisation %q: stands twice", o.Name)
+		}
+		names[o.Name] = true
+		for _, k := range o.Keys {
+			if owner, taken := owners[k]; taken && owner != o.Name {
+				return errors.Newf("organisation %q: has a key of organisation %q", o.Name, owner)
+			}
+			owners[k] = o.Name
+		}
+	}
+	return nil
+}
+
+// Organisation returns the organisation that holds a key, nil for none.
+func (t *Table) Organisation(k Key) *Organisation { return t.byKey[k] }
+
+// OrganisationOf returns the organisation of a name, nil for none.
+func (t *Table) OrganisationOf(name string) *Organisation { return t.byName[name] }
+
+// Keyed says whether requests need a key, but on routes that are public.
+func (t *Table) Keyed() bool { return t.policy.Keyed }
+
+// For returns the route as it holds for the requests of an organisation, nil for none: their
+// data may enter only regions that are homes by the route and by the organisation.
+func (r *Route) For(o *Organisation) *Route {
+	if o == nil || len(o.Homes) == 0 {
+		return r
+	}
+	out := *r
+	out.Homes = o.Homes
+	if len(r.Homes) > 0 {
+		out.Homes = slices.DeleteFunc(slices.Clone(r.Homes), func(region string) bool { return !slices.Contains(o.Homes, region) })
+	}
+	out.Nowhere = r.Nowhere || len(out.Homes) == 0
+	return &out
+}
--- a/catalog/policy.go
+++ b/catalog/policy.go
@@ -44,14 +44,16 @@
 	Host      string   `json:"host"`
 	Prefix    string   `json:"prefix"` // begins and ends with a slash
 	Kind      Kind     `json:"kind"`
-	Attempts  int      `json:"attempts"`        // most replicas that one request is sent to
-	Timeout   Millis   `json:"timeout_ms"`      // longest time until the answer is whole
-	Goal      Millis   `json:"goal_ms"`         // time to the answer, or to a stream's first event, that is aimed at
-	GapGoal   Millis   `json:"gap_goal_ms"`     // longest pause between events that is aimed at; 0 for none
-	Priority  int      `json:"priority"`        // 0 goes first
-	Shares    []Share  `json:"shares"`          // services that run it
-	Resumable bool     `json:"resumable"`       // a stream can be continued elsewhere after an event
-	Homes     []string `json:"homes,omitempty"` // regions that its data may enter; empty for all
+	Attempts  int      `json:"attempts"`          // most replicas that one request is sent to
+	Timeout   Millis   `json:"timeout_ms"`        // longest time until the answer is whole
+	Goal      Millis   `json:"goal_ms"`           // time to the answer, or to a stream's first event, that is aimed at
+	GapGoal   Millis   `json:"gap_goal_ms"`       // longest pause between events that is aimed at; 0 for none
+	Priority  int      `json:"priority"`          // 0 goes first
+	Shares    []Share  `json:"shares"`            // services that run it
+	Resumable bool     `json:"resumable"`         // a stream can be continued elsewhere after an event
+	Homes     []string `json:"homes,omitempty"`   // regions that its data may enter; empty for all
+	Nowhere   bool     `json:"nowhere,omitempty"` // no region may process its data
+	Public    bool     `json:"public,omitempty"`  // its requests need no key
 }
 
 // Repeatable says whether a request may run again when its outcome is unknown.
@@ -62,7 +64,7 @@
 // Allows says whether the route's data may be processed in a region. This is the
 // one place where residency is decided.
 func (r *Route) Allows(region string) bool {
-	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
+	return !r.Nowhere && (len(r.Homes) == 0 || slices.Contains(r.Homes, region))
 }
 
 // Service returns the service that runs the request of an id: always the same
@@ -137,6 +139,9 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+
+	Keyed         bool           `json:"keyed,omitempty"` // requests need a key, but on routes that are public
+	Organisations []Organisation `json:"organisations,omitempty"`
 }
 
 // UnmarshalJSON decodes a policy and checks it.
@@ -160,7 +165,7 @@
 			return errors.Wrap(err, "policy")
 		}
 	}
-	return nil
+	return errors.Wrap(p.checkOrganisations(), "policy")
 }
 
 // Table is a policy made ready for look-ups. It never changes, so a request
@@ -170,6 +175,9 @@
 	byHost   map[string][]*Route // the longest prefix first
 	services map[string]*Service
 	ranks    map[string]ranks // of the routes of each service
+	byKey    map[Key]*Organisation
+	byName   map[string]*Organisation
+	urgency  ranks // of the organisations
 }
 
 // NewTable returns the table of a policy.
@@ -179,6 +187,11 @@
 		byHost:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(p.Services)),
 		ranks:    make(map[string]ranks, len(p.Services)),
+		byKey:    make(map[Key]*Organisation, len(p.Organisations)),
+		byName:   make(map[string]*Organisation, len(p.Organisations)),
+	}
+	for i := range p.Organisations {
+		t.addOrganisation(&p.Organisations[i])
 	}
 	for i := range p.Routes {
 		r := &p.Routes[i]
--- a/catalog/rank.go
+++ b/catalog/rank.go
@@ -1,33 +1,74 @@
 package catalog
 
-// ranks are the priorities of the routes of a service.
+// ranks are the priorities of the routes of a service, or of the organisations.
 type ranks struct {
 	first int // the most urgent
 	last  int
+	known bool
 }
 
+// with returns the ranks with one more priority.
+func (k ranks) with(priority int) ranks {
+	if !k.known {
+		return ranks{
+			first: priority,
+			last:  priority,
+			known: true,
+		}
+	}
+	k.first = min(k.first, priority)
+	k.last = max(k.last, priority)
+	return k
+}
+
+// level returns where a priority stands among the ranks, 0 for the most urgent.
+func (k ranks) level(priority int) int { return min(max(priority, k.first), k.last) - k.first }
+
+// levels returns how many there are.
+func (k ranks) levels() int { return k.last - k.first + 1 }
+
 // addRanks takes the priority of a route in for the services that run it.
 func (t *Table) addRanks(r *Route) {
 	for _, s := range r.Shares {
-		k, ok := t.ranks[s.Service]
-		if !ok {
-			k = ranks{
-				first: r.Priority,
-				last:  r.Priority,
-			}
-		}
-		k.first = min(k.first, r.Priority)
-		k.last = max(k.last, r.Priority)
-		t.ranks[s.Service] = k
+		t.ranks[s.Service] = t.ranks[s.Service].with(r.Priority)
+	}
+}
+
+// addOrganisation takes an organisation in.
+func (t *Table) addOrganisation(o *Organisation) {
+	t.byName[o.Name] = o
+	for _, k := range o.Keys {
+		t.byKey[k] = o
 	}
+	t.urgency = t.urgency.with(o.Priority)
 }
 
-// Rank returns where a priority stands among those of the routes of a service: 0 for
-// the most urgent, 1 for the least, 0 where all are alike.
-func (t *Table) Rank(service string, priority int) float64 {
-	k, ok := t.ranks[service]
-	if !ok || k.last == k.first {
+// Rank returns where a request of a service stands among all of them, by the priority of its
+// route and, before that, of its organisation, nil for none: 0 for the most urgent, 1 for the
+// least, 0 where all are alike.
+func (t *Table) Rank(service string, priority int, o *Organisation) float64 {
+	routes := t.ranks[service]
+	most := routes.levels()*t.urgency.levels() - 1
+	if most == 0 {
 		return 0
 	}
-	return min(max(float64(priority-k.first)/float64(k.last-k.first), 0), 1)
+	return float64(t.level(routes, priority, o)) / float64(most)
+}
+
+// Urgency returns the priority of a request of a service, 0 for the most urgent. Where no
+// organisation has one of its own, it is that of its route.
+func (t *Table) Urgency(service string, priority int, o *Organisation) int {
+	if t.urgency.levels() == 1 {
+		return priority
+	}
+	return t.level(t.ranks[service], priority, o)
+}
+
+// level returns the level of a request among those of the routes of a service.
+func (t *Table) level(routes ranks, priority int, o *Organisation) int {
+	out := routes.level(priority)
+	if o != nil {
+		out += t.urgency.level(o.Priority) * routes.levels()
+	}
+	return out
 }
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -105,9 +105,12 @@
 
 // isCurrent asks for the newest revision and says whether it is known here.
 func (d *Feed) isCurrent(ctx context.Context) bool {
-	rev, err := d.source.Newest(ctx)
-	if err != nil {
-		return false // reading all fails as well, and is what tells of it
+	rev, ok := d.confirmedOfLate()
+	if !ok {
+		var err error
+		if rev, err = d.source.Newest(ctx); err != nil {
+			return false // reading all fails as well, and is what tells of it
+		}
 	}
 	if rev > d.known.Load() {
 		sleep.For(ctx, behindWait) // the watch, or another box, may be about to bring it
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -51,6 +51,7 @@
 	Replicas  []Replica `json:"replicas"`
 	Evacuated []string  `json:"evacuated"` // failure domains whose replicas get no work
 	Unusable  []string  `json:"-"`         // ids under which an entry names no replica
+	PolicyAt  time.Time `json:"-"`         // at which the policy surely was the newest, on the clock of the box that read it; zero where that isn't known
 }
 
 // Content is a box's copy of what is published.
--- a/decision/event.go
+++ b/decision/event.go
@@ -90,8 +90,11 @@
 	Tries    int       `json:"tries,omitempty"`
 	Digest   string    `json:"digest,omitempty"` // of what the request asks, the same whenever it comes again
 	Region   string    `json:"region,omitempty"`
-	Detail   string    `json:"detail,omitempty"` // short text; cut at 256 bytes
-	Counts   []Count   `json:"counts,omitempty"` // of a line of kind Dropped
+
+	Organisation string `json:"organisation,omitempty"` // of the caller
+
+	Detail string  `json:"detail,omitempty"` // short text; cut at 256 bytes
+	Counts []Count `json:"counts,omitempty"` // of a line of kind Dropped
 }
 
 // UnmarshalJSON decodes an event and fails on a kind that is not known.
@@ -120,6 +123,7 @@
 	e.CopyFrom = cut(e.CopyFrom)
 	e.Digest = cut(e.Digest)
 	e.Region = cut(e.Region)
+	e.Organisation = cut(e.Organisation)
 	e.Detail = cut(e.Detail)
 }
 
--- a/ingress/box.go
+++ b/ingress/box.go
@@ -44,7 +44,7 @@
 // box makes the attempt at a box.
 func (a *attempt) box(ctx context.Context) ended {
 	c := a.call
-	h := onward(c.r.Header)
+	h := c.onward()
 	h.Set(headerRelay, c.relayed().encode())
 	answer, err := c.server.boxes.Do(ctx, exchange.Request{
 		Addr:        a.target.BoxAddr,
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -49,10 +49,14 @@
 	route   *catalog.Route
 	service string
 	version int
-	rank    float64 // of the route's priority among those of the service
-	body    []byte
-	content poison.Content // what it asks
-	trial   bool           // the next try is the run on trial
+	rank    float64 // of its priority among those of the service's requests
+	urgency int     // the same as replicas are told it; 0 goes first
+
+	keyed        bool   // requests need a key here, which goes no further
+	organisation string // that holds the caller's key; empty for none
+	body         []byte
+	content      poison.Content // what it asks
+	trial        bool           // the next try is the run on trial
 
 	state       state
 	sent        int          // replicas it was sent to
@@ -88,7 +92,7 @@
 			rounds++
 		}
 		clock.Check()
-		if c.isLate() || c.isQuarantined() || !c.awaitTrial(ctx) {
+		if c.isLate() || c.isQuarantined() || !c.awaitTrial(ctx) || !c.keyHolds() {
 			break
 		}
 		target := c.place(ctx)
@@ -350,6 +354,7 @@
 	e.Request = c.facts.ID
 	e.Service = c.service
 	e.Version = int64(c.version)
+	e.Organisation = c.organisation
 	if c.route != nil {
 		e.Route = c.route.Name
 	}
--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -36,6 +36,9 @@
 	if !c.findRoute(table) {
 		return false
 	}
+	if !c.authenticate(table) {
+		return false
+	}
 	if c.route.Kind == catalog.Stream && !c.server.core.Streams() {
 		c.refuse(reasonStopping, c.server.retryElsewhere())
 		return false
@@ -43,7 +46,9 @@
 	if c.service == "" {
 		c.service = c.route.Service(c.facts.ID)
 	}
-	c.rank = table.Rank(c.service, c.route.Priority)
+	organisation := table.OrganisationOf(c.organisation)
+	c.rank = table.Rank(c.service, c.route.Priority, organisation)
+	c.urgency = table.Urgency(c.service, c.route.Priority, organisation)
 	c.setEnd()
 	c.lastEvent = c.facts.LastEvent
 	if c.relay != nil && c.relay.LastEvent != "" {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -31,6 +31,8 @@
 	Parts     []Part        // of the prompt; the last one is the request's own
 	LastEvent string        // id of the last event that the caller has of a broken stream
 	Caller    string        // credentials of the caller; empty for none
+	Key       catalog.Key   // that the caller shows
+	HasKey    bool          // there is one, in the form that keys have
 }
 
 // Send is what a replica is told beside the caller's own headers.
@@ -40,16 +42,19 @@
 	Urgency   int           // 0 goes first; below 0 for none
 	LastEvent string        // id of the last event passed on, to go on after it
 	CopyFrom  string        // address of a replica that may keep a beginning of the prompt; empty for none
+
+	Organisation string // of the caller; empty where its requests need no key
 }
 
 // Codec reads and writes the headers of requests and answers.
 type Codec struct {
-	Facts   func(h http.Header) (Facts, error)
-	Send    func(h http.Header, s Send)
-	Owns    func(h http.Header, id string) bool                  // an answer belongs to the request of that id
-	Ran     func(status int, h http.Header) bool                 // false: the replica says that it did not run the request
-	Genuine func(h http.Header) bool                             // an answer of success is as a replica made it
-	Load    func(h http.Header) (requests, waiting int, ok bool) // that the replica says it has, and how many of them wait; false where it doesn't say
+	Facts    func(h http.Header) (Facts, error)
+	Withhold func(h http.Header) // removes the key, which no replica and no other box is to see
+	Send     func(h http.Header, s Send)
+	Owns     func(h http.Header, id string) bool                  // an answer belongs to the request of that id
+	Ran      func(status int, h http.Header) bool                 // false: the replica says that it did not run the request
+	Genuine  func(h http.Header) bool                             // an answer of success is as a replica made it
+	Load     func(h http.Header) (requests, waiting int, ok bool) // that the replica says it has, and how many of them wait; false where it doesn't say
 }
 
 // Target is where a request goes next: to a replica, to another box, or nowhere
@@ -86,30 +91,33 @@
 
 // Core is the box behind the path. Its fields are the seams between them.
 type Core struct {
-	Table    func() *catalog.Table    // nil until a policy is known
-	Current  func() bool              // what is published was read of late
-	Leaving  func() bool              // a planned stop has begun
-	Streams  func() bool              // a stream that comes now can be answered to its end
-	Others   func() bool              // another box of the region serves
-	EndsBy   func() (time.Time, bool) // when a planned stop is over, if one has begun
-	Place    func(Ask) Target
-	Begin    func(service string)      // a request is sent for the first time
-	Repeat   func(service string) bool // asks to send one again
-	Written  func(c *placement.Choice) // the request is written to the replica only now, a while after its choice
-	First    func(c *placement.Choice, took time.Duration)
-	Heard    func(c *placement.Choice)
-	Quiet    func(c *placement.Choice, sent time.Time) time.Duration // how long its replica has been silent towards this box
-	Muted    func(c *placement.Choice)                               // its replica is silent under a request that waits on
-	Other    func(next Ask) (Target, bool)                           // where a request would go, without counting it in
-	Loaded   func(c *placement.Choice, requests, waiting int)        // the replica says that it has so many requests, this one included, of which so many wait
-	Streamed func(service string, events, guess int)                 // a whole stream had so many events, where the caller guessed so many tokens
-	End      func(c *placement.Choice, r placement.Result, took time.Duration)
-	BoxLost  func(box string)                  // a box could not be reached
-	Crossed  func(box, region string, ok bool) // whether a request to a box of a region was answered
-	Behind   func(version int)                 // another box knows a newer policy, of a version
-	Record   func(decision.Event)
-	Poison   Poison
-	Meter    Meter
+	Table    func() *catalog.Table // nil until a policy is known
+	Current  func() bool           // what is published was read of late
+	KeysHold func() bool           // no key that the table has is known to have been taken away too long ago; it is asked before the table
+
+	KeysCurrent func() bool              // the table has all keys, but for those of the last seconds
+	Leaving     func() bool              // a planned stop has begun
+	Streams     func() bool              // a stream that comes now can be answered to its end
+	Others      func() bool              // another box of the region serves
+	EndsBy      func() (time.Time, bool) // when a planned stop is over, if one has begun
+	Place       func(Ask) Target
+	Begin       func(service string)      // a request is sent for the first time
+	Repeat      func(service string) bool // asks to send one again
+	Written     func(c *placement.Choice) // the request is written to the replica only now, a while after its choice
+	First       func(c *placement.Choice, took time.Duration)
+	Heard       func(c *placement.Choice)
+	Quiet       func(c *placement.Choice, sent time.Time) time.Duration // how long its replica has been silent towards this box
+	Muted       func(c *placement.Choice)                               // its replica is silent under a request that waits on
+	Other       func(next Ask) (Target, bool)                           // where a request would go, without counting it in
+	Loaded      func(c *placement.Choice, requests, waiting int)        // the replica says that it has so many requests, this one included, of which so many wait
+	Streamed    func(service string, events, guess int)                 // a whole stream had so many events, where the caller guessed so many tokens
+	End         func(c *placement.Choice, r placement.Result, took time.Duration)
+	BoxLost     func(box string)                  // a box could not be reached
+	Crossed     func(box, region string, ok bool) // whether a request to a box of a region was answered
+	Behind      func(version int)                 // another box knows a newer policy, of a version
+	Record      func(decision.Event)
+	Poison      Poison
+	Meter       Meter
 }
 
 // Meter is told the figures of requests.
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -44,7 +44,7 @@
 		Method: c.r.Method,
 		Host:   c.r.Host,
 		Target: c.r.RequestURI,
-		Caller: c.facts.Caller,
+		Caller: c.caller(),
 		Body:   c.body,
 	}
 }
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -46,6 +46,8 @@
 		c.fail(http.StatusBadGateway, c.lastReason())
 	case c.reason == reasonPoison:
 		c.refusePoison()
+	case c.reason == reasonLostKey:
+		c.rejectKey(reasonLostKey)
 	case late:
 		c.refuse(reasonDeadline, 0)
 	case c.reason != placement.None:
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -35,6 +35,8 @@
 	LeftMs    int64          `json:"left_ms"`              // time until the answer is of no use
 	Sent      int            `json:"sent"`                 // replicas that the request was sent to before
 	LastEvent string         `json:"last_event,omitempty"` // id of the last event passed on
+
+	Organisation string `json:"organisation,omitempty"` // of the caller
 }
 
 // UnmarshalJSON decodes a relay and checks it.
@@ -105,5 +107,7 @@
 		LeftMs:    clock.Until(c.end).Milliseconds(),
 		Sent:      c.sent,
 		LastEvent: c.lastEvent,
+
+		Organisation: c.organisation,
 	}
 }
--- a/ingress/try.go
+++ b/ingress/try.go
@@ -44,6 +44,15 @@
 	return out
 }
 
+// onward returns the headers of the request as they travel on, without its key.
+func (c *call) onward() http.Header {
+	h := onward(c.r.Header)
+	if c.keyed {
+		c.server.codec.Withhold(h)
+	}
+	return h
+}
+
 // attempt is one try at one replica or box.
 type attempt struct {
 	call     *call
@@ -88,13 +97,15 @@
 func (a *attempt) replica(ctx context.Context) ended {
 	c := a.call
 	c.begin()
-	h := onward(c.r.Header)
+	h := c.onward()
 	c.server.codec.Send(h, Send{
 		Replica:   a.target.Choice.ID,
 		Left:      clock.Until(c.end),
-		Urgency:   min(c.route.Priority, maxPriority),
+		Urgency:   min(c.urgency, maxPriority),
 		LastEvent: c.lastEvent,
 		CopyFrom:  a.target.Choice.CopyFrom,
+
+		Organisation: c.organisation,
 	})
 	answer, err := c.server.replicas.Do(ctx, exchange.Request{
 		Addr:        a.target.Choice.Addr,
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,102 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/havenrudder/havenrudder/lease"
+)
+
+func ExampleLease() {
+	var l lease.Lease
+	l.Prove(lease.Proof{ // another box has a policy that isn't in force here
+		Version: 7,
+		At:      3 * time.Second,
+	})
+	age, _ := l.Age(4 * time.Second)
+	fmt.Println(age == lease.Never)
+	l.Hold(7)
+	age, version := l.Age(4 * time.Second)
+	fmt.Println(age, version)
+	// Output:
+	// true
+	// 1s 7
+}
+
+// publication is a version and when it was published.
+type publication struct {
+	version int
+	at      time.Duration
+}
+
+// Whatever proofs and policies come, in whatever order and however late: at the moment that the
+// lease says, nothing newer than the policy in force was published.
+func TestALeaseNeverReachesPastAVersionThatIsNotInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l lease.Lease
+		var published []publication
+		now, held := time.Duration(0), 0
+		newest := func() int { return len(published) }
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(*rapid.T) {
+				now++
+				published = append(published, publication{
+					version: newest() + 1,
+					at:      now,
+				})
+			},
+			"prove": func(t *rapid.T) {
+				if newest() == 0 {
+					t.Skip("nothing published")
+				}
+				of := published[rapid.IntRange(0, newest()-1).Draw(t, "version")]
+				until := now // a version is proved for a moment at which it was the newest
+				if of.version < newest() {
+					until = published[of.version].at - 1
+				}
+				l.Prove(lease.Proof{
+					Version: of.version,
+					At:      time.Duration(rapid.Int64Range(int64(of.at), int64(max(of.at, until))).Draw(t, "moment")),
+				})
+			},
+			"hold": func(t *rapid.T) {
+				version := rapid.IntRange(0, newest()).Draw(t, "held")
+				held = max(held, version)
+				l.Hold(version)
+			},
+			"": func(t *rapid.T) {
+				now++
+				age, version := l.Age(now)
+				if version != held {
+					t.Fatalf("version %d, %d is in force", version, held)
+				}
+				if age == lease.Never {
+					return
+				}
+				for _, p := range published {
+					if p.version > held && p.at <= now-age {
+						t.Fatalf("lease of version %d as of %d, version %d was published at %d", held, now-age, p.version, p.at)
+					}
+				}
+			},
+		})
+	})
+}
+
+func TestALeaseKeepsTheLatestProofs(t *testing.T) {
+	is := is.New(t)
+	var l lease.Lease
+	for version := range 20 {
+		l.Prove(lease.Proof{
+			Version: version + 1,
+			At:      time.Duration(version + 1),
+		})
+	}
+	l.Hold(20)
+	age, _ := l.Age(30)
+	is.Equal(age, time.Duration(10))
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// WithLeaseAge serves how long ago the policy in force surely was the newest.
+func WithLeaseAge(age func() time.Duration) Option {
+	return func(m *Meter) {
+		m.gauge("lease_age_seconds", "Time since the policy in force surely was the newest.", func() float64 { return age().Seconds() })
+	}
+}
+
 // New returns metrics that all start at zero.
 func New(opts ...Option) *Meter {
 	m := &Meter{
--- a/node/core.go
+++ b/node/core.go
@@ -14,6 +14,10 @@
 	return ingress.Core{
 		Table:    n.table.Load,
 		Current:  n.current,
+		KeysHold: n.keysHold,
+
+		KeysCurrent: n.keysCurrent,
+
 		Leaving:  n.leaving.Load,
 		Streams:  n.takesStreams,
 		Others:   n.otherServes,
--- a/node/dump.go
+++ b/node/dump.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/havenrudder/havenrudder/lease"
 )
 
 // Dump is the state of a box, for operators.
@@ -16,6 +18,7 @@
 	Policy   int           `json:"policy_version"`
 	Revision int64         `json:"catalog_revision"`
 	AgeS     float64       `json:"catalog_age_s"`
+	LeaseS   float64       `json:"lease_age_s"`   // since the policy surely was the newest; below 0 where that isn't known
 	Follows  bool          `json:"follows"`       // other boxes watch the catalog for this one
 	Taking   bool          `json:"takes_callers"` // callers are told to use it; in a region of many boxes some stand by
 	Sharing  int           `json:"sharing_boxes"` // boxes among which the region's quotas are shared; 0 until all are known
@@ -78,8 +81,12 @@
 		UptimeS: n.now().Seconds(),
 		Leaving: n.leaving.Load(),
 		AgeS:    n.catalogAge().Seconds(),
+		LeaseS:  -1,
 		Follows: n.follows.Load(),
 	}
+	if age := n.leaseAge(); age != lease.Never {
+		d.LeaseS = age.Seconds()
+	}
 	_ = n.state.Do(func(s *state) { s.dump(&d, n.now()) }) // it fails only when the box has ended
 	return d
 }
--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -71,6 +71,7 @@
 	late     string                // what broke the bound
 	links    atomic.Pointer[links] // of the boxes, nil for wide ones
 	storied  map[string]string     // by box: what was told of the replica last
+	cut      atomic.Pointer[func(from, to *followBox) bool]
 }
 
 // followBox is one machine and the process on it, if any.
@@ -103,6 +104,12 @@
 	f.listing = newListing(list, f.jitter)
 	f.system = cell.NewSystem(slog.New(slog.DiscardHandler), func(reason any) { panic(reason) }, cell.InPlace())
 	go f.carry()
+	f.populate(boxes, func(*Settings) {})
+	return f
+}
+
+// populate adds machines, whose settings may be changed, and starts a process on each.
+func (f *follows) populate(boxes int, change func(*Settings)) {
 	for n := range boxes {
 		region := fmt.Sprint("region-", n%regionsOf)
 		b := &followBox{
@@ -122,9 +129,9 @@
 	}
 	for _, b := range f.boxes {
 		b.settings.Seeds = f.seeds
+		change(&b.settings)
 		f.start(b)
 	}
-	return f
 }
 
 // start starts a process on a machine.
@@ -150,6 +157,7 @@
 		return news, err
 	}
 	n.askPolicy = f.askPolicy
+	n.askProof = func(ctx context.Context, addr string) (proofAnswer, error) { return f.askProof(ctx, b, addr) }
 	n.deltas = catalog.NewDeltas()
 	n.policyBucket = newPolicyBucket()
 	n.deliver = func(p roster.Packet) {
@@ -298,7 +306,7 @@
 // deliver brings a datagram to another box.
 func (f *follows) deliver(from *followBox, p roster.Packet) {
 	to, delay := f.byAddr[p.Addr], nearDelay
-	if to == nil {
+	if to == nil || f.severed(from, to) {
 		return
 	}
 	if to.settings.Region != from.settings.Region {
@@ -324,6 +332,29 @@
 	})
 }
 
+// severed says whether nothing goes from one machine to another.
+func (f *follows) severed(from, to *followBox) bool {
+	cut := f.cut.Load()
+	return cut != nil && (*cut)(from, to)
+}
+
+// askProof asks a box how long ago its policy surely was the newest.
+func (f *follows) askProof(ctx context.Context, from *followBox, addr string) (out proofAnswer, err error) {
+	to, way := f.byAddr[addr], nearDelay
+	if to.settings.Region != from.settings.Region {
+		way = farDelay
+	}
+	sleep.For(ctx, way+f.jitter(mostJitter, "asked for proof", from.settings.Box, addr))
+	n := to.node.Load()
+	if n == nil || f.severed(from, to) {
+		<-ctx.Done()
+		return out, errors.Wrap(ctx.Err(), "box gone")
+	}
+	out = n.giveProof()
+	sleep.For(ctx, way+f.jitter(mostJitter, "proof", from.settings.Box, addr))
+	return out, ctx.Err()
+}
+
 // askBox asks a box for what changed, as over a connection.
 func (f *follows) askBox(ctx context.Context, addr string, after int64) (news catalog.News, err error) {
 	b := f.byAddr[addr]
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -52,6 +52,8 @@
 		n.chooseRole()
 		n.seekPolicy(ctx)
 		n.readMissingPolicy()
+		n.seekProof(ctx)
+		n.watchLease()
 		n.watchMembers()
 		n.watchRegion()
 		n.watchDomains()
--- a/node/listing_test.go
+++ b/node/listing_test.go
@@ -32,6 +32,8 @@
 	refuses  map[string]bool // boxes
 	changed  change.Signal
 	calls    int
+	deafTo   int64                                               // revision up to which a watch hears nothing while it is deaf
+	deaf     bool                                                // changes are made that no watch hears of
 	ways     atomic.Pointer[ways]                                // to the boxes, nil for wide ones
 	jitter   func(most time.Duration, what ...any) time.Duration // a short time by the seed
 }
@@ -90,6 +92,18 @@
 	l.changed.Tell()
 }
 
+// setDeaf lets watches hear nothing of what changes from now on, or forgets the history, as a
+// store does that loses it.
+func (l *listing) setDeaf(deaf bool) {
+	l.mu.Lock()
+	l.deaf = deaf
+	l.deafTo = l.rev
+	l.mu.Unlock()
+	if !deaf {
+		l.forget()
+	}
+}
+
 // setDown takes the listing away from all boxes, or gives it back.
 func (l *listing) setDown(down bool) {
 	l.mu.Lock()
@@ -139,6 +153,15 @@
 	return l.narrowed(box, catalog.Source{
 		Read:   func(ctx context.Context) (catalog.Snapshot, error) { return l.read(ctx, box) },
 		Newest: func(ctx context.Context) (int64, error) { return l.newest(ctx, box) },
+		Confirm: func(ctx context.Context) (catalog.Snapshot, error) {
+			began := time.Now()
+			s, err := l.read(ctx, box)
+			return catalog.Snapshot{
+				Revision: s.Revision,
+				Policy:   s.Policy,
+				PolicyAt: began,
+			}, err
+		},
 		Wait: func(ctx context.Context, after int64, wait time.Duration) ([]catalog.Change, int64, error) {
 			return l.wait(ctx, box, after, wait)
 		},
@@ -212,7 +235,7 @@
 		return nil, catalog.ErrHistoryGone
 	}
 	for _, c := range l.history {
-		if c.Revision > after {
+		if c.Revision > after && (!l.deaf || c.Revision <= l.deafTo) {
 			changes = append(changes, c)
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/ingress"
+	"github.com/havenrudder/havenrudder/lease"
 	"github.com/havenrudder/havenrudder/meter"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/poison"
@@ -76,10 +77,13 @@
 	feed      *catalog.Feed
 
 	deltas       *catalog.Deltas
-	policyBucket *policyBucket // for the policies that this box gives to others
-	seeking      atomic.Bool   // a policy is got from another box; who has set it owns the next
-	seeker       policySeeker  // where to get the policy that this box lacks
-	ownReading   ownReading    // of the same; the task that beats owns it
+	lease        lease.Lease                                                 // on keys, by what is known of the policy in force
+	proofs       proofSeeker                                                 // of the same
+	askProof     func(ctx context.Context, addr string) (proofAnswer, error) // seam: asks another box how long ago its policy surely was the newest
+	policyBucket *policyBucket                                               // for the policies that this box gives to others
+	seeking      atomic.Bool                                                 // a policy is got from another box; who has set it owns the next
+	seeker       policySeeker                                                // where to get the policy that this box lacks
+	ownReading   ownReading                                                  // of the same; the task that beats owns it
 
 	tasks     sync.WaitGroup
 	told      chan struct{} // asks for the settings to be read again
@@ -128,6 +132,7 @@
 		meter.WithSharingBoxes(n.sharingBoxes),
 		meter.WithDroppedLines(n.log.DroppedLines),
 		meter.WithQuarantinedRequests(n.quarantinedRequests),
+		meter.WithLeaseAge(n.leaseAge),
 	)
 	limitMemory(s.MemoryMB)
 	return n, n.listeners.open(s)
@@ -200,6 +205,7 @@
 	n.bulk = peer.NewPool(ctx, dialer.DialContext, func(peer.Method, int) {})
 	n.askBox = n.callBox
 	n.askPolicy = n.callForPolicy
+	n.askProof = n.callForProof
 	n.deliver = func(p roster.Packet) { _ = n.links[0].Post(p) } // a datagram may be lost anyway, and the next one follows
 	n.feed = n.newFeed(n.adapter.Source(n.store, Report{
 		Call:    n.meter.StoreCall,
@@ -214,6 +220,7 @@
 		catalog.WithHealth(n.storeHealth),
 		catalog.WithReader(n.reads.Load),
 		catalog.WithFollowing(n.follows.Load, n.catalogAge),
+		catalog.WithConfirming(n.confirms, n.proved),
 		catalog.WithJitter(n.jitter))
 }
 
--- a/node/pull.go
+++ b/node/pull.go
@@ -144,6 +144,8 @@
 			return nil, errors.Wrap(err, "policy")
 		}
 		return n.givePolicy(req.Have)
+	case peer.Proof:
+		return n.giveProof(), nil
 	}
 	return nil, errors.Newf("unknown message %q", string(m))
 }
@@ -155,6 +157,9 @@
 		n.recordBeliefs(s.take(u, n.now()))
 		n.table.Store(s.table)
 	})
+	if t := n.table.Load(); t != nil {
+		n.lease.Hold(t.Version())
+	}
 	if first && n.table.Load() != nil {
 		n.tellEveryone(false) // this box serves from now on
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -22,6 +22,10 @@
 	ColdOverage  float64       // what a cold replica's pace may be exceeded by, as a factor
 	ColdSlack    float64       // and the requests on top of that, in one second
 	DirectoryTTL time.Duration // longest time that an answer to "which box" counts
+	RevokeWithin time.Duration // from the word that a key is taken away until no request with it runs, also on a box that is cut off; 0 for no such bound
+	QuotaWindow  time.Duration // over which what organisations use is counted
+	QuotaOverage float64       // what their quotas may be exceeded by, as a factor
+	QuotaSlack   float64       // and the units on top of that, in one window
 }
 
 // Settings are the settings of a box.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -28,6 +28,7 @@
 	Seal      Method = "seal"     // wire.Seal, answered by wire.Sealed
 	Catalog   Method = "catalog"  // answered by catalog.EncodedNews
 	Policy    Method = "policy"   // answered by catalog.PolicyNews
+	Proof     Method = "proof"    // how long ago the policy surely was the newest, answered by a version and an age
 )
 
 // Handler answers one message; its answer is left out for a notification.
