node, quota, decision: Banks of regions ask each other at once; a line for a bank that isn't reached

It asked two banks of another region one after the other; with a connection each that takes 640 ms, more than the 500 ms of a round, and a connection that isn't made in time isn't kept.

They are asked together now, with 700 ms. The stand-in of tests makes connections first, which shows it.

--- a/decision/lines.go
+++ b/decision/lines.go
@@ -78,6 +78,7 @@
 	l.number("tries", int64(e.Tries))
 	l.text("digest", e.Digest)
 	l.text("region", e.Region)
+	l.text("organisation", e.Organisation)
 	l.text("detail", e.Detail)
 	if len(e.Counts) > 0 {
 		l.fields["counts"] = e.Counts
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -98,7 +98,10 @@
 		Tries:    2,
 		Digest:   "50fd6db2",
 		Region:   "eu",
-		Detail:   "a <b> & c",
+
+		Organisation: "bakers",
+
+		Detail: "a <b> & c",
 	}
 }
 
--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -73,6 +73,8 @@
 	links    atomic.Pointer[links] // of the boxes, nil for wide ones
 	storied  map[string]string     // by box: what was told of the replica last
 	cut      atomic.Pointer[func(from, to *followBox) bool]
+
+	connections sync.Map // of connection
 }
 
 // followBox is one machine and the process on it, if any.
@@ -354,13 +356,36 @@
 	if to.settings.Region != from.settings.Region {
 		way = farDelay
 	}
+	if err := f.connect(ctx, from, to, way); err != nil {
+		return nil, way, err
+	}
 	sleep.For(ctx, way+f.jitter(mostJitter, "asked", what, from.settings.Box, addr))
 	n = to.node.Load()
 	if n == nil || f.severed(from, to) {
 		<-ctx.Done()
 		return nil, way, errors.Wrap(ctx.Err(), "box gone")
 	}
-	return n, way, nil
+	return n, way, ctx.Err()
+}
+
+// connection is one from a process to another.
+type connection struct{ from, to *Node }
+
+// connect makes a connection between two processes, unless there is one. It takes a way there and
+// back, and one that ctx ends before isn't there.
+func (f *follows) connect(ctx context.Context, from, to *followBox, way time.Duration) error {
+	c := connection{
+		from: from.node.Load(),
+		to:   to.node.Load(),
+	}
+	if _, there := f.connections.Load(c); there {
+		return nil
+	}
+	sleep.For(ctx, 2*way)
+	if ctx.Err() == nil {
+		f.connections.Store(c, true)
+	}
+	return ctx.Err()
 }
 
 // askBank asks a box as a bank.
--- a/node/quota.go
+++ b/node/quota.go
@@ -14,6 +14,7 @@
 
 	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/common/short"
+	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/quota"
 	"github.com/havenrudder/havenrudder/wire"
@@ -26,7 +27,7 @@
 	bankAvoid    = time.Second            // that a box which didn't answer isn't asked
 	bankBeats    = 2                      // beats between two questions ahead of need
 	demandBeats  = 2                      // beats between two questions to other regions' banks
-	demandLimit  = 500 * time.Millisecond // for their answers: between regions a connection and a question take 320 ms
+	demandLimit  = 700 * time.Millisecond // for their answers: between regions a connection and a question take 320 ms, and what their ends take
 	overageShare = 0.4                    // of what quotas may be exceeded by that is let through, so that errors of the count refuse nothing within a quota
 	slackShare   = 0.5                    // of the units beside, which banks of different regions need for requests that come in clumps
 	knowsRegion  = 8 * time.Second        // after which a box that heard of no other in its region is taken for the only one
@@ -157,11 +158,22 @@
 		}
 		if ctx.Err() == nil {
 			n.quotas.avoidFor(b.Peers, n.now()+bankAvoid)
+			n.bankLost(b.Box, err)
 		}
 	}
 	return n.grant(n.settings.Box, asks)
 }
 
+// bankLost writes down that a bank didn't answer.
+func (n *Node) bankLost(box string, err error) {
+	n.record(decision.Event{
+		Kind:     decision.Lost,
+		Upstream: box,
+		Reason:   "bank of quotas",
+		Detail:   err.Error(),
+	})
+}
+
 // callBank asks the box at an address as a bank.
 func (n *Node) callBank(ctx context.Context, addr string, asks []quota.Ask) (out []quota.Grant, err error) {
 	ctx, cancel := context.WithTimeout(ctx, bankLimit)
@@ -244,22 +256,15 @@
 	}
 }
 
-// isBank says whether this box is the first choice for a shard of its region.
-func (n *Node) isBank(v *bankView) bool {
-	return slices.ContainsFunc(v.near[:], func(list []wire.BoxStatus) bool {
-		return len(list) > 0 && list[0].Box == n.settings.Box
-	})
-}
-
 // hearRegions asks other regions' banks of the shards that this box keeps what their callers ask
-// for, all at once.
+// for, all at once: one after the other they take longer than a round, connections and all.
 func (n *Node) hearRegions(ctx context.Context, v *bankView) {
 	ctx, cancel := context.WithTimeout(ctx, demandLimit)
 	defer cancel()
 	own := n.demand()
 	var asking sync.WaitGroup
 	var heard atomic.Int32
-	for _, region := range slices.Sorted(maps.Keys(v.far)) {
+	for region := range v.far {
 		asking.Go(func() {
 			if n.hearRegion(ctx, region, v) {
 				heard.Add(1)
@@ -278,21 +283,46 @@
 // hearRegion asks another region's banks, and says whether all answered.
 func (n *Node) hearRegion(ctx context.Context, region string, v *bankView) bool {
 	left := n.now()
+	var mu sync.Mutex
 	all := make(map[string]float64)
+	var failed atomic.Bool
+	var asking sync.WaitGroup
 	for shard, list := range v.far[region] {
-		if len(list) == 0 || len(v.near[shard]) == 0 || v.near[shard][0].Box != n.settings.Box {
+		if len(list) == 0 || !n.keeps(v, shard) {
 			continue
 		}
-		demand, err := n.askDemand(ctx, list[0].Peers)
-		if err != nil {
-			return false
-		}
-		maps.Copy(all, demand)
+		asking.Go(func() {
+			demand, err := n.askDemand(ctx, list[0].Peers)
+			failed.Store(failed.Load() || err != nil)
+			mu.Lock()
+			defer mu.Unlock()
+			maps.Copy(all, demand)
+		})
+	}
+	asking.Wait()
+	if failed.Load() {
+		return false // the region's share stays as it was, and the next round is soon
 	}
 	n.quotas.shares.Hear(region, all, left)
 	return true
 }
 
+// keeps says whether this box is the bank of a shard.
+func (n *Node) keeps(v *bankView, shard int) bool {
+	list := v.near[shard]
+	return len(list) > 0 && list[0].Box == n.settings.Box
+}
+
+// isBank says whether this box is the bank of any shard.
+func (n *Node) isBank(v *bankView) bool {
+	for shard := range v.near {
+		if n.keeps(v, shard) {
+			return true
+		}
+	}
+	return false
+}
+
 // banks returns who is a bank, by the boxes that serve as far as this one knows.
 func (s *state) banks(now time.Duration) *bankView {
 	v := &bankView{
