node, quota: Bursts of what a window leaves, a shorter word of boxes, fresh boxes wait

After all boxes were killed each was its own bank with a part of a sixteenth: 218 requests of all organisations were refused in 1.5 s.

A bank counted boxes for 2.5 s after their last question, while one that is cut off used its part alone; 1.3 s now. A box that has just started lets requests wait up to 0.3 s until it knows its region.

--- a/control/explanation.go
+++ b/control/explanation.go
@@ -146,6 +146,7 @@
 	text("route", e.Route)
 	text("upstream", e.Upstream)
 	text("region", e.Region)
+	text("organisation", e.Organisation)
 	number("age", e.AgeMs, "ms")
 	number("version", e.Version, "")
 	number("revision", e.Revision, "")
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "github.com/havenrudder/havenrudder/internal/fixed"
+
 	"github.com/havenrudder/havenrudder/lease"
 )
 
--- a/node/dump.go
+++ b/node/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,6 +28,13 @@
 	Replicas []ReplicaDump `json:"replicas"`
 	Retries  []RetryDump   `json:"retries_left"`
 	Poison   []PoisonDump  `json:"requests_that_end_replicas"`
+	Credit   []CreditDump  `json:"credit"`
+}
+
+// CreditDump is what this box holds of an organisation's quota.
+type CreditDump struct {
+	Organisation string  `json:"organisation"`
+	Units        float64 `json:"units"`
 }
 
 // PoisonDump is what is believed of a request under which replicas ended, of which all
@@ -87,6 +95,13 @@
 	if age := n.leaseAge(); age != lease.Never {
 		d.LeaseS = age.Seconds()
 	}
+	held := n.quotas.purse.Held()
+	for _, name := range slices.Sorted(maps.Keys(held)) {
+		d.Credit = append(d.Credit, CreditDump{
+			Organisation: name,
+			Units:        held[name],
+		})
+	}
 	_ = n.state.Do(func(s *state) { s.dump(&d, n.now()) }) // it fails only when the box has ended
 	return d
 }
--- a/node/quota.go
+++ b/node/quota.go
@@ -14,6 +14,7 @@
 
 	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/common/short"
+	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/quota"
@@ -28,8 +29,12 @@
 	bankBeats    = 2                      // beats between two questions ahead of need
 	demandBeats  = 2                      // beats between two questions to other regions' banks
 	demandLimit  = 700 * time.Millisecond // for their answers: between regions a connection and a question take 320 ms, and what their ends take
-	overageShare = 0.4                    // of what quotas may be exceeded by that is let through, so that errors of the count refuse nothing within a quota
-	slackShare   = 0.5                    // of the units beside, which banks of different regions need for requests that come in clumps
+	rateOverage  = 0.2                    // of what quotas may be exceeded by as a factor that is let through at all times: a quota bounds windows, in which the burst counts again and again
+	burstOverage = 0.25                   // of the same that is let through at once: what wasn't used earlier in a window is within the quota
+	burstSlack   = 0.5                    // of the units beside that may come at once, for requests that come in clumps
+	startsFor    = 3 * time.Second        // of a box's start, in which requests wait until it knows its region
+	startWait    = 300 * time.Millisecond // that they wait
+	startLook    = 40 * time.Millisecond  // between two looks
 	knowsRegion  = 8 * time.Second        // after which a box that heard of no other in its region is taken for the only one
 	fewestKnown  = 16                     // boxes that a region is supposed to have at least while they aren't all known
 )
@@ -50,9 +55,10 @@
 
 // bankView is who is a bank, as far as this box knows.
 type bankView struct {
-	known int                                     // boxes of the region that may ask banks
-	near  [bankShards][]wire.BoxStatus            // of this region, the first choice first
-	far   map[string][bankShards][]wire.BoxStatus // of other regions
+	known    int                                     // boxes of the region that may ask banks
+	complete bool                                    // all of them are known
+	near     [bankShards][]wire.BoxStatus            // of this region, the first choice first
+	far      map[string][bankShards][]wire.BoxStatus // of other regions
 }
 
 // bankAsk is a question to a bank.
@@ -86,11 +92,23 @@
 		return 0, 0, true
 	}
 	cost = quota.Cost(o.Quota, tokens)
+	n.awaitBanks(ctx)
 	wait, ok = n.quotas.purse.Take(ctx, organisation, cost)
 	n.meter.Quota(organisation, cost, ok)
 	return cost, wait, ok
 }
 
+// awaitBanks waits, at a box that has just started, until it knows its region: a part of a bank of
+// its own, which it would have, is less than a request.
+func (n *Node) awaitBanks(ctx context.Context) {
+	for began := n.now(); began < startsFor && n.now()-began < startWait && ctx.Err() == nil; {
+		if v := n.quotas.view.Load(); v != nil && v.complete {
+			return
+		}
+		sleep.For(ctx, startLook)
+	}
+}
+
 // terms returns what boxes let through of an organisation's requests, over all regions.
 func (n *Node) terms(organisation string) (quota.Terms, bool) {
 	t := n.table.Load()
@@ -101,9 +119,11 @@
 	if o == nil || !o.Quota.Bounded() {
 		return quota.Terms{}, false
 	}
+	b := n.settings.Bounds
+	limit := o.Quota.PerSecond*b.QuotaWindow.Seconds() + o.Quota.Burst
 	return quota.Terms{
-		PerSecond: o.Quota.PerSecond * (1 + overageShare*n.settings.Bounds.QuotaOverage),
-		Burst:     o.Quota.Burst + slackShare*n.settings.Bounds.QuotaSlack,
+		PerSecond: o.Quota.PerSecond * (1 + rateOverage*b.QuotaOverage),
+		Burst:     o.Quota.Burst + burstOverage*b.QuotaOverage*limit + burstSlack*b.QuotaSlack,
 	}, true
 }
 
@@ -348,6 +368,7 @@
 		}
 	}
 	v.known = s.bankUsers(now)
+	v.complete = len(s.sharers(now)) > 0
 	return v
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -32,7 +32,7 @@
 const (
 	aheadFor    = 500 * time.Millisecond  // of what callers ask for that a box takes ahead: two questions to the bank may be lost
 	creditFor   = 2 * time.Second         // after which credit that wasn't used is given up
-	heardFor    = 2500 * time.Millisecond // that a box counts as heard after its last question
+	heardFor    = 1300 * time.Millisecond // that a box counts as heard after its last question, of which two come a second; a box that is cut off and its bank both use its part meanwhile
 	regionFor   = 1500 * time.Millisecond // the same of a region: two rounds; its share and those of others go apart meanwhile
 	demandHalf  = time.Second             // in which half of what was asked is forgotten
 	aheadPart   = 0.25                    // of an account that one box gets ahead
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "github.com/havenrudder/havenrudder/internal/fixed"
+
 	"github.com/havenrudder/havenrudder/catalog"
 )
 
