quota: Banks count sliding windows, and boxes tell them what they used

A quota bounds sliding windows of 8 s; a hot organisation that asked for little before is within it for seconds in which a bucket refuses it.

A bank counts what it granted in the last window, up to its share x its part of 1.05 times what the quota lets through in one, and in each round of words between regions up to its share of what all have left. Boxes tell what they used with each question: a bank that has just become one goes by that, and so does one whose boxes were cut off and each their own bank. Of boxes that all started anew nobody knows what was used; a bank grants as a window passes.

--- a/node/node.go
+++ b/node/node.go
@@ -83,7 +83,7 @@
 	askProof     func(ctx context.Context, addr string) (proofAnswer, error) // seam: asks another box how long ago its policy surely was the newest
 	quotas       *quotas
 	askBank      func(ctx context.Context, addr string, asks []quota.Ask) ([]quota.Grant, error) // seam: asks another box as a bank
-	askDemand    func(ctx context.Context, addr string) (map[string]float64, error)              // seam: asks another region's bank what its callers ask for
+	askDemand    func(ctx context.Context, addr string) (map[string]quota.Use, error)            // seam: asks another region's bank what its callers ask for
 	policyBucket *policyBucket                                                                   // for the policies that this box gives to others
 	seeking      atomic.Bool                                                                     // a policy is got from another box; who has set it owns the next
 	seeker       policySeeker                                                                    // where to get the policy that this box lacks
--- a/node/pull.go
+++ b/node/pull.go
@@ -151,7 +151,7 @@
 		if err := json.Unmarshal(params, &req); err != nil {
 			return nil, errors.Wrap(err, "quota")
 		}
-		return n.grant(req.Box, req.Asks), nil
+		return n.grant(req.From, req.Asks), nil
 	case peer.Demand:
 		return n.demand(), nil
 	}
--- a/node/quota.go
+++ b/node/quota.go
@@ -4,6 +4,7 @@
 // what banks of different regions tell each other.
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -29,9 +30,9 @@
 	bankBeats    = 2                      // beats between two questions ahead of need
 	demandBeats  = 2                      // beats between two questions to other regions' banks
 	demandLimit  = 700 * time.Millisecond // for their answers: between regions a connection and a question take 320 ms, and what their ends take
-	rateOverage  = 0.2                    // of what quotas may be exceeded by as a factor that is let through at all times: a quota bounds windows, in which the burst counts again and again
-	burstOverage = 0.25                   // of the same that is let through at once: what wasn't used earlier in a window is within the quota
-	burstSlack   = 0.5                    // of the units beside that may come at once, for requests that come in clumps
+	usualWindow  = 8 * time.Second        // of quotas, where the settings name none
+	overageShare = 0.2                    // of what quotas may be exceeded by as a factor that is let through, so that errors of the count refuse nothing within a quota
+	slackShare   = 0.25                   // of the units beside that are let through, for the same
 	startsFor    = 3 * time.Second        // of a box's start, in which requests wait until it knows its region
 	startWait    = 300 * time.Millisecond // that they wait
 	startLook    = 40 * time.Millisecond  // between two looks
@@ -63,7 +64,7 @@
 
 // bankAsk is a question to a bank.
 type bankAsk struct {
-	Box  string      `json:"box"`
+	From quota.Asker `json:"from"`
 	Asks []quota.Ask `json:"asks"`
 }
 
@@ -72,7 +73,7 @@
 	regions := slices.Sorted(maps.Values(n.settings.Regions))
 	return &quotas{
 		bank:   quota.NewBank(),
-		purse:  quota.NewPurse(n.askBankNow, n.now),
+		purse:  quota.NewPurse(n.quotaWindow(), n.askBankNow, n.now),
 		shares: quota.NewShares(n.settings.Region, slices.Compact(regions)),
 		avoid:  make(map[string]time.Duration),
 	}
@@ -120,28 +121,37 @@
 		return quota.Terms{}, false
 	}
 	b := n.settings.Bounds
-	limit := o.Quota.PerSecond*b.QuotaWindow.Seconds() + o.Quota.Burst
+	window := n.quotaWindow()
+	limit := o.Quota.PerSecond*window.Seconds() + o.Quota.Burst
 	return quota.Terms{
-		PerSecond: o.Quota.PerSecond * (1 + rateOverage*b.QuotaOverage),
-		Burst:     o.Quota.Burst + burstOverage*b.QuotaOverage*limit + burstSlack*b.QuotaSlack,
+		Units:  limit*(1+overageShare*b.QuotaOverage) + slackShare*b.QuotaSlack,
+		Window: window,
 	}, true
 }
 
+// quotaWindow returns over which time quotas are counted.
+func (n *Node) quotaWindow() time.Duration { return cmp.Or(n.settings.Bounds.QuotaWindow, usualWindow) }
+
+// asker returns this box as one that asks a bank.
+func (n *Node) asker() quota.Asker {
+	return quota.Asker{
+		Box: n.settings.Box,
+		Up:  n.now(),
+	}
+}
+
 // grant answers a box that asks this one as a bank.
-func (n *Node) grant(box string, asks []quota.Ask) []quota.Grant {
+func (n *Node) grant(from quota.Asker, asks []quota.Ask) []quota.Grant {
 	known := fewestKnown
 	if v := n.quotas.view.Load(); v != nil {
 		known = v.known
 	}
-	now := n.now()
-	return n.quotas.bank.Grant(box, asks, quota.Round{
-		Terms: n.terms,
-		Share: func(organisation string, perSecond, demand float64) float64 {
-			return n.quotas.shares.Of(organisation, perSecond, demand, now)
-		},
-		Known: known,
-		Draw:  n.jitter,
-	}, now)
+	return n.quotas.bank.Grant(from, asks, quota.Round{
+		Terms:  n.terms,
+		Shares: n.quotas.shares,
+		Known:  known,
+		Draw:   n.jitter,
+	}, n.now())
 }
 
 // askBankNow asks a bank on behalf of a request that waits. Where the bank knows of no quota, for
@@ -150,7 +160,7 @@
 	asks := []quota.Ask{a}
 	out := n.askBanks(ctx, shardOf(a.Organisation), asks)
 	if len(out) == 0 {
-		out = n.grant(n.settings.Box, asks)
+		out = n.grant(n.asker(), asks)
 	}
 	if len(out) == 0 {
 		return quota.Grant{}, false
@@ -163,7 +173,7 @@
 func (n *Node) askBanks(ctx context.Context, shard int, asks []quota.Ask) []quota.Grant {
 	v := n.quotas.view.Load()
 	if v == nil {
-		return n.grant(n.settings.Box, asks)
+		return n.grant(n.asker(), asks)
 	}
 	for _, b := range v.near[shard] {
 		if b.Box == n.settings.Box {
@@ -181,7 +191,7 @@
 			n.bankLost(b.Box, err)
 		}
 	}
-	return n.grant(n.settings.Box, asks)
+	return n.grant(n.asker(), asks)
 }
 
 // bankLost writes down that a bank didn't answer.
@@ -199,14 +209,14 @@
 	ctx, cancel := context.WithTimeout(ctx, bankLimit)
 	defer cancel()
 	err = n.peers.Call(ctx, addr, peer.Quota, bankAsk{
-		Box:  n.settings.Box,
+		From: n.asker(),
 		Asks: asks,
 	}, &out)
 	return out, err
 }
 
 // callForDemand asks the box at an address what callers of its region ask for.
-func (n *Node) callForDemand(ctx context.Context, addr string) (out map[string]float64, err error) {
+func (n *Node) callForDemand(ctx context.Context, addr string) (out map[string]quota.Use, err error) {
 	err = n.peers.Call(ctx, addr, peer.Demand, struct{}{}, &out)
 	return out, err
 }
@@ -295,16 +305,17 @@
 	if int(heard.Load()) == n.quotas.shares.Others() {
 		n.quotas.shares.Agree(own, func(organisation string) float64 {
 			terms, _ := n.terms(organisation)
-			return terms.PerSecond
+			return terms.PerSecond()
 		})
 	}
+	n.quotas.shares.EndRound()
 }
 
 // hearRegion asks another region's banks, and says whether all answered.
 func (n *Node) hearRegion(ctx context.Context, region string, v *bankView) bool {
 	left := n.now()
 	var mu sync.Mutex
-	all := make(map[string]float64)
+	all := make(map[string]quota.Use)
 	var failed atomic.Bool
 	var asking sync.WaitGroup
 	for shard, list := range v.far[region] {
@@ -401,7 +412,7 @@
 }
 
 // demand answers another region's bank.
-func (n *Node) demand() map[string]float64 { return n.quotas.bank.Demand(n.now()) }
+func (n *Node) demand() map[string]quota.Use { return n.quotas.bank.Uses(n.now()) }
 
 // returnCost gives back what a request took that surely didn't run.
 func (n *Node) returnCost(organisation string, cost float64) {
--- a/quota/purse.go
+++ b/quota/purse.go
@@ -12,6 +12,7 @@
 type Purse struct {
 	mu      sync.Mutex
 	credits map[string]*credit
+	window  time.Duration                                  // of quotas
 	ask     func(ctx context.Context, a Ask) (Grant, bool) // seam: asks a bank at once; false where none answers
 	now     func() time.Duration                           // seam: the box's clock
 }
@@ -19,6 +20,7 @@
 // credit is what a box holds of an organisation.
 type credit struct {
 	units   float64
+	used    window
 	at      time.Duration // when a bank granted some last
 	asked   float64       // units that callers asked for and no bank was told of
 	demand  decay.Count
@@ -27,10 +29,12 @@
 	wait    time.Duration // that it told callers
 }
 
-// NewPurse returns an empty purse that asks banks by ask and takes the time from now.
-func NewPurse(ask func(ctx context.Context, a Ask) (Grant, bool), now func() time.Duration) *Purse {
+// NewPurse returns an empty purse that asks banks by ask, takes the time from now and counts what
+// is used in a window.
+func NewPurse(window time.Duration, ask func(ctx context.Context, a Ask) (Grant, bool), now func() time.Duration) *Purse {
 	return &Purse{
 		credits: make(map[string]*credit),
+		window:  window,
 		ask:     ask,
 		now:     now,
 	}
@@ -83,7 +87,7 @@
 	if !ok {
 		g = Grant{
 			Wait:  millis(shortWait),
-			Again: millis(leastAgain),
+			Again: millis(again),
 		}
 	}
 	c.take(g, p.now())
@@ -93,7 +97,9 @@
 func (p *Purse) Return(organisation string, cost float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.credit(organisation).units += cost
+	c := p.credit(organisation)
+	c.units += cost
+	c.used.add(-cost, p.now())
 }
 
 // Due returns what to ask banks for ahead of need on behalf of some organisations, and forgets
@@ -107,11 +113,11 @@
 			continue
 		}
 		a := c.next(name, now)
-		if a.Asked == 0 && now-c.at > creditFor && now > c.refused {
+		if a.Asked == 0 && a.Used == 0 && now-c.at > creditFor && now > c.refused {
 			delete(p.credits, name)
 			continue
 		}
-		if a.Asked > 0 || a.Ahead > 0 {
+		if a.Asked > 0 || a.Ahead > 0 || a.Used > 0 {
 			out = append(out, a)
 		}
 	}
@@ -139,7 +145,9 @@
 func (p *Purse) credit(organisation string) *credit {
 	c, ok := p.credits[organisation]
 	if !ok {
-		c = &credit{}
+		c = &credit{
+			used: newWindow(p.window),
+		}
 		p.credits[organisation] = c
 	}
 	return c
@@ -154,6 +162,7 @@
 		return false
 	}
 	c.units -= cost
+	c.used.add(cost, now)
 	return true
 }
 
@@ -162,6 +171,7 @@
 	a := Ask{
 		Organisation: organisation,
 		Asked:        c.asked,
+		Used:         c.used.used(now),
 		Ahead:        max(0, perSecond(&c.demand, now)*aheadFor.Seconds()-c.units),
 	}
 	c.asked = 0
