--- a/catalog/organisation_test.go
+++ b/catalog/organisation_test.go
@@ -91,7 +91,14 @@
 			}},
 		}
 	}
-	first, last := Organisation{Name: "first", Priority: 1}, Organisation{Name: "last", Priority: 2}
+	first := Organisation{
+		Name:     "first",
+		Priority: 1,
+	}
+	last := Organisation{
+		Name:     "last",
+		Priority: 2,
+	}
 	table := NewTable(Policy{
 		Version:       1,
 		Routes:        []Route{route(0), route(1)},
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -91,35 +91,31 @@
 
 // Core is the box behind the path. Its fields are the seams between them.
 type Core struct {
-	Table    func() *catalog.Table // nil until a policy is known
-	Current  func() bool           // what is published was read of late
-	KeysHold func() bool           // no key that the table has is known to have been taken away too long ago; it is asked before the table
-
-	KeysCurrent func() bool                                                                                            // the table has all keys, but for those of the last seconds
-	Reserve     func(ctx context.Context, organisation string, tokens int) (cost float64, wait time.Duration, ok bool) // takes a request's cost from its organisation's quota, or says when to come back
-	Unreserve   func(organisation string, cost float64)                                                                // gives it back, for the request surely hasn't run
-	Leaving     func() bool                                                                                            // a planned stop has begun
-	Streams     func() bool                                                                                            // a stream that comes now can be answered to its end
-	Others      func() bool                                                                                            // another box of the region serves
-	EndsBy      func() (time.Time, bool)                                                                               // when a planned stop is over, if one has begun
-	Place       func(Ask) Target
-	Begin       func(service string)      // a request is sent for the first time
-	Repeat      func(service string) bool // asks to send one again
-	Written     func(c *placement.Choice) // the request is written to the replica only now, a while after its choice
-	First       func(c *placement.Choice, took time.Duration)
-	Heard       func(c *placement.Choice)
-	Quiet       func(c *placement.Choice, sent time.Time) time.Duration // how long its replica has been silent towards this box
-	Muted       func(c *placement.Choice)                               // its replica is silent under a request that waits on
-	Other       func(next Ask) (Target, bool)                           // where a request would go, without counting it in
-	Loaded      func(c *placement.Choice, requests, waiting int)        // the replica says that it has so many requests, this one included, of which so many wait
-	Streamed    func(service string, events, guess int)                 // a whole stream had so many events, where the caller guessed so many tokens
-	End         func(c *placement.Choice, r placement.Result, took time.Duration)
-	BoxLost     func(box string)                  // a box could not be reached
-	Crossed     func(box, region string, ok bool) // whether a request to a box of a region was answered
-	Behind      func(version int)                 // another box knows a newer policy, of a version
-	Record      func(decision.Event)
-	Poison      Poison
-	Meter       Meter
+	Table    func() *catalog.Table    // nil until a policy is known
+	Current  func() bool              // what is published was read of late
+	Leaving  func() bool              // a planned stop has begun
+	Streams  func() bool              // a stream that comes now can be answered to its end
+	Others   func() bool              // another box of the region serves
+	EndsBy   func() (time.Time, bool) // when a planned stop is over, if one has begun
+	Place    func(Ask) Target
+	Begin    func(service string)      // a request is sent for the first time
+	Repeat   func(service string) bool // asks to send one again
+	Written  func(c *placement.Choice) // the request is written to the replica only now, a while after its choice
+	First    func(c *placement.Choice, took time.Duration)
+	Heard    func(c *placement.Choice)
+	Quiet    func(c *placement.Choice, sent time.Time) time.Duration // how long its replica has been silent towards this box
+	Muted    func(c *placement.Choice)                               // its replica is silent under a request that waits on
+	Other    func(next Ask) (Target, bool)                           // where a request would go, without counting it in
+	Loaded   func(c *placement.Choice, requests, waiting int)        // the replica says that it has so many requests, this one included, of which so many wait
+	Streamed func(service string, events, guess int)                 // a whole stream had so many events, where the caller guessed so many tokens
+	End      func(c *placement.Choice, r placement.Result, took time.Duration)
+	BoxLost  func(box string)                  // a box could not be reached
+	Crossed  func(box, region string, ok bool) // whether a request to a box of a region was answered
+	Behind   func(version int)                 // another box knows a newer policy, of a version
+	Record   func(decision.Event)
+	Poison   Poison
+	Keys     Keys
+	Meter    Meter
 }
 
 // Meter is told the figures of requests.
--- a/ingress/key.go
+++ b/ingress/key.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -23,6 +24,14 @@
 	keyRetry = time.Second            // a box that has no sound way to what is published seldom gets one sooner
 )
 
+// Keys is what a box knows of organisations, their keys and quotas. Its fields are seams.
+type Keys struct {
+	Hold      func() bool                                                                                            // no key that the table has is known to have been taken away too long ago; it is asked before the table
+	Current   func() bool                                                                                            // the table has all keys, but for those of the last seconds
+	Reserve   func(ctx context.Context, organisation string, tokens int) (cost float64, wait time.Duration, ok bool) // takes a request's cost from its organisation's quota, or says when to come back
+	Unreserve func(organisation string, cost float64)                                                                // gives it back, for the request surely hasn't run
+}
+
 // authenticate finds the organisation of the caller, and says whether the request may go on. A
 // box that passed the request on has done so.
 func (c *call) authenticate(table *catalog.Table) bool {
@@ -35,7 +44,7 @@
 	if !c.keyed {
 		return true
 	}
-	held := c.server.core.KeysHold()
+	held := c.server.core.Keys.Hold()
 	o := c.holder()
 	switch {
 	case o != nil && held:
@@ -65,13 +74,13 @@
 // published, a policy that has the key may be on its way, and the request isn't turned away for
 // good.
 func (c *call) denied() bool {
-	for !c.server.core.KeysCurrent() {
+	for !c.server.core.Keys.Current() {
 		if clock.Since(c.start) > keyWait || c.r.Context().Err() != nil {
 			c.refuse(reasonStale, keyRetry)
 			return false
 		}
 		sleep.For(c.r.Context(), policyLook)
-		if o := c.holder(); o != nil && c.server.core.KeysHold() {
+		if o := c.holder(); o != nil && c.server.core.Keys.Hold() {
 			c.organisation = o.Name
 			c.route = c.route.For(o)
 			return true
@@ -92,7 +101,7 @@
 	if c.organisation == "" || c.relay != nil || c.state == begun {
 		return true
 	}
-	held := c.server.core.KeysHold()
+	held := c.server.core.Keys.Hold()
 	o := c.holder()
 	switch {
 	case o == nil || o.Name != c.organisation:
--- a/ingress/quota.go
+++ b/ingress/quota.go
@@ -18,7 +18,7 @@
 	if c.organisation == "" || c.relay != nil || c.reserved {
 		return true
 	}
-	cost, wait, ok := c.server.core.Reserve(ctx, c.organisation, c.facts.Prompt+c.facts.MostOut)
+	cost, wait, ok := c.server.core.Keys.Reserve(ctx, c.organisation, c.facts.Prompt+c.facts.MostOut)
 	if !ok {
 		c.reason = reasonQuota
 		c.wait = wait
@@ -32,7 +32,7 @@
 // unreserve gives the request's cost back, for it surely hasn't run.
 func (c *call) unreserve() {
 	if c.reserved && c.cost > 0 {
-		c.server.core.Unreserve(c.organisation, c.cost)
+		c.server.core.Keys.Unreserve(c.organisation, c.cost)
 	}
 	c.cost = 0
 }
--- a/node/core.go
+++ b/node/core.go
@@ -14,12 +14,6 @@
 	return ingress.Core{
 		Table:    n.table.Load,
 		Current:  n.current,
-		KeysHold: n.keysHold,
-
-		KeysCurrent: n.keysCurrent,
-		Reserve:     n.reserve,
-		Unreserve:   n.returnCost,
-
 		Leaving:  n.leaving.Load,
 		Streams:  n.takesStreams,
 		Others:   n.otherServes,
@@ -41,6 +35,12 @@
 		Behind:   n.behind,
 		Record:   n.record,
 		Poison:   n.poison(ctx),
+		Keys: ingress.Keys{
+			Hold:      n.keysHold,
+			Current:   n.keysCurrent,
+			Reserve:   n.reserve,
+			Unreserve: n.returnCost,
+		},
 		Meter: ingress.Meter{
 			Request: func(service, outcome string, took time.Duration) {
 				n.meter.Request(service, outcome)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -19,7 +19,10 @@
 		Unit:  catalog.Tokens,
 		Plain: 200,
 	}
-	fmt.Println(Cost(q, 1540), Cost(q, 0), Cost(catalog.Quota{Unit: catalog.Requests}, 1540))
+	requests := catalog.Quota{
+		Unit: catalog.Requests,
+	}
+	fmt.Println(Cost(q, 1540), Cost(q, 0), Cost(requests, 1540))
 	// Output: 1540 200 1
 }
 
@@ -157,7 +160,11 @@
 	}}
 	grants := 0
 	for at := time.Duration(0); at <= testWindow; at += 100 * time.Millisecond {
-		if b.Grant(Asker{Box: "box", Up: at}, need, r, time.Minute+at)[0].Units > 0 {
+		fresh := Asker{
+			Box: "box",
+			Up:  at,
+		}
+		if b.Grant(fresh, need, r, time.Minute+at)[0].Units > 0 {
 			grants++
 		}
 	}
@@ -286,7 +293,10 @@
 			Again:        20,
 		}, true
 	}, func() time.Duration { return now })
-	p.Granted(Grant{Organisation: "org", Units: 10})
+	p.Granted(Grant{
+		Organisation: "org",
+		Units:        10,
+	})
 	_, ok := p.Take(context.Background(), "org", 10)
 	is.True(ok)
 	p.Return("org", 10)
