--- /dev/null
+++ b/node/followasks_test.go
@@ -0,0 +1,112 @@
+package node
+
+// This file has the boxes of a follows ask each other, over connections that take their time.
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/common/sleep"
+	"github.com/havenrudder/havenrudder/quota"
+)
+
+// visit brings a question of a machine to the process on another one, and returns it once the way
+// there is over, or an error when ctx has ended because nothing was to be heard.
+func (f *follows) visit(ctx context.Context, from *followBox, addr, what string) (n *Node, way time.Duration, err error) {
+	to := f.byAddr[addr]
+	way = nearDelay
+	if to.settings.Region != from.settings.Region {
+		way = farDelay
+	}
+	if err := f.connect(ctx, from, to, way); err != nil {
+		return nil, way, err
+	}
+	sleep.For(ctx, way+f.jitter(mostJitter, "asked", what, from.settings.Box, addr))
+	n = to.node.Load()
+	if n == nil || f.severed(from, to) {
+		<-ctx.Done()
+		return nil, way, errors.Wrap(ctx.Err(), "box gone")
+	}
+	return n, way, ctx.Err()
+}
+
+// connection is one from a process to another.
+type connection struct{ from, to *Node }
+
+// connect makes a connection between two processes, unless there is one. It takes a way there and
+// back, and one that ctx ends before isn't there.
+func (f *follows) connect(ctx context.Context, from, to *followBox, way time.Duration) error {
+	c := connection{
+		from: from.node.Load(),
+		to:   to.node.Load(),
+	}
+	if _, there := f.connections.Load(c); there {
+		return nil
+	}
+	sleep.For(ctx, 2*way)
+	if ctx.Err() == nil {
+		f.connections.Store(c, true)
+	}
+	return ctx.Err()
+}
+
+// askBank asks a box as a bank.
+func (f *follows) askBank(ctx context.Context, from *followBox, addr string, asks []quota.Ask) ([]quota.Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, bankLimit)
+	defer cancel()
+	self := from.node.Load()
+	if self == nil {
+		return nil, errors.New("asking box gone")
+	}
+	asker := self.asker()
+	n, way, err := f.visit(ctx, from, addr, "bank")
+	if err != nil {
+		return nil, err
+	}
+	out := n.grant(asker, asks)
+	sleep.For(ctx, way+f.jitter(mostJitter, "granted", from.settings.Box, addr))
+	return out, ctx.Err()
+}
+
+// askDemand asks a bank of another region.
+func (f *follows) askDemand(ctx context.Context, from *followBox, addr string) (map[string]quota.Use, error) {
+	n, way, err := f.visit(ctx, from, addr, "demand")
+	if err != nil {
+		return nil, err
+	}
+	out := n.demand()
+	sleep.For(ctx, way+f.jitter(mostJitter, "demand", from.settings.Box, addr))
+	return out, ctx.Err()
+}
+
+// askProof asks a box how long ago its policy surely was the newest.
+func (f *follows) askProof(ctx context.Context, from *followBox, addr string) (proofAnswer, error) {
+	n, way, err := f.visit(ctx, from, addr, "proof")
+	if err != nil {
+		return proofAnswer{}, err
+	}
+	out := n.giveProof()
+	sleep.For(ctx, way+f.jitter(mostJitter, "proof", from.settings.Box, addr))
+	return out, ctx.Err()
+}
+
+// askBox asks a box for what changed, as over a connection.
+func (f *follows) askBox(ctx context.Context, addr string, after int64) (news catalog.News, err error) {
+	b := f.byAddr[addr]
+	sleep.For(ctx, nearDelay+f.jitter(mostJitter, "asked", addr, after))
+	var n *Node
+	if b != nil {
+		n = b.node.Load()
+	}
+	if n == nil {
+		<-ctx.Done() // it was killed, and nothing says so
+		return news, errors.Wrap(ctx.Err(), "box gone")
+	}
+	err = n.state.Do(func(s *state) { news = s.content.Since(after) })
+	f.links.Load().answer(ctx, b, sizeOf(news))
+	f.note("told", addr, after, news.Revision, len(news.Changes), news.Doubts)
+	return news, errors.CombineErrors(err, ctx.Err())
+}
--- a/quota/shares.go
+++ b/quota/shares.go
@@ -12,7 +12,6 @@
 // goroutines.
 type Shares struct {
 	mu     sync.Mutex
-	self   string
 	others []string // regions
 	heard  map[string]word
 	round  int                           // of words of all others that are heard
@@ -37,7 +36,6 @@
 // NewShares returns the shares of a region among all, of which no other one was heard.
 func NewShares(self string, regions []string) *Shares {
 	s := &Shares{
-		self:   self,
 		heard:  make(map[string]word),
 		agreed: make(map[string]map[string]float64),
 	}
