--- a/ingress/key.go
+++ b/ingress/key.go
@@ -48,8 +48,7 @@
 	o := c.holder()
 	switch {
 	case o != nil && held:
-		c.organisation = o.Name
-		c.route = c.route.For(o)
+		c.comesFrom(o)
 	case c.route.Public: // a key that isn't known counts for nothing there
 	case o != nil:
 		c.refuse(reasonKeysOld, keyRetry)
@@ -60,6 +59,12 @@
 	return true
 }
 
+// comesFrom takes in whose request it is, and by that which regions its data may enter.
+func (c *call) comesFrom(o *catalog.Organisation) {
+	c.organisation = o.Name
+	c.route = c.route.For(o)
+}
+
 // holder returns the organisation that holds the caller's key by the policy in force, nil for
 // none.
 func (c *call) holder() *catalog.Organisation {
@@ -81,8 +86,7 @@
 		}
 		sleep.For(c.r.Context(), policyLook)
 		if o := c.holder(); o != nil && c.server.core.Keys.Hold() {
-			c.organisation = o.Name
-			c.route = c.route.For(o)
+			c.comesFrom(o)
 			return true
 		}
 	}
--- a/node/core.go
+++ b/node/core.go
@@ -39,7 +39,7 @@
 			Hold:      n.keysHold,
 			Current:   n.keysCurrent,
 			Reserve:   n.reserve,
-			Unreserve: n.returnCost,
+			Unreserve: n.quotas.purse.Return,
 		},
 		Meter: ingress.Meter{
 			Request: func(service, outcome string, took time.Duration) {
--- a/node/quota.go
+++ b/node/quota.go
@@ -256,8 +256,3 @@
 		})
 	}
 }
-
-// returnCost gives back what a request took that surely didn't run.
-func (n *Node) returnCost(organisation string, cost float64) {
-	n.quotas.purse.Return(organisation, cost)
-}
