catalog, placement, node: A change takes as long as what it changes

Cause: each update of the catalog had a box copy and sort all replicas four times, work out the short names of all anew, and look for doubts in all; each answer to a follower sorted all again; the first list was quadratic, for each start was compared with each other one. What a box remembers of removals was 512 replicas (64 of those in doubt) however many there are, so that a lost domain of 1,337 made every follower ask for all.

Change: the copy says which ids were touched, the view keeps an index by id and address and looks at these alone; answers come from lists by revision; what is remembered grows with the replicas. Ruled out: gathering updates for a tick, which divides the work by a constant and grows as before.

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -40,13 +40,13 @@
 	}
 }
 
-// mostGone bounds the replicas that are gone and remembered: one change of each of
-// the 4,000 replicas to design for is far more than happens between two questions.
-const mostGone = 512
+// fewestGone is how many replicas that are gone are remembered at least, beside one for
+// each that is there: a failure domain that is lost takes its part of them at once.
+const fewestGone = 512
 
 const (
-	mostLapsed = 64   // replicas that are told again; a failure domain's worth that is lost while the publisher is away
-	lapsedFor  = 1000 // revisions for which they are told; minutes at the six changes a second of a service that is replaced
+	fewestLapsed = 64   // replicas that are told again at least, beside one for each that is left
+	lapsedFor    = 1000 // revisions for which they are told; minutes at the six changes a second of a service that is replaced
 )
 
 // past is what a copy remembers of its changes: what is gone and when other things
@@ -54,6 +54,7 @@
 type past struct {
 	since     int64 // removals after this revision are known
 	gone      map[string]int64
+	recent    recent                // the same
 	lapsed    []string              // the latest replicas whose removal was in doubt before it was believed
 	lapses    int                   // how many there were
 	evacuated map[string]evacuation // by failure domain
@@ -80,36 +81,48 @@
 	}
 }
 
-// remove takes in that a replica is gone. When too many are, all are forgotten.
-func (p *past) remove(id string, revision int64) {
-	if len(p.gone) >= mostGone {
+// remove takes in that a replica is gone and how many are left. When too many are gone,
+// all are forgotten.
+func (p *past) remove(id string, revision int64, left int) {
+	if len(p.gone) >= max(fewestGone, left) {
 		clear(p.gone)
+		p.recent = recent{}
 		p.since = revision + 1
 	}
 	p.gone[id] = revision
+	p.recent.add(id, revision, len(p.gone), p.goneAt)
+}
+
+// goneAt returns the revision at which a replica was removed; 0 for none that is known.
+func (p *past) goneAt(id string) int64 { return p.gone[id] }
+
+// removed returns the replicas of which a box that knows a revision is told that they are
+// gone, in order. It may have learned a later revision than that of a reading before the
+// reading, and would go on sending to those whose removal was in doubt.
+func (p *past) removed(revision int64) []string {
+	out := p.recent.since(revision, p.goneAt)
+	for _, id := range p.lapsed {
+		if at := p.gone[id]; at > 0 && at < revision && revision < at+lapsedFor {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // lapse takes in that a replica whose removal was in doubt is gone. Others that asked
 // meanwhile may know its revision without it.
-func (p *past) lapse(id string, revision int64) {
-	p.remove(id, revision)
+func (p *past) lapse(id string, revision int64, left int) {
+	p.remove(id, revision, left)
 	p.lapses++
 	p.lapsed = append(p.lapsed, id)
-	p.lapsed = p.lapsed[max(0, len(p.lapsed)-mostLapsed):]
+	p.lapsed = p.lapsed[max(0, len(p.lapsed)-max(fewestLapsed, left)):]
 }
 
 // isGone says whether a replica was removed after what an entry says of it. A box that
 // still has the removal in doubt tells others of the replica as it was.
 func (p *past) isGone(r Replica) bool { return p.gone[r.ID] > r.Revision }
 
-// tells says whether a box that knows a revision is told that a replica is gone. It
-// may have learned a later revision than that of a reading before the reading, and
-// would go on sending to the replica.
-func (p *past) tells(id string, revision int64) bool {
-	at := p.gone[id]
-	return at >= revision || (revision < at+lapsedFor && slices.Contains(p.lapsed, id))
-}
-
 // evacuate takes in that a failure domain gets no work from a revision on, or work
 // again.
 func (p *past) evacuate(domain string, on bool, revision int64) {
@@ -143,21 +156,20 @@
 		Policy:   c.newestPolicy(),
 		Revision: c.newest,
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.past.gone)) {
-		if _, back := c.replicas[id]; !back && c.past.tells(id, revision) {
+	for _, id := range c.past.removed(revision) {
+		if _, back := c.replicas[id]; !back {
 			out.Changes = append(out.Changes, Change{
 				Revision: c.past.gone[id],
 				Gone:     id,
 			})
 		}
 	}
-	for _, r := range c.Replicas() {
-		if r.Revision >= revision {
-			out.Changes = append(out.Changes, Change{
-				Revision: r.Revision,
-				Replica:  &r,
-			})
-		}
+	for _, id := range c.recent.since(revision, c.changedAt) {
+		r := c.replicas[id]
+		out.Changes = append(out.Changes, Change{
+			Revision: r.Revision,
+			Replica:  &r,
+		})
 	}
 	for _, d := range slices.Sorted(maps.Keys(c.past.evacuated)) {
 		if e := c.past.evacuated[d]; e.revision >= revision {
--- a/catalog/doubt.go
+++ b/catalog/doubt.go
@@ -50,11 +50,24 @@
 // newest that was taken in or, where a removal is in doubt, one that it doesn't come
 // before. It never goes back.
 func (c *Content) Revision() int64 {
-	out := c.newest
+	if c.floor > 0 {
+		return c.floor
+	}
+	c.floor = c.newest
 	for _, d := range c.doubts {
-		out = min(out, d.revision)
+		c.floor = min(c.floor, d.revision)
 	}
-	return out
+	return c.floor
+}
+
+// endDoubt takes in that a replica is not in doubt.
+func (c *Content) endDoubt(id string) {
+	if !c.InDoubt(id) {
+		return
+	}
+	delete(c.doubts, id)
+	c.floor = 0
+	c.touched.add(id)
 }
 
 // Newest returns the newest revision that was taken in. Each removal up to it is
@@ -86,9 +99,13 @@
 			next.until = was.until
 		}
 	}
-	c.doubts[id] = next
+	c.doubts[id] = next // no earlier than the floor, which stays
+	c.touched.add(id)
 }
 
+// Doubts returns the replicas that may be gone, in order.
+func (c *Content) Doubts() []string { return slices.Sorted(maps.Keys(c.doubts)) }
+
 // Settle believes the removals whose time is over, and says whether there were any.
 //
 // A box that had to read again for that, as followers seldom do, or that was not asked
@@ -100,9 +117,8 @@
 		if c.now().Before(d.until) {
 			continue
 		}
-		delete(c.replicas, id)
-		c.past.lapse(id, d.revision)
-		delete(c.doubts, id)
+		c.drop(id)
+		c.past.lapse(id, d.revision, len(c.replicas))
 		settled = true
 	}
 	return settled
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -62,7 +62,10 @@
 	replicas  map[string]Replica
 	evacuated map[string]bool
 	doubts    map[string]doubt // by replica; each is in replicas
+	floor     int64            // revision that no doubt comes before, or that was taken in; 0 where it isn't known
 	past      past
+	recent    recent // replicas
+	touched   touched
 	now       func() time.Time
 }
 
@@ -73,10 +76,41 @@
 		evacuated: make(map[string]bool),
 		doubts:    make(map[string]doubt),
 		past:      newPast(),
+		touched:   touched{before: 1}, // so that no count is 0
 		now:       clock.Now,
 	}
 }
 
+// put takes an entry in.
+func (c *Content) put(r Replica) {
+	c.endDoubt(r.ID)
+	if c.replicas[r.ID] == r {
+		return
+	}
+	c.replicas[r.ID] = r
+	c.recent.add(r.ID, r.Revision, len(c.replicas), c.changedAt)
+	c.touched.add(r.ID)
+}
+
+// drop takes in that an entry is gone.
+func (c *Content) drop(id string) {
+	c.endDoubt(id)
+	if _, ok := c.replicas[id]; !ok {
+		return
+	}
+	delete(c.replicas, id)
+	c.touched.add(id)
+}
+
+// changedAt returns the revision of a replica's last change; 0 for none of the id.
+func (c *Content) changedAt(id string) int64 { return c.replicas[id].Revision }
+
+// Replica returns the entry of an id.
+func (c *Content) Replica(id string) (r Replica, ok bool) {
+	r, ok = c.replicas[id]
+	return r, ok
+}
+
 // Replicas returns the replicas, in the order of their ids.
 func (c *Content) Replicas() []Replica {
 	out := make([]Replica, 0, len(c.replicas))
@@ -99,7 +133,7 @@
 			c.apply(ch, u)
 		}
 		c.hear(u.Doubts)
-		c.newest = max(c.newest, u.Revision)
+		c.setNewest(max(c.newest, u.Revision))
 		return true
 	}
 	if u.Snapshot.Revision < c.newest {
@@ -118,42 +152,58 @@
 	c.past.begin(c.newest, s.Revision)
 	c.read = s.Revision
 	c.policies.take(s.Policy)
-	before := c.replicas
-	c.replicas = make(map[string]Replica, len(s.Replicas))
+	listed := make(map[string]bool, len(s.Replicas))
 	for _, r := range s.Replicas {
 		if c.past.isGone(r) {
 			continue
 		}
-		if known, ok := before[r.ID]; ok && !r.replaces(known) {
+		listed[r.ID] = true
+		if known, ok := c.replicas[r.ID]; ok && !r.replaces(known) {
 			r = known
 		}
-		c.replicas[r.ID] = r
-		delete(c.doubts, r.ID)
+		c.put(r)
 	}
-	for id, r := range before {
-		if _, ok := c.replicas[id]; ok || c.past.isGone(r) {
-			continue
-		}
+	for _, id := range c.unlisted(listed) {
 		switch {
+		case c.past.isGone(c.replicas[id]):
+			c.drop(id)
 		case u.Settled, slices.Contains(s.Unusable, id): // an entry that is there is none that lapsed
 			c.missed(id, s.Revision)
 		default:
-			c.replicas[id] = r
 			c.doubt(id, known, u.doubtFor())
 		}
 	}
 	c.replaceEvacuated(s)
-	c.newest = s.Revision
+	c.setNewest(s.Revision)
+}
+
+// unlisted returns the replicas that are not among those listed, in order.
+func (c *Content) unlisted(listed map[string]bool) []string {
+	var out []string
+	for id := range c.replicas {
+		if !listed[id] {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// setNewest takes in a revision.
+func (c *Content) setNewest(revision int64) {
+	c.newest = revision
+	c.floor = 0
 }
 
 // missed takes in that a replica was found gone by reading all at a revision.
 func (c *Content) missed(id string, revision int64) {
-	if !c.InDoubt(id) {
-		c.past.remove(id, revision)
+	doubted := c.InDoubt(id)
+	c.drop(id)
+	if doubted {
+		c.past.lapse(id, revision, len(c.replicas))
 		return
 	}
-	delete(c.doubts, id)
-	c.past.lapse(id, revision)
+	c.past.remove(id, revision, len(c.replicas))
 }
 
 // replaceEvacuated takes in which failure domains a snapshot has as closed.
@@ -179,15 +229,13 @@
 	case ch.Policy != nil:
 		c.policies.take(ch.Policy)
 	case ch.Replica != nil && ch.Replica.replaces(c.replicas[ch.Replica.ID]) && !c.past.isGone(*ch.Replica):
-		c.replicas[ch.Replica.ID] = *ch.Replica
-		delete(c.doubts, ch.Replica.ID)
+		c.put(*ch.Replica)
 	case ch.Unusable && c.replicas[ch.Gone].ID == "": // of an entry that never named a replica nothing is told on
 	case ch.Gone != "" && !u.Settled && !ch.Unusable:
 		c.doubt(ch.Gone, ch.Revision, u.doubtFor())
 	case ch.Gone != "" && ch.Revision >= c.replicas[ch.Gone].Revision:
-		delete(c.replicas, ch.Gone)
-		delete(c.doubts, ch.Gone)
-		c.past.remove(ch.Gone, ch.Revision)
+		c.drop(ch.Gone)
+		c.past.remove(ch.Gone, ch.Revision, len(c.replicas))
 	case ch.Evacuated != "" && ch.Revision > c.read:
 		c.evacuated[ch.Evacuated] = true
 		c.past.evacuate(ch.Evacuated, true, ch.Revision)
--- a/node/state.go
+++ b/node/state.go
@@ -41,7 +41,7 @@
 	asks       map[string]decay.Count    // requests by the name of a bound route
 	lapses     map[string]lapses         // by box: replicas found gone that it has told of
 	taking     map[string]taking         // by region
-	short      map[roster.ReplicaID]string
+	short      shortNames
 	unanswered map[string]int   // questions for an account in a row, by engine
 	told       map[string]int64 // the latest start that was taken in by an engine's word, by its id
 	seq        int              // of the last status told
@@ -51,10 +51,11 @@
 // newState returns the state of a box that knows nothing yet.
 func newState(s Settings, self wire.BoxStatus, now time.Duration) *state {
 	pacer := pacing.New(s.Box, coldTerms(s.Bounds), pacing.WithStart(now))
+	short := make(shortNames)
 	return &state{
 		settings:   s,
 		roster:     roster.New(self, roster.WithSeeds(otherSeeds(s))),
-		view:       placement.NewView(s.Region, s.Domain, pacer),
+		view:       placement.NewView(s.Region, s.Domain, pacer, placement.WithStarts(short.add, short.drop)),
 		budget:     budget.New(retryTerms(s.Bounds)),
 		content:    catalog.NewContent(),
 		alive:      make(map[string]bool),
@@ -63,7 +64,7 @@
 		asks:       make(map[string]decay.Count),
 		lapses:     make(map[string]lapses),
 		taking:     make(map[string]taking),
-		short:      make(map[roster.ReplicaID]string),
+		short:      short,
 		unanswered: make(map[string]int),
 		told:       make(map[string]int64),
 		poison:     poison.NewWatch(s.Box),
@@ -115,7 +116,6 @@
 // takeView brings the view of the replicas to what the catalog holds.
 func (s *state) takeView(now time.Duration) []placement.Belief {
 	out := s.view.Take(s.content, now)
-	s.shorten()
 	maps.DeleteFunc(s.unanswered, func(start string, _ int) bool { return s.view.Get(start) == nil })
 	if len(s.told) > 0 {
 		s.forgetTold()
--- a/node/words.go
+++ b/node/words.go
@@ -99,11 +99,16 @@
 	}
 }
 
-// shorten works out again by which short ids boxes name the starts of the
-// region's replicas. They cost no byte more than names of replicas would.
-func (s *state) shorten() {
-	clear(s.short)
-	for _, r := range s.view.Replicas() {
-		s.short[roster.ReplicaIDOf(r.Start())] = r.Start()
+// shortNames are the starts of the region's replicas by the short ids that boxes name them
+// by. They cost no byte more than names of replicas would.
+type shortNames map[roster.ReplicaID]string
+
+// add takes a start in that is known from now on.
+func (n shortNames) add(start string) { n[roster.ReplicaIDOf(start)] = start }
+
+// drop takes in that a start is forgotten.
+func (n shortNames) drop(start string) {
+	if id := roster.ReplicaIDOf(start); n[id] == start {
+		delete(n, id)
 	}
 }
--- a/placement/doubt.go
+++ b/placement/doubt.go
@@ -10,20 +10,22 @@
 // request to one that is gone for good costs a try, and one that serves on without
 // being listed must not get any.
 func (v *View) takeDoubts(c *catalog.Content) {
-	listed := make(map[string]int)
-	doubtful := make(map[string]int)
-	for _, r := range v.replicas {
-		r.doubtful = r.listed && c.InDoubt(r.info.ID)
-		if !r.listed {
-			continue
-		}
-		listed[r.info.Service]++
-		if r.doubtful {
-			doubtful[r.info.Service]++
+	e := &v.entries
+	for _, r := range e.doubtful {
+		r.doubtful = false
+	}
+	e.doubtful = e.doubtful[:0]
+	count := make(map[string]int)
+	for _, id := range c.Doubts() {
+		for _, r := range e.starts[id] {
+			if r.listed {
+				e.doubtful = append(e.doubtful, r)
+				count[r.info.Service]++
+			}
 		}
 	}
-	for _, r := range v.replicas {
+	for _, r := range e.doubtful {
 		s := r.info.Service
-		r.doubtful = r.doubtful && float64(doubtful[s]) <= doubtsMost*float64(listed[s])
+		r.doubtful = float64(count[s]) <= doubtsMost*float64(e.listed[s])
 	}
 }
--- /dev/null
+++ b/placement/entries_test.go
@@ -0,0 +1,200 @@
+package placement_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/pacing"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+// publishedAs is one of few ids with one of few addresses, in either region, of services
+// that a policy names or not.
+func publishedAs(t *rapid.T, revision int64) catalog.Replica {
+	return catalog.Replica{
+		ID:       rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id"),
+		Born:     rapid.SampledFrom([]int64{0, 100, 200}).Draw(t, "born"),
+		Service:  rapid.SampledFrom([]string{"engine", "plain", "other"}).Draw(t, "service"),
+		Addr:     rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "addr"),
+		Domain:   "hall",
+		Region:   rapid.SampledFrom([]string{"north", "north", "north", "south"}).Draw(t, "region"),
+		Leaving:  rapid.IntRange(0, 4).Draw(t, "leaves") == 0,
+		Revision: revision,
+	}
+}
+
+// update is anything that a box may be told at a revision.
+func update(t *rapid.T, revision int64) catalog.Update {
+	u := catalog.Update{
+		Revision: revision,
+		Settled:  rapid.Bool().Draw(t, "settled"),
+	}
+	replica := publishedAs(t, revision)
+	switch rapid.IntRange(0, 3).Draw(t, "what") {
+	case 0:
+		u.Snapshot = &catalog.Snapshot{
+			Revision: revision,
+		}
+		for range rapid.IntRange(0, 4).Draw(t, "replicas") {
+			u.Snapshot.Replicas = append(u.Snapshot.Replicas, publishedAs(t, revision))
+		}
+	case 1:
+		u.Changes = []catalog.Change{{
+			Revision: revision,
+			Gone:     replica.ID,
+		}}
+	default:
+		u.Changes = []catalog.Change{{
+			Revision: revision,
+			Replica:  &replica,
+		}}
+	}
+	return u
+}
+
+// believed is what a view holds of each start that is listed.
+func believed(v *placement.View) []string {
+	var out []string
+	for _, r := range v.Replicas() {
+		if r.Listed() {
+			out = append(out, fmt.Sprintf("%s %+v %t", r.Start(), r.Info(), r.Doubtful()))
+		}
+	}
+	return out
+}
+
+func TestAViewThatTakesChangesIsLikeOneThatLooksAtAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		content := catalog.NewContent()
+		changes := placement.NewView("north", "hall", pacing.New("box", terms))
+		whole := placement.NewView("north", "hall", pacing.New("box", terms))
+		now := start
+		for revision := range int64(rapid.IntRange(1, 30).Draw(t, "updates")) {
+			content.Take(update(t, revision+1))
+			if rapid.IntRange(0, 5).Draw(t, "policy") == 0 {
+				p := policy()
+				p.Services = p.Services[:rapid.IntRange(1, len(p.Services)).Draw(t, "services")]
+				changes.SetTable(catalog.NewTable(p))
+				whole.SetTable(catalog.NewTable(p))
+			}
+			now += longOn / 10_000
+			changes.Take(content, now)
+			whole.LookAgain()
+			whole.Take(content, now)
+			is.Equal(believed(changes), believed(whole))
+			is.True(slices.IsSortedFunc(changes.Replicas(), func(a, b *placement.Replica) int {
+				return map[bool]int{true: -1, false: 1}[a.Start() < b.Start()]
+			}))
+		}
+	})
+}
+
+// fleetOf returns a content and a view of as many replicas, half of them in the view's
+// region.
+func fleetOf(n int) (*catalog.Content, *placement.View) {
+	content := catalog.NewContent()
+	view := placement.NewView("north", "hall", pacing.New("box", terms))
+	view.SetTable(catalog.NewTable(policy()))
+	s := catalog.Snapshot{
+		Revision: int64(n),
+	}
+	for i := range n {
+		s.Replicas = append(s.Replicas, numbered(i, int64(i+1)))
+	}
+	content.Take(catalog.Update{
+		Snapshot: &s,
+		Revision: s.Revision,
+		Settled:  true,
+	})
+	view.Take(content, start)
+	return content, view
+}
+
+// numbered is one of many replicas.
+func numbered(i int, revision int64) catalog.Replica {
+	return catalog.Replica{
+		ID:       fmt.Sprintf("engine-%06d", i),
+		Service:  "engine",
+		Addr:     fmt.Sprintf("10.0.%d.%d:1", i/250, i%250),
+		Domain:   "hall",
+		Region:   []string{"north", "south"}[i%2],
+		Slots:    8,
+		Revision: revision,
+	}
+}
+
+// changes has a replica after the other of n change, and returns what n changes allocate
+// on average.
+func changes(n int) (objects, bytes uint64) {
+	const changes = 500
+	content, view := fleetOf(n)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for i := range changes {
+		replica := numbered(i, int64(n+i+1))
+		content.Take(catalog.Update{
+			Changes: []catalog.Change{{
+				Revision: replica.Revision,
+				Replica:  &replica,
+			}},
+			Revision: replica.Revision,
+			Settled:  true,
+		})
+		view.Take(content, start)
+		content.Since(replica.Revision)
+	}
+	runtime.ReadMemStats(&after)
+	return (after.Mallocs - before.Mallocs) / changes, (after.TotalAlloc - before.TotalAlloc) / changes
+}
+
+// Each change of one replica had a box copy and sort all of them: with 6,000 replicas,
+// of which some hundred change within seconds, that alone took a small box all its time.
+func TestAChangeOfOneReplicaTakesNoMoreAmongManyReplicas(t *testing.T) {
+	is := is.New(t)
+	fewObjects, fewBytes := changes(600)
+	manyObjects, manyBytes := changes(12_000)
+	t.Logf("for a change of 600 replicas %d allocations of %d bytes, of 12,000 %d of %d", fewObjects, fewBytes, manyObjects, manyBytes)
+	is.True(10*manyObjects <= 12*fewObjects)
+	is.True(manyBytes <= 2*fewBytes) // the lists of all grow by copying themselves
+}
+
+// BenchmarkAChange is the time that a change of one replica among 6,000 takes.
+func BenchmarkAChange(b *testing.B) {
+	content, view := fleetOf(6000)
+	b.ResetTimer()
+	for i := range b.N {
+		replica := numbered(i%6000, int64(6001+i))
+		content.Take(catalog.Update{
+			Changes: []catalog.Change{{
+				Revision: replica.Revision,
+				Replica:  &replica,
+			}},
+			Revision: replica.Revision,
+			Settled:  true,
+		})
+		view.Take(content, start)
+	}
+}
+
+// BenchmarkAnAnswer is the time that telling another box of one change takes.
+func BenchmarkAnAnswer(b *testing.B) {
+	content, _ := fleetOf(6000)
+	b.ResetTimer()
+	for range b.N {
+		content.Since(6000)
+	}
+}
+
+// BenchmarkAStart is the time that a box takes to take 6,000 replicas in.
+func BenchmarkAStart(b *testing.B) {
+	for range b.N {
+		fleetOf(6000)
+	}
+}
--- a/placement/start.go
+++ b/placement/start.go
@@ -12,8 +12,8 @@
 // nil for none.
 func (v *View) other(r *Replica) *Replica {
 	var out *Replica
-	for _, o := range v.replicas {
-		if o != r && o.info.ID == r.info.ID && (out == nil || o.listed) {
+	for _, o := range v.entries.starts[r.info.ID] {
+		if o != r && (out == nil || o.listed) {
 			out = o
 		}
 	}
@@ -45,7 +45,7 @@
 // forget drops what is known of a start that is gone and, with the last one, what was
 // sent to its id.
 func (v *View) forget(r *Replica) {
-	delete(v.replicas, r.start)
+	v.leave(r)
 	if v.other(r) == nil {
 		v.pacer.Forget(r.info.ID)
 	}
--- a/placement/view.go
+++ b/placement/view.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
@@ -24,6 +22,9 @@
 	byName   []*Replica          // in the order of starts
 	closed   map[string]bool
 	pacer    *pacing.Pacer
+	entries  entries
+	joined   func(start string) // seam: told of a start that is known from now on
+	left     func(start string) // seam: told of one that is forgotten
 
 	othersFor time.Duration      // what another box told counts so long
 	byWords   bool               // loads are known by the replicas' own words
@@ -34,14 +35,29 @@
 	steps     map[string]float64 // of an engine until the next event, by service
 }
 
+// Option changes a View.
+type Option func(*View)
+
+// WithStarts sets what is told of each start of a replica that is known from now on, and
+// of each that is forgotten.
+func WithStarts(joined, left func(start string)) Option {
+	return func(v *View) {
+		v.joined = joined
+		v.left = left
+	}
+}
+
 // NewView returns the view of a box in a failure domain of a region.
-func NewView(region, domain string, pacer *pacing.Pacer) *View {
-	return &View{
+func NewView(region, domain string, pacer *pacing.Pacer, opts ...Option) *View {
+	v := &View{
 		region:   region,
 		domain:   domain,
 		replicas: make(map[string]*Replica),
 		closed:   make(map[string]bool),
 		pacer:    pacer,
+		entries:  newEntries(),
+		joined:   func(string) {},
+		left:     func(string) {},
 
 		othersFor: othersFor,
 		boxes:     1,
@@ -49,6 +65,10 @@
 		means:     make(map[string]mean),
 		steps:     make(map[string]float64),
 	}
+	for _, opt := range opts {
+		opt(v)
+	}
+	return v
 }
 
 // Pacer returns what bounds the requests to cold replicas.
@@ -65,6 +85,7 @@
 
 // SetTable takes a newer policy in.
 func (v *View) SetTable(t *catalog.Table) {
+	v.entries.unread = v.entries.unread || !sameServices(v.table, t)
 	v.table = t
 	for _, r := range v.replicas {
 		r.service = t.Service(r.info.Service)
@@ -72,6 +93,19 @@
 	}
 }
 
+// sameServices says whether two policies name the same services.
+func sameServices(a, b *catalog.Table) bool {
+	if a == nil || len(a.Policy().Services) != len(b.Policy().Services) {
+		return false
+	}
+	for _, s := range a.Policy().Services {
+		if b.Service(s.Name) == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // Belief is a change of what is believed.
 type Belief struct {
 	About  string // a replica, by its start, or failure domain
@@ -80,14 +114,17 @@
 	Addr   string // of a replica that has started again: connections there may be of the start before
 }
 
-// Take brings the view to what the catalog holds.
+// Take brings the view to what the catalog holds. Only what has changed of that since it
+// was called last is looked at.
 func (v *View) Take(c *catalog.Content, now time.Duration) []Belief {
+	ids := v.entries.take(c, v.region)
+	newest := v.newestAt(c, ids)
+	seen := make(map[string]bool, len(ids))
 	var news []Belief
-	seen := make(map[string]bool)
-	newest := v.newestAt(c)
-	for _, info := range c.Replicas() {
+	for _, id := range ids {
+		info, ok := c.Replica(id)
 		switch {
-		case info.Region != v.region:
+		case !ok || info.Region != v.region:
 		case isSuperseded(info, newest[info.Addr]):
 			v.supersede(info, now)
 		default:
@@ -95,34 +132,31 @@
 			news = v.takeReplica(news, info, now)
 		}
 	}
-	for start, r := range v.replicas {
-		if !seen[start] && r.listed {
-			r.listed = false
-			r.heard = now
-			news = append(news, Belief{
-				About:  start,
-				Reason: v.describeEnd(r, newest),
-				Rev:    c.Newest(),
-			})
-		}
-		if !r.listed && r.own.Requests == 0 && now-r.heard > forgetAfter {
-			v.forget(r)
+	for _, id := range ids {
+		for _, r := range v.entries.starts[id] {
+			if r.listed && !seen[r.start] {
+				v.unlist(r)
+				r.heard = now
+				news = append(news, Belief{
+					About:  r.start,
+					Reason: v.describeEnd(r, newest),
+					Rev:    c.Newest(),
+				})
+			}
 		}
 	}
+	v.forgetEnded(now)
 	v.takeDoubts(c)
-	news = v.takeClosed(news, c, now)
-	v.byName = make([]*Replica, 0, len(v.replicas))
-	for _, id := range slices.Sorted(maps.Keys(v.replicas)) {
-		v.byName = append(v.byName, v.replicas[id])
-	}
-	return news
+	return v.takeClosed(news, c, now)
 }
 
-// newestAt returns the newest entry at each address of the region. An entry of a service that
-// no policy names may be another writer's, and takes nobody's address.
-func (v *View) newestAt(c *catalog.Content) map[string]catalog.Replica {
-	out := make(map[string]catalog.Replica)
-	for _, info := range c.Replicas() {
+// newestAt returns the newest entry at each address of some replicas of the region. An
+// entry of a service that no policy names may be another writer's, and takes nobody's
+// address.
+func (v *View) newestAt(c *catalog.Content, ids []string) map[string]catalog.Replica {
+	out := make(map[string]catalog.Replica, len(ids))
+	for _, id := range ids {
+		info, _ := c.Replica(id)
 		if info.Region != v.region || v.table == nil || v.table.Service(info.Service) == nil {
 			continue
 		}
@@ -147,12 +181,11 @@
 // takeReplica takes in what is published of one replica.
 func (v *View) takeReplica(news []Belief, info catalog.Replica, now time.Duration) []Belief {
 	start := info.Start()
-	r, ok := v.known(start, now)
+	r, ok := v.known(info, now)
 	changed := info.Revision != r.info.Revision || !ok
 	leaves := info.Leaving && !r.info.Leaving
 	info.Leaving = info.Leaving || r.info.Leaving // a replica that leaves doesn't come back
-	r.info = info
-	r.listed = true
+	v.list(r, info)
 	if v.table != nil {
 		r.service = v.table.Service(info.Service)
 	}
@@ -174,19 +207,21 @@
 }
 
 // known returns what is known of a start, and whether anything was.
-func (v *View) known(start string, now time.Duration) (r *Replica, ok bool) {
+func (v *View) known(info catalog.Replica, now time.Duration) (r *Replica, ok bool) {
+	start := info.Start()
 	if r, ok = v.replicas[start]; ok {
 		return r, true
 	}
 	r = &Replica{
 		start:  start,
+		info:   catalog.Replica{ID: info.ID},
 		others: make(map[string]told),
 		warm:   make(map[string]time.Duration),
 		heard:  now,
 
 		toldKept: make(map[PartKey]time.Duration),
 	}
-	v.replicas[start] = r
+	v.join(r)
 	return r, false
 }
 
@@ -194,9 +229,9 @@
 // isn't listed, but should its entry be the newest again, it has not forgotten that it
 // leaves.
 func (v *View) supersede(info catalog.Replica, now time.Duration) {
-	r, _ := v.known(info.Start(), now)
+	r, _ := v.known(info, now)
 	info.Leaving = info.Leaving || r.info.Leaving
-	r.info = info
+	v.inform(r, info)
 }
 
 // describe says what a changed entry means, most important first.
