--- a/catalog/change_test.go
+++ b/catalog/change_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"reflect"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -122,3 +124,73 @@
 	is.Equal(len(c.Since(rev).Changes), 1) // what changed at the revision itself
 	is.True(c.Since(0).Snapshot != nil)    // a box that knows nothing
 }
+
+// A failure domain that is lost takes its part of the replicas at once, and who asked
+// before is told of each of them, not of all that is left.
+func TestWhatAFailureDomainTookIsToldAsRemovalsHoweverManyReplicasThereAre(t *testing.T) {
+	for _, all := range []int{600, 6000, 12_000} {
+		for _, settled := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				knows, asks := catalog.NewContent(), catalog.NewContent()
+				var before, after []catalog.Replica
+				for i := range all {
+					r := numbered(i)
+					before = append(before, r)
+					if i%4 > 0 {
+						after = append(after, r)
+					}
+				}
+				takeAll(knows, before, int64(all), true)
+				asks.Take(knows.Since(0).Update())
+				asked := asks.Revision()
+				takeAll(knows, after, int64(all+1), settled)
+				time.Sleep(3 * time.Second) // longer than any doubt
+				knows.Settle()
+				for _, revision := range []int64{asked, int64(all + 1)} { // it may have heard of the reading before its doubts were over
+					news := knows.Since(revision)
+					is.True(news.Snapshot == nil)
+					if revision == asked || !settled {
+						is.Equal(len(removals(news)), all/4)
+					}
+				}
+				asks.Take(knows.Since(asked).Update())
+				is.Equal(len(asks.Replicas()), len(after))
+			})
+		}
+	}
+}
+
+// removals returns the replicas that news tell are gone.
+func removals(news catalog.News) []string {
+	var out []string
+	for _, ch := range news.Changes {
+		if ch.Gone != "" {
+			out = append(out, ch.Gone)
+		}
+	}
+	return out
+}
+
+// numbered is one of many replicas, changed at a revision of its own.
+func numbered(i int) catalog.Replica {
+	return catalog.Replica{
+		ID:       fmt.Sprintf("replica-%06d", i),
+		Service:  "service",
+		Addr:     fmt.Sprintf("10.0.0.1:%d", i),
+		Region:   "region",
+		Revision: int64(i + 1),
+	}
+}
+
+// takeAll has a copy take a reading in.
+func takeAll(c *catalog.Content, list []catalog.Replica, revision int64, settled bool) {
+	c.Take(catalog.Update{
+		Snapshot: &catalog.Snapshot{
+			Revision: revision,
+			Replicas: list,
+		},
+		Revision: revision,
+		Settled:  settled,
+	})
+}
