node, placement: What a region can take is looked at as rarely as it has many replicas

Cause: each status that a box sent, four a second, carried a fresh look at all replicas of its region for each service, whether or not that status went to another region.

Change: a look each 0.4 ms for each replica, 2 s at most, so that it costs the same part of a processor in any region up to 5,000 replicas; up to 600 it is at each tick as before. Replicas without own work are passed over when loads are gathered. Ruled out: a look at a sample, for regions' shares of prompts follow from the count of usable replicas, on which all boxes have to agree.

--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/roster"
+	"github.com/havenrudder/havenrudder/wire"
+)
+
+// fleetBox returns one of so many boxes in three regions, before ten times as many
+// replicas, that takes callers.
+func fleetBox(boxes int) *testBox {
+	perRegion := boxes / len(fleetRegions)
+	for n := 0; ; n++ {
+		b := newBox(fmt.Sprintf("a-%03d", n), "a", 0)
+		var list []catalog.Replica
+		for _, region := range fleetRegions {
+			list = append(list, replicas(region, 10*perRegion)...)
+			for i := range perRegion {
+				if name := fmt.Sprintf("%s-%03d", region, i); name != b.settings.Box {
+					s := status(name, region)
+					s.Peers = "peers of " + name
+					b.tells(s, start)
+				}
+			}
+		}
+		b.publish(2, policy(1), list)
+		b.roster.Adapt(start)
+		b.chooseTaking(wire.ServingStateServing, start)
+		if b.taking["a"].has(b.settings.Box) {
+			return b
+		}
+	}
+}
+
+var fleetRegions = []string{"a", "b", "c"}
+
+// BenchmarkATick is what a box that takes callers does at each tick among 584 and 1,200
+// boxes, but for its requests.
+func BenchmarkATick(b *testing.B) {
+	for _, boxes := range []int{300, 584, 1200} {
+		b.Run(fmt.Sprint(boxes), func(b *testing.B) {
+			box := fleetBox(boxes)
+			now := start
+			b.ResetTimer()
+			for range b.N {
+				now += roster.Tick
+				box.roster.Tell(box.fill(box.self, now), now, lowest)
+				box.chooseTaking(wire.ServingStateServing, now)
+				box.tellWords(now, lowest)
+				box.settle(now)
+				box.role(now)
+			}
+		})
+	}
+}
+
+// BenchmarkQuestions is what it takes a box to find out which engines to ask.
+func BenchmarkQuestions(b *testing.B) {
+	box := fleetBox(584)
+	box.saysAll(8)
+	now := start
+	b.ResetTimer()
+	for range b.N {
+		now += 400 * time.Millisecond
+		box.engines(now)
+	}
+}
+
+// A look at what the region can take is a look at each of its replicas, and at each tick it
+// took more of a box's processor time the larger the region was.
+func TestLooksAtWhatARegionCanTakeGrowNoFasterThanTheRegionAndAreNoOlderThanCounts(t *testing.T) {
+	is := is.New(t)
+	looked := make(map[int]int)
+	for _, boxes := range []int{60, 600, 1200} {
+		b := fleetBox(boxes)
+		const ticks = 40
+		at := time.Duration(0)
+		for i := range ticks {
+			now := start + time.Duration(i+1)*roster.Tick
+			b.fill(b.self, now)
+			if b.roomsAt != at {
+				at = b.roomsAt
+				looked[boxes] += len(b.view.Replicas())
+			}
+			is.True(now-b.roomsAt < roomsFor)
+		}
+	}
+	t.Logf("replicas looked at in 40 ticks, by boxes: %v", looked)
+	is.Equal(looked[60], 40*200) // few are looked at at each tick
+	is.True(10*looked[1200] <= 12*looked[600])
+}
--- a/node/state.go
+++ b/node/state.go
@@ -22,6 +22,9 @@
 	fewestSharers = 3   // boxes that a region has at least, as far as quotas are concerned: one that starts while it is cut off knows of none
 	lonelySharers = 4   // the same for a box that has heard of no other, whose region may have a spare one beside the usual three
 	mostSpenders  = 390 // boxes of an installation, as it is designed for
+
+	roomsPerReplica = 400 * time.Microsecond // between two looks at what a region can take, for each of its replicas: a look is at all of them
+	roomsMost       = 2 * time.Second        // of it, so that what is told is no older than what counts
 )
 
 // state is all that a box believes. It belongs to one actor, and takes the time
@@ -45,6 +48,8 @@
 	unanswered map[string]int   // questions for an account in a row, by engine
 	told       map[string]int64 // the latest start that was taken in by an engine's word, by its id
 	seq        int              // of the last status told
+	rooms      []wire.ServiceRoom
+	roomsAt    time.Duration // when these were worked out; 0 for never
 	poison     *poison.Watch
 }
 
@@ -250,12 +255,16 @@
 			Kept:     numbers(l.Kept),
 		})
 	}
-	b.Rooms = s.rooms(now)
+	if every := min(time.Duration(len(s.view.Replicas()))*roomsPerReplica, roomsMost); s.roomsAt == 0 || now-s.roomsAt >= every {
+		s.rooms = s.roomsNow(now)
+		s.roomsAt = now
+	}
+	b.Rooms = s.rooms
 	return b
 }
 
-// rooms tells other regions what this one's replicas can take.
-func (s *state) rooms(now time.Duration) []wire.ServiceRoom {
+// roomsNow returns what this region's replicas can take, for other regions.
+func (s *state) roomsNow(now time.Duration) []wire.ServiceRoom {
 	var out []wire.ServiceRoom
 	sharers := s.sharers(now)
 	for _, svc := range s.table.Policy().Services {
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -17,6 +17,7 @@
 	slowWeight   = 0.25                   // weight of the newest observation of slowness
 	slowBound    = 2.5                    // bound of one observation, a natural logarithm
 	readsHalf    = 1 * time.Second        // time in which half of a rate of prompts is forgotten: some ten prompts at the peak
+	readsOver    = 20 * readsHalf         // after it a rate of prompts is below one token
 	holdWeight   = 0.1                    // weight of the newest time that a request took
 	failuresOut  = 2                      // failures to connect in a row until it is left out
 	mutedFor     = 500 * time.Millisecond // and nothing else came from it for so long: requests may be cut together, or reset beside others that are answered
--- a/placement/view.go
+++ b/placement/view.go
@@ -343,6 +343,9 @@
 func (v *View) Tell(now time.Duration) []OwnLoad {
 	var out []OwnLoad
 	for _, r := range v.byName {
+		if r.own == (Load{}) && now-r.readsAt > readsOver {
+			continue
+		}
 		own := r.ownNow(now)
 		if own != (Load{}) {
 			out = append(out, OwnLoad{
