catalog, node, platform: Boxes that begin together leave the reading to few

Cause: each box read all that is published for itself, page by page: 30 calls for 6,000 replicas at 200 a page, 17,500 of 584 boxes that begin together, 160 ms each from two of three regions; calls grow as boxes times replicas.

Change: what is read in a call or two is read as before. Beyond 256 replicas a box that begins hands on the policy, which comes first, and waits: for another box that has all and gives it, compressed, encoded once for all that ask within 0.5 s, as fast as half of a small link bears; else for its turn, by its rank among the boxes it has heard of and by what its first calls took. Who is told to wait asks another box. A follower of many replicas that failed to ask one box, or ceases to watch, asks others before it reads all. Ruled out: timers drawn so that few are early, for they need the number of boxes; readers named by settings, for seeds may be down.

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -26,6 +26,7 @@
 	Doubts   []Doubt   `json:"doubts,omitempty"` // removals that the box doesn't believe yet
 	Policy   int       `json:"policy,omitempty"` // version of the newest that the box has heard of
 	Revision int64     `json:"revision"`
+	Wait     Millis    `json:"-"` // there is nothing in it, and the box had no room to answer for so long
 }
 
 // Update returns the news as an update of a box's copy.
@@ -136,12 +137,16 @@
 // doubt.
 func (c *Content) Lapses() int { return c.past.lapses }
 
+// TellsAll says whether a box that knows a revision is told all of the catalog, for what
+// changed since isn't known.
+func (c *Content) TellsAll(revision int64) bool { return revision < c.past.since || revision == 0 }
+
 // Since returns what changed after a revision, as far as it is still so, and all of
 // the catalog where that isn't known, but for the policy. What changed at the revision itself is in it
 // too, and, whatever the revision, what is in doubt and the latest replicas whose
 // removal was in doubt until it was believed: these may bear a later revision.
 func (c *Content) Since(revision int64) News {
-	if revision < c.past.since || revision == 0 {
+	if c.TellsAll(revision) {
 		s := c.Snapshot()
 		s.Policy = nil
 		return News{
--- a/catalog/compress.go
+++ b/catalog/compress.go
@@ -18,6 +18,7 @@
 type EncodedNews struct {
 	News       *News  `json:"news,omitempty"`
 	Compressed []byte `json:"compressed,omitempty"` // the same, where they are long
+	Wait       Millis `json:"wait_ms,omitempty"`    // until the box may send them, which others may do sooner
 }
 
 // Encode returns news as they go to another box. All of 4,000 replicas, which who begins
@@ -46,6 +47,10 @@
 
 // Decode returns the news.
 func (p EncodedNews) Decode() (out News, err error) {
+	if p.Wait > 0 {
+		out.Wait = p.Wait
+		return out, nil
+	}
 	if p.News != nil {
 		return *p.News, nil
 	}
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -18,6 +18,9 @@
 // revision, so that all must be read again.
 var ErrHistoryGone = errors.New("catalog: history gone")
 
+// ErrTold says that another box told all that a reading would have brought.
+var ErrTold = errors.New("catalog: told by another box")
+
 const (
 	watchFor     = 10 * time.Second       // one waiting call; each call has a price, and a new one costs no more than that
 	rereadEvery  = 2 * time.Second        // a watch may stay silent while changes are made; half of the shortest bound on configurations
@@ -33,9 +36,12 @@
 // a time; it fails with ErrHistoryGone where that is no longer known. Newest, which
 // may be nil, returns the newest revision alone. Keep, which may be nil, is called so
 // often that the source can go on to tell Read that something large hasn't changed.
-// Confirm, which may be nil, returns the policy and the evacuations alone.
+// Confirm, which may be nil, returns the policy and the evacuations alone. First, which
+// may be nil, is Read for a box that knows nothing; where that takes many calls, it asks
+// goOn between them whether to go on, and returns what was read beside what that fails with.
 type Source struct {
 	Read   func(ctx context.Context) (Snapshot, error)
+	First  func(ctx context.Context, goOn func(read Snapshot) error) (Snapshot, error)
 	Wait   func(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
 	Newest func(ctx context.Context) (int64, error)
 	Keep   func(ctx context.Context) error
@@ -69,6 +75,7 @@
 	follow   func() bool // other boxes watch on behalf of this one
 	confirms func() bool // this box has to know that the policy is the newest
 	proved   func(version int, at time.Time)
+	turn     func(ctx context.Context, took time.Duration, first bool) error
 	age      func() time.Duration // of what this box knows, by what others say
 	behind   chan struct{}        // another box knows more
 	wanted   atomic.Int64         // the revision that it knows
@@ -110,6 +117,12 @@
 	}
 }
 
+// WithTurn sets what a first reading of many calls waits for after the first ones, which took
+// a time, and asks between the later ones. It fails with ErrTold once another box told all.
+func WithTurn(f func(ctx context.Context, took time.Duration, first bool) error) FeedOption {
+	return func(d *Feed) { d.turn = f }
+}
+
 // NewFeed returns a feed that hands what it reads to update.
 func NewFeed(source Source, update func(Update), opts ...FeedOption) *Feed {
 	d := &Feed{
@@ -125,6 +138,7 @@
 		confirms: func() bool { return false },
 		proved:   func(int, time.Time) {},
 
+		turn:   func(context.Context, time.Duration, bool) error { return nil },
 		age:    func() time.Duration { return neverRead },
 		behind: make(chan struct{}, 1),
 		at:     make(chan int64, 1),
@@ -148,8 +162,15 @@
 	}
 }
 
-// Learned takes in a revision up to which another box told what changed.
-func (d *Feed) Learned(revision int64) { d.known.Store(max(d.known.Load(), revision)) }
+// Learned takes in a revision up to which another box told what changed, and how many
+// replicas there are.
+func (d *Feed) Learned(revision int64, replicas int) {
+	d.learned(revision)
+	d.replicas.Store(int64(replicas))
+}
+
+// learned takes in a revision that was handed on.
+func (d *Feed) learned(revision int64) { d.known.Store(max(d.known.Load(), revision)) }
 
 // Reread has all read at once, as when a policy that others have heard of can be had
 // from none of them.
@@ -172,7 +193,7 @@
 	}
 	backOff := firstBackOff
 	for ctx.Err() == nil {
-		s, err := d.source.Read(ctx)
+		settled, err := d.read(ctx)
 		if err != nil {
 			d.readFailed(ctx, err)
 			d.restAfter(ctx, backOff)
@@ -180,28 +201,72 @@
 			continue
 		}
 		backOff = firstBackOff
-		d.succeeded()
-		settled, settles := d.isSettled()
-		d.hand(Update{
-			Snapshot: &s,
-			Revision: s.Revision,
-			Settled:  settled,
-			Settles:  settles,
-		})
-		d.prove(s)
-		d.offer(s.Revision)
-		d.replicas.Store(int64(len(s.Replicas)))
+		replicas := int(d.replicas.Load())
 		if d.follow() {
-			d.restFollowing(ctx, len(s.Replicas))
+			d.restFollowing(ctx, replicas)
 		} else {
-			d.restLong(ctx, len(s.Replicas), settled)
+			d.restLong(ctx, replicas, settled)
 		}
 	}
 }
 
+// read reads all and hands it on, unless another box told it meanwhile. It returns whether
+// what is missing is gone.
+func (d *Feed) read(ctx context.Context) (settled bool, err error) {
+	s, err := d.readOnce(ctx)
+	if errors.Is(err, ErrTold) {
+		d.prove(s)
+		if s.Revision <= d.known.Load() {
+			d.succeeded() // what was told is as new as the reading
+		} else {
+			d.Behind(s.Revision)
+		}
+		d.offer(d.known.Load())
+		return true, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	d.succeeded()
+	settled, settles := d.isSettled()
+	d.replicas.Store(int64(len(s.Replicas)))
+	d.hand(Update{
+		Snapshot: &s,
+		Revision: s.Revision,
+		Settled:  settled,
+		Settles:  settles,
+	})
+	d.prove(s)
+	d.offer(s.Revision)
+	return settled, nil
+}
+
+// readOnce reads all. A box that knows nothing hands the policy on as soon as it has it, and
+// leaves the rest to others where that takes many calls.
+func (d *Feed) readOnce(ctx context.Context) (Snapshot, error) {
+	if d.source.First == nil || d.known.Load() > 0 {
+		return d.source.Read(ctx)
+	}
+	first := true
+	began := d.now()
+	return d.source.First(ctx, func(read Snapshot) error {
+		if first && read.Policy != nil {
+			d.update(Update{
+				Changes: []Change{{
+					Policy: read.Policy,
+				}},
+				Settled: true,
+			})
+		}
+		asks := first
+		first = false
+		return d.turn(ctx, d.now().Sub(began), asks)
+	})
+}
+
 // hand hands an update on.
 func (d *Feed) hand(u Update) {
-	d.Learned(u.Revision) // a lower one written at the same time only makes for one more call
+	d.learned(u.Revision) // a lower one written at the same time only makes for one more call
 	d.update(u)
 }
 
@@ -285,7 +350,9 @@
 			if d.watchFrom(ctx, rev) {
 				backOff = 0
 			}
-			d.readAgain()
+			if !d.follow() || d.replicas.Load() <= readEach { // a follower of more hears of what has changed from others
+				d.readAgain()
+			}
 			sleep.For(ctx, d.spread(backOff))
 			backOff = min(max(2*backOff, firstBackOff), maxBackOff)
 		case <-ctx.Done():
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -16,9 +16,11 @@
 	followRetry  = 2 * time.Second         // after a failed call of a follower: all followers fail at the same time, and calls have a price
 	wholeUpTo    = 64                      // replicas up to which all is read again each time: some 20 KB, and no call more
 	replicaEvery = time.Second             // between two readings of all for each replica beyond that: they take some 350 bytes a second then, whatever the size
+	readEach     = 256                     // replicas up to which each box reads all for itself, as when it ceases to watch: a call or two, as a rule
 	keepEvery    = 6 * time.Second         // between two questions that keep a source's answers; two of these are within the 20 s for which it knows what changed
 	keepUpTo     = 512                     // replicas up to which they are asked: with more, all is read so rarely that a configuration of 1 MiB takes less than 3 KB a second
 	behindWait   = 300 * time.Millisecond  // that a watch may lag behind what another box knows
+	othersWait   = 600 * time.Millisecond  // in which a follower that failed to ask one box asks another one
 	rereadOthers = 3                       // times as long where other boxes read again too, and say when they know more
 )
 
@@ -42,13 +44,15 @@
 	look := time.NewTicker(followLook)
 	defer look.Stop()
 	for ctx.Err() == nil {
-		if asked(d.behind) { // while it called, beside the next look
+		if asked(d.behind) && !d.catchesUp(ctx, replicas) { // while it called, beside the next look
 			return
 		}
 		select {
 		case <-ctx.Done():
 		case <-d.behind:
-			return
+			if !d.catchesUp(ctx, replicas) {
+				return
+			}
 		case <-d.again:
 			return
 		case <-look.C:
@@ -67,6 +71,15 @@
 	}
 }
 
+// catchesUp says whether a follower knows what another box that it could not ask knew. Where
+// there is much to read it gives others a while to tell it.
+func (d *Feed) catchesUp(ctx context.Context, replicas int) bool {
+	if d.known.Load() < d.wanted.Load() && replicas > readEach {
+		sleep.For(ctx, othersWait)
+	}
+	return d.known.Load() >= d.wanted.Load()
+}
+
 // longest returns how long a follower of so many replicas goes without reading.
 func (d *Feed) longest(replicas int) time.Duration {
 	out := followRead
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -111,6 +111,9 @@
 	return r, ok
 }
 
+// Len returns how many replicas there are.
+func (c *Content) Len() int { return len(c.replicas) }
+
 // Replicas returns the replicas, in the order of their ids.
 func (c *Content) Replicas() []Replica {
 	out := make([]Replica, 0, len(c.replicas))
--- /dev/null
+++ b/node/bucket.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"sync"
+	"time"
+)
+
+// byteBucket is what a box may send of long answers.
+type byteBucket struct {
+	mu    sync.Mutex
+	rate  float64 // bytes a second
+	burst float64 // bytes at once
+	left  float64 // bytes; below 0 after an answer that was longer
+	at    time.Duration
+}
+
+// newByteBucket returns a byteBucket of which nothing is taken.
+func newByteBucket(rate, burst float64) *byteBucket {
+	return &byteBucket{
+		rate:  rate,
+		burst: burst,
+		left:  burst,
+	}
+}
+
+// take takes room for so many bytes, or returns how long there is none.
+func (b *byteBucket) take(bytes int, now time.Duration) (wait time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left = min(b.left+b.rate*(now-b.at).Seconds(), b.burst)
+	b.at = now
+	if b.left < 0 {
+		return time.Duration(-b.left / b.rate * float64(time.Second))
+	}
+	b.left -= float64(bytes)
+	return 0
+}
--- a/node/followasks_test.go
+++ b/node/followasks_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -105,8 +106,40 @@
 		<-ctx.Done() // it was killed, and nothing says so
 		return news, errors.Wrap(ctx.Err(), "box gone")
 	}
-	err = n.state.Do(func(s *state) { news = s.content.Since(after) })
-	f.links.Load().answer(ctx, b, sizeOf(news))
+	encoded, err := n.giveCatalog(after)
+	if err == nil {
+		news, err = f.decode(ctx, encoded)
+	}
+	f.links.Load().answer(ctx, b, sizeOfEncoded(encoded))
 	f.note("told", addr, after, news.Revision, len(news.Changes), news.Doubts)
 	return news, errors.CombineErrors(err, ctx.Err())
 }
+
+const takeIn = 50 * time.Microsecond // of a replica of a whole catalog, to decode it and take it in on a fifth of a core
+
+// decode returns news as they come from another box.
+func (f *follows) decode(ctx context.Context, encoded catalog.EncodedNews) (news catalog.News, err error) {
+	if len(encoded.Compressed) == 0 {
+		return encoded.Decode()
+	}
+	if known, ok := f.decoded.Load(&encoded.Compressed[0]); ok {
+		news = known.(catalog.News)
+	} else {
+		if news, err = encoded.Decode(); err != nil {
+			return news, err
+		}
+		f.decoded.Store(&encoded.Compressed[0], news)
+	}
+	if news.Snapshot != nil {
+		sleep.For(ctx, time.Duration(len(news.Snapshot.Replicas))*takeIn)
+	}
+	return news, nil
+}
+
+// sizeOfEncoded returns the bytes of news as they go to another box.
+func sizeOfEncoded(encoded catalog.EncodedNews) int {
+	if encoded.News != nil {
+		return sizeOf(*encoded.News)
+	}
+	return base64.StdEncoding.EncodedLen(len(encoded.Compressed))
+}
--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -73,6 +73,7 @@
 	cut      atomic.Pointer[func(from, to *followBox) bool]
 
 	connections sync.Map // of connection
+	decoded     sync.Map // whole catalogs, by the first byte of their encoded form
 }
 
 // followBox is one machine and the process on it, if any.
@@ -167,7 +168,8 @@
 		return f.askDemand(ctx, b, addr)
 	}
 	n.deltas = catalog.NewDeltas()
-	n.policyBucket = newPolicyBucket()
+	n.wholes = newWholes()
+	n.policyBucket = newByteBucket(policyRate, policyBurst)
 	n.deliver = func(p roster.Packet) {
 		if b.node.Load() == n { // a process that was killed says nothing more
 			f.deliver(b, p)
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -50,6 +50,7 @@
 		n.unlistedEnds()
 		n.tellPoison()
 		n.chooseRole()
+		n.seekCatalog(ctx)
 		n.seekPolicy(ctx)
 		n.readMissingPolicy()
 		n.seekProof(ctx)
@@ -197,7 +198,10 @@
 	}
 	n.tasks.Go(func() {
 		defer n.pulling.Store(false)
-		n.pull(ctx, from, has.after)
+		if n.pull(ctx, from, has.after) {
+			sleep.For(ctx, busyPause) // another box has it by then
+			return
+		}
 		if n.table.Load() != nil && int64(from.Catalog) <= has.newest {
 			n.doubtAsk.Store(int64(n.now() + pullPause))
 			return
--- a/node/listing_test.go
+++ b/node/listing_test.go
@@ -34,6 +34,8 @@
 	calls    int
 	deafTo   int64                                               // revision up to which a watch hears nothing while it is deaf
 	deaf     bool                                                // changes are made that no watch hears of
+	page     int                                                 // replicas in one answer; 0 for all
+	way      func(box string) time.Duration                      // there and back for a call of a box; nil for none
 	ways     atomic.Pointer[ways]                                // to the boxes, nil for wide ones
 	jitter   func(most time.Duration, what ...any) time.Duration // a short time by the seed
 }
@@ -151,7 +153,12 @@
 // source returns the listing as a box meets it.
 func (l *listing) source(box string) catalog.Source {
 	return l.narrowed(box, catalog.Source{
-		Read:   func(ctx context.Context) (catalog.Snapshot, error) { return l.read(ctx, box) },
+		First: func(ctx context.Context, goOn func(catalog.Snapshot) error) (catalog.Snapshot, error) {
+			return l.readPages(ctx, box, goOn)
+		},
+		Read: func(ctx context.Context) (catalog.Snapshot, error) {
+			return l.readPages(ctx, box, func(catalog.Snapshot) error { return nil })
+		},
 		Newest: func(ctx context.Context) (int64, error) { return l.newest(ctx, box) },
 		Confirm: func(ctx context.Context) (catalog.Snapshot, error) {
 			began := time.Now()
@@ -168,9 +175,29 @@
 	})
 }
 
+const listedFree = 256 // replicas that a box reads without asking whether to go on
+
+// readPages reads all in as many calls as it takes, and asks between them whether to go on.
+func (l *listing) readPages(ctx context.Context, box string, goOn func(catalog.Snapshot) error) (catalog.Snapshot, error) {
+	out, err := l.read(ctx, box)
+	read := out
+	for n := l.page; l.page > 0 && n < len(out.Replicas) && err == nil; n += l.page {
+		if read.Replicas = out.Replicas[:n]; n > listedFree {
+			if err := goOn(read); err != nil {
+				return read, err
+			}
+		}
+		err = l.begin(ctx, box)
+	}
+	return out, err
+}
+
 // begin lets a call of a box take its time, and says whether it is answered.
 func (l *listing) begin(ctx context.Context, box string) error {
 	sleep.For(ctx, listingTakes+l.jitter(mostJitter, "call", box))
+	if l.way != nil {
+		sleep.For(ctx, l.way(box))
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
--- a/node/node.go
+++ b/node/node.go
@@ -84,10 +84,11 @@
 	quotas       *quotas
 	askBank      func(ctx context.Context, addr string, asks []quota.Ask) ([]quota.Grant, error) // seam: asks another box as a bank
 	askDemand    func(ctx context.Context, addr string) (map[string]quota.Use, error)            // seam: asks another region's bank what its callers ask for
-	policyBucket *policyBucket                                                                   // for the policies that this box gives to others
-	seeking      atomic.Bool                                                                     // a policy is got from another box; who has set it owns the next
-	seeker       policySeeker                                                                    // where to get the policy that this box lacks
-	ownReading   ownReading                                                                      // of the same; the task that beats owns it
+	wholes       *wholes
+	policyBucket *byteBucket  // for the policies that this box gives to others
+	seeking      atomic.Bool  // a policy is got from another box; who has set it owns the next
+	seeker       policySeeker // where to get the policy that this box lacks
+	ownReading   ownReading   // of the same; the task that beats owns it
 
 	tasks     sync.WaitGroup
 	told      chan struct{} // asks for the settings to be read again
@@ -122,7 +123,8 @@
 		jitter:   rand.Float64,
 
 		deltas:       catalog.NewDeltas(),
-		policyBucket: newPolicyBucket(),
+		wholes:       newWholes(),
+		policyBucket: newByteBucket(policyRate, policyBurst),
 	}
 	n.quotas = n.newQuotas()
 	n.read.Store(-int64(neverRead))
@@ -228,6 +230,7 @@
 		catalog.WithReader(n.reads.Load),
 		catalog.WithFollowing(n.follows.Load, n.catalogAge),
 		catalog.WithConfirming(n.confirms, n.proved),
+		catalog.WithTurn(n.awaitTurn),
 		catalog.WithJitter(n.jitter))
 }
 
--- a/node/policies.go
+++ b/node/policies.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/base64"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
@@ -30,33 +29,6 @@
 	Have int `json:"have"` // version that the asking box knows; 0 for none
 }
 
-// policyBucket is what a box may send of policies.
-type policyBucket struct {
-	mu   sync.Mutex
-	left float64 // bytes; below 0 after an answer that was longer
-	at   time.Duration
-}
-
-// newPolicyBucket returns a policyBucket of which nothing is taken.
-func newPolicyBucket() *policyBucket {
-	return &policyBucket{
-		left: policyBurst,
-	}
-}
-
-// take takes room for so many bytes, or returns how long there is none.
-func (b *policyBucket) take(bytes int, now time.Duration) (wait time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.left = min(b.left+policyRate*(now-b.at).Seconds(), policyBurst)
-	b.at = now
-	if b.left < 0 {
-		return time.Duration(-b.left / policyRate * float64(time.Second))
-	}
-	b.left -= float64(bytes)
-	return 0
-}
-
 // givePolicy answers another box's question for the newest policy.
 func (n *Node) givePolicy(have int) (out catalog.PolicyNews, err error) {
 	var list []*catalog.Policy
--- a/node/policies_test.go
+++ b/node/policies_test.go
@@ -89,7 +89,7 @@
 
 func TestABoxGivesPoliciesAtAPace(t *testing.T) {
 	is := is.New(t)
-	o := newPolicyBucket()
+	o := newByteBucket(policyRate, policyBurst)
 	is.Equal(o.take(policyBurst-1, 0), 0*time.Second)
 	is.Equal(o.take(policyRate, 0), 0*time.Second) // there is a byte left
 	wait := o.take(1, 0)
--- a/node/pull.go
+++ b/node/pull.go
@@ -88,8 +88,9 @@
 	}
 }
 
-// pull asks another box for what changed after a revision.
-func (n *Node) pull(ctx context.Context, from wire.BoxStatus, after int64) {
+// pull asks another box for what changed after a revision. It returns whether that had no
+// room to answer.
+func (n *Node) pull(ctx context.Context, from wire.BoxStatus, after int64) (busy bool) {
 	limit := pullLimit
 	if from.Region == n.settings.Region && n.table.Load() != nil {
 		limit = pullNear
@@ -105,12 +106,20 @@
 			Detail:   err.Error(),
 		})
 		n.feed.Behind(int64(from.Catalog))
-		return
+		return false
+	}
+	if news.Wait > 0 {
+		return true
 	}
 	n.takeUpdate(news.Update())
 	n.seekPolicy(ctx)
-	_ = n.state.Do(func(s *state) { s.toldLapses(from) }) // it fails only when the box has ended
-	n.feed.Learned(news.Revision)
+	replicas := 0
+	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
+		s.toldLapses(from)
+		replicas = s.content.Len()
+	})
+	n.feed.Learned(news.Revision, replicas)
+	return false
 }
 
 // callBox asks the box at an address for what changed after a revision.
@@ -133,11 +142,7 @@
 		if err := json.Unmarshal(params, &req); err != nil {
 			return nil, errors.Wrap(err, "catalog")
 		}
-		var out catalog.News
-		if err := n.state.Do(func(s *state) { out = s.content.Since(req.After) }); err != nil {
-			return nil, err
-		}
-		return out.Encode()
+		return n.giveCatalog(req.After)
 	case peer.Policy:
 		var req policyRequest
 		if err := json.Unmarshal(params, &req); err != nil {
--- /dev/null
+++ b/node/whole.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"encoding/base64"
+	"sync"
+	"time"
+
+	"github.com/havenrudder/havenrudder/catalog"
+)
+
+const (
+	wholeRate  = 1_000_000              // bytes of whole catalogs, in base64, that a box sends a second: half of a link of 20 Mbit/s
+	wholeBurst = 400_000                // of these at once: three catalogs of 6,000 replicas
+	wholeFor   = 500 * time.Millisecond // for which one that was encoded is told again: what has changed since is asked for next
+)
+
+// wholes is the catalog as it was told last to a box that knew nothing, encoded.
+type wholes struct {
+	mu      sync.Mutex
+	encoded catalog.EncodedNews
+	lapses  int           // that the box had told of by then
+	at      time.Duration // when it was; 0 for never
+	bucket  *byteBucket
+}
+
+func newWholes() *wholes {
+	return &wholes{
+		bucket: newByteBucket(wholeRate, wholeBurst),
+	}
+}
+
+// giveCatalog answers another box's question for what changed after a revision.
+func (n *Node) giveCatalog(after int64) (catalog.EncodedNews, error) {
+	var news catalog.News
+	all := false
+	err := n.state.Do(func(s *state) {
+		if all = s.content.TellsAll(after); !all {
+			news = s.content.Since(after)
+		}
+	})
+	switch {
+	case err != nil:
+		return catalog.EncodedNews{}, err
+	case all:
+		return n.giveWhole(after)
+	}
+	return news.Encode()
+}
+
+// giveWhole returns all of the catalog, encoded once for all that ask at about the same time,
+// or how long to wait where it would fill the link.
+func (n *Node) giveWhole(after int64) (out catalog.EncodedNews, err error) {
+	w := n.wholes
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if wait := w.bucket.take(0, n.now()); wait > 0 {
+		out.Wait = catalog.Millis(wait.Milliseconds() + 1)
+		return out, nil
+	}
+	var news catalog.News
+	again := false
+	err = n.state.Do(func(s *state) {
+		again = w.at > 0 && n.now()-w.at < wholeFor && w.lapses == s.content.Lapses() && !s.content.Doubtful()
+		if !again {
+			news = s.content.Since(after)
+			w.lapses = s.content.Lapses()
+		}
+	})
+	if err == nil && !again {
+		w.encoded, err = news.Encode()
+		w.at = 0
+	}
+	if err != nil {
+		return catalog.EncodedNews{}, err
+	}
+	if !again && len(news.Doubts) == 0 {
+		w.at = n.now()
+	}
+	w.bucket.take(base64.StdEncoding.EncodedLen(len(w.encoded.Compressed)), n.now())
+	return w.encoded, nil
+}
