catalog, node, roster: Followers are told of readings at once, and catch up by what changed

Cause: the age of the last reading went from box to box with the heartbeats alone, of which a box of a region of 200 hears one and a half a second, so that it took longer than a reading counts (1.65 to 2.75 s): nearly each follower asked for the newest revision every 2 s, and read all, 30 pages, where something had changed by then. A watch that failed had all read as well, and each change was a call of its own of nine watchers.

Change: a box that hears of a reading 0.75 s later than the last passes it on to three of its region; news carry the age of what they tell; a follower of many replicas whose knowledge gets old asks a watcher before it reads; who is behind asks for what changed since, in one call, and believes it up to the last change; a watch of many replicas is called again 0.2 s after it brought something. Ruled out: more readings by watchers, whose calls grow with the regions while each follower still hears late.

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -26,6 +26,7 @@
 	Doubts   []Doubt   `json:"doubts,omitempty"` // removals that the box doesn't believe yet
 	Policy   int       `json:"policy,omitempty"` // version of the newest that the box has heard of
 	Revision int64     `json:"revision"`
+	Read     Millis    `json:"-"` // how long ago the publisher was read with nothing newer; 0 where that isn't told
 	Wait     Millis    `json:"-"` // there is nothing in it, and the box had no room to answer for so long
 }
 
--- a/catalog/compress.go
+++ b/catalog/compress.go
@@ -19,6 +19,7 @@
 	News       *News  `json:"news,omitempty"`
 	Compressed []byte `json:"compressed,omitempty"` // the same, where they are long
 	Wait       Millis `json:"wait_ms,omitempty"`    // until the box may send them, which others may do sooner
+	Read       Millis `json:"read_ms,omitempty"`    // how long ago the publisher was read with nothing newer; 0 where that isn't told
 }
 
 // Encode returns news as they go to another box. All of 4,000 replicas, which who begins
@@ -52,9 +53,11 @@
 		return out, nil
 	}
 	if p.News != nil {
-		return *p.News, nil
+		out = *p.News
+	} else {
+		err = decompress(p.Compressed, &out)
 	}
-	err = decompress(p.Compressed, &out)
+	out.Read = p.Read
 	return out, err
 }
 
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -76,13 +76,15 @@
 	confirms func() bool // this box has to know that the policy is the newest
 	proved   func(version int, at time.Time)
 	turn     func(ctx context.Context, took time.Duration, first bool) error
-	age      func() time.Duration // of what this box knows, by what others say
-	behind   chan struct{}        // another box knows more
-	wanted   atomic.Int64         // the revision that it knows
-	known    atomic.Int64         // the newest that was handed on
-	replicas atomic.Int64         // that were read last
-	at       chan int64           // revisions read, from which the watch goes on
-	again    chan struct{}        // asks for all to be read at once
+	refresh  func(ctx context.Context) // asks another box for what this one knows too old
+	age      func() time.Duration      // of what this box knows, by what others say
+	behind   chan struct{}             // another box knows more
+	wanted   atomic.Int64              // the revision that it knows
+	known    atomic.Int64              // the newest that was handed on
+	replicas atomic.Int64              // that were read last
+	at       chan int64                // revisions read, from which the watch goes on
+	again    chan struct{}             // asks for all to be read at once
+	whole    atomic.Bool               // however much that is
 
 	mu      sync.Mutex
 	away    bool      // the last reading failed; a watch may also end for other reasons
@@ -123,6 +125,10 @@
 	return func(d *Feed) { d.turn = f }
 }
 
+// WithRefresh sets what asks a box that reads for others, where this one follows and what it
+// knows of many replicas is about to be too old.
+func WithRefresh(f func(ctx context.Context)) FeedOption { return func(d *Feed) { d.refresh = f } }
+
 // NewFeed returns a feed that hands what it reads to update.
 func NewFeed(source Source, update func(Update), opts ...FeedOption) *Feed {
 	d := &Feed{
@@ -138,11 +144,12 @@
 		confirms: func() bool { return false },
 		proved:   func(int, time.Time) {},
 
-		turn:   func(context.Context, time.Duration, bool) error { return nil },
-		age:    func() time.Duration { return neverRead },
-		behind: make(chan struct{}, 1),
-		at:     make(chan int64, 1),
-		again:  make(chan struct{}, 1),
+		turn:    func(context.Context, time.Duration, bool) error { return nil },
+		refresh: func(context.Context) {},
+		age:     func() time.Duration { return neverRead },
+		behind:  make(chan struct{}, 1),
+		at:      make(chan int64, 1),
+		again:   make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -174,7 +181,10 @@
 
 // Reread has all read at once, as when a policy that others have heard of can be had
 // from none of them.
-func (d *Feed) Reread() { d.readAgain() }
+func (d *Feed) Reread() {
+	d.whole.Store(true)
+	d.readAgain()
+}
 
 // Known returns the newest revision that was handed on.
 func (d *Feed) Known() int64 { return d.known.Load() }
@@ -389,6 +399,9 @@
 				Settled:  settled,
 				Settles:  settles,
 			})
+			if d.replicas.Load() > readEach {
+				sleep.For(ctx, gatherFor)
+			}
 		}
 	}
 	return succeeded
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -20,8 +20,12 @@
 	keepEvery    = 6 * time.Second         // between two questions that keep a source's answers; two of these are within the 20 s for which it knows what changed
 	keepUpTo     = 512                     // replicas up to which they are asked: with more, all is read so rarely that a configuration of 1 MiB takes less than 3 KB a second
 	behindWait   = 300 * time.Millisecond  // that a watch may lag behind what another box knows
-	othersWait   = 600 * time.Millisecond  // in which a follower that failed to ask one box asks another one
-	rereadOthers = 3                       // times as long where other boxes read again too, and say when they know more
+	refreshAt    = 60                      // percent of the age at which a follower reads, from which it asks others
+	percent      = 100
+	gatherFor    = 200 * time.Millisecond // between two calls of a watch that brings changes of many replicas one after the other
+	catchUpWait  = time.Millisecond       // for changes that have been made already
+	othersWait   = 600 * time.Millisecond // in which a follower that failed to ask one box asks another one
+	rereadOthers = 3                      // times as long where other boxes read again too, and say when they know more
 )
 
 // restAfter waits after a failed call. A follower may hear meanwhile from a box that
@@ -54,6 +58,7 @@
 				return
 			}
 		case <-d.again:
+			d.whole.Store(false)
 			return
 		case <-look.C:
 			d.witness()
@@ -61,7 +66,11 @@
 		if !d.follow() || !d.now().Before(end) {
 			return
 		}
-		if d.age() < limit {
+		age := d.age()
+		if replicas > readEach && age >= limit*refreshAt/percent {
+			d.refresh(ctx)
+		}
+		if age < limit {
 			continue
 		}
 		if !d.large(replicas) || !d.isCurrent(ctx) {
@@ -76,6 +85,9 @@
 func (d *Feed) catchesUp(ctx context.Context, replicas int) bool {
 	if d.known.Load() < d.wanted.Load() && replicas > readEach {
 		sleep.For(ctx, othersWait)
+		if d.known.Load() < d.wanted.Load() {
+			return d.isCurrent(ctx)
+		}
 	}
 	return d.known.Load() >= d.wanted.Load()
 }
@@ -128,6 +140,9 @@
 	if rev > d.known.Load() {
 		sleep.For(ctx, behindWait) // the watch, or another box, may be about to bring it
 	}
+	if rev > d.known.Load() {
+		d.catchUp(ctx)
+	}
 	if rev > d.known.Load() {
 		return false
 	}
@@ -135,19 +150,47 @@
 	return true
 }
 
+// catchUp hands on what changed after what is known, in one call and however much there is
+// beside it. It counts as known up to the last change alone: a source that is about to lose
+// its history may leave out what came after it.
+func (d *Feed) catchUp(ctx context.Context) {
+	changes, _, err := d.source.Wait(ctx, d.known.Load(), catchUpWait)
+	if err != nil || len(changes) == 0 {
+		return // all is read then, which tells of what is wrong
+	}
+	last := int64(0)
+	for _, ch := range changes {
+		last = max(last, ch.Revision)
+	}
+	settled, settles := d.isSettled()
+	d.hand(Update{
+		Changes:  changes,
+		Revision: last,
+		Settled:  settled,
+		Settles:  settles,
+	})
+}
+
 // restLong waits until all of so many replicas is to be read again. Where they are
 // many, it asks for the newest revision in place of reading, and waits on while the
 // watch has brought it. What was read before all had settled is read again in any
 // case.
 func (d *Feed) restLong(ctx context.Context, replicas int, settled bool) {
 	end := d.now().Add(time.Duration(replicas) * replicaEvery)
-	for d.rest(ctx) && ctx.Err() == nil {
+	for ctx.Err() == nil {
+		timed := d.rest(ctx)
+		if !timed && (replicas <= readEach || d.whole.Swap(false)) {
+			return
+		}
 		if !d.large(replicas) || !settled || !d.now().Before(end) || d.follow() {
 			return
 		}
 		if !d.isCurrent(ctx) {
 			return
 		}
+		if !timed {
+			d.offer(d.known.Load()) // the watch that ended goes on
+		}
 	}
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,6 +48,45 @@
 	}
 }
 
+// refresh asks a box that reads the catalog for others what has changed, and how old that
+// is, unless one is asked already.
+func (n *Node) refresh(ctx context.Context) {
+	if !n.refreshes.CompareAndSwap(false, true) {
+		return
+	}
+	var from wire.BoxStatus
+	var has copyState
+	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
+		from = s.watcher(n.now())
+		has = s.holds(from)
+	})
+	if from.Peers == "" {
+		n.refreshes.Store(false)
+		return
+	}
+	n.tasks.Go(func() {
+		defer n.refreshes.Store(false)
+		n.pull(ctx, from, has.after)
+	})
+}
+
+// watcher returns one of the boxes of the region that watch the catalog for the others, each
+// in turn.
+func (s *state) watcher(now time.Duration) wire.BoxStatus {
+	byName := make(map[string]wire.BoxStatus)
+	for m := range s.roster.All() {
+		if m.Status.Region == s.settings.Region && s.roster.Alive(m.Status.Box, now) {
+			byName[m.Status.Box] = m.Status
+		}
+	}
+	list := rendezvous.Top("catalog", slices.Collect(maps.Keys(byName)), watchers)
+	if len(list) == 0 {
+		return wire.BoxStatus{}
+	}
+	s.refreshed++
+	return byName[list[s.refreshed%len(list)]]
+}
+
 // chooseRole works out again what this box does for the catalog.
 func (n *Node) chooseRole() {
 	var r role
@@ -85,7 +126,11 @@
 	if from.ReadMs == 0 || int64(from.Catalog) > revision {
 		return
 	}
-	at := n.now() - time.Duration(from.ReadMs)*time.Millisecond - n.wayFrom(from.Region) - waited
+	n.confirmAt(n.now() - time.Duration(from.ReadMs)*time.Millisecond - n.wayFrom(from.Region) - waited)
+}
+
+// confirmAt takes in that the publisher had nothing newer, at a time, than what this box knows.
+func (n *Node) confirmAt(at time.Duration) {
 	for {
 		was := n.read.Load()
 		if int64(at) <= was || n.read.CompareAndSwap(was, int64(at)) {
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	closed    atomic.Bool  // it is named to no caller any more
 	ends      atomic.Int64 // when a planned stop is over, in nanoseconds since the start
 	pulling   atomic.Bool  // another box is asked for its catalog
+	refreshes atomic.Bool  // a box that reads for others is asked for its catalog
 	suspects  atomic.Int32 // requests under which replicas ended, of which all boxes are told
 	served    *poison.Served
 	doubtAsk  atomic.Int64 // until then no box is asked for a doubt alone, in nanoseconds since the start
@@ -231,6 +232,7 @@
 		catalog.WithFollowing(n.follows.Load, n.catalogAge),
 		catalog.WithConfirming(n.confirms, n.proved),
 		catalog.WithTurn(n.awaitTurn),
+		catalog.WithRefresh(n.refresh),
 		catalog.WithJitter(n.jitter))
 }
 
--- a/node/pull.go
+++ b/node/pull.go
@@ -97,6 +97,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	left := n.now()
 	news, err := n.askBox(ctx, from.Peers, after)
 	if err != nil {
 		n.record(decision.Event{
@@ -119,6 +120,9 @@
 		replicas = s.content.Len()
 	})
 	n.feed.Learned(news.Revision, replicas)
+	if news.Read > 0 {
+		n.confirmAt(left - news.Read.Duration()) // the answer was made after that
+	}
 	return false
 }
 
--- a/node/state.go
+++ b/node/state.go
@@ -48,6 +48,7 @@
 	unanswered map[string]int   // questions for an account in a row, by engine
 	told       map[string]int64 // the latest start that was taken in by an engine's word, by its id
 	seq        int              // of the last status told
+	refreshed  int              // times that a box which watches for others was asked
 	rooms      []wire.ServiceRoom
 	roomsAt    time.Duration // when these were worked out; 0 for never
 	poison     *poison.Watch
--- a/node/whole.go
+++ b/node/whole.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	encoded catalog.EncodedNews
 	lapses  int           // that the box had told of by then
+	read    int64         // when the publisher was read with nothing newer, in nanoseconds since the start
 	at      time.Duration // when it was; 0 for never
 	bucket  *byteBucket
 }
@@ -33,6 +34,7 @@
 func (n *Node) giveCatalog(after int64) (catalog.EncodedNews, error) {
 	var news catalog.News
 	all := false
+	read := n.read.Load() // before what is told, which is at least as new
 	err := n.state.Do(func(s *state) {
 		if all = s.content.TellsAll(after); !all {
 			news = s.content.Since(after)
@@ -44,7 +46,19 @@
 	case all:
 		return n.giveWhole(after)
 	}
-	return news.Encode()
+	out, err := news.Encode()
+	out.Read = n.readingAge(read)
+	return out, err
+}
+
+// readingAge returns the age of a reading as another box is told it; 0 for one that is of no
+// use to it.
+func (n *Node) readingAge(read int64) catalog.Millis {
+	age := n.now() - time.Duration(read)
+	if age > tellAge {
+		return 0
+	}
+	return max(catalog.Millis(age.Milliseconds()), 1)
 }
 
 // giveWhole returns all of the catalog, encoded once for all that ask at about the same time,
@@ -62,6 +76,7 @@
 	err = n.state.Do(func(s *state) {
 		again = w.at > 0 && n.now()-w.at < wholeFor && w.lapses == s.content.Lapses() && !s.content.Doubtful()
 		if !again {
+			w.read = n.read.Load()
 			news = s.content.Since(after)
 			w.lapses = s.content.Lapses()
 		}
@@ -77,5 +92,7 @@
 		w.at = n.now()
 	}
 	w.bucket.take(base64.StdEncoding.EncodedLen(len(w.encoded.Compressed)), n.now())
-	return w.encoded, nil
+	out = w.encoded
+	out.Read = n.readingAge(w.read)
+	return out, nil
 }
--- a/roster/round.go
+++ b/roster/round.go
@@ -37,6 +37,7 @@
 	c := t.audience(now)
 	t.sendNews(out, c, rnd)
 	t.sendRevision(out, c, rnd)
+	t.sendReading(out, c, now, rnd)
 	t.sendDeaths(out, c, now, rnd)
 	t.sendSilent(out, now, rnd)
 	t.sendPings(out, c, now, rnd)
--- a/roster/send.go
+++ b/roster/send.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// sendReading tells a few boxes of the region at once that the publisher was read of late,
+// and they pass it on: by the full datagrams alone that takes a region of 200 boxes longer
+// than a reading counts, and each of them reads for itself. It isn't paid for by the pace.
+func (t *Table) sendReading(out *outbox, c audience, now time.Duration, rnd func(n int) int) {
+	said := t.compact.said
+	at := now - time.Duration(said.ReadMs)*time.Millisecond
+	if said.ReadMs == 0 || at-t.compact.readAt < readingStep {
+		return
+	}
+	t.compact.readAt = at
+	near := slices.DeleteFunc(slices.Clone(c.all), func(r *record) bool { return r.Status.Region != t.self.Region })
+	buf := t.header().encode()
+	for _, r := range pick(near, readingFan, rnd) {
+		out.sendFree(r.Status.Peers, buf)
+	}
+}
+
 // sendDeaths tells a few boxes at once of a death just known; they pass it on.
 func (t *Table) sendDeaths(out *outbox, c audience, now time.Duration, rnd func(n int) int) {
 	if !t.compact.died {
