node: The repeats beyond the ratio are divided among the boxes that take callers

Cause: they were divided among all boxes of the installation, 0.55 of a repeat for each of 584 at 640, though a sixth of them is told to callers; and a box that didn't know its region supposed 390, which is no bound for more.

Change: a region's part goes to the boxes that rendezvous names to callers among those that may have sent within a minute, on which boxes agree that can't hear each other; others, and who doesn't know its region, have the ratio of their own requests alone. Ruled out: parts by who takes callers now, for two sides of a cut name 32 boxes each.

--- a/node/coldstart_test.go
+++ b/node/coldstart_test.go
@@ -43,6 +43,42 @@
 	}
 }
 
+// Of 108 boxes 96 are told to callers, whose parts are whole repeats. Others, which may be
+// told instead at any moment, boxes that are cut off each from all, a region that is cut
+// off, and those that are killed and begin again take no more in sum.
+func TestTheBudgetOfRepeatsIsKeptAndUsedByTheBoxesThatTakeCallers(t *testing.T) {
+	const extra = 640
+	in := newInstallation(1, 3, 36)
+	in.greedy = true
+	in.extra = extra
+	in.startAll(400*time.Millisecond, 300*time.Millisecond)
+	in.run(16 * time.Second)
+	calm := in.mostRepeats()
+	t.Logf("%d repeats within %v in the calm", calm, repeatWindow)
+	if calm < extra/4 || calm > extra {
+		t.Errorf("%d repeats within %v, %d are allowed and a quarter is of use", calm, repeatWindow, extra)
+	}
+	for i, m := range in.machines {
+		if i%3 == 0 {
+			in.restart(m, in.upTo(2*time.Second))
+		}
+	}
+	in.run(4 * time.Second)
+	alone := func(m *machine) bool { return m.name[len(m.name)-1] == '4' }
+	in.cut = func(from, to *machine) bool {
+		return alone(from) || alone(to) || (from.region == "region-1") != (to.region == "region-1")
+	}
+	in.run(12 * time.Second)
+	in.cut = func(*machine, *machine) bool { return false }
+	for _, m := range in.machines {
+		in.restart(m, in.upTo(time.Second))
+	}
+	in.run(12 * time.Second)
+	if n := in.mostRepeats(); n > extra {
+		t.Errorf("%d repeats within %v, %d are allowed", n, repeatWindow, extra)
+	}
+}
+
 // startAll starts all boxes within a time, those of the seeds so much later.
 func (in *installation) startAll(within, seedsLater time.Duration) {
 	seeds := make(map[string]bool)
--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -61,6 +62,7 @@
 	sends    []send
 	repeats  []time.Duration
 	greedy   bool // boxes repeat requests, too
+	extra    int  // repeats beyond the ratio; repeatExtra where it is 0
 }
 
 // newInstallation returns an installation of so many machines in each region, of
@@ -127,7 +129,7 @@
 			ColdSlack:   3,
 			RetryRatio:  repeatRatio,
 			RetryWindow: repeatWindow,
-			RetryExtra:  repeatExtra,
+			RetryExtra:  cmp.Or(in.extra, repeatExtra),
 		},
 	}, m.status(), 0)
 	m.state.take(coldCatalog(m.region), 0)
--- a/node/state.go
+++ b/node/state.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/havenrudder/havenrudder/budget"
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/common/decay"
+	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/ingress"
 	"github.com/havenrudder/havenrudder/pacing"
 	"github.com/havenrudder/havenrudder/placement"
@@ -19,9 +21,9 @@
 )
 
 const (
-	fewestSharers = 3   // boxes that a region has at least, as far as quotas are concerned: one that starts while it is cut off knows of none
-	lonelySharers = 4   // the same for a box that has heard of no other, whose region may have a spare one beside the usual three
-	mostSpenders  = 390 // boxes of an installation, as it is designed for
+	fewestSharers = 3             // boxes that a region has at least, as far as quotas are concerned: one that starts while it is cut off knows of none
+	lonelySharers = 4             // the same for a box that has heard of no other, whose region may have a spare one beside the usual three
+	noPart        = math.MaxInt32 // boxes among which what is divided leaves none to any
 
 	roomsPerReplica = 400 * time.Microsecond // between two looks at what a region can take, for each of its replicas: a look is at all of them
 	roomsMost       = 2 * time.Second        // of it, so that what is told is no older than what counts
@@ -161,16 +163,33 @@
 	return out
 }
 
-// spenders returns how many boxes of all regions may repeat requests, this one
-// included. Until it knows its region, it may know of few others, and supposes as many
-// as there can be: 63 boxes that began together, 6 s before their seeds, repeated 674
-// requests in a window where 168 are allowed, and 66 with this.
+// spenders returns among how many boxes the repeats beyond the ratio are divided, this one
+// included, or noPart where this one has none of them: those that callers are told to use,
+// of all regions, by who may have sent of late, so that boxes which can't hear each other
+// take the same ones. Divided among all boxes of a large installation no part was a whole
+// repeat. A box that doesn't know its region has no part: 63 boxes that began together, 6 s
+// before their seeds, repeated 674 requests in a window where 168 are allowed.
 func (s *state) spenders(now time.Duration) int {
-	known := 1 + len(s.roster.Sharers("", now))
 	if _, ok := s.roster.CompleteSince(now); !ok {
-		return max(known, mostSpenders)
+		return noPart
 	}
-	return max(known, fewestSharers)
+	byRegion := map[string][]string{
+		s.settings.Region: append(s.roster.Sharers(s.settings.Region, now), s.settings.Box),
+	}
+	for m := range s.roster.All() {
+		if r := m.Status.Region; r != s.settings.Region && now-m.Seen < roster.SharesFor {
+			byRegion[r] = append(byRegion[r], m.Status.Box)
+		}
+	}
+	own := byRegion[s.settings.Region]
+	if len(own) > mostTaking && !slices.Contains(rendezvous.Top("callers", own, mostTaking), s.settings.Box) {
+		return noPart
+	}
+	out := 0
+	for _, names := range byRegion {
+		out += min(len(names), mostTaking)
+	}
+	return max(out, fewestSharers)
 }
 
 // hear takes another box's message in.
