node: Any box of a region tells what that can take

Cause: what another region can take was believed from the boxes alone that a request may be passed on to.

Change: all boxes that take work count as tellers; whom a request goes to is as before. With up to 32 boxes a region nothing differs but for boxes that could not be reached.

--- a/node/away.go
+++ b/node/away.go
@@ -31,6 +31,7 @@
 type far struct {
 	region string
 	boxes  []*roster.Member  // that may be sent to; the table's
+	all    []*roster.Member  // that take work, and tell of the region; the table's
 	room   placement.Outlook // as its boxes told last
 	risk   float64           // thousandths of the request's worth
 }
@@ -59,33 +60,44 @@
 	if ask.Relayed {
 		return nil
 	}
-	byRegion := make(map[string][]*roster.Member)
+	byRegion := make(map[string]*far)
 	for m := range s.roster.AllServing("", now) {
 		region := m.Status.Region
-		if slices.Contains(ask.NoRegions, region) {
+		if slices.Contains(ask.NoRegions, region) || region == s.settings.Region || !ask.Route.Allows(region) {
 			continue
 		}
-		if region == s.settings.Region || !ask.Route.Allows(region) || !s.taking[region].has(m.Status.Box) {
-			continue
+		f, ok := byRegion[region]
+		if !ok {
+			f = &far{
+				region: region,
+			}
+			byRegion[region] = f
 		}
-		if m.Status.Forward == "" || slices.Contains(ask.TriedBoxes, m.Status.Box) || s.isLost(m, now) {
-			continue
+		f.all = append(f.all, m)
+		if s.mayForward(ask, m, now) {
+			f.boxes = append(f.boxes, m)
 		}
-		byRegion[region] = append(byRegion[region], m)
 	}
 	var out []far
 	for _, region := range slices.Sorted(maps.Keys(byRegion)) {
-		if room, ok := s.roomIn(byRegion[region], ask.Request.Service, now); ok {
-			out = append(out, far{
-				region: region,
-				boxes:  byRegion[region],
-				room:   room,
-			})
+		f := byRegion[region]
+		if len(f.boxes) == 0 {
+			continue
+		}
+		if room, ok := s.roomIn(f.all, ask.Request.Service, now); ok {
+			f.room = room
+			out = append(out, *f)
 		}
 	}
 	return out
 }
 
+// mayForward says whether a request may be passed on to a box of another region.
+func (s *state) mayForward(ask ingress.Ask, m *roster.Member, now time.Duration) bool {
+	return s.taking[m.Status.Region].has(m.Status.Box) && m.Status.Forward != "" &&
+		!slices.Contains(ask.TriedBoxes, m.Status.Box) && !s.isLost(m, now)
+}
+
 // home returns the region that keeps the shared parts of a prompt: of those that
 // could take it each gets prompts in proportion to its replicas, and all boxes
 // agree. It is empty where the parts aren't worth the way.
@@ -180,7 +192,8 @@
 }
 
 // roomIn returns what a region's boxes told last of a service; false when it has
-// no replica that could take a request.
+// no replica that could take a request. Any of its boxes tells of all of it: where a sixth
+// takes callers, what these told themselves was mostly too old.
 func (s *state) roomIn(boxes []*roster.Member, service string, now time.Duration) (out placement.Outlook, ok bool) {
 	newest := time.Duration(-1)
 	for _, m := range boxes {
--- a/node/words_test.go
+++ b/node/words_test.go
@@ -140,3 +140,34 @@
 	is.Equal(words[0].Requests, 7)
 	is.Equal(len(crowded("box-000", 9).tellWords(start, lowest)), 0)
 }
+
+// Of 98 boxes of a region 32 take callers, and each tells rarely what its region can take. By
+// the word of these 32 alone a region had mostly told nothing of late, and was the home of no
+// prompt.
+func TestAnyBoxOfALargeRegionTellsWhatThatCanTake(t *testing.T) {
+	is := is.New(t)
+	b := crowded("box-000", largeBoxes)
+	b.chooseTaking(wire.ServingStateServing, start)
+	told := 0
+	for n := range largeBoxes {
+		name := fmt.Sprint(regions[1], "-", n)
+		if b.taking[regions[1]].has(name) {
+			continue
+		}
+		told++
+		b.tells(status(name, regions[1]), start+time.Second, wire.ServiceRoom{
+			Service: service,
+			Usable:  7,
+		})
+		break
+	}
+	is.Equal(told, 1)
+	for _, f := range b.others(ask(&policy(1).Routes[0]), start+time.Second) {
+		if f.region == regions[1] {
+			is.Equal(f.room.Usable, 7)
+			is.Equal(len(f.boxes), mostTaking)
+			return
+		}
+	}
+	t.Fatal("the region is not among those that could take a request")
+}
