--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -291,3 +291,17 @@
 		k.end()
 	})
 }
+
+// A seed at which a box that hears of the publisher by others lacked the lease.
+func TestABoxThatIsTurnedAwayHoldsTheLeaseByOthersAtAnotherSeed(t *testing.T) {
+	for _, day := range keyDays {
+		if day.name != "some boxes turned away by the publisher" {
+			continue
+		}
+		synctest.Test(t, func(t *testing.T) {
+			k := newKeyring(t, 2, 30)
+			day.play(k)
+			k.verdict()
+		})
+	}
+}
