--- a/catalog/large_test.go
+++ b/catalog/large_test.go
@@ -106,3 +106,52 @@
 		f.Equal(f.asked.Load(), int64(0))
 	})
 }
+
+// Who was behind read all, page by page, however little had changed.
+func TestAFollowerOfManyReplicasCatchesUpByWhatChanged(t *testing.T) {
+	for _, replicas := range []int{large, 600} {
+		w := newWord()
+		largeTestRun(t, replicas, func(f largeTest) {
+			w.sayFor(3 * time.Second)
+			f.put(plainReplica("c", 0))
+			f.drop("r-1")
+			time.Sleep(3 * time.Second) // nobody says that it is current
+			f.True(f.has("c"))
+			f.True(!f.has("r-1"))
+			reads, waits := f.calls()
+			f.Equal(reads, 1)
+			f.Equal(waits, 1)
+		}, w.options()...)
+	}
+}
+
+func TestAFollowerOfManyReplicasAsksOthersBeforeItReads(t *testing.T) {
+	w := newWord()
+	asked := 0
+	refresh := catalog.WithRefresh(func(context.Context) {
+		asked++
+		w.say()
+	})
+	largeTestRun(t, 600, func(f largeTest) {
+		time.Sleep(time.Minute)
+		f.True(asked >= 20)
+		f.True(asked <= 60)
+		f.Equal(f.asked.Load(), int64(0))
+		reads, _ := f.calls()
+		f.Equal(reads, 1)
+	}, append(w.options(), refresh)...)
+}
+
+func TestAWatchOfManyReplicasThatFailsGoesOnWithoutReadingAll(t *testing.T) {
+	largeTestRun(t, 600, func(f largeTest) {
+		f.set(silent)
+		time.Sleep(15 * time.Second) // the watch that waited has ended
+		f.set(healthy)
+		time.Sleep(5 * time.Second)
+		f.put(plainReplica("c", 0))
+		time.Sleep(time.Second)
+		f.True(f.has("c"))
+		reads, _ := f.calls()
+		f.Equal(reads, 1)
+	})
+}
