roster: In a large region a few boxes judge each, and tell the others of its death

Cause: each box judged all others of its region by the age of their signs of life, of which one datagram has 96. With more boxes these come round too slowly for the 6 s that count; the questions to those about to count as dead took the bytes of the rest; and one box that was wrong was enough to have all other regions take the box for dead.

Change: with more than 128 others, boxes stand in a ring by their hashes, and each tells the three that follow it, twice a second, that it lives. These judge it after 2.5 s; to all others it counts as alive until a death is told, and denies one that isn't true. Two designs weighed: cells of a bounded size that judge within and tell of deaths between them, as regions do, which needs signs of life of each cell and a border that moves; and longer times with the size, with which a dead box would be named to callers for 38 s at 195.

--- a/roster/alive.go
+++ b/roster/alive.go
@@ -24,6 +24,8 @@
 		return now-r.Heard <= aliveFor
 	case r.silent:
 		return false
+	case r.Status.Region == t.self.Region && t.monitoring.on:
+		return now-r.Heard <= longestFar // its monitors tell of its death
 	case r.Status.Region == t.self.Region:
 		return now-r.Heard <= t.pace.own
 	}
@@ -94,6 +96,7 @@
 	if t.pace.plain {
 		return
 	}
+	t.judge(now)
 	for _, r := range t.records {
 		if t.alive(r, now) {
 			r.Seen = now
@@ -129,12 +132,15 @@
 	return r, newer, true
 }
 
-// hearSilent takes in that the region of a box has heard nothing of it since a time.
-// A sign of life from later goes before it, and the own region is judged by what
-// this box knows itself.
+// hearSilent takes in that the region of a box, or one that judges it, has heard nothing of
+// it since a time. A sign of life from later goes before it, and so does what this box
+// judges itself.
 func (t *Table) hearSilent(v Vital, now time.Duration) {
 	r := t.compact.byID[v.ID]
-	if r == nil || r.Status.Region == t.self.Region {
+	if r == nil || (r.Status.Region == t.self.Region && !t.monitoring.on) {
+		return
+	}
+	if _, mine := t.silence(r, now); mine {
 		return
 	}
 	since := now - v.Age
--- a/roster/full.go
+++ b/roster/full.go
@@ -114,9 +114,9 @@
 		switch {
 		case t.compact.byID[r.id] != r:
 			continue
-		case own && (now < t.compact.mute || t.alive(r, now)), !own && !r.silent:
+		case own && (now < t.compact.mute || t.alive(r, now)), (!own || t.monitoring.on) && !r.silent:
 			continue
-		case !own:
+		case !own || t.monitoring.on:
 			v.Age = now - r.deadSince
 		}
 		if v.Age < tellDeathFor {
--- a/roster/round.go
+++ b/roster/round.go
@@ -13,6 +13,7 @@
 func (t *Table) Adapt(now time.Duration) {
 	t.forget(now)
 	t.adapt(now)
+	t.chooseMonitors(now)
 	t.tick(now)
 	t.forgetAbsent(now)
 	t.agree(now)
@@ -35,6 +36,7 @@
 		own:     t.self.Peers,
 	}
 	c := t.audience(now)
+	t.sendToMonitors(out, c)
 	t.sendNews(out, c, rnd)
 	t.sendRevision(out, c, rnd)
 	t.sendReading(out, c, now, rnd)
--- a/roster/send.go
+++ b/roster/send.go
@@ -110,7 +110,7 @@
 	buf := b.encode()
 	var late []*record
 	for _, r := range c.all {
-		if r.Status.Region == t.self.Region && now-r.Heard > t.pace.own*pingAt/percent {
+		if r.Status.Region == t.self.Region && t.isLate(r, now) {
 			late = append(late, r)
 		}
 	}
@@ -124,6 +124,15 @@
 	}
 }
 
+// isLate says whether a box of the region is about to count as dead.
+func (t *Table) isLate(r *record, now time.Duration) bool {
+	if !t.monitoring.on {
+		return now-r.Heard > t.pace.own*pingAt/percent
+	}
+	silent, mine := t.silence(r, now)
+	return mine && silent > monitorPing
+}
+
 // sendFull sends a full datagram, with signs of life, to the next box of the region
 // or, at times, of another one.
 func (t *Table) sendFull(out *outbox, c audience, now time.Duration, rnd func(n int) int) {
--- a/roster/table.go
+++ b/roster/table.go
@@ -67,7 +67,8 @@
 	compact compactState
 	domains map[string]time.Duration // failure domains of the own region, and our clock at the latest sign of life of any of their boxes
 
-	agreement agreement
+	agreement  agreement
+	monitoring monitoring
 }
 
 // Option changes a table that is made.
--- a/roster/take.go
+++ b/roster/take.go
@@ -97,6 +97,10 @@
 		}
 	}
 	for _, v := range b.Silent {
+		if v.ID == t.compact.self && t.monitoring.on {
+			t.deny(out, from)
+			continue
+		}
 		t.hearSilent(v, now)
 	}
 	for _, id := range b.Leaving {
