catalog, node: A box that was told of the catalog asks whether that is the newest

Cause: it took what it was told for as new as the moment, though its own reading was of before it waited for its turn, 2.5 s at most: it could tell others an age that was too low. Change: one call for the newest revision, and what changed since where that is higher. Full answers have their name.

--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -84,7 +84,7 @@
 	replicas atomic.Int64              // that were read last
 	at       chan int64                // revisions read, from which the watch goes on
 	again    chan struct{}             // asks for all to be read at once
-	whole    atomic.Bool               // however much that is
+	whole    atomic.Bool               // also where that takes many calls and only what changed would do
 
 	mu      sync.Mutex
 	away    bool      // the last reading failed; a watch may also end for other reasons
@@ -226,9 +226,7 @@
 	s, err := d.readOnce(ctx)
 	if errors.Is(err, ErrTold) {
 		d.prove(s)
-		if s.Revision <= d.known.Load() {
-			d.succeeded() // what was told is as new as the reading
-		} else {
+		if !d.isCurrent(ctx) { // what it read was the newest when it began to wait
 			d.Behind(s.Revision)
 		}
 		d.offer(d.known.Load())
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -131,6 +131,9 @@
 // isCurrent asks for the newest revision and says whether it is known here.
 func (d *Feed) isCurrent(ctx context.Context) bool {
 	rev, ok := d.confirmedOfLate()
+	if !ok && d.source.Newest == nil {
+		return false
+	}
 	if !ok {
 		var err error
 		if rev, err = d.source.Newest(ctx); err != nil {
--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -168,7 +168,7 @@
 		return f.askDemand(ctx, b, addr)
 	}
 	n.deltas = catalog.NewDeltas()
-	n.wholes = newWholes()
+	n.fullAnswers = newFullAnswers()
 	n.policyBucket = newByteBucket(policyRate, policyBurst)
 	n.deliver = func(p roster.Packet) {
 		if b.node.Load() == n { // a process that was killed says nothing more
--- a/node/whole.go
+++ b/node/fullanswer.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	wholeRate  = 1_000_000              // bytes of whole catalogs, in base64, that a box sends a second: half of a link of 20 Mbit/s
-	wholeBurst = 400_000                // of these at once: three catalogs of 6,000 replicas
-	wholeFor   = 500 * time.Millisecond // for which one that was encoded is told again: what has changed since is asked for next
+	fullRate  = 1_000_000              // bytes of whole catalogs, in base64, that a box sends a second: half of a link of 20 Mbit/s
+	fullBurst = 400_000                // of these at once: three catalogs of 6,000 replicas
+	fullFor   = 500 * time.Millisecond // for which one that was encoded is told again: what has changed since is asked for next
 )
 
-// wholes is the catalog as it was told last to a box that knew nothing, encoded.
-type wholes struct {
+// fullAnswers is the catalog as it was told last to a box that knew nothing, encoded.
+type fullAnswers struct {
 	mu      sync.Mutex
 	encoded catalog.EncodedNews
 	lapses  int           // that the box had told of by then
@@ -24,9 +24,9 @@
 	bucket  *byteBucket
 }
 
-func newWholes() *wholes {
-	return &wholes{
-		bucket: newByteBucket(wholeRate, wholeBurst),
+func newFullAnswers() *fullAnswers {
+	return &fullAnswers{
+		bucket: newByteBucket(fullRate, fullBurst),
 	}
 }
 
@@ -44,7 +44,7 @@
 	case err != nil:
 		return catalog.EncodedNews{}, err
 	case all:
-		return n.giveWhole(after)
+		return n.giveAll(after)
 	}
 	out, err := news.Encode()
 	out.Read = n.readingAge(read)
@@ -61,10 +61,10 @@
 	return max(catalog.Millis(age.Milliseconds()), 1)
 }
 
-// giveWhole returns all of the catalog, encoded once for all that ask at about the same time,
+// giveAll returns all of the catalog, encoded once for all that ask at about the same time,
 // or how long to wait where it would fill the link.
-func (n *Node) giveWhole(after int64) (out catalog.EncodedNews, err error) {
-	w := n.wholes
+func (n *Node) giveAll(after int64) (out catalog.EncodedNews, err error) {
+	w := n.fullAnswers
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if wait := w.bucket.take(0, n.now()); wait > 0 {
@@ -74,7 +74,7 @@
 	var news catalog.News
 	again := false
 	err = n.state.Do(func(s *state) {
-		again = w.at > 0 && n.now()-w.at < wholeFor && w.lapses == s.content.Lapses() && !s.content.Doubtful()
+		again = w.at > 0 && n.now()-w.at < fullFor && w.lapses == s.content.Lapses() && !s.content.Doubtful()
 		if !again {
 			w.read = n.read.Load()
 			news = s.content.Since(after)
--- a/node/node.go
+++ b/node/node.go
@@ -85,7 +85,7 @@
 	quotas       *quotas
 	askBank      func(ctx context.Context, addr string, asks []quota.Ask) ([]quota.Grant, error) // seam: asks another box as a bank
 	askDemand    func(ctx context.Context, addr string) (map[string]quota.Use, error)            // seam: asks another region's bank what its callers ask for
-	wholes       *wholes
+	fullAnswers  *fullAnswers
 	policyBucket *byteBucket  // for the policies that this box gives to others
 	seeking      atomic.Bool  // a policy is got from another box; who has set it owns the next
 	seeker       policySeeker // where to get the policy that this box lacks
@@ -124,7 +124,7 @@
 		jitter:   rand.Float64,
 
 		deltas:       catalog.NewDeltas(),
-		wholes:       newWholes(),
+		fullAnswers:  newFullAnswers(),
 		policyBucket: newByteBucket(policyRate, policyBurst),
 	}
 	n.quotas = n.newQuotas()
