catalog: A watch gathers changes that come one after the other

Cause: each change ended a call of each of nine watchers, and of all boxes while they begin and don't know who watches; replicas that register together made a watcher near the store call up to a hundred times a second. It had a pause only beyond 256 replicas, which a watcher that began before an empty store didn't know of.

Change: eight calls may follow each other at once, and one each 0.2 s after that, whatever the number of replicas.

--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -92,6 +92,9 @@
 	settled time.Time // until then entries may come back that lapsed
 
 	confirmed confirmed // the last answer about the policy
+
+	quick  float64   // calls of the watch that may follow each other at once; the task that watches owns it
+	called time.Time // when a watch brought changes last; the same
 }
 
 // FeedOption changes a Feed.
@@ -376,6 +379,20 @@
 	}
 }
 
+// gather waits before the next call of a watch where changes come one after the other: a
+// few of them are told at once, of more those of gatherFor come together. All replicas that
+// begin together made each watcher call a hundred times a second.
+func (d *Feed) gather(ctx context.Context) {
+	now := d.now()
+	d.quick = min(d.quick+float64(now.Sub(d.called))/float64(gatherFor), mostQuick)
+	d.called = now
+	if d.quick >= 1 {
+		d.quick--
+		return
+	}
+	sleep.For(ctx, gatherFor)
+}
+
 // watchFrom watches from a revision until a call fails, or other boxes watch on
 // behalf of this one. It returns whether any succeeded.
 func (d *Feed) watchFrom(ctx context.Context, at int64) (succeeded bool) {
@@ -397,9 +414,7 @@
 				Settled:  settled,
 				Settles:  settles,
 			})
-			if d.replicas.Load() > readEach {
-				sleep.For(ctx, gatherFor)
-			}
+			d.gather(ctx)
 		}
 	}
 	return succeeded
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -22,7 +22,8 @@
 	behindWait   = 300 * time.Millisecond  // that a watch may lag behind what another box knows
 	refreshAt    = 60                      // percent of the age at which a follower reads, from which it asks others
 	percent      = 100
-	gatherFor    = 200 * time.Millisecond // between two calls of a watch that brings changes of many replicas one after the other
+	gatherFor    = 200 * time.Millisecond // between two calls of a watch that brings changes one after the other
+	mostQuick    = 8                      // calls of it that follow each other at once, before that
 	catchUpWait  = time.Millisecond       // for changes that have been made already
 	othersWait   = 600 * time.Millisecond // in which a follower that failed to ask one box asks another one
 	rereadOthers = 3                      // times as long where other boxes read again too, and say when they know more
