--- a/placement/entries_test.go
+++ b/placement/entries_test.go
@@ -130,6 +130,19 @@
 	}
 }
 
+// change has one of the replicas change at a revision.
+func change(content *catalog.Content, i int, revision int64) {
+	replica := numbered(i, revision)
+	content.Take(catalog.Update{
+		Changes: []catalog.Change{{
+			Revision: revision,
+			Replica:  &replica,
+		}},
+		Revision: revision,
+		Settled:  true,
+	})
+}
+
 // changes has a replica after the other of n change, and returns what n changes allocate
 // on average.
 func changes(n int) (objects, bytes uint64) {
@@ -138,17 +151,10 @@
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	for i := range changes {
-		replica := numbered(i, int64(n+i+1))
-		content.Take(catalog.Update{
-			Changes: []catalog.Change{{
-				Revision: replica.Revision,
-				Replica:  &replica,
-			}},
-			Revision: replica.Revision,
-			Settled:  true,
-		})
+		revision := int64(n + i + 1)
+		change(content, i, revision)
 		view.Take(content, start)
-		content.Since(replica.Revision)
+		content.Since(revision)
 	}
 	runtime.ReadMemStats(&after)
 	return (after.Mallocs - before.Mallocs) / changes, (after.TotalAlloc - before.TotalAlloc) / changes
@@ -170,15 +176,7 @@
 	content, view := fleetOf(6000)
 	b.ResetTimer()
 	for i := range b.N {
-		replica := numbered(i%6000, int64(6001+i))
-		content.Take(catalog.Update{
-			Changes: []catalog.Change{{
-				Revision: replica.Revision,
-				Replica:  &replica,
-			}},
-			Revision: replica.Revision,
-			Settled:  true,
-		})
+		change(content, i%6000, int64(6001+i))
 		view.Take(content, start)
 	}
 }
