catalog: A follower counts anew how many replicas it would read

Cause: a follower went by the number of replicas of its own last reading until its next one.

Change: the number is taken anew at each look.

--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -214,15 +214,17 @@
 			continue
 		}
 		backOff = firstBackOff
-		replicas := int(d.replicas.Load())
 		if d.follow() {
-			d.restFollowing(ctx, replicas)
+			d.restFollowing(ctx, d.listed)
 		} else {
-			d.restLong(ctx, replicas, settled)
+			d.restLong(ctx, d.listed(), settled)
 		}
 	}
 }
 
+// listed returns how many replicas there were when that was known last.
+func (d *Feed) listed() int { return int(d.replicas.Load()) }
+
 // read reads all and hands it on, unless another box told it meanwhile. It returns whether
 // what is missing is gone.
 func (d *Feed) read(ctx context.Context) (settled bool, err error) {
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -37,18 +37,24 @@
 		return
 	}
 	sleep.For(ctx, d.spread(followRetry))
-	d.restFollowing(ctx, 0)
+	d.restFollowing(ctx, func() int { return 0 })
 }
 
-// restFollowing waits until a follower has to read so many replicas: it no longer
-// follows, it can't get what another box knows, what it knows is too old, or a time is
-// over. While entries may still come back it waits for no longer than that.
-func (d *Feed) restFollowing(ctx context.Context, replicas int) {
+// restFollowing waits until a follower has to read all: it no longer follows, it can't get
+// what another box knows, what it knows is too old, or a time is over. How many replicas it
+// would read is counted anew, for others tell it of more meanwhile. While entries may still come back it waits for no longer than that.
+func (d *Feed) restFollowing(ctx context.Context, count func() int) {
 	limit := d.spread(staleAfter)
+	replicas := count()
 	end := d.now().Add(d.longest(replicas))
 	look := time.NewTicker(followLook)
 	defer look.Stop()
 	for ctx.Err() == nil {
+		if now := count(); d.large(now) && !d.large(replicas) {
+			end = d.now().Add(d.longest(now))
+			replicas = now
+		}
+		replicas = max(replicas, count())
 		if asked(d.behind) && !d.catchesUp(ctx, replicas) { // while it called, beside the next look
 			return
 		}
--- a/node/calls_test.go
+++ b/node/calls_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/havenrudder/havenrudder/catalog"
 )
 
 const callsFor = 8 * time.Second // for which calls are counted
@@ -59,3 +63,32 @@
 		t.Errorf("%.1f calls a second of 240 boxes beside changes, %.1f of 120", churn[240], churn[120])
 	}
 }
+
+// Replicas register after the boxes have begun to follow few of them. 20 s later each follower
+// read all, in three calls here and 30 at 6,000 replicas, as one that has few to read does.
+func TestFollowersToldOfManyReplicasLaterReadThemNotAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const boxes = 60
+		f := newFleet(t, 1, boxes)
+		defer f.end()
+		list := f.listing.replicas
+		f.listing.replicas = make(map[string]catalog.Replica) // the boxes have not called yet
+		f.pass(500 * time.Millisecond)
+		for i, id := range slices.Sorted(maps.Keys(list)) {
+			f.listing.put(list[id])
+			if i%10 == 0 {
+				f.pass(lookEvery)
+			}
+		}
+		most := 0
+		for range 24 {
+			before := f.listing.called()
+			f.pass(time.Second)
+			most = max(most, f.listing.called()-before)
+		}
+		t.Logf("%d boxes make at most %d calls in a second", boxes, most)
+		if most >= boxes {
+			t.Errorf("%d calls in a second of %d boxes: each of them calls", most, boxes)
+		}
+	})
+}
