--- a/node/state.go
+++ b/node/state.go
@@ -23,6 +23,7 @@
 const (
 	fewestSharers = 3             // boxes that a region has at least, as far as quotas are concerned: one that starts while it is cut off knows of none
 	lonelySharers = 4             // the same for a box that has heard of no other, whose region may have a spare one beside the usual three
+	mostSpenders  = 390           // boxes of an installation, as it is designed for
 	noPart        = math.MaxInt32 // boxes among which what is divided leaves none to any
 
 	roomsPerReplica = 400 * time.Microsecond // between two looks at what a region can take, for each of its replicas: a look is at all of them
@@ -167,11 +168,12 @@
 // included, or noPart where this one has none of them: those that callers are told to use,
 // of all regions, by who may have sent of late, so that boxes which can't hear each other
 // take the same ones. Divided among all boxes of a large installation no part was a whole
-// repeat. A box that doesn't know its region has no part: 63 boxes that began together, 6 s
-// before their seeds, repeated 674 requests in a window where 168 are allowed.
+// repeat. Until a box knows its region it may know of few others, and supposes as many as
+// there can be: 63 boxes that began together, 6 s before their seeds, repeated 674 requests
+// in a window where 168 are allowed, and 66 with this.
 func (s *state) spenders(now time.Duration) int {
 	if _, ok := s.roster.CompleteSince(now); !ok {
-		return noPart
+		return max(1+len(s.roster.Sharers("", now)), mostSpenders)
 	}
 	byRegion := map[string][]string{
 		s.settings.Region: append(s.roster.Sharers(s.settings.Region, now), s.settings.Box),
