catalog: A box that ceases to watch many replicas reads them not again

Cause, traced by logging each call of the red test: in the calm all calls but 13 are those of the nine watchers. A box that took itself for a watcher while it knew few others read all, twelve calls, when it ceased to be one; another follower made the last call.

Change: beyond 256 replicas such a box goes on as a follower, whose own rules say when what it knows gets too old. Up to 256 nothing differs.

--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -214,11 +214,7 @@
 			continue
 		}
 		backOff = firstBackOff
-		if d.follow() {
-			d.restFollowing(ctx, d.listed)
-		} else {
-			d.restLong(ctx, d.listed(), settled)
-		}
+		d.restUntilDue(ctx, settled)
 	}
 }
 
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -181,27 +181,44 @@
 	})
 }
 
+// restUntilDue waits until all is to be read again, as a box that watches for itself or one
+// that follows. Who ceases to watch many replicas knows what its watch brought, and follows
+// without a reading.
+func (d *Feed) restUntilDue(ctx context.Context, settled bool) {
+	ceased := d.follow()
+	if !ceased {
+		ceased = d.restLong(ctx, d.listed(), settled)
+	}
+	if ceased {
+		d.restFollowing(ctx, d.listed)
+	}
+}
+
 // restLong waits until all of so many replicas is to be read again. Where they are
 // many, it asks for the newest revision in place of reading, and waits on while the
 // watch has brought it. What was read before all had settled is read again in any
-// case.
-func (d *Feed) restLong(ctx context.Context, replicas int, settled bool) {
+// case. It returns whether this box ceased to watch so many that it reads them not again.
+func (d *Feed) restLong(ctx context.Context, replicas int, settled bool) (ceased bool) {
 	end := d.now().Add(time.Duration(replicas) * replicaEvery)
 	for ctx.Err() == nil {
 		timed := d.rest(ctx)
 		if !timed && (replicas <= readEach || d.whole.Swap(false)) {
-			return
+			return false
 		}
-		if !d.large(replicas) || !settled || !d.now().Before(end) || d.follow() {
-			return
+		if !d.large(replicas) || !settled || !d.now().Before(end) {
+			return false
+		}
+		if d.follow() {
+			return replicas > readEach
 		}
 		if !d.isCurrent(ctx) {
-			return
+			return false
 		}
 		if !timed {
 			d.offer(d.known.Load()) // the watch that ended goes on
 		}
 	}
+	return false
 }
 
 // rest waits until all is to be read again: sooner while entries may still come
