catalog, node, placement, platform: What the change wrote twice stands once

One function hands on what a feed read with whether entries may come back (three copies), one makes an update of a policy alone (three), one ranks the boxes that read the catalog and one those that take callers (by the same keys in four and two places); the age of a reading is told by one function, that a replica spoke of late by another. A full answer is encoded in a function of its own, and a follower counts replicas once a look. Behaviour is as before; no test's assertion is changed.

--- a/catalog/confirm.go
+++ b/catalog/confirm.go
@@ -63,12 +63,7 @@
 	}
 	if s.Policy != nil && s.Policy.Version > d.confirmed.version {
 		d.confirmed.version = s.Policy.Version
-		d.update(Update{
-			Changes: []Change{{
-				Policy: s.Policy,
-			}},
-			Settled: true,
-		})
+		d.update(PolicyUpdate(s.Policy))
 	}
 	d.prove(s)
 	if s.Revision == 0 {
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -60,6 +60,16 @@
 	Settles  time.Duration // until that is over, where it is known
 }
 
+// PolicyUpdate returns a policy alone as an update.
+func PolicyUpdate(p *Policy) Update {
+	return Update{
+		Changes: []Change{{
+			Policy: p,
+		}},
+		Settled: true,
+	}
+}
+
 // doubtFor returns how long what is missing in an update is not believed to be gone.
 func (u Update) doubtFor() time.Duration { return cmp.Or(u.Settles, doubtFor) }
 
@@ -237,13 +247,10 @@
 		return false, err
 	}
 	d.succeeded()
-	settled, settles := d.isSettled()
 	d.replicas.Store(int64(len(s.Replicas)))
-	d.hand(Update{
+	settled = d.hand(Update{
 		Snapshot: &s,
 		Revision: s.Revision,
-		Settled:  settled,
-		Settles:  settles,
 	})
 	d.prove(s)
 	d.offer(s.Revision)
@@ -260,12 +267,7 @@
 	began := d.now()
 	return d.source.First(ctx, func(read Snapshot) error {
 		if first && read.Policy != nil {
-			d.update(Update{
-				Changes: []Change{{
-					Policy: read.Policy,
-				}},
-				Settled: true,
-			})
+			d.update(PolicyUpdate(read.Policy))
 		}
 		asks := first
 		first = false
@@ -273,10 +275,12 @@
 	})
 }
 
-// hand hands an update on.
-func (d *Feed) hand(u Update) {
+// hand hands on what was read. It returns whether what is missing in it is gone.
+func (d *Feed) hand(u Update) (settled bool) {
+	u.Settled, u.Settles = d.isSettled()
 	d.learned(u.Revision) // a lower one written at the same time only makes for one more call
 	d.update(u)
+	return u.Settled
 }
 
 // offer leaves a revision for the watch to go on from, in place of an older one.
@@ -359,7 +363,7 @@
 			if d.watchFrom(ctx, rev) {
 				backOff = 0
 			}
-			if !d.follow() || d.replicas.Load() <= readEach { // a follower of more hears of what has changed from others
+			if !d.follow() || d.listed() <= readEach { // a follower of more hears of what has changed from others
 				d.readAgain()
 			}
 			sleep.For(ctx, d.spread(backOff))
@@ -405,12 +409,9 @@
 		succeeded = true
 		at = max(at, rev)
 		if len(changes) > 0 {
-			settled, settles := d.isSettled()
 			d.hand(Update{
 				Changes:  changes,
 				Revision: rev,
-				Settled:  settled,
-				Settles:  settles,
 			})
 			d.gather(ctx)
 		}
--- a/catalog/rest.go
+++ b/catalog/rest.go
@@ -50,11 +50,11 @@
 	look := time.NewTicker(followLook)
 	defer look.Stop()
 	for ctx.Err() == nil {
-		if now := count(); d.large(now) && !d.large(replicas) {
+		now := count()
+		if d.large(now) && !d.large(replicas) {
 			end = d.now().Add(d.longest(now))
-			replicas = now
 		}
-		replicas = max(replicas, count())
+		replicas = max(replicas, now)
 		if asked(d.behind) && !d.catchesUp(ctx, replicas) { // while it called, beside the next look
 			return
 		}
@@ -113,7 +113,7 @@
 func (d *Feed) keep(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep.For(ctx, d.spread(keepEvery))
-		replicas := int(d.replicas.Load())
+		replicas := d.listed()
 		if ctx.Err() == nil && replicas <= keepUpTo && (d.follow() || d.large(replicas)) {
 			_ = d.source.Keep(ctx)
 		}
@@ -172,12 +172,9 @@
 	for _, ch := range changes {
 		last = max(last, ch.Revision)
 	}
-	settled, settles := d.isSettled()
 	d.hand(Update{
 		Changes:  changes,
 		Revision: last,
-		Settled:  settled,
-		Settles:  settles,
 	})
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -19,6 +19,9 @@
 	allWatchers = 4                      // boxes of a region up to which each watches for itself: three as a rule and a spare one
 )
 
+// readersKey is the key by which boxes of a region rank each other to read the catalog.
+const readersKey = "catalog"
+
 // role is what a box does to keep its copy of the catalog current.
 type role struct {
 	reads   bool // it reads again and again on behalf of others
@@ -37,10 +40,10 @@
 	}
 	if len(names) <= allWatchers {
 		return role{
-			reads: slices.Contains(rendezvous.Top("catalog", names, readers), s.settings.Box),
+			reads: slices.Contains(rendezvous.Top(readersKey, names, readers), s.settings.Box),
 		}
 	}
-	watches := slices.Contains(rendezvous.Top("catalog", names, watchers), s.settings.Box)
+	watches := slices.Contains(rendezvous.Top(readersKey, names, watchers), s.settings.Box)
 	return role{
 		reads:   watches,
 		follows: !watches,
@@ -51,7 +54,7 @@
 // refresh asks a box that reads the catalog for others what has changed, and how old that
 // is, unless one is asked already.
 func (n *Node) refresh(ctx context.Context) {
-	if !n.refreshes.CompareAndSwap(false, true) {
+	if !n.refreshing.CompareAndSwap(false, true) {
 		return
 	}
 	var from wire.BoxStatus
@@ -61,11 +64,11 @@
 		has = s.holds(from)
 	})
 	if from.Peers == "" {
-		n.refreshes.Store(false)
+		n.refreshing.Store(false)
 		return
 	}
 	n.tasks.Go(func() {
-		defer n.refreshes.Store(false)
+		defer n.refreshing.Store(false)
 		n.pull(ctx, from, has.after)
 	})
 }
@@ -79,7 +82,7 @@
 			byName[m.Status.Box] = m.Status
 		}
 	}
-	list := rendezvous.Top("catalog", slices.Collect(maps.Keys(byName)), watchers)
+	list := rendezvous.Top(readersKey, slices.Collect(maps.Keys(byName)), watchers)
 	if len(list) == 0 {
 		return wire.BoxStatus{}
 	}
@@ -103,11 +106,10 @@
 // readMs returns what this box tells others of the age of its knowledge; 0 for
 // nothing.
 func (n *Node) readMs() int {
-	age := n.catalogAge()
-	if !n.tellsAge.Load() || age > tellAge {
+	if !n.tellsAge.Load() {
 		return 0
 	}
-	return max(int(age.Milliseconds()), 1)
+	return int(n.readingAge(n.read.Load()))
 }
 
 // wayFrom returns how long a datagram from a region takes at most, as a rule. Without it
--- a/node/followasks_test.go
+++ b/node/followasks_test.go
@@ -94,17 +94,25 @@
 	return out, ctx.Err()
 }
 
-// askBox asks a box for what changed, as over a connection.
-func (f *follows) askBox(ctx context.Context, addr string, after int64) (news catalog.News, err error) {
+// reach returns the process at an address after a way, or an error when ctx has ended because
+// there is none.
+func (f *follows) reach(ctx context.Context, addr string, way time.Duration) (*followBox, *Node, error) {
 	b := f.byAddr[addr]
-	sleep.For(ctx, nearDelay+f.jitter(mostJitter, "asked", addr, after))
-	var n *Node
+	sleep.For(ctx, way)
 	if b != nil {
-		n = b.node.Load()
+		if n := b.node.Load(); n != nil {
+			return b, n, nil
+		}
 	}
-	if n == nil {
-		<-ctx.Done() // it was killed, and nothing says so
-		return news, errors.Wrap(ctx.Err(), "box gone")
+	<-ctx.Done() // it was killed, and nothing says so
+	return nil, nil, errors.Wrap(ctx.Err(), "box gone")
+}
+
+// askBox asks a box for what changed, as over a connection.
+func (f *follows) askBox(ctx context.Context, addr string, after int64) (news catalog.News, err error) {
+	b, n, err := f.reach(ctx, addr, nearDelay+f.jitter(mostJitter, "asked", addr, after))
+	if err != nil {
+		return news, err
 	}
 	encoded, err := n.giveCatalog(after)
 	if err == nil {
--- a/node/follows_test.go
+++ b/node/follows_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"container/heap"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -245,74 +244,6 @@
 	}
 }
 
-// after has something done later, at an instant of its own.
-func (f *follows) after(d time.Duration, act func()) {
-	f.later(d+f.jitter(mostJitter, "after", f.rnd.Uint64())+1, act) // an even one
-}
-
-// later has something done after exactly so long.
-func (f *follows) later(d time.Duration, act func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	at := time.Now().Add(d)
-	heap.Push(&f.waiting, errand{
-		at:  at,
-		act: act,
-	})
-	if f.waiting[0].at.Equal(at) {
-		select {
-		case f.sooner <- struct{}{}:
-		default: // it is told already
-		}
-	}
-}
-
-// carry does what is to be done later, in the order of its times.
-func (f *follows) carry() {
-	for f.ctx.Err() == nil {
-		f.mu.Lock()
-		wait := time.Hour // until something is put in
-		if len(f.waiting) > 0 {
-			wait = time.Until(f.waiting[0].at)
-		}
-		if wait <= 0 {
-			e := heap.Pop(&f.waiting).(errand)
-			f.mu.Unlock()
-			e.act()
-			continue
-		}
-		f.mu.Unlock()
-		t := time.NewTimer(wait)
-		select {
-		case <-f.ctx.Done():
-		case <-f.sooner:
-		case <-t.C:
-		}
-		t.Stop()
-	}
-}
-
-// errand is something to be done at a time.
-type errand struct {
-	at  time.Time
-	act func()
-}
-
-// errands are ordered by their times.
-type errands []errand
-
-var _ heap.Interface = (*errands)(nil)
-
-func (e errands) Len() int           { return len(e) }
-func (e errands) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e errands) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *errands) Push(x any)        { *e = append(*e, x.(errand)) }
-func (e *errands) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // deliver brings a datagram to another box.
 func (f *follows) deliver(from *followBox, p roster.Packet) {
 	to, delay := f.byAddr[p.Addr], nearDelay
--- a/node/fullanswer.go
+++ b/node/fullanswer.go
@@ -71,9 +71,21 @@
 		out.Wait = catalog.Millis(wait.Milliseconds() + 1)
 		return out, nil
 	}
+	if err := n.encodeAll(w, after); err != nil {
+		return catalog.EncodedNews{}, err
+	}
+	w.bucket.take(base64.StdEncoding.EncodedLen(len(w.encoded.Compressed)), n.now())
+	out = w.encoded
+	out.Read = n.readingAge(w.read)
+	return out, nil
+}
+
+// encodeAll encodes all of the catalog, unless that was done just now and nothing is in doubt
+// or was since.
+func (n *Node) encodeAll(w *fullAnswers, after int64) error {
 	var news catalog.News
 	again := false
-	err = n.state.Do(func(s *state) {
+	err := n.state.Do(func(s *state) {
 		again = w.at > 0 && n.now()-w.at < fullFor && w.lapses == s.content.Lapses() && !s.content.Doubtful()
 		if !again {
 			w.read = n.read.Load()
@@ -81,18 +93,12 @@
 			w.lapses = s.content.Lapses()
 		}
 	})
-	if err == nil && !again {
-		w.encoded, err = news.Encode()
-		w.at = 0
-	}
-	if err != nil {
-		return catalog.EncodedNews{}, err
+	if err != nil || again {
+		return err
 	}
-	if !again && len(news.Doubts) == 0 {
+	w.at = 0
+	if w.encoded, err = news.Encode(); err == nil && len(news.Doubts) == 0 {
 		w.at = n.now()
 	}
-	w.bucket.take(base64.StdEncoding.EncodedLen(len(w.encoded.Compressed)), n.now())
-	out = w.encoded
-	out.Read = n.readingAge(w.read)
-	return out, nil
+	return err
 }
--- a/node/lease.go
+++ b/node/lease.go
@@ -199,7 +199,7 @@
 	for _, b := range list {
 		names = append(names, b.Box)
 	}
-	top := rendezvous.Top("catalog", names, watchers)
+	top := rendezvous.Top(readersKey, names, watchers)
 	return slices.DeleteFunc(slices.Clone(list), func(b wire.BoxStatus) bool { return !slices.Contains(top, b.Box) })
 }
 
--- a/node/links_test.go
+++ b/node/links_test.go
@@ -254,15 +254,9 @@
 
 // askPolicy asks a box for its policy, as over a connection.
 func (f *follows) askPolicy(ctx context.Context, addr string, have int) (news catalog.PolicyNews, err error) {
-	b := f.byAddr[addr]
-	sleep.For(ctx, nearDelay)
-	var n *Node
-	if b != nil {
-		n = b.node.Load()
-	}
-	if n == nil {
-		<-ctx.Done() // it was killed, and nothing says so
-		return news, errors.Wrap(ctx.Err(), "box gone")
+	b, n, err := f.reach(ctx, addr, nearDelay)
+	if err != nil {
+		return news, err
 	}
 	news, err = n.givePolicy(have)
 	f.links.Load().answer(ctx, b, len(news.Compressed)*4/3)
--- a/node/node.go
+++ b/node/node.go
@@ -42,41 +42,41 @@
 
 // Node is one box.
 type Node struct {
-	settings  Settings
-	adapter   Adapter
-	inc       int // incarnation: higher after each start of the box
-	started   time.Time
-	log       *decision.Log
-	meter     *meter.Meter
-	system    *cell.System
-	state     *cell.Cell[state]
-	table     atomic.Pointer[catalog.Table]
-	read      atomic.Int64 // when what is published was last read, also by others, in nanoseconds since the start
-	reads     atomic.Bool  // this box reads the catalog on behalf of others
-	follows   atomic.Bool  // others watch and read it on behalf of this one
-	tellsAge  atomic.Bool  // others need to know how old what this box knows is
-	storeOK   atomic.Bool  // the last call to the store succeeded
-	leaving   atomic.Bool  // a planned stop has begun
-	closed    atomic.Bool  // it is named to no caller any more
-	ends      atomic.Int64 // when a planned stop is over, in nanoseconds since the start
-	pulling   atomic.Bool  // another box is asked for its catalog
-	refreshes atomic.Bool  // a box that reads for others is asked for its catalog
-	suspects  atomic.Int32 // requests under which replicas ended, of which all boxes are told
-	served    *poison.Served
-	doubtAsk  atomic.Int64 // until then no box is asked for a doubt alone, in nanoseconds since the start
-	replicas  *exchange.Pool
-	boxes     *exchange.Pool
-	store     *exchange.Pool
-	peers     *peer.Pool
-	bulk      *peer.Pool // for what is long, so that nothing waits behind it
-	listeners listeners
-	links     []*roster.Link
-	deliver   func(roster.Packet)                                                          // seam: sends a datagram
-	askBox    func(ctx context.Context, addr string, after int64) (catalog.News, error)    // seam: asks another box for what changed
-	askPolicy func(ctx context.Context, addr string, have int) (catalog.PolicyNews, error) // seam: asks another box for its policy
-	draw      func(n int) int                                                              // seam: a random number from 0 to n-1
-	jitter    func() float64                                                               // seam: a random number from 0 up to 1
-	feed      *catalog.Feed
+	settings   Settings
+	adapter    Adapter
+	inc        int // incarnation: higher after each start of the box
+	started    time.Time
+	log        *decision.Log
+	meter      *meter.Meter
+	system     *cell.System
+	state      *cell.Cell[state]
+	table      atomic.Pointer[catalog.Table]
+	read       atomic.Int64 // when what is published was last read, also by others, in nanoseconds since the start
+	reads      atomic.Bool  // this box reads the catalog on behalf of others
+	follows    atomic.Bool  // others watch and read it on behalf of this one
+	tellsAge   atomic.Bool  // others need to know how old what this box knows is
+	storeOK    atomic.Bool  // the last call to the store succeeded
+	leaving    atomic.Bool  // a planned stop has begun
+	closed     atomic.Bool  // it is named to no caller any more
+	ends       atomic.Int64 // when a planned stop is over, in nanoseconds since the start
+	pulling    atomic.Bool  // another box is asked for its catalog
+	refreshing atomic.Bool  // a box that reads for others is asked for its catalog
+	suspects   atomic.Int32 // requests under which replicas ended, of which all boxes are told
+	served     *poison.Served
+	doubtAsk   atomic.Int64 // until then no box is asked for a doubt alone, in nanoseconds since the start
+	replicas   *exchange.Pool
+	boxes      *exchange.Pool
+	store      *exchange.Pool
+	peers      *peer.Pool
+	bulk       *peer.Pool // for what is long, so that nothing waits behind it
+	listeners  listeners
+	links      []*roster.Link
+	deliver    func(roster.Packet)                                                          // seam: sends a datagram
+	askBox     func(ctx context.Context, addr string, after int64) (catalog.News, error)    // seam: asks another box for what changed
+	askPolicy  func(ctx context.Context, addr string, have int) (catalog.PolicyNews, error) // seam: asks another box for its policy
+	draw       func(n int) int                                                              // seam: a random number from 0 to n-1
+	jitter     func() float64                                                               // seam: a random number from 0 up to 1
+	feed       *catalog.Feed
 
 	deltas       *catalog.Deltas
 	lease        lease.Lease                                                 // on keys, by what is known of the policy in force
--- a/node/policies.go
+++ b/node/policies.go
@@ -180,12 +180,7 @@
 		return 0
 	}
 	n.seeker.reset()
-	n.takeUpdate(catalog.Update{
-		Changes: []catalog.Change{{
-			Policy: p,
-		}},
-		Settled: true,
-	})
+	n.takeUpdate(catalog.PolicyUpdate(p))
 	return 0
 }
 
--- a/node/state.go
+++ b/node/state.go
@@ -11,7 +11,6 @@
 	"github.com/havenrudder/havenrudder/budget"
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/common/decay"
-	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/ingress"
 	"github.com/havenrudder/havenrudder/pacing"
 	"github.com/havenrudder/havenrudder/placement"
@@ -184,7 +183,7 @@
 		}
 	}
 	own := byRegion[s.settings.Region]
-	if len(own) > mostTaking && !slices.Contains(rendezvous.Top("callers", own, mostTaking), s.settings.Box) {
+	if !slices.Contains(takersOf(own), s.settings.Box) {
 		return noPart
 	}
 	out := 0
--- a/node/words.go
+++ b/node/words.go
@@ -12,6 +12,9 @@
 
 const mostTaking = 32 // boxes of a region that its callers are told to use
 
+// takersOf returns which of a region's boxes its callers are told to use.
+func takersOf(names []string) []string { return rendezvous.Top("callers", names, mostTaking) }
+
 // taking are the boxes that callers of a region are told to use, where it has more of
 // them than mostTaking; nil for all. The others stand by. A box before 98 others sees
 // a hundredth of what its region's replicas do, and tells and is told the more the
@@ -41,7 +44,7 @@
 			continue
 		}
 		set := make(taking)
-		for _, box := range rendezvous.Top("callers", names, mostTaking) {
+		for _, box := range takersOf(names) {
 			set[box] = true
 		}
 		s.taking[region] = set
--- a/placement/question.go
+++ b/placement/question.go
@@ -12,7 +12,7 @@
 
 // busy says whether other boxes need to know an engine's word.
 func (r *Replica) busy(now time.Duration) bool {
-	if r.word.At == 0 || now-r.word.At >= wordFor {
+	if !r.hasSpoken(now) {
 		return false
 	}
 	return r.word.Silent || r.word.Waiting > 0 ||
--- a/placement/word.go
+++ b/placement/word.go
@@ -78,12 +78,15 @@
 
 // WordAge returns how old a replica's word is; below 0 where it said nothing of late.
 func (r *Replica) WordAge(now time.Duration) time.Duration {
-	if r.word.At == 0 || now-r.word.At >= wordFor {
+	if !r.hasSpoken(now) {
 		return -1
 	}
 	return now - r.word.At
 }
 
+// hasSpoken says whether it said something of late.
+func (r *Replica) hasSpoken(now time.Duration) bool { return r.word.At > 0 && now-r.word.At < wordFor }
+
 // Changed returns what is believed of replicas since it was last asked, by their words.
 func (v *View) Changed() []Belief {
 	out := v.changed
@@ -138,7 +141,7 @@
 // spoken returns the work at a replica by its last word and what this box sent since;
 // false where it said nothing of late.
 func (r *Replica) spoken(u usual, now time.Duration) (l Load, ok bool) {
-	if r.word.At == 0 || r.word.Silent || now-r.word.At >= wordFor {
+	if !r.hasSpoken(now) || r.word.Silent {
 		return Load{}, false
 	}
 	l = Load{
