--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -38,6 +38,7 @@
 	settled  bool // the topology has been stable
 	admitted bool
 	refused  bool // it was within the quota and rejected
+	covered  bool // the token bucket of the quota covered it
 }
 
 // quotaSimulation is a simulation of organisations with quotas that counts admitted requests.
@@ -49,6 +50,7 @@
 	charges  map[string][]charge
 	started  time.Time
 	since    time.Time        // last change of the topology
+	buckets  *quotaBuckets
 	isolated map[*simBox]bool // boxes without a connection to others; their allocation may be less than a long request, so they may reject any
 }
 
@@ -61,6 +63,7 @@
 		charges:    make(map[string][]charge),
 		started:    time.Now(),
 		since:      time.Now(),
+		buckets:    newQuotaBuckets(orgs),
 		isolated:   make(map[*simBox]bool),
 	}
 	f.listing.policy = b.policy(1)
@@ -95,6 +98,7 @@
 	due := make(map[string]float64)
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(callEvery)
+		b.buckets.refill()
 		for _, o := range b.orgs {
 			due[o.name] += o.demand * callEvery.Seconds() / float64(o.tokens)
 			for ; due[o.name] >= 1; due[o.name]-- {
@@ -120,6 +124,7 @@
 		return
 	}
 	settled := time.Since(b.since) > quotaSettleTime && !b.isolated[box]
+	covered := settled && b.buckets.take(o)
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, time.Second)
 		defer cancel()
@@ -131,6 +136,7 @@
 			tokens:   float64(o.tokens),
 			settled:  settled,
 			admitted: ok,
+			covered:  covered,
 		})
 	}()
 }
@@ -212,6 +218,7 @@
 	for _, o := range b.orgs {
 		if o.name == name {
 			o.demand *= x
+			b.buckets.noteDemand(o)
 		}
 	}
 }
@@ -317,6 +324,13 @@
 // runQuotaScenarios runs scenarios at several sizes. But for overload, the demand of the large organisation is
 // four times its typical one, that of the small one eight times.
 func runQuotaScenarios(t *testing.T, scenarios []quotaScenario, maxRefused float64) {
+	checkQuotaScenarios(t, scenarios, func(b *quotaSimulation) {
+		b.verdict(maxRefused)
+	})
+}
+
+// checkQuotaScenarios runs scenarios like runQuotaScenarios and ends each with check.
+func checkQuotaScenarios(t *testing.T, scenarios []quotaScenario, check func(b *quotaSimulation)) {
 	t.Parallel()
 	for _, scenario := range scenarios {
 		for _, boxes := range []int{9, 60} {
@@ -331,7 +345,7 @@
 							b.scaleDemand("small", 8)
 						}
 						scenario.play(b)
-						b.verdict(maxRefused)
+						check(b)
 					})
 				}
 			})
