--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -49,7 +49,7 @@
 	orgs     []*organisation
 	charges  map[string][]charge
 	started  time.Time
-	since    time.Time        // last change of the topology
+	since    time.Time // last change of the topology
 	buckets  *quotaBuckets
 	isolated map[*simBox]bool // boxes without a connection to others; their allocation may be less than a long request, so they may reject any
 }
