roster: Send the loads to the other box of a region of two

Cause: sendLoads began to count at one, for the liveness datagram of a round. CompactLoads sends none, nor does a round whose liveness datagram goes to another region, so one box too few received the loads, and of two boxes neither did. sendLiveness now returns how many received them. The test failed before: 0 datagrams where 1 is due. What placement lost by it was not measured.

--- a/roster/params_test.go
+++ b/roster/params_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -173,3 +174,23 @@
 	is.NoErr(err)
 	is.Equal(got.From.ID, IDOf("a", 1))
 }
+
+// Guards against boxes that receive no loads, as one of a region of two is counted as sent to.
+func TestTheOtherBoxOfARegionOfTwoReceivesTheLoads(t *testing.T) {
+	is := is.New(t)
+	self := withLoad(status("a", "north", 1, 1), "r1")
+	tab := New(self)
+	receiveHeartbeats(tab, "north", 1, 0)
+	for n := range 10 {
+		receiveHeartbeats(tab, fmt.Sprint("south-", n), 4, 0)
+	}
+	tab.BeginTick(0)
+	is.True(!tab.FullStatusMode())
+	tab.CompactRound(self, 0, pickFirst) // grants the budget of a tick
+	packets := tab.CompactLoads(self, 0, pickFirst)
+	is.Equal(len(packets), 1)
+	is.Equal(packets[0].Addr, "north-00:1")
+	b, err := DecodeCompact(packets[0].Buf)
+	is.NoErr(err)
+	is.Equal(len(b.Loads), 1)
+}
--- a/roster/round.go
+++ b/roster/round.go
@@ -42,10 +42,11 @@
 	t.sendDeaths(out, c, now, rnd)
 	t.probeSilent(out, now, rnd)
 	t.sendProbes(out, c, now, rnd)
+	received := 0
 	if out.hasBudget() {
-		t.sendLiveness(out, c, now, rnd)
+		received = t.sendLiveness(out, c, now, rnd)
 	}
-	t.sendLoads(out, c, rnd)
+	t.sendLoads(out, c, received, rnd)
 	return append(out.packets, t.checkPackets(now)...)
 }
 
@@ -93,7 +94,7 @@
 		compact:  &t.compact,
 		selfAddr: t.self.Peers,
 	}
-	t.sendLoads(out, t.recipients(now), rnd)
+	t.sendLoads(out, t.recipients(now), 0, rnd)
 	return out.packets
 }
 
--- a/roster/send.go
+++ b/roster/send.go
@@ -130,25 +130,29 @@
 }
 
 // sendLiveness sends a liveness datagram to the next box of the region or, in some rounds, of
-// another region.
-func (t *Table) sendLiveness(out *outbox, c recipients, now time.Duration, rnd func(n int) int) {
+// another region. It returns the number of boxes of the region that receive the loads by it.
+func (t *Table) sendLiveness(out *outbox, c recipients, now time.Duration, rnd func(n int) int) int {
 	if t.compact.rounds%farLivenessEvery == 0 {
 		if m, ok := t.nextFar(c, rnd); ok {
 			out.send(m.Status.Peers, t.livenessDatagram(c, now, true).encode())
-			return
+			return 0
 		}
 	}
-	if m, ok := t.nextNear(c, rnd); ok {
-		out.send(m.Status.Peers, t.livenessDatagram(c, now, false).encode())
+	m, ok := t.nextNear(c, rnd)
+	if !ok {
+		return 0
 	}
+	out.send(m.Status.Peers, t.livenessDatagram(c, now, false).encode())
+	return 1
 }
 
-// sendLoads sends datagrams with the loads only to more boxes of the region, one to each.
-func (t *Table) sendLoads(out *outbox, c recipients, rnd func(n int) int) {
+// sendLoads sends datagrams with the loads only to boxes of the region, one to each but those
+// that have received them already.
+func (t *Table) sendLoads(out *outbox, c recipients, received int, rnd func(n int) int) {
 	b := t.header()
 	b.Loads, b.AllLoads = c.loads, c.allLoads
 	buf := b.encode()
-	for sent := 1; sent < len(c.near) && out.hasBudget(); sent++ { // the liveness datagram is the first
+	for sent := received; sent < len(c.near) && out.hasBudget(); sent++ {
 		if m, ok := t.nextNear(c, rnd); ok {
 			out.send(m.Status.Peers, buf)
 		}
