roster: Address a box by its ID once no other box has the same

Cause: when one of two boxes with the same short ID started anew or expired, retire dropped the mark of the ID and counted the ID as retired, so heartbeats of the other box were ignored for a minute and its ID was unknown after it. The remaining box now gets the ID.

--- a/roster/compactstate.go
+++ b/roster/compactstate.go
@@ -66,12 +66,6 @@
 	}
 }
 
-// retire removes the ID of a record, and remembers it as retired for a while.
-func (l *compactState) retire(r *record, now time.Duration) {
-	delete(l.byID, r.id)
-	l.retired[r.id] = now
-}
-
 // startRequest reports whether to request the status of a box, and records the request.
 func (l *compactState) startRequest(id ID, now time.Duration) bool {
 	if at, ok := l.requested[id]; ok && now-at < statusRequestInterval {
--- a/roster/liveness.go
+++ b/roster/liveness.go
@@ -53,7 +53,7 @@
 // replace inserts the record of a new incarnation.
 func (t *Table) replace(box string, r *record, now time.Duration) {
 	if old, ok := t.records[box]; ok {
-		t.compact.retire(old, now)
+		t.retire(old, now)
 	}
 	t.insert(box, r)
 	if _, taken := t.compact.byID[r.id]; taken {
@@ -63,6 +63,32 @@
 	t.compact.byID[r.id] = r
 }
 
+// retire removes a record and its ID, and remembers the ID as retired for a while. A single
+// other box with the same ID is addressed by it from now on.
+func (t *Table) retire(old *record, now time.Duration) {
+	t.remove(old.box)
+	shared := t.compact.byID[old.id] == nil
+	delete(t.compact.byID, old.id)
+	if !shared {
+		t.compact.retired[old.id] = now
+		return
+	}
+	var others []*record
+	for _, r := range t.order {
+		if r.id == old.id {
+			others = append(others, r)
+		}
+	}
+	switch len(others) {
+	case 0:
+		t.compact.retired[old.id] = now
+	case 1:
+		t.compact.byID[old.id] = others[0]
+	default:
+		t.compact.byID[old.id] = nil
+	}
+}
+
 // noteChange queues a box whose change all boxes should receive at once: it has started,
 // or it now accepts or no longer accepts requests. known reports whether there may be an
 // earlier status of this incarnation.
--- a/roster/table.go
+++ b/roster/table.go
@@ -277,10 +277,9 @@
 func inRegion(region, of string) bool { return region == "" || region == of }
 
 func (t *Table) removeExpired(now time.Duration) {
-	for name, r := range t.records {
+	for _, r := range t.records {
 		if now-r.LastHeartbeat > memberTTL {
-			t.compact.retire(r, now)
-			t.remove(name)
+			t.retire(r, now)
 		}
 	}
 }
