pacing, placement: Count a send to a cold replica until it has arrived

Cause, from the boxes' logs of 28 falls: a send counted for 1.1 s from its write; one that a cut held up for longer no longer counted, and arrived with the next ones. In the second before a fall boxes wrote 6 requests at most, and 1 to 5 older ones were unanswered (none in one of the 28).

A send now counts until its answer begins or its connection ends, 3 s at most, and for a second from then on.

Tests: the fuzzing with late arrivals failed with 7 sends in a second without this change, 6 are allowed; three unit tests failed as well. Older tests of the pacer have to tell it of the answers now; what they check is unchanged. The log keeps records of sends in place of times, so the check of bounded memory names the new field.

--- a/pacing/fuzz_test.go
+++ b/pacing/fuzz_test.go
@@ -19,6 +19,10 @@
 	discoveryLag  = 500 * time.Millisecond
 	maxDelayMs    = 90 // of a written send, within the slack of the window
 	maxWriteTicks = 25 // between Take and the write of a send
+	lateEvery     = 7  // sends, of which one is delayed by a partition or a full link
+	minLateMs     = 300
+	maxLateMs     = 2000
+	maxAnswerMs   = 250 // from the arrival of a send until its answer begins
 )
 
 // pendingSend is an allowed send that waits for its connection.
@@ -48,7 +52,7 @@
 	for _, first := range sends {
 		var last [maxBoxes]time.Duration
 		var within []send
-		for sends[from].sent < first.sent-maxDelayMs*time.Millisecond {
+		for sends[from].sent < first.sent-maxLateMs*time.Millisecond {
 			from++ // arrived before first was sent
 		}
 		for _, s := range sends[from:] {
@@ -74,6 +78,12 @@
 	return maxSends
 }
 
+// answer is an answer that has not begun.
+type answer struct {
+	taken time.Duration // Take of its send
+	at    time.Duration
+}
+
 // box is a box name and the process that runs under it, if any.
 type box struct {
 	name      string
@@ -81,6 +91,7 @@
 	startedAt time.Duration
 	pacer     *Pacer
 	pending   []pendingSend
+	answers   []answer
 	// listed holds the interval in which each other box lists this one.
 	listed [maxBoxes]struct{ from, until time.Duration }
 }
@@ -91,6 +102,7 @@
 	now   time.Duration
 	boxes [maxBoxes]box
 	cold  bool
+	late  bool // some sends are delayed
 	sends []send
 	sent  int // sends, including pending ones
 }
@@ -122,6 +134,7 @@
 		l.until = 1 << 62
 	}
 	b.pending = nil
+	b.answers = nil
 	b.pacer = New(b.name, testTerms, WithStart(discoveryLag))
 	if r.cold {
 		b.pacer.MarkCold(replica, rate, farFuture)
@@ -195,6 +208,7 @@
 				continue
 			}
 			r.writePending(i)
+			r.receiveAnswers(i)
 			if (n+i)%every == 0 {
 				r.attempt(i)
 			}
@@ -225,7 +239,7 @@
 			return false
 		}
 		b.pacer.MarkSent(replica, u.sent-b.startedAt, r.now-b.startedAt)
-		took := time.Duration(len(r.sends)*37%(maxDelayMs+1)) * time.Millisecond
+		took := r.transit()
 		r.sends = append(r.sends, send{
 			box:        i,
 			sent:       r.now,
@@ -233,15 +247,55 @@
 			cold:       u.cold,
 			writeDelay: r.now - u.sent,
 		})
+		b.answers = append(b.answers, answer{
+			taken: u.sent - b.startedAt,
+			at:    r.now + took + time.Duration(r.sent*53%maxAnswerMs)*time.Millisecond,
+		})
+		return true
+	})
+}
+
+// transit returns the time from the write of the next send until its arrival.
+func (r *region) transit() time.Duration {
+	if r.late && r.sent%lateEvery == 0 {
+		return time.Duration(minLateMs+r.sent*211%(maxLateMs-minLateMs)) * time.Millisecond
+	}
+	return time.Duration(len(r.sends)*37%(maxDelayMs+1)) * time.Millisecond
+}
+
+// receiveAnswers records the answers to a box that have begun.
+func (r *region) receiveAnswers(i int) {
+	b := &r.boxes[i]
+	b.answers = slices.DeleteFunc(b.answers, func(a answer) bool {
+		if a.at > r.now {
+			return false
+		}
+		b.pacer.MarkArrived(replica, a.taken, r.now-b.startedAt)
 		return true
 	})
 }
 
 func TestNoSecondOfAllBoxesExceedsTheBound(t *testing.T) {
+	checkBound(t, func(r *region) []func() {
+		return []func(){r.sendForAWhile, r.sendForAWhile, r.sendForAWhile, r.toggleBox, r.restartBox, r.toggleCold}
+	})
+}
+
+// Guards against a cold replica that receives more than its bound because delayed sends arrive together with
+// later ones.
+func TestNoSecondOfAllBoxesExceedsTheBoundWhileSendsArriveLate(t *testing.T) {
+	checkBound(t, func(r *region) []func() {
+		r.late = true
+		return []func(){r.sendForAWhile, r.sendForAWhile, r.toggleCold}
+	})
+}
+
+// checkBound runs regions with random actions.
+func checkBound(t *testing.T, actionsOf func(r *region) []func()) {
 	seen := 0
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRegion(t)
-		actions := []func(){r.sendForAWhile, r.sendForAWhile, r.sendForAWhile, r.toggleBox, r.restartBox, r.toggleCold}
+		actions := actionsOf(r)
 		for range steps {
 			rapid.SampledFrom(actions).Draw(t, "action")()
 		}
--- a/pacing/history.go
+++ b/pacing/history.go
@@ -5,47 +5,98 @@
 	"time"
 )
 
-const maxWarmSends = 8 // recent sends kept of a warm replica
+const (
+	maxWarmSends = 8               // recent sends kept of a warm replica
+	maxTransit   = 3 * time.Second // from a write until an unanswered send no longer counts as under way
+)
+
+// sent is a send of the log.
+type sent struct {
+	taken    time.Duration // its Take, which identifies it
+	counted  time.Duration // its latest possible arrival if it is answered, else its write
+	answered bool
+}
+
+// at returns the time from which a send blocks others. An unanswered one may arrive at any moment.
+func (s sent) at(now time.Duration) time.Duration {
+	if s.underWay(now) {
+		return max(s.counted, now-slack)
+	}
+	return s.counted
+}
 
-// history is a sliding-window log of the sends to one replica, oldest first.
+func (s sent) underWay(now time.Duration) bool {
+	return !s.answered && now < s.counted+maxTransit
+}
+
+// history is a sliding-window log of the sends to one replica.
 type history struct {
-	times      []time.Duration
-	dropped    time.Duration // time of the last send that is not in times
+	sends      []sent
+	dropped    time.Duration // time of the last send that is not in sends
 	hasDropped bool
+	unanswered int // sends that are not in sends
 }
 
 func (h *history) add(now time.Duration) {
-	h.times = append(h.times, now)
+	h.sends = append(h.sends, sent{
+		taken:   now,
+		counted: now,
+	})
 }
 
 // addBounded records a send and keeps the last maxWarmSends.
 func (h *history) addBounded(now time.Duration) {
 	h.add(now)
-	extra := len(h.times) - maxWarmSends
-	if extra <= 0 {
+	for len(h.sends) > maxWarmSends {
+		h.drop(h.sends[0])
+		h.sends = slices.Delete(h.sends, 0, 1)
+	}
+}
+
+func (h *history) drop(s sent) {
+	h.dropped = max(h.dropped, s.counted)
+	h.hasDropped = true
+	if !s.answered {
+		h.unanswered++
+	}
+}
+
+// move changes the time of a send. A send that is not in sends counts as dropped.
+func (h *history) move(taken, to time.Duration) {
+	if s := h.find(taken); s != nil {
+		s.counted = to
 		return
 	}
-	h.dropped = h.times[extra-1]
+	h.dropped = max(h.dropped, to)
 	h.hasDropped = true
-	h.times = slices.Delete(h.times, 0, extra)
 }
 
-// move changes the time of a send. A send that is not in times counts as dropped.
-func (h *history) move(from, to time.Duration) {
-	i := slices.Index(h.times, from)
-	if i < 0 {
-		h.dropped = max(h.dropped, to)
-		h.hasDropped = true
+// answer records that a send arrived before now.
+func (h *history) answer(taken, now time.Duration) {
+	if s := h.find(taken); s != nil {
+		s.answered = true
+		s.counted = max(s.counted, now-slack)
 		return
 	}
-	h.times[i] = to
-	slices.Sort(h.times)
+	h.unanswered = max(0, h.unanswered-1)
+	h.dropped = max(h.dropped, now-slack)
+	h.hasDropped = true
 }
 
-// trim removes the sends before the window.
+// find returns the unanswered send of a Take, or nil.
+func (h *history) find(taken time.Duration) *sent {
+	for i := range h.sends {
+		if s := &h.sends[i]; s.taken == taken && !s.answered {
+			return s
+		}
+	}
+	return nil
+}
+
+// trim removes the sends that no longer count.
 func (h *history) trim(now time.Duration) {
-	h.times = slices.DeleteFunc(h.times, func(t time.Duration) bool {
-		return t+window <= now
+	h.sends = slices.DeleteFunc(h.sends, func(s sent) bool {
+		return !s.underWay(now) && s.counted+window <= now
 	})
 }
 
@@ -55,15 +106,25 @@
 func (h *history) next(share int, now time.Duration) time.Duration {
 	next := now
 	if h.hasDropped {
-		next = max(next, h.dropped+window)
+		next = max(next, h.droppedAt(now)+window)
 	}
-	n := len(h.times)
-	if n >= share {
-		next = max(next, h.times[n-share]+window)
+	gap := window / time.Duration(gapDivisor*share)
+	times := make([]time.Duration, 0, len(h.sends))
+	for _, s := range h.sends {
+		times = append(times, s.at(now))
+		next = max(next, s.counted+gap)
 	}
-	if n > 0 {
-		gap := window / time.Duration(gapDivisor*share)
-		next = max(next, h.times[n-1]+gap)
+	slices.Sort(times)
+	if n := len(times); n >= share {
+		next = max(next, times[n-share]+window)
 	}
 	return next
 }
+
+// droppedAt returns the time from which the dropped sends block others.
+func (h *history) droppedAt(now time.Duration) time.Duration {
+	if h.unanswered > 0 && now < h.dropped+maxTransit {
+		return max(h.dropped, now-slack)
+	}
+	return h.dropped
+}
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -18,6 +18,13 @@
 // list each other. The Pacer then waits for one window, after which no earlier send
 // counts, including those of a previous process of the same name.
 //
+// # Late arrivals
+//
+// A send may arrive long after its write, for example when a partition heals, and then
+// together with later ones. So a send takes part of the share until its answer begins or
+// its connection ends, and for a window from then on less the slack. Sends that a failed
+// box leaves under way are not covered.
+//
 // Times are read from the monotonic clock since the start of the process. A Pacer is
 // not safe for concurrent use.
 package pacing
@@ -33,9 +40,10 @@
 )
 
 const (
-	window     = 1100 * time.Millisecond // a second, and a tenth for the delay between write and arrival
-	gapDivisor = 2                       // sets the minimum gap between sends: window / (gapDivisor x share)
-	maxWarm    = 512                     // warm replicas whose recent sends are kept
+	slack      = 100 * time.Millisecond // for the delay between write and arrival
+	window     = time.Second + slack
+	gapDivisor = 2   // sets the minimum gap between sends: window / (gapDivisor x share)
+	maxWarm    = 512 // warm replicas whose recent sends are kept
 )
 
 // Limit limits how far the sends to a cold replica may exceed its rate.
@@ -172,6 +180,17 @@
 	p.warmHistory(replica).move(taken, now)
 }
 
+// MarkArrived records that a send allowed by Take at the time taken has arrived, as its answer
+// begins, or that it will not, as its connection has ended.
+func (p *Pacer) MarkArrived(replica string, taken, now time.Duration) {
+	p.latest = max(p.latest, now)
+	if c := p.cold[replica]; c != nil {
+		c.sends.answer(taken, now)
+		return
+	}
+	p.warmHistory(replica).answer(taken, now)
+}
+
 // NextAllowed returns the earliest time, from now on, at which a send to replica is allowed.
 // For a box without a share this is the time at which the replica is no longer cold.
 func (p *Pacer) NextAllowed(replica string, boxes []string, now time.Duration) time.Duration {
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -38,11 +38,12 @@
 	// 275ms
 }
 
-// takeEveryMillisecond calls Take in [from, to) and returns the times allowed.
+// takeEveryMillisecond calls Take in [from, to) and returns the times allowed. The replica answers at once.
 func takeEveryMillisecond(p *Pacer, boxes []string, from, to time.Duration) []time.Duration {
 	var sent []time.Duration
 	for now := from; now < to; now += time.Millisecond {
 		if p.Take(replica, boxes, now) {
+			p.MarkArrived(replica, now, now)
 			sent = append(sent, now)
 		}
 	}
@@ -68,9 +69,54 @@
 	is.True(p.Take(replica, boxes, from))
 	written := from + 241*time.Millisecond
 	p.MarkSent(replica, from, written)
+	p.MarkArrived(replica, from, written)
 	is.Equal(takeEveryMillisecond(p, boxes, written, written+2*window), []time.Duration{written + window}) // the second one is two windows later
 }
 
+// Guards against a cold replica that receives more than its bound because sends that a
+// partition or a full link delayed arrive together with later ones.
+func TestASendCountsUntilItHasArrived(t *testing.T) {
+	is := is.New(t)
+	boxes := names(40)
+	p := New(rendezvous.Top(replica, boxes, 1)[0], testTerms) // has a share of one
+	p.MarkCold(replica, rate, farFuture)
+	from := 10 * time.Second
+	is.True(p.Take(replica, boxes, from))
+	answered := from + 1700*time.Millisecond
+	is.Equal(len(takeEveryMillisecond(p, boxes, from, answered)), 0) // it may arrive at any moment
+	p.MarkArrived(replica, from, answered)
+	is.Equal(takeEveryMillisecond(p, boxes, answered, answered+2*time.Second), []time.Duration{answered + time.Second})
+}
+
+// Guards against a box that sends nothing to a cold replica because of a send that is lost.
+func TestASendThatIsNeverAnsweredCountsForALimitedTime(t *testing.T) {
+	is := is.New(t)
+	boxes := names(40)
+	p := New(rendezvous.Top(replica, boxes, 1)[0], testTerms)
+	p.MarkCold(replica, rate, farFuture)
+	from := 10 * time.Second
+	is.True(p.Take(replica, boxes, from))
+	is.Equal(takeEveryMillisecond(p, boxes, from, from+4*time.Second), []time.Duration{from + maxTransit})
+}
+
+// Guards against sends to a warm replica that arrive late, after it has turned cold.
+func TestSendsToAWarmReplicaCountUntilTheyHaveArrived(t *testing.T) {
+	is := is.New(t)
+	boxes := names(40)
+	p := New(rendezvous.Top(replica, boxes, 1)[0], testTerms)
+	from := 10 * time.Second
+	for n := range 2 * maxWarmSends {
+		is.True(p.Take(replica, boxes, from+time.Duration(n)))
+	}
+	p.MarkCold(replica, rate, farFuture)
+	answered := from + 2*time.Second
+	is.Equal(len(takeEveryMillisecond(p, boxes, from, answered)), 0)
+	for n := range 2 * maxWarmSends {
+		p.MarkArrived(replica, from+time.Duration(n), answered)
+	}
+	is.Equal(takeEveryMillisecond(p, boxes, answered, answered+2*time.Second), []time.Duration{answered + time.Second})
+}
+
 func TestAColdReplicaIsUsed(t *testing.T) {
 	is := is.New(t)
 	boxes := names(3)
@@ -164,6 +210,7 @@
 	now := 10 * time.Second
 	for range 20 {
 		is.True(p.Take(replica, boxes, now))
+		p.MarkArrived(replica, now, now)
 		next := p.NextAllowed(replica, boxes, now)
 		is.True(next > now)
 		is.True(!p.Allow(replica, boxes, next-1))
@@ -200,6 +247,7 @@
 			now := 10 * time.Second
 			for range n {
 				is.True(p.Take(replica, boxes, now))
+				p.MarkArrived(replica, now, now)
 			}
 			now += 500 * time.Millisecond
 			p.MarkCold(replica, rate, farFuture)
@@ -253,6 +301,6 @@
 	is.Equal(len(p.cold), 0)
 	is.Equal(p.warm.Len(), maxWarm)
 	for _, h := range p.warm.Values() {
-		is.True(len(h.times) <= maxWarmSends)
+		is.True(len(h.sends) <= maxWarmSends)
 	}
 }
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -175,3 +175,19 @@
 	is.True(len(written) > 20)
 	is.True(maxPerSecond(written) <= maxColdSends)
 }
+
+// Guards against requests to a cold replica that arrive together, as an earlier one is delayed on its way.
+func TestAnUnansweredRequestToAColdReplicaCountsUntilItsAnswerBegins(t *testing.T) {
+	is := is.New(t)
+	boxes := []string{"a", "b", "c", "d", "e", "f"} // each has a share of one
+	b := newBox("a", "hall", coldReplica(60_000))
+	first := b.Pick(newRequest("plain", "k"), boxes, start)
+	is.Equal(first.Reason, placement.None)
+	answered := start + 1500*time.Millisecond
+	is.Equal(b.Pick(newRequest("plain", "k"), boxes, answered).Reason, placement.RateLimited)
+	b.RecordFirstByte(&first, answered-start, answered)
+	b.End(&first, placement.Answered, answered-start, answered+time.Second/2)
+	next := answered + time.Second // the answer begins once the request has arrived
+	is.Equal(b.Pick(newRequest("plain", "k"), boxes, next-1).Reason, placement.RateLimited)
+	is.Equal(b.Pick(newRequest("plain", "k"), boxes, next).Reason, placement.None)
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -29,12 +29,22 @@
 	if r == nil {
 		return
 	}
+	v.recordArrival(c, now)
 	r.recordFirstByte(took, c.Expect, now)
 	r.recordResponse(now)
 	r.own.PendingPrefill -= c.reservation.load.PendingPrefill
 	c.reservation.load.PendingPrefill = 0
 }
 
+// recordArrival records that the request of a choice has arrived at its replica or never will.
+func (v *View) recordArrival(c *Choice, now time.Duration) {
+	if c.reservation.arrived {
+		return
+	}
+	c.reservation.arrived = true
+	v.pacer.MarkArrived(c.ID, c.reservation.at, now)
+}
+
 // RecordSelfReport records the number of requests that the replica itself reports, this one
 // included.
 func (v *View) RecordSelfReport(c *Choice, requests int, now time.Duration) {
@@ -74,6 +84,7 @@
 	if r == nil {
 		return false
 	}
+	v.recordArrival(c, now)
 	c.reservation.replica = nil
 	l := c.reservation.load
 	r.own.Requests -= l.Requests
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -66,6 +66,7 @@
 	at      time.Duration // when Pick made the choice
 	load    Load
 	replica *Replica // nil once released
+	arrived bool     // the replica has received the request, or its connection has ended
 }
 
 // candidate is a replica with its estimated cost.
