catalog: Print the time left in the error on an unconfirmed removal

The error had the verb of an integer for a float and read %!d(catalog.Millis=-2.5); vet doesn't see it through the errors package. The test failed before.

--- a/catalog/unconfirmed.go
+++ b/catalog/unconfirmed.go
@@ -32,7 +32,7 @@
 	}
 	*d = UnconfirmedRemoval(v)
 	if d.Replica == "" || d.Remaining < 0 {
-		return errors.Newf("unconfirmed removal of replica %q with %d ms left", d.Replica, d.Remaining)
+		return errors.Newf("unconfirmed removal of replica %q with %g ms left", d.Replica, float64(d.Remaining))
 	}
 	return nil
 }
--- a/catalog/unconfirmed_test.go
+++ b/catalog/unconfirmed_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -185,3 +186,12 @@
 		f.True(!f.has("r-1"))
 	}, append(w.options(), catalog.WithJitter(func() float64 { return 0.999 }))...)
 }
+
+// Guards against an error that shows the formatting verb in place of the value.
+func TestTheErrorOnAnUnconfirmedRemovalNamesTheTimeLeft(t *testing.T) {
+	is := is.New(t)
+	var d catalog.UnconfirmedRemoval
+	err := json.Unmarshal([]byte(`{"replica":"r","revision":1,"left_ms":-2.5}`), &d)
+	is.True(err != nil)
+	is.True(strings.HasSuffix(err.Error(), `replica "r" with -2.5 ms left`))
+}
