placement: Remove a field that nothing sets or reads

Choice.AgeMs was left over: the age in the line of a choice is that of ingress.Target, and the package builds without the field.

--- a/placement/pick.go
+++ b/placement/pick.go
@@ -54,7 +54,6 @@
 	Load          Load          // load of the replica before this request
 	PrefillTokens int           // prompt tokens that the request adds to it
 	SharingBoxes  int           // boxes that share its rate limit while it is cold; 0 for any other
-	AgeMs         int64         // age of the oldest record of another box's load
 
 	CopyFrom string // address of a replica to copy missing segments from; empty for none
 
