meter: Test the metrics of quotas, load reports and leases, too

TestEachMetricIsServed had 20 of 23 metrics, so a wrong name or unit of the others would have passed. All three are served as they should be: no fault in the product.

--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -36,6 +36,7 @@
 		WithSharingBoxes(func() int { return 4 }),
 		WithDroppedLines(func() int64 { return 9 }),
 		WithQuarantinedRequests(func() int { return 5 }),
+		WithLeaseAge(func() time.Duration { return 250 * time.Millisecond }),
 	)
 	m.Request("chat", "served")
 	m.Request("chat", "served")
@@ -45,9 +46,13 @@
 	m.ColdSendRateLimited()
 	m.ColdSendRefused()
 	m.Refusal("overload")
+	m.Quota("org", 30, true)
+	m.Quota("org", 12, false)
 	m.Forward("eu", "served")
 	m.Resumed()
 	m.StoreCall("get", "ok")
+	m.UsageReport(true)
+	m.UsageReport(false)
 	m.Dial()
 	m.ForeignEntry()
 	m.Cleared()
@@ -87,6 +92,11 @@
 		`havenrudder_alive_boxes 3`,
 		`havenrudder_sharing_boxes 4`,
 		`havenrudder_quarantined_requests 5`,
+		`havenrudder_lease_age_seconds 0.25`,
+		`havenrudder_quota_units_total{organisation="org",result="taken"} 30`,
+		`havenrudder_quota_units_total{organisation="org",result="refused"} 12`,
+		`havenrudder_engine_accounts_total{result="ok"} 1`,
+		`havenrudder_engine_accounts_total{result="failed"} 1`,
 		`havenrudder_cleared_requests_total 1`,
 		`havenrudder_trial_runs_total 1`,
 		`havenrudder_suspended_seconds_total 8`,
@@ -115,7 +125,7 @@
 		is.True(slices.Contains([]string{"total", "seconds", "boxes", "requests"}, unit))
 		names++
 	}
-	is.Equal(names, 20)
+	is.Equal(names, 23)
 }
 
 func TestAMeterCountsForItselfAlone(t *testing.T) {
