exchange: Name the bound of responses by what it counts

The constant counts all responses read for a request, with the final one: 15 informational ones may come before it, and the sixteenth fails the request, as the test checks at both sides of the bound now. So no fault but a name.

--- a/exchange/answer_test.go
+++ b/exchange/answer_test.go
@@ -246,7 +246,8 @@
 		ok       bool
 	}{
 		{"two", "HTTP/1.1 100 Continue\r\n\r\n" + hint + okResponse, true},
-		{"too many", strings.Repeat(hint, maxInformational) + okResponse, false},
+		{"as many as are read before the final one", strings.Repeat(hint, maxResponses-1) + okResponse, true},
+		{"too many", strings.Repeat(hint, maxResponses) + okResponse, false},
 		{"protocol switch", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", false},
 		{"long header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxHeaderBytes+readerSize), false},
 		{"not HTTP", "SSH-2.0-x\r\n", false},
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -16,8 +16,8 @@
 
 	maxHeaderBytes = 1 << 20
 
-	// maxInformational is the number of responses read in search of a final one.
-	maxInformational = 16
+	// maxResponses is the number of responses that are read per request, with the final one.
+	maxResponses = 16
 
 	// maxDiscarded is the maximum body size, in bytes, of a discarded response.
 	maxDiscarded = 64 << 10
@@ -105,7 +105,7 @@
 // response to another request, if its body has a definite length.
 func (c *conn) readResponse(req *Request) (*http.Response, Stage, error) {
 	discarded := false
-	for range maxInformational {
+	for range maxResponses {
 		resp, err := c.readHeader(req.Method)
 		if err != nil {
 			return nil, StageResponse, err
