node: Test regions around the sizes at which monitors begin

Entries of 96 boxes fit a datagram, monitors begin at 128, so what holds between was doubted by reading.

--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -62,6 +62,7 @@
 	sends    []send
 	retries  []time.Duration
 	retrying bool // boxes also retry requests
+	idle     bool // boxes have no requests
 	extra    int  // retries beyond the ratio; 0 for retryExtra
 }
 
@@ -137,6 +138,9 @@
 		m.state.view.SetPeerLoadTTL(m.state.roster.LoadsTTL())
 		in.post(m, out)
 	})
+	if in.idle {
+		return
+	}
 	in.after(in.upTo(requestInterval), func() { in.every(requestInterval, alive, func() { in.sendCold(m) }) })
 }
 
--- /dev/null
+++ b/node/regionsize_test.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	contactBound    = 6 * time.Second  // after its death no box lists a box as alive
+	membershipTime  = 20 * time.Second // from the start of all boxes until they must list each other
+	observationTime = 15 * time.Second
+)
+
+// unlisted returns the pairs of running boxes of which the first does not list the second as alive.
+func (in *installation) unlisted() (out []string) {
+	for _, m := range in.machines {
+		for _, other := range in.machines {
+			if m.state != nil && other.state != nil && !m.state.roster.Alive(other.name, m.age(in)) {
+				out = append(out, fmt.Sprintf("%s lacks %s", m.name, other.name))
+			}
+		}
+	}
+	return out
+}
+
+// listing returns the running boxes that list a box as alive.
+func (in *installation) listing(box *machine) (out []string) {
+	for _, m := range in.machines {
+		if m.state != nil && m.state.roster.Alive(box.name, m.age(in)) {
+			out = append(out, m.name)
+		}
+	}
+	return out
+}
+
+// Guards against boxes of a region that lose a live box or list a dead one, at the sizes around those from which
+// a datagram no longer holds the entries of all boxes and from which boxes have monitors.
+func TestRegionsOfAnySizeKnowDeathsAndLoseNoLiveBox(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{97, 112, 127} {
+		for seed := range uint64(1) {
+			t.Run(fmt.Sprint(size, " boxes, seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				in := newInstallation(seed, 1, size)
+				in.idle = true
+				in.lossRate = 0.03
+				in.startAll(time.Second, 0)
+				in.run(membershipTime)
+				lost := map[string]bool{}
+				observe := func(d time.Duration) {
+					for passed := time.Duration(0); passed < d; passed += 500 * time.Millisecond {
+						in.run(500 * time.Millisecond)
+						for _, pair := range in.unlisted() {
+							lost[pair] = true
+						}
+					}
+				}
+				observe(observationTime)
+				dead := in.machines[1+in.rnd.IntN(size-1)]
+				in.kill(dead)
+				observe(contactBound)
+				if list := in.listing(dead); len(list) > 0 {
+					t.Errorf("%d boxes list %s as alive %v after its death, first %v", len(list), dead.name, contactBound, slices.Sorted(slices.Values(list))[0])
+				}
+				if len(lost) > 0 {
+					t.Errorf("%d pairs of live boxes of which one did not list the other", len(lost))
+				}
+			})
+		}
+	}
+}
