roster: Let boxes that start learn of other regions' boxes sooner

What callers see: a box that others don't list gets no requests from them, and quotas are divided wrongly. Cause, from the pairs that are late: few entries of other regions are relayed, 8 in a datagram, so a far box is heard of after seconds; a lost request for a status was repeated after 1 s.

--- a/roster/datagram.go
+++ b/roster/datagram.go
@@ -82,7 +82,11 @@
 		}
 	}
 	sortByRelay(others)
-	return t.appendRelayed(out, others, maxFarEntries, now)
+	limit := maxFarEntries
+	if t.compact.rounds < startupRounds {
+		limit = maxStartupFarEntries
+	}
+	return t.appendRelayed(out, others, limit, now)
 }
 
 // appendRelayed appends the entries of the first records and marks these as relayed.
--- a/roster/round.go
+++ b/roster/round.go
@@ -43,13 +43,22 @@
 	t.probeSilent(out, now, rnd)
 	t.sendProbes(out, c, now, rnd)
 	received := 0
-	if out.hasBudget() {
-		received = t.sendLiveness(out, c, now, rnd)
+	for sent := 0; sent < t.livenessPerRound() && out.hasBudget(); sent++ {
+		received += t.sendLiveness(out, c, now, rnd)
 	}
 	t.sendLoads(out, c, received, rnd)
 	return append(out.packets, t.checkPackets(now)...)
 }
 
+// livenessPerRound returns the number of liveness datagrams in a round, as far as the budget
+// allows.
+func (t *Table) livenessPerRound() int {
+	if t.compact.rounds < startupRounds {
+		return startupLiveness
+	}
+	return 1
+}
+
 // recipients holds the boxes alive at one time, and the loads that they receive.
 type recipients struct {
 	all      []*record
