node: Name no replica by a short ID that two of them have

Cause: of two replicas with the same short ID the later one got the loads and load reports of both, and once it had gone neither had an ID. An ID names a replica only while no other listed one has it.

--- a/node/loadreports.go
+++ b/node/loadreports.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/havenrudder/havenrudder/placement"
@@ -42,7 +43,7 @@
 // receiveLoadReports records the load reports that another box forwards.
 func (s *state) receiveLoadReports(list []roster.CompactLoadReport, now time.Duration) {
 	for _, w := range list {
-		id, ok := s.replicaIDs[w.Replica]
+		id, ok := s.replicaIDs.start(w.Replica)
 		if !ok {
 			continue
 		}
@@ -57,12 +58,27 @@
 }
 
 // replicaIDs maps the short ids on the wire to the incarnations of the region's replicas.
-type replicaIDs map[roster.ReplicaID]string
+type replicaIDs map[roster.ReplicaID][]string
 
-func (n replicaIDs) add(start string) { n[roster.ReplicaIDOf(start)] = start }
+func (n replicaIDs) add(start string) {
+	if id := roster.ReplicaIDOf(start); !slices.Contains(n[id], start) {
+		n[id] = append(n[id], start)
+	}
+}
 
 func (n replicaIDs) drop(start string) {
-	if id := roster.ReplicaIDOf(start); n[id] == start {
+	id := roster.ReplicaIDOf(start)
+	n[id] = slices.DeleteFunc(n[id], func(s string) bool { return s == start })
+	if len(n[id]) == 0 {
 		delete(n, id)
 	}
 }
+
+// start returns the incarnation of a short id; ok is false if there is none, or several have it.
+func (n replicaIDs) start(id roster.ReplicaID) (start string, ok bool) {
+	list := n[id]
+	if len(list) != 1 {
+		return "", false
+	}
+	return list[0], true
+}
--- a/node/state.go
+++ b/node/state.go
@@ -206,7 +206,7 @@
 	}
 	loads := make([]placement.OwnLoad, 0, len(h.Loads))
 	for _, l := range h.Loads {
-		if id, ok := s.replicaIDs[l.Replica]; ok {
+		if id, ok := s.replicaIDs.start(l.Replica); ok {
 			loads = append(loads, ownLoad(id, l.Load))
 		}
 	}
