roster: Let regions of more than 64 boxes have monitors

What callers see: boxes hand no requests to live boxes that they take for dead. Of 300 boxes in three regions, up to 22,566 of 89,700 pairs were missing 30 s after the start, for regions of 100 lose live boxes by gossip and declare them dead to all others: each has so few bytes that gossip takes longer than the 6 s of the timeout. Monitors began at 128.

--- a/node/regionsize_test.go
+++ b/node/regionsize_test.go
@@ -71,3 +71,32 @@
 		}
 	}
 }
+
+// Guards against live boxes that their region loses, and declares dead to others, where the bytes of heartbeats are
+// few for the boxes of a region.
+func TestLargeRegionsOfALargeFleetLoseNoLiveBox(t *testing.T) {
+	t.Parallel()
+	for _, perRegion := range []int{60, 100} {
+		t.Run(fmt.Sprint(perRegion, " boxes"), func(t *testing.T) {
+			t.Parallel()
+			in := newInstallation(0, 3, perRegion)
+			in.idle = true
+			in.startAll(time.Second, 0)
+			in.run(membershipTime)
+			lost := map[string]bool{}
+			for range 10 {
+				in.run(time.Second)
+				for _, m := range in.machines {
+					for _, other := range in.machines {
+						if m.region == other.region && !m.state.roster.Alive(other.name, m.age(in)) {
+							lost[m.name+" lacks "+other.name] = true
+						}
+					}
+				}
+			}
+			if len(lost) > 0 {
+				t.Errorf("%d pairs of live boxes of a region of which one did not list the other", len(lost))
+			}
+		})
+	}
+}
--- a/roster/monitor.go
+++ b/roster/monitor.go
@@ -12,7 +12,7 @@
 // of all boxes don't fit one datagram, so each box sends heartbeats to a few monitors, and
 // the others consider it alive until they receive its death.
 const (
-	monitorThreshold      = 128                     // other boxes of the region from which on boxes have monitors
+	monitorThreshold      = 64                      // boxes of the region above which they have monitors
 	monitorsPerBox        = 3                       // two may fail together with the box
 	monitorHeartbeatEvery = 2                       // ticks
 	monitorProbeDelay     = 1500 * time.Millisecond // since the last heartbeat
