--- a/roster/datagram.go
+++ b/roster/datagram.go
@@ -82,11 +82,16 @@
 		}
 	}
 	sortByRelay(others)
-	limit := maxFarEntries
-	if t.compact.rounds < startupRounds {
-		limit = maxStartupFarEntries
+	return t.appendRelayed(out, others, t.farEntriesLimit(len(own)), now)
+}
+
+// farEntriesLimit returns how many entries of other regions a datagram holds beside those of the
+// own region, whose places it may use at the start.
+func (t *Table) farEntriesLimit(own int) int {
+	if t.compact.rounds >= startupRounds {
+		return maxFarEntries
 	}
-	return t.appendRelayed(out, others, limit, now)
+	return max(maxFarEntries, min(maxStartupFarEntries, maxNearEntries-own))
 }
 
 // appendRelayed appends the entries of the first records and marks these as relayed.
--- a/roster/params_test.go
+++ b/roster/params_test.go
@@ -194,3 +194,28 @@
 	is.NoErr(err)
 	is.Equal(len(b.Loads), 1)
 }
+
+// Guards against liveness datagrams that exceed their size while boxes get to know each other.
+func TestLivenessDatagramsFitAtTheStart(t *testing.T) {
+	for _, near := range []int{1, 40, 95, 96, 120} {
+		is := is.New(t)
+		tab := New(status("a", "north", 1, 0))
+		receiveHeartbeats(tab, "north", near, 0)
+		for n := range 10 {
+			receiveHeartbeats(tab, fmt.Sprint("south-", n), 40, 0)
+		}
+		now := 5 * time.Second
+		receiveHeartbeats(tab, "north", near, now)
+		for n := range 10 {
+			receiveHeartbeats(tab, fmt.Sprint("south-", n), 20, now)
+		}
+		for n := range 30 {
+			tab.records[fmt.Sprintf("south-0-%02d", n)].declaredDead = true
+		}
+		tab.BeginTick(now)
+		is.True(!tab.FullStatusMode())
+		b := tab.livenessDatagram(tab.recipients(now), now, false)
+		is.True(len(b.Dead) > 0)
+		is.True(len(b.encode()) <= datagramBytes)
+	}
+}
