roster: Relay more at the start only where the budget holds it

Boxes relay more at the start only if their budget holds four full datagrams a round, up to some 60 boxes.

--- a/roster/datagram.go
+++ b/roster/datagram.go
@@ -88,7 +88,7 @@
 // farEntriesLimit returns how many entries of other regions a datagram holds beside those of the
 // own region, whose places it may use at the start.
 func (t *Table) farEntriesLimit(own int) int {
-	if t.compact.rounds >= startupRounds {
+	if !t.hasStartupBudget() {
 		return maxFarEntries
 	}
 	return max(maxFarEntries, min(maxStartupFarEntries, maxNearEntries-own))
--- a/roster/round.go
+++ b/roster/round.go
@@ -53,12 +53,19 @@
 // livenessPerRound returns the number of liveness datagrams in a round, as far as the budget
 // allows.
 func (t *Table) livenessPerRound() int {
-	if t.compact.rounds < startupRounds {
+	if t.hasStartupBudget() {
 		return startupLiveness
 	}
 	return 1
 }
 
+// hasStartupBudget reports whether this box has just started and its budget allows several full
+// datagrams in a round. With less, they would delay the agreement of the region.
+func (t *Table) hasStartupBudget() bool {
+	income := t.params.bytesPerSecond * Tick.Seconds()
+	return t.compact.rounds < startupRounds && income >= startupLiveness*datagramBytes
+}
+
 // recipients holds the boxes alive at one time, and the loads that they receive.
 type recipients struct {
 	all      []*record
