--- a/roster/compactstate.go
+++ b/roster/compactstate.go
@@ -10,9 +10,6 @@
 const (
 	maxNearEntries        = 96 // liveness entries of the own region in one datagram
 	maxFarEntries         = 8  // liveness entries of other regions in one datagram, beside one of each region
-	maxStartupFarEntries  = 64 // the same during the first startupRounds, in which boxes get to know each other
-	startupRounds         = 16
-	startupLiveness       = 4  // liveness datagrams in each of these rounds
 	maxDeaths             = 24 // in one datagram; the next one carries the rest
 	maxLeaving            = 16
 	deathFanout           = 3  // boxes that receive a newly recorded death at once
@@ -25,13 +22,13 @@
 	readFanout            = 3                      // boxes of the region that receive a later catalog read at once
 	minReadAdvance        = 750 * time.Millisecond // since the last catalog read that was sent at once
 	statusesPerReply      = 4
-	startupBeats          = 20                     // heartbeats up to which a box has recently started
-	deathGossipWindow     = 25 * time.Second       // since the last heartbeat; the age in an entry holds no more
-	deathSlack            = 2 * time.Second        // by which another region may have received a later heartbeat than the own one
-	pauseThreshold        = time.Second            // without a tick or a datagram, after which the box is muted for a while
-	statusRequestInterval = 500 * time.Millisecond // until the status of the same box is requested again
-	partitionThreshold    = 15 * time.Second       // without a heartbeat of a region, after which its earlier heartbeats don't count
-	probePercent          = 70                     // of a timeout, from which on a box or region is probed
+	startupBeats          = 20               // heartbeats up to which a box has recently started
+	deathGossipWindow     = 25 * time.Second // since the last heartbeat; the age in an entry holds no more
+	deathSlack            = 2 * time.Second  // by which another region may have received a later heartbeat than the own one
+	pauseThreshold        = time.Second      // without a tick or a datagram, after which the box is muted for a while
+	statusRequestInterval = time.Second      // until the status of the same box is requested again
+	partitionThreshold    = 15 * time.Second // without a heartbeat of a region, after which its earlier heartbeats don't count
+	probePercent          = 70               // of a timeout, from which on a box or region is probed
 	maxProbes             = 4
 	percent               = 100
 	seedSenders           = 3 // expected number of boxes that contact a seed in one round
--- a/roster/datagram.go
+++ b/roster/datagram.go
@@ -82,16 +82,7 @@
 		}
 	}
 	sortByRelay(others)
-	return t.appendRelayed(out, others, t.farEntriesLimit(len(own)), now)
-}
-
-// farEntriesLimit returns how many entries of other regions a datagram holds beside those of the
-// own region, whose places it may use at the start.
-func (t *Table) farEntriesLimit(own int) int {
-	if !t.hasStartupBudget() {
-		return maxFarEntries
-	}
-	return max(maxFarEntries, min(maxStartupFarEntries, maxNearEntries-own))
+	return t.appendRelayed(out, others, maxFarEntries, now)
 }
 
 // appendRelayed appends the entries of the first records and marks these as relayed.
--- a/roster/round.go
+++ b/roster/round.go
@@ -43,29 +43,13 @@
 	t.probeSilent(out, now, rnd)
 	t.sendProbes(out, c, now, rnd)
 	received := 0
-	for sent := 0; sent < t.livenessPerRound() && out.hasBudget(); sent++ {
-		received += t.sendLiveness(out, c, now, rnd)
+	if out.hasBudget() {
+		received = t.sendLiveness(out, c, now, rnd)
 	}
 	t.sendLoads(out, c, received, rnd)
 	return append(out.packets, t.checkPackets(now)...)
 }
 
-// livenessPerRound returns the number of liveness datagrams in a round, as far as the budget
-// allows.
-func (t *Table) livenessPerRound() int {
-	if t.hasStartupBudget() {
-		return startupLiveness
-	}
-	return 1
-}
-
-// hasStartupBudget reports whether this box has just started and its budget allows several full
-// datagrams in a round. With less, they would delay the agreement of the region.
-func (t *Table) hasStartupBudget() bool {
-	income := t.params.bytesPerSecond * Tick.Seconds()
-	return t.compact.rounds < startupRounds && income >= startupLiveness*datagramBytes
-}
-
 // recipients holds the boxes alive at one time, and the loads that they receive.
 type recipients struct {
 	all      []*record
