--- a/node/lease.go
+++ b/node/lease.go
@@ -36,9 +36,10 @@
 
 // proofRequests is the state of requests for freshness proofs. The heartbeat task owns all but busy.
 type proofRequests struct {
-	busy     atomic.Bool // a request is in progress
-	attempts int         // since the lease was last renewed
-	lost     bool        // the last logged state of the lease
+	busy        atomic.Bool   // a request is in progress
+	attempts    int           // since the lease was last renewed
+	confirmedAt time.Duration // to which the lease reached at the last attempt
+	lost        bool          // the last logged state of the lease
 }
 
 // needsLease reports whether requests need keys that may be revoked.
@@ -118,11 +119,14 @@
 	if n.isFollower.Load() || !n.storeOK.Load() {
 		after = proofRequestAge
 	}
-	if n.leaseAge() < after {
+	clock.Check()
+	now := n.now()
+	age, _ := n.lease.Age(now)
+	if age < after {
 		n.proofs.attempts = 0
 		return
 	}
-	n.proofs.attempts++
+	n.proofs.countAttempt(now - age)
 	if n.proofs.attempts > maxProofAttempts && n.proofs.attempts%proofBackoffBeats > 0 {
 		return
 	}
@@ -141,6 +145,16 @@
 	})
 }
 
+// countAttempt counts an attempt with a lease that reaches to confirmedAt. The count starts anew when
+// others have renewed the lease, though the proof may be too old to end the attempts.
+func (p *proofRequests) countAttempt(confirmedAt time.Duration) {
+	if confirmedAt > p.confirmedAt {
+		p.attempts = 0
+	}
+	p.confirmedAt = confirmedAt
+	p.attempts++
+}
+
 // requestProof requests a proof from a box. The reported age counts from when the request was sent,
 // so that the lease is never overestimated.
 func (n *Node) requestProof(ctx context.Context, from wire.BoxStatus) {
--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -165,6 +165,18 @@
 
 func anyBox(*simBox) bool { return true }
 
+// rejectionDay has the publisher reject some boxes and then all but one.
+func (k *keyring) rejectionDay() {
+	k.watch(8*time.Second, anyBox)
+	k.rejectSome(0.35, 9*time.Second)
+	k.listing.setRejects(k.boxes[0].settings.Box, false) // one of them reaches the publisher
+	k.revoke(4, 300*time.Millisecond)
+	k.watch(12*time.Second, anyBox)
+	k.rejectAllBut(k.someBox(), 9*time.Second)
+	k.revoke(4, 100*time.Millisecond)
+	k.watch(12*time.Second, anyBox)
+}
+
 // keyScenarios are disruptions of an installation while keys are revoked.
 var keyScenarios = []struct {
 	name string
@@ -179,16 +191,7 @@
 		k.revoke(keyCount, 100*time.Millisecond)
 		k.watch(8*time.Second, anyBox)
 	}},
-	{"some boxes rejected by the publisher", func(k *keyring) {
-		k.watch(8*time.Second, anyBox)
-		k.rejectSome(0.35, 9*time.Second)
-		k.listing.setRejects(k.boxes[0].settings.Box, false) // one of them reaches the publisher
-		k.revoke(4, 300*time.Millisecond)
-		k.watch(12*time.Second, anyBox)
-		k.rejectAllBut(k.someBox(), 9*time.Second)
-		k.revoke(4, 100*time.Millisecond)
-		k.watch(12*time.Second, anyBox)
-	}},
+	{"some boxes rejected by the publisher", (*keyring).rejectionDay},
 	{"publisher down", func(k *keyring) {
 		k.watch(8*time.Second, anyBox)
 		k.listing.setDown(true)
@@ -299,3 +302,18 @@
 		})
 	}
 }
+
+// Guards against a box that requests proofs less often although others renew its lease.
+func TestABoxThatIsTurnedAwayHoldsTheLeaseWhileProofsAreOld(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{12, 27} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				k := newKeyring(t, seed, 30)
+				k.rejectionDay()
+				k.verdict()
+			})
+		})
+	}
+}
