node: Request proofs of other regions beside those of its own

A box asked boxes of its region and then of others in one row, and began the next row only when the last had answered, 160 to 320 ms later for another region.

--- a/node/lease.go
+++ b/node/lease.go
@@ -34,9 +34,11 @@
 	AgeMs   int64 `json:"age_ms"`
 }
 
-// proofRequests is the state of requests for freshness proofs. The heartbeat task owns all but busy.
+// proofRequests is the state of requests for freshness proofs. The heartbeat task owns all but nearBusy
+// and farBusy.
 type proofRequests struct {
-	busy        atomic.Bool   // a request is in progress
+	nearBusy    atomic.Bool   // a box of this region is being asked
+	farBusy     atomic.Bool   // a box that may be of another region is being asked
 	attempts    int           // since the lease was last renewed
 	confirmedAt time.Duration // to which the lease reached at the last attempt
 	lost        bool          // the last logged state of the lease
@@ -130,13 +132,20 @@
 	if n.proofs.attempts > maxProofAttempts && n.proofs.attempts%proofBackoffBeats > 0 {
 		return
 	}
-	if !n.proofs.busy.CompareAndSwap(false, true) {
+	var near, far []wire.BoxStatus
+	_ = n.state.Do(func(s *state) { near, far = s.proofSources(n.draw, n.now()) }) // it fails only after the box has stopped
+	n.requestProofsOf(ctx, near, &n.proofs.nearBusy, after)
+	n.requestProofsOf(ctx, far, &n.proofs.farBusy, after)
+}
+
+// requestProofsOf requests proofs from boxes one after the other until the lease is newer than after,
+// unless such requests are in progress.
+func (n *Node) requestProofsOf(ctx context.Context, list []wire.BoxStatus, busy *atomic.Bool, after time.Duration) {
+	if !busy.CompareAndSwap(false, true) {
 		return
 	}
-	var list []wire.BoxStatus
-	_ = n.state.Do(func(s *state) { list = s.proofSources(n.draw, n.now()) }) // it fails only after the box has stopped
 	n.tasks.Go(func() {
-		defer n.proofs.busy.Store(false)
+		defer busy.Store(false)
 		for _, box := range list {
 			if n.leaseAge() >= after && ctx.Err() == nil {
 				n.requestProof(ctx, box)
@@ -176,9 +185,9 @@
 	})
 }
 
-// proofSources returns the boxes to ask in order: a reader of the region, two boxes of the region, a
-// reader and then any box of other regions. Proofs thus spread to all boxes that can reach each other.
-func (s *state) proofSources(draw func(n int) int, now time.Duration) (out []wire.BoxStatus) {
+// proofSources returns the boxes to ask in order: a reader and two boxes of the region, and a reader
+// and then any box of other regions. Proofs thus spread to all boxes that can reach each other.
+func (s *state) proofSources(draw func(n int) int, now time.Duration) (nearby, remote []wire.BoxStatus) {
 	byRegion := make(map[string][]wire.BoxStatus)
 	for m := range s.roster.All() {
 		if b := m.Status; b.Peers != "" && b.Policy > 0 && s.roster.Alive(b.Box, now) {
@@ -193,7 +202,12 @@
 			everywhere = append(everywhere, list...)
 		}
 	}
-	for _, list := range [][]wire.BoxStatus{readersOf(near), near, near, far, everywhere} {
+	return drawFrom(draw, readersOf(near), near, near), drawFrom(draw, far, everywhere)
+}
+
+// drawFrom returns a random box of each list that is not empty.
+func drawFrom(draw func(n int) int, lists ...[]wire.BoxStatus) (out []wire.BoxStatus) {
+	for _, list := range lists {
 		if len(list) > 0 {
 			out = append(out, list[draw(len(list))])
 		}
--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -303,10 +303,11 @@
 	}
 }
 
-// Guards against a box that requests proofs less often although others renew its lease.
+// Guards against a box that requests proofs less often although others renew its lease, and against slow
+// requests to other regions that delay those within its own.
 func TestABoxThatIsTurnedAwayHoldsTheLeaseWhileProofsAreOld(t *testing.T) {
 	t.Parallel()
-	for _, seed := range []uint64{12, 27} {
+	for _, seed := range []uint64{12, 27, 85, 298} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
