placement, ingress: Count given-up requests to a cold replica as under way

In the logs two boxes had given up requests that a cut held up and written their next ones 1.0 s later: the end of a connection by this box counted as proof that the request would not arrive, but its bytes can still be under way.

A request that this box gave up (no response in time, caller left, time is up) now counts until 3 s after its write, as an unanswered one does. One whose connection the replica ended, or that was never written, counts as before.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -81,7 +81,7 @@
 	cancel(nil) // closes the connection, so that the replica stops its work
 	a.reportPoisonOutcome(e)
 	a.endTrial(e)
-	if a.result == placement.NoResponse && a.reportedSilent.Load() {
+	if a.hasNoResponse() && a.reportedSilent.Load() {
 		a.result = placement.Abandoned
 	}
 	c.server.core.AttemptEnded(&t.Choice, a.result, clock.Since(a.sent))
@@ -175,16 +175,25 @@
 		a.call.state = max(a.call.state, stateMaybeRan)
 		return abandoned
 	case ctx.Err() != nil && !stalled:
+		a.result = placement.Unsent
 		return abandoned
 	case !sent:
 		a.result = placement.Unreachable
 		a.call.noteFailedDial()
 		return unsent
+	case stalled:
+		a.result = placement.TimedOut
+		return unknown
 	}
 	a.result = placement.NoResponse
 	return unknown
 }
 
+// hasNoResponse reports whether the replica gave no response or an incomplete one.
+func (a *attempt) hasNoResponse() bool {
+	return a.result == placement.NoResponse || a.result == placement.TimedOut
+}
+
 // Logged reasons for which an attempt has no complete response.
 const (
 	whySilent          = "replica silent"
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -102,7 +102,7 @@
 	case a.survived:
 	case a.result == placement.Answered:
 		p.Survived(&a.target.Choice, &c.content, clock.Since(a.sent))
-	case a.result == placement.NoResponse, timeUp:
+	case a.hasNoResponse(), timeUp:
 		p.Interrupted(&a.target.Choice, &c.content, clock.Since(a.sent), !timeUp && a.why != whySilent)
 	}
 }
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -119,7 +119,8 @@
 	roundRobin   bool // first attempts go to the replicas in turn
 	events       []decision.Event
 	silent       []string // replicas that were reported as silent
-	unresumable  bool     // the route's streams can't be resumed
+	results      map[string]placement.Result
+	unresumable  bool // the route's streams can't be resumed
 	poisonFuncs  PoisonHooks
 }
 
@@ -141,6 +142,7 @@
 			net: fakes.NewNetwork(),
 		},
 		lastReceived: make(map[string]time.Time),
+		results:      make(map[string]placement.Result),
 		takeRetry:    func() bool { return true },
 		poisonFuncs:  noPoison(),
 	}
@@ -218,6 +220,12 @@
 	g.silent = append(g.silent, c.Incarnation)
 }
 
+func (g *region) noteResult(c *placement.Choice, r placement.Result, _ time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.results[c.Incarnation] = r
+}
+
 func (g *region) noteReceived(c *placement.Choice) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -259,7 +267,7 @@
 		ReplicaSilent:   g.noteSilent,
 		PeekTarget:      g.other,
 		StreamCompleted: func(string, int, int) {},
-		AttemptEnded:    func(*placement.Choice, placement.Result, time.Duration) {},
+		AttemptEnded:    g.noteResult,
 		BoxUnreachable:  func(string) {},
 		ForwardEnded:    func(string, string, bool) {},
 		Record: func(e decision.Event) {
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -191,3 +191,33 @@
 	is.Equal(b.Pick(newRequest("plain", "k"), boxes, next-1).Reason, placement.RateLimited)
 	is.Equal(b.Pick(newRequest("plain", "k"), boxes, next).Reason, placement.None)
 }
+
+// Guards against a cold replica that receives a request that a box gave up together with later ones.
+func TestARequestToAColdReplicaCountsAfterItsBoxGaveUp(t *testing.T) {
+	const transit = 3 * time.Second                 // for which a request may be under way
+	boxes := []string{"a", "b", "c", "d", "e", "f"} // each has a share of one
+	for name, result := range map[string]placement.Result{
+		"no response in time": placement.TimedOut,
+		"caller left":         placement.Abandoned,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBox("a", "hall", coldReplica(60_000))
+			first := b.Pick(newRequest("plain", "k"), boxes, start)
+			is.Equal(first.Reason, placement.None)
+			gaveUp := start + 700*time.Millisecond
+			b.End(&first, result, gaveUp-start, gaveUp)
+			is.Equal(b.Pick(newRequest("plain", "k"), boxes, start+transit-1).Reason, placement.RateLimited)
+			is.Equal(b.Pick(newRequest("plain", "k"), boxes, start+transit).Reason, placement.None)
+		})
+	}
+}
+
+func TestARequestThatWasNeverWrittenDoesNotStayUnderWay(t *testing.T) {
+	is := is.New(t)
+	boxes := []string{"a", "b", "c", "d", "e", "f"}
+	b := newBox("a", "hall", coldReplica(60_000))
+	first := b.Pick(newRequest("plain", "k"), boxes, start)
+	b.End(&first, placement.Unsent, 0, start)
+	is.Equal(b.Pick(newRequest("plain", "k"), boxes, start+1100*time.Millisecond).Reason, placement.None)
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -12,10 +12,15 @@
 	Refused                   // response that reports that the request did not run
 	Unreachable               // connection failed
 	NoResponse                // no response or an incomplete one
-	Abandoned                 // caller left or deadline passed; no evidence against the replica
+	TimedOut                  // the same, as this box stopped waiting; the request may still arrive
+	Abandoned                 // caller left or deadline passed; no evidence against the replica; the request may still arrive
+	Unsent                    // the same, before the request was written
 	Misdirected               // another replica has the address
 )
 
+// mayArrive reports whether the replica may receive the request after this result.
+func (r Result) mayArrive() bool { return r == TimedOut || r == Abandoned }
+
 // RecordSend records when the request of a choice is written, which may be long after Pick.
 func (v *View) RecordSend(c *Choice, now time.Duration) {
 	if c.reservation.replica != nil {
@@ -84,7 +89,9 @@
 	if r == nil {
 		return false
 	}
-	v.recordArrival(c, now)
+	if !result.mayArrive() {
+		v.recordArrival(c, now)
+	}
 	c.reservation.replica = nil
 	l := c.reservation.load
 	r.own.Requests -= l.Requests
@@ -102,7 +109,7 @@
 	case Refused:
 		r.outcomes.Add(true, now) // it has no capacity, though its load looks low
 		r.recordResponse(now)
-	case NoResponse:
+	case NoResponse, TimedOut:
 		v.recordNoResponse(r, now)
 	case Unreachable:
 		r.outcomes.Add(true, now)
@@ -112,7 +119,7 @@
 		}
 	case Misdirected:
 		v.eject(r, now)
-	case Abandoned:
+	case Abandoned, Unsent:
 	}
 	return !wasEjected && r.Ejected(now)
 }
