quota, node: Report demand again whose request had no answer

Cause, found by reading: nextRequest clears the demand that it reports, and neither a waiting request nor one in advance that no allocator answered put it back, so the organisation was given less credit for demand that its callers had. That is so where no box has a record of the quota, or for one of several organisations.

The demand of a request without a grant is reported again. The test failed before for both. What callers lost by it was not measured.

--- a/node/quota.go
+++ b/node/quota.go
@@ -243,9 +243,7 @@
 		list := n.quotas.credits.DueRequests(func(organisation string) bool { return shardOf(organisation) == shard })
 		n.tasks.Go(func() {
 			defer asking.Store(false)
-			for _, g := range n.askAllocators(ctx, shard, list) {
-				n.quotas.credits.AddGrant(g)
-			}
+			n.quotas.credits.AddGrants(list, n.askAllocators(ctx, shard, list))
 		})
 	}
 }
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -84,6 +84,7 @@
 	c.pendingRequest = nil
 	close(pendingRequest)
 	if !ok {
+		c.unreportedDemand += a.Demand
 		g = Grant{
 			CallerRetryAfter: millis(minWait),
 			RetryAfter:       millis(retryInterval),
@@ -123,7 +124,24 @@
 	return out
 }
 
-// AddGrant adds the grant for a CreditRequest that DueRequests returned.
+// AddGrants adds the grants for requests that DueRequests returned. The demand of a request without a
+// grant is reported again.
+func (p *CreditPool) AddGrants(requests []CreditRequest, grants []Grant) {
+	granted := make(map[string]bool, len(grants))
+	for _, g := range grants {
+		granted[g.Organisation] = true
+		p.AddGrant(g)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range requests {
+		if !granted[a.Organisation] {
+			p.credit(a.Organisation).unreportedDemand += a.Demand
+		}
+	}
+}
+
+// AddGrant adds a grant.
 func (p *CreditPool) AddGrant(g Grant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -301,3 +301,34 @@
 	_, ok = p.Take(context.Background(), "org", 10)
 	is.True(!ok)
 }
+
+// Guards against demand that allocators never receive, since the request that reported it had no answer.
+func TestDemandWithoutAnAnswerIsReportedAgain(t *testing.T) {
+	anyOrganisation := func(string) bool { return true }
+	newPool := func() *CreditPool {
+		return NewCreditPool(testWindow, func(context.Context, CreditRequest) (Grant, bool) {
+			return Grant{}, false
+		}, func() time.Duration { return time.Second })
+	}
+	t.Run("of a waiting request", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool()
+		_, ok := p.Take(context.Background(), "org", 5)
+		is.True(!ok)
+		due := p.DueRequests(anyOrganisation)
+		is.Equal(len(due), 1)
+		is.Equal(due[0].Demand, 5.0)
+	})
+	t.Run("of a request in advance", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool()
+		_, _ = p.Take(context.Background(), "org", 5)
+		p.AddGrants(p.DueRequests(anyOrganisation), nil)
+		due := p.DueRequests(anyOrganisation)
+		is.Equal(due[0].Demand, 5.0)
+		p.AddGrants(due, []Grant{{
+			Organisation: "org",
+		}})
+		is.Equal(p.DueRequests(anyOrganisation)[0].Demand, 0.0)
+	})
+}
