ingress, node: Wait longer for the first policy of a box that has just started

Callers got 503 (starting) from a box that has just started in a region far from the publisher. Cause, found by reading: a request waits 300 ms for a policy, which takes some 350 ms there by an older comment (a connection and a read are 320 ms with 80 ms one way). That the policy takes so long was not measured with whole boxes.

Until 500 ms after the start of the box a request waits for its policy; later, 300 ms as before.

--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -16,6 +16,7 @@
 const (
 	defaultTimeout      = 30 * time.Second // if neither caller nor route sets one
 	policyWaitTimeout   = 300 * time.Millisecond
+	firstPolicyTimeout  = 500 * time.Millisecond // from the start of a box; a connection to a publisher in another region and a read take 320 ms
 	policyPollInterval  = 20 * time.Millisecond
 	defaultMaxBodyBytes = 4 << 20 // if the policy sets no limit
 )
@@ -60,9 +61,10 @@
 // awaitTable returns the policy in force. Just after start-up it waits briefly for the
 // first one, which is faster than a retry by the caller.
 func (c *call) awaitTable() *catalog.Table {
+	timeout := max(policyWaitTimeout, firstPolicyTimeout-c.server.core.Uptime())
 	for {
 		table := c.server.core.Table()
-		if table != nil || clock.Since(c.start) > policyWaitTimeout || c.r.Context().Err() != nil {
+		if table != nil || clock.Since(c.start) > timeout || c.r.Context().Err() != nil {
 			return table
 		}
 		sleep.For(c.r.Context(), policyPollInterval)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -91,6 +91,7 @@
 // Hooks holds the functions by which the request path queries and reports to the rest of the box.
 type Hooks struct {
 	Table           func() *catalog.Table    // nil until a policy is known
+	Uptime          func() time.Duration     // since the start of the box
 	CatalogFresh    func() bool              // the published catalog was read recently
 	Leaving         func() bool              // a planned stop has begun
 	AcceptsStreams  func() bool              // a new stream has time to complete
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -121,6 +121,9 @@
 	silent       []string // replicas that were reported as silent
 	results      map[string]placement.Result
 	unresumable  bool // the route's streams can't be resumed
+	began        time.Time
+	uptime       time.Duration // of the box when the test begins
+	policyAfter  time.Duration // time until the box has a policy
 	poisonFuncs  PoisonHooks
 }
 
@@ -143,6 +146,8 @@
 		},
 		lastReceived: make(map[string]time.Time),
 		results:      make(map[string]placement.Result),
+		began:        clock.Now(),
+		uptime:       time.Minute,
 		takeRetry:    func() bool { return true },
 		poisonFuncs:  noPoison(),
 	}
@@ -251,7 +256,13 @@
 		},
 	})
 	return Hooks{
-		Table:           func() *catalog.Table { return table },
+		Table: func() *catalog.Table {
+			if clock.Since(g.began) < g.policyAfter {
+				return nil
+			}
+			return table
+		},
+		Uptime:          func() time.Duration { return g.uptime + clock.Since(g.began) },
 		CatalogFresh:    func() bool { return true },
 		Leaving:         func() bool { return false },
 		AcceptsStreams:  func() bool { return true },
--- a/node/core.go
+++ b/node/core.go
@@ -13,6 +13,7 @@
 func (n *Node) core(ctx context.Context) ingress.Hooks {
 	return ingress.Hooks{
 		Table:           n.table.Load,
+		Uptime:          n.now,
 		CatalogFresh:    n.hasCurrentPolicy,
 		Leaving:         n.leaving.Load,
 		AcceptsStreams:  n.acceptsStreams,
