--- a/pacing/fuzz_test.go
+++ b/pacing/fuzz_test.go
@@ -1,6 +1,7 @@
 package pacing
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -290,6 +291,31 @@
 	})
 }
 
+// Guards against a cold replica that receives more than its bound because a box took over the share of one
+// that was killed while its sends were delayed.
+func TestNoSecondOfAllBoxesExceedsTheBoundWhileBoxesWithLateSendsAreKilled(t *testing.T) {
+	setSeed(t, "2")
+	checkBound(t, func(r *region) []func() {
+		r.late = true
+		return []func(){r.sendForAWhile, r.sendForAWhile, r.sendForAWhile, r.toggleBox, r.restartBox, r.toggleCold}
+	})
+}
+
+// setSeed sets the seed of the fuzzing for one test.
+func setSeed(t *testing.T, seed string) {
+	t.Helper()
+	f := flag.Lookup("rapid.seed")
+	before := f.Value.String()
+	if err := f.Value.Set(seed); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := f.Value.Set(before); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // checkBound runs regions with random actions.
 func checkBound(t *testing.T, actionsOf func(r *region) []func()) {
 	seen := 0
