--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -22,7 +22,8 @@
 //
 // A send may arrive long after its write, for example when a partition heals, and then
 // together with later ones. So a send takes part of the share until its answer begins or
-// its connection ends, and for a window from then on less the slack. Sends that a failed
+// the replica ends its connection, and for a window from then on less the slack. One that
+// the box gives up takes it for as long as a send may be under way. Sends that a failed
 // box leaves under way are not covered.
 //
 // Times are read from the monotonic clock since the start of the process. A Pacer is
@@ -181,7 +182,7 @@
 }
 
 // MarkArrived records that a send allowed by Take at the time taken has arrived, as its answer
-// begins, or that it will not, as its connection has ended.
+// begins, or that it will not, as the replica has ended its connection.
 func (p *Pacer) MarkArrived(replica string, taken, now time.Duration) {
 	p.latest = max(p.latest, now)
 	if c := p.cold[replica]; c != nil {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -12,9 +12,9 @@
 	Refused                   // response that reports that the request did not run
 	Unreachable               // connection failed
 	NoResponse                // no response or an incomplete one
-	TimedOut                  // the same, as this box stopped waiting; the request may still arrive
+	TimedOut                  // no response until this box stopped waiting; the request may still arrive
 	Abandoned                 // caller left or deadline passed; no evidence against the replica; the request may still arrive
-	Unsent                    // the same, before the request was written
+	Unsent                    // given up before the request was written; no evidence against the replica
 	Misdirected               // another replica has the address
 )
 
--- a/roster/send.go
+++ b/roster/send.go
@@ -141,11 +141,11 @@
 	}
 }
 
-// answerProbe sends the liveness entries of the own region or, to a box of it that has not recently
-// started, only a heartbeat.
+// answerProbe sends the liveness entries of the own region. A box of that region that has been up for
+// longer only requests a heartbeat.
 func (t *Table) answerProbe(out *outbox, prober *record, upMs int, from string, now time.Duration) {
-	started := upMs < int(startupProbeTime.Milliseconds())
-	if !started && prober != nil && prober.Status.Region == t.self.Region {
+	hasJustStarted := upMs < int(startupProbeTime.Milliseconds())
+	if !hasJustStarted && prober != nil && prober.Status.Region == t.self.Region {
 		out.send(from, t.header().encode())
 		return
 	}
