--- a/roster/startup_test.go
+++ b/roster/startup_test.go
@@ -26,6 +26,14 @@
 	return regions
 }
 
+// probeOf returns a probe of a box that has been up for long.
+func probeOf(box string) Compact {
+	b := heartbeat(box, 2)
+	b.Probe = true
+	b.UpMs = int(time.Minute.Milliseconds())
+	return b
+}
+
 // Guards against boxes of other regions that a box learns of late, when all have started at once.
 func TestABoxThatHasJustStartedProbesAllRegions(t *testing.T) {
 	is := is.New(t)
@@ -45,11 +53,8 @@
 func TestAProbeOfAnotherRegionIsAnsweredWithAllBoxesOfTheOwn(t *testing.T) {
 	is := is.New(t)
 	tab := largeTable(0)
-	probe := heartbeat("south-00", 2)
-	probe.Probe = true
-	probe.UpMs = int(time.Minute.Milliseconds())
 	entries := 0
-	for _, p := range tab.ReceiveCompact(probe, "south-00:1", 0).Replies {
+	for _, p := range tab.ReceiveCompact(probeOf("south-00"), "south-00:1", 0).Replies {
 		b, err := DecodeCompact(p.Buf)
 		is.NoErr(err)
 		entries += len(b.Liveness)
@@ -60,10 +65,7 @@
 func TestAProbeOfTheOwnRegionIsAnsweredBriefly(t *testing.T) {
 	is := is.New(t)
 	tab := largeTable(0)
-	probe := heartbeat("north-00", 2)
-	probe.Probe = true
-	probe.UpMs = int(time.Minute.Milliseconds())
-	replies := tab.ReceiveCompact(probe, "north-00:1", 0).Replies
+	replies := tab.ReceiveCompact(probeOf("north-00"), "north-00:1", 0).Replies
 	is.Equal(len(replies), 1)
 	b, err := DecodeCompact(replies[0].Buf)
 	is.NoErr(err)
