--- a/pacing/history.go
+++ b/pacing/history.go
@@ -34,7 +34,7 @@
 	sends      []sent
 	dropped    time.Duration // time of the last send that is not in sends
 	hasDropped bool
-	unanswered int // sends that are not in sends
+	unanswered int // unanswered sends that are not in sends
 }
 
 func (h *history) add(now time.Duration) {
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -174,22 +174,14 @@
 // example since its connection had to be opened. The send then counts from its write.
 func (p *Pacer) MarkSent(replica string, taken, now time.Duration) {
 	p.latest = max(p.latest, now)
-	if c := p.cold[replica]; c != nil {
-		c.sends.move(taken, now)
-		return
-	}
-	p.warmHistory(replica).move(taken, now)
+	p.history(replica).move(taken, now)
 }
 
 // MarkArrived records that a send allowed by Take at the time taken has arrived, as its answer
 // begins, or that it will not, as the replica has ended its connection.
 func (p *Pacer) MarkArrived(replica string, taken, now time.Duration) {
 	p.latest = max(p.latest, now)
-	if c := p.cold[replica]; c != nil {
-		c.sends.answer(taken, now)
-		return
-	}
-	p.warmHistory(replica).answer(taken, now)
+	p.history(replica).answer(taken, now)
 }
 
 // NextAllowed returns the earliest time, from now on, at which a send to replica is allowed.
@@ -230,6 +222,14 @@
 	return c
 }
 
+// history returns the recent sends to a replica.
+func (p *Pacer) history(replica string) *history {
+	if c := p.cold[replica]; c != nil {
+		return c.sends
+	}
+	return p.warmHistory(replica)
+}
+
 // warmHistory returns the recent sends to a warm replica.
 func (p *Pacer) warmHistory(replica string) *history {
 	h, ok := p.warm.Get(replica)
