--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -304,3 +304,22 @@
 		is.True(len(h.sends) <= maxWarmSends)
 	}
 }
+
+// Guards against a busy replica that is sent nothing for long after it turned cold because of a send that a box
+// gave up long before, and of which no answer was ever recorded.
+func TestASendThatWasGivenUpLongAgoDoesNotBlockAReplicaThatTurnsCold(t *testing.T) {
+	is := is.New(t)
+	boxes := names(40)
+	p := New(rendezvous.Top(replica, boxes, 1)[0], testTerms) // has a share of one
+	now := 10 * time.Second
+	is.True(p.Take(replica, boxes, now)) // never answered
+	for now < 30*time.Second {
+		now += 100 * time.Millisecond
+		is.True(p.Take(replica, boxes, now))
+		p.MarkArrived(replica, now, now)
+	}
+	p.MarkCold(replica, rate, farFuture)
+	allowed := takeEveryMillisecond(p, boxes, now, now+maxTransit+window)
+	is.True(len(allowed) > 0)
+	is.True(allowed[0] <= now+window)
+}
