platform, placement, ingress, node: Record and log the rate limit that replicas name

Change, no decision uses it yet: the header is decoded once in platform, read in the head of every answer (but for a 421, which another replica gave) and of engines' reports, held per incarnation, logged when it changes, and shown in limited_replicas, /debug/state, lines 'place' and explain. An answer that allows more than recorded counts only if its request was written after the recorded one was received: answers overtake each other. A malformed value changes nothing and is logged once.

--- a/control/explain.go
+++ b/control/explain.go
@@ -173,6 +173,10 @@
 		fmt.Fprintf(&buf, "\nbeliefs in the %s before its end\n", beliefWindow)
 		writeTable(&buf, x.beliefs)
 	}
+	if len(x.signals) > 0 {
+		fmt.Fprintf(&buf, "\nwhat its upstreams had reported of themselves before\n")
+		writeTable(&buf, x.signals)
+	}
 	if len(x.dropped) > 0 {
 		fmt.Fprintf(&buf, "\nlines that these boxes dropped near that time; the path may have gaps\n")
 		writeTable(&buf, x.dropped)
--- a/control/explain_test.go
+++ b/control/explain_test.go
@@ -83,6 +83,24 @@
 	is.Equal(buf.String(), explained)
 }
 
+// Guards against a limit that is named long before the request that it turns away, and not shown.
+func TestWhatAnUpstreamHadReportedBeforeIsShown(t *testing.T) {
+	is := is.New(t)
+	events, _, err := readLog("r-1", strings.NewReader(
+		`{"box":"box-1","kind":"belief","upstream":"u-7","signal":"limit","limit":1.2,"reason":"old","time":"2026-12-02T08:00:00Z"}
+{"box":"box-1","kind":"belief","upstream":"u-7","signal":"limit","limit":1.5,"reason":"replica names a limit","time":"2026-12-02T08:30:00Z"}
+{"box":"box-1","kind":"belief","upstream":"u-9","signal":"limit","limit":3,"reason":"of another replica","time":"2026-12-02T08:30:00Z"}
+{"box":"box-1","kind":"end","request":"r-1","upstream":"u-7","outcome":"refused","time":"2026-12-02T09:00:05Z"}
+`))
+	is.NoErr(err)
+	found := explain("r-1", events)
+	is.Equal(len(found.signals), 1)
+	var buf bytes.Buffer
+	is.NoErr(found.print(&buf, 0))
+	is.True(strings.Contains(buf.String(), "what its upstreams had reported of themselves before"))
+	is.True(strings.Contains(buf.String(), "limit=1.5/s signal=limit"))
+}
+
 func TestARequestWithoutLinesHasNoPath(t *testing.T) {
 	is := is.New(t)
 	events, _, err := readLogs("r-9", writeLogs(is, t.TempDir()))
--- a/control/explanation.go
+++ b/control/explanation.go
@@ -31,6 +31,7 @@
 	path    []decision.Event
 	same    []decision.Event // of requests that ask the same under other ids, and what is held of them
 	beliefs []decision.Event
+	signals []decision.Event // what the upstreams of the path had last reported of themselves before beliefs
 	dropped []decision.Event
 }
 
@@ -57,6 +58,8 @@
 		case e.Request == id:
 		case e.Digest != "" && concerned.digests[e.Digest]:
 			x.same = append(x.same, e)
+		case e.Signal != "" && e.At.Before(end.Add(-beliefWindow)) && concerned.upstreams[e.Upstream]:
+			x.signals = replaceSignal(x.signals, e)
 		case isBelief(&e) && within(e.At, end.Add(-beliefWindow), end) && concerned.include(&e):
 			x.beliefs = append(x.beliefs, e)
 		case e.Kind == decision.Dropped && within(e.At, begin, end.Add(droppedDelay)) && concerned.boxes[e.Box]:
@@ -66,6 +69,15 @@
 	return x
 }
 
+// replaceSignal appends a signal and drops the earlier one of the same kind that the same box recorded of the
+// same upstream.
+func replaceSignal(list []decision.Event, e decision.Event) []decision.Event {
+	list = slices.DeleteFunc(list, func(o decision.Event) bool {
+		return o.Box == e.Box && o.Upstream == e.Upstream && o.Signal == e.Signal
+	})
+	return append(list, e)
+}
+
 // within says whether t lies from one time to another, both included.
 func within(t, from, to time.Time) bool { return !t.Before(from) && !t.After(to) }
 
@@ -163,6 +175,10 @@
 	number("unread", int64(e.Unread), "")
 	number("sharers", int64(e.Sharers), "")
 	number("tries", int64(e.Tries), "")
+	if e.Limit != 0 {
+		out = append(out, "limit="+strconv.FormatFloat(e.Limit, 'g', -1, 64)+"/s")
+	}
+	text("signal", string(e.Signal))
 	text("digest", e.Digest)
 	text("detail", e.Detail)
 	for _, c := range e.Counts {
--- a/decision/event.go
+++ b/decision/event.go
@@ -52,6 +52,14 @@
 	Crossed Outcome = "crossed" // the answer belongs to another request
 )
 
+// Signal is what a replica reports of itself in its answers.
+type Signal string
+
+// The signals.
+const (
+	Limit Signal = "limit" // it names a rate limit, or none any more
+)
+
 // Failed reports whether o says that the request or try was not served. An empty
 // outcome has not failed.
 func (o Outcome) Failed() bool { return o != "" && o != Served }
@@ -88,6 +96,8 @@
 	Sharers  int       `json:"sharers,omitempty"`   // boxes among which the pace of the cold replica, or quotas of the region, are shared
 	CopyFrom string    `json:"copy_from,omitempty"` // address of the replica that shared tokens are copied from
 	Tries    int       `json:"tries,omitempty"`
+	Limit    float64   `json:"limit,omitempty"`  // requests per second that the upstream names in its answers
+	Signal   Signal    `json:"signal,omitempty"` // what the upstream reported of itself, of a line of kind Belief
 	Digest   string    `json:"digest,omitempty"` // of what the request asks, the same whenever it comes again
 	Region   string    `json:"region,omitempty"`
 
@@ -120,6 +130,7 @@
 	e.Upstream = cut(e.Upstream)
 	e.Outcome = Outcome(cut(string(e.Outcome)))
 	e.Reason = cut(e.Reason)
+	e.Signal = Signal(cut(string(e.Signal)))
 	e.CopyFrom = cut(e.CopyFrom)
 	e.Digest = cut(e.Digest)
 	e.Region = cut(e.Region)
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -76,6 +76,10 @@
 	l.number("sharers", int64(e.Sharers))
 	l.text("copy_from", e.CopyFrom)
 	l.number("tries", int64(e.Tries))
+	if e.Limit != 0 {
+		l.fields["limit"] = e.Limit
+	}
+	l.text("signal", string(e.Signal))
 	l.text("digest", e.Digest)
 	l.text("region", e.Region)
 	l.text("organisation", e.Organisation)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -119,7 +119,11 @@
 	}
 	defer func() { _ = answer.Close() }()
 	a.headAfter = clock.Since(a.sent)
-	c.server.core.HeadReceived(&a.target.Choice, a.headAfter)
+	c.server.core.HeadReceived(&a.target.Choice, Head{
+		Took:    a.headAfter,
+		Written: a.sent.Add(time.Duration(a.writtenAfter.Load())),
+		Signals: a.readSignals(answer),
+	})
 	if requests, waiting, ok := c.server.codec.LoadReport(answer.Header()); ok {
 		c.server.core.LoadReported(&a.target.Choice, requests, waiting)
 	}
@@ -139,6 +143,19 @@
 	}
 }
 
+// readSignals returns what the replica reports of itself. A misdirected request was answered by
+// another replica.
+func (a *attempt) readSignals(answer *exchange.Response) *placement.Signals {
+	if answer.Status() == http.StatusMisdirectedRequest {
+		return nil
+	}
+	s, err := a.call.server.codec.ReadSignals(answer.Header())
+	if err != nil {
+		a.call.server.core.MalformedHeader(&a.target.Choice, err)
+	}
+	return &s
+}
+
 // hasUnread reports whether this box, whose CPU may be overloaded, has unread bytes of the
 // response.
 func (a *attempt) hasUnread() bool {
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -204,6 +204,7 @@
 		Memory:   t.Choice.Load.Tokens,
 		Unread:   t.Choice.Load.PendingPrefill,
 		Sharers:  t.Choice.SharingBoxes,
+		Limit:    t.Choice.Limit.PerSecond,
 		CopyFrom: t.Choice.CopyFrom,
 		AgeMs:    t.AgeMs,
 		TookMs:   t.Choice.Expect.Milliseconds(),
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -55,6 +55,7 @@
 	Executed            func(status int, h http.Header) bool                 // false if the replica reports that it did not run the request
 	FromReplica         func(h http.Header) bool                             // reports whether a successful response was made by a replica
 	LoadReport          func(h http.Header) (requests, waiting int, ok bool) // number of requests that the replica reports, and of those that wait; false without a report
+	ReadSignals         func(h http.Header) (placement.Signals, error)       // what the replica reports of itself; an error for malformed headers
 }
 
 // Target is the next destination of a request: a replica, a box, or none for a
@@ -101,12 +102,13 @@
 	CountRequest    func(service string)      // a request is sent for the first time
 	TakeRetry       func(service string) bool // takes one retry from the budget
 	RequestWritten  func(c *placement.Choice) // the request was written to the replica some time after its selection
-	HeadReceived    func(c *placement.Choice, took time.Duration)
+	HeadReceived    func(c *placement.Choice, h Head)
 	DataReceived    func(c *placement.Choice)
 	IdleTime        func(c *placement.Choice, sent time.Time) time.Duration // time since the last bytes from the replica
 	ReplicaSilent   func(c *placement.Choice)                               // the replica is silent, and its request keeps waiting
 	PeekTarget      func(next TargetQuery) (Target, bool)                   // returns the next target without recording the request there
 	LoadReported    func(c *placement.Choice, requests, waiting int)        // the replica reports its number of requests, including this one, and of those that wait
+	MalformedHeader func(c *placement.Choice, err error)                    // an answer of the replica has a malformed header
 	StreamCompleted func(service string, events, guess int)                 // a stream is complete: its number of events, and of output tokens that the caller expected
 	AttemptEnded    func(c *placement.Choice, r placement.Result, took time.Duration)
 	BoxUnreachable  func(box string)                  // a box was unreachable
@@ -118,6 +120,13 @@
 	Meter           Meter
 }
 
+// Head describes the head of a replica's answer.
+type Head struct {
+	Took    time.Duration      // since the attempt began
+	Written time.Time          // when the write of the request began
+	Signals *placement.Signals // what the replica reports of itself; nil if another one answered
+}
+
 // Meter receives the metrics of requests.
 type Meter struct {
 	Request       func(service, outcome string, took time.Duration)
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -271,7 +271,8 @@
 		Place:           g.place,
 		CountRequest:    func(string) {},
 		TakeRetry:       func(string) bool { return g.takeRetry() },
-		HeadReceived:    func(c *placement.Choice, _ time.Duration) { g.noteReceived(c) },
+		HeadReceived:    func(c *placement.Choice, _ Head) { g.noteReceived(c) },
+		MalformedHeader: func(*placement.Choice, error) {},
 		RequestWritten:  func(*placement.Choice) {},
 		DataReceived:    g.noteReceived,
 		IdleTime:        g.idleTime,
@@ -339,6 +340,7 @@
 		Executed:       func(status int, _ http.Header) bool { return status != http.StatusServiceUnavailable },
 		FromReplica:    func(http.Header) bool { return true },
 		LoadReport:     func(http.Header) (int, int, bool) { return 0, 0, false },
+		ReadSignals:    func(http.Header) (placement.Signals, error) { return placement.Signals{}, nil },
 	}, g.core(), pool, pool).Callers()
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// WithLimitedReplicas serves the number of replicas that name a rate limit in their answers.
+func WithLimitedReplicas(n func() int) Option {
+	return func(m *Meter) {
+		m.gauge("limited_replicas", "Replicas of the region that name a rate limit in their answers.", func() float64 { return float64(n()) })
+	}
+}
+
 // WithLeaseAge serves the time since the policy in force was confirmed as the newest.
 func WithLeaseAge(age func() time.Duration) Option {
 	return func(m *Meter) {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -36,6 +36,7 @@
 		WithSharingBoxes(func() int { return 4 }),
 		WithDroppedLines(func() int64 { return 9 }),
 		WithQuarantinedRequests(func() int { return 5 }),
+		WithLimitedReplicas(func() int { return 2 }),
 		WithLeaseAge(func() time.Duration { return 250 * time.Millisecond }),
 	)
 	m.Request("chat", "served")
@@ -92,6 +93,7 @@
 		`havenrudder_alive_boxes 3`,
 		`havenrudder_sharing_boxes 4`,
 		`havenrudder_quarantined_requests 5`,
+		`havenrudder_limited_replicas 2`,
 		`havenrudder_lease_age_seconds 0.25`,
 		`havenrudder_quota_units_total{organisation="org",result="taken"} 30`,
 		`havenrudder_quota_units_total{organisation="org",result="refused"} 12`,
@@ -122,10 +124,10 @@
 		name, _, _ := strings.Cut(rest, " ")
 		unit := name[strings.LastIndex(name, "_")+1:]
 		is.True(strings.HasPrefix(name, "havenrudder_"))
-		is.True(slices.Contains([]string{"total", "seconds", "boxes", "requests"}, unit))
+		is.True(slices.Contains([]string{"total", "seconds", "boxes", "requests", "replicas"}, unit))
 		names++
 	}
-	is.Equal(names, 23)
+	is.Equal(names, 24)
 }
 
 func TestAMeterCountsForItselfAlone(t *testing.T) {
--- a/node/core.go
+++ b/node/core.go
@@ -29,6 +29,7 @@
 		ReplicaSilent:   n.recordSilence,
 		PeekTarget:      n.alternative,
 		LoadReported:    n.recordLoad,
+		MalformedHeader: n.recordMalformed,
 		StreamCompleted: n.recordStream,
 		AttemptEnded:    n.endRequest,
 		BoxUnreachable:  n.recordUnreachable,
@@ -114,8 +115,18 @@
 	n.state.Post(func(s *state) { s.view.RecordSend(&choice, now) })
 }
 
-func (n *Node) recordFirstByte(c *placement.Choice, took time.Duration) {
-	_ = n.state.Do(func(s *state) { s.view.RecordFirstByte(c, took, n.now()) })
+// recordFirstByte records the head of an answer, and what the replica reports of itself there.
+func (n *Node) recordFirstByte(c *placement.Choice, h ingress.Head) {
+	_ = n.state.Do(func(s *state) {
+		now := n.now()
+		s.view.RecordFirstByte(c, h.Took, now)
+		if h.Signals != nil {
+			n.recordStateChanges(s.view.RecordSignals(c, *h.Signals, placement.Span{
+				From: h.Written.Sub(n.started),
+				To:   now,
+			}))
+		}
+	})
 }
 
 // recordLoad records the load report in an answer's headers.
--- a/node/dump.go
+++ b/node/dump.go
@@ -71,6 +71,9 @@
 	Slow        float64 `json:"slow"`
 	ReportAgeMs int64   `json:"word_age_ms,omitempty"` // of its last load report, where boxes use these
 	Revision    int64   `json:"revision"`
+
+	Limit      *float64 `json:"limit_per_s,omitempty"`  // requests per second that it names in its answers; nil for none
+	LimitAgeMs int64    `json:"limit_age_ms,omitempty"` // since its last answer with that limit
 }
 
 // RetryDump is the remaining retry budget of a service.
@@ -121,7 +124,7 @@
 	}
 	for _, r := range s.view.Replicas() {
 		all := s.view.Load(r, now)
-		d.Replicas = append(d.Replicas, ReplicaDump{
+		out := ReplicaDump{
 			ID:          r.Incarnation(),
 			Service:     r.Info().Service,
 			Addr:        r.Info().Addr,
@@ -136,7 +139,12 @@
 			Slow:        r.Slowness(now),
 			ReportAgeMs: max(0, r.ReportAge(now).Milliseconds()),
 			Revision:    r.Info().Revision,
-		})
+		}
+		if l := r.Limit(); l.Named {
+			out.Limit = &l.PerSecond
+			out.LimitAgeMs = r.LimitAge(now).Milliseconds()
+		}
+		d.Replicas = append(d.Replicas, out)
 	}
 	d.Poison = s.dumpPoison(now)
 	if s.table == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -140,6 +140,7 @@
 		meter.WithSharingBoxes(n.sharingBoxes),
 		meter.WithDroppedLines(n.log.DroppedLines),
 		meter.WithQuarantinedRequests(n.quarantinedRequests),
+		meter.WithLimitedReplicas(n.limitedReplicas),
 		meter.WithLeaseAge(n.leaseAge),
 	)
 	limitMemory(s.MemoryMB)
--- a/node/pull.go
+++ b/node/pull.go
@@ -190,6 +190,8 @@
 			Kind:     decision.Belief,
 			Upstream: b.Subject,
 			Reason:   b.Reason,
+			Signal:   b.Signal,
+			Limit:    b.Limit,
 			Revision: b.Rev,
 		})
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -10,6 +10,7 @@
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/ingress"
+	"github.com/havenrudder/havenrudder/placement"
 )
 
 // Bounds are limits that all boxes keep together, and time limits of a box.
@@ -66,6 +67,9 @@
 	Running   int
 	Waiting   int
 	Tokens    int // in memory
+
+	Signals   placement.Signals // what the replica reports of itself in the head of the answer
+	Malformed error             // a header of it that can't be read
 }
 
 // SourceEvents receives events of a source of the catalog.
--- /dev/null
+++ b/node/signals.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/placement"
+)
+
+// recordMalformed logs the first malformed header of a replica.
+func (n *Node) recordMalformed(c *placement.Choice, err error) {
+	first := false
+	_ = n.state.Do(func(s *state) { first = s.view.NoteMalformed(c.Incarnation) }) // it fails only when the box has ended
+	if first {
+		n.logMalformed(c.Incarnation, err)
+	}
+}
+
+func (n *Node) logMalformed(incarnation string, err error) {
+	n.record(decision.Event{
+		Kind:     decision.Belief,
+		Upstream: incarnation,
+		Reason:   "malformed header of a replica passed over",
+		Detail:   err.Error(),
+	})
+}
+
+// limitedReplicas returns the number of listed replicas of the region that name a limit. It must
+// not be called before Run.
+func (n *Node) limitedReplicas() (limited int) {
+	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
+		for _, r := range s.view.Replicas() {
+			if r.Listed() && r.Limit().Named {
+				limited++
+			}
+		}
+	})
+	return limited
+}
--- a/node/usagereport.go
+++ b/node/usagereport.go
@@ -74,6 +74,16 @@
 		start, changes := s.reportingIncarnation(a.start, got.StartedAt, n.now())
 		n.recordStateChanges(changes)
 		s.recordUsageReport(start, got, err == nil, at, n.now())
+		if err != nil {
+			return
+		}
+		n.recordStateChanges(s.view.RecordSignalsOf(start, got.Signals, placement.Span{
+			From: at,
+			To:   n.now(),
+		}))
+		if got.Malformed != nil && s.view.NoteMalformed(start) {
+			n.logMalformed(start, got.Malformed)
+		}
 	})
 }
 
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -54,6 +54,7 @@
 	Load          Load          // load of the replica before this request
 	PrefillTokens int           // prompt tokens that the request adds to it
 	SharingBoxes  int           // boxes that share its rate limit while it is cold; 0 for any other
+	Limit         RateLimit     // that the replica names
 
 	CopyFrom string // address of a replica to copy missing segments from; empty for none
 
@@ -124,6 +125,7 @@
 		Load:          best.load,
 		PrefillTokens: g.load.PendingPrefill,
 		SharingBoxes:  sharers,
+		Limit:         best.r.Limit(),
 
 		CopyFrom: best.copyFrom(),
 
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -65,6 +65,8 @@
 	report      LoadReport          // the latest, whichever box polled it
 	unreported  []unreported        // requests of this box that the report doesn't include
 	lastPoll    time.Duration       // last poll by this box; 0 for none
+	limit       namedLimit          // that it names in its answers
+	malformed   bool                // one of its answers had a malformed header
 
 	coldUntil       time.Duration
 	connectFailures int             // consecutive failures to connect
--- a/placement/view.go
+++ b/placement/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
+	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/pacing"
 )
 
@@ -106,10 +107,12 @@
 
 // Change is a change of recorded state.
 type Change struct {
-	Subject string // incarnation of a replica, or failure domain
-	Reason  string // what changed
-	Rev     int64  // catalog revision of the change
-	Addr    string // address of a new incarnation; open connections may lead to an earlier one
+	Subject string          // incarnation of a replica, or failure domain
+	Reason  string          // what changed
+	Rev     int64           // catalog revision of the change
+	Addr    string          // address of a new incarnation; open connections may lead to an earlier one
+	Signal  decision.Signal // what a replica reported of itself; empty for other changes
+	Limit   float64         // requests per second that the replica names; only with a Signal of decision.Limit
 }
 
 // Apply applies the changes of the catalog since the last call.
