pacing, signal, node: Keep the rate limits that replicas name, over all boxes of a region

Change: with n boxes and rate L a box may make ceil((bound-rank)/n) of bound = max(1, ceil(4L)) sends in each bound/L seconds; longer lists and lower rates never raise a share, so all shares together keep L without a store or an owner. A box that needs more asks others for a send of theirs (25 ms); lent sends count at the lender until they are reported as arrived, so lost datagrams only leave sends unused. What a replica reports is relayed in datagrams of their own, with the time in which the answer can have been made. With all replicas limited a request is refused at once with the time of the first free send. A limit of 0 is tried every 20 s.

--- a/ingress/call.go
+++ b/ingress/call.go
@@ -83,6 +83,7 @@
 	failure         *response        // a replica's response that reports its own failure
 	reason          placement.Reason // why there is no further target
 	retryAfter      time.Duration    // until there may be a target
+	blockedBy       string           // replica that may be the target then; empty for none
 }
 
 // run sends the request to one target after another until the caller has a response.
@@ -105,6 +106,7 @@
 			}
 			c.reason = target.Reason
 			c.retryAfter = target.RetryAfter
+			c.blockedBy = target.Choice.Blocked
 			break
 		}
 		c.recordPlacement(target)
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -27,6 +27,7 @@
 	retryAfterStopping = time.Second            // restart time of a box that is the only one of its region
 	minRetryAfter      = 100 * time.Millisecond // used if the length of a shortage is unknown
 	maxRetryAfter      = time.Second
+	maxNamedRetryAfter = 30 * time.Second // if the wait follows from what replicas report of themselves
 )
 
 // finish sends a final response if no attempt produced one.
@@ -88,7 +89,11 @@
 
 // refuse answers that the request has not run, with the time to retry after.
 func (c *call) refuse(reason placement.Reason, wait time.Duration) {
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	limit := maxRetryAfter
+	if reason == placement.Limited {
+		limit = maxNamedRetryAfter
+	}
+	wait = min(max(wait, minRetryAfter), limit)
 	c.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	c.refuseUnavailable(reason)
 }
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -182,14 +182,23 @@
 		digest = c.content.Digest().String() // identifies the crashes for which the request is refused
 	}
 	c.record(decision.Event{
-		Kind:    decision.End,
-		Digest:  digest,
-		Outcome: o,
-		Status:  status,
-		Reason:  reason,
-		Tries:   c.sent,
-		TookMs:  took.Milliseconds(),
-		FirstMs: c.firstEventAfter.Milliseconds(),
-		PauseMs: c.maxGap.Milliseconds(),
+		Kind:     decision.End,
+		Digest:   digest,
+		Upstream: c.blockedUpstream(o, reason),
+		Outcome:  o,
+		Status:   status,
+		Reason:   reason,
+		Tries:    c.sent,
+		TookMs:   took.Milliseconds(),
+		FirstMs:  c.firstEventAfter.Milliseconds(),
+		PauseMs:  c.maxGap.Milliseconds(),
 	})
 }
+
+// blockedUpstream returns the replica whose own reports were the reason of a refusal.
+func (c *call) blockedUpstream(o decision.Outcome, reason string) string {
+	if o == decision.Refused && reason == string(placement.Limited) {
+		return c.blockedBy
+	}
+	return ""
+}
--- a/meter/count.go
+++ b/meter/count.go
@@ -23,6 +23,9 @@
 // ColdSendRateLimited counts a send to a cold replica that was rate-limited.
 func (m *Meter) ColdSendRateLimited() { m.coldSends.WithLabelValues(resultRateLimited).Inc() }
 
+// LimitedSend counts a choice of a target that met only replicas whose named limits left no room.
+func (m *Meter) LimitedSend() { m.limitedSends.Inc() }
+
 // ColdSendRefused counts a send to a cold replica that was refused.
 func (m *Meter) ColdSendRefused() { m.coldSends.WithLabelValues(resultRefused).Inc() }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -26,6 +26,7 @@
 	attempts       *prometheus.CounterVec
 	retries        *prometheus.CounterVec
 	coldSends      *prometheus.CounterVec
+	limitedSends   prometheus.Counter
 	refusals       *prometheus.CounterVec
 	quota          *prometheus.CounterVec
 	forwards       *prometheus.CounterVec
@@ -106,6 +107,7 @@
 	m.attempts = m.counters("tries_total", "Tries at upstreams by service and outcome.", "service", "outcome")
 	m.retries = m.counters("repeats_total", "Repeated tries that the retry budget allowed or refused.", "result")
 	m.coldSends = m.counters("cold_sends_total", "Sends to cold replicas that were paced or refused.", "result")
+	m.limitedSends = m.counter("limited_sends_total", "Choices of a target that met only replicas whose named limits left no room.")
 	m.refusals = m.counters("refusals_total", "Refused requests by reason.", "reason")
 	m.quota = m.counters("quota_units_total", "Units of organisations' quotas that were let through or refused here.", "organisation", "result")
 	m.forwards = m.counters("forwards_total", "Requests handed to another region by outcome.", "region", "outcome")
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -46,6 +46,7 @@
 	m.RetryRefused()
 	m.ColdSendRateLimited()
 	m.ColdSendRefused()
+	m.LimitedSend()
 	m.Refusal("overload")
 	m.Quota("org", 30, true)
 	m.Quota("org", 12, false)
@@ -83,6 +84,7 @@
 		`havenrudder_repeats_total{result="refused"} 1`,
 		`havenrudder_cold_sends_total{result="paced"} 1`,
 		`havenrudder_cold_sends_total{result="refused"} 1`,
+		`havenrudder_limited_sends_total 1`,
 		`havenrudder_refusals_total{reason="overload"} 1`,
 		`havenrudder_forwards_total{outcome="served",region="eu"} 1`,
 		`havenrudder_resumed_streams_total 1`,
@@ -127,11 +129,11 @@
 		is.True(slices.Contains([]string{"total", "seconds", "boxes", "requests", "replicas"}, unit))
 		names++
 	}
-	is.Equal(names, 24)
+	is.Equal(names, 25)
 }
 
 func TestAMeterCountsForItselfAlone(t *testing.T) {
 	is := is.New(t)
 	meterWithAllMetrics()
-	is.Equal(len(scrape(is, New())), 6*3) // the six counters without labels
+	is.Equal(len(scrape(is, New())), 7*3) // the seven counters without labels
 }
--- a/node/core.go
+++ b/node/core.go
@@ -7,6 +7,7 @@
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/ingress"
 	"github.com/havenrudder/havenrudder/placement"
+	"github.com/havenrudder/havenrudder/roster"
 )
 
 // core returns the functions through which ingress uses the box.
@@ -79,9 +80,19 @@
 // place chooses a target for a request and counts the request there.
 func (n *Node) place(ask ingress.TargetQuery) (t ingress.Target) {
 	t.Reason = placement.NoReplica
-	_ = n.state.Do(func(s *state) { t = s.place(ask, n.now(), n.draw) })
-	if t.Reason == placement.RateLimited {
+	var loans []roster.Packet
+	_ = n.state.Do(func(s *state) {
+		t = s.place(ask, n.now(), n.draw)
+		if t.Reason == placement.Limited {
+			loans = s.askLoans(t.Choice.Blocked, n.now())
+		}
+	})
+	n.sendPackets(loans)
+	switch t.Reason {
+	case placement.RateLimited:
 		n.meter.ColdSendRateLimited()
+	case placement.Limited:
+		n.meter.LimitedSend()
 	}
 	if t.Choice.PrefillTokens >= notifyTokens {
 		n.sendLoads()
@@ -121,7 +132,7 @@
 		now := n.now()
 		s.view.RecordFirstByte(c, h.Took, now)
 		if h.Signals != nil {
-			n.recordStateChanges(s.view.RecordSignals(c, *h.Signals, placement.Span{
+			n.recordStateChanges(s.recordSignals(c, *h.Signals, placement.Span{
 				From: h.Written.Sub(n.started),
 				To:   now,
 			}))
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/poison"
 	"github.com/havenrudder/havenrudder/roster"
+	"github.com/havenrudder/havenrudder/signal"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -19,7 +20,8 @@
 		link := roster.NewLink(conn,
 			func(g wire.Gossip, _ net.Addr) { n.receive(ctx, g) },
 			roster.WithCompact(func(b roster.Compact, from net.Addr) { n.receiveCompact(ctx, b, from.String()) }),
-			roster.WithForeign(poison.DatagramType, func(buf []byte, from net.Addr) { n.receivePoison(buf, from.String()) }))
+			roster.WithForeign(poison.DatagramType, func(buf []byte, from net.Addr) { n.receivePoison(buf, from.String()) }),
+			roster.WithForeign(signal.DatagramType, func(buf []byte, from net.Addr) { n.receiveSignals(buf, from.String()) }))
 		n.links = append(n.links, link)
 	}
 	for _, link := range n.links { // after all are created, since an answer to a message uses the first
@@ -47,6 +49,7 @@
 		n.applyExpired()
 		n.recordUnlistedCrashes()
 		n.gossipPoison()
+		n.gossipSignals()
 		n.chooseRole()
 		n.requestSnapshot(ctx)
 		n.fetchMissingPolicy(ctx)
--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -11,6 +11,7 @@
 	"github.com/havenrudder/havenrudder/measure/virtual"
 	"github.com/havenrudder/havenrudder/placement"
 	"github.com/havenrudder/havenrudder/roster"
+	"github.com/havenrudder/havenrudder/signal"
 	"github.com/havenrudder/havenrudder/wire"
 )
 
@@ -37,6 +38,8 @@
 	inc    int // of the process
 	born   time.Duration
 	state  *state // nil while no process runs
+
+	pausedUntil time.Duration // it stands still until then
 }
 
 // send is one request to the cold replica of a region.
@@ -64,6 +67,9 @@
 	retrying bool // boxes also retry requests
 	idle     bool // boxes have no requests
 	extra    int  // retries beyond the ratio; 0 for retryExtra
+
+	catalogOf func(region string) catalog.Update
+	onStart   func(m *machine) // called when a box has started
 }
 
 // newInstallation returns an installation without running boxes. The first machine of each
@@ -73,6 +79,9 @@
 		rnd:    rand.New(rand.NewPCG(seed, 1)),
 		byAddr: make(map[string]*machine),
 		cut:    func(*machine, *machine) bool { return false },
+
+		catalogOf: coldCatalog,
+		onStart:   func(*machine) {},
 	}
 	for r := range regions {
 		for n := range perRegion {
@@ -130,14 +139,18 @@
 			RetryExtra:     cmp.Or(in.extra, retryExtra),
 		},
 	}, m.status(), 0)
-	m.state.applyUpdate(coldCatalog(m.region), 0)
+	m.state.applyUpdate(in.catalogOf(m.region), 0)
 	in.post(m, m.state.roster.Broadcast(m.fullStatus(0), 0, true))
 	alive := in.while(m)
 	in.every(roster.Tick, alive, func() {
+		if in.now < m.pausedUntil {
+			return
+		}
 		out := m.state.roster.Gossip(m.fullStatus(m.age(in)), m.age(in), in.rnd.IntN)
 		m.state.view.SetPeerLoadTTL(m.state.roster.LoadsTTL())
 		in.post(m, out)
 	})
+	in.onStart(m)
 	if in.idle {
 		return
 	}
@@ -227,7 +240,20 @@
 	if to.state == nil {
 		return
 	}
+	if in.now < to.pausedUntil {
+		in.after(to.pausedUntil-in.now, func() { in.deliver(from, to, buf) })
+		return
+	}
 	now := to.age(in)
+	if signal.IsDatagram(buf) {
+		d, err := signal.Decode(buf)
+		if err != nil {
+			panic(err) // boxes send only what they can read
+		}
+		replies, _ := to.state.receiveSignals(d, from.addr, now)
+		in.post(to, replies)
+		return
+	}
 	if roster.IsCompact(buf) {
 		b, err := roster.DecodeCompact(buf)
 		if err != nil {
--- a/node/state.go
+++ b/node/state.go
@@ -54,6 +54,7 @@
 	capacity          []wire.ServiceRoom
 	capacityAt        time.Duration // when it was computed; 0 for never
 	poison            *poison.Detector
+	signals           signalState
 }
 
 func newState(s Settings, self wire.BoxStatus, now time.Duration) *state {
@@ -75,6 +76,9 @@
 		unanswered:        make(map[string]int),
 		reportedBorn:      make(map[string]int64),
 		poison:            poison.NewDetector(s.Box),
+		signals: signalState{
+			changed: make(map[string]time.Duration),
+		},
 	}
 }
 
@@ -145,6 +149,7 @@
 	if !ok {
 		return nil
 	}
+	s.view.Limiter().SetStart(since)
 	s.view.Pacer().SetStart(since) // other boxes' earlier requests count for a window
 	out := append([]string{s.settings.Box}, s.roster.QuotaUsers(s.settings.Region, now)...)
 	minimum := minSharers
--- a/node/usagereport.go
+++ b/node/usagereport.go
@@ -77,7 +77,7 @@
 		if err != nil {
 			return
 		}
-		n.recordStateChanges(s.view.RecordSignalsOf(start, got.Signals, placement.Span{
+		n.recordStateChanges(s.recordSignalsOf(start, got.Signals, placement.Span{
 			From: at,
 			To:   n.now(),
 		}))
--- a/pacing/history.go
+++ b/pacing/history.go
@@ -13,8 +13,9 @@
 // sent is a send of the log.
 type sent struct {
 	taken    time.Duration // its Take, which identifies it
-	counted  time.Duration // its latest possible arrival if it is answered, else its write
+	counted  time.Duration // its latest possible arrival if it is answered, else its latest possible write
 	answered bool
+	loan     LoanID // set for a send that another box makes; it identifies it then
 }
 
 // at returns the time from which a send blocks others. An unanswered one may arrive at any moment.
@@ -25,6 +26,14 @@
 	return s.counted
 }
 
+// written returns the time of the write, as far as this box can tell.
+func (s sent) written() time.Duration {
+	if s.loan != (LoanID{}) {
+		return s.taken
+	}
+	return s.counted
+}
+
 func (s sent) underWay(now time.Duration) bool {
 	return !s.answered && now < s.counted+maxTransit
 }
@@ -86,15 +95,15 @@
 // find returns the unanswered send of a Take, or nil.
 func (h *history) find(taken time.Duration) *sent {
 	for i := range h.sends {
-		if s := &h.sends[i]; s.taken == taken && !s.answered {
+		if s := &h.sends[i]; s.taken == taken && !s.answered && s.loan == (LoanID{}) {
 			return s
 		}
 	}
 	return nil
 }
 
-// trim removes the sends that no longer count.
-func (h *history) trim(now time.Duration) {
+// trim removes the sends that no longer count in a window.
+func (h *history) trim(now, window time.Duration) {
 	h.sends = slices.DeleteFunc(h.sends, func(s sent) bool {
 		return !s.underWay(now) && s.counted+window <= now
 	})
@@ -103,7 +112,7 @@
 // next returns the earliest time, from now on, at which one more of share sends fits
 // into the window and the minimum gap since the last one has passed. A dropped send
 // may stand for any number of earlier ones, so it blocks sends for a window.
-func (h *history) next(share int, now time.Duration) time.Duration {
+func (h *history) next(share int, window, now time.Duration) time.Duration {
 	next := now
 	if h.hasDropped {
 		next = max(next, h.droppedAt(now)+window)
@@ -112,7 +121,7 @@
 	times := make([]time.Duration, 0, len(h.sends))
 	for _, s := range h.sends {
 		times = append(times, s.at(now))
-		next = max(next, s.counted+gap)
+		next = max(next, s.written()+gap)
 	}
 	slices.Sort(times)
 	if n := len(times); n >= share {
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -99,6 +99,9 @@
 	return p
 }
 
+// Box returns the name of the box.
+func (p *Pacer) Box() string { return p.self }
+
 // SetLimit replaces the limit. Earlier sends still count.
 func (p *Pacer) SetLimit(terms Limit) {
 	p.terms = terms
@@ -161,7 +164,7 @@
 		return false
 	}
 	if c := p.coldAt(replica, now); c != nil {
-		c.sends.trim(now)
+		c.sends.trim(now, window)
 		c.sends.add(now)
 		return true
 	}
@@ -195,7 +198,7 @@
 	if share == 0 {
 		return c.until
 	}
-	next := max(now, p.start+window, c.sends.next(share, now))
+	next := max(now, p.start+window, c.sends.next(share, window, now))
 	return min(next, c.until)
 }
 
--- a/placement/incarnation.go
+++ b/placement/incarnation.go
@@ -44,6 +44,7 @@
 // id.
 func (v *View) evict(r *Replica) {
 	v.remove(r)
+	v.limiter.Remove(r.incarnation)
 	if v.otherIncarnation(r) == nil {
 		v.pacer.Remove(r.info.ID)
 	}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -25,6 +25,7 @@
 func (v *View) RecordSend(c *Choice, now time.Duration) {
 	if c.reservation.replica != nil {
 		v.pacer.MarkSent(c.ID, c.reservation.at, now)
+		v.limiter.MarkSent(c.Incarnation, c.reservation.at, now)
 	}
 }
 
@@ -48,6 +49,11 @@
 	}
 	c.reservation.arrived = true
 	v.pacer.MarkArrived(c.ID, c.reservation.at, now)
+	if loan := c.reservation.loan; !loan.IsZero() {
+		v.usedLoans = append(v.usedLoans, loan)
+		return
+	}
+	v.limiter.MarkArrived(c.Incarnation, c.reservation.at, now)
 }
 
 // RecordSelfReport records the number of requests that the replica itself reports, this one
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/common/rendezvous"
+	"github.com/havenrudder/havenrudder/pacing"
 )
 
 // Parameters of the cost of a replica.
@@ -37,6 +38,7 @@
 	Tried       Reason = "tried before"
 	Ejected     Reason = "out of reach"
 	RateLimited Reason = "cold, paced"
+	Limited     Reason = "limited by the replica"
 	Full        Reason = "full"
 	NoReplica   Reason = "no replica"
 )
@@ -49,6 +51,7 @@
 	Addr          string
 	Reason        Reason
 	Wait          time.Duration
+	Blocked       string        // replica that may be free after Wait; empty for none
 	Expect        time.Duration // until the first byte
 	Missing       int           // shared tokens to prefill
 	Load          Load          // load of the replica before this request
@@ -66,7 +69,8 @@
 	at      time.Duration // when Pick made the choice
 	load    Load
 	replica *Replica // nil once released
-	arrived bool     // the replica has received the request, or its connection has ended
+	loan    pacing.Loan
+	arrived bool // the replica has received the request, or its connection has ended
 }
 
 // candidate is a replica with its estimated cost.
@@ -93,6 +97,14 @@
 			Wait:   v.pacer.NextAllowed(best.r.info.ID, boxes, now) - now,
 		}
 	}
+	loan, ok := v.limiter.Take(best.r.incarnation, boxes, now)
+	if !ok {
+		return Choice{
+			Reason:  Limited,
+			Wait:    v.limiter.NextAllowed(best.r.incarnation, boxes, now) - now,
+			Blocked: best.r.incarnation,
+		}
+	}
 	sharers := 0
 	if v.pacer.IsCold(best.r.info.ID, now) {
 		sharers = len(boxes)
@@ -100,6 +112,7 @@
 	g := reservation{
 		at:      now,
 		replica: best.r,
+		loan:    loan,
 		load: Load{
 			Requests: 1,
 		},
@@ -178,13 +191,17 @@
 			reason = RateLimited
 			wait = v.pacer.NextAllowed(r.info.ID, boxes, now) - now
 		}
+		if reason == None && !v.limiter.Allow(r.incarnation, boxes, now) {
+			reason = Limited
+			wait = v.limiter.NextAllowed(r.incarnation, boxes, now) - now
+		}
 		w := v.evaluate(r, req, cacheHolder, r == preferred, typical, now)
 		if reason == None && r.isFull(w.load, req) {
 			reason = Full
 			wait = r.queueWait(w.load, typical)
 		}
 		if reason != None {
-			none.addReason(reason, wait)
+			none.addReason(r, reason, wait)
 			continue
 		}
 		if best.r == nil || w.isBetter(best, req) {
@@ -207,11 +224,12 @@
 }
 
 // addReason records a reason; those with the shortest wait take precedence.
-func (c *Choice) addReason(reason Reason, wait time.Duration) {
+func (c *Choice) addReason(r *Replica, reason Reason, wait time.Duration) {
 	switch {
 	case wait > 0 && (c.Wait == 0 || wait < c.Wait):
 		c.Wait = wait
 		c.Reason = reason
+		c.Blocked = r.incarnation
 	case c.Wait == 0:
 		c.Reason = reason
 	}
--- a/placement/signals.go
+++ b/placement/signals.go
@@ -33,26 +33,35 @@
 type namedLimit struct {
 	RateLimit
 	made Span
+	used bool // a limit was named
 }
 
 // update records the limit of an answer and returns true if it changes the recorded one.
 // Answers overtake each other. One that allows more takes effect only if its request was
 // written after all answers with the recorded limit had been received.
 func (n *namedLimit) update(l RateLimit, made Span) bool {
-	if l.Unreadable || made.To < n.made.From {
+	switch {
+	case l.Unreadable, made.To < n.made.From:
 		return false
-	}
-	if l.exceeds(n.RateLimit) && made.From < n.made.To {
+	case l == n.RateLimit:
+		n.confirm(made)
+		return false
+	case l.exceeds(n.RateLimit) && made.From < n.made.To:
 		return false
-	}
-	changed := l != n.RateLimit
-	if changed {
-		n.made = made
 	}
 	n.RateLimit = l
-	n.made.From = max(n.made.From, made.From)
-	n.made.To = max(n.made.To, made.To)
-	return changed
+	n.made = made
+	n.used = n.used || l.Named
+	return true
+}
+
+// confirm records a further answer with the recorded limit. Relaying widens spans, so one that
+// comes back from other boxes does not count as a further answer.
+func (n *namedLimit) confirm(made Span) {
+	if made.From > n.made.From {
+		n.made.From = made.From
+		n.made.To = max(n.made.To, made.To)
+	}
 }
 
 // Limit returns the limit that the replica names.
@@ -83,11 +92,20 @@
 func (v *View) recordSignals(r *Replica, s Signals, made Span) []Change {
 	var out []Change
 	if r.limit.update(s.Limit, made) {
+		v.applyLimit(r, made.To)
 		out = append(out, r.limitChange())
 	}
 	return out
 }
 
+func (v *View) applyLimit(r *Replica, now time.Duration) {
+	if l := r.Limit(); l.Named {
+		v.limiter.SetLimit(r.incarnation, l.PerSecond)
+		return
+	}
+	v.limiter.ClearLimit(r.incarnation, now)
+}
+
 func (r *Replica) limitChange() Change {
 	out := Change{
 		Subject: r.incarnation,
@@ -101,6 +119,33 @@
 	return out
 }
 
+// wordRetention is how long other boxes are told of the end of a limit.
+const wordRetention = 30 * time.Second
+
+// Word is what an incarnation last reported, and when.
+type Word struct {
+	Incarnation string
+	Signals     Signals
+	Made        Span
+}
+
+// Words returns what replicas report, and what they reported until recently, by incarnation.
+func (v *View) Words(now time.Duration) []Word {
+	var out []Word
+	for _, r := range v.sorted {
+		if r.limit.Named || (r.limit.used && now-r.limit.made.From < wordRetention) {
+			out = append(out, Word{
+				Incarnation: r.incarnation,
+				Signals: Signals{
+					Limit: r.limit.RateLimit,
+				},
+				Made: r.limit.made,
+			})
+		}
+	}
+	return out
+}
+
 // NoteMalformed reports whether a malformed header is the first one of an incarnation.
 func (v *View) NoteMalformed(incarnation string) bool {
 	r, ok := v.replicas[incarnation]
--- a/placement/view.go
+++ b/placement/view.go
@@ -23,6 +23,7 @@
 	sorted    []*Replica          // sorted by incarnation
 	evacuated map[string]bool
 	pacer     *pacing.Pacer
+	limiter   *pacing.Limiter
 	index     index
 	onAdded   func(incarnation string)
 	onRemoved func(incarnation string)
@@ -30,6 +31,7 @@
 	peerLoadTTL    time.Duration          // for which the report of another box is valid
 	byReports      bool                   // use load reports of engines instead of those of boxes
 	pendingChanges []Change               // not yet returned by TakeChanges
+	usedLoans      []pacing.Loan          // whose requests have arrived, not yet returned by TakeUsedLoans
 	boxes          int                    // boxes of the region that callers use
 	typicalLoad    map[string]typicalLoad // by service
 	meanLoads      map[string]meanLoad    // by service
@@ -55,6 +57,7 @@
 		replicas:  make(map[string]*Replica),
 		evacuated: make(map[string]bool),
 		pacer:     pacer,
+		limiter:   pacing.NewLimiter(pacer.Box()),
 		index:     newIndex(),
 		onAdded:   func(string) {},
 		onRemoved: func(string) {},
@@ -74,6 +77,16 @@
 // Pacer returns the rate limit on requests to cold replicas.
 func (v *View) Pacer() *pacing.Pacer { return v.pacer }
 
+// TakeUsedLoans returns the loans whose requests have arrived since the last call.
+func (v *View) TakeUsedLoans() []pacing.Loan {
+	out := v.usedLoans
+	v.usedLoans = nil
+	return out
+}
+
+// Limiter returns the rate limits that replicas name.
+func (v *View) Limiter() *pacing.Limiter { return v.limiter }
+
 // Replicas returns all recorded replicas, sorted by incarnation.
 func (v *View) Replicas() []*Replica { return v.sorted }
 
--- a/roster/link.go
+++ b/roster/link.go
@@ -25,8 +25,7 @@
 	conn          net.PacketConn
 	handle        func(g wire.Gossip, from net.Addr)
 	handleCompact func(c Compact, from net.Addr)
-	magic         byte // first byte of the datagrams of another package; 0 for none
-	handleOther   func(buf []byte, from net.Addr)
+	handleOther   map[byte]func(buf []byte, from net.Addr) // for datagrams of other packages, by their first byte
 	sent          atomic.Int64
 	received      atomic.Int64
 
@@ -44,12 +43,9 @@
 }
 
 // WithForeign sets the handler of the datagrams of another package, which start with the byte
-// magic. The handler must not keep the buffer.
+// magic. The handler must not keep the buffer. There may be several such options.
 func WithForeign(magic byte, f func(buf []byte, from net.Addr)) LinkOption {
-	return func(l *Link) {
-		l.magic = magic
-		l.handleOther = f
-	}
+	return func(l *Link) { l.handleOther[magic] = f }
 }
 
 // NewLink returns a link on conn. The goroutine that runs it calls handle for each datagram
@@ -59,6 +55,7 @@
 		conn:          conn,
 		handle:        handle,
 		handleCompact: func(Compact, net.Addr) {},
+		handleOther:   make(map[byte]func([]byte, net.Addr)),
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -98,8 +95,8 @@
 		l.recordDrop(errTooLong)
 		return
 	}
-	if l.magic != 0 && len(buf) > 0 && buf[0] == l.magic {
-		l.handleOther(buf, from)
+	if len(buf) > 0 && l.handleOther[buf[0]] != nil {
+		l.handleOther[buf[0]](buf, from)
 		return
 	}
 	if IsCompact(buf) {
