--- a/decision/event.go
+++ b/decision/event.go
@@ -57,7 +57,8 @@
 
 // The signals.
 const (
-	Limit Signal = "limit" // it names a rate limit, or none any more
+	Limit   Signal = "limit"   // it names a rate limit, or none any more
+	Leaving Signal = "leaving" // it leaves
 )
 
 // Failed reports whether o says that the request or try was not served. An empty
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// WithLeavingReplicas serves the number of replicas that have reported in an answer that they leave.
+func WithLeavingReplicas(n func() int) Option {
+	return func(m *Meter) {
+		m.gauge("leaving_replicas", "Replicas of the region that have reported in an answer that they leave.", func() float64 { return float64(n()) })
+	}
+}
+
 // WithLeaseAge serves the time since the policy in force was confirmed as the newest.
 func WithLeaseAge(age func() time.Duration) Option {
 	return func(m *Meter) {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -37,6 +37,7 @@
 		WithDroppedLines(func() int64 { return 9 }),
 		WithQuarantinedRequests(func() int { return 5 }),
 		WithLimitedReplicas(func() int { return 2 }),
+		WithLeavingReplicas(func() int { return 6 }),
 		WithLeaseAge(func() time.Duration { return 250 * time.Millisecond }),
 	)
 	m.Request("chat", "served")
@@ -96,6 +97,7 @@
 		`havenrudder_sharing_boxes 4`,
 		`havenrudder_quarantined_requests 5`,
 		`havenrudder_limited_replicas 2`,
+		`havenrudder_leaving_replicas 6`,
 		`havenrudder_lease_age_seconds 0.25`,
 		`havenrudder_quota_units_total{organisation="org",result="taken"} 30`,
 		`havenrudder_quota_units_total{organisation="org",result="refused"} 12`,
@@ -129,7 +131,7 @@
 		is.True(slices.Contains([]string{"total", "seconds", "boxes", "requests", "replicas"}, unit))
 		names++
 	}
-	is.Equal(names, 25)
+	is.Equal(names, 26)
 }
 
 func TestAMeterCountsForItselfAlone(t *testing.T) {
--- a/node/dump.go
+++ b/node/dump.go
@@ -74,6 +74,8 @@
 
 	Limit      *float64 `json:"limit_per_s,omitempty"`  // requests per second that it names in its answers; nil for none
 	LimitAgeMs int64    `json:"limit_age_ms,omitempty"` // since its last answer with that limit
+
+	SaysLeaving bool `json:"says_leaving,omitempty"` // it has reported in an answer that it leaves
 }
 
 // RetryDump is the remaining retry budget of a service.
@@ -139,6 +141,7 @@
 			Slow:        r.Slowness(now),
 			ReportAgeMs: max(0, r.ReportAge(now).Milliseconds()),
 			Revision:    r.Info().Revision,
+			SaysLeaving: r.SaysLeaving(),
 		}
 		if l := r.Limit(); l.Named {
 			out.Limit = &l.PerSecond
--- a/node/node.go
+++ b/node/node.go
@@ -141,6 +141,7 @@
 		meter.WithDroppedLines(n.log.DroppedLines),
 		meter.WithQuarantinedRequests(n.quarantinedRequests),
 		meter.WithLimitedReplicas(n.limitedReplicas),
+		meter.WithLeavingReplicas(n.leavingReplicas),
 		meter.WithLeaseAge(n.leaseAge),
 	)
 	limitMemory(s.MemoryMB)
--- a/node/signals.go
+++ b/node/signals.go
@@ -25,13 +25,21 @@
 
 // limitedReplicas returns the number of listed replicas of the region that name a limit. It must
 // not be called before Run.
-func (n *Node) limitedReplicas() (limited int) {
+func (n *Node) limitedReplicas() int {
+	return n.countReplicas(func(r *placement.Replica) bool { return r.Limit().Named })
+}
+
+// leavingReplicas returns the number of listed replicas of the region that have reported in an
+// answer that they leave. It must not be called before Run.
+func (n *Node) leavingReplicas() int { return n.countReplicas((*placement.Replica).SaysLeaving) }
+
+func (n *Node) countReplicas(counts func(r *placement.Replica) bool) (count int) {
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		for _, r := range s.view.Replicas() {
-			if r.Listed() && r.Limit().Named {
-				limited++
+			if r.Listed() && counts(r) {
+				count++
 			}
 		}
 	})
-	return limited
+	return count
 }
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -67,6 +67,7 @@
 	lastPoll    time.Duration       // last poll by this box; 0 for none
 	limit       namedLimit          // that it names in its answers
 	malformed   bool                // one of its answers had a malformed header
+	saidLeaving bool                // it has reported in an answer that it leaves; final
 
 	coldUntil       time.Duration
 	connectFailures int             // consecutive failures to connect
--- a/placement/signals.go
+++ b/placement/signals.go
@@ -8,7 +8,8 @@
 
 // Signals is what a replica reports of itself in the head of an answer.
 type Signals struct {
-	Limit RateLimit
+	Limit   RateLimit
+	Leaving bool
 }
 
 // RateLimit is the rate of requests that a replica takes from all boxes together.
@@ -67,6 +68,9 @@
 // Limit returns the limit that the replica names.
 func (r *Replica) Limit() RateLimit { return r.limit.RateLimit }
 
+// SaysLeaving reports whether the replica has reported in an answer that it leaves.
+func (r *Replica) SaysLeaving() bool { return r.saidLeaving }
+
 // LimitAge returns the time since the last answer with the recorded limit.
 func (r *Replica) LimitAge(now time.Duration) time.Duration { return now - r.limit.made.To }
 
@@ -95,6 +99,14 @@
 		v.applyLimit(r, made.To)
 		out = append(out, r.limitChange())
 	}
+	if s.Leaving && !r.saidLeaving {
+		r.saidLeaving = true
+		out = append(out, Change{
+			Subject: r.incarnation,
+			Reason:  "replica reports that it leaves",
+			Signal:  decision.Leaving,
+		})
+	}
 	return out
 }
 
--- a/placement/signals_test.go
+++ b/placement/signals_test.go
@@ -18,6 +18,12 @@
 	}
 }
 
+func leaving() placement.Signals {
+	return placement.Signals{
+		Leaving: true,
+	}
+}
+
 // span returns the time in which an answer was made, in seconds after the start.
 func span(from, to int) placement.Span {
 	return placement.Span{
