placement, signal, node: Send nothing more to a replica that reports its leaving in an answer

Requests reached a replica 4.2 s after it had said in an answer that it leaves (second1, DRAIN). Change: such a replica gets nothing more, as if its entry said so; that is final for the incarnation, however often the entry is read, lapses or comes back, and is relayed to the boxes of the region. A record of one is kept for 10 minutes without an entry.

--- a/node/signalgossip.go
+++ b/node/signalgossip.go
@@ -102,6 +102,7 @@
 			Replica:   uint32(roster.ReplicaIDOf(w.Incarnation)),
 			Limited:   w.Signals.Limit.Named,
 			PerSecond: w.Signals.Limit.PerSecond,
+			Leaving:   w.Signals.Leaving,
 			FromAge:   now - w.Made.From,
 			ToAge:     now - w.Made.To,
 		})
@@ -220,6 +221,7 @@
 			Named:     w.Limited,
 			PerSecond: w.PerSecond,
 		},
+		Leaving: w.Leaving,
 	}
 }
 
--- a/placement/index.go
+++ b/placement/index.go
@@ -156,7 +156,7 @@
 	}
 	v.index.sweptAt = now
 	for _, r := range v.index.unlisted {
-		if r.own.Requests == 0 && now-r.lastSeen > unlistedTTL {
+		if r.own.Requests == 0 && now-r.lastSeen > r.unlistedTTL() {
 			v.evict(r)
 		}
 	}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -240,7 +240,7 @@
 	switch {
 	case !r.listed:
 		return Unlisted
-	case r.info.Leaving:
+	case r.info.Leaving, r.saidLeaving:
 		return Leaving
 	case r.unconfirmed:
 		return Unconfirmed
--- a/placement/signals.go
+++ b/placement/signals.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// unlistedTTL returns for how long the replica is recorded without an entry. The entry of one
+// that leaves may lapse and come back while the store is away.
+func (r *Replica) unlistedTTL() time.Duration {
+	if r.saidLeaving {
+		return leavingTTL
+	}
+	return unlistedTTL
+}
+
 // Limit returns the limit that the replica names.
 func (r *Replica) Limit() RateLimit { return r.limit.RateLimit }
 
@@ -145,11 +154,12 @@
 func (v *View) Words(now time.Duration) []Word {
 	var out []Word
 	for _, r := range v.sorted {
-		if r.limit.Named || (r.limit.used && now-r.limit.made.From < wordRetention) {
+		if r.hasWord(now) {
 			out = append(out, Word{
 				Incarnation: r.incarnation,
 				Signals: Signals{
-					Limit: r.limit.RateLimit,
+					Limit:   r.limit.RateLimit,
+					Leaving: r.saidLeaving,
 				},
 				Made: r.limit.made,
 			})
@@ -158,6 +168,14 @@
 	return out
 }
 
+// hasWord reports whether other boxes need the signals of the replica.
+func (r *Replica) hasWord(now time.Duration) bool {
+	if !r.listed && now-r.lastSeen > wordRetention {
+		return false
+	}
+	return r.limit.Named || r.saidLeaving || (r.limit.used && now-r.limit.made.From < wordRetention)
+}
+
 // NoteMalformed reports whether a malformed header is the first one of an incarnation.
 func (v *View) NoteMalformed(incarnation string) bool {
 	r, ok := v.replicas[incarnation]
--- a/placement/signals_test.go
+++ b/placement/signals_test.go
@@ -80,3 +80,46 @@
 	is.Equal(limitOf(b, second.Incarnation()), placement.RateLimit{})
 	is.Equal(limitOf(b, first.Incarnation()), limited(1).Limit)
 }
+
+// Guards against a replica that gets requests again once its entry was read, lapsed or came back.
+func TestAReplicaThatSaidItLeavesStaysSoWhateverItsEntrySays(t *testing.T) {
+	is := is.New(t)
+	r := replicas("plain", 1)[0]
+	b := newBox("a", "hall", r)
+	now := start
+	reason := func() placement.Reason { return b.Pick(newRequest("plain", "k"), alone, now).Reason }
+	is.Equal(reason(), placement.None)
+	is.Equal(len(b.RecordSignalsOf("plain-0", leaving(), span(0, 1))), 1)
+	is.Equal(len(b.RecordSignalsOf("plain-0", placement.Signals{}, span(2, 3))), 0) // final
+	is.Equal(reason(), placement.Leaving)
+	r.Revision = 7
+	b.publish(now, nil, r)
+	is.Equal(reason(), placement.Leaving)
+	b.publish(now, nil)
+	for range 60 { // the entry is missing for longer than other replicas are recorded
+		now += 2 * time.Second
+		b.publish(now, nil)
+	}
+	r.Revision = 9
+	b.publish(now, nil, r)
+	is.Equal(reason(), placement.Leaving)
+	r.StartedAt = 5000
+	r.Revision = 10
+	b.publish(now, nil, r)
+	is.Equal(reason(), placement.None) // a new start has said nothing
+}
+
+func TestWhatAReplicaReportsIsToldToOtherBoxes(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("plain", 2)...)
+	is.Equal(len(b.Words(start)), 0)
+	b.RecordSignalsOf("plain-0", leaving(), span(0, 1))
+	b.RecordSignalsOf("plain-1", limited(2), span(0, 1))
+	words := b.Words(start)
+	is.Equal(len(words), 2)
+	is.True(words[0].Signals.Leaving)
+	is.Equal(words[1].Signals, limited(2))
+	b.RecordSignalsOf("plain-1", placement.Signals{}, span(2, 3))
+	is.Equal(len(b.Words(start+4*time.Second)), 2) // its end, too
+	is.Equal(len(b.Words(start+time.Minute)), 1)
+}
--- a/placement/view.go
+++ b/placement/view.go
@@ -10,6 +10,7 @@
 
 const (
 	unlistedTTL     = 30 * time.Second // until an idle replica that is no longer listed is evicted
+	leavingTTL      = 10 * time.Minute // the same for one that has reported that it leaves
 	defaultColdTime = 3 * time.Second  // after an ejection or evacuation, unless the service defines it
 )
 
--- a/signal/signal.go
+++ b/signal/signal.go
@@ -41,6 +41,7 @@
 	Replica   uint32  // short ID of the incarnation
 	Limited   bool    // it names a limit
 	PerSecond float64 // the limit, in requests per second
+	Leaving   bool    // it leaves
 	FromAge   time.Duration
 	ToAge     time.Duration // the answer was made between these ages
 }
@@ -65,7 +66,10 @@
 }
 
 // Bits of the flags of a word.
-const bitLimited = 1
+const (
+	bitLimited = 1 << iota
+	bitLeaving
+)
 
 // IsDatagram reports whether a datagram belongs to this package.
 func IsDatagram(buf []byte) bool { return len(buf) > 0 && buf[0] == DatagramType }
@@ -94,6 +98,9 @@
 	if w.Limited {
 		flags |= bitLimited
 	}
+	if w.Leaving {
+		flags |= bitLeaving
+	}
 	out = append(out, flags)
 	if w.Limited {
 		out = binary.BigEndian.AppendUint64(out, math.Float64bits(w.PerSecond))
@@ -178,12 +185,13 @@
 	}
 	flags := r.byte()
 	w.Limited = flags&bitLimited != 0
+	w.Leaving = flags&bitLeaving != 0
 	if w.Limited {
 		w.PerSecond = math.Float64frombits(binary.BigEndian.Uint64(r.take(8)))
 	}
 	w.FromAge = r.millis(maxAge)
 	w.ToAge = r.millis(maxAge)
-	if flags&^bitLimited != 0 || !(w.PerSecond >= 0 && w.PerSecond <= maxRate) || w.ToAge > w.FromAge {
+	if flags&^(bitLimited|bitLeaving) != 0 || !(w.PerSecond >= 0 && w.PerSecond <= maxRate) || w.ToAge > w.FromAge {
 		r.failed = true
 	}
 	return w
--- a/signal/signal_test.go
+++ b/signal/signal_test.go
@@ -40,6 +40,7 @@
 		w := Word{
 			Replica: rapid.Uint32().Draw(t, "replica"),
 			Limited: rapid.Bool().Draw(t, "limited"),
+			Leaving: rapid.Bool().Draw(t, "leaving"),
 			ToAge:   ms("to", 60_000),
 		}
 		w.FromAge = w.ToAge + ms("from", 60_000)
