--- a/control/explanation.go
+++ b/control/explanation.go
@@ -175,6 +175,7 @@
 	number("unread", int64(e.Unread), "")
 	number("sharers", int64(e.Sharers), "")
 	number("tries", int64(e.Tries), "")
+	number("for", e.ForMs, "ms")
 	if e.Limit != 0 {
 		out = append(out, "limit="+strconv.FormatFloat(e.Limit, 'g', -1, 64)+"/s")
 	}
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -76,6 +76,7 @@
 	l.number("sharers", int64(e.Sharers))
 	l.text("copy_from", e.CopyFrom)
 	l.number("tries", int64(e.Tries))
+	l.number("for_ms", e.ForMs)
 	if e.Limit != 0 {
 		l.fields["limit"] = e.Limit
 	}
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -96,6 +96,7 @@
 		Tokens:   11,
 		CopyFrom: "192.0.2.1:80",
 		Tries:    2,
+		ForMs:    73,
 		Limit:    1.5,
 		Signal:   Limit,
 		Digest:   "50fd6db2",
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -149,7 +149,7 @@
 	if answer.Status() == http.StatusMisdirectedRequest {
 		return nil
 	}
-	s, err := a.call.server.codec.ReadSignals(answer.Header())
+	s, err := a.call.server.codec.ReadSignals(answer.Status(), answer.Header())
 	if err != nil {
 		a.call.server.core.MalformedHeader(&a.target.Choice, err)
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -51,11 +51,11 @@
 	ReadFacts           func(h http.Header) (Facts, error)
 	RemoveKey           func(h http.Header) // removes the key, which neither replicas nor other boxes receive
 	WriteReplicaHeaders func(h http.Header, s ReplicaHeaders)
-	MatchesRequest      func(h http.Header, id string) bool                  // reports whether a response belongs to the request with that ID
-	Executed            func(status int, h http.Header) bool                 // false if the replica reports that it did not run the request
-	FromReplica         func(h http.Header) bool                             // reports whether a successful response was made by a replica
-	LoadReport          func(h http.Header) (requests, waiting int, ok bool) // number of requests that the replica reports, and of those that wait; false without a report
-	ReadSignals         func(h http.Header) (placement.Signals, error)       // what the replica reports of itself; an error for malformed headers
+	MatchesRequest      func(h http.Header, id string) bool                        // reports whether a response belongs to the request with that ID
+	Executed            func(status int, h http.Header) bool                       // false if the replica reports that it did not run the request
+	FromReplica         func(h http.Header) bool                                   // reports whether a successful response was made by a replica
+	LoadReport          func(h http.Header) (requests, waiting int, ok bool)       // number of requests that the replica reports, and of those that wait; false without a report
+	ReadSignals         func(status int, h http.Header) (placement.Signals, error) // what the replica reports of itself; an error for malformed headers
 }
 
 // Target is the next destination of a request: a replica, a box, or none for a
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -340,7 +340,7 @@
 		Executed:       func(status int, _ http.Header) bool { return status != http.StatusServiceUnavailable },
 		FromReplica:    func(http.Header) bool { return true },
 		LoadReport:     func(http.Header) (int, int, bool) { return 0, 0, false },
-		ReadSignals:    func(http.Header) (placement.Signals, error) { return placement.Signals{}, nil },
+		ReadSignals:    func(int, http.Header) (placement.Signals, error) { return placement.Signals{}, nil },
 	}, g.core(), pool, pool).Callers()
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// WithRestingReplicas serves the number of replicas that want no requests of this box.
+func WithRestingReplicas(n func() int) Option {
+	return func(m *Meter) {
+		m.gauge("resting_replicas", "Replicas of the region that asked this box for rest, which lasts.", func() float64 { return float64(n()) })
+	}
+}
+
 // WithLeaseAge serves the time since the policy in force was confirmed as the newest.
 func WithLeaseAge(age func() time.Duration) Option {
 	return func(m *Meter) {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -38,6 +38,7 @@
 		WithQuarantinedRequests(func() int { return 5 }),
 		WithLimitedReplicas(func() int { return 2 }),
 		WithLeavingReplicas(func() int { return 6 }),
+		WithRestingReplicas(func() int { return 7 }),
 		WithLeaseAge(func() time.Duration { return 250 * time.Millisecond }),
 	)
 	m.Request("chat", "served")
@@ -98,6 +99,7 @@
 		`havenrudder_quarantined_requests 5`,
 		`havenrudder_limited_replicas 2`,
 		`havenrudder_leaving_replicas 6`,
+		`havenrudder_resting_replicas 7`,
 		`havenrudder_lease_age_seconds 0.25`,
 		`havenrudder_quota_units_total{organisation="org",result="taken"} 30`,
 		`havenrudder_quota_units_total{organisation="org",result="refused"} 12`,
@@ -131,7 +133,7 @@
 		is.True(slices.Contains([]string{"total", "seconds", "boxes", "requests", "replicas"}, unit))
 		names++
 	}
-	is.Equal(names, 26)
+	is.Equal(names, 27)
 }
 
 func TestAMeterCountsForItselfAlone(t *testing.T) {
--- a/node/dump.go
+++ b/node/dump.go
@@ -75,7 +75,8 @@
 	Limit      *float64 `json:"limit_per_s,omitempty"`  // requests per second that it names in its answers; nil for none
 	LimitAgeMs int64    `json:"limit_age_ms,omitempty"` // since its last answer with that limit
 
-	SaysLeaving bool `json:"says_leaving,omitempty"` // it has reported in an answer that it leaves
+	SaysLeaving bool    `json:"says_leaving,omitempty"` // it has reported in an answer that it leaves
+	RestLeftS   float64 `json:"rest_left_s,omitempty"`  // for which it wants no requests of this box
 }
 
 // RetryDump is the remaining retry budget of a service.
@@ -142,6 +143,7 @@
 			ReportAgeMs: max(0, r.ReportAge(now).Milliseconds()),
 			Revision:    r.Info().Revision,
 			SaysLeaving: r.SaysLeaving(),
+			RestLeftS:   r.RestLeft(now).Seconds(),
 		}
 		if l := r.Limit(); l.Named {
 			out.Limit = &l.PerSecond
--- a/node/pull.go
+++ b/node/pull.go
@@ -192,6 +192,7 @@
 			Reason:   b.Reason,
 			Signal:   b.Signal,
 			Limit:    b.Limit,
+			ForMs:    b.For.Milliseconds(),
 			Revision: b.Rev,
 		})
 	}
--- a/node/signals.go
+++ b/node/signals.go
@@ -33,6 +33,13 @@
 // answer that they leave. It must not be called before Run.
 func (n *Node) leavingReplicas() int { return n.countReplicas((*placement.Replica).SaysLeaving) }
 
+// restingReplicas returns the number of listed replicas of the region that want no requests of
+// this box now. It must not be called before Run.
+func (n *Node) restingReplicas() int {
+	now := n.now()
+	return n.countReplicas(func(r *placement.Replica) bool { return r.RestLeft(now) > 0 })
+}
+
 func (n *Node) countReplicas(counts func(r *placement.Replica) bool) (count int) {
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
 		for _, r := range s.view.Replicas() {
--- a/placement/signals.go
+++ b/placement/signals.go
@@ -10,6 +10,7 @@
 type Signals struct {
 	Limit   RateLimit
 	Leaving bool
+	Rest    time.Duration // for which it wants no requests of this box; 0 for none
 }
 
 // RateLimit is the rate of requests that a replica takes from all boxes together.
@@ -77,6 +78,19 @@
 // Limit returns the limit that the replica names.
 func (r *Replica) Limit() RateLimit { return r.limit.RateLimit }
 
+// extendRest records that the replica wants no requests of this box for a time. It returns false
+// if an earlier rest lasts as long.
+func (r *Replica) extendRest(d, now time.Duration) bool {
+	if d <= 0 || now+d <= r.restUntil {
+		return false
+	}
+	r.restUntil = now + d
+	return true
+}
+
+// RestLeft returns for how long the replica wants no requests of this box.
+func (r *Replica) RestLeft(now time.Duration) time.Duration { return max(0, r.restUntil-now) }
+
 // SaysLeaving reports whether the replica has reported in an answer that it leaves.
 func (r *Replica) SaysLeaving() bool { return r.saidLeaving }
 
@@ -116,6 +130,14 @@
 			Signal:  decision.Leaving,
 		})
 	}
+	if r.extendRest(s.Rest, made.To) {
+		out = append(out, Change{
+			Subject: r.incarnation,
+			Reason:  "replica asks for rest",
+			Signal:  decision.Rest,
+			For:     s.Rest,
+		})
+	}
 	return out
 }
 
