placement, ingress, exchange: Leave replicas alone for as long as they ask for rest

A 503 only raised the share of failures, and where all replicas of a service turned requests away they all cost the same (in a test, beside one replica with room the failing one gets nothing; with three failing ones the first got 138 in 3 s). Change: a replica gets nothing from a box until the rest that it asked this box for is over, and no reports are requested of it. Each box prolongs it by up to a tenth (1 s at most) by its name, so that boxes do not return in one moment. With all at rest a request is refused at once with the time of the first end. A request that was chosen before and is written 20 ms later or more is not written any more (also for a replica that leaves). A 503 with a rest is no failure of the replica.

--- a/exchange/activity_test.go
+++ b/exchange/activity_test.go
@@ -58,7 +58,10 @@
 	})
 	req := get(s.addr)
 	var unread func() bool
-	req.OnWrite = func(f func() bool) { unread = f }
+	req.OnWrite = func(f func() bool) error {
+		unread = f
+		return nil
+	}
 	a, err := newTestPool(t).Do(t.Context(), req)
 	is.NoErr(err)
 	is.True(!unread())
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -35,6 +35,8 @@
 	stage Stage
 	sent  bool
 	err   error
+
+	declined bool // OnWrite returned err
 }
 
 // Error returns the failed stage and the cause.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -43,9 +43,10 @@
 	Matches func(h http.Header) bool
 
 	// OnWrite, if not nil, is called before each write of the request to a connection, so
-	// twice on a retry. unread reports whether the connection has received bytes that are
+	// twice on a retry. If it returns an error, nothing is written and Do fails with it.
+	// unread reports whether the connection has received bytes that are
 	// not read yet; it may be called until Do has failed or the response is closed.
-	OnWrite func(unread func() bool)
+	OnWrite func(unread func() bool) error
 
 	DialTimeout time.Duration // 500 ms when 0
 }
@@ -118,7 +119,7 @@
 		if fault == nil {
 			return a, nil
 		}
-		if fault.sent || ctx.Err() != nil {
+		if fault.sent || fault.declined || ctx.Err() != nil {
 			return nil, fault
 		}
 		// The reused connection accepted no byte of the request: retry on a new one.
@@ -137,12 +138,25 @@
 	return a, nil
 }
 
+func (r *Request) onWrite(c *conn) error {
+	if r.OnWrite == nil {
+		return nil
+	}
+	return r.OnWrite(func() bool { return hasUnread(c.nc) })
+}
+
 // roundTrip sends the request on c and reads the response header. After a failure c is
 // closed and the request's body is no longer read.
 func roundTrip(ctx context.Context, req *Request, c *conn) (*Response, *Error) {
 	stop := context.AfterFunc(ctx, c.close)
-	if req.OnWrite != nil {
-		req.OnWrite(func() bool { return hasUnread(c.nc) })
+	if err := req.onWrite(c); err != nil {
+		stop()
+		c.close()
+		return nil, &Error{
+			stage:    StageWrite,
+			declined: true,
+			err:      err,
+		}
 	}
 	s := c.send(req)
 	stage := StageWrite
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -331,18 +331,49 @@
 		c.send(okResponse)
 	})
 	calls := 0
+	onWrite := func(func() bool) error {
+		calls++
+		return nil
+	}
 	_, _, err := fetch(newTestPool(t), Request{
 		Addr:    s.addr,
 		Target:  "/",
-		OnWrite: func(func() bool) { calls++ },
+		OnWrite: onWrite,
 	})
 	is.NoErr(err)
 	is.Equal(calls, 1)
 	_, _, err = fetch(newTestPool(t), Request{
 		Addr:    "127.0.0.1:1", // no listener
 		Target:  "/",
-		OnWrite: func(func() bool) { calls++ },
+		OnWrite: onWrite,
 	})
 	is.True(err != nil)
 	is.Equal(calls, 1)
 }
+
+// Guards against a request that is written although its sender no longer wants that.
+func TestARequestThatOnWriteDeclinesIsNotSent(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int64
+	s := newServer(t, func(c *peer) {
+		c.request()
+		received.Add(1)
+		c.send(okResponse)
+	})
+	calls := 0
+	errNotNow := errors.New("not now")
+	_, _, err := fetch(newTestPool(t), Request{
+		Addr:   s.addr,
+		Target: "/",
+		OnWrite: func(func() bool) error {
+			calls++
+			return errNotNow
+		},
+	})
+	is.True(errors.Is(err, errNotNow))
+	var e *Error
+	is.True(errors.As(err, &e))
+	is.True(!e.Sent())
+	is.Equal(calls, 1)
+	is.Equal(received.Load(), int64(0))
+}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -62,6 +62,7 @@
 	headAfter      time.Duration // time until the head of the response; 0 before
 	lastReceived   atomic.Int64  // nanoseconds until bytes of the response last arrived, with the resolution of receivedInterval
 	reportedSilent atomic.Bool
+	asksRest       bool   // the response asks for rest
 	survived       bool   // reportSurvived was called
 	why            string // why there is no complete response
 }
@@ -134,13 +135,22 @@
 	return a.pass(ctx, answer)
 }
 
-func (a *attempt) noteSent(unread func() bool) {
+// errDeclined reports that the replica has asked for no request since it was chosen.
+var errDeclined = errors.New("ingress: replica wants no request any more")
+
+func (a *attempt) noteSent(unread func() bool) error {
 	a.unread.Store(unread)
 	took := clock.Since(a.sent)
 	a.writtenAfter.Store(max(int64(took), 1))
-	if took >= lateWriteThreshold {
-		a.call.server.core.RequestWritten(&a.target.Choice)
+	if took < lateWriteThreshold {
+		return nil
+	}
+	if !a.call.server.core.MayWrite(&a.target.Choice) {
+		a.writtenAfter.Store(0)
+		return errDeclined
 	}
+	a.call.server.core.RequestWritten(&a.target.Choice)
+	return nil
 }
 
 // readSignals returns what the replica reports of itself. A misdirected request was answered by
@@ -153,6 +163,7 @@
 	if err != nil {
 		a.call.server.core.MalformedHeader(&a.target.Choice, err)
 	}
+	a.asksRest = s.Rest > 0
 	return &s
 }
 
@@ -172,6 +183,9 @@
 		a.call.received = true
 		return unsent
 	}
+	if a.asksRest {
+		a.result = placement.AskedRest
+	}
 	a.call.noteReceiver(a.target.Choice.Incarnation)
 	return notRun
 }
@@ -194,6 +208,9 @@
 	case ctx.Err() != nil && !stalled:
 		a.result = placement.Unsent
 		return abandoned
+	case errors.Is(err, errDeclined):
+		a.result = placement.Declined
+		return unsent
 	case !sent:
 		a.result = placement.Unreachable
 		a.call.noteFailedDial()
@@ -217,6 +234,7 @@
 	whyCallerLeft      = "caller left"
 	whyDeadline        = "time is up"
 	whyBodyInterrupted = "body broke off"
+	whyDeclined        = "replica wants no request any more"
 )
 
 // setWhy sets why the attempt has no complete response. Causes on this box's side are
@@ -230,6 +248,8 @@
 		a.why = whyCallerLeft
 	case ctx.Err() != nil:
 		a.why = whyDeadline
+	case errors.Is(err, errDeclined):
+		a.why = whyDeclined
 	case errors.As(err, &e):
 		a.why = "failed to " + e.Stage().String()
 	default:
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -99,9 +99,10 @@
 	OtherBoxServing func() bool              // another box of the region is serving
 	StopDeadline    func() (time.Time, bool) // when a planned stop ends, if one has begun
 	Place           func(TargetQuery) Target
-	CountRequest    func(service string)      // a request is sent for the first time
-	TakeRetry       func(service string) bool // takes one retry from the budget
-	RequestWritten  func(c *placement.Choice) // the request was written to the replica some time after its selection
+	CountRequest    func(service string)           // a request is sent for the first time
+	TakeRetry       func(service string) bool      // takes one retry from the budget
+	MayWrite        func(c *placement.Choice) bool // the request may still be written to the replica, some time after its selection
+	RequestWritten  func(c *placement.Choice)      // the request was written to the replica some time after its selection
 	HeadReceived    func(c *placement.Choice, h Head)
 	DataReceived    func(c *placement.Choice)
 	IdleTime        func(c *placement.Choice, sent time.Time) time.Duration // time since the last bytes from the replica
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -273,6 +273,7 @@
 		TakeRetry:       func(string) bool { return g.takeRetry() },
 		HeadReceived:    func(c *placement.Choice, _ Head) { g.noteReceived(c) },
 		MalformedHeader: func(*placement.Choice, error) {},
+		MayWrite:        func(*placement.Choice) bool { return true },
 		RequestWritten:  func(*placement.Choice) {},
 		DataReceived:    g.noteReceived,
 		IdleTime:        g.idleTime,
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -197,7 +197,11 @@
 
 // blockedUpstream returns the replica whose own reports were the reason of a refusal.
 func (c *call) blockedUpstream(o decision.Outcome, reason string) string {
-	if o == decision.Refused && reason == string(placement.Limited) {
+	if o != decision.Refused {
+		return ""
+	}
+	switch placement.Reason(reason) {
+	case placement.Limited, placement.Resting:
 		return c.blockedBy
 	}
 	return ""
--- a/node/core.go
+++ b/node/core.go
@@ -23,6 +23,7 @@
 		Place:           n.place,
 		CountRequest:    n.countRequest,
 		TakeRetry:       n.takeRetry,
+		MayWrite:        n.mayWrite,
 		RequestWritten:  n.recordWrite,
 		HeadReceived:    n.recordFirstByte,
 		DataReceived:    n.recordProgress,
@@ -119,6 +120,12 @@
 	return ok
 }
 
+// mayWrite reports whether a request that was delayed may still be written to its replica.
+func (n *Node) mayWrite(c *placement.Choice) (ok bool) {
+	_ = n.state.Do(func(s *state) { ok = s.view.MayWrite(c, n.now()) })
+	return ok
+}
+
 // recordWrite records that a request is written later than its replica was chosen.
 func (n *Node) recordWrite(c *placement.Choice) {
 	choice := *c // a copy, as the end of the request clears its reservation
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -16,6 +16,8 @@
 	Abandoned                 // caller left or deadline passed; no evidence against the replica; the request may still arrive
 	Unsent                    // given up before the request was written; no evidence against the replica
 	Misdirected               // another replica has the address
+	AskedRest                 // refused, and the replica asks for rest
+	Declined                  // not written, as the replica wants no request any more
 )
 
 // mayArrive reports whether the replica may receive the request after this result.
@@ -29,6 +31,13 @@
 	}
 }
 
+// MayWrite reports whether the request of a choice may still be written: its replica has neither
+// asked for rest nor reported that it leaves since it was chosen.
+func (v *View) MayWrite(c *Choice, now time.Duration) bool {
+	r := c.reservation.replica
+	return r == nil || (r.RestLeft(now) == 0 && !r.saidLeaving)
+}
+
 // RecordFirstByte records the time until the first byte of a response.
 func (v *View) RecordFirstByte(c *Choice, took, now time.Duration) {
 	r := c.reservation.replica
@@ -125,7 +134,9 @@
 		}
 	case Misdirected:
 		v.eject(r, now)
-	case Abandoned, Unsent:
+	case AskedRest:
+		r.recordResponse(now) // no failure: it gets nothing until it wants requests again
+	case Abandoned, Unsent, Declined:
 	}
 	return !wasEjected && r.Ejected(now)
 }
--- a/placement/signals.go
+++ b/placement/signals.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"math"
 	"time"
 
+	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/decision"
 )
 
@@ -72,7 +74,7 @@
 	if r.saidLeaving {
 		return leavingTTL
 	}
-	return unlistedTTL
+	return max(unlistedTTL, r.restUntil-r.lastSeen) // a rest outlasts a missing entry
 }
 
 // Limit returns the limit that the replica names.
@@ -88,6 +90,19 @@
 	return true
 }
 
+// restSpread returns by how much this box prolongs a rest, so that not all boxes return to the
+// replica in one moment.
+func (v *View) restSpread(r *Replica, d time.Duration) time.Duration {
+	share := float64(rendezvous.Score(r.incarnation, v.pacer.Box())) / math.MaxUint64
+	return scale(share, min(scale(maxSpreadShare, d), maxRestSpread))
+}
+
+// Limits of restSpread.
+const (
+	maxSpreadShare = 0.1 // of the rest
+	maxRestSpread  = time.Second
+)
+
 // RestLeft returns for how long the replica wants no requests of this box.
 func (r *Replica) RestLeft(now time.Duration) time.Duration { return max(0, r.restUntil-now) }
 
@@ -130,7 +145,7 @@
 			Signal:  decision.Leaving,
 		})
 	}
-	if r.extendRest(s.Rest, made.To) {
+	if r.extendRest(s.Rest+v.restSpread(r, s.Rest), made.To) {
 		out = append(out, Change{
 			Subject: r.incarnation,
 			Reason:  "replica asks for rest",
--- a/placement/signals_test.go
+++ b/placement/signals_test.go
@@ -123,3 +123,83 @@
 	is.Equal(len(b.Words(start+4*time.Second)), 2) // its end, too
 	is.Equal(len(b.Words(start+time.Minute)), 1)
 }
+
+func resting(d time.Duration) placement.Signals {
+	return placement.Signals{
+		Rest: d,
+	}
+}
+
+// Guards against a shorter rest that ends a longer one early.
+func TestARestLastsUntilTheLatestEndThatWasAskedFor(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("plain", 1)...)
+	pick := func(at time.Duration) placement.Choice { return b.Pick(newRequest("plain", "k"), alone, at) }
+	is.Equal(len(b.RecordSignalsOf("plain-0", resting(3*time.Second), span(0, 1))), 1)
+	is.Equal(len(b.RecordSignalsOf("plain-0", resting(500*time.Millisecond), span(1, 2))), 0)
+	is.Equal(len(b.RecordSignalsOf("plain-0", placement.Signals{}, span(1, 2))), 0)
+	c := pick(start + 3900*time.Millisecond)
+	is.Equal(c.Reason, placement.Resting)
+	is.Equal(c.Blocked, "plain-0")
+	is.True(c.Wait >= 100*time.Millisecond && c.Wait <= 400*time.Millisecond)
+	is.Equal(pick(start+3900*time.Millisecond+c.Wait).Reason, placement.None)
+}
+
+func TestBoxesDoNotReturnToAReplicaInOneMoment(t *testing.T) {
+	is := is.New(t)
+	ends := make(map[time.Duration]bool)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		b := newBox(name, "hall", replicas("plain", 1)...)
+		b.RecordSignalsOf("plain-0", resting(3*time.Second), span(0, 0))
+		left := b.Get("plain-0").RestLeft(start)
+		is.True(left >= 3*time.Second && left <= 3300*time.Millisecond)
+		ends[left] = true
+	}
+	is.Equal(len(ends), 4)
+}
+
+// Guards against a replica that is ejected, or costs more, since it asked for rest.
+func TestAReplicaThatAsksForRestHasNotFailed(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("plain", 1)...)
+	now := start
+	for range 10 {
+		c := b.Pick(newRequest("plain", "k"), alone, now)
+		is.Equal(c.Reason, placement.None)
+		b.RecordSignals(&c, resting(200*time.Millisecond), placement.Span{From: now, To: now})
+		b.End(&c, placement.AskedRest, time.Millisecond, now)
+		now += 300 * time.Millisecond
+	}
+	r := b.Get("plain-0")
+	is.True(!r.Ejected(now))
+	is.Equal(r.FailureShare(now), 0.0)
+}
+
+// Guards against requests that are written after their replica has asked for rest.
+func TestARequestIsNotWrittenOnceItsReplicaRests(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("plain", 2)...)
+	late := b.Pick(newRequest("plain", "k"), alone, start)
+	is.True(b.MayWrite(&late, start))
+	b.RecordSignalsOf(late.Incarnation, resting(time.Second), span(0, 0))
+	is.True(!b.MayWrite(&late, start))
+	is.True(b.MayWrite(&late, start+2*time.Second))
+	b.RecordSignalsOf(late.Incarnation, leaving(), span(1, 1))
+	is.True(!b.MayWrite(&late, start+2*time.Second))
+	b.End(&late, placement.Declined, time.Millisecond, start)
+	is.Equal(b.Get(late.Incarnation).Own().Requests, 0)
+}
+
+// Guards against a rest that outlives the process that asked for it.
+func TestARestBelongsToOneStartOfAReplica(t *testing.T) {
+	is := is.New(t)
+	first := replicas("plain", 1)[0]
+	first.StartedAt = 1000
+	b := newBox("a", "hall", first)
+	b.RecordSignalsOf(first.Incarnation(), resting(time.Hour), span(0, 1))
+	second := first
+	second.StartedAt = 2000
+	second.Revision = 5
+	b.publish(start+time.Second, nil, second)
+	is.Equal(b.Pick(newRequest("plain", "k"), alone, start+time.Second).Reason, placement.None)
+}
