pacing: Count an unanswered send to a limited replica from its latest possible arrival

Found by the fuzzed test that lands here: with limits of 0.2 a second two requests arrived within 5 s, one is allowed. No caller saw it. Cause: a send without an answer, or a loan without a report, counted from its write once it could no longer be under way (3 s), so one that arrived 2 s late left the window of 4 s and more too early. The window of cold replicas is shorter than that, so they are not affected. Change: in the windows of limits such a send counts from the end of its transit. Evidence: the test failed after 54 cases before and passes 5000 (188637 loans, up to 12 boxes, lost, repeated and late messages, requests up to 2 s late).

--- a/pacing/history.go
+++ b/pacing/history.go
@@ -26,6 +26,15 @@
 	return s.counted
 }
 
+// latestAt is at for windows that outlast a transit: an unanswered send counts from the latest
+// moment at which it may have arrived.
+func (s sent) latestAt(now time.Duration) time.Duration {
+	if s.answered {
+		return s.counted
+	}
+	return max(s.counted, min(now-slack, s.counted+maxTransit))
+}
+
 // written returns the time of the write, as far as this box can tell.
 func (s sent) written() time.Duration {
 	if s.loan != (LoanID{}) {
@@ -43,7 +52,8 @@
 	sends      []sent
 	dropped    time.Duration // time of the last send that is not in sends
 	hasDropped bool
-	unanswered int // unanswered sends that are not in sends
+	unanswered int  // unanswered sends that are not in sends
+	long       bool // its window outlasts a transit
 }
 
 func (h *history) add(now time.Duration) {
@@ -105,10 +115,17 @@
 // trim removes the sends that no longer count in a window.
 func (h *history) trim(now, window time.Duration) {
 	h.sends = slices.DeleteFunc(h.sends, func(s sent) bool {
-		return !s.underWay(now) && s.counted+window <= now
+		return !s.underWay(now) && h.at(s, now)+window <= now
 	})
 }
 
+func (h *history) at(s sent, now time.Duration) time.Duration {
+	if h.long {
+		return s.latestAt(now)
+	}
+	return s.at(now)
+}
+
 // next returns the earliest time, from now on, at which one more of share sends fits
 // into the window and the minimum gap since the last one has passed. A dropped send
 // may stand for any number of earlier ones, so it blocks sends for a window.
@@ -120,7 +137,7 @@
 	gap := window / time.Duration(gapDivisor*share)
 	times := make([]time.Duration, 0, len(h.sends))
 	for _, s := range h.sends {
-		times = append(times, s.at(now))
+		times = append(times, h.at(s, now))
 		next = max(next, s.written()+gap)
 	}
 	slices.Sort(times)
--- a/pacing/limiter.go
+++ b/pacing/limiter.go
@@ -79,6 +79,9 @@
 	r := l.replicas[replica]
 	if r == nil {
 		r = &limited{
+			sends: history{
+				long: true,
+			},
 			wanted:  never,
 			granted: never,
 			barren:  never,
