placement, node: Fuzz what replicas report, and tell boxes that start

Change: the fuzzed test of placement has replicas name limits, leave and ask for rest, and checks that none of these is passed over.

--- a/node/signalgossip.go
+++ b/node/signalgossip.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	signalTicks  = 4                     // ticks, in one of which a box tells another one all that replicas report
-	signalFanout = 3                     // boxes that are told of a change at once
-	recentChange = 5 * time.Second       // for which a change is told to one more box in each tick
-	minTransit   = 10 * time.Millisecond // bound on the smallest delay of a datagram within a region
+	signalTicks  = 4                      // ticks, in one of which a box tells another one all that replicas report
+	signalFanout = 3                      // boxes that are told of a change at once
+	maxRecent    = 10                     // words of recent changes in one datagram, which are sent more often
+	newBoxTime   = 500 * time.Millisecond // for which a box that has started is told all
+	recentChange = 5 * time.Second        // for which a change is told to one more box in each tick
+	minTransit   = 10 * time.Millisecond  // bound on the smallest delay of a datagram within a region
 )
 
 // signalState is what a box has to tell others of the reports of replicas.
@@ -51,22 +53,29 @@
 func (s *state) signalPackets(now time.Duration, draw func(n int) int) []roster.Packet {
 	out := s.loanReports(now)
 	s.signals.ticks++
-	words := s.view.Words(now)
+	all := s.view.Words(now)
+	out = append(out, s.wordPackets(all, signal.MaxWords, s.newBoxes(now, draw), now)...)
 	fanout := 1
-	if s.signals.ticks%signalTicks != 0 {
-		words = s.recentWords(words, now)
-	}
 	if s.signals.fresh {
 		fanout = signalFanout
 	}
 	s.signals.fresh = false
-	if len(words) == 0 {
-		return out
+	peers := s.randomPeers(fanout, now, draw)
+	if s.signals.ticks%signalTicks == 0 {
+		return append(out, s.wordPackets(all, signal.MaxWords, peers, now)...)
+	}
+	return append(out, s.wordPackets(s.recentWords(all, now), maxRecent, peers, now)...)
+}
+
+// wordPackets returns the datagrams that tell boxes up to limit words, others each time.
+func (s *state) wordPackets(words []placement.Word, limit int, addrs []string, now time.Duration) (out []roster.Packet) {
+	if len(words) == 0 || len(addrs) == 0 {
+		return nil
 	}
 	d := s.signalDatagram(now)
-	d.Words = s.wireWords(words, now)
+	d.Words = s.wireWords(words, limit, now)
 	buf := d.Encode()
-	for _, addr := range s.randomPeers(fanout, now, draw) {
+	for _, addr := range addrs {
 		out = append(out, roster.Packet{
 			Addr: addr,
 			Buf:  buf,
@@ -75,6 +84,18 @@
 	return out
 }
 
+// newBoxes returns the addresses of boxes of the region that have just started and that this
+// box is one of some to tell.
+func (s *state) newBoxes(now time.Duration, draw func(n int) int) (out []string) {
+	n := s.roster.MaxAliveIn(s.settings.Region, now)
+	for m := range s.roster.All() {
+		if m.Status.Region == s.settings.Region && m.Status.Peers != "" && now-m.FirstSeen < newBoxTime && draw(n) < signalFanout {
+			out = append(out, m.Status.Peers)
+		}
+	}
+	return out
+}
+
 // recentWords returns the words that changed recently.
 func (s *state) recentWords(words []placement.Word, now time.Duration) (out []placement.Word) {
 	maps.DeleteFunc(s.signals.changed, func(_ string, at time.Duration) bool { return now-at >= recentChange })
@@ -93,9 +114,9 @@
 	}
 }
 
-// wireWords returns as many words as fit one datagram, others each time.
-func (s *state) wireWords(words []placement.Word, now time.Duration) (out []signal.Word) {
-	n := min(len(words), signal.MaxWords)
+// wireWords returns up to limit words, others each time.
+func (s *state) wireWords(words []placement.Word, limit int, now time.Duration) (out []signal.Word) {
+	n := min(len(words), limit)
 	for i := range n {
 		w := words[(s.signals.cursor+i)%len(words)]
 		out = append(out, signal.Word{
--- a/placement/fuzz_test.go
+++ b/placement/fuzz_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -30,7 +32,10 @@
 	*box
 	now       time.Duration
 	published map[string]catalog.Replica
-	leaving   map[string]bool // ids that were published as leaving
+	leaving   map[string]bool // ids that were published as leaving, or said so in an answer
+	restUntil map[string]time.Duration
+	limits    map[string]float64         // below 0 for none
+	limited   map[string][]time.Duration // sends to a replica since it names its limit
 	evacuated []string
 	open      []open
 }
@@ -42,6 +47,9 @@
 		now:       start,
 		published: make(map[string]catalog.Replica),
 		leaving:   make(map[string]bool),
+		restUntil: make(map[string]time.Duration),
+		limits:    make(map[string]float64),
+		limited:   make(map[string][]time.Duration),
 	}
 	for _, service := range []string{"engine", "plain"} {
 		for _, info := range replicas(service, replicasPerService) {
@@ -63,6 +71,65 @@
 			delete(r.leaving, id) // evicted
 		}
 	}
+	for _, id := range slices.Collect(maps.Keys(r.limits)) {
+		if r.Get(id) == nil {
+			delete(r.limits, id)
+			delete(r.limited, id)
+			delete(r.restUntil, id)
+		}
+	}
+}
+
+// report has the replica of an open request report of itself.
+func (r *region) report() {
+	if len(r.open) == 0 {
+		return
+	}
+	o := &r.open[rapid.IntRange(0, len(r.open)-1).Draw(r.T, "open")]
+	id := o.choice.Incarnation
+	var s placement.Signals
+	if rate := rapid.SampledFrom([]float64{-1, -1, 0, 0.2, 1.2, 50}).Draw(r.T, "limit"); rate >= 0 {
+		s.Limit = placement.RateLimit{
+			Named:     true,
+			PerSecond: rate,
+		}
+	}
+	s.Leaving = rapid.IntRange(0, 9).Draw(r.T, "says it leaves") == 0
+	s.Rest = rapid.SampledFrom([]time.Duration{0, 0, 0, 200 * time.Millisecond, 5 * time.Second}).Draw(r.T, "rest")
+	before := r.Get(id).Limit()
+	r.RecordSignals(&o.choice, s, placement.Span{
+		From: r.now,
+		To:   r.now,
+	})
+	if s.Leaving {
+		r.leaving[id] = true
+	}
+	r.restUntil[id] = max(r.restUntil[id], r.now+s.Rest)
+	r.limits[id] = -1
+	if l := r.Get(id).Limit(); l.Named {
+		r.limits[id] = l.PerSecond
+	}
+	if r.Get(id).Limit() != before {
+		delete(r.limited, id)
+	}
+}
+
+// checkLimit counts a send to a replica that names a limit.
+func (r *region) checkLimit(id string) {
+	rate, ok := r.limits[id]
+	if !ok || rate < 0 {
+		return
+	}
+	r.limited[id] = append(r.limited[id], r.now)
+	n := 0
+	for _, at := range r.limited[id] {
+		if at > r.now-4*time.Second {
+			n++
+		}
+	}
+	if bound := max(1, int(math.Ceil(4*rate))); n > bound {
+		r.Fatalf("%s got %d requests in 4 s, its limit of %g a second allows %d", id, n, rate, bound)
+	}
 }
 
 func (r *region) service() string {
@@ -179,6 +246,8 @@
 		r.Fatalf("another replica is at %s", info.Addr)
 	case info.Addr != c.Addr:
 		r.Fatalf("%s is at %s, not %s", c.Incarnation, info.Addr, c.Addr)
+	case r.now < r.restUntil[c.Incarnation]:
+		r.Fatalf("%s rests", c.Incarnation)
 	case r.leaving[c.Incarnation]:
 		r.Fatalf("%s has left", c.Incarnation)
 	case slices.Contains(r.evacuated, info.Domain):
@@ -190,6 +259,7 @@
 	case c.Expect < 0 || c.Missing < 0:
 		r.Fatalf("negative: %v", c)
 	}
+	r.checkLimit(c.Incarnation)
 }
 
 func (r *region) first() {
@@ -208,7 +278,7 @@
 	i := rapid.IntRange(0, len(r.open)-1).Draw(r.T, "open")
 	o := r.open[i]
 	r.open = slices.Delete(r.open, i, i+1)
-	result := placement.Result(rapid.IntRange(int(placement.Answered), int(placement.Misdirected)).Draw(r.T, "result"))
+	result := placement.Result(rapid.IntRange(int(placement.Answered), int(placement.Declined)).Draw(r.T, "result"))
 	wasEjected := r.Get(o.choice.Incarnation).Ejected(r.now)
 	ejected := r.End(&o.choice, result, time.Duration(rapid.IntRange(0, 900).Draw(r.T, "hold"))*time.Millisecond, r.now)
 	if isEjected := r.Get(o.choice.Incarnation).Ejected(r.now); ejected != (isEjected && !wasEjected) {
@@ -265,7 +335,7 @@
 func TestLoadsMatchTheOpenRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRegion(t)
-		acts := []func(){r.pick, r.pick, r.pick, r.pick, r.first, r.end, r.end, r.change, r.evacuate, r.recordPeerLoad, r.pass}
+		acts := []func(){r.pick, r.pick, r.pick, r.pick, r.first, r.end, r.end, r.change, r.evacuate, r.recordPeerLoad, r.report, r.pass}
 		for range actions {
 			rapid.SampledFrom(acts).Draw(t, "action")()
 			r.check()
