pacing: Double the pause between requests for loans while nobody lends, up to 0.2 s

Cause: a box whose requests all meet a used-up limit sent 24 requests for loans a second, some 1.7 KB/s. Change: the pause doubles from 0.1 to 0.2 s and starts over with a loan.

--- a/pacing/limiter.go
+++ b/pacing/limiter.go
@@ -58,6 +58,8 @@
 	granted time.Duration // last loan received; never for none
 	barren  time.Duration // until then no loan is expected
 	cursor  int           // of the next box to ask
+
+	barrenFor time.Duration // the last pause that ended at barren; 0 after a loan
 }
 
 const never = -time.Hour
--- a/pacing/loan.go
+++ b/pacing/loan.go
@@ -11,10 +11,11 @@
 	loanTTL    = 500 * time.Millisecond // from the request for a loan until it may no longer be used
 	loanMargin = 50 * time.Millisecond  // by which a borrower gives it up earlier
 	loanWait   = 25 * time.Millisecond  // for an answer of a lender
-	barrenTime = 100 * time.Millisecond // without further requests after no lender has answered
-	demandTTL  = time.Second            // for which a box with requests of its own lends nothing
-	askFanout  = 3                      // boxes that are asked for one send
-	maxAsked   = 48                     // requests for loans of one replica without an answer
+	minBarren  = 100 * time.Millisecond // without further requests after no lender has answered; doubles up to maxBarren
+	maxBarren  = 200 * time.Millisecond
+	demandTTL  = time.Second // for which a box with requests of its own lends nothing
+	askFanout  = 3           // boxes that are asked for one send
+	maxAsked   = 48          // requests for loans of one replica without an answer
 	noLoan     = -1
 )
 
@@ -73,7 +74,7 @@
 	}
 	unanswered := func(a ask) bool { return now-a.at >= loanWait && r.granted < a.at }
 	if slices.ContainsFunc(r.asked, unanswered) {
-		r.barren = now + barrenTime // nobody lends
+		r.pause(now)
 		return nil
 	}
 	lenders := l.lendersOf(replica, r, boxes)
@@ -94,11 +95,17 @@
 		})
 	}
 	if len(out) == 0 {
-		r.barren = now + barrenTime
+		r.pause(now)
 	}
 	return out
 }
 
+// pause stops requests for loans for a time, as nobody lends.
+func (r *limited) pause(now time.Duration) {
+	r.barrenFor = min(max(2*r.barrenFor, minBarren), maxBarren)
+	r.barren = now + r.barrenFor
+}
+
 // lendersOf returns the other boxes that have a share of a limit.
 func (l *Limiter) lendersOf(replica string, r *limited, boxes []string) []string {
 	bound, _ := r.terms()
@@ -146,6 +153,7 @@
 		return false
 	}
 	r.granted = now
+	r.barrenFor = 0
 	r.loans = append(r.loans, Loan{
 		Replica: replica,
 		Lender:  lender,
