pacing, pathtest: Let boxes that have just started use half of a limit

Callers were refused for a limit of a replica that nobody used: a box used no share for a window (4.1 s and more) after its start, so after a start of all boxes a limited replica got nothing for 5 s (seen in TestRequestsOfAnotherRegionKeepTheLimitOfAReplica, 0 requests). Change: in its first window a box has a share of half of the bound; with what earlier processes sent that is one and a half times the limit at most.

--- a/pacing/limiter.go
+++ b/pacing/limiter.go
@@ -11,6 +11,7 @@
 	limitWindow      = 4 * time.Second  // shortest window of a limit
 	maxLimitWindow   = 20 * time.Second // longest one, after which a replica that takes nothing is tried again
 	rankTTL          = 50 * time.Millisecond
+	startDivisor     = 2                // of the bound in the first window of a box
 	limitedRetention = 30 * time.Second // of the sends to a replica that names no limit any more
 )
 
@@ -72,8 +73,9 @@
 	}
 }
 
-// SetStart sets the time from which this box and all others list each other. The
-// Limiter uses no share of its own for a window after it.
+// SetStart sets the time from which this box and all others list each other. For a
+// window after it the box has a share of half of the bound: boxes that all start at
+// once send at most one and a half times the bound with what they sent before.
 func (l *Limiter) SetStart(now time.Duration) { l.start = now }
 
 // SetLimit records that a replica names a limit, in requests per second.
@@ -158,7 +160,7 @@
 	if share == 0 {
 		return now + window
 	}
-	return max(now, l.start+window, r.sends.next(share, window, now))
+	return r.sends.next(share, window, now)
 }
 
 // share returns how many sends to replica this box may make in a window.
@@ -169,7 +171,10 @@
 	if now-r.ranked >= rankTTL || now < r.ranked || r.boxes != len(boxes) {
 		l.updateRank(replica, r, boxes, now)
 	}
-	bound, _ := r.terms()
+	bound, window := r.terms()
+	if now < l.start+window {
+		bound = max(1, bound/startDivisor) // earlier processes of the boxes may have sent as much
+	}
 	return max(0, (bound-r.rank+r.boxes-1)/r.boxes)
 }
 
