--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -70,6 +70,7 @@
 
 	catalogOf func(region string) catalog.Update
 	onStart   func(m *machine) // called when a box has started
+	onPost    func(buf []byte) // called for each datagram
 }
 
 // newInstallation returns an installation without running boxes. The first machine of each
@@ -82,6 +83,7 @@
 
 		catalogOf: coldCatalog,
 		onStart:   func(*machine) {},
+		onPost:    func([]byte) {},
 	}
 	for r := range regions {
 		for n := range perRegion {
@@ -223,6 +225,7 @@
 
 func (in *installation) post(from *machine, list []roster.Packet) {
 	for _, p := range list {
+		in.onPost(p.Buf)
 		to := in.byAddr[p.Addr]
 		if to == nil || in.cut(from, to) || in.rnd.Float64() < in.lossRate {
 			continue
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -9,6 +9,7 @@
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/placement"
 	"github.com/havenrudder/havenrudder/roster"
+	"github.com/havenrudder/havenrudder/signal"
 )
 
 const (
@@ -339,6 +340,63 @@
 	}
 }
 
+// Guards against words on limited replicas that take more of a box's link than control may.
+func TestWordsOnReplicasTakeFewBytes(t *testing.T) {
+	const (
+		perRegion    = 36
+		limitedCount = 40
+		maxBytes     = 1000 // a second sent by a box, with headers, while each limit changes each second
+		maxCalmBytes = 250  // the same while none changes
+		headerBytes  = 28
+	)
+	s := newLimitScene(1, perRegion)
+	s.interval = func(*machine) time.Duration { return 0 }
+	s.catalogOf = func(region string) catalog.Update {
+		u := coldCatalog(region)
+		u.Snapshot.Replicas = replicas(region, limitedCount)
+		return u
+	}
+	sent := 0
+	s.cut = func(*machine, *machine) bool { return false }
+	s.onPost = func(buf []byte) {
+		if signal.IsDatagram(buf) {
+			sent += len(buf) + headerBytes
+		}
+	}
+	s.startAll(400*time.Millisecond, 300*time.Millisecond)
+	s.run(limitSettled)
+	change := func(round int) {
+		for _, m := range s.machines {
+			for _, r := range m.state.view.Replicas() {
+				m.state.recordSignalsOf(r.Incarnation(), placement.Signals{
+					Limit: placement.RateLimit{
+						Named:     true,
+						PerSecond: 1 + float64(round),
+					},
+				}, placement.Span{
+					From: m.age(s.installation),
+					To:   m.age(s.installation),
+				})
+			}
+		}
+	}
+	rate := func(seconds int, act func(round int)) float64 {
+		sent = 0
+		for round := range seconds {
+			act(round)
+			s.run(time.Second)
+		}
+		return float64(sent) / float64(seconds*len(s.machines))
+	}
+	busy := rate(20, change)
+	s.run(2 * recentChange)
+	calm := rate(20, func(int) {})
+	t.Logf("%.0f bytes a second of a box while limits change, %.0f while they don't", busy, calm)
+	if busy > maxBytes || calm > maxCalmBytes {
+		t.Fatalf("%.0f and %.0f bytes a second, %d and %d are allowed", busy, calm, maxBytes, maxCalmBytes)
+	}
+}
+
 // checkRecorded fails the test if a box records no limit of the replica of its region, or one, against want.
 func (s *limitScene) checkRecorded(t testing.TB, want bool) {
 	t.Helper()
--- a/node/signalgossip.go
+++ b/node/signalgossip.go
@@ -12,11 +12,13 @@
 )
 
 const (
-	signalTicks  = 4                      // ticks, in one of which a box tells another one all that replicas report
+	allTicks     = 16                     // ticks, in one of which a box tells another one all that replicas report
+	recentTicks  = 2                      // ticks, in one of which it tells another one what has changed recently
+	burstTicks   = 4                      // ticks between two changes that are told at once
 	signalFanout = 3                      // boxes that are told of a change at once
-	maxRecent    = 10                     // words of recent changes in one datagram, which are sent more often
+	maxRecent    = 8                      // words of recent changes in one datagram, which are sent more often
 	newBoxTime   = 500 * time.Millisecond // for which a box that has started is told all
-	recentChange = 5 * time.Second        // for which a change is told to one more box in each tick
+	recentChange = 5 * time.Second        // for which a change is told to further boxes
 	minTransit   = 10 * time.Millisecond  // bound on the smallest delay of a datagram within a region
 )
 
@@ -24,6 +26,7 @@
 type signalState struct {
 	changed map[string]time.Duration // incarnations with a recent change, and its time
 	fresh   bool                     // a change is not relayed yet
+	burst   int                      // the tick at which one was last told at once
 	ticks   int
 	cursor  int // of the next word where they don't fit one datagram
 }
@@ -55,16 +58,17 @@
 	s.signals.ticks++
 	all := s.view.Words(now)
 	out = append(out, s.wordPackets(all, signal.MaxWords, s.newBoxes(now, draw), now)...)
-	fanout := 1
-	if s.signals.fresh {
-		fanout = signalFanout
+	switch t := &s.signals; {
+	case t.fresh && t.ticks-t.burst >= burstTicks:
+		t.fresh = false
+		t.burst = t.ticks
+		return append(out, s.wordPackets(s.recentWords(all, now), maxRecent, s.randomPeers(signalFanout, now, draw), now)...)
+	case t.ticks%allTicks == 0:
+		return append(out, s.wordPackets(all, signal.MaxWords, s.randomPeers(1, now, draw), now)...)
+	case t.ticks%recentTicks == 0:
+		return append(out, s.wordPackets(s.recentWords(all, now), maxRecent, s.randomPeers(1, now, draw), now)...)
 	}
-	s.signals.fresh = false
-	peers := s.randomPeers(fanout, now, draw)
-	if s.signals.ticks%signalTicks == 0 {
-		return append(out, s.wordPackets(all, signal.MaxWords, peers, now)...)
-	}
-	return append(out, s.wordPackets(s.recentWords(all, now), maxRecent, peers, now)...)
+	return out
 }
 
 // wordPackets returns the datagrams that tell boxes up to limit words, others each time.
