placement, pacing, signal, node, platform: Name what replicas report in the field's terms

Change: names, texts of the log and metrics only: rest becomes a deferral (Retry-After), words become observations, a pause between requests for loans has that name. Evidence: tests of the packages, and of whole boxes with limits, leavings and deferrals, pass.

--- a/decision/event.go
+++ b/decision/event.go
@@ -57,9 +57,9 @@
 
 // The signals.
 const (
-	Limit   Signal = "limit"   // it names a rate limit, or none any more
-	Leaving Signal = "leaving" // it leaves
-	Rest    Signal = "rest"    // it wants no requests of this box for a time
+	Limit      Signal = "limit"       // it names a rate limit, or none any more
+	Leaving    Signal = "leaving"     // it leaves
+	RetryAfter Signal = "retry_after" // it wants no requests of this box for a time
 )
 
 // Failed reports whether o says that the request or try was not served. An empty
@@ -98,7 +98,7 @@
 	Sharers  int       `json:"sharers,omitempty"`   // boxes among which the pace of the cold replica, or quotas of the region, are shared
 	CopyFrom string    `json:"copy_from,omitempty"` // address of the replica that shared tokens are copied from
 	Tries    int       `json:"tries,omitempty"`
-	ForMs    int64     `json:"for_ms,omitempty"` // how long the upstream asks for rest
+	ForMs    int64     `json:"for_ms,omitempty"` // for which the upstream defers requests
 	Limit    float64   `json:"limit,omitempty"`  // requests per second that the upstream names in its answers
 	Signal   Signal    `json:"signal,omitempty"` // what the upstream reported of itself, of a line of kind Belief
 	Digest   string    `json:"digest,omitempty"` // of what the request asks, the same whenever it comes again
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -62,7 +62,7 @@
 	headAfter      time.Duration // time until the head of the response; 0 before
 	lastReceived   atomic.Int64  // nanoseconds until bytes of the response last arrived, with the resolution of receivedInterval
 	reportedSilent atomic.Bool
-	asksRest       bool   // the response asks for rest
+	defers         bool   // the response asks to retry later
 	survived       bool   // reportSurvived was called
 	why            string // why there is no complete response
 }
@@ -163,7 +163,7 @@
 	if err != nil {
 		a.call.server.core.MalformedHeader(&a.target.Choice, err)
 	}
-	a.asksRest = s.Rest > 0
+	a.defers = s.RetryAfter > 0
 	return &s
 }
 
@@ -183,8 +183,8 @@
 		a.call.received = true
 		return unsent
 	}
-	if a.asksRest {
-		a.result = placement.AskedRest
+	if a.defers {
+		a.result = placement.Deferred
 	}
 	a.call.noteReceiver(a.target.Choice.Incarnation)
 	return notRun
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -90,7 +90,7 @@
 // refuse answers that the request has not run, with the time to retry after.
 func (c *call) refuse(reason placement.Reason, wait time.Duration) {
 	limit := maxRetryAfter
-	if reason == placement.Limited || reason == placement.Resting {
+	if reason == placement.Limited || reason == placement.Deferring {
 		limit = maxNamedRetryAfter
 	}
 	wait = min(max(wait, minRetryAfter), limit)
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -201,7 +201,7 @@
 		return ""
 	}
 	switch placement.Reason(reason) {
-	case placement.Limited, placement.Resting:
+	case placement.Limited, placement.Deferring:
 		return c.blockedBy
 	}
 	return ""
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -98,10 +98,10 @@
 	}
 }
 
-// WithRestingReplicas serves the number of replicas that want no requests of this box.
-func WithRestingReplicas(n func() int) Option {
+// WithDeferringReplicas serves the number of replicas that defer requests of this box.
+func WithDeferringReplicas(n func() int) Option {
 	return func(m *Meter) {
-		m.gauge("resting_replicas", "Replicas of the region that asked this box for rest, which lasts.", func() float64 { return float64(n()) })
+		m.gauge("deferring_replicas", "Replicas of the region that defer requests of this box now.", func() float64 { return float64(n()) })
 	}
 }
 
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -38,7 +38,7 @@
 		WithQuarantinedRequests(func() int { return 5 }),
 		WithLimitedReplicas(func() int { return 2 }),
 		WithLeavingReplicas(func() int { return 6 }),
-		WithRestingReplicas(func() int { return 7 }),
+		WithDeferringReplicas(func() int { return 7 }),
 		WithLeaseAge(func() time.Duration { return 250 * time.Millisecond }),
 	)
 	m.Request("chat", "served")
@@ -99,7 +99,7 @@
 		`havenrudder_quarantined_requests 5`,
 		`havenrudder_limited_replicas 2`,
 		`havenrudder_leaving_replicas 6`,
-		`havenrudder_resting_replicas 7`,
+		`havenrudder_deferring_replicas 7`,
 		`havenrudder_lease_age_seconds 0.25`,
 		`havenrudder_quota_units_total{organisation="org",result="taken"} 30`,
 		`havenrudder_quota_units_total{organisation="org",result="refused"} 12`,
--- a/node/dump.go
+++ b/node/dump.go
@@ -75,8 +75,8 @@
 	Limit      *float64 `json:"limit_per_s,omitempty"`  // requests per second that it names in its answers; nil for none
 	LimitAgeMs int64    `json:"limit_age_ms,omitempty"` // since its last answer with that limit
 
-	SaysLeaving bool    `json:"says_leaving,omitempty"` // it has reported in an answer that it leaves
-	RestLeftS   float64 `json:"rest_left_s,omitempty"`  // for which it wants no requests of this box
+	SaysLeaving  bool    `json:"says_leaving,omitempty"`   // it has reported in an answer that it leaves
+	DeferredForS float64 `json:"deferred_for_s,omitempty"` // for which it wants no requests of this box
 }
 
 // RetryDump is the remaining retry budget of a service.
@@ -128,22 +128,22 @@
 	for _, r := range s.view.Replicas() {
 		all := s.view.Load(r, now)
 		out := ReplicaDump{
-			ID:          r.Incarnation(),
-			Service:     r.Info().Service,
-			Addr:        r.Info().Addr,
-			Leaving:     r.Info().Leaving,
-			Cold:        s.view.Pacer().IsCold(r.ID(), now),
-			Ejected:     r.Ejected(now),
-			OwnRequests: r.Own().Requests,
-			AllRequests: all.Requests,
-			Tokens:      all.Tokens,
-			Unread:      all.PendingPrefill,
-			Failing:     r.FailureShare(now),
-			Slow:        r.Slowness(now),
-			ReportAgeMs: max(0, r.ReportAge(now).Milliseconds()),
-			Revision:    r.Info().Revision,
-			SaysLeaving: r.SaysLeaving(),
-			RestLeftS:   r.RestLeft(now).Seconds(),
+			ID:           r.Incarnation(),
+			Service:      r.Info().Service,
+			Addr:         r.Info().Addr,
+			Leaving:      r.Info().Leaving,
+			Cold:         s.view.Pacer().IsCold(r.ID(), now),
+			Ejected:      r.Ejected(now),
+			OwnRequests:  r.Own().Requests,
+			AllRequests:  all.Requests,
+			Tokens:       all.Tokens,
+			Unread:       all.PendingPrefill,
+			Failing:      r.FailureShare(now),
+			Slow:         r.Slowness(now),
+			ReportAgeMs:  max(0, r.ReportAge(now).Milliseconds()),
+			Revision:     r.Info().Revision,
+			SaysLeaving:  r.SaysLeaving(),
+			DeferredForS: r.RetryWait(now).Seconds(),
 		}
 		if l := r.Limit(); l.Named {
 			out.Limit = &l.PerSecond
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -340,8 +340,8 @@
 	}
 }
 
-// Guards against words on limited replicas that take more of a box's link than control may.
-func TestWordsOnReplicasTakeFewBytes(t *testing.T) {
+// Guards against observations on limited replicas that take more of a box's link than control may.
+func TestObservationsOfReplicasTakeFewBytes(t *testing.T) {
 	const (
 		perRegion    = 36
 		limitedCount = 40
--- a/node/node.go
+++ b/node/node.go
@@ -142,7 +142,7 @@
 		meter.WithQuarantinedRequests(n.quarantinedRequests),
 		meter.WithLimitedReplicas(n.limitedReplicas),
 		meter.WithLeavingReplicas(n.leavingReplicas),
-		meter.WithRestingReplicas(n.restingReplicas),
+		meter.WithDeferringReplicas(n.deferringReplicas),
 		meter.WithLeaseAge(n.leaseAge),
 	)
 	limitMemory(s.MemoryMB)
--- a/node/signalgossip.go
+++ b/node/signalgossip.go
@@ -12,23 +12,23 @@
 )
 
 const (
-	allTicks     = 16                     // ticks, in one of which a box tells another one all that replicas report
-	recentTicks  = 2                      // ticks, in one of which it tells another one what has changed recently
-	burstTicks   = 4                      // ticks between two changes that are told at once
-	signalFanout = 3                      // boxes that are told of a change at once
-	maxRecent    = 8                      // words of recent changes in one datagram, which are sent more often
-	newBoxTime   = 500 * time.Millisecond // for which a box that has started is told all
-	recentChange = 5 * time.Second        // for which a change is told to further boxes
+	allTicks     = 16                     // ticks, in one of which a box sends another one all observations
+	recentTicks  = 2                      // ticks, in one of which it sends another one the recent changes
+	burstTicks   = 4                      // ticks between two changes that are sent at once
+	signalFanout = 3                      // boxes that receive a change at once
+	maxRecent    = 8                      // observations of recent changes in one datagram, which are sent more often
+	newBoxTime   = 500 * time.Millisecond // for which a box that has started receives all observations
+	recentChange = 5 * time.Second        // for which a change is sent to further boxes
 	minTransit   = 10 * time.Millisecond  // bound on the smallest delay of a datagram within a region
 )
 
-// signalState is what a box has to tell others of the reports of replicas.
+// signalState is the state of relaying what replicas report.
 type signalState struct {
 	changed map[string]time.Duration // incarnations with a recent change, and its time
 	fresh   bool                     // a change is not relayed yet
 	burst   int                      // the tick at which one was last told at once
 	ticks   int
-	cursor  int // of the next word where they don't fit one datagram
+	cursor  int // of the next observation where they don't fit one datagram
 }
 
 // recordSignals records what the replica of a choice reports in an answer.
@@ -36,7 +36,7 @@
 	return s.markChanged(s.view.RecordSignals(c, reported, made), made.To)
 }
 
-// recordSignalsOf records what an incarnation reports, in an answer or by the word of another box.
+// recordSignalsOf records what an incarnation reports, in an answer or by an observation of another box.
 func (s *state) recordSignalsOf(incarnation string, reported placement.Signals, made placement.Span) []placement.Change {
 	return s.markChanged(s.view.RecordSignalsOf(incarnation, reported, made), made.To)
 }
@@ -56,28 +56,28 @@
 func (s *state) signalPackets(now time.Duration, draw func(n int) int) []roster.Packet {
 	out := s.loanReports(now)
 	s.signals.ticks++
-	all := s.view.Words(now)
-	out = append(out, s.wordPackets(all, signal.MaxWords, s.newBoxes(now, draw), now)...)
+	all := s.view.Observations(now)
+	out = append(out, s.observationPackets(all, signal.MaxObservations, s.newBoxes(now, draw), now)...)
 	switch t := &s.signals; {
 	case t.fresh && t.ticks-t.burst >= burstTicks:
 		t.fresh = false
 		t.burst = t.ticks
-		return append(out, s.wordPackets(s.recentWords(all, now), maxRecent, s.randomPeers(signalFanout, now, draw), now)...)
+		return append(out, s.observationPackets(s.recentObservations(all, now), maxRecent, s.randomPeers(signalFanout, now, draw), now)...)
 	case t.ticks%allTicks == 0:
-		return append(out, s.wordPackets(all, signal.MaxWords, s.randomPeers(1, now, draw), now)...)
+		return append(out, s.observationPackets(all, signal.MaxObservations, s.randomPeers(1, now, draw), now)...)
 	case t.ticks%recentTicks == 0:
-		return append(out, s.wordPackets(s.recentWords(all, now), maxRecent, s.randomPeers(1, now, draw), now)...)
+		return append(out, s.observationPackets(s.recentObservations(all, now), maxRecent, s.randomPeers(1, now, draw), now)...)
 	}
 	return out
 }
 
-// wordPackets returns the datagrams that tell boxes up to limit words, others each time.
-func (s *state) wordPackets(words []placement.Word, limit int, addrs []string, now time.Duration) (out []roster.Packet) {
-	if len(words) == 0 || len(addrs) == 0 {
+// observationPackets returns the datagrams with up to limit observations for boxes, others each time.
+func (s *state) observationPackets(observations []placement.Observation, limit int, addrs []string, now time.Duration) (out []roster.Packet) {
+	if len(observations) == 0 || len(addrs) == 0 {
 		return nil
 	}
 	d := s.signalDatagram(now)
-	d.Words = s.wireWords(words, limit, now)
+	d.Observations = s.wireObservations(observations, limit, now)
 	buf := d.Encode()
 	for _, addr := range addrs {
 		out = append(out, roster.Packet{
@@ -89,7 +89,7 @@
 }
 
 // newBoxes returns the addresses of boxes of the region that have just started and that this
-// box is one of some to tell.
+// box is one of some to send observations to.
 func (s *state) newBoxes(now time.Duration, draw func(n int) int) (out []string) {
 	n := s.roster.MaxAliveIn(s.settings.Region, now)
 	for m := range s.roster.All() {
@@ -100,10 +100,10 @@
 	return out
 }
 
-// recentWords returns the words that changed recently.
-func (s *state) recentWords(words []placement.Word, now time.Duration) (out []placement.Word) {
+// recentObservations returns the observations that changed recently.
+func (s *state) recentObservations(observations []placement.Observation, now time.Duration) (out []placement.Observation) {
 	maps.DeleteFunc(s.signals.changed, func(_ string, at time.Duration) bool { return now-at >= recentChange })
-	for _, w := range words {
+	for _, w := range observations {
 		if _, ok := s.signals.changed[w.Incarnation]; ok {
 			out = append(out, w)
 		}
@@ -118,12 +118,12 @@
 	}
 }
 
-// wireWords returns up to limit words, others each time.
-func (s *state) wireWords(words []placement.Word, limit int, now time.Duration) (out []signal.Word) {
-	n := min(len(words), limit)
+// wireObservations returns up to limit observations, others each time.
+func (s *state) wireObservations(observations []placement.Observation, limit int, now time.Duration) (out []signal.Observation) {
+	n := min(len(observations), limit)
 	for i := range n {
-		w := words[(s.signals.cursor+i)%len(words)]
-		out = append(out, signal.Word{
+		w := observations[(s.signals.cursor+i)%len(observations)]
+		out = append(out, signal.Observation{
 			Replica:   uint32(roster.ReplicaIDOf(w.Incarnation)),
 			Limited:   w.Signals.Limit.Named,
 			PerSecond: w.Signals.Limit.PerSecond,
@@ -132,7 +132,7 @@
 			ToAge:     now - w.Made.To,
 		})
 	}
-	s.signals.cursor = (s.signals.cursor + n) % len(words)
+	s.signals.cursor = (s.signals.cursor + n) % len(observations)
 	return out
 }
 
@@ -218,7 +218,7 @@
 	if !ok {
 		return nil, nil // its heartbeat comes before the next one
 	}
-	for _, w := range d.Words {
+	for _, w := range d.Observations {
 		incarnation, ok := s.replicaIDs.start(roster.ReplicaID(w.Replica))
 		if !ok {
 			continue
@@ -240,7 +240,7 @@
 	return replies, changes
 }
 
-func receivedSignals(w signal.Word) placement.Signals {
+func receivedSignals(w signal.Observation) placement.Signals {
 	return placement.Signals{
 		Limit: placement.RateLimit{
 			Named:     w.Limited,
--- a/node/signals.go
+++ b/node/signals.go
@@ -33,11 +33,11 @@
 // answer that they leave. It must not be called before Run.
 func (n *Node) leavingReplicas() int { return n.countReplicas((*placement.Replica).SaysLeaving) }
 
-// restingReplicas returns the number of listed replicas of the region that want no requests of
+// deferringReplicas returns the number of listed replicas of the region that want no requests of
 // this box now. It must not be called before Run.
-func (n *Node) restingReplicas() int {
+func (n *Node) deferringReplicas() int {
 	now := n.now()
-	return n.countReplicas(func(r *placement.Replica) bool { return r.RestLeft(now) > 0 })
+	return n.countReplicas(func(r *placement.Replica) bool { return r.RetryWait(now) > 0 })
 }
 
 func (n *Node) countReplicas(counts func(r *placement.Replica) bool) (count int) {
--- a/pacing/limiter.go
+++ b/pacing/limiter.go
@@ -46,21 +46,21 @@
 
 // limited is the record of a replica that names a limit, or did so recently.
 type limited struct {
-	rate    float64
-	named   bool
-	ended   time.Duration // time from which it names none
-	sends   history
-	ranked  time.Duration // when rank and boxes were computed
-	rank    int
-	boxes   int
-	loans   []Loan // granted by other boxes and unused
-	asked   []ask
-	wanted  time.Duration // last request that could not be sent; never for none
-	granted time.Duration // last loan received; never for none
-	barren  time.Duration // until then no loan is expected
-	cursor  int           // of the next box to ask
-
-	barrenFor time.Duration // the last pause that ended at barren; 0 after a loan
+	rate        float64
+	named       bool
+	ended       time.Duration // time from which it names none
+	sends       history
+	ranked      time.Duration // when rank and boxes were computed
+	rank        int
+	boxes       int
+	loans       []Loan // granted by other boxes and unused
+	asked       []ask
+	wanted      time.Duration // last request that could not be sent; never for none
+	granted     time.Duration // last loan received; never for none
+	pausedUntil time.Duration // until then no loan is expected
+	cursor      int           // of the next box to ask
+
+	pauseLength time.Duration // the last pause that ended at pausedUntil; 0 after a loan
 }
 
 const never = -time.Hour
@@ -86,9 +86,9 @@
 			sends: history{
 				long: true,
 			},
-			wanted:  never,
-			granted: never,
-			barren:  never,
+			wanted:      never,
+			granted:     never,
+			pausedUntil: never,
 		}
 		l.replicas[replica] = r
 	}
--- a/pacing/limiter_test.go
+++ b/pacing/limiter_test.go
@@ -216,6 +216,6 @@
 	is.Equal(len(l.Ask(limitedID, names, now)), 1)
 	now += 2 * loanWait
 	is.Equal(len(l.Ask(limitedID, names, now)), 0) // nobody has answered
-	is.Equal(len(l.Ask(limitedID, names, now+minBarren/2)), 0)
+	is.Equal(len(l.Ask(limitedID, names, now+minAskPause/2)), 0)
 	is.True(len(l.Ask(limitedID, names, now+loanTTL)) > 0)
 }
--- a/pacing/loan.go
+++ b/pacing/loan.go
@@ -8,15 +8,15 @@
 )
 
 const (
-	loanTTL    = 500 * time.Millisecond // from the request for a loan until it may no longer be used
-	loanMargin = 50 * time.Millisecond  // by which a borrower gives it up earlier
-	loanWait   = 25 * time.Millisecond  // for an answer of a lender
-	minBarren  = 100 * time.Millisecond // without further requests after no lender has answered; doubles up to maxBarren
-	maxBarren  = 200 * time.Millisecond
-	demandTTL  = time.Second // for which a box with requests of its own lends nothing
-	askFanout  = 3           // boxes that are asked for one send
-	maxAsked   = 48          // requests for loans of one replica without an answer
-	noLoan     = -1
+	loanTTL     = 500 * time.Millisecond // from the request for a loan until it may no longer be used
+	loanMargin  = 50 * time.Millisecond  // by which a borrower gives it up earlier
+	loanWait    = 25 * time.Millisecond  // for an answer of a lender
+	minAskPause = 100 * time.Millisecond // without further requests after no lender has answered; doubles up to maxAskPause
+	maxAskPause = 200 * time.Millisecond
+	demandTTL   = time.Second // for which a box with requests of its own lends nothing
+	askFanout   = 3           // boxes that are asked for one send
+	maxAsked    = 48          // requests for loans of one replica without an answer
+	noLoan      = -1
 )
 
 // LoanID identifies a loan at its lender.
@@ -56,7 +56,7 @@
 
 // loanExpected reports whether a loan may be granted within loanWait.
 func (r *limited) loanExpected(now time.Duration) bool {
-	return now >= r.barren
+	return now >= r.pausedUntil
 }
 
 // Ask records that a request could not be sent to replica, and returns the requests for
@@ -69,7 +69,7 @@
 	}
 	r.wanted = now
 	r.asked = slices.DeleteFunc(r.asked, func(a ask) bool { return now-a.at >= loanTTL })
-	if now < r.barren || len(r.asked) >= maxAsked {
+	if now < r.pausedUntil || len(r.asked) >= maxAsked {
 		return nil
 	}
 	unanswered := func(a ask) bool { return now-a.at >= loanWait && r.granted < a.at }
@@ -102,8 +102,8 @@
 
 // pause stops requests for loans for a time, as nobody lends.
 func (r *limited) pause(now time.Duration) {
-	r.barrenFor = min(max(2*r.barrenFor, minBarren), maxBarren)
-	r.barren = now + r.barrenFor
+	r.pauseLength = min(max(2*r.pauseLength, minAskPause), maxAskPause)
+	r.pausedUntil = now + r.pauseLength
 }
 
 // lendersOf returns the other boxes that have a share of a limit.
@@ -153,7 +153,7 @@
 		return false
 	}
 	r.granted = now
-	r.barrenFor = 0
+	r.pauseLength = 0
 	r.loans = append(r.loans, Loan{
 		Replica: replica,
 		Lender:  lender,
--- a/placement/fuzz_test.go
+++ b/placement/fuzz_test.go
@@ -33,7 +33,7 @@
 	now       time.Duration
 	published map[string]catalog.Replica
 	leaving   map[string]bool // ids that were published as leaving, or said so in an answer
-	restUntil map[string]time.Duration
+	retryAt   map[string]time.Duration
 	limits    map[string]float64         // below 0 for none
 	limited   map[string][]time.Duration // sends to a replica since it names its limit
 	evacuated []string
@@ -47,7 +47,7 @@
 		now:       start,
 		published: make(map[string]catalog.Replica),
 		leaving:   make(map[string]bool),
-		restUntil: make(map[string]time.Duration),
+		retryAt:   make(map[string]time.Duration),
 		limits:    make(map[string]float64),
 		limited:   make(map[string][]time.Duration),
 	}
@@ -75,7 +75,7 @@
 		if r.Get(id) == nil {
 			delete(r.limits, id)
 			delete(r.limited, id)
-			delete(r.restUntil, id)
+			delete(r.retryAt, id)
 		}
 	}
 }
@@ -95,7 +95,7 @@
 		}
 	}
 	s.Leaving = rapid.IntRange(0, 9).Draw(r.T, "says it leaves") == 0
-	s.Rest = rapid.SampledFrom([]time.Duration{0, 0, 0, 200 * time.Millisecond, 5 * time.Second}).Draw(r.T, "rest")
+	s.RetryAfter = rapid.SampledFrom([]time.Duration{0, 0, 0, 200 * time.Millisecond, 5 * time.Second}).Draw(r.T, "rest")
 	before := r.Get(id).Limit()
 	r.RecordSignals(&o.choice, s, placement.Span{
 		From: r.now,
@@ -104,7 +104,7 @@
 	if s.Leaving {
 		r.leaving[id] = true
 	}
-	r.restUntil[id] = max(r.restUntil[id], r.now+s.Rest)
+	r.retryAt[id] = max(r.retryAt[id], r.now+s.RetryAfter)
 	r.limits[id] = -1
 	if l := r.Get(id).Limit(); l.Named {
 		r.limits[id] = l.PerSecond
@@ -246,7 +246,7 @@
 		r.Fatalf("another replica is at %s", info.Addr)
 	case info.Addr != c.Addr:
 		r.Fatalf("%s is at %s, not %s", c.Incarnation, info.Addr, c.Addr)
-	case r.now < r.restUntil[c.Incarnation]:
+	case r.now < r.retryAt[c.Incarnation]:
 		r.Fatalf("%s rests", c.Incarnation)
 	case r.leaving[c.Incarnation]:
 		r.Fatalf("%s has left", c.Incarnation)
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -16,7 +16,7 @@
 	Abandoned                 // caller left or deadline passed; no evidence against the replica; the request may still arrive
 	Unsent                    // given up before the request was written; no evidence against the replica
 	Misdirected               // another replica has the address
-	AskedRest                 // refused, and the replica asks for rest
+	Deferred                  // refused, and the replica defers requests
 	Declined                  // not written, as the replica wants no request any more
 )
 
@@ -32,10 +32,10 @@
 }
 
 // MayWrite reports whether the request of a choice may still be written: its replica has neither
-// asked for rest nor reported that it leaves since it was chosen.
+// deferred requests nor reported that it leaves since it was chosen.
 func (v *View) MayWrite(c *Choice, now time.Duration) bool {
 	r := c.reservation.replica
-	return r == nil || (r.RestLeft(now) == 0 && !r.saidLeaving)
+	return r == nil || (r.RetryWait(now) == 0 && !r.saidLeaving)
 }
 
 // RecordFirstByte records the time until the first byte of a response.
@@ -134,7 +134,7 @@
 		}
 	case Misdirected:
 		v.eject(r, now)
-	case AskedRest:
+	case Deferred:
 		r.recordResponse(now) // no failure: it gets nothing until it wants requests again
 	case Abandoned, Unsent, Declined:
 	}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -39,7 +39,7 @@
 	Ejected     Reason = "out of reach"
 	RateLimited Reason = "cold, paced"
 	Limited     Reason = "limited by the replica"
-	Resting     Reason = "replica at rest"
+	Deferring   Reason = "replica defers requests"
 	Full        Reason = "full"
 	NoReplica   Reason = "no replica"
 )
@@ -188,8 +188,8 @@
 		}
 		reason := v.unusable(r, req, now)
 		wait := time.Duration(0)
-		if reason == Resting {
-			wait = r.RestLeft(now)
+		if reason == Deferring {
+			wait = r.RetryWait(now)
 		}
 		if reason == None && !v.pacer.Allow(r.info.ID, boxes, now) {
 			reason = RateLimited
@@ -252,8 +252,8 @@
 		return Evacuated
 	case slices.Contains(req.Tried, r.incarnation):
 		return Tried
-	case r.RestLeft(now) > 0:
-		return Resting
+	case r.RetryWait(now) > 0:
+		return Deferring
 	case r.Ejected(now), r.isUnresponsive(now):
 		return Ejected
 	}
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -67,7 +67,7 @@
 	lastPoll    time.Duration       // last poll by this box; 0 for none
 	limit       namedLimit          // that it names in its answers
 	malformed   bool                // one of its answers had a malformed header
-	restUntil   time.Duration       // until then it wants no requests of this box
+	retryAt     time.Duration       // until then it wants no requests of this box
 	saidLeaving bool                // it has reported in an answer that it leaves; final
 
 	coldUntil       time.Duration
--- a/placement/signals.go
+++ b/placement/signals.go
@@ -10,9 +10,9 @@
 
 // Signals is what a replica reports of itself in the head of an answer.
 type Signals struct {
-	Limit   RateLimit
-	Leaving bool
-	Rest    time.Duration // for which it wants no requests of this box; 0 for none
+	Limit      RateLimit
+	Leaving    bool
+	RetryAfter time.Duration // for which it wants no requests of this box; 0 for none
 }
 
 // RateLimit is the rate of requests that a replica takes from all boxes together.
@@ -74,37 +74,37 @@
 	if r.saidLeaving {
 		return leavingTTL
 	}
-	return max(unlistedTTL, r.restUntil-r.lastSeen) // a rest outlasts a missing entry
+	return max(unlistedTTL, r.retryAt-r.lastSeen) // a deferral outlasts a missing entry
 }
 
 // Limit returns the limit that the replica names.
 func (r *Replica) Limit() RateLimit { return r.limit.RateLimit }
 
-// extendRest records that the replica wants no requests of this box for a time. It returns false
-// if an earlier rest lasts as long.
-func (r *Replica) extendRest(d, now time.Duration) bool {
-	if d <= 0 || now+d <= r.restUntil {
+// extendRetryWait records that the replica wants no requests of this box for a time. It returns false
+// if an earlier deferral lasts as long.
+func (r *Replica) extendRetryWait(d, now time.Duration) bool {
+	if d <= 0 || now+d <= r.retryAt {
 		return false
 	}
-	r.restUntil = now + d
+	r.retryAt = now + d
 	return true
 }
 
-// restSpread returns by how much this box prolongs a rest, so that not all boxes return to the
+// retrySpread returns by how much this box prolongs a deferral, so that not all boxes return to the
 // replica in one moment.
-func (v *View) restSpread(r *Replica, d time.Duration) time.Duration {
+func (v *View) retrySpread(r *Replica, d time.Duration) time.Duration {
 	share := float64(rendezvous.Score(r.incarnation, v.pacer.Box())) / math.MaxUint64
-	return scale(share, min(scale(maxSpreadShare, d), maxRestSpread))
+	return scale(share, min(scale(maxSpreadShare, d), maxRetrySpread))
 }
 
-// Limits of restSpread.
+// Limits of retrySpread.
 const (
 	maxSpreadShare = 0.1 // of the rest
-	maxRestSpread  = time.Second
+	maxRetrySpread = time.Second
 )
 
-// RestLeft returns for how long the replica wants no requests of this box.
-func (r *Replica) RestLeft(now time.Duration) time.Duration { return max(0, r.restUntil-now) }
+// RetryWait returns for how long the replica wants no requests of this box.
+func (r *Replica) RetryWait(now time.Duration) time.Duration { return max(0, r.retryAt-now) }
 
 // SaysLeaving reports whether the replica has reported in an answer that it leaves.
 func (r *Replica) SaysLeaving() bool { return r.saidLeaving }
@@ -145,12 +145,12 @@
 			Signal:  decision.Leaving,
 		})
 	}
-	if r.extendRest(s.Rest+v.restSpread(r, s.Rest), made.To) {
+	if r.extendRetryWait(s.RetryAfter+v.retrySpread(r, s.RetryAfter), made.To) {
 		out = append(out, Change{
 			Subject: r.incarnation,
-			Reason:  "replica asks for rest",
-			Signal:  decision.Rest,
-			For:     s.Rest,
+			Reason:  "replica defers requests",
+			Signal:  decision.RetryAfter,
+			For:     s.RetryAfter,
 		})
 	}
 	return out
@@ -177,22 +177,22 @@
 	return out
 }
 
-// wordRetention is how long other boxes are told of the end of a limit.
-const wordRetention = 30 * time.Second
+// observationRetention is how long the end of a limit is relayed.
+const observationRetention = 30 * time.Second
 
-// Word is what an incarnation last reported, and when.
-type Word struct {
+// Observation is what an incarnation last reported, and when.
+type Observation struct {
 	Incarnation string
 	Signals     Signals
 	Made        Span
 }
 
-// Words returns what replicas report, and what they reported until recently, by incarnation.
-func (v *View) Words(now time.Duration) []Word {
-	var out []Word
+// Observations returns what replicas report, and what they reported until recently, by incarnation.
+func (v *View) Observations(now time.Duration) []Observation {
+	var out []Observation
 	for _, r := range v.sorted {
-		if r.hasWord(now) {
-			out = append(out, Word{
+		if r.isObserved(now) {
+			out = append(out, Observation{
 				Incarnation: r.incarnation,
 				Signals: Signals{
 					Limit:   r.limit.RateLimit,
@@ -205,12 +205,12 @@
 	return out
 }
 
-// hasWord reports whether other boxes need the signals of the replica.
-func (r *Replica) hasWord(now time.Duration) bool {
-	if !r.listed && now-r.lastSeen > wordRetention {
+// isObserved reports whether other boxes need the signals of the replica.
+func (r *Replica) isObserved(now time.Duration) bool {
+	if !r.listed && now-r.lastSeen > observationRetention {
 		return false
 	}
-	return r.limit.Named || r.saidLeaving || (r.limit.used && now-r.limit.made.From < wordRetention)
+	return r.limit.Named || r.saidLeaving || (r.limit.used && now-r.limit.made.From < observationRetention)
 }
 
 // NoteMalformed reports whether a malformed header is the first one of an incarnation.
--- a/placement/signals_test.go
+++ b/placement/signals_test.go
@@ -112,34 +112,34 @@
 func TestWhatAReplicaReportsIsToldToOtherBoxes(t *testing.T) {
 	is := is.New(t)
 	b := newBox("a", "hall", replicas("plain", 2)...)
-	is.Equal(len(b.Words(start)), 0)
+	is.Equal(len(b.Observations(start)), 0)
 	b.RecordSignalsOf("plain-0", leaving(), span(0, 1))
 	b.RecordSignalsOf("plain-1", limited(2), span(0, 1))
-	words := b.Words(start)
-	is.Equal(len(words), 2)
-	is.True(words[0].Signals.Leaving)
-	is.Equal(words[1].Signals, limited(2))
+	observations := b.Observations(start)
+	is.Equal(len(observations), 2)
+	is.True(observations[0].Signals.Leaving)
+	is.Equal(observations[1].Signals, limited(2))
 	b.RecordSignalsOf("plain-1", placement.Signals{}, span(2, 3))
-	is.Equal(len(b.Words(start+4*time.Second)), 2) // its end, too
-	is.Equal(len(b.Words(start+time.Minute)), 1)
+	is.Equal(len(b.Observations(start+4*time.Second)), 2) // its end, too
+	is.Equal(len(b.Observations(start+time.Minute)), 1)
 }
 
-func resting(d time.Duration) placement.Signals {
+func deferring(d time.Duration) placement.Signals {
 	return placement.Signals{
-		Rest: d,
+		RetryAfter: d,
 	}
 }
 
-// Guards against a shorter rest that ends a longer one early.
-func TestARestLastsUntilTheLatestEndThatWasAskedFor(t *testing.T) {
+// Guards against a shorter deferral that ends a longer one early.
+func TestADeferralLastsUntilTheLatestEndThatWasAskedFor(t *testing.T) {
 	is := is.New(t)
 	b := newBox("a", "hall", replicas("plain", 1)...)
 	pick := func(at time.Duration) placement.Choice { return b.Pick(newRequest("plain", "k"), alone, at) }
-	is.Equal(len(b.RecordSignalsOf("plain-0", resting(3*time.Second), span(0, 1))), 1)
-	is.Equal(len(b.RecordSignalsOf("plain-0", resting(500*time.Millisecond), span(1, 2))), 0)
+	is.Equal(len(b.RecordSignalsOf("plain-0", deferring(3*time.Second), span(0, 1))), 1)
+	is.Equal(len(b.RecordSignalsOf("plain-0", deferring(500*time.Millisecond), span(1, 2))), 0)
 	is.Equal(len(b.RecordSignalsOf("plain-0", placement.Signals{}, span(1, 2))), 0)
 	c := pick(start + 3900*time.Millisecond)
-	is.Equal(c.Reason, placement.Resting)
+	is.Equal(c.Reason, placement.Deferring)
 	is.Equal(c.Blocked, "plain-0")
 	is.True(c.Wait >= 100*time.Millisecond && c.Wait <= 400*time.Millisecond)
 	is.Equal(pick(start+3900*time.Millisecond+c.Wait).Reason, placement.None)
@@ -150,24 +150,24 @@
 	ends := make(map[time.Duration]bool)
 	for _, name := range []string{"a", "b", "c", "d"} {
 		b := newBox(name, "hall", replicas("plain", 1)...)
-		b.RecordSignalsOf("plain-0", resting(3*time.Second), span(0, 0))
-		left := b.Get("plain-0").RestLeft(start)
+		b.RecordSignalsOf("plain-0", deferring(3*time.Second), span(0, 0))
+		left := b.Get("plain-0").RetryWait(start)
 		is.True(left >= 3*time.Second && left <= 3300*time.Millisecond)
 		ends[left] = true
 	}
 	is.Equal(len(ends), 4)
 }
 
-// Guards against a replica that is ejected, or costs more, since it asked for rest.
-func TestAReplicaThatAsksForRestHasNotFailed(t *testing.T) {
+// Guards against a replica that is ejected, or costs more, since it deferred requests.
+func TestAReplicaThatDefersRequestsHasNotFailed(t *testing.T) {
 	is := is.New(t)
 	b := newBox("a", "hall", replicas("plain", 1)...)
 	now := start
 	for range 10 {
 		c := b.Pick(newRequest("plain", "k"), alone, now)
 		is.Equal(c.Reason, placement.None)
-		b.RecordSignals(&c, resting(200*time.Millisecond), placement.Span{From: now, To: now})
-		b.End(&c, placement.AskedRest, time.Millisecond, now)
+		b.RecordSignals(&c, deferring(200*time.Millisecond), placement.Span{From: now, To: now})
+		b.End(&c, placement.Deferred, time.Millisecond, now)
 		now += 300 * time.Millisecond
 	}
 	r := b.Get("plain-0")
@@ -175,13 +175,13 @@
 	is.Equal(r.FailureShare(now), 0.0)
 }
 
-// Guards against requests that are written after their replica has asked for rest.
-func TestARequestIsNotWrittenOnceItsReplicaRests(t *testing.T) {
+// Guards against requests that are written after their replica has deferred requests.
+func TestARequestIsNotWrittenOnceItsReplicaDefers(t *testing.T) {
 	is := is.New(t)
 	b := newBox("a", "hall", replicas("plain", 2)...)
 	late := b.Pick(newRequest("plain", "k"), alone, start)
 	is.True(b.MayWrite(&late, start))
-	b.RecordSignalsOf(late.Incarnation, resting(time.Second), span(0, 0))
+	b.RecordSignalsOf(late.Incarnation, deferring(time.Second), span(0, 0))
 	is.True(!b.MayWrite(&late, start))
 	is.True(b.MayWrite(&late, start+2*time.Second))
 	b.RecordSignalsOf(late.Incarnation, leaving(), span(1, 1))
@@ -190,13 +190,13 @@
 	is.Equal(b.Get(late.Incarnation).Own().Requests, 0)
 }
 
-// Guards against a rest that outlives the process that asked for it.
-func TestARestBelongsToOneStartOfAReplica(t *testing.T) {
+// Guards against a deferral that outlives the process that asked for it.
+func TestADeferralBelongsToOneStartOfAReplica(t *testing.T) {
 	is := is.New(t)
 	first := replicas("plain", 1)[0]
 	first.StartedAt = 1000
 	b := newBox("a", "hall", first)
-	b.RecordSignalsOf(first.Incarnation(), resting(time.Hour), span(0, 1))
+	b.RecordSignalsOf(first.Incarnation(), deferring(time.Hour), span(0, 1))
 	second := first
 	second.StartedAt = 2000
 	second.Revision = 5
--- a/placement/view.go
+++ b/placement/view.go
@@ -126,7 +126,7 @@
 	Rev     int64           // catalog revision of the change
 	Addr    string          // address of a new incarnation; open connections may lead to an earlier one
 	Signal  decision.Signal // what a replica reported of itself; empty for other changes
-	For     time.Duration   // how long the replica asks for rest; only with a Signal of decision.Rest
+	For     time.Duration   // how long the replica defers requests; only with a Signal of decision.RetryAfter
 	Limit   float64         // requests per second that the replica names; only with a Signal of decision.Limit
 }
 
--- a/signal/signal.go
+++ b/signal/signal.go
@@ -15,8 +15,8 @@
 
 // Limits of one datagram, which keep it below the common path MTU (RFC 9000, section 14).
 const (
-	MaxWords = 40
-	MaxLoans = 24
+	MaxObservations = 40
+	MaxLoans        = 24
 )
 
 const (
@@ -30,14 +30,14 @@
 
 // Datagram is a message to other boxes of the region.
 type Datagram struct {
-	Sender uint32        // short ID of the sender's process
-	Up     time.Duration // uptime of the sender, in milliseconds
-	Words  []Word
-	Loans  []Loan
+	Sender       uint32        // short ID of the sender's process
+	Up           time.Duration // uptime of the sender, in milliseconds
+	Observations []Observation
+	Loans        []Loan
 }
 
-// Word is what one incarnation of a replica last reported, as the sender records it.
-type Word struct {
+// Observation is what one incarnation of a replica last reported, as the sender records it.
+type Observation struct {
 	Replica   uint32  // short ID of the incarnation
 	Limited   bool    // it names a limit
 	PerSecond float64 // the limit, in requests per second
@@ -65,7 +65,7 @@
 	Nonce     uint32
 }
 
-// Bits of the flags of a word.
+// Bits of the flags of an observation.
 const (
 	bitLimited = 1 << iota
 	bitLeaving
@@ -79,8 +79,8 @@
 	out := append(make([]byte, 0, datagramBytes), DatagramType)
 	out = binary.BigEndian.AppendUint32(out, d.Sender)
 	out = binary.AppendUvarint(out, uint64(max(0, d.Up.Milliseconds())))
-	out = append(out, byte(min(len(d.Words), MaxWords)))
-	for _, w := range d.Words[:min(len(d.Words), MaxWords)] {
+	out = append(out, byte(min(len(d.Observations), MaxObservations)))
+	for _, w := range d.Observations[:min(len(d.Observations), MaxObservations)] {
 		out = w.append(out)
 	}
 	out = append(out, byte(min(len(d.Loans), MaxLoans)))
@@ -92,7 +92,7 @@
 	return out
 }
 
-func (w Word) append(out []byte) []byte {
+func (w Observation) append(out []byte) []byte {
 	out = binary.BigEndian.AppendUint32(out, w.Replica)
 	var flags byte
 	if w.Limited {
@@ -125,8 +125,8 @@
 		Sender: in.uint32(),
 		Up:     in.millis(math.MaxInt32 * time.Millisecond),
 	}
-	for range in.count(MaxWords) {
-		d.Words = append(d.Words, in.word())
+	for range in.count(MaxObservations) {
+		d.Observations = append(d.Observations, in.observation())
 	}
 	for range in.count(MaxLoans) {
 		d.Loans = append(d.Loans, in.loan())
@@ -179,8 +179,8 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-func (r *reader) word() Word {
-	w := Word{
+func (r *reader) observation() Observation {
+	w := Observation{
 		Replica: r.uint32(),
 	}
 	flags := r.byte()
--- a/signal/signal_test.go
+++ b/signal/signal_test.go
@@ -15,7 +15,7 @@
 	d := Datagram{
 		Sender: 7,
 		Up:     90 * time.Second,
-		Words: []Word{{
+		Observations: []Observation{{
 			Replica:   9,
 			Limited:   true,
 			PerSecond: 1.5,
@@ -24,7 +24,7 @@
 		}},
 	}
 	got, err := Decode(d.Encode())
-	fmt.Println(got.Words[0].PerSecond, got.Words[0].FromAge, err)
+	fmt.Println(got.Observations[0].PerSecond, got.Observations[0].FromAge, err)
 	// Output: 1.5 1.2s <nil>
 }
 
@@ -36,8 +36,8 @@
 		Sender: rapid.Uint32().Draw(t, "sender"),
 		Up:     ms("up", 1<<30),
 	}
-	for range rapid.IntRange(0, MaxWords).Draw(t, "words") {
-		w := Word{
+	for range rapid.IntRange(0, MaxObservations).Draw(t, "observations") {
+		w := Observation{
 			Replica: rapid.Uint32().Draw(t, "replica"),
 			Limited: rapid.Bool().Draw(t, "limited"),
 			Leaving: rapid.Bool().Draw(t, "leaving"),
@@ -47,7 +47,7 @@
 		if w.Limited {
 			w.PerSecond = rapid.Float64Range(0, maxRate).Draw(t, "rate")
 		}
-		d.Words = append(d.Words, w)
+		d.Observations = append(d.Observations, w)
 	}
 	for range rapid.IntRange(0, MaxLoans).Draw(t, "loans") {
 		d.Loans = append(d.Loans, Loan{
@@ -84,7 +84,7 @@
 			buf = append(buf, 0)
 		}
 		got, err := Decode(buf)
-		for _, w := range got.Words {
+		for _, w := range got.Observations {
 			if err == nil && !(w.PerSecond >= 0 && w.PerSecond <= maxRate) {
 				t.Fatalf("a rate of %g was read", w.PerSecond)
 			}
@@ -95,12 +95,12 @@
 func TestTheLargestDatagramFitsAPacket(t *testing.T) {
 	is := is.New(t)
 	d := Datagram{
-		Up:    math31 * time.Millisecond,
-		Words: make([]Word, MaxWords),
-		Loans: make([]Loan, MaxLoans),
+		Up:           math31 * time.Millisecond,
+		Observations: make([]Observation, MaxObservations),
+		Loans:        make([]Loan, MaxLoans),
 	}
-	for i := range d.Words {
-		d.Words[i] = Word{
+	for i := range d.Observations {
+		d.Observations[i] = Observation{
 			Limited: true,
 			FromAge: maxAge,
 			ToAge:   maxAge,
