all: Put reasons of constants back that the wording lost

Change: comments only, in today's names; only what the old comments held and what still holds (values that have changed since, such as the size of a remembered send or the boxes from which on there are monitors, are left out).

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -51,7 +51,7 @@
 	allowanceFraction  = 0.5  // of Allowance that all running processes hold; the rest is for those that restart in the window
 	windowSlackDivisor = 10   // lengthens the window by a tenth for clock drift and delays
 	minBoxesForMargin  = 2    // from which one more is assumed, as a new box may not be listed yet
-	sweepThreshold     = 1024 // services from which idle ones are removed
+	sweepThreshold     = 1024 // services from which idle ones are removed; a service takes about 3 KB at a window of 10 s
 )
 
 // Limit is the limit for all boxes together.
--- a/budget/counts.go
+++ b/budget/counts.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-const bucketLength = 100 * time.Millisecond
+const bucketLength = 100 * time.Millisecond // a hundredth of the usual window, so that rounding costs about 1%
 
 // bucket counts the events of one period of bucketLength.
 type bucket struct {
--- a/catalog/compress.go
+++ b/catalog/compress.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	maxDecompressed = 8 << 20 // bytes
+	maxDecompressed = 8 << 20 // bytes; 4,000 replicas take 0.7 MB, a published value 1 MB at most
 	minCompressed   = 8 << 10 // bytes from which a catalog update is compressed
 )
 
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -24,7 +24,7 @@
 
 const (
 	watchTimeout       = 10 * time.Second       // each call to the publisher has a cost
-	rereadInterval     = 2 * time.Second        // a watch may miss changes without an error
+	rereadInterval     = 2 * time.Second        // a watch may miss changes without an error; half of the shortest bound on configurations
 	firstBackOff       = 50 * time.Millisecond  // after a failed call
 	maxBackOff         = 600 * time.Millisecond // so that a recovered publisher is used within a second
 	recoveryWindow     = 2 * time.Second        // in which expired entries reappear after an outage of the publisher
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -16,7 +16,7 @@
 	"github.com/havenrudder/havenrudder/placement"
 )
 
-const replicaDialTimeout = 250 * time.Millisecond // within a region
+const replicaDialTimeout = 250 * time.Millisecond // within a region a connection takes 5 ms, a lost packet a second
 
 // lateWriteThreshold is the delay between the selection of a replica and the write of the
 // request above which the rate limit of cold replicas is notified of the write.
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -15,9 +15,9 @@
 const reasonTrial placement.Reason = "on trial, replicas ended under it"
 
 const (
-	trialWaitTimeout  = 600 * time.Millisecond
+	trialWaitTimeout  = 600 * time.Millisecond // the request for a run takes 0.17 s between regions
 	trialPollInterval = 40 * time.Millisecond
-	trialRetryAfter   = time.Second
+	trialRetryAfter   = time.Second // a replica survives the run within 2 s, some of which the caller has waited
 )
 
 const reasonPoison placement.Reason = "ends its replicas"
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -18,7 +18,7 @@
 	stallPerExpected   = 3                      // multiple of the expected latency
 	boxStallTimeout    = 2 * time.Second        // longer than streamStallTimeout, for boxes resume streams themselves
 	stallPollInterval  = 50 * time.Millisecond
-	budgetPollInterval = 250 * time.Millisecond
+	budgetPollInterval = 250 * time.Millisecond // requests that allow a retry come several times a second
 	reachabilityTTL    = time.Second            // of a successful probe, which shows that the link of this box is free
 	receivedWindow     = 250 * time.Millisecond // the same for bytes received from others; at most half of the stall timeout
 )
--- a/pacing/history.go
+++ b/pacing/history.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	maxWarmSends = 8               // recent sends kept of a warm replica
+	maxWarmSends = 8               // recent sends kept of a warm replica; more than the usual share of a box
 	maxTransit   = 3 * time.Second // from a write until an unanswered send no longer counts as under way
 )
 
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -43,8 +43,8 @@
 const (
 	slack      = 100 * time.Millisecond // for the delay between write and arrival
 	window     = time.Second + slack
-	gapDivisor = 2   // sets the minimum gap between sends: window / (gapDivisor x share)
-	maxWarm    = 512 // warm replicas whose recent sends are kept
+	gapDivisor = 2   // sets the minimum gap between sends: window / (gapDivisor x share); 2 leaves room to catch up after a pause
+	maxWarm    = 512 // warm replicas whose recent sends are kept; more than a box sends to within a second
 )
 
 // Limit limits how far the sends to a cold replica may exceed its rate.
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -10,7 +10,7 @@
 // Limits on the number of candidates per request. Boxes that share load reports would
 // otherwise all choose the same replica until the next reports arrive.
 const (
-	candidatesByKey      = 2    // replicas ranked by the key of the request, which spreads load
+	candidatesByKey      = 2    // replicas ranked by the key of the request, which spreads load; with four, more boxes choose the same one
 	candidatesBySegment  = 2    // replicas ranked by its shared segments
 	reportedRereadFactor = 10.0 // with load reports; higher, as many boxes may move a segment to the same idle engine
 )
--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -8,11 +8,11 @@
 // Limits on the load of a replica.
 const (
 	memoryLimit         = 0.97                    // share of memory above which an engine preempts requests
-	urgentMemoryReserve = 0.45                    // share of memory that the least urgent requests leave free
+	urgentMemoryReserve = 0.45                    // share of memory that the least urgent requests leave free; where engines are short, the least urgent requests take most memory
 	memoryPressure      = 0.75                    // share of memory above which an additional request slows others down
 	memoryPressureCost  = 1500 * time.Millisecond // per request at full memory
 	engineQueueLimit    = 0.5                     // waiting requests per slot of an engine
-	plainQueueLimit     = 3.0                     // waiting requests per slot of a plain service
+	plainQueueLimit     = 3.0                     // waiting requests per slot of a plain service; a plain service queues up to four times its slots
 )
 
 // preemptionCost returns the expected cost to other requests at an engine whose memory is
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -15,8 +15,8 @@
 	firstEventTime         = 12 * time.Millisecond   // until the first event of an idle engine, without prefill
 	stepMsPerKilotoken     = 0.12                    // additional milliseconds per event and 1,000 tokens in memory
 	failureCost            = 1200 * time.Millisecond // of a replica that fails every request
-	expectedCachedShare    = 0.9                     // share of missing segments that are expected to be cached for other boxes
-	rereadFactor           = 2.5                     // cost of prefilling a shared segment, as a multiple of its duration
+	expectedCachedShare    = 0.9                     // share of missing segments that are expected to be cached for other boxes; where none has it cached, it costs the same anywhere
+	rereadFactor           = 2.5                     // cost of prefilling a shared segment, as a multiple of its duration; other requests wait meanwhile
 	crossDomainCost        = 3 * time.Millisecond    // traffic between failure domains is charged
 	meanAnswerShare        = 0.6                     // mean share of the answer's tokens that a running request holds in memory
 	costTolerance          = 500 * time.Microsecond  // costs that differ by less are equal
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -14,9 +14,9 @@
 
 const (
 	slownessHalfLife   = 8 * time.Second
-	slownessWeight     = 0.25 // of the newest sample
-	maxSlowness        = 2.5  // limit on one sample, a natural logarithm
-	prefillHalfLife    = 1 * time.Second
+	slownessWeight     = 0.25                   // of the newest sample
+	maxSlowness        = 2.5                    // limit on one sample, a natural logarithm
+	prefillHalfLife    = 1 * time.Second        // some ten prompts at the peak
 	prefillWindow      = 20 * prefillHalfLife   // after it the rate is negligible
 	durationWeight     = 0.1                    // of the newest duration
 	maxConnectFailures = 2                      // consecutive failures until a replica is ejected
--- a/poison/interruptions.go
+++ b/poison/interruptions.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	interruptionTTL  = 10 * time.Second // exceeds the time in which the entry of a crashed replica expires
+	interruptionTTL  = 10 * time.Second // exceeds the time in which the entry of a crashed replica expires; three heartbeats, some 4 s
 	maxInterruptions = 256              // per incarnation
 	maxLoggedDigests = 8                // per incarnation and log line
 	maxIncarnations  = 4096             // with interrupted requests
 
-	jointCrashWindow = 10 * time.Millisecond // between the first interruptions of replicas that crash for one cause; more would join the crashes of several poison requests
+	jointCrashWindow = 10 * time.Millisecond // between the first interruptions of replicas that crash for one cause; more would join the crashes of several poison requests; eleven that crashed together were within 1 ms, and 50 ms joined several poison requests
 	minJointCrashes  = 3                     // as with a rack or a power line: only a request that several of them ran may be the cause
 )
 
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	partitions           = 16   // of the digest space
-	maxRecords           = 8192 // per ledger
+	partitions           = 16   // of the digest space; of 100 records of which one differs some six are sent
+	maxRecords           = 8192 // per ledger; some 1.5 MB
 	recordsAfterEviction = maxRecords * 3 / 4
 )
 
--- a/poison/record.go
+++ b/poison/record.go
@@ -14,7 +14,7 @@
 const (
 	quarantineThreshold = 3                // crashes; an innocent request may share two with a poison request
 	publishThreshold    = 2                // crashes from which all boxes receive a record, so that any can clear it before the third
-	clearanceWindow     = 3 * time.Second  // after a complete response, in which crashes don't count, to limit the gossip on popular requests
+	clearanceWindow     = 3 * time.Second  // after a complete response, in which crashes don't count, to limit the gossip on popular requests; without it a request cleared after each of 100 crashes took 14 KB/s of 300 boxes
 	quarantineTTL       = 10 * time.Minute // after the third crash; doubled by each further one
 	suspectTTL          = 10 * time.Minute // of the record of a request that isn't quarantined
 	maxCrashes          = 8                // kept per record, the latest
--- a/poison/served.go
+++ b/poison/served.go
@@ -9,7 +9,7 @@
 const (
 	recentWindow     = clearanceWindow // a request that a tenth of the callers send completes several times in it at each box
 	generationTTL    = time.Minute     // minimum time in which a quarantined request that was served before may be retried
-	maxPerGeneration = 8192
+	maxPerGeneration = 8192            // some 300 KB
 )
 
 // Served holds the requests that replicas survived recently for callers of this box. These
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -30,11 +30,11 @@
 const (
 	prefetchWindow      = 500 * time.Millisecond  // of demand, which a box requests in advance; two requests may be lost
 	creditTTL           = 2 * time.Second         // of unused credit
-	boxTimeout          = 1300 * time.Millisecond // since the last request of a box, which sends two per second
-	regionTimeout       = 1500 * time.Millisecond // since the last report of a region; covers two rounds
+	boxTimeout          = 1300 * time.Millisecond // since the last request of a box, which sends two per second; a box that is cut off and its allocator both use its part meanwhile
+	regionTimeout       = 1500 * time.Millisecond // since the last report of a region; covers two rounds; its share and those of others diverge meanwhile
 	demandHalfLife      = time.Second
 	maxPrefetchFraction = 0.25                   // of a balance, granted in advance to one box
-	maxPrefetchFactor   = 2.0                    // multiple of a box's equal part of the rate, granted in advance
+	maxPrefetchFactor   = 2.0                    // multiple of a box's equal part of the rate, granted in advance; while demand exceeds the rate, credit of one box is missing at others
 	minEqualFraction    = 0.1                    // of a region's share, independent of its demand
 	minWait             = 100 * time.Millisecond // for refused callers
 	maxWait             = 5 * time.Second
--- a/roster/agreement.go
+++ b/roster/agreement.go
@@ -16,12 +16,12 @@
 	ShareTTL = partitionWindow
 
 	checkInterval    = 500 * time.Millisecond // between two checks to a box; longer than a round trip between regions
-	maxChecksPerTick = 6
-	maxInlineNames   = 24 // boxes of a region; above it a check carries the digest of the names in their place
-	namesEvery       = 4  // ticks, in one of which the first check carries the names in any case
+	maxChecksPerTick = 6                      // a region of 22 boxes is asked within a second, one of 100 within five
+	maxInlineNames   = 24                     // boxes of a region; above it a check carries the digest of the names in their place
+	namesEvery       = 4                      // ticks, in one of which the first check carries the names in any case
 	maxAbsent        = 8
 	aloneTimeout     = 3 * time.Second  // after which a box without seeds considers its list complete
-	seedTimeout      = 10 * time.Second // after which the agreement of the region suffices if no seed answers
+	seedTimeout      = 10 * time.Second // after which the agreement of the region suffices if no seed answers; in which boxes of 390 hear of each other
 )
 
 // GoneBox is a box that counts as dead but may still use its share of a quota.
--- a/roster/compactstate.go
+++ b/roster/compactstate.go
@@ -8,7 +8,7 @@
 
 // Limits of the gossip in compact datagrams.
 const (
-	maxNearEntries        = 96 // liveness entries of the own region in one datagram
+	maxNearEntries        = 96 // liveness entries of the own region in one datagram; 1,000 boxes in 11 regions are 91 in each
 	maxFarEntries         = 8  // liveness entries of other regions in one datagram, beside one of each region
 	maxDeaths             = 24 // in one datagram; the next one carries the rest
 	maxLeaving            = 16
@@ -16,7 +16,7 @@
 	maxUnknown            = 64 // boxes whose status one datagram requests
 	maxStatusReplies      = 16
 	maxChanged            = 64 // queued boxes; for others, compact datagrams carry the changes
-	changeFanout          = 6  // boxes to which each box relays changes
+	changeFanout          = 6  // boxes to which each box relays changes; misses one box in 400
 	maxChangesPerTick     = 8
 	revisionFanout        = 6                      // boxes that receive a newer catalog revision at once
 	readFanout            = 3                      // boxes of the region that receive a later catalog read at once
--- a/roster/domain.go
+++ b/roster/domain.go
@@ -4,7 +4,7 @@
 
 // Limits for the detection of a failed failure domain.
 const (
-	domainTimeout  = 1250 * time.Millisecond // without a heartbeat of any of its boxes
+	domainTimeout  = 1250 * time.Millisecond // without a heartbeat of any of its boxes; five ticks, in which a box of a region of 98 receives some ten datagrams
 	minSilentBoxes = 3                       // of the domain that still count as alive; fewer may fail independently
 )
 
--- a/roster/params.go
+++ b/roster/params.go
@@ -7,9 +7,9 @@
 
 // Limits of the bytes that gossip takes, with UDP and IPv4 headers.
 const (
-	fleetBytesPerSecond = 468_000 // sent by all boxes together; up to it boxes send full statuses
-	minBytesPerSecond   = 1_200   // sent by one box, however many there are
-	budgetExponent      = 1.5     // power of the number of boxes by which the budget of one falls
+	fleetBytesPerSecond = 468_000 // sent by all boxes together; up to it boxes send full statuses; 1,200 for each of 390 boxes
+	minBytesPerSecond   = 1_200   // sent by one box, however many there are; with as many received, 2,400 of the 3,000 for control
+	budgetExponent      = 1.5     // power of the number of boxes by which the budget of one falls; with 1, loads of 86 boxes were known too late
 	packetHeaderBytes   = 28
 	nearStatusBytes     = 450              // typical full status with loads
 	farStatusBytes      = 900              // the same with statuses of other boxes
--- a/roster/targets.go
+++ b/roster/targets.go
@@ -14,9 +14,9 @@
 	maxNearTargets   = 16 // members of the own region in a tick
 	targetsPerRegion = 2  // members of each other region, so that the loss of one datagram is harmless
 	farEvery         = 4  // ticks; other regions need no loads, and traffic between regions has a price
-	startupTicks     = 8  // first ticks of a box, each of which also sends to other regions
+	startupTicks     = 8  // first ticks of a box, each of which also sends to other regions; a box makes itself known within two seconds
 	maxUrgentTargets = 64 // of an urgent update; others receive it from these
-	silentProbeEvery = 4  // ticks
+	silentProbeEvery = 4  // ticks; once a second is soon enough to notice that a partition has healed
 	seedProbeEvery   = 10 // ticks
 	minAlive         = 2  // with fewer live boxes, each tick sends to the seeds
 )
