--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -3,7 +3,8 @@
 //
 //	sends <= perSecond x Overage + Slack
 //
-// holds without coordination between the boxes. A box derives its share from the
+// holds without coordination between the boxes (Limiter does the same for the rate limits
+// that replicas name, and lends shares). A box derives its share from the
 // names of the replica and of the boxes: with n boxes and bound as the right side
 // above, the k = min(n, floor(bound)) boxes that rank highest for the replica send
 // at most floor(bound/k) requests each in a window of 1.1 s; the others send none.
