node: Draw nothing for signals while no replica reports any

Traced: the only thing that a box without observations did was a draw for each box that has just started, which shifted the draws of its heartbeats. Change: no draw, and no work, without observations.

--- a/node/signalgossip.go
+++ b/node/signalgossip.go
@@ -57,6 +57,9 @@
 	out := s.loanReports(now)
 	s.signals.ticks++
 	all := s.view.Observations(now)
+	if len(all) == 0 {
+		return out
+	}
 	out = append(out, s.observationPackets(all, signal.MaxObservations, s.newBoxes(now, draw), now)...)
 	switch t := &s.signals; {
 	case t.fresh && t.ticks-t.burst >= burstTicks:
