node: Run six long tests beside others

Change: six tests of simulations in virtual time run in parallel; their checks are the same. Tests that set flags of the process, or depend on them, stay as they are.

--- a/node/coldstart_test.go
+++ b/node/coldstart_test.go
@@ -30,6 +30,7 @@
 // Guards against a retry budget that is exceeded, or left mostly unused, while active boxes change, are
 // isolated or restart.
 func TestTheBudgetOfRepeatsIsKeptAndUsedByTheBoxesThatTakeCallers(t *testing.T) {
+	t.Parallel()
 	const extra = 640
 	in := newInstallation(1, 3, 36)
 	in.retrying = true
--- a/node/initialread_test.go
+++ b/node/initialread_test.go
@@ -71,6 +71,7 @@
 
 // Guards against boxes that each read the full catalog when all start together.
 func TestBoxesThatStartTogetherReadTheCatalogFewTimes(t *testing.T) {
+	t.Parallel()
 	perBox := make(map[int]float64)
 	for _, boxes := range fleetSizes() {
 		synctest.Test(t, func(t *testing.T) {
--- a/node/largepolicy_test.go
+++ b/node/largepolicy_test.go
@@ -148,6 +148,7 @@
 // Guards against policies of thousands of routes that delay other updates: boxes must receive them as
 // rate-limited differences, apart from catalog changes.
 func TestAPolicyOfThousandsOfRoutesKeepsNothingElseBack(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		b := newPolicyChurn(t, 60)
 		defer b.end()
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -342,6 +342,7 @@
 
 // Guards against observations on limited replicas that take more of a box's link than control may.
 func TestObservationsOfReplicasTakeFewBytes(t *testing.T) {
+	t.Parallel()
 	const (
 		perRegion    = 36
 		limitedCount = 40
--- a/node/publishercalls_test.go
+++ b/node/publishercalls_test.go
@@ -42,6 +42,7 @@
 // Guards against followers of a large region that poll the publisher themselves because confirmations
 // of others arrive late.
 func TestCallsToThePublisherDoNotGrowWithTheBoxes(t *testing.T) {
+	t.Parallel()
 	var mu sync.Mutex
 	calm, churn := make(map[int]float64), make(map[int]float64)
 	t.Run("sizes", func(t *testing.T) {
@@ -66,6 +67,7 @@
 // Guards against followers that read the full catalog again after many replicas registered since they
 // started.
 func TestFollowersToldOfManyReplicasLaterReadThemNotAgain(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const boxes = 60
 		f := newFleet(t, 1, boxes)
