pacing, node: Let the processes of a box have different nonces of loans

Found by reading; no caller saw it. Cause: nonces began at 0 in each process, so a lender took the request of a box that had started again for a repeated one of its earlier process, and lent a send twice that the earlier one had used. Change: nonces begin after the ID of the process. Evidence: TestABoxThatStartsAgainAsksForOtherLoans failed before and passes; the tests of limits pass.

--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/placement"
 	"github.com/havenrudder/havenrudder/roster"
@@ -409,3 +411,40 @@
 		}
 	}
 }
+
+// Guards against a lender that takes the request of a box that has started again for one of its
+// earlier process, and lends the same send twice.
+func TestABoxThatStartsAgainAsksForOtherLoans(t *testing.T) {
+	is := is.New(t)
+	nonce := func(inc int) uint32 {
+		b := newLoanBox(inc)
+		list := b.view.Limiter().Ask("a-0", []string{"box", "other"}, start)
+		is.Equal(len(list), 1)
+		return list[0].Nonce
+	}
+	is.True(nonce(1) != nonce(2))
+}
+
+// newLoanBox returns a process of a box that records a limited replica.
+func newLoanBox(inc int) *testBox {
+	b := &testBox{
+		self: status("box", "a"),
+	}
+	b.self.Inc = inc
+	b.state = newState(Settings{
+		Box:    "box",
+		Region: "a",
+		Domain: "a",
+	}, b.self, 0)
+	b.publish(1, policy(1), replicas("a", 1))
+	b.recordSignalsOf("a-0", placement.Signals{
+		Limit: placement.RateLimit{
+			Named:     true,
+			PerSecond: 5,
+		},
+	}, placement.Span{
+		From: start,
+		To:   start,
+	})
+	return b
+}
--- a/node/state.go
+++ b/node/state.go
@@ -60,7 +60,7 @@
 func newState(s Settings, self wire.BoxStatus, now time.Duration) *state {
 	pacer := pacing.New(s.Box, coldTerms(s.Bounds), pacing.WithStart(now))
 	ids := make(replicaIDs)
-	return &state{
+	out := &state{
 		settings:          s,
 		roster:            roster.New(self, roster.WithSeeds(otherSeeds(s))),
 		view:              placement.NewView(s.Region, s.Domain, pacer, placement.WithCallbacks(ids.add, ids.drop)),
@@ -80,6 +80,8 @@
 			changed: make(map[string]time.Duration),
 		},
 	}
+	out.view.Limiter().SetNonce(uint32(out.roster.SelfID()))
+	return out
 }
 
 func otherSeeds(s Settings) []string {
--- a/pacing/limiter.go
+++ b/pacing/limiter.go
@@ -73,6 +73,10 @@
 	}
 }
 
+// SetNonce sets the nonce after which those of loans begin. It must differ between the
+// processes of a box: a lender takes a repeated nonce for the same loan.
+func (l *Limiter) SetNonce(n uint32) { l.nonce = n }
+
 // SetStart sets the time from which this box and all others list each other. For a
 // window after it the box has a share of half of the bound: boxes that all start at
 // once send at most one and a half times the bound with what they sent before.
--- a/placement/signals.go
+++ b/placement/signals.go
@@ -99,7 +99,7 @@
 
 // Limits of retrySpread.
 const (
-	maxSpreadShare = 0.1 // of the rest
+	maxSpreadShare = 0.1 // of the deferral
 	maxRetrySpread = time.Second
 )
 
