pacing, placement: Do not write a request by a loan that has expired

Found by reading; no caller saw it. Cause: a box that stands still between the choice of a replica and the write could use a loan when its lender no longer counts it. Change: such a request is not written, as for a replica that wants none any more. Evidence: TestARequestByALoanIsNotWrittenOnceTheLoanHasExpired failed before and passes.

--- a/pacing/loan.go
+++ b/pacing/loan.go
@@ -36,6 +36,9 @@
 // IsZero reports whether there is no loan.
 func (l Loan) IsZero() bool { return l.Lender == "" }
 
+// Expired reports whether a request by the loan may no longer be written.
+func (l Loan) Expired(now time.Duration) bool { return !l.IsZero() && now >= l.expiry }
+
 // ask is a request for a loan that has no answer yet.
 type ask struct {
 	lender string
@@ -47,7 +50,7 @@
 func (r *limited) loanAt(now time.Duration) int {
 	best := noLoan
 	for i, l := range r.loans {
-		if now < l.expiry && (best < 0 || l.expiry < r.loans[best].expiry) {
+		if !l.Expired(now) && (best < 0 || l.expiry < r.loans[best].expiry) {
 			best = i
 		}
 	}
@@ -185,7 +188,7 @@
 func (l *Limiter) TakeExpired(now time.Duration) (out []Loan) {
 	for _, r := range l.replicas {
 		r.loans = slices.DeleteFunc(r.loans, func(loan Loan) bool {
-			expired := now >= loan.expiry || !r.named
+			expired := loan.Expired(now) || !r.named
 			if expired {
 				out = append(out, loan)
 			}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -32,10 +32,10 @@
 }
 
 // MayWrite reports whether the request of a choice may still be written: its replica has neither
-// deferred requests nor reported that it leaves since it was chosen.
+// deferred requests nor reported that it leaves since it was chosen, and no loan has expired.
 func (v *View) MayWrite(c *Choice, now time.Duration) bool {
 	r := c.reservation.replica
-	return r == nil || (r.RetryWait(now) == 0 && !r.saidLeaving)
+	return r == nil || (r.RetryWait(now) == 0 && !r.saidLeaving && !c.reservation.loan.Expired(now))
 }
 
 // RecordFirstByte records the time until the first byte of a response.
--- a/placement/signals_test.go
+++ b/placement/signals_test.go
@@ -203,3 +203,18 @@
 	b.publish(start+time.Second, nil, second)
 	is.Equal(b.Pick(newRequest("plain", "k"), alone, start+time.Second).Reason, placement.None)
 }
+
+// Guards against a request that is written so late that its lender no longer counts it.
+func TestARequestByALoanIsNotWrittenOnceTheLoanHasExpired(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("plain", 1)...)
+	b.RecordSignalsOf("plain-0", limited(2), span(0, 0))
+	l := b.Limiter()
+	asked := l.Ask("plain-0", []string{"a", "b"}, start)
+	is.Equal(len(asked), 1)
+	is.True(l.Granted("plain-0", "b", asked[0].Nonce, start))
+	c := b.Pick(newRequest("plain", "k"), nil, start) // without a list it has no share of its own
+	is.Equal(c.Reason, placement.None)
+	is.True(b.MayWrite(&c, start+400*time.Millisecond))
+	is.True(!b.MayWrite(&c, start+500*time.Millisecond))
+}
