decision, ingress: Log when the head of a replica's response came

Whether a request to a cold replica had arrived when the next one was written could not be told from the logs: first_ms stands on the line of the caller's answer, for streams only, and tells when the caller got an event. A measure of near falls counted such requests as still under way and so counted too much (37 replicas above the bound, none explained).

The line try has head_ms now, from the choice of the replica until the head of its response; it is left out where none came. explain shows it.

--- a/control/explain_test.go
+++ b/control/explain_test.go
@@ -167,6 +167,13 @@
 		Sharers:  22,
 	}
 	is.Equal(inputs(&e), "upstream=i-1 took=120ms prompt=9000 tokens=500 copy_from=192.0.2.1:80 in_flight=7 memory=40000 unread=3000 sharers=22")
+	e = decision.Event{
+		Kind:   decision.Try,
+		TookMs: 90,
+		SentMs: 3,
+		HeadMs: 70,
+	}
+	is.Equal(inputs(&e), "took=90ms sent=3ms head=70ms")
 	e = decision.Event{
 		Kind:    decision.End,
 		FirstMs: 130,
--- a/control/explanation.go
+++ b/control/explanation.go
@@ -165,6 +165,7 @@
 	number("status", int64(e.Status), "")
 	number("took", e.TookMs, "ms")
 	number("sent", e.SentMs, "ms")
+	number("head", e.HeadMs, "ms")
 	number("first", e.FirstMs, "ms")
 	number("pause", e.PauseMs, "ms")
 	number("prompt", int64(e.Prompt), "")
--- a/decision/event.go
+++ b/decision/event.go
@@ -88,6 +88,7 @@
 	AgeMs    int64     `json:"age_ms,omitempty"`   // age of the belief that decided
 	TookMs   int64     `json:"took_ms,omitempty"`
 	SentMs   int64     `json:"sent_ms,omitempty"`   // from the choice of a replica until the request was written to it
+	HeadMs   int64     `json:"head_ms,omitempty"`   // from the choice of a replica until the head of its response
 	FirstMs  int64     `json:"first_ms,omitempty"`  // until the caller got the first event of a stream
 	PauseMs  int64     `json:"pause_ms,omitempty"`  // the longest between two events of a stream
 	Tokens   int       `json:"tokens,omitempty"`    // shared tokens of a prompt that have to be read
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -70,6 +70,7 @@
 	l.number("memory", int64(e.Memory))
 	l.number("unread", int64(e.Unread))
 	l.number("sent_ms", e.SentMs)
+	l.number("head_ms", e.HeadMs)
 	l.number("first_ms", e.FirstMs)
 	l.number("pause_ms", e.PauseMs)
 	l.number("tokens", int64(e.Tokens))
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -91,6 +91,7 @@
 		Unread:   61,
 		Sharers:  67,
 		SentMs:   71,
+		HeadMs:   79,
 		FirstMs:  41,
 		PauseMs:  43,
 		Tokens:   11,
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -276,6 +276,7 @@
 		Digest:   digest,
 		Tries:    c.sent,
 		SentMs:   time.Duration(a.writtenAfter.Load()).Milliseconds(),
+		HeadMs:   a.headAfter.Milliseconds(),
 		TookMs:   clock.Since(a.sent).Milliseconds(),
 	})
 }
