pacing: Forget dropped sends without an answer one by one

What callers saw: after a busy replica turned cold, a box sent it nothing for 2.2 s instead of the 1.1 s of a window, if the box had ever given up a request there. They waited longer or were sent to replicas with more load.

Cause: of a warm replica the last 8 sends are kept; those that were dropped without an answer were only counted. A request that its box gives up records no arrival, so it was never taken off the count, and each later dropped send then seemed to be under way for 3 s.

Now the dropped sends without an answer are kept one by one, each until 3 s after its write, as those that are not dropped. The bound on sends is as before: a dropped send blocks others for a window, longer only while it may be under way itself.

--- a/pacing/history.go
+++ b/pacing/history.go
@@ -52,8 +52,8 @@
 	sends      []sent
 	dropped    time.Duration // time of the last send that is not in sends
 	hasDropped bool
-	unanswered int  // unanswered sends that are not in sends
-	long       bool // its window outlasts a transit
+	unanswered []sent // those not in sends that were under way when the last one was dropped
+	long       bool   // its window outlasts a transit
 }
 
 func (h *history) add(now time.Duration) {
@@ -75,9 +75,11 @@
 func (h *history) drop(s sent) {
 	h.dropped = max(h.dropped, s.counted)
 	h.hasDropped = true
-	if !s.answered {
-		h.unanswered++
+	if s.answered {
+		return
 	}
+	h.unanswered = slices.DeleteFunc(h.unanswered, func(u sent) bool { return !u.underWay(s.counted) })
+	h.unanswered = append(h.unanswered, s)
 }
 
 // move changes the time of a send. A send that is not in sends counts as dropped.
@@ -86,6 +88,9 @@
 		s.counted = to
 		return
 	}
+	if i := h.findDropped(taken); i >= 0 {
+		h.unanswered[i].counted = to
+	}
 	h.dropped = max(h.dropped, to)
 	h.hasDropped = true
 }
@@ -97,7 +102,9 @@
 		s.counted = max(s.counted, now-slack)
 		return
 	}
-	h.unanswered = max(0, h.unanswered-1)
+	if i := h.findDropped(taken); i >= 0 {
+		h.unanswered = slices.Delete(h.unanswered, i, i+1)
+	}
 	h.dropped = max(h.dropped, now-slack)
 	h.hasDropped = true
 }
@@ -112,6 +119,11 @@
 	return nil
 }
 
+// findDropped returns the index in unanswered of the send of a Take, or -1.
+func (h *history) findDropped(taken time.Duration) int {
+	return slices.IndexFunc(h.unanswered, func(s sent) bool { return s.taken == taken })
+}
+
 // trim removes the sends that no longer count in a window.
 func (h *history) trim(now, window time.Duration) {
 	h.sends = slices.DeleteFunc(h.sends, func(s sent) bool {
@@ -149,7 +161,7 @@
 
 // droppedAt returns the time from which the dropped sends block others.
 func (h *history) droppedAt(now time.Duration) time.Duration {
-	if h.unanswered > 0 && now < h.dropped+maxTransit {
+	if slices.ContainsFunc(h.unanswered, func(s sent) bool { return s.underWay(now) }) {
 		return max(h.dropped, now-slack)
 	}
 	return h.dropped
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -323,3 +323,41 @@
 	is.True(len(allowed) > 0)
 	is.True(allowed[0] <= now+window)
 }
+
+// Guards against the same where more sends are under way at any time than are kept of a warm replica.
+func TestASendThatWasGivenUpLongAgoDoesNotBlockAReplicaThatWasBusy(t *testing.T) {
+	const (
+		gap      = 20 * time.Millisecond
+		answerAt = 300 * time.Millisecond // after a send; maxWarmSends are made in half of it
+	)
+	is := is.New(t)
+	boxes := names(40)
+	p := New(rendezvous.Top(replica, boxes, 1)[0], testTerms) // has a share of one
+	now := 10 * time.Second
+	is.True(p.Take(replica, boxes, now)) // never answered
+	last := 30 * time.Second
+	for now < last+answerAt {
+		now += gap
+		if now <= last {
+			is.True(p.Take(replica, boxes, now))
+		}
+		if taken := now - answerAt; taken > 10*time.Second {
+			p.MarkArrived(replica, taken, now)
+		}
+	}
+	p.MarkCold(replica, rate, farFuture)
+	allowed := takeEveryMillisecond(p, boxes, now, now+maxTransit+window)
+	is.True(len(allowed) > 0)
+	is.True(allowed[0] <= now+window)
+}
+
+// Guards against a record of unanswered sends that grows for as long as a warm replica answers none.
+func TestUnansweredSendsToAWarmReplicaAreForgottenAfterATransit(t *testing.T) {
+	const gap = 10 * time.Millisecond
+	is := is.New(t)
+	p := New("a", testTerms)
+	for now := 10 * time.Second; now < 60*time.Second; now += gap {
+		is.True(p.Take(replica, []string{"a"}, now))
+	}
+	is.True(len(p.warmHistory(replica).unanswered) <= int(maxTransit/gap))
+}
