--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -325,11 +325,16 @@
 }
 
 func (g *region) box(pool *exchange.Pool) http.Handler {
-	return New("box", "a", Codec{
+	return New("box", "a", testCodec(15*time.Second), g.core(), pool, pool).Callers()
+}
+
+// testCodec returns a codec without headers of a platform. All requests have the same deadline.
+func testCodec(deadline time.Duration) Codec {
+	return Codec{
 		ReadFacts: func(http.Header) (Facts, error) {
 			return Facts{
 				ID:       "q",
-				Deadline: 15 * time.Second,
+				Deadline: deadline,
 			}, nil
 		},
 		WriteReplicaHeaders: func(h http.Header, s ReplicaHeaders) {
@@ -342,7 +347,7 @@
 		FromReplica:    func(http.Header) bool { return true },
 		LoadReport:     func(http.Header) (int, int, bool) { return 0, 0, false },
 		ReadSignals:    func(int, http.Header) (placement.Signals, error) { return placement.Signals{}, nil },
-	}, g.core(), pool, pool).Callers()
+	}
 }
 
 func receive(t *testing.T, box http.Handler) callerResult {
