ingress, placement: Test other orders in which requests bunch at a cold replica

With six boxes and a limit of 6, 12 requests arrive within a second at a cold replica in each of six orders: callers leave, time is up, or the request is repeated elsewhere, and it arrives 2.8 s after its write (a given-up request counts for 3 s from its write, and the second after its latest arrival is missing); it is under way for 3.3 s; its connection is reset on the way, or the box ends it after bytes that are no answer (each counts as proof of arrival).

In placement: a choice of View.Next that ends as unreachable tells the pacer of an arrival without a send, which takes the share of a cold replica; a box that stands still for 4 s between choice and write sends twice.

--- a/ingress/coldarrivals_test.go
+++ b/ingress/coldarrivals_test.go
@@ -336,6 +336,102 @@
 	})
 }
 
+// Guards against requests whose callers left, and that arrive all the same together with later ones.
+func TestRequestsWhoseCallersLeaveArriveInNoSecondWithTooManyOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newColdRegion(t, 1, longDeadline)
+		g.publish(time.Minute, g.replicas[0])
+		g.connect()
+		g.replicas[0].link.hold(2800 * time.Millisecond)
+		g.call(500 * time.Millisecond)
+		time.Sleep(600 * time.Millisecond)
+		g.checkResults(placement.Abandoned)
+		g.callFor(6 * time.Second)
+		g.checkArrivals()
+	})
+}
+
+// Guards against requests whose time was up, and that arrive all the same together with later ones.
+func TestRequestsWhoseTimeIsUpArriveInNoSecondWithTooManyOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newColdRegion(t, 1, 500*time.Millisecond)
+		g.publish(time.Minute, g.replicas[0])
+		g.connect()
+		g.replicas[0].link.hold(2800 * time.Millisecond)
+		g.call(time.Minute)
+		time.Sleep(600 * time.Millisecond)
+		g.checkResults(placement.Abandoned)
+		g.callFor(6 * time.Second)
+		g.checkArrivals()
+	})
+}
+
+// Guards against requests that were repeated elsewhere, and that arrive all the same together with later ones.
+func TestRequestsThatASilentReplicaLosesToAnotherArriveInNoSecondWithTooManyOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newColdRegion(t, 2, longDeadline)
+		g.publish(time.Minute, g.replicas[0])
+		g.connect()
+		g.replicas[0].link.hold(2800 * time.Millisecond)
+		g.call(time.Minute)
+		time.Sleep(50 * time.Millisecond)
+		g.publish(0, g.replicas...)
+		time.Sleep(950 * time.Millisecond)
+		g.checkResults(placement.TimedOut)
+		g.publish(0, g.replicas[0])
+		g.callFor(6 * time.Second)
+		g.checkArrivals()
+	})
+}
+
+// Guards against requests that are under way for longer than boxes count them.
+func TestRequestsThatAreHeldUpForLongArriveInNoSecondWithTooManyOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newColdRegion(t, 1, longDeadline)
+		g.publish(time.Minute, g.replicas[0])
+		g.connect()
+		g.replicas[0].link.hold(3300 * time.Millisecond)
+		g.call(time.Minute)
+		time.Sleep(3250 * time.Millisecond)
+		g.callFor(4 * time.Second)
+		g.checkArrivals()
+	})
+}
+
+// Guards against taking the end of a connection on the box's side for proof that its request will not arrive.
+func TestRequestsWhoseConnectionsAreResetOnTheWayArriveInNoSecondWithTooManyOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newColdRegion(t, 1, longDeadline)
+		g.publish(time.Minute, g.replicas[0])
+		g.connect()
+		g.replicas[0].link.hold(1700 * time.Millisecond)
+		g.call(time.Minute)
+		time.Sleep(500 * time.Millisecond)
+		g.replicas[0].link.reset()
+		time.Sleep(1100 * time.Millisecond)
+		g.callFor(4 * time.Second)
+		g.checkArrivals()
+	})
+}
+
+// Guards against taking bytes that are no answer, after which the box ends the connection, for proof that
+// its request has arrived.
+func TestRequestsAnsweredByBytesThatAreNoAnswerArriveInNoSecondWithTooManyOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newColdRegion(t, 1, longDeadline)
+		g.publish(time.Minute, g.replicas[0])
+		g.connect()
+		g.replicas[0].link.hold(1700 * time.Millisecond)
+		g.call(time.Minute)
+		time.Sleep(500 * time.Millisecond)
+		g.replicas[0].link.spoil()
+		time.Sleep(1100 * time.Millisecond)
+		g.checkResults(placement.NoResponse)
+		g.callFor(4 * time.Second)
+		g.checkArrivals()
+	})
+}
+
 // Guards against later requests of a box to a replica that has turned cold while more of its requests than the
 // box keeps were under way.
 func TestRequestsUnderWayToAReplicaThatTurnsColdKeepLaterOnesBack(t *testing.T) {
--- a/ingress/transit_test.go
+++ b/ingress/transit_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 type transitLink struct {
 	mu    sync.Mutex
 	until time.Time // for which it is held up
+	conns []*transitConn
 }
 
 // hold holds the link up for d from now.
@@ -41,6 +43,25 @@
 	}
 }
 
+// reset ends all connections on the side of the boxes. What they have written stays under way.
+func (l *transitLink) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.end()
+	}
+}
+
+// spoil lets all boxes read bytes that are no answer.
+func (l *transitLink) spoil() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.spoilt.Store(true)
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // ends a read; it fails only on a closed connection
+	}
+}
+
 // through returns a dial function whose connections go through the link.
 func (l *transitLink) through(dial fakes.Dial) fakes.Dial {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -58,6 +79,9 @@
 			done:  make(chan struct{}),
 		}
 		go c.deliver()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.conns = append(l.conns, c)
 		return c, nil
 	}
 }
@@ -69,6 +93,8 @@
 	wrote chan []byte
 	done  chan struct{}
 	once  sync.Once
+
+	spoilt atomic.Bool
 }
 
 // deliver passes on what was written, and then the end of the connection.
@@ -120,6 +146,9 @@
 // Read returns what has passed the link.
 func (c *transitConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if c.spoilt.Load() {
+		return copy(p, "no answer\r\n\r\n"), nil
+	}
 	if waitUntil(c.link.freeAt(), c.done) != nil {
 		return 0, syscall.ECONNRESET
 	}
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -221,3 +221,44 @@
 	b.End(&first, placement.Unsent, 0, start)
 	is.Equal(b.Pick(newRequest("plain", "k"), boxes, start+1100*time.Millisecond).Reason, placement.None)
 }
+
+// Guards against a target that was only looked up and found unreachable, and that ends the count of another
+// request that is still under way there.
+func TestATargetThatWasOnlyLookedUpDoesNotEndTheCountOfARequestUnderWay(t *testing.T) {
+	is := is.New(t)
+	boxes := []string{"a", "b", "c", "d", "e", "f"}
+	b := newBox("a", "hall", replicas("plain", 1)...)
+	underWay := b.Pick(newRequest("plain", "k"), boxes, start)
+	is.Equal(underWay.Reason, placement.None)
+	lookedUp := b.Next(newRequest("plain", "k"), boxes, start)
+	for n := range 8 {
+		now := start + time.Duration(n+1)*time.Millisecond
+		c := b.Pick(newRequest("plain", fmt.Sprint(n)), boxes, now)
+		is.Equal(c.Reason, placement.None)
+		b.End(&c, placement.Answered, time.Millisecond, now)
+	}
+	b.publish(start+10*time.Millisecond, nil, coldReplica(60_000))
+	b.End(&lookedUp, placement.Unreachable, 0, start+100*time.Millisecond)
+	is.Equal(b.Pick(newRequest("plain", "k"), boxes, start+1500*time.Millisecond).Reason, placement.RateLimited)
+}
+
+// Guards against a cold replica that gets nothing for a while after a target was only looked up.
+func TestATargetThatWasOnlyLookedUpTakesNoShareOfAColdReplica(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", coldReplica(60_000))
+	lookedUp := b.Next(newRequest("plain", "k"), alone, start)
+	b.End(&lookedUp, placement.Unreachable, 0, start)
+	is.Equal(b.Pick(newRequest("plain", "k"), alone, start).Reason, placement.None)
+}
+
+// Guards against a box that stands still between the choice of a replica and the write, and then sends twice.
+func TestARequestWrittenLongAfterItsChoiceArrivesWithNoOther(t *testing.T) {
+	is := is.New(t)
+	boxes := []string{"a", "b", "c", "d", "e", "f"} // each has a share of one
+	b := newBox("a", "hall", coldReplica(60_000))
+	first := b.Pick(newRequest("plain", "k"), boxes, start)
+	is.Equal(first.Reason, placement.None)
+	awake := start + 4*time.Second
+	second := b.Pick(newRequest("plain", "k2"), boxes, awake)
+	is.True(second.Reason == placement.RateLimited || !b.MayWrite(&first, awake))
+}
