--- a/ingress/coldarrivals_test.go
+++ b/ingress/coldarrivals_test.go
@@ -323,17 +323,22 @@
 
 // Guards against a cold replica that receives requests that were delayed on their way together with later ones.
 func TestRequestsThatAFullLinkHoldsUpArriveInNoSecondWithTooManyOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newColdRegion(t, 1, longDeadline)
-		g.publish(time.Minute, g.replicas[0])
-		g.connect()
-		g.replicas[0].link.hold(1300 * time.Millisecond)
-		g.call(time.Minute)
-		time.Sleep(1250 * time.Millisecond)
-		g.callFor(4 * time.Second)
-		g.checkArrivals()
-		g.checkResults(placement.Answered)
-	})
+	for _, held := range []time.Duration{
+		200 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond, 2800 * time.Millisecond,
+	} {
+		t.Run(held.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newColdRegion(t, 1, longDeadline)
+				g.publish(time.Minute, g.replicas[0])
+				g.connect()
+				g.replicas[0].link.hold(held)
+				g.call(time.Minute)
+				g.callFor(7 * time.Second)
+				g.checkArrivals()
+				g.checkResults(placement.Answered)
+			})
+		})
+	}
 }
 
 // Guards against requests whose callers left, and that arrive all the same together with later ones.
