placement: Count a request whose connection ends without an answer as under way

Cause: the end of a connection without an answer (placement.NoResponse) counted as proof that its request had arrived or never would. The box itself ends a connection after bytes that are no answer, and a reset on the way says nothing of bytes that were written before it.

That a real link delivers bytes after a reset is not shown; the box's own end of a connection needs no such link.

A replica that crashed comes back under another id, so its successor is not held back. A test whose name said that such a request has arrived is renamed; what it checks is the same.

--- a/ingress/givenup_test.go
+++ b/ingress/givenup_test.go
@@ -22,7 +22,7 @@
 	})
 }
 
-func TestARequestWhoseConnectionTheReplicaEndsHasArrived(t *testing.T) {
+func TestARequestWhoseConnectionTheReplicaEndsHasNoResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := newRegion(t, 2)
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -22,9 +22,10 @@
 // # Late arrivals
 //
 // A send may arrive long after its write, for example when a partition heals, and then
-// together with later ones. So a send takes part of the share until its answer begins or
-// the replica ends its connection, and for a window from then on less the slack. One without
-// an answer takes it until a window, less the slack, after its latest possible arrival. Sends that a failed
+// together with later ones. So a send takes part of the share until its answer begins, and
+// for a window from then on less the slack. One without an answer takes it until a window,
+// less the slack, after its latest possible arrival: the end of its connection does not show
+// that it has arrived. Sends that a failed
 // box leaves under way are not covered.
 //
 // Times are read from the monotonic clock since the start of the process. A Pacer is
@@ -183,7 +184,7 @@
 }
 
 // MarkArrived records that a send allowed by Take at the time taken has arrived, as its answer
-// begins, or that it will not, as the replica has ended its connection.
+// begins, or that it will not, as it was never written.
 func (p *Pacer) MarkArrived(replica string, taken, now time.Duration) {
 	p.latest = max(p.latest, now)
 	p.history(replica).answer(taken, now)
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -11,7 +11,7 @@
 	Failed                    // response that reports an error
 	Refused                   // response that reports that the request did not run
 	Unreachable               // connection failed
-	NoResponse                // no response or an incomplete one
+	NoResponse                // no response or an incomplete one; if there was none, the request may still arrive
 	TimedOut                  // no response until this box stopped waiting; the request may still arrive
 	Abandoned                 // caller left or deadline passed; no evidence against the replica; the request may still arrive
 	Unsent                    // given up before the request was written; no evidence against the replica
@@ -21,7 +21,9 @@
 )
 
 // mayArrive reports whether the replica may receive the request after this result.
-func (r Result) mayArrive() bool { return r == TimedOut || r == Abandoned }
+func (r Result) mayArrive() bool {
+	return r == TimedOut || r == Abandoned || r == NoResponse
+}
 
 // RecordSend records when the request of a choice is written, which may be long after Pick.
 func (v *View) RecordSend(c *Choice, now time.Duration) {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -71,7 +71,7 @@
 	load    Load
 	replica *Replica // nil once released
 	loan    pacing.Loan
-	arrived bool // the replica has received the request, or its connection has ended
+	arrived bool // the replica has received the request, or never will
 }
 
 // candidate is a replica with its estimated cost.
