placement: Count no arrival for a target that was only looked up

What callers saw: they waited for a cold replica, or went elsewhere, for a second although it had been sent nothing; and before such a lookup could end the count of a request under way there, so that the replica received one more than allowed.

Cause: View.Next returns a choice that End accepts, to record a failed connection. It has no Take, and End reported the arrival of a send at the time zero to the pacer, which counted it as a send that it no longer kept.

Such a choice is marked as arrived from the start, so no arrival is recorded for it.

--- a/placement/pick.go
+++ b/placement/pick.go
@@ -161,6 +161,7 @@
 
 		reservation: reservation{
 			replica: best.r, // without load, so that End can record a failed connection
+			arrived: true,   // there is no request to count
 		},
 	}
 }
