pacing, placement: Do not write a request long after it was allowed

What callers saw: a cold replica could receive two requests of a box at once where its share is one in 1.1 s, and fall over.

Cause: a box that stands still between the choice of a replica and the write (4 s in the test) wrote the request when it woke, while the next one had been allowed meanwhile. Only deferrals, a reported leaving and loans were looked at before a late write.

A request to a cold replica, or to one that names a limit, is not written 0.3 s or more after its choice (a new connection takes up to 0.25 s); a replica is chosen anew. A loan keeps its own time. An unwritten send holds its share for 4 s, so the share is still its own until then.

--- a/pacing/limiter.go
+++ b/pacing/limiter.go
@@ -222,6 +222,12 @@
 	}
 }
 
+// MayWrite reports whether a send allowed by Take at the time taken may still be written, as
+// Pacer.MayWrite does.
+func (l *Limiter) MayWrite(replica string, taken, now time.Duration) bool {
+	return l.get(replica) == nil || now < taken+maxWriteDelay
+}
+
 // MarkArrived records that a send allowed by Take at the time taken has arrived, or that it
 // will not.
 func (l *Limiter) MarkArrived(replica string, taken, now time.Duration) {
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -43,11 +43,12 @@
 )
 
 const (
-	slack      = 100 * time.Millisecond // for the delay between write and arrival
-	window     = time.Second + slack
-	retention  = maxTransit + window - slack // from the write of an unanswered send until it no longer counts
-	gapDivisor = 2                           // sets the minimum gap between sends: window / (gapDivisor x share); 2 leaves room to catch up after a pause
-	maxWarm    = 512                         // warm replicas whose recent sends are kept; more than a box sends to within a second
+	slack         = 100 * time.Millisecond // for the delay between write and arrival
+	window        = time.Second + slack
+	retention     = maxTransit + window - slack // from the write of an unanswered send until it no longer counts
+	maxWriteDelay = 300 * time.Millisecond      // between Take and the write; a new connection takes up to 250 ms
+	gapDivisor    = 2                           // sets the minimum gap between sends: window / (gapDivisor x share); 2 leaves room to catch up after a pause
+	maxWarm       = 512                         // warm replicas whose recent sends are kept; more than a box sends to within a second
 )
 
 // Limit limits how far the sends to a cold replica may exceed its rate.
@@ -183,6 +184,12 @@
 	p.history(replica).move(taken, now)
 }
 
+// MayWrite reports whether a send allowed by Take at the time taken may still be written. One
+// that the box delays for longer than maxWriteDelay, for example as it stood still, may not.
+func (p *Pacer) MayWrite(replica string, taken, now time.Duration) bool {
+	return p.coldAt(replica, now) == nil || now < taken+maxWriteDelay
+}
+
 // MarkArrived records that a send allowed by Take at the time taken has arrived, as its answer
 // begins, or that it will not, as it was never written.
 func (p *Pacer) MarkArrived(replica string, taken, now time.Duration) {
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -262,3 +262,15 @@
 	second := b.Pick(newRequest("plain", "k2"), boxes, awake)
 	is.True(second.Reason == placement.RateLimited || !b.MayWrite(&first, awake))
 }
+
+// Guards against the same at a replica that names a limit, whose share is longer than a window of cold replicas.
+func TestARequestToALimitedReplicaIsNotWrittenLongAfterItsChoice(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", replicas("plain", 1)...)
+	c := b.Pick(newRequest("plain", "k"), alone, start)
+	is.Equal(c.Reason, placement.None)
+	is.True(b.MayWrite(&c, start+4*time.Second)) // has no limit
+	b.Limiter().SetLimit(c.Incarnation, 5)
+	is.True(b.MayWrite(&c, start+250*time.Millisecond))
+	is.True(!b.MayWrite(&c, start+4*time.Second))
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -34,10 +34,21 @@
 }
 
 // MayWrite reports whether the request of a choice may still be written: its replica has neither
-// deferred requests nor reported that it leaves since it was chosen, and no loan has expired.
+// deferred requests nor reported that it leaves since it was chosen, no loan has expired, and the
+// write keeps the rate limits.
 func (v *View) MayWrite(c *Choice, now time.Duration) bool {
-	r := c.reservation.replica
-	return r == nil || (r.RetryWait(now) == 0 && !r.saidLeaving && !c.reservation.loan.Expired(now))
+	g := &c.reservation
+	r := g.replica
+	if r == nil {
+		return true
+	}
+	if r.RetryWait(now) > 0 || r.saidLeaving || g.loan.Expired(now) {
+		return false
+	}
+	if !v.pacer.MayWrite(c.ID, g.at, now) {
+		return false
+	}
+	return !g.loan.IsZero() || v.limiter.MayWrite(c.Incarnation, g.at, now)
 }
 
 // RecordFirstByte records the time until the first byte of a response.
