pacing: Wait until the sends of earlier lists no longer count

What callers saw: a cold replica received more requests than its limit, 7 of the 8 by which it falls over, where boxes were killed or started while requests were under way.

Cause: a box takes part of the limit by the list of boxes. One that starts waited for a window of 1.1 s, and one that replaces a failed box took over its share as soon as that one was no longer listed; but requests of other boxes, or of an earlier process of the same name, may be under way for 3 s more.

A box that is no longer listed stays on the list of a pacer, and a box waits after its start, until an earlier send no longer counts: 0.3 s until its write, 3 s under way, 1 s more.

--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -16,8 +16,8 @@
 // window if the list behind each send contains all boxes that send in that window.
 // The caller ensures this: it keeps a failed box listed for a window after its last
 // send, and it sets the start of a Pacer to the time from which its box and all others
-// list each other. The Pacer then waits for one window, after which no earlier send
-// counts, including those of a previous process of the same name.
+// list each other. The Pacer then waits until no earlier send counts, including those
+// of a previous process of the same name.
 //
 // # Late arrivals
 //
@@ -25,8 +25,8 @@
 // together with later ones. So a send takes part of the share until its answer begins, and
 // for a window from then on less the slack. One without an answer takes it until a window,
 // less the slack, after its latest possible arrival: the end of its connection does not show
-// that it has arrived. Sends that a failed
-// box leaves under way are not covered.
+// that it has arrived. A Pacer keeps a box that is no longer listed on the list for as long,
+// as it may have failed with sends under way, and waits for as long after its start.
 //
 // Times are read from the monotonic clock since the start of the process. A Pacer is
 // not safe for concurrent use.
@@ -47,6 +47,7 @@
 	window        = time.Second + slack
 	retention     = maxTransit + window - slack // from the write of an unanswered send until it no longer counts
 	maxWriteDelay = 300 * time.Millisecond      // between Take and the write; a new connection takes up to 250 ms
+	handover      = maxWriteDelay + retention   // from Take until the send no longer counts
 	gapDivisor    = 2                           // sets the minimum gap between sends: window / (gapDivisor x share); 2 leaves room to catch up after a pause
 	maxWarm       = 512                         // warm replicas whose recent sends are kept; more than a box sends to within a second
 )
@@ -71,6 +72,7 @@
 	latest time.Duration
 	cold   map[string]*cold
 	warm   *simplelru.LRU[string, *history]
+	listed recentList
 }
 
 // Option configures a Pacer.
@@ -78,7 +80,7 @@
 
 // WithStart sets the time from which this box and all others list each other. It
 // defaults to the start of the process. The Pacer allows no sends to cold replicas
-// for one window after it.
+// until sends made before it no longer count.
 func WithStart(now time.Duration) Option {
 	return func(p *Pacer) {
 		p.start = now
@@ -155,7 +157,8 @@
 
 // Allow reports whether a send to replica is allowed now, which it always is if the
 // replica is not cold. It counts no send. The list names all boxes of the region that
-// may be alive or have sent within the last window, including this one.
+// may be alive or have sent within the last window, including this one. It must not be
+// modified afterwards.
 func (p *Pacer) Allow(replica string, boxes []string, now time.Duration) bool {
 	return p.NextAllowed(replica, boxes, now) <= now
 }
@@ -164,6 +167,7 @@
 // the same list of boxes as Allow.
 func (p *Pacer) Take(replica string, boxes []string, now time.Duration) bool {
 	p.latest = max(p.latest, now)
+	p.listed.update(boxes, now)
 	if !p.Allow(replica, boxes, now) {
 		return false
 	}
@@ -204,11 +208,11 @@
 	if c == nil {
 		return now
 	}
-	share := p.share(replica, c, boxes)
+	share := p.share(replica, c, p.listed.update(boxes, now))
 	if share == 0 {
 		return c.until
 	}
-	next := max(now, p.start+window, c.sends.next(share, window, now))
+	next := max(now, p.start+handover, c.sends.next(share, window, now))
 	return min(next, c.until)
 }
 
