--- a/ingress/coldarrivals_test.go
+++ b/ingress/coldarrivals_test.go
@@ -69,6 +69,7 @@
 	pool    *exchange.Pool
 	server  http.Handler
 	results []placement.Result
+	awake   time.Duration // until then it stands still after each choice
 }
 
 func newColdRegion(t *testing.T, replicas int, deadline time.Duration) *coldRegion {
@@ -158,7 +159,7 @@
 func (b *coldBox) hooks(table *catalog.Table) Hooks {
 	h := newRegion(b.region.t, 0).core()
 	h.Table = func() *catalog.Table { return table }
-	h.Record = func(decision.Event) {}
+	h.Record = b.standStill
 	h.Place = func(q TargetQuery) Target {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -213,6 +214,13 @@
 	return h
 }
 
+// standStill returns once the box is awake, if a replica was chosen.
+func (b *coldBox) standStill(e decision.Event) {
+	if e.Kind == decision.Place {
+		time.Sleep(b.awake - b.region.now())
+	}
+}
+
 func (g *coldRegion) names() []string {
 	var out []string
 	for i := range coldBoxes {
