quota: Test that a refund does not outlast what it refunds

A refund counts from the time at which it is made. Once the refunded request has left the window, the refund still reduces what the box reports of later ones: 0 units where 10 were used. An allocator that is new to the box grants them again.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -332,3 +332,29 @@
 		is.Equal(p.DueRequests(anyOrganisation)[0].Demand, 0.0)
 	})
 }
+
+// Guards against usage that a box does not report, since the refund of an earlier request outlasts what it
+// refunds. A new allocator grants that usage again.
+func TestARefundReducesNoUsageOfLaterRequests(t *testing.T) {
+	is := is.New(t)
+	now := time.Second
+	p := NewCreditPool(testWindow, func(_ context.Context, a CreditRequest) (Grant, bool) {
+		return Grant{
+			Organisation: a.Organisation,
+		}, true
+	}, func() time.Duration { return now })
+	p.AddGrant(Grant{
+		Organisation: "org",
+		Units:        20,
+	})
+	_, ok := p.Take(t.Context(), "org", 10)
+	is.True(ok)
+	now += creditTTL / 2
+	p.Refund("org", 10)
+	_, ok = p.Take(t.Context(), "org", 10)
+	is.True(ok)
+	now += testWindow - creditTTL/4 // the first request has left the window, the second one has not
+	for _, a := range p.DueRequests(func(string) bool { return true }) {
+		is.Equal(a.Used, 10.0)
+	}
+}
