ingress: Measure how late a write is from the request for its target

What callers saw: a cold replica received 12 requests in a second where 6 are allowed, 7 if one box of six stood still. These are both sent and received within that second, so the rule on cold replicas breaks, too.

Cause: the delay of a write was measured from the beginning of the attempt. A box that stands still between the choice of a replica and that moment neither asked whether it may still write nor told the pacer when it did.

The time before the request for a target is kept with it, and the delay counts from there. A box that stands still between that check and the system call is not covered.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -142,7 +142,7 @@
 	a.unread.Store(unread)
 	took := clock.Since(a.sent)
 	a.writtenAfter.Store(max(int64(took), 1))
-	if took < lateWriteThreshold {
+	if clock.Since(a.target.asked) < lateWriteThreshold {
 		return nil
 	}
 	if !a.call.server.core.MayWrite(&a.target.Choice) {
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -129,7 +129,7 @@
 // place returns the next target. A stream that has started waits until there is one, for it
 // would be interrupted otherwise.
 func (c *call) place(ctx context.Context) Target {
-	t := c.server.core.Place(c.newQuery())
+	t := c.query()
 	for t.Reason != placement.None && c.waitsUntilDeadline() && ctx.Err() == nil && !c.isQuarantined() {
 		if c.retryReceivers {
 			t = c.placeAmongReceivers()
@@ -141,6 +141,13 @@
 	return t
 }
 
+func (c *call) query() Target {
+	asked := clock.Now()
+	t := c.server.core.Place(c.newQuery())
+	t.asked = asked
+	return t
+}
+
 // resumeWait returns how long a started stream waits before the next query for a target.
 func (c *call) resumeWait(t Target) time.Duration {
 	if c.failedDials > 0 {
@@ -160,7 +167,7 @@
 	c.triedBoxes = nil
 	c.noRegions = nil
 	c.retryReceivers = clock.Since(c.interruptedAt) > receiverRetryDelay
-	return c.server.core.Place(c.newQuery())
+	return c.query()
 }
 
 // placeAmongReceivers queries for a replica that interrupted the stream, after all others have
@@ -168,7 +175,7 @@
 func (c *call) placeAmongReceivers() Target {
 	c.retryReceivers = false
 	c.tried = slices.DeleteFunc(slices.Clone(c.tried), func(replica string) bool { return slices.Contains(c.receivers, replica) })
-	return c.server.core.Place(c.newQuery())
+	return c.query()
 }
 
 // noteFailedDial records a failed connection. If an earlier replica received the request, the
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -68,6 +68,8 @@
 	Reason     placement.Reason // why there is no target
 	RetryAfter time.Duration    // when to ask again, if known
 	AgeMs      int64            // age of the recorded state of the other region
+
+	asked time.Time // when the target was requested
 }
 
 func (t *Target) addr() string {
