exchange: Keep a connection whose request was declined

What callers saw: nothing yet; since a cold or limited replica to which each connection takes over 0.3 s would never get a request.

Cause: a connection on which nothing was written, as the request was declined at the last moment, was closed. The next request had to wait for a new one and was declined in turn.

The connection returns to the pool, unless the caller's context has ended.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -146,12 +146,15 @@
 }
 
 // roundTrip sends the request on c and reads the response header. After a failure c is
-// closed and the request's body is no longer read.
+// closed, unless the request was declined, and the request's body is no longer read.
 func roundTrip(ctx context.Context, req *Request, c *conn) (*Response, *Error) {
 	stop := context.AfterFunc(ctx, c.close)
 	if err := req.onWrite(c); err != nil {
-		stop()
-		c.close()
+		if stop() {
+			c.pool.release(c, c.pool.idleTime) // nothing was written
+		} else {
+			c.close()
+		}
 		return nil, &Error{
 			stage:    StageWrite,
 			declined: true,
