pacing: Keep a box that left the list from the time at which that is seen

A pacer kept a box that is no longer listed for 4.3 s from the last time at which it was asked with a list that holds the box. Between two requests that are far apart the box may have sent later than that, and its share was taken over too early. Found by a review, by reading; on the product's list a silent box stays for a minute, so callers saw nothing. The time counts from the first list without the box now; the test asks for that.

--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -204,8 +204,10 @@
 	now := 10 * time.Second
 	is.True(!p.Take(replica, all, now))
 	left := top[1:]
-	is.True(!p.Take(replica, left, now+handover-1))
-	is.True(p.Take(replica, left, now+handover))
+	gone := now + 10*time.Second // it may have sent until then
+	is.True(!p.Take(replica, left, gone))
+	is.True(!p.Take(replica, left, gone+handover-1))
+	is.True(p.Take(replica, left, gone+handover))
 }
 
 func TestSendsAreSpread(t *testing.T) {
--- a/pacing/recentlist.go
+++ b/pacing/recentlist.go
@@ -8,14 +8,13 @@
 // recentList extends a list of boxes by those that were on it until recently.
 type recentList struct {
 	boxes  []string // the last list
-	at     time.Duration
 	former []formerBox
 }
 
 // formerBox is a box that is no longer listed.
 type formerBox struct {
 	name   string
-	listed time.Duration // when it last was
+	listed time.Duration // when it was found missing
 }
 
 // update records a list and returns it with the boxes that were listed recently enough to have
@@ -25,9 +24,8 @@
 		return nil
 	}
 	if !sameList(l.boxes, boxes) {
-		l.replace(boxes)
+		l.replace(boxes, now)
 	}
-	l.at = now
 	l.former = slices.DeleteFunc(l.former, func(f formerBox) bool { return f.listed+handover <= now })
 	if len(l.former) == 0 {
 		return boxes
@@ -39,13 +37,13 @@
 	return out
 }
 
-func (l *recentList) replace(boxes []string) {
+func (l *recentList) replace(boxes []string, now time.Duration) {
 	l.former = slices.DeleteFunc(l.former, func(f formerBox) bool { return slices.Contains(boxes, f.name) })
 	for _, name := range l.boxes {
 		if !slices.Contains(boxes, name) {
 			l.former = append(l.former, formerBox{
 				name:   name,
-				listed: l.at,
+				listed: now,
 			})
 		}
 	}
