pacing: Count a late write of a forgotten send as under way

What callers saw: nothing known; a cold replica may receive one request more than allowed.

Cause: a send to a warm replica that is written more than 4 s after it was allowed, with more others in between than are kept, was no longer on the list of unanswered ones. Its write blocked others for 1.1 s instead of the 4 s of a send without an answer.

The write puts the send back on the list.

--- a/pacing/history.go
+++ b/pacing/history.go
@@ -76,10 +76,12 @@
 		return
 	}
 	if i := h.findDropped(taken); i >= 0 {
-		h.unanswered[i].counted = to
+		h.unanswered = slices.Delete(h.unanswered, i, i+1)
 	}
-	h.dropped = max(h.dropped, to)
-	h.hasDropped = true
+	h.drop(sent{
+		taken:   taken,
+		counted: to,
+	})
 }
 
 // answer records that a send arrived before now.
