pacing: Leave an answer to a send that no longer counts without effect

Cause: each answer blocked others for a second, also one to a send that is so old that it stopped counting long before, as it must have arrived by then.

An answer later than 4 s after the write changes nothing now, neither for sends that are kept nor for those that are not. The limits of replicas record answers by the same method instead of a copy.

--- a/pacing/history.go
+++ b/pacing/history.go
@@ -27,6 +27,14 @@
 	return max(s.counted, min(now, s.counted+maxTransit)-slack)
 }
 
+// answer records that the send arrived before now, unless it no longer counts.
+func (s *sent) answer(now time.Duration) {
+	if now < s.counted+retention {
+		s.answered = true
+		s.counted = max(s.counted, now-slack)
+	}
+}
+
 // written returns the time of the write, as far as this box can tell.
 func (s sent) written() time.Duration {
 	if s.loan != (LoanID{}) {
@@ -84,16 +92,20 @@
 	})
 }
 
-// answer records that a send arrived before now.
+// answer records that a send arrived before now. It has no effect on one that no longer counts.
 func (h *history) answer(taken, now time.Duration) {
 	if s := h.find(taken); s != nil {
-		s.answered = true
-		s.counted = max(s.counted, now-slack)
+		s.answer(now)
 		return
 	}
+	written := taken + maxWriteDelay
 	if i := h.findDropped(taken); i >= 0 {
+		written = h.unanswered[i].counted
 		h.unanswered = slices.Delete(h.unanswered, i, i+1)
 	}
+	if now >= written+retention {
+		return
+	}
 	h.dropped = max(h.dropped, now-slack)
 	h.hasDropped = true
 }
--- a/pacing/limiter.go
+++ b/pacing/limiter.go
@@ -233,8 +233,7 @@
 func (l *Limiter) MarkArrived(replica string, taken, now time.Duration) {
 	if r := l.replicas[replica]; r != nil {
 		if s := r.sends.find(taken); s != nil {
-			s.answered = true
-			s.counted = max(s.counted, now-slack)
+			s.answer(now)
 		}
 	}
 }
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -379,3 +379,29 @@
 	}
 	is.True(len(p.warmHistory(replica).unanswered) <= int(retention/gap))
 }
+
+// Guards against a cold replica that a box sends nothing since slow requests from before are answered one by one.
+func TestAnswersToSendsThatNoLongerCountKeepNothingBack(t *testing.T) {
+	const (
+		slow        = 20
+		answerEvery = 500 * time.Millisecond
+	)
+	is := is.New(t)
+	boxes := names(40)
+	p := New(rendezvous.Top(replica, boxes, 1)[0], testTerms)
+	from := 10 * time.Second
+	for n := range slow {
+		is.True(p.Take(replica, boxes, from+time.Duration(n)))
+	}
+	p.MarkCold(replica, rate, farFuture)
+	allowed := 0
+	for n := range slow {
+		now := from + 5*time.Second + time.Duration(n)*answerEvery
+		p.MarkArrived(replica, from+time.Duration(n), now)
+		for _, at := range takeEveryMillisecond(p, boxes, now, now+answerEvery) {
+			p.MarkArrived(replica, at, at)
+			allowed++
+		}
+	}
+	is.True(allowed >= 8) // one in each window of 10 s
+}
