quota: Grant from a changed quota within the round

Callers of an organisation got 429 within their quota for up to a round of reports between regions after the quota was raised: what a region may grant in a round was computed once, at its begin, from the quota of then, 0 where more was used than that. One request is still served while exactly 0 is left, so the raise seemed to be in force.

A test of the allocator alone shows it without any load: 0 of 200 units granted after a raise.

The allocator now keeps what was used at the begin of the round and changes what is left by the region's part of the difference, so that the parts of the regions add up as before; a test with quotas that change at drawn times holds.

--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -35,6 +35,9 @@
 	sharedDemand float64 // units per second that other regions received; -1 before the first report
 	round        int     // of reports between regions
 	remaining    float64 // units that may be granted in that round
+	units        float64 // of the quota, as of remaining
+	share        Share   // at the start of that round
+	usedBefore   float64 // units of all reachable regions in the window, at the start of that round
 }
 
 // NewAllocator returns an allocator without records of boxes.
@@ -175,15 +178,26 @@
 }
 
 // startRound computes, once per round of reports between regions, the units that may be granted in
-// it: this region's share of what the reachable regions have left.
+// it: this region's share of what the reachable regions have left. A quota that changes within the
+// round changes them.
 func (b *balance) startRound(t Limit, share Share, shares *RegionShares, now time.Duration) {
 	if round := shares.Round(); b.round != round {
 		b.round = round
+		b.share = share
+		b.usedBefore = b.used(now) + share.Granted
 		b.remaining = math.Inf(1)
 		if share.Reachable > 0 {
-			b.remaining = share.OfReachable * max(0, t.Units*share.ReachableFraction-b.used(now)-share.Granted)
+			b.remaining = b.roundUnits(t.Units)
 		}
+	} else if b.units != t.Units {
+		b.remaining += b.roundUnits(t.Units) - b.roundUnits(b.units)
 	}
+	b.units = t.Units
+}
+
+// roundUnits returns the units that may be granted in the round under a quota.
+func (b *balance) roundUnits(quota float64) float64 {
+	return b.share.OfReachable * max(0, quota*b.share.ReachableFraction-b.usedBefore)
 }
 
 // grant responds to an ask of one of the given number of boxes. Its need is met in full unless free,
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -206,6 +207,93 @@
 	is.True(got < 1.2*units) // reports are one round old
 }
 
+// Guards against refusals within a raised quota until the next round of reports between regions.
+func TestARaisedQuotaIsGrantedWithinTheRound(t *testing.T) {
+	is := is.New(t)
+	units := 9.0
+	regions := []string{"a", "b", "c"}
+	allocators := make(map[string]*Allocator)
+	rounds := make(map[string]GrantParams)
+	for _, region := range regions {
+		allocators[region] = NewAllocator()
+		r := testRound(0, 1)
+		r.Terms = func(string) (Limit, bool) {
+			return Limit{
+				Units:  units,
+				Window: testWindow,
+			}, true
+		}
+		r.Shares = NewRegionShares(region, regions)
+		rounds[region] = r
+	}
+	ask := func(at time.Duration) float64 {
+		return allocators["a"].Grant(longRunningBox("box"), []CreditRequest{{
+			Organisation: "org",
+			Need:         200,
+			Demand:       200,
+		}}, rounds["a"], at)[0].Units
+	}
+	exchangeUsage(allocators, rounds, regions, 0)
+	is.Equal(ask(0), 200.0) // a request may need more than the quota
+	exchangeUsage(allocators, rounds, regions, time.Second)
+	is.Equal(ask(time.Second), 0.0)
+	units = 8e6
+	for n := range 20 {
+		is.Equal(ask(time.Second+time.Duration(n)*time.Millisecond), 200.0)
+	}
+	units = 9
+	is.Equal(ask(time.Second+100*time.Millisecond), 0.0)
+}
+
+// Guards against grants above a quota that changes within rounds of reports between regions.
+func TestRegionsTogetherGrantAChangingQuota(t *testing.T) {
+	regions := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		quotas := rapid.SliceOfN(rapid.Float64Range(800, 8000), 2, 6).Draw(t, "quotas")
+		changeAt := rapid.Int64Range(int64(100*time.Millisecond), int64(testWindow)).Draw(t, "between changes")
+		units := 0.0
+		allocators := make(map[string]*Allocator)
+		rounds := make(map[string]GrantParams)
+		for _, region := range regions {
+			allocators[region] = NewAllocator()
+			r := testRound(0, 1)
+			r.Terms = func(string) (Limit, bool) {
+				return Limit{
+					Units:  units,
+					Window: testWindow,
+				}, true
+			}
+			r.Shares = NewRegionShares(region, regions)
+			rounds[region] = r
+		}
+		var list []timedGrant
+		for at := time.Duration(0); at < 3*testWindow; at += 20 * time.Millisecond {
+			units = quotas[int(int64(at)/changeAt)%len(quotas)]
+			if at%(500*time.Millisecond) == 0 {
+				exchangeUsage(allocators, rounds, regions, at)
+			}
+			for _, region := range regions {
+				for _, g := range allocators[region].Grant(longRunningBox("box"), []CreditRequest{{
+					Organisation: "org",
+					Need:         20,
+					Demand:       20,
+				}}, rounds[region], at) {
+					if at < time.Second {
+						continue // until the regions know each other's demand
+					}
+					list = append(list, timedGrant{
+						at:    at,
+						units: g.Units,
+					})
+				}
+			}
+		}
+		if got, most := maxInWindow(list), slices.Max(quotas); got > 1.2*most+60 { // reports are one round old, and each region grants a whole request
+			t.Fatalf("%.0f units within a window, want at most those of %.0f", got, most)
+		}
+	})
+}
+
 func exchangeUsage(banks map[string]*Allocator, rounds map[string]GrantParams, regions []string, at time.Duration) {
 	for _, region := range regions {
 		for _, other := range regions {
