exchange: Repeat a dial that ended late

A caller got 503 ("failed to dial", then "tried before") from a box whose one replica was idle on the same machine: the process of the box had been stopped for 258 ms within the dial, which may take 250 ms. When it goes on the connection is open and its time has passed, and the time goes first, so the connection is dropped and the replica taken for unreachable.

A dial that fails more than 20 ms after its timeout is repeated once while the request has time. A dial of a process that is not held up ends at its timeout, so that unreachable replicas cost no more than before. The test in virtual time failed before.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -100,6 +100,49 @@
 	})
 }
 
+// Guards against a reachable server taken for unreachable as this process got no processor.
+func TestADialWhoseTimeoutPassedWhileTheProcessWasHeldUpIsRepeatedOnce(t *testing.T) {
+	cases := []struct {
+		name  string
+		late  time.Duration // end of the first dial after its timeout
+		fails int           // dials in a row
+		dials int
+		ok    bool
+	}{
+		{"held up", 100 * time.Millisecond, 1, 2, true},
+		{"held up, and unreachable", 100 * time.Millisecond, 2, 2, false},
+		{"held up longer than the caller has time", 10 * time.Second, 1, 1, false},
+		{"not held up", 0, 1, 1, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				dials := 0
+				connect := dialPipe(respondWith(okResponse))
+				p := newTestPool(t, WithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+					dials++
+					if dials > tc.fails {
+						return connect(ctx, network, addr)
+					}
+					<-ctx.Done()
+					time.Sleep(tc.late)
+					return nil, ctx.Err()
+				}))
+				ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+				defer cancel()
+				a, err := p.Do(ctx, get("x"))
+				is.Equal(err == nil, tc.ok)
+				is.Equal(dials, tc.dials)
+				if err == nil {
+					is.NoErr(a.Close())
+				}
+				p.Close()
+			})
+		})
+	}
+}
+
 func TestARequestThatIsReadAndDroppedArrivesOnce(t *testing.T) {
 	is := is.New(t)
 	var arrived atomic.Int32
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -17,6 +17,9 @@
 
 	// defaultIdleTime is shorter than the idle timeout of uvicorn and Node, 5 s.
 	defaultIdleTime = 4 * time.Second
+
+	// dialLateness is how late a dial ends at its timeout at most unless this process is held up.
+	dialLateness = 20 * time.Millisecond
 )
 
 var errPoolClosed = errors.New("connection pool is closed")
@@ -162,11 +165,13 @@
 	return list
 }
 
+// connect opens a connection. A dial that ended late is repeated once: this process was held up,
+// and an open connection would be dropped with the timeout.
 func (p *Pool) connect(ctx context.Context, req *Request) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, req.DialTimeout)
-	defer cancel()
-	p.onDial(req.Addr)
-	nc, err := p.dial(ctx, "tcp", req.Addr)
+	nc, took, err := p.dialOnce(ctx, req)
+	if err != nil && took > req.DialTimeout+dialLateness && ctx.Err() == nil {
+		nc, _, err = p.dialOnce(ctx, req)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -180,6 +185,15 @@
 	return c, nil
 }
 
+func (p *Pool) dialOnce(ctx context.Context, req *Request) (nc net.Conn, took time.Duration, err error) {
+	start := clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, req.DialTimeout)
+	defer cancel()
+	p.onDial(req.Addr)
+	nc, err = p.dial(ctx, "tcp", req.Addr)
+	return nc, clock.Since(start), err
+}
+
 // add registers a new connection. It returns false if the pool is closed.
 func (p *Pool) add(c *conn) bool {
 	p.mu.Lock()
