ending: Look for unanswered requests until the end of a stop

A box that stopped logged "requests cut off" though all were answered, and ended late: it waited by Shutdown of net/http, which looks 1, 3, 7, ... 511 and 1,011 ms after its begin and not when its time ends, so that a request answered between the last two counted as cut off. Callers lost nothing by it.

In virtual time an answer after 700 ms of 1 s ended in an error before; now the stop ends within 10 ms of the answer.

Shutdown is now asked every 10 ms, and once when the time ends, in both interfaces.

--- a/box/serve.go
+++ b/box/serve.go
@@ -113,7 +113,7 @@
 	limit := time.Duration(b.settings.Limits.DrainMs) * time.Millisecond
 	bounded, stop := context.WithTimeout(ctx, limit)
 	defer stop()
-	if err := server.Shutdown(bounded); err != nil {
+	if err := ending.Shutdown(bounded, server); err != nil {
 		b.log.WithError(err).Warn("planned stop cut off requests")
 		_ = server.Close()
 	}
--- a/common/ending/ending.go
+++ b/common/ending/ending.go
@@ -1,4 +1,5 @@
-// Package ending tells a planned end of a box from one that something has caused.
+// Package ending tells a planned end of a box from one that something has caused, and ends
+// servers as planned.
 package ending
 
 import (
--- a/node/drain.go
+++ b/node/drain.go
@@ -48,7 +48,7 @@
 	n.notifyAll(false)
 	n.awaitServingBox(limit)
 	for _, s := range servers {
-		if err := s.Shutdown(limit); err != nil {
+		if err := ending.Shutdown(limit, s); err != nil {
 			n.record(decision.Event{
 				Kind:   decision.Stop,
 				Reason: "requests cut off",
