poison, node: Choose the replica of a run on trial by rank

The replica now follows from the rank of the request among those with as many ends that others share, and from the list of usable replicas. Both are alike at all boxes but for what is on its way, so requests with the same ends run apart without a datagram. Where another one runs there already the replica with the fewest trials is chosen, as before. The model of measure/quarantine does as the node does; its tests are unchanged.

--- a/measure/quarantine/requests.go
+++ b/measure/quarantine/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -241,6 +242,9 @@
 	if !r.alone {
 		return w.pickBut(r.box.region, nil)
 	}
+	if p := w.trialTarget(r); p != nil {
+		return p
+	}
 	for most := 0; ; most++ {
 		but := r.box.watch.IncarnationsOnTrial(r.content.Digest(), most)
 		if p := w.pickBut(r.box.region, but); p != nil || len(but) == 0 {
@@ -249,6 +253,18 @@
 	}
 }
 
+// trialTarget returns the replica of the box's region at which a request runs on trial, nil if
+// another one with as many ends runs there.
+func (w *World) trialTarget(r *run) *replica {
+	byStart := make(map[string]*replica)
+	for _, p := range w.replicas[r.box.region*w.terms.Replicas:][:w.terms.Replicas] {
+		if p.start != "" {
+			byStart[p.start] = p
+		}
+	}
+	return byStart[r.box.watch.TrialTarget(r.content.Digest(), slices.Collect(maps.Keys(byStart)))]
+}
+
 // pickBut returns a replica of a region, but for some starts.
 func (w *World) pickBut(region int, but []string) *replica {
 	first := region * w.terms.Replicas
--- a/node/state.go
+++ b/node/state.go
@@ -344,11 +344,15 @@
 	}
 }
 
-// pick chooses a replica. A request on trial goes to the replica with the fewest other trials.
+// pick chooses a replica. A request on trial goes to its target, or to the replica with the
+// fewest other trials.
 func (s *state) pick(ask ingress.TargetQuery, sharers []string, now time.Duration) placement.Choice {
 	if ask.Trial == nil {
 		return s.view.Pick(ask.Request, sharers, now)
 	}
+	if c := s.pickTrialTarget(ask, sharers, now); c.Incarnation != "" {
+		return c
+	}
 	for maxTrials := 0; ; maxTrials++ {
 		excluded := s.poison.IncarnationsOnTrial(*ask.Trial, maxTrials)
 		request := ask.Request
@@ -363,6 +367,23 @@
 	}
 }
 
+// pickTrialTarget chooses the target of a request on trial; Incarnation is empty if it may not
+// run there.
+func (s *state) pickTrialTarget(ask ingress.TargetQuery, sharers []string, now time.Duration) placement.Choice {
+	usable := s.view.Usable(ask.Request, now)
+	target := s.poison.TrialTarget(*ask.Trial, usable)
+	if target == "" {
+		return placement.Choice{}
+	}
+	request := ask.Request
+	request.Tried = slices.Concat(request.Tried, slices.DeleteFunc(usable, func(r string) bool { return r == target }))
+	c := s.view.Pick(request, sharers, now)
+	if c.Incarnation != "" {
+		s.poison.BeginTrial(c.Incarnation, *ask.Trial)
+	}
+	return c
+}
+
 // alternative returns a target that was not tried, without counting the request; false when there
 // is none.
 func (s *state) alternative(ask ingress.TargetQuery, now time.Duration, draw func(n int) int) (ingress.Target, bool) {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -261,6 +261,16 @@
 	return None
 }
 
+// Usable returns the incarnations that may receive a request, whatever their load.
+func (v *View) Usable(req Request, now time.Duration) (out []string) {
+	for _, r := range v.sorted {
+		if r.info.Service == req.Service && v.unusable(r, req, now) == None {
+			out = append(out, r.incarnation)
+		}
+	}
+	return out
+}
+
 // preferred returns the usable replica with the highest rendezvous score for the request's
 // shared segments, nil for none. All boxes of a region compute the same one.
 func (v *View) preferred(req Request, now time.Duration) *Replica {
--- a/placement/signals_test.go
+++ b/placement/signals_test.go
@@ -218,3 +218,15 @@
 	is.True(b.MayWrite(&c, start+400*time.Millisecond))
 	is.True(!b.MayWrite(&c, start+500*time.Millisecond))
 }
+
+// Guards against a request on trial at a replica that must get none.
+func TestUsableLeavesOutReplicasThatMustGetNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBox("a", "hall", append(replicas("plain", 3), replicas("other", 1)...)...)
+	b.RecordSignalsOf("plain-0", leaving(), span(1, 2))
+	req := placement.Request{
+		Service: "plain",
+		Tried:   []string{"plain-2"},
+	}
+	is.Equal(b.Usable(req, start+3*time.Second), []string{"plain-1"})
+}
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	trialTimeout      = 3 * time.Second        // the 2 s that a replica must survive the run, plus the delay of gossip
@@ -214,6 +217,33 @@
 	return out
 }
 
+// TrialTarget returns the incarnation of a list at which a request runs on trial; empty if another
+// one with as many crashes runs there. All boxes choose by the rank of the request among those
+// whose crashes others share, so that trials at different boxes rarely meet.
+func (w *Detector) TrialTarget(d Digest, incarnations []string) string {
+	if len(incarnations) == 0 {
+		return ""
+	}
+	sorted := slices.Sorted(slices.Values(incarnations))
+	target := sorted[w.trialRank(d)%len(sorted)]
+	if w.countPeers(d, w.trials.runs[target]) > 0 {
+		return ""
+	}
+	return target
+}
+
+// trialRank returns how many requests with as many crashes, some of which others share, have a
+// lower digest.
+func (w *Detector) trialRank(d Digest) (rank int) {
+	least := max(w.crashCount(d), quarantineThreshold)
+	for _, r := range w.ledger.records {
+		if len(r.Crashes) >= least && slices.Compare(r.Digest[:], d[:]) < 0 && w.ledger.attributionOf(r) == ambiguous {
+			rank++
+		}
+	}
+	return rank
+}
+
 // countPeers returns how many other requests of a list have at least as many crashes as d.
 func (w *Detector) countPeers(d Digest, list map[Digest]struct{}) (n int) {
 	for other := range list {
--- a/poison/trial_test.go
+++ b/poison/trial_test.go
@@ -98,6 +98,31 @@
 	is.True(!b.try(owners[1].Name, innocent.Digest(), time.Second))
 }
 
+// Guards against trials at two boxes that meet on one replica, which keeps the innocent request and the
+// guilty one from being told apart.
+func TestRequestsOnTrialHaveDifferentTargetsAtAllBoxes(t *testing.T) {
+	is := is.New(t)
+	const n = 9
+	b := newCluster(t, n)
+	var replicas []string
+	for i := range n {
+		replicas = append(replicas, fmt.Sprint("replica-", i))
+		for _, w := range b.watches {
+			w.ledger.Merge(recordOfCrashes(digestOf(i), quarantineThreshold, b.now), b.now)
+		}
+	}
+	targets := make(map[string]bool)
+	for i, name := range b.names() {
+		targets[b.watches[name].TrialTarget(digestOf(i), replicas)] = true
+	}
+	is.Equal(len(targets), n)
+	w := b.watches[b.names()[0]]
+	target := w.TrialTarget(digestOf(0), replicas)
+	w.BeginTrial(target, digestOf(1))
+	is.Equal(w.TrialTarget(digestOf(0), replicas), "")
+	is.Equal(w.TrialTarget(digestOf(0), nil), "")
+}
+
 func (b *cluster) all() []Box { return b.others("") }
 
 // crashOnTrial crashes a replica under a request on trial at a box.
