quota, node: Grant what left a window at once; hand allocators' records over

An allocator of one half of the organisations also counted the boxes that asked it for the other.

Reports say when their units leave. Candidates fetch each other's usage and that of other regions (the next choice once a second), and a fresh box is asked once it has them. Only a time without a record is reserved. An unreachable region keeps what it used if that is more than its share, so the bound holds. 0.4 of the allowed overage and slack are granted, 0.2 and 0.25 before.

Bytes of allocators at 11 regions and 600 organisations were not measured.

--- a/node/node.go
+++ b/node/node.go
@@ -83,8 +83,8 @@
 	proofs         proofRequests                                                 // fetches freshness proofs for the lease
 	fetchProof     func(ctx context.Context, addr string) (proofResponse, error) // fetches a freshness proof from another box; replaced in tests
 	quotas         *quotas
-	requestCredit  func(ctx context.Context, addr string, asks []quota.CreditRequest) ([]quota.Grant, error) // requests credit from a quota allocator; replaced in tests
-	fetchDemand    func(ctx context.Context, addr string) (map[string]quota.Usage, error)                    // fetches the demand of another region from its allocator; replaced in tests
+	requestCredit  func(ctx context.Context, addr string, r allocationRequest) ([]quota.Grant, error)      // requests credit from a quota allocator; replaced in tests
+	fetchDemand    func(ctx context.Context, addr string, r demandRequest) (map[string]quota.Usage, error) // fetches the demand of another region from its allocator; replaced in tests
 	snapshotCache  *snapshotCache
 	policyBucket   *byteBucket   // limits the policies that this box sends to others
 	fetchingPolicy atomic.Bool   // a policy is being fetched from another box; its setter owns policySources
--- a/node/pull.go
+++ b/node/pull.go
@@ -153,9 +153,13 @@
 		if err := json.Unmarshal(params, &req); err != nil {
 			return nil, errors.Wrap(err, "quota")
 		}
-		return n.grant(req.From, req.Asks), nil
+		return n.answer(req), nil
 	case peer.Demand:
-		return n.demand(), nil
+		var req demandRequest
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, errors.Wrap(err, "demand")
+		}
+		return n.demand(req), nil
 	}
 	return nil, errors.Newf("unknown message %q", string(m))
 }
--- a/node/quota.go
+++ b/node/quota.go
@@ -13,6 +13,7 @@
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/peer"
 	"github.com/havenrudder/havenrudder/quota"
+	"github.com/havenrudder/havenrudder/wire"
 )
 
 const (
@@ -20,9 +21,10 @@
 	allocatorBackoff    = time.Second            // for which a box that did not answer is skipped
 	allocatorBeats      = 2                      // heartbeats between allocation requests ahead of need
 	demandBeats         = 2                      // heartbeats between demand requests to other regions
+	standbyBeats        = 4                      // the same while this box is only the next choice
 	defaultWindow       = 8 * time.Second        // if the settings have none
-	overageShare        = 0.2                    // of the allowed overage that is granted, so that counting errors do not reject requests within a quota
-	slackShare          = 0.25                   // of the allowed slack that is granted, for the same reason
+	overageShare        = 0.4                    // of the allowed overage that is granted, so that counting errors do not reject requests within a quota
+	slackShare          = 0.4                    // of the allowed slack that is granted, for the same reason
 	startupPeriod       = 3 * time.Second        // in which requests wait until the roster is complete
 	startupWait         = 300 * time.Millisecond // maximum wait of a request
 	startupPollInterval = 40 * time.Millisecond
@@ -30,32 +32,48 @@
 
 // quotas enforces the quotas of organisations at one box.
 type quotas struct {
-	allocator  *quota.Allocator
-	credits    *quota.CreditPool
-	shares     *quota.RegionShares
-	view       atomic.Pointer[allocatorView]
-	asking     [allocatorShards]atomic.Bool // a request ahead of need is in progress, by shard
-	collecting atomic.Bool                  // demand of other regions is being collected
-	beats      int                          // owned by the heartbeat task
+	shards  [allocatorShards]allocatorShard
+	credits *quota.CreditPool
+	view    atomic.Pointer[allocatorView]
+	beats   int // owned by the heartbeat task
 
 	mu      sync.Mutex
 	backoff map[string]time.Duration // end of the back-off by address
 }
 
+// allocatorShard is what this box has of an allocator of its region.
+type allocatorShard struct {
+	allocator  *quota.Allocator
+	shares     *quota.RegionShares
+	asking     atomic.Bool // a request ahead of need is in progress
+	collecting atomic.Bool // the usage of other allocators is being collected
+}
+
 // allocationRequest holds the parameters of a request to a quota allocator.
 type allocationRequest struct {
-	From quota.Requester       `json:"from"`
-	Asks []quota.CreditRequest `json:"asks"`
+	From  quota.Requester       `json:"from"`
+	Shard int                   `json:"shard"`
+	Asks  []quota.CreditRequest `json:"asks"`
+	Any   bool                  `json:"any,omitempty"` // no candidate is ready, so any may answer
+}
+
+// demandRequest holds the parameters of a request to another allocator.
+type demandRequest struct {
+	Shard    int  `json:"shard"`
+	Handover bool `json:"handover,omitempty"` // it allocates for the same region
 }
 
 func (n *Node) newQuotas() *quotas {
-	regions := slices.Sorted(maps.Values(n.settings.Regions))
-	return &quotas{
-		allocator: quota.NewAllocator(),
-		credits:   quota.NewCreditPool(n.quotaWindow(), n.requestAllocation, n.now),
-		shares:    quota.NewRegionShares(n.settings.Region, slices.Compact(regions)),
-		backoff:   make(map[string]time.Duration),
+	regions := slices.Compact(slices.Sorted(maps.Values(n.settings.Regions)))
+	q := &quotas{
+		credits: quota.NewCreditPool(n.quotaWindow(), n.requestAllocation, n.now),
+		backoff: make(map[string]time.Duration),
+	}
+	for i := range q.shards {
+		q.shards[i].allocator = quota.NewAllocator()
+		q.shards[i].shares = quota.NewRegionShares(n.settings.Region, regions)
 	}
+	return q
 }
 
 // reserve charges the cost of a request to the quota of its organisation. If the quota is exhausted it
@@ -114,15 +132,30 @@
 	}
 }
 
-// grant answers allocation requests as an allocator.
-func (n *Node) grant(from quota.Requester, asks []quota.CreditRequest) []quota.Grant {
+// canAllocate reports whether this box has received the usage of other regions and of the previous allocator
+// of its own, or has had time for it.
+func (n *Node) canAllocate(shard int) bool {
+	return n.now() > startupPeriod || n.quotas.shards[shard].shares.Round() > 0
+}
+
+// answer answers allocation requests of other boxes; nil if they should ask the next candidate.
+func (n *Node) answer(r allocationRequest) []quota.Grant {
+	if r.Shard < 0 || r.Shard >= allocatorShards || !r.Any && !n.canAllocate(r.Shard) {
+		return nil
+	}
+	return n.grant(r.From, r.Shard, r.Asks)
+}
+
+// grant allocates for a box.
+func (n *Node) grant(from quota.Requester, shard int, asks []quota.CreditRequest) []quota.Grant {
 	users := minAllocatorUsers
 	if v := n.quotas.view.Load(); v != nil {
 		users = v.users
 	}
-	return n.quotas.allocator.Grant(from, asks, quota.GrantParams{
+	s := &n.quotas.shards[shard]
+	return s.allocator.Grant(from, asks, quota.GrantParams{
 		Terms:         n.terms,
-		Shares:        n.quotas.shares,
+		Shares:        s.shares,
 		BoxesInRegion: users,
 		Random:        n.jitter,
 	}, n.now())
@@ -132,9 +165,10 @@
 // quota, as its policy is older, this box allocates for itself.
 func (n *Node) requestAllocation(ctx context.Context, a quota.CreditRequest) (quota.Grant, bool) {
 	asks := []quota.CreditRequest{a}
-	out := n.askAllocators(ctx, shardOf(a.Organisation), asks)
+	shard := shardOf(a.Organisation)
+	out := n.askAllocators(ctx, shard, asks)
 	if len(out) == 0 {
-		out = n.grant(n.asker(), asks)
+		out = n.grant(n.asker(), shard, asks)
 	}
 	if len(out) == 0 {
 		return quota.Grant{}, false
@@ -142,30 +176,53 @@
 	return out[0], true
 }
 
-// askAllocators requests allocations from the candidates of a shard in order of preference. If none answers,
-// this box allocates for itself.
+// askAllocators requests allocations from the candidates of a shard in order of preference, first from those
+// that are ready. If none answers, this box allocates for itself.
 func (n *Node) askAllocators(ctx context.Context, shard int, asks []quota.CreditRequest) []quota.Grant {
 	v := n.quotas.view.Load()
 	if v == nil { // no roster yet
-		return n.grant(n.asker(), asks)
+		return n.grant(n.asker(), shard, asks)
+	}
+	r := allocationRequest{
+		Shard: shard,
+		Asks:  asks,
 	}
-	for _, b := range v.ownRegion[shard] {
-		if b.Box == n.settings.Box {
-			break
+	out, unready := n.askCandidates(ctx, v.ownRegion[shard], r)
+	if out == nil && unready {
+		r.Any = true
+		out, _ = n.askCandidates(ctx, v.ownRegion[shard], r)
+	}
+	if out == nil {
+		out = n.grant(n.asker(), shard, asks)
+	}
+	return out
+}
+
+// askCandidates requests allocations from candidates in order. It returns nil if none answers, and whether
+// one is not ready.
+func (n *Node) askCandidates(ctx context.Context, candidates []wire.BoxStatus, r allocationRequest) (out []quota.Grant, unready bool) {
+	for _, b := range candidates {
+		if n.isSelf(b) {
+			if r.Any || n.canAllocate(r.Shard) {
+				return n.grant(n.asker(), r.Shard, r.Asks), false
+			}
+			unready = true
+			continue
 		}
 		if n.quotas.inBackoff(b.Peers, n.now()) {
 			continue
 		}
-		out, err := n.requestCredit(ctx, b.Peers, asks)
-		if err == nil {
-			return out
+		out, err := n.requestCredit(ctx, b.Peers, r)
+		if err == nil && out != nil {
+			return out, false
 		}
-		if ctx.Err() == nil {
+		unready = unready || err == nil
+		if err != nil && ctx.Err() == nil {
 			n.quotas.backOffUntil(b.Peers, n.now()+allocatorBackoff)
 			n.recordAllocatorLost(b.Box, err)
 		}
 	}
-	return n.grant(n.asker(), asks)
+	return nil, unready
 }
 
 func (n *Node) recordAllocatorLost(box string, err error) {
@@ -177,13 +234,11 @@
 	})
 }
 
-func (n *Node) callAllocator(ctx context.Context, addr string, asks []quota.CreditRequest) (out []quota.Grant, err error) {
+func (n *Node) callAllocator(ctx context.Context, addr string, r allocationRequest) (out []quota.Grant, err error) {
 	ctx, cancel := context.WithTimeout(ctx, allocatorTimeout)
 	defer cancel()
-	err = n.peers.Call(ctx, addr, peer.Quota, allocationRequest{
-		From: n.asker(),
-		Asks: asks,
-	}, &out)
+	r.From = n.asker()
+	err = n.peers.Call(ctx, addr, peer.Quota, r, &out)
 	return out, err
 }
 
@@ -224,10 +279,18 @@
 	if n.quotas.beats%allocatorBeats == 0 {
 		n.prefetchAllocations(ctx)
 	}
-	if n.quotas.beats%demandBeats == 0 && n.isAllocator(v) && n.quotas.collecting.CompareAndSwap(false, true) {
+	for shard := range n.quotas.shards {
+		s := &n.quotas.shards[shard]
+		period := demandBeats
+		if !s.allocator.Active(n.now()) {
+			period = standbyBeats
+		}
+		if n.quotas.beats%period != 0 || !n.isCandidate(v, shard) || !s.collecting.CompareAndSwap(false, true) {
+			continue
+		}
 		n.tasks.Go(func() {
-			defer n.quotas.collecting.Store(false)
-			n.collectDemand(ctx, v)
+			defer s.collecting.Store(false)
+			n.collectDemand(ctx, v, shard)
 		})
 	}
 }
@@ -236,7 +299,7 @@
 // since allocators count the boxes that call them.
 func (n *Node) prefetchAllocations(ctx context.Context) {
 	for shard := range allocatorShards {
-		asking := &n.quotas.asking[shard]
+		asking := &n.quotas.shards[shard].asking
 		if !asking.CompareAndSwap(false, true) {
 			continue
 		}
--- a/node/quotaallocators.go
+++ b/node/quotaallocators.go
@@ -37,72 +37,65 @@
 // shardKey returns the rendezvous key that ranks the candidates of a shard.
 func shardKey(shard int) string { return fmt.Sprint("bank-", shard) }
 
-// collectDemand collects the demand of all other regions for the shards that this box allocates. The
-// calls run in parallel: in sequence they take longer than a round.
-func (n *Node) collectDemand(ctx context.Context, v *allocatorView) {
+// collectDemand collects the demand of all other regions for a shard that this box allocates or may have to.
+// The calls run in parallel: in sequence they take longer than a round.
+func (n *Node) collectDemand(ctx context.Context, v *allocatorView, shard int) {
 	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
 	defer cancel()
-	own := n.demand()
+	own := n.quotas.shards[shard].allocator.Usage(n.now())
 	var asking sync.WaitGroup
 	var heard atomic.Int32
-	for region := range v.otherRegions {
+	for region, lists := range v.otherRegions {
 		asking.Go(func() {
-			if n.collectRegionDemand(ctx, region, v) {
+			if n.collectRegionDemand(ctx, region, shard, lists[shard]) {
 				heard.Add(1)
 			}
 		})
 	}
+	others := slices.DeleteFunc(slices.Clone(v.ownRegion[shard]), n.isSelf)
+	asking.Go(func() { n.collectRegionDemand(ctx, n.settings.Region, shard, others) })
 	asking.Wait()
-	if int(heard.Load()) == n.quotas.shares.Others() {
-		n.quotas.shares.RecordAgreedShares(own, func(organisation string) float64 {
+	shares := n.quotas.shards[shard].shares
+	if int(heard.Load()) == shares.Others() {
+		shares.RecordAgreedShares(own, func(organisation string) float64 {
 			terms, _ := n.terms(organisation)
 			return terms.PerSecond()
 		})
 	}
-	n.quotas.shares.EndRound()
+	shares.EndRound()
 }
 
-// collectRegionDemand collects the demand of a region, and reports whether all its allocators answered.
-func (n *Node) collectRegionDemand(ctx context.Context, region string, v *allocatorView) bool {
-	sentAt := n.now()
-	var mu sync.Mutex
-	all := make(map[string]quota.Usage)
-	var failed atomic.Bool
-	var asking sync.WaitGroup
-	for shard, list := range v.otherRegions[region] {
-		if len(list) == 0 || !n.allocates(v, shard) {
+// collectRegionDemand collects the demand of a region from the first of the candidates that allocates the
+// shard, and reports whether one answered. Otherwise the share of the region stays until the next round.
+func (n *Node) collectRegionDemand(ctx context.Context, region string, shard int, candidates []wire.BoxStatus) bool {
+	r := demandRequest{
+		Shard:    shard,
+		Handover: region == n.settings.Region,
+	}
+	for _, b := range candidates {
+		if n.quotas.inBackoff(b.Peers, n.now()) {
 			continue
 		}
-		asking.Go(func() {
-			demand, err := n.fetchDemand(ctx, list[0].Peers)
-			failed.Store(failed.Load() || err != nil)
-			mu.Lock()
-			defer mu.Unlock()
-			maps.Copy(all, demand)
-		})
-	}
-	asking.Wait()
-	if failed.Load() {
-		return false // the share of the region stays until the next round
-	}
-	n.quotas.shares.RecordReport(region, all, sentAt)
-	return true
-}
-
-func (n *Node) allocates(v *allocatorView, shard int) bool {
-	list := v.ownRegion[shard]
-	return len(list) > 0 && list[0].Box == n.settings.Box
-}
-
-func (n *Node) isAllocator(v *allocatorView) bool {
-	for shard := range v.ownRegion {
-		if n.allocates(v, shard) {
+		sentAt := n.now()
+		demand, err := n.fetchDemand(ctx, b.Peers, r)
+		switch {
+		case err == nil && demand != nil:
+			n.quotas.shards[shard].shares.RecordReport(region, demand, sentAt, n.now())
 			return true
+		case err != nil:
+			n.quotas.backOffUntil(b.Peers, n.now()+allocatorBackoff)
 		}
 	}
 	return false
 }
 
+// isCandidate reports whether this box allocates a shard, or would if the candidates before it failed.
+func (n *Node) isCandidate(v *allocatorView, shard int) bool {
+	return slices.ContainsFunc(v.ownRegion[shard], n.isSelf)
+}
+
+func (n *Node) isSelf(b wire.BoxStatus) bool { return b.Box == n.settings.Box }
+
 // allocators derives the quota allocators from the serving boxes of the roster.
 func (s *state) allocators(now time.Duration) *allocatorView {
 	v := &allocatorView{
@@ -160,10 +153,19 @@
 	return out
 }
 
-// demand answers the allocator of another region.
-func (n *Node) demand() map[string]quota.Usage { return n.quotas.allocator.Usage(n.now()) }
+// demand answers another allocator; nil if this box does not allocate the shard.
+func (n *Node) demand(r demandRequest) map[string]quota.Usage {
+	if r.Shard < 0 || r.Shard >= allocatorShards {
+		return nil
+	}
+	a := n.quotas.shards[r.Shard].allocator
+	if r.Handover {
+		return a.Handover(n.now())
+	}
+	return a.Usage(n.now())
+}
 
-func (n *Node) callDemand(ctx context.Context, addr string) (out map[string]quota.Usage, err error) {
-	err = n.peers.Call(ctx, addr, peer.Demand, struct{}{}, &out)
+func (n *Node) callDemand(ctx context.Context, addr string, r demandRequest) (out map[string]quota.Usage, err error) {
+	err = n.peers.Call(ctx, addr, peer.Demand, r, &out)
 	return out, err
 }
--- a/node/simulation_test.go
+++ b/node/simulation_test.go
@@ -158,11 +158,11 @@
 	n.fetchPolicy = f.fetchPolicy
 	n.fetchProof = func(ctx context.Context, addr string) (proofResponse, error) { return f.fetchProof(ctx, b, addr) }
 	n.quotas = n.newQuotas()
-	n.requestCredit = func(ctx context.Context, addr string, asks []quota.CreditRequest) ([]quota.Grant, error) {
-		return f.requestCredit(ctx, b, addr, asks)
+	n.requestCredit = func(ctx context.Context, addr string, r allocationRequest) ([]quota.Grant, error) {
+		return f.requestCredit(ctx, b, addr, r)
 	}
-	n.fetchDemand = func(ctx context.Context, addr string) (map[string]quota.Usage, error) {
-		return f.fetchDemand(ctx, b, addr)
+	n.fetchDemand = func(ctx context.Context, addr string, r demandRequest) (map[string]quota.Usage, error) {
+		return f.fetchDemand(ctx, b, addr, r)
 	}
 	n.deltas = catalog.NewDeltas()
 	n.snapshotCache = newSnapshotCache()
--- a/node/simulationcalls_test.go
+++ b/node/simulationcalls_test.go
@@ -51,29 +51,29 @@
 	return ctx.Err()
 }
 
-func (f *simulation) requestCredit(ctx context.Context, from *simBox, addr string, asks []quota.CreditRequest) ([]quota.Grant, error) {
+func (f *simulation) requestCredit(ctx context.Context, from *simBox, addr string, r allocationRequest) ([]quota.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, allocatorTimeout)
 	defer cancel()
 	self := from.node.Load()
 	if self == nil {
 		return nil, errors.New("asking box gone")
 	}
-	asker := self.asker()
+	r.From = self.asker()
 	n, way, err := f.sendCall(ctx, from, addr, "bank")
 	if err != nil {
 		return nil, err
 	}
-	out := n.grant(asker, asks)
+	out := n.answer(r)
 	sleep.For(ctx, way+f.jitter(maxJitter, "granted", from.settings.Box, addr))
 	return out, ctx.Err()
 }
 
-func (f *simulation) fetchDemand(ctx context.Context, from *simBox, addr string) (map[string]quota.Usage, error) {
+func (f *simulation) fetchDemand(ctx context.Context, from *simBox, addr string, r demandRequest) (map[string]quota.Usage, error) {
 	n, way, err := f.sendCall(ctx, from, addr, "demand")
 	if err != nil {
 		return nil, err
 	}
-	out := n.demand()
+	out := n.demand(r)
 	sleep.For(ctx, way+f.jitter(maxJitter, "demand", from.settings.Box, addr))
 	return out, ctx.Err()
 }
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -23,6 +23,7 @@
 	lastGrant        time.Duration
 	unreportedDemand float64 // units that callers requested since the last CreditRequest
 	demand           decay.Count
+	cost             float64       // of the last request
 	pendingRequest   chan struct{} // closed when the request in flight completes; nil if there is none
 	refusedUntil     time.Duration
 	wait             time.Duration // for callers that are refused until then
@@ -45,6 +46,7 @@
 	p.mu.Lock()
 	c := p.credit(organisation)
 	c.unreportedDemand += cost
+	c.cost = cost
 	c.demand.Add(cost, p.now(), demandHalfLife)
 	for ctx.Err() == nil {
 		at := p.now()
@@ -117,7 +119,7 @@
 			delete(p.credits, name)
 			continue
 		}
-		if a.Demand > 0 || a.Prefetch > 0 || a.Used > 0 {
+		if a.Demand > 0 || perSecond(&c.demand, now) > 0 || a.Used > 0 {
 			out = append(out, a)
 		}
 	}
@@ -190,7 +192,10 @@
 		Organisation: organisation,
 		Demand:       c.unreportedDemand,
 		Used:         c.used.used(now),
-		Prefetch:     max(0, perSecond(&c.demand, now)*prefetchWindow.Seconds()-c.units),
+	}
+	// Credit for a part of a request may expire unused, so a request of a rare caller waits for its own.
+	if expected := perSecond(&c.demand, now) * prefetchWindow.Seconds(); expected >= c.cost {
+		a.Prefetch = max(0, expected-c.units)
 	}
 	c.unreportedDemand = 0
 	return a
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -9,12 +9,16 @@
 // # Why the limit holds
 //
 // The regions' shares of a quota follow demand and add up to 1; an unreachable region keeps its
-// last share. An allocator's allocation is the fraction of its region's boxes that send it
-// requests; these fractions add up to 1 even while boxes are partitioned or disagree on the
-// allocators. In a window an allocator grants at most quota x share x allocation, and in each
-// round of reports between regions at most its fraction of what all regions have left. Boxes
-// report their usage with each request, so a new allocator has a record of it. That of a box's
-// previous process is unknown, so an allocator grants less until its boxes have run for a window.
+// last share, or what it used. In each round of reports between regions an allocator grants at most
+// its region's share of what all regions have left. Reports say when their units leave the window,
+// so these are granted again without waiting for a round. While a region is unreachable, an
+// allocator grants at most quota x share in a window.
+//
+// An allocator reserves a part for the boxes of its region that send it no requests; the parts that
+// allocators grant add up to 1 even while boxes are partitioned or disagree on the allocators. Boxes
+// report their usage with each request, and the candidates for an allocator fetch its usage, so a new
+// allocator has a record of it. What a box's previous process may have used without a record is
+// reserved for a window.
 //
 // The tolerances: one request may take each allocator's balance below zero; credit granted up to
 // some tenths of a second before the window may be used in it; reports between regions are a
@@ -31,15 +35,22 @@
 	prefetchWindow      = 500 * time.Millisecond  // of demand, which a box requests in advance; two requests may be lost
 	creditTTL           = 2 * time.Second         // of unused credit
 	boxTimeout          = 1300 * time.Millisecond // since the last request of a box, which sends two per second; a box that is cut off and its allocator both use its part meanwhile
+	recordTTL           = time.Minute             // of a box that sends no more requests; longer than a window
 	regionTimeout       = 1500 * time.Millisecond // since the last report of a region; covers two rounds; its share and those of others diverge meanwhile
+	takeoverTimeout     = 3 * time.Second         // since the last report of an allocator, from which another one of its region takes over
 	demandHalfLife      = time.Second
 	maxPrefetchFraction = 0.25                   // of a balance, granted in advance to one box
 	maxPrefetchFactor   = 2.0                    // multiple of a box's equal part of the rate, granted in advance; while demand exceeds the rate, credit of one box is missing at others
 	minEqualFraction    = 0.1                    // of a region's share, independent of its demand
+	minBoxFraction      = 0.25                   // of the boxes of a region, from which the demand of all is estimated
 	minWait             = 100 * time.Millisecond // for refused callers
 	maxWait             = 5 * time.Second
 	retryInterval       = 50 * time.Millisecond  // for which a box applies an allocator's refusal to further requests
-	windowStep          = 250 * time.Millisecond // resolution of a window, which is longer by at most one step
+	windowStep          = 50 * time.Millisecond  // resolution of a window, which is longer by at most one step
+	windowTail          = 750 * time.Millisecond // before a window; covers the age of a box's report and of the credit that it reports
+	expiryPeriod        = 200 * time.Millisecond // resolution of the units that leave a window
+	handoverPeriod      = time.Second            // the same in reports to a box of the same region
+	expiryPeriods       = 4                      // that a region reports; they cover the age of a report
 )
 
 // Limit is the quota of an organisation over all boxes.
@@ -60,6 +71,22 @@
 type Usage struct {
 	Demand  float64 `json:"demand"`  // units per second
 	Granted float64 `json:"granted"` // units in the last window
+
+	// Expiring holds the units of Granted that leave the window in each period from now.
+	Expiring []float64 `json:"expiring,omitempty"`
+
+	// Recorded is the fraction of the last window of which Granted is known, for a box of the same region.
+	Recorded float64 `json:"recorded,omitempty"`
+}
+
+// grantedAfter returns the units of Granted that are still in the window at an age of the report.
+func (u Usage) grantedAfter(age, period time.Duration) float64 {
+	out := u.Granted
+	for i, units := range u.Expiring {
+		passed := age - time.Duration(i)*period
+		out -= units * min(max(passed.Seconds()/period.Seconds(), 0), 1)
+	}
+	return out
 }
 
 // Cost returns the units that a request takes; tokens is 0 if their number is unknown.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -298,7 +298,7 @@
 	for _, region := range regions {
 		for _, other := range regions {
 			if other != region {
-				rounds[region].Shares.RecordReport(other, banks[other].Usage(at), at)
+				rounds[region].Shares.RecordReport(other, banks[other].Usage(at), at, at)
 			}
 		}
 		rounds[region].Shares.EndRound()
@@ -309,6 +309,10 @@
 	regions := []string{"a", "b", "c"}
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(1, 3000).Draw(t, "rate")
+		limit := Limit{
+			Units:  rate * testWindow.Seconds(),
+			Window: testWindow,
+		}
 		demand := make(map[string]map[string]Usage)
 		for _, r := range regions {
 			demand[r] = map[string]Usage{
@@ -322,16 +326,16 @@
 		for _, self := range regions {
 			s := NewRegionShares(self, regions)
 			for _, other := range regions {
-				s.RecordReport(other, demand[other], 0)
+				s.RecordReport(other, demand[other], 0, 0)
 			}
 			s.RecordAgreedShares(demand[self], func(string) float64 { return rate })
 			now := 10 * time.Second
 			for _, other := range regions {
 				if other != self && self != cut && other != cut {
-					s.RecordReport(other, demand[other], now)
+					s.RecordReport(other, demand[other], now, now)
 				}
 			}
-			sum += s.Of("org", rate, demand[self]["org"].Demand, now).Of
+			sum += s.Of("org", limit, demand[self]["org"].Demand, now).Of
 		}
 		if sum > 1.0001 || sum < 0.999 {
 			t.Fatalf("shares add up to %f while %q is cut off", sum, cut)
@@ -446,3 +450,26 @@
 		is.Equal(a.Used, 10.0)
 	}
 }
+
+// Guards against credit for parts of requests, which expires at boxes that receive few of them.
+func TestABoxWithFewRequestsKeepsNoCreditForParts(t *testing.T) {
+	is := is.New(t)
+	now := time.Second
+	asked := 0.0
+	p := NewCreditPool(testWindow, func(_ context.Context, a CreditRequest) (Grant, bool) {
+		asked += a.Need + a.Prefetch
+		return Grant{
+			Organisation: a.Organisation,
+			Units:        a.Need + a.Prefetch,
+		}, true
+	}, func() time.Duration { return now })
+	for range 5 {
+		_, ok := p.Take(context.Background(), "org", 100)
+		is.True(ok)
+		for _, a := range p.DueRequests(func(string) bool { return true }) {
+			asked += a.Prefetch
+		}
+		now += 2 * time.Second
+	}
+	is.Equal(asked, 500.0)
+}
--- a/quota/shares.go
+++ b/quota/shares.go
@@ -12,6 +12,7 @@
 // concurrent use.
 type RegionShares struct {
 	mu           sync.Mutex
+	self         string
 	others       []string // regions except this one
 	reports      map[string]regionReport
 	round        int                           // completed rounds of reports
@@ -20,6 +21,7 @@
 
 type regionReport struct {
 	requestedAt time.Duration
+	receivedAt  time.Duration
 	usage       map[string]Usage // by organisation
 }
 
@@ -35,6 +37,7 @@
 // NewRegionShares returns the shares of region self among all, without reports of the others.
 func NewRegionShares(self string, regions []string) *RegionShares {
 	s := &RegionShares{
+		self:         self,
 		reports:      make(map[string]regionReport),
 		agreedShares: make(map[string]map[string]float64),
 	}
@@ -49,13 +52,17 @@
 // Others returns the number of other regions.
 func (s *RegionShares) Others() int { return len(s.others) }
 
-// RecordReport records the usage report of another region, which was requested at requestSent.
-// It takes ownership of the map.
-func (s *RegionShares) RecordReport(region string, usage map[string]Usage, requestSent time.Duration) {
+// equal returns the share of each region while the demand of all is unknown.
+func (s *RegionShares) equal() float64 { return 1 / float64(len(s.others)+1) }
+
+// RecordReport records the usage report of another region or from another allocator of this one, which was requested at requestSent and
+// received at now. It takes ownership of the map.
+func (s *RegionShares) RecordReport(region string, usage map[string]Usage, requestSent, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reports[region] = regionReport{
 		requestedAt: requestSent,
+		receivedAt:  now,
 		usage:       usage,
 	}
 }
@@ -74,10 +81,11 @@
 	return s.round
 }
 
-// Of returns the share of this region in a quota of perSecond units, with a demand of own. An
-// unreachable region may be partitioned and still admit requests, so it keeps its share of the
-// last round in which all were reachable, or an equal one; the other regions divide the rest.
-func (s *RegionShares) Of(organisation string, perSecond, own float64, now time.Duration) Share {
+// Of returns the share of this region in a quota, with a demand of own. An unreachable region may be
+// partitioned and still admit requests, so it keeps its share of the last round in which all were
+// reachable, or an equal one, and at least what it last reported as granted and that may still be in
+// the window; the other regions divide the rest.
+func (s *RegionShares) Of(organisation string, t Limit, own float64, now time.Duration) Share {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := Share{
@@ -86,20 +94,38 @@
 	sum := own
 	for _, region := range s.others {
 		if !s.reachable(region, now) {
-			out.ReachableFraction -= s.lastAgreedShare(organisation, region)
+			out.ReachableFraction -= max(s.lastAgreedShare(organisation, region), s.lastGranted(organisation, region, t, now))
 			continue
 		}
 		out.Reachable++
-		use := s.reports[region].usage[organisation]
+		report := s.reports[region]
+		use := report.usage[organisation]
 		sum += use.Demand
-		out.Granted += use.Granted
+		out.Granted += use.grantedAfter(now-report.receivedAt, expiryPeriod)
 	}
 	out.ReachableFraction = max(out.ReachableFraction, 0)
-	out.OfReachable = demandShare(own, sum, out.ReachableFraction*perSecond, out.Reachable+1)
+	out.OfReachable = demandShare(own, sum, out.ReachableFraction*t.PerSecond(), out.Reachable+1)
 	out.Of = out.ReachableFraction * out.OfReachable
 	return out
 }
 
+// handover returns the last report of another allocator of this region. Without a recent one it was
+// received long ago.
+func (s *RegionShares) handover(organisation string, now time.Duration) handover {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.reports[s.self]
+	if !ok || now-r.receivedAt > takeoverTimeout {
+		return handover{
+			receivedAt: math.MinInt64 / 2,
+		}
+	}
+	return handover{
+		receivedAt: r.receivedAt,
+		usage:      r.usage[organisation],
+	}
+}
+
 func (s *RegionShares) reachable(region string, now time.Duration) bool {
 	report, ok := s.reports[region]
 	return ok && now-report.requestedAt <= regionTimeout
@@ -147,7 +173,17 @@
 	if share, ok := s.agreedShares[organisation][region]; ok {
 		return share
 	}
-	return 1 / float64(len(s.others)+1)
+	return s.equal()
+}
+
+// lastGranted returns the fraction of a quota that a region reported as granted and that may still be in
+// the window.
+func (s *RegionShares) lastGranted(organisation, region string, t Limit, now time.Duration) float64 {
+	r, ok := s.reports[region]
+	if !ok || t.Units <= 0 {
+		return 0
+	}
+	return r.usage[organisation].Granted / t.Units * max(0, 1-(now-r.receivedAt).Seconds()/t.Window.Seconds())
 }
 
 func perSecond(n *decay.Count, now time.Duration) float64 {
--- a/quota/window.go
+++ b/quota/window.go
@@ -2,16 +2,18 @@
 
 import "time"
 
-// window counts the units of a sliding window in steps.
+// window counts the units of a sliding window in steps. It also keeps those of windowTail before.
 type window struct {
 	steps    []float64
 	sum      float64
 	lastStep int64 // index of the newest step
 }
 
+const tailSteps = int64(windowTail / windowStep)
+
 func newWindow(length time.Duration) window {
 	return window{
-		steps: make([]float64, int(length/windowStep)+2), // includes the current step and the one in which the window begins
+		steps: make([]float64, int64(length/windowStep)+1+tailSteps), // includes the current step
 	}
 }
 
@@ -34,6 +36,32 @@
 }
 
 func (w *window) used(now time.Duration) float64 {
+	w.advance(now)
+	return max(w.sum-w.oldest(0, tailSteps), 0)
+}
+
+// usedWithTail returns the units of the window and of windowTail before.
+func (w *window) usedWithTail(now time.Duration) float64 {
 	w.advance(now)
 	return max(w.sum, 0)
 }
+
+// expiring returns the units that leave the window in each of the next periods.
+func (w *window) expiring(now, period time.Duration, periods int) []float64 {
+	w.advance(now)
+	steps := int64(period / windowStep)
+	out := make([]float64, periods)
+	for i := range out {
+		first := tailSteps + int64(i)*steps
+		out[i] = w.oldest(first, first+steps)
+	}
+	return out
+}
+
+// oldest returns the units of the steps from first to end, counted from the oldest.
+func (w *window) oldest(first, end int64) (sum float64) {
+	for i := first; i < end; i++ {
+		sum += w.steps[(w.lastStep+1+i)%int64(len(w.steps))]
+	}
+	return sum
+}
