roster: Let the largest region decide the form of heartbeats

What callers saw: of 42 boxes in regions of 18, 19 and 5 some box lists fewer than 41 others at 22 of 200 looks in 40 s (19 with 3% loss), long after the start; in regions of 25, 5, 5, 4 and 3 at each look. Callers at such a box are not sent to the boxes that it lacks.

Cause: each box decided by the size of its own region whether boxes send full statuses or compact datagrams. Boxes of a small region expected heartbeats of other regions within 2.5 s, as they send them, while the larger regions send compact ones less often (trace: 2.6 to 5.1 s old).

--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,6 +77,11 @@
 // newInstallation returns an installation without running boxes. The first machine of each
 // region is a seed.
 func newInstallation(seed uint64, regions, perRegion int) *installation {
+	return newUnevenInstallation(seed, slices.Repeat([]int{perRegion}, regions))
+}
+
+// newUnevenInstallation is newInstallation for regions of these sizes.
+func newUnevenInstallation(seed uint64, sizes []int) *installation {
 	in := &installation{
 		rnd:    rand.New(rand.NewPCG(seed, 1)),
 		byAddr: make(map[string]*machine),
@@ -85,8 +91,8 @@
 		onStart:   func(*machine) {},
 		onPost:    func([]byte) {},
 	}
-	for r := range regions {
-		for n := range perRegion {
+	for r, size := range sizes {
+		for n := range size {
 			m := in.add(fmt.Sprintf("region-%d", r), fmt.Sprintf("box-%d-%d", r, n), fmt.Sprintf("10.%d.0.%d:7000", r, n+1))
 			if n == 0 {
 				in.seeds = append(in.seeds, m.addr)
--- a/node/regionsize_test.go
+++ b/node/regionsize_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/havenrudder/havenrudder/roster"
 )
 
 const (
@@ -100,3 +102,37 @@
 		})
 	}
 }
+
+// Guards against boxes of a small region that expect heartbeats of larger ones more often than these send them,
+// and list their live boxes only at times.
+func TestBoxesOfASmallRegionLoseNoLiveBoxOfLargerOnes(t *testing.T) {
+	t.Parallel()
+	for _, sizes := range [][]int{{18, 19, 5}, {25, 5, 5, 4, 3}, {8, 8, 8, 8, 8, 2}, {24, 2, 1}} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprint(sizes, " boxes, seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				in := newUnevenInstallation(seed, sizes)
+				in.idle = true
+				in.lossRate = 0.03
+				in.startAll(time.Second, 0)
+				in.run(membershipTime)
+				lost := map[string]bool{}
+				looks, bad := 0, 0
+				for passed := time.Duration(0); passed < observationTime; passed += roster.Tick {
+					in.run(roster.Tick)
+					looks++
+					pairs := in.unlisted()
+					if len(pairs) > 0 {
+						bad++
+					}
+					for _, pair := range pairs {
+						lost[pair] = true
+					}
+				}
+				if len(lost) > 0 {
+					t.Errorf("%d pairs of live boxes of which one did not list the other, some at %d of %d looks", len(lost), bad, looks)
+				}
+			})
+		}
+	}
+}
--- a/roster/params.go
+++ b/roster/params.go
@@ -54,12 +54,19 @@
 // paramsFor returns the parameters for near other boxes in the own region, a number of other
 // regions, and the number of all boxes.
 func paramsFor(near, regions, all int) params {
-	fleet := float64(fleetBytesPerSecond) / float64(max(all, 1))
 	cost := min(near, maxNearTargets)*nearStatusBytes*int(time.Second/Tick) + regions*targetsPerRegion*farStatusBytes
-	if float64(cost) <= fleet {
+	if float64(cost) <= fairShare(all) {
 		return fullStatusParams()
 	}
-	budget := minBytesPerSecond * max(1, math.Pow(fleet/minBytesPerSecond, budgetExponent))
+	return compactParams(near, regions, all)
+}
+
+// fairShare returns the bytes per second of one of so many boxes.
+func fairShare(all int) float64 { return float64(fleetBytesPerSecond) / float64(max(all, 1)) }
+
+// compactParams returns the parameters of a box that sends compact datagrams.
+func compactParams(near, regions, all int) params {
+	budget := minBytesPerSecond * max(1, math.Pow(fairShare(all)/minBytesPerSecond, budgetExponent))
 	tick := budget * Tick.Seconds()
 	loads := loadsBudget(budget, near)
 	// bytes of a liveness datagram and one of loads, with half of the bytes for loads used
@@ -92,21 +99,30 @@
 	return int(min(max(budget*Tick.Seconds()/loadsDivisor, minLoadsBytes), maxLoadsBytes))
 }
 
+// updateParams adapts the parameters to the recorded boxes. The largest region determines whether
+// boxes send full statuses: those of a smaller one would otherwise expect heartbeats as often as they
+// send them, and lose live boxes of regions that send compact datagrams.
 func (t *Table) updateParams(now time.Duration) {
-	near, all := 0, 1
-	regions := make(map[string]bool)
+	all := 1
+	sizes := map[string]int{
+		t.self.Region: 1,
+	}
 	for _, r := range t.records {
 		if now-r.LastAlive >= partitionWindow {
 			continue
 		}
 		all++
-		if r.Status.Region == t.self.Region {
-			near++
-			continue
-		}
-		regions[r.Status.Region] = true
+		sizes[r.Status.Region]++
+	}
+	largest := 0
+	for _, size := range sizes {
+		largest = max(largest, size)
+	}
+	regions := len(sizes) - 1
+	t.params = paramsFor(largest-1, regions, all)
+	if !t.params.fullStatus {
+		t.params = compactParams(sizes[t.self.Region]-1, regions, all)
 	}
-	t.params = paramsFor(near, len(regions), all)
 }
 
 // LoadsTTL returns how long loads received from another box are valid.
--- a/roster/params_test.go
+++ b/roster/params_test.go
@@ -219,3 +219,20 @@
 		is.True(len(b.encode()) <= datagramBytes)
 	}
 }
+
+// Guards against boxes of one fleet of which some send full statuses and expect them of the others.
+func TestBoxesOfRegionsOfAllSizesSendInTheSameForm(t *testing.T) {
+	is := is.New(t)
+	sizes := map[string]int{"large": 25, "small": 2, "smallest": 1}
+	for region := range sizes {
+		tab := New(status("a", region, 1, 0))
+		for of, size := range sizes {
+			if of == region {
+				size-- // the box itself
+			}
+			receiveHeartbeats(tab, of, size, 0)
+		}
+		tab.BeginTick(0)
+		is.True(!tab.FullStatusMode())
+	}
+}
