roster: Request a lost status of two boxes, relay less at the start

What callers saw: of boxes that start at once some list each other late and send nobody there.

Cause, from traces of the late pairs: a request or its answer is lost twice or more, each time the box waits for the next probe (250 ms); at 120 boxes also requests beyond the 64 statuses that a box sends in a tick, while all relay each new status to six boxes that mostly have it.

A status that did not come is requested of two boxes. In its first 4 s a box relays changes to two boxes while more than eight are queued, and any box answers with 128 statuses in a tick.

--- a/roster/compactstate.go
+++ b/roster/compactstate.go
@@ -14,9 +14,10 @@
 	maxLeaving            = 16
 	deathFanout           = 3  // boxes that receive a newly recorded death at once
 	maxUnknown            = 64 // boxes whose status one datagram requests
-	maxStatusReplies      = 16
+	maxStatusReplies      = 32
 	maxChanged            = 64 // queued boxes; for others, compact datagrams carry the changes
 	changeFanout          = 6  // boxes to which each box relays changes; misses one box in 400
+	bulkChangeFanout      = 2  // the same while this box has recently started and more changes are queued than a tick relays; who lacks a status requests it
 	maxChangesPerTick     = 8
 	revisionFanout        = 6                      // boxes that receive a newer catalog revision at once
 	readFanout            = 3                      // boxes of the region that receive a later catalog read at once
@@ -27,6 +28,7 @@
 	deathSlack            = 2 * time.Second        // by which another region may have received a later heartbeat than the own one
 	pauseThreshold        = time.Second            // without a tick or a datagram, after which the box is muted for a while
 	statusRequestInterval = 200 * time.Millisecond // until the status of the same box is requested again; longer than a round trip between regions
+	requestMemory         = time.Second            // until an unanswered request is forgotten
 	startupProbeTime      = 4 * time.Second        // from the start of a box, in which it probes all regions
 	startupProbeFanout    = 2                      // boxes of each region in a tick
 	partitionThreshold    = 15 * time.Second       // without a heartbeat of a region, after which its earlier heartbeats don't count
@@ -42,7 +44,7 @@
 	selfStatus     wire.BoxStatus
 	byID           map[ID]*record       // nil for an ID that two boxes share
 	retired        map[ID]time.Duration // replaced or expired incarnations, with the time
-	requested      map[ID]time.Duration
+	requested      map[ID]statusRequest
 	regions        map[string]regionLiveness // by name, with the own region
 	changed        []string                  // boxes whose change is not relayed yet
 	near           []string                  // boxes of the own region left to send to in this cycle
@@ -63,23 +65,43 @@
 	return compactState{
 		byID:      make(map[ID]*record),
 		retired:   make(map[ID]time.Duration),
-		requested: make(map[ID]time.Duration),
+		requested: make(map[ID]statusRequest),
 		regions:   make(map[string]regionLiveness),
 	}
 }
 
-// startRequest reports whether to request the status of a box, and records the request.
-func (l *compactState) startRequest(id ID, now time.Duration) bool {
-	if at, ok := l.requested[id]; ok && now-at < statusRequestInterval {
+// statusRequest is the latest request for the status of a box.
+type statusRequest struct {
+	at       time.Duration
+	from     string // address that it went to
+	repeated bool   // an earlier one was not answered
+	doubled  bool   // it also went to a second box
+}
+
+// startRequest reports whether to request the status of a box from an address, and records the
+// request. A request after one that was not answered may go to two boxes, so that the loss of a
+// further datagram delays nothing.
+func (l *compactState) startRequest(id ID, from string, now time.Duration) bool {
+	last, ok := l.requested[id]
+	if !ok || now-last.at >= statusRequestInterval {
+		l.requested[id] = statusRequest{
+			at:       now,
+			from:     from,
+			repeated: ok,
+		}
+		return true
+	}
+	if !last.repeated || last.doubled || last.from == from {
 		return false
 	}
-	l.requested[id] = now
+	last.doubled = true
+	l.requested[id] = last
 	return true
 }
 
 func (l *compactState) sweep(now time.Duration) {
-	for id, at := range l.requested {
-		if now-at >= statusRequestInterval {
+	for id, last := range l.requested {
+		if now-last.at >= requestMemory {
 			delete(l.requested, id)
 		}
 	}
--- a/roster/receive.go
+++ b/roster/receive.go
@@ -30,7 +30,7 @@
 	switch {
 	case r != nil:
 		h = t.recordSender(r, b, newer)
-	case !known && t.compact.startRequest(b.From.ID, now):
+	case !known && t.compact.startRequest(b.From.ID, from, now):
 		out.send(from, t.encodeStatuses(nil, true))
 	}
 	t.recordOthers(out, b, r, from, now)
@@ -88,7 +88,7 @@
 	var unknown []ID
 	for _, v := range b.Liveness {
 		r, newer, known := t.recordLiveness(v, now)
-		if !known && len(unknown) < maxUnknown && t.compact.startRequest(v.ID, now) {
+		if !known && len(unknown) < maxUnknown && t.compact.startRequest(v.ID, from, now) {
 			unknown = append(unknown, v.ID)
 		}
 		if newer && sender != nil && r.Status.Region != t.self.Region && r.Status.Region == sender.Status.Region {
--- a/roster/round.go
+++ b/roster/round.go
@@ -36,7 +36,7 @@
 	}
 	c := t.recipients(now)
 	t.sendToMonitors(out, c)
-	t.sendChanges(out, c, rnd)
+	t.sendChanges(out, c, now, rnd)
 	t.sendRevision(out, c, rnd)
 	t.sendCatalogRead(out, c, now, rnd)
 	t.sendDeaths(out, c, now, rnd)
--- a/roster/send.go
+++ b/roster/send.go
@@ -9,7 +9,7 @@
 )
 
 // sendChanges relays the full statuses of boxes that have started, serve or leave.
-func (t *Table) sendChanges(out *outbox, c recipients, rnd func(n int) int) {
+func (t *Table) sendChanges(out *outbox, c recipients, now time.Duration, rnd func(n int) int) {
 	l := &t.compact
 	n := min(len(l.changed), maxChangesPerTick)
 	var list []wire.BoxStatus
@@ -18,11 +18,15 @@
 			list = append(list, r.staticStatus())
 		}
 	}
+	fanout := changeFanout
+	if now < startupProbeTime && len(l.changed) > maxChangesPerTick {
+		fanout = bulkChangeFanout
+	}
 	l.changed = slices.Delete(l.changed, 0, n)
 	if len(list) == 0 {
 		return
 	}
-	targets := pickRandom(slices.Clone(c.all), changeFanout, rnd)
+	targets := pickRandom(slices.Clone(c.all), fanout, rnd)
 	for chunk := range slices.Chunk(list, statusesPerReply) {
 		buf := t.encodeStatuses(chunk, false)
 		for _, m := range targets {
--- a/roster/startup_test.go
+++ b/roster/startup_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -71,3 +72,54 @@
 	is.NoErr(err)
 	is.Equal(len(b.Liveness), 0)
 }
+
+// Guards against boxes that are listed late, as a lost status is requested once and the request or its answer is
+// lost too.
+func TestAStatusThatDidNotComeIsRequestedOfTwoBoxes(t *testing.T) {
+	is := is.New(t)
+	tab := largeTable(0)
+	requests := func(from string, beat uint16, at time.Duration) (n int) {
+		b := heartbeat(from, beat)
+		b.Liveness = []LivenessEntry{{ID: IDOf("south-99", 1), Seq: 1}}
+		for _, p := range tab.ReceiveCompact(b, from+":1", at).Replies {
+			q, err := DecodeCompact(p.Buf)
+			is.NoErr(err)
+			n += len(q.Requested)
+		}
+		return n
+	}
+	is.Equal(requests("south-00", 2, 0), 1)
+	is.Equal(requests("south-01", 2, time.Millisecond), 0)
+	again := statusRequestInterval
+	is.Equal(requests("south-00", 3, again), 1)
+	is.Equal(requests("south-00", 4, again+time.Millisecond), 0) // the same box
+	is.Equal(requests("south-01", 3, again+2*time.Millisecond), 1)
+	is.Equal(requests("south-02", 2, again+3*time.Millisecond), 0)
+}
+
+// Guards against statuses that each box sends to several others when all boxes start at once, although these have them
+// or request them.
+func TestChangesOfManyBoxesAreRelayedToFew(t *testing.T) {
+	is := is.New(t)
+	for _, changed := range []int{maxChangesPerTick, 3 * maxChangesPerTick} {
+		tab := largeTable(time.Second)
+		tab.compact.changed = nil
+		for n := range changed {
+			tab.compact.changed = append(tab.compact.changed, fmt.Sprintf("south-%02d", n))
+		}
+		copies := 0
+		for _, p := range tab.CompactRound(fullStatus("a", 2, 40), time.Second, pickFirst) {
+			if IsCompact(p.Buf) {
+				continue
+			}
+			g, err := Decode(p.Buf)
+			is.NoErr(err)
+			copies += len(g.Others)
+		}
+		if changed > maxChangesPerTick {
+			is.True(copies <= bulkChangeFanout*maxChangesPerTick)
+			continue
+		}
+		is.Equal(copies, changeFanout*maxChangesPerTick)
+	}
+}
