roster, node: Let a box exceed the number of its earlier process

What callers see: a box whose time of day was set back between two starts gets no requests of other boxes for up to 10 minutes; 12 s after its start 1 of 42 boxes lists it, itself (virtual time). Not seen in an installation.

Cause: processes are numbered by the time of day, and statuses with a lower number than the recorded one are ignored, but nobody tells the box.

Who has a record of a later process at the same address answers with it, or adds it to the request for the status of an unknown process if it no longer counts as alive; the box takes the next number. All of 9 and 42 boxes list it after 12 s, away for 0.5 or 8 s (TestABoxThatStartsAgainWithAnEarlierTimeOfDayIsListed).

--- a/measure/gossip/box.go
+++ b/measure/gossip/box.go
@@ -113,7 +113,7 @@
 		b.table.Receive(s, false, now)
 	}
 	if g.Ask {
-		b.post(b.table.Reply(b.status(), g.From.Peers, now))
+		b.post(b.table.Reply(b.status(), g.From, now))
 	}
 	b.learn(g.From.Catalog)
 }
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -141,10 +141,11 @@
 
 // receive applies a datagram of full statuses.
 func (n *Node) receive(ctx context.Context, g wire.Gossip) {
-	_ = n.state.Do(func(s *state) { s.receive(g, n.now()) })
-	if g.Ask && g.From.Peers != "" {
+	answer := false
+	_ = n.state.Do(func(s *state) { answer = s.receive(g, n.now()) })
+	if answer {
 		n.send(func(s *state, self wire.BoxStatus) []roster.Packet {
-			return s.roster.Reply(self, g.From.Peers, n.now())
+			return s.roster.Reply(self, g.From, n.now())
 		})
 	}
 	n.compareCatalog(ctx, g.From, int64(g.From.Catalog))
--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -36,7 +36,8 @@
 	region string
 	domain string
 	addr   string
-	inc    int // of the process
+	inc    int           // of the process
+	skew   time.Duration // of its time of day, by which processes are numbered
 	born   time.Duration
 	state  *state // nil while no process runs
 
@@ -132,7 +133,7 @@
 }
 
 func (in *installation) start(m *machine) {
-	m.inc = 1 + int(in.now/time.Millisecond)
+	m.inc = 1 + int((in.now+m.skew)/time.Millisecond)
 	m.born = in.now
 	m.state = newState(Settings{
 		Box:    m.name,
@@ -275,9 +276,8 @@
 	if err != nil {
 		panic(err)
 	}
-	to.state.receive(g, now)
-	if g.Ask && g.From.Peers != "" {
-		in.post(to, to.state.roster.Reply(to.fullStatus(now), g.From.Peers, now))
+	if to.state.receive(g, now) {
+		in.post(to, to.state.roster.Reply(to.fullStatus(now), g.From, now))
 	}
 }
 
--- a/node/regionsize_test.go
+++ b/node/regionsize_test.go
@@ -13,6 +13,7 @@
 	contactBound    = 6 * time.Second  // after its death no box lists a box as alive
 	membershipTime  = 20 * time.Second // from the start of all boxes until they must list each other
 	observationTime = 15 * time.Second
+	restartTime     = 12 * time.Second // from the start of a box again until all must list it
 )
 
 // unlisted returns the pairs of running boxes of which the first does not list the second as alive.
@@ -136,3 +137,28 @@
 		}
 	}
 }
+
+// Guards against boxes that others do not list for minutes, as the time of day by which their process is numbered
+// was set back between two starts.
+func TestABoxThatStartsAgainWithAnEarlierTimeOfDayIsListed(t *testing.T) {
+	t.Parallel()
+	for _, perRegion := range []int{3, 14} {
+		for _, down := range []time.Duration{500 * time.Millisecond, 8 * time.Second} {
+			t.Run(fmt.Sprint(3*perRegion, " boxes, away for ", down), func(t *testing.T) {
+				t.Parallel()
+				in := newInstallation(0, 3, perRegion)
+				in.idle = true
+				box := in.machines[1]
+				box.skew = time.Hour
+				in.startAll(time.Second, 0)
+				in.run(membershipTime)
+				box.skew = 0
+				in.restart(box, down)
+				in.run(down + restartTime)
+				if list := in.listing(box); len(list) < len(in.machines) {
+					t.Errorf("%d of %d boxes list a box %v after its start", len(list), len(in.machines), restartTime)
+				}
+			})
+		}
+	}
+}
--- a/node/state.go
+++ b/node/state.go
@@ -192,7 +192,8 @@
 	return max(out, minSharers)
 }
 
-func (s *state) receive(g wire.Gossip, now time.Duration) {
+// receive applies a datagram of full statuses, and reports whether to answer it.
+func (s *state) receive(g wire.Gossip, now time.Duration) (answer bool) {
 	if s.roster.Receive(g.From, true, now) && g.From.Region == s.settings.Region {
 		loads := make([]placement.OwnLoad, 0, len(g.From.Loads))
 		for _, l := range g.From.Loads {
@@ -203,6 +204,7 @@
 	for _, o := range g.Others {
 		s.roster.Receive(o, false, now)
 	}
+	return g.From.Peers != "" && (g.Ask || s.roster.HasLater(g.From))
 }
 
 func (s *state) receiveCompact(b roster.Compact, from string, now time.Duration) roster.Received {
@@ -256,6 +258,7 @@
 func (s *state) fillStatus(b wire.BoxStatus, now time.Duration) wire.BoxStatus {
 	s.seq++
 	b.Seq = s.seq
+	b.Inc = s.roster.Incarnation(b.Inc)
 	b.Catalog = int(s.content.NewestRevision())
 	b.Lapses = s.content.ConfirmedRemovals()
 	if s.table == nil {
--- a/roster/gossip.go
+++ b/roster/gossip.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"github.com/havenrudder/havenrudder/wire"
@@ -47,10 +48,15 @@
 	return gossipPackets(t.BroadcastTargets(now), t.fullGossip(self, now, ask))
 }
 
-// Reply returns the answer to a box that asks for one.
-func (t *Table) Reply(self wire.BoxStatus, addr string, now time.Duration) []Packet {
+// Reply returns the answer to a box that asks for one, or of which there is a record of a later
+// incarnation, which it then exceeds.
+func (t *Table) Reply(self, to wire.BoxStatus, now time.Duration) []Packet {
 	t.setSelf(self)
-	return gossipPackets([]string{addr}, t.fullGossip(self, now, false))
+	g := t.fullGossip(self, now, false)
+	if t.HasLater(to) {
+		g.Others = slices.Insert(g.Others, 0, t.records[to.Box].staticStatus())
+	}
+	return gossipPackets([]string{to.Peers}, g)
 }
 
 // fullGossip returns the full statuses of this box and some others.
--- a/roster/receive.go
+++ b/roster/receive.go
@@ -31,7 +31,7 @@
 	case r != nil:
 		h = t.recordSender(r, b, newer)
 	case !known && t.compact.startRequest(b.From.ID, from, now):
-		out.send(from, t.encodeStatuses(nil, true))
+		out.send(from, t.encodeStatuses(t.previousProcess(from, now), true))
 	}
 	t.recordOthers(out, b, r, from, now)
 	t.recordCapacity(b, now)
--- a/roster/table.go
+++ b/roster/table.go
@@ -66,6 +66,7 @@
 	params         params
 	compact        compactState
 	domainLastSeen map[string]time.Duration // last heartbeat of any box, by failure domain of the own region
+	minIncarnation int                      // of this box, to be later than an earlier process of it that others have a record of
 
 	agreement  agreement
 	monitoring monitoring
@@ -104,8 +105,11 @@
 // changed anything. direct means that the box itself sent it. An older or repeated status
 // doesn't show that the box is alive, but the table keeps what only that status carries.
 func (t *Table) Receive(s wire.BoxStatus, direct bool, now time.Duration) bool {
-	if s.Box == t.self.Box {
-		return false // from this box, or from an earlier process of the same name
+	if s.Box == t.self.Box { // from this box, or from an earlier process of the same name
+		if s.Peers == t.self.Peers && s.Inc > t.compact.selfStatus.Inc {
+			t.minIncarnation = s.Inc + 1
+		}
+		return false
 	}
 	if direct {
 		t.recordContact(now)
@@ -140,6 +144,26 @@
 	return changed
 }
 
+// Incarnation returns the incarnation of this box whose process has the number inc by its time of
+// day, which may be earlier than that of the previous process.
+func (t *Table) Incarnation(inc int) int { return max(inc, t.minIncarnation) }
+
+// HasLater reports whether there is a record of a later incarnation of a box at the same address.
+func (t *Table) HasLater(s wire.BoxStatus) bool {
+	r, ok := t.records[s.Box]
+	return ok && r.Status.Inc > s.Inc && r.Status.Peers == s.Peers
+}
+
+// previousProcess returns the status of the box at an address that no longer counts as alive, if any.
+func (t *Table) previousProcess(addr string, now time.Duration) []wire.BoxStatus {
+	for _, r := range t.order {
+		if r.Status.Peers == addr && !t.alive(r, now) {
+			return []wire.BoxStatus{r.staticStatus()}
+		}
+	}
+	return nil
+}
+
 func (r *record) update(s wire.BoxStatus, direct bool, now time.Duration) bool {
 	loads, capacity := r.Status.Loads, r.Status.Rooms
 	newLoads := direct && s.Seq > r.loadsSeq
