node: Let simulated boxes tell how long they are up

They told 0, so that each counted as just started and answered the probes of its region with all entries, beside the budget, also in the steady state. The tests of the size of regions, of starts and of unequal regions are green with it, once each.

--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -225,7 +225,9 @@
 }
 
 func (m *machine) fullStatus(age time.Duration) wire.BoxStatus {
-	return m.state.fillStatus(m.status(), age)
+	out := m.state.fillStatus(m.status(), age)
+	out.UpMs = int(age.Milliseconds())
+	return out
 }
 
 func (m *machine) age(in *installation) time.Duration { return in.now - m.born }
