--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,7 +36,8 @@
 	region string
 	domain string
 	addr   string
-	inc    int // of the process
+	inc    int           // of the process
+	skew   time.Duration // of its time of day, by which processes are numbered
 	born   time.Duration
 	state  *state // nil while no process runs
 
@@ -76,6 +78,11 @@
 // newInstallation returns an installation without running boxes. The first machine of each
 // region is a seed.
 func newInstallation(seed uint64, regions, perRegion int) *installation {
+	return newUnevenInstallation(seed, slices.Repeat([]int{perRegion}, regions))
+}
+
+// newUnevenInstallation is newInstallation for regions of these sizes.
+func newUnevenInstallation(seed uint64, sizes []int) *installation {
 	in := &installation{
 		rnd:    rand.New(rand.NewPCG(seed, 1)),
 		byAddr: make(map[string]*machine),
@@ -85,8 +92,8 @@
 		onStart:   func(*machine) {},
 		onPost:    func([]byte) {},
 	}
-	for r := range regions {
-		for n := range perRegion {
+	for r, size := range sizes {
+		for n := range size {
 			m := in.add(fmt.Sprintf("region-%d", r), fmt.Sprintf("box-%d-%d", r, n), fmt.Sprintf("10.%d.0.%d:7000", r, n+1))
 			if n == 0 {
 				in.seeds = append(in.seeds, m.addr)
@@ -126,7 +133,7 @@
 }
 
 func (in *installation) start(m *machine) {
-	m.inc = 1 + int(in.now/time.Millisecond)
+	m.inc = 1 + int((in.now+m.skew)/time.Millisecond)
 	m.born = in.now
 	m.state = newState(Settings{
 		Box:    m.name,
@@ -218,7 +225,9 @@
 }
 
 func (m *machine) fullStatus(age time.Duration) wire.BoxStatus {
-	return m.state.fillStatus(m.status(), age)
+	out := m.state.fillStatus(m.status(), age)
+	out.UpMs = int(age.Milliseconds())
+	return out
 }
 
 func (m *machine) age(in *installation) time.Duration { return in.now - m.born }
@@ -269,9 +278,8 @@
 	if err != nil {
 		panic(err)
 	}
-	to.state.receive(g, now)
-	if g.Ask && g.From.Peers != "" {
-		in.post(to, to.state.roster.Reply(to.fullStatus(now), g.From.Peers, now))
+	if to.state.receive(g, now) {
+		in.post(to, to.state.roster.Reply(to.fullStatus(now), g.From, now))
 	}
 }
 
--- a/node/regionsize_test.go
+++ b/node/regionsize_test.go
@@ -5,12 +5,15 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/havenrudder/havenrudder/roster"
 )
 
 const (
 	contactBound    = 6 * time.Second  // after its death no box lists a box as alive
 	membershipTime  = 20 * time.Second // from the start of all boxes until they must list each other
 	observationTime = 15 * time.Second
+	restartTime     = 12 * time.Second // from the start of a box again until all must list it
 )
 
 // unlisted returns the pairs of running boxes of which the first does not list the second as alive.
@@ -100,3 +103,62 @@
 		})
 	}
 }
+
+// Guards against boxes of a small region that expect heartbeats of larger ones more often than these send them,
+// and list their live boxes only at times.
+func TestBoxesOfASmallRegionLoseNoLiveBoxOfLargerOnes(t *testing.T) {
+	t.Parallel()
+	for _, sizes := range [][]int{{18, 19, 5}, {25, 5, 5, 4, 3}, {8, 8, 8, 8, 8, 2}, {24, 2, 1}} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprint(sizes, " boxes, seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				in := newUnevenInstallation(seed, sizes)
+				in.idle = true
+				in.lossRate = 0.03
+				in.startAll(time.Second, 0)
+				in.run(membershipTime)
+				lost := map[string]bool{}
+				looks, bad := 0, 0
+				for passed := time.Duration(0); passed < observationTime; passed += roster.Tick {
+					in.run(roster.Tick)
+					looks++
+					pairs := in.unlisted()
+					if len(pairs) > 0 {
+						bad++
+					}
+					for _, pair := range pairs {
+						lost[pair] = true
+					}
+				}
+				if len(lost) > 0 {
+					t.Errorf("%d pairs of live boxes of which one did not list the other, some at %d of %d looks", len(lost), bad, looks)
+				}
+			})
+		}
+	}
+}
+
+// Guards against boxes that others do not list for minutes, as the time of day by which their process is numbered
+// was set back between two starts.
+func TestABoxThatStartsAgainWithAnEarlierTimeOfDayIsListed(t *testing.T) {
+	t.Parallel()
+	for _, perRegion := range []int{3, 14} {
+		for _, down := range []time.Duration{500 * time.Millisecond, 8 * time.Second} {
+			t.Run(fmt.Sprint(3*perRegion, " boxes, away for ", down), func(t *testing.T) {
+				t.Parallel()
+				in := newInstallation(0, 3, perRegion)
+				in.idle = true
+				box := in.machines[1]
+				box.skew = time.Hour
+				in.startAll(time.Second, 0)
+				in.run(membershipTime)
+				box.skew = 0
+				in.restart(box, down)
+				in.run(down + restartTime)
+				if list := in.listing(box); len(list) < len(in.machines) {
+					t.Errorf("%d of %d boxes list a box %v after its start", len(list), len(in.machines), restartTime)
+				}
+			})
+		}
+	}
+}
