pacing: Borrow no more than the limit that the box knows

What callers saw: a replica that lowers its limit gets more than it names, 14 requests in 4 s where 6 are allowed, and rejects or breaks them off.

Cause: boxes lend sends by the limit that they know. One that was cut off while the limit fell from 50 to 0.2 a second knew the new one and borrowed from others that did not, for 2.9 s after the cut.

The sends by loans within a window are kept, and no loan is used or asked for once they reach the bound of the limit that the box has recorded itself.

--- a/pacing/limiter.go
+++ b/pacing/limiter.go
@@ -53,7 +53,8 @@
 	ranked      time.Duration // when rank and boxes were computed
 	rank        int
 	boxes       int
-	loans       []Loan // granted by other boxes and unused
+	loans       []Loan          // granted by other boxes and unused
+	borrowed    []time.Duration // sends by loans within the window
 	asked       []ask
 	wanted      time.Duration // last request that could not be sent; never for none
 	granted     time.Duration // last loan received; never for none
@@ -210,6 +211,7 @@
 	}
 	loan = r.loans[i]
 	r.loans = append(r.loans[:i], r.loans[i+1:]...)
+	r.borrowed = append(r.borrowed, now)
 	return loan, true
 }
 
--- a/pacing/limiter_test.go
+++ b/pacing/limiter_test.go
@@ -219,3 +219,21 @@
 	is.Equal(len(l.Ask(limitedID, names, now+minAskPause/2)), 0)
 	is.True(len(l.Ask(limitedID, names, now+loanTTL)) > 0)
 }
+
+// Guards against a box that exceeds the limit that it knows by loans of boxes that go by an earlier, higher one.
+func TestABoxBorrowsNoMoreThanTheLimitThatItKnows(t *testing.T) {
+	const (
+		lowered = 0.2
+		span    = 4 * time.Second
+	)
+	is := is.New(t)
+	s := newLenders(1, 3, 50)
+	s.boxes["box-0"].SetLimit(limitedID, lowered) // the others have not heard of it
+	from := s.clock.Now()
+	for at := time.Duration(0); at < span; at += 5 * time.Millisecond {
+		s.clock.After(at, func() { s.request("box-0") })
+	}
+	s.clock.RunUntil(from + span)
+	is.True(len(s.arrivals) > 0)
+	is.True(len(s.arrivals) <= 2) // one of its own, one by a loan
+}
--- a/pacing/loan.go
+++ b/pacing/loan.go
@@ -49,6 +49,9 @@
 // loanAt returns the index of the usable loan that ends first, or noLoan.
 func (r *limited) loanAt(now time.Duration) int {
 	best := noLoan
+	if !r.mayBorrow(now) {
+		return best
+	}
 	for i, l := range r.loans {
 		if !l.Expired(now) && (best < 0 || l.expiry < r.loans[best].expiry) {
 			best = i
@@ -57,9 +60,17 @@
 	return best
 }
 
+// mayBorrow reports whether a further send by a loan keeps the limit. Lenders may go by an earlier,
+// higher one, so a box sends no more by loans than the limit allows that it has recorded itself.
+func (r *limited) mayBorrow(now time.Duration) bool {
+	bound, window := r.terms()
+	r.borrowed = slices.DeleteFunc(r.borrowed, func(at time.Duration) bool { return at+window <= now })
+	return len(r.borrowed) < bound
+}
+
 // loanExpected reports whether a loan may be granted within loanWait.
 func (r *limited) loanExpected(now time.Duration) bool {
-	return now >= r.pausedUntil
+	return now >= r.pausedUntil && r.mayBorrow(now)
 }
 
 // Ask records that a request could not be sent to replica, and returns the requests for
