quota: Take a refund off the oldest usage

What callers saw: nothing directly; after an allocator ends, organisations may use more than their quota.

Cause: a refund was counted as negative usage from its own time. The request that it refunds leaves the window earlier, and from then on the refund reduced the usage of later requests: a box reported 0 units to the next allocator where it had used 10, and they were granted again.

The refunded units are taken off the oldest ones that are recorded now, so usage is reported for as long as a request of the window may count. The time of the refunded request is not known there.

--- a/quota/pool.go
+++ b/quota/pool.go
@@ -101,7 +101,7 @@
 	defer p.mu.Unlock()
 	c := p.credit(organisation)
 	c.units += cost
-	c.used.add(-cost, p.now())
+	c.used.subtract(cost, p.now())
 }
 
 // DueRequests returns the requests for credit in advance that are due, for organisations that of
--- a/quota/window.go
+++ b/quota/window.go
@@ -35,6 +35,19 @@
 	w.sum += units
 }
 
+// subtract takes back units that were added earlier, from the oldest ones, so that those of later
+// requests count for as long as these.
+func (w *window) subtract(units float64, now time.Duration) {
+	w.advance(now)
+	for i := range int64(len(w.steps)) {
+		step := &w.steps[(w.lastStep+1+i)%int64(len(w.steps))]
+		part := min(units, *step)
+		*step -= part
+		w.sum -= part
+		units -= part
+	}
+}
+
 func (w *window) used(now time.Duration) float64 {
 	w.advance(now)
 	return max(w.sum-w.oldest(0, tailSteps), 0)
