--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -49,7 +49,7 @@
 	maxWriteDelay = 300 * time.Millisecond      // between Take and the write; a new connection takes up to 250 ms
 	handover      = maxWriteDelay + retention   // from Take until the send no longer counts
 	gapDivisor    = 2                           // sets the minimum gap between sends: window / (gapDivisor x share); 2 leaves room to catch up after a pause
-	maxWarm       = 512                         // warm replicas whose recent sends are kept; more than a box sends to within a second
+	maxWarm       = 512                         // warm replicas whose recent sends are kept; more than a box sends to while a send counts
 )
 
 // Limit limits how far the sends to a cold replica may exceed its rate.
--- a/pacing/recentlist.go
+++ b/pacing/recentlist.go
@@ -13,8 +13,8 @@
 
 // formerBox is a box that is no longer listed.
 type formerBox struct {
-	name   string
-	listed time.Duration // when it was found missing
+	name  string
+	since time.Duration // the first list without it
 }
 
 // update records a list and returns it with the boxes that were listed recently enough to have
@@ -26,7 +26,7 @@
 	if !sameList(l.boxes, boxes) {
 		l.replace(boxes, now)
 	}
-	l.former = slices.DeleteFunc(l.former, func(f formerBox) bool { return f.listed+handover <= now })
+	l.former = slices.DeleteFunc(l.former, func(f formerBox) bool { return f.since+handover <= now })
 	if len(l.former) == 0 {
 		return boxes
 	}
@@ -37,13 +37,14 @@
 	return out
 }
 
+// replace sets the list, and records the boxes that it lacks.
 func (l *recentList) replace(boxes []string, now time.Duration) {
 	l.former = slices.DeleteFunc(l.former, func(f formerBox) bool { return slices.Contains(boxes, f.name) })
 	for _, name := range l.boxes {
 		if !slices.Contains(boxes, name) {
 			l.former = append(l.former, formerBox{
-				name:   name,
-				listed: now,
+				name:  name,
+				since: now,
 			})
 		}
 	}
--- a/quota/shares.go
+++ b/quota/shares.go
@@ -55,8 +55,8 @@
 // equal returns the share of each region while the demand of all is unknown.
 func (s *RegionShares) equal() float64 { return 1 / float64(len(s.others)+1) }
 
-// RecordReport records the usage report of another region or from another allocator of this one, which was requested at requestSent and
-// received at now. It takes ownership of the map.
+// RecordReport records the usage report of another region or of another allocator of this one. It was
+// requested at requestSent and received at now. It takes ownership of the map.
 func (s *RegionShares) RecordReport(region string, usage map[string]Usage, requestSent, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
