--- a/pacing/history.go
+++ b/pacing/history.go
@@ -83,9 +83,7 @@
 		s.counted = to
 		return
 	}
-	if i := h.findDropped(taken); i >= 0 {
-		h.unanswered = slices.Delete(h.unanswered, i, i+1)
-	}
+	h.takeDropped(taken)
 	h.drop(sent{
 		taken:   taken,
 		counted: to,
@@ -99,9 +97,8 @@
 		return
 	}
 	written := taken + maxWriteDelay
-	if i := h.findDropped(taken); i >= 0 {
-		written = h.unanswered[i].counted
-		h.unanswered = slices.Delete(h.unanswered, i, i+1)
+	if s, ok := h.takeDropped(taken); ok {
+		written = s.counted
 	}
 	if now >= written+retention {
 		return
@@ -120,9 +117,15 @@
 	return nil
 }
 
-// findDropped returns the index in unanswered of the send of a Take, or -1.
-func (h *history) findDropped(taken time.Duration) int {
-	return slices.IndexFunc(h.unanswered, func(s sent) bool { return s.taken == taken })
+// takeDropped removes the send of a Take from unanswered and returns it.
+func (h *history) takeDropped(taken time.Duration) (s sent, ok bool) {
+	i := slices.IndexFunc(h.unanswered, func(s sent) bool { return s.taken == taken })
+	if i < 0 {
+		return sent{}, false
+	}
+	s = h.unanswered[i]
+	h.unanswered = slices.Delete(h.unanswered, i, i+1)
+	return s, true
 }
 
 // trim removes the sends that no longer count in a window.
