--- a/ingress/coldarrivals_test.go
+++ b/ingress/coldarrivals_test.go
@@ -88,6 +88,16 @@
 	return g
 }
 
+// newHeldUpRegion returns a region whose boxes have connections to a cold replica, to which the link is held
+// up for a while.
+func newHeldUpRegion(t *testing.T, replicas int, deadline, held time.Duration) *coldRegion {
+	g := newColdRegion(t, replicas, deadline)
+	g.publish(time.Minute, g.replicas[0])
+	g.connect()
+	g.replicas[0].link.hold(held)
+	return g
+}
+
 func (g *coldRegion) now() time.Duration { return clock.Since(g.began) }
 
 func (g *coldRegion) addReplica(i int) {
@@ -336,10 +346,7 @@
 	} {
 		t.Run(held.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := newColdRegion(t, 1, longDeadline)
-				g.publish(time.Minute, g.replicas[0])
-				g.connect()
-				g.replicas[0].link.hold(held)
+				g := newHeldUpRegion(t, 1, longDeadline, held)
 				g.call(time.Minute)
 				g.callFor(7 * time.Second)
 				g.checkArrivals()
@@ -352,10 +359,7 @@
 // Guards against requests whose callers left, and that arrive all the same together with later ones.
 func TestRequestsWhoseCallersLeaveArriveInNoSecondWithTooManyOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newColdRegion(t, 1, longDeadline)
-		g.publish(time.Minute, g.replicas[0])
-		g.connect()
-		g.replicas[0].link.hold(2800 * time.Millisecond)
+		g := newHeldUpRegion(t, 1, longDeadline, 2800*time.Millisecond)
 		g.call(500 * time.Millisecond)
 		time.Sleep(600 * time.Millisecond)
 		g.checkResults(placement.Abandoned)
@@ -367,10 +371,7 @@
 // Guards against requests whose time was up, and that arrive all the same together with later ones.
 func TestRequestsWhoseTimeIsUpArriveInNoSecondWithTooManyOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newColdRegion(t, 1, 500*time.Millisecond)
-		g.publish(time.Minute, g.replicas[0])
-		g.connect()
-		g.replicas[0].link.hold(2800 * time.Millisecond)
+		g := newHeldUpRegion(t, 1, 500*time.Millisecond, 2800*time.Millisecond)
 		g.call(time.Minute)
 		time.Sleep(600 * time.Millisecond)
 		g.checkResults(placement.Abandoned)
@@ -382,10 +383,7 @@
 // Guards against requests that were repeated elsewhere, and that arrive all the same together with later ones.
 func TestRequestsThatASilentReplicaLosesToAnotherArriveInNoSecondWithTooManyOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newColdRegion(t, 2, longDeadline)
-		g.publish(time.Minute, g.replicas[0])
-		g.connect()
-		g.replicas[0].link.hold(2800 * time.Millisecond)
+		g := newHeldUpRegion(t, 2, longDeadline, 2800*time.Millisecond)
 		g.call(time.Minute)
 		time.Sleep(50 * time.Millisecond)
 		g.publish(0, g.replicas...)
@@ -400,10 +398,7 @@
 // Guards against requests that are under way for longer than boxes count them.
 func TestRequestsThatAreHeldUpForLongArriveInNoSecondWithTooManyOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newColdRegion(t, 1, longDeadline)
-		g.publish(time.Minute, g.replicas[0])
-		g.connect()
-		g.replicas[0].link.hold(3300 * time.Millisecond)
+		g := newHeldUpRegion(t, 1, longDeadline, 3300*time.Millisecond)
 		g.call(time.Minute)
 		time.Sleep(3250 * time.Millisecond)
 		g.callFor(4 * time.Second)
@@ -414,10 +409,7 @@
 // Guards against taking the end of a connection on the box's side for proof that its request will not arrive.
 func TestRequestsWhoseConnectionsAreResetOnTheWayArriveInNoSecondWithTooManyOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newColdRegion(t, 1, longDeadline)
-		g.publish(time.Minute, g.replicas[0])
-		g.connect()
-		g.replicas[0].link.hold(1700 * time.Millisecond)
+		g := newHeldUpRegion(t, 1, longDeadline, 1700*time.Millisecond)
 		g.call(time.Minute)
 		time.Sleep(500 * time.Millisecond)
 		g.replicas[0].link.reset()
@@ -431,10 +423,7 @@
 // its request has arrived.
 func TestRequestsAnsweredByBytesThatAreNoAnswerArriveInNoSecondWithTooManyOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newColdRegion(t, 1, longDeadline)
-		g.publish(time.Minute, g.replicas[0])
-		g.connect()
-		g.replicas[0].link.hold(1700 * time.Millisecond)
+		g := newHeldUpRegion(t, 1, longDeadline, 1700*time.Millisecond)
 		g.call(time.Minute)
 		time.Sleep(500 * time.Millisecond)
 		g.replicas[0].link.spoil()
--- a/ingress/coldwrites_test.go
+++ b/ingress/coldwrites_test.go
@@ -11,10 +11,7 @@
 // Guards against requests that stay under way for longer than a box counts them, as nothing ends their connections.
 func TestRequestsThatALongCutHoldsUpArriveInNoSecondWithTooManyOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newColdRegion(t, 1, longDeadline)
-		g.publish(time.Minute, g.replicas[0])
-		g.connect()
-		g.replicas[0].link.hold(4500 * time.Millisecond)
+		g := newHeldUpRegion(t, 1, longDeadline, 4500*time.Millisecond)
 		g.callFor(7 * time.Second)
 		g.checkArrivals()
 	})
@@ -42,10 +39,7 @@
 // up no connection, but after which the boxes no longer count them.
 func TestRequestsUnderWayWhileTheMachineWasSuspendedArriveInNoSecondWithTooManyOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newColdRegion(t, 1, longDeadline)
-		g.publish(time.Minute, g.replicas[0])
-		g.connect()
-		g.replicas[0].link.hold(time.Second)
+		g := newHeldUpRegion(t, 1, longDeadline, time.Second)
 		g.call(time.Minute)
 		time.Sleep(50 * time.Millisecond)
 		boot.Skip(suspension.Nanoseconds())
