--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -16,6 +16,7 @@
 	ID            string `json:"id"`             // of its entry, and the one it identifies itself with
 	StartedAt     int64  `json:"born,omitempty"` // start time of its process, in Unix milliseconds; 0 if unknown
 	Service       string `json:"service"`
+	Build         string `json:"build,omitempty"` // version of its software; empty if unknown
 	Addr          string `json:"addr"`
 	Domain        string `json:"failure_domain"`
 	Region        string `json:"region"`
--- a/control/explain_test.go
+++ b/control/explain_test.go
@@ -157,6 +157,8 @@
 	e := decision.Event{
 		Kind:     decision.Place,
 		Upstream: "i-1",
+		Build:    "v1.2",
+		Resumes:  "r-0",
 		TookMs:   120,
 		Prompt:   9000,
 		Tokens:   500,
@@ -166,7 +168,7 @@
 		Unread:   3000,
 		Sharers:  22,
 	}
-	is.Equal(inputs(&e), "upstream=i-1 took=120ms prompt=9000 tokens=500 copy_from=192.0.2.1:80 in_flight=7 memory=40000 unread=3000 sharers=22")
+	is.Equal(inputs(&e), "upstream=i-1 build=v1.2 resumes=r-0 took=120ms prompt=9000 tokens=500 copy_from=192.0.2.1:80 in_flight=7 memory=40000 unread=3000 sharers=22")
 	e = decision.Event{
 		Kind:   decision.Try,
 		TookMs: 90,
--- a/control/explanation.go
+++ b/control/explanation.go
@@ -157,6 +157,8 @@
 	text("service", e.Service)
 	text("route", e.Route)
 	text("upstream", e.Upstream)
+	text("build", e.Build)
+	text("resumes", e.Resumes)
 	text("region", e.Region)
 	text("organisation", e.Organisation)
 	number("age", e.AgeMs, "ms")
--- a/decision/event.go
+++ b/decision/event.go
@@ -80,6 +80,8 @@
 	Service  string    `json:"service,omitempty"`
 	Route    string    `json:"route,omitempty"`
 	Upstream string    `json:"upstream,omitempty"` // the replica, or the box that was chosen, lost or believed in
+	Build    string    `json:"build,omitempty"`    // version of the software of that replica
+	Resumes  string    `json:"resumes,omitempty"`  // id of the request whose stream this one takes up
 	Outcome  Outcome   `json:"outcome,omitempty"`
 	Reason   string    `json:"reason,omitempty"`   // one word or two
 	Status   int       `json:"status,omitempty"`   // HTTP status
@@ -132,6 +134,8 @@
 	e.Service = cut(e.Service)
 	e.Route = cut(e.Route)
 	e.Upstream = cut(e.Upstream)
+	e.Build = cut(e.Build)
+	e.Resumes = cut(e.Resumes)
 	e.Outcome = Outcome(cut(string(e.Outcome)))
 	e.Reason = cut(e.Reason)
 	e.Signal = Signal(cut(string(e.Signal)))
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -58,6 +58,8 @@
 	l.text("service", e.Service)
 	l.text("route", e.Route)
 	l.text("upstream", e.Upstream)
+	l.text("build", e.Build)
+	l.text("resumes", e.Resumes)
 	l.text("outcome", string(e.Outcome))
 	l.text("reason", e.Reason)
 	l.number("status", int64(e.Status))
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -78,6 +78,8 @@
 		Service:  "chat",
 		Route:    "chat-eu",
 		Upstream: "u-1",
+		Build:    "v1.2",
+		Resumes:  "r-0",
 		Outcome:  Broken,
 		Reason:   "reset",
 		Status:   502,
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -206,6 +206,8 @@
 	c.record(decision.Event{
 		Kind:     decision.Place,
 		Upstream: t.Choice.Incarnation + t.Box,
+		Build:    t.Choice.Build,
+		Resumes:  c.facts.Resumes,
 		Region:   t.Region,
 		Tokens:   t.Choice.Missing,
 		Prompt:   c.facts.PromptTokens,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -30,6 +30,7 @@
 	ExpectedOutputTokens int             // output tokens that the caller expects; 0 if unknown
 	Segments             []PromptSegment // prompt segments; the last one is specific to the request
 	LastEventID          string          // ID of the last event that the caller has received of an interrupted stream
+	Resumes              string          // ID of the request that brought the first event of that stream; empty if the caller sends none
 	Credentials          string          // credentials of the caller; empty for none
 	Key                  catalog.Key     // API key of the caller
 	HasKey               bool            // Key is set: the request has a well-formed key
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -49,6 +49,7 @@
 type Choice struct {
 	Incarnation   string // its incarnation
 	ID            string // id that the replica answers to
+	Build         string // version of its software
 	Addr          string
 	Reason        Reason
 	Wait          time.Duration
@@ -133,6 +134,7 @@
 	return Choice{
 		Incarnation:   best.r.incarnation,
 		ID:            best.r.info.ID,
+		Build:         best.r.info.Build,
 		Addr:          best.r.info.Addr,
 		Expect:        best.expect,
 		Missing:       best.missing,
@@ -156,6 +158,7 @@
 	return Choice{
 		Incarnation: best.r.incarnation, // Request.Tried holds incarnations
 		ID:          best.r.info.ID,
+		Build:       best.r.info.Build,
 		Addr:        best.r.info.Addr,
 		Expect:      best.expect,
 
