ingress, placement: Let a stream go on in one answer only at its software version

Cause: the published version of a replica was not kept, and no query for a further target held the one at which the stream began.

A stream is pinned to the version of the replica whose head the caller gets. All queries for it, the stall watch's and those of other boxes included, pass over replicas of other versions; a box tells the version in its answer to another box, and a box that doesn't is not gone on from. Where no replica has the version any more, the answer ends at once.

Over a caller's tries a stream may still change its version.

--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -67,6 +67,7 @@
 	history       history
 	revisionIndex revisionIndex // of replicas
 	changeLog     changeLog
+	builds        map[BuildID][]string // result of findBuilds; nil if it must be computed
 	now           func() time.Time
 }
 
@@ -129,6 +130,7 @@
 // replaces one with a higher version. While the feed isn't settled, missing replicas stay as
 // unconfirmed removals.
 func (c *Content) Apply(u Update) bool {
+	c.builds = nil
 	c.RecordPolicyVersion(u.PolicyVersion)
 	if u.Snapshot == nil {
 		for _, ch := range u.Changes {
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -69,8 +69,9 @@
 	receivers       []string // replicas of tried that received the request
 	failedDials     int
 	budgetCounted   bool
-	retryGranted    atomic.Bool // the retry budget has granted the next attempt
-	lastEvent       string      // ID of the last forwarded event
+	retryGranted    atomic.Bool   // the retry budget has granted the next attempt
+	lastEvent       string        // ID of the last forwarded event
+	build           atomic.Uint64 // catalog.BuildID at which the stream began; 0 while any may begin it
 	events          int
 	viaBox          bool          // another box forwards the stream
 	firstEventAfter time.Duration // until the first event or byte was forwarded
@@ -130,7 +131,7 @@
 // would be interrupted otherwise.
 func (c *call) place(ctx context.Context) Target {
 	t := c.query()
-	for t.Reason != placement.None && c.waitsUntilDeadline() && ctx.Err() == nil && !c.isQuarantined() {
+	for t.Reason != placement.None && t.Reason != placement.NoBuild && c.waitsUntilDeadline() && ctx.Err() == nil && !c.isQuarantined() {
 		if c.retryReceivers {
 			t = c.placeAmongReceivers()
 			continue
@@ -245,6 +246,7 @@
 			Prompt:       c.facts.PromptTokens,
 			AnswerTokens: out,
 			GapTarget:    c.route.GapTarget.Duration(),
+			Build:        c.streamBuild(),
 			Tried:        c.tried,
 			Rank:         c.rank,
 		},
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -26,6 +26,9 @@
 // after any of them.
 func (a *attempt) passEvents(ctx context.Context, answer *exchange.Response, body io.Reader) attemptOutcome {
 	c := a.call
+	if !c.pinBuild(a.build(answer)) {
+		return a.bodyInterrupted(ctx)
+	}
 	if c.state != stateStarted {
 		c.startStream(answer)
 	} else {
--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -55,6 +55,9 @@
 	if c.relay != nil && c.relay.LastEvent != "" {
 		c.lastEvent = c.relay.LastEvent
 	}
+	if c.relay != nil {
+		c.build.Store(uint64(c.relay.Build))
+	}
 	return true
 }
 
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -137,4 +137,7 @@
 	h := c.w.Header()
 	h.Set(headerResult, result)
 	h.Set(headerSent, strconv.Itoa(c.sent-c.relay.Sent))
+	if build := c.streamBuild(); build != 0 {
+		h.Set(headerBuild, strconv.FormatUint(uint64(build), 10))
+	}
 }
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -47,6 +47,7 @@
 	if u.box {
 		w.Header().Set(headerResult, resultAnswer)
 		w.Header().Set(headerSent, "1")
+		w.Header().Set(headerBuild, strconv.FormatUint(uint64(catalog.BuildOf("engine", "")), 10))
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := after + 1; i <= eventCount; i++ {
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -36,6 +36,8 @@
 	Sent      int            `json:"sent"`                 // number of replicas that the request was sent to before
 	LastEvent string         `json:"last_event,omitempty"` // ID of the last forwarded event
 
+	Build catalog.BuildID `json:"build,omitempty"` // software version at which the stream began; 0 while any may begin it
+
 	Organisation string `json:"organisation,omitempty"` // of the caller
 }
 
@@ -54,7 +56,7 @@
 }
 
 func removeRelayHeaders(h http.Header) {
-	for _, name := range []string{headerRelay, headerResult, headerSent} {
+	for _, name := range []string{headerRelay, headerResult, headerSent, headerBuild} {
 		h.Del(name)
 	}
 }
@@ -105,6 +107,7 @@
 		Sent:      c.sent,
 		LastEvent: c.lastEvent,
 
+		Build:        c.streamBuild(),
 		Organisation: c.organisation,
 	}
 }
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -163,7 +163,7 @@
 	h := c.w.Header()
 	closing := h.Get("Connection")
 	for name, values := range endToEndHeaders(head.header) {
-		if name == headerResult || name == headerSent {
+		if name == headerResult || name == headerSent || name == headerBuild {
 			continue
 		}
 		h[name] = values
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -118,6 +118,7 @@
 	if s.attempt.hasUnread() {
 		return stallPollInterval, false // this box is slow, not the replica
 	}
+	s.query.Request.Build = c.streamBuild() // the stream may have begun since
 	other, found := c.server.core.PeekTarget(s.query)
 	switch {
 	case !found: // start over with all targets
--- a/node/crossregion.go
+++ b/node/crossregion.go
@@ -81,6 +81,9 @@
 		if len(f.boxes) == 0 {
 			continue
 		}
+		if build := ask.Request.Build; build != 0 && !slices.Contains(s.content.RegionsWith(build), region) {
+			continue
+		}
 		if room, ok := s.capacityOf(f.reporters, ask.Request.Service, now); ok {
 			f.estimate = room
 			out = append(out, *f)
--- a/node/state.go
+++ b/node/state.go
@@ -310,6 +310,11 @@
 // place chooses a replica of this region, or a box of another region where the expected
 // loss is lower.
 func (s *state) place(ask ingress.TargetQuery, now time.Duration, draw func(n int) int) ingress.Target {
+	if ask.Request.Build != 0 && !s.hasBuild(ask) {
+		return ingress.Target{
+			Reason: placement.NoBuild,
+		}
+	}
 	if len(ask.Route.Homes) > 0 && !ask.Forwarded {
 		s.countRouteRequest(ask.Route.Name, now)
 	}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/common/rendezvous"
 	"github.com/havenrudder/havenrudder/pacing"
 )
@@ -36,12 +37,14 @@
 	Unconfirmed Reason = "may be gone"
 	Evacuated   Reason = "failure domain closed"
 	Tried       Reason = "tried before"
+	OtherBuild  Reason = "other software version"
 	Ejected     Reason = "out of reach"
 	RateLimited Reason = "cold, paced"
 	Limited     Reason = "limited by the replica"
 	Deferring   Reason = "replica defers requests"
 	Full        Reason = "full"
 	NoReplica   Reason = "no replica"
+	NoBuild     Reason = "no replica with the software version of the stream"
 )
 
 // Choice is the outcome of a decision. If Reason isn't None, there is no replica, and Wait
@@ -254,6 +257,8 @@
 		return Unconfirmed
 	case v.evacuated[r.info.Domain]:
 		return Evacuated
+	case req.Build != 0 && r.info.BuildID() != req.Build:
+		return OtherBuild
 	case slices.Contains(req.Tried, r.incarnation):
 		return Tried
 	case r.RetryWait(now) > 0:
@@ -264,6 +269,21 @@
 	return None
 }
 
+// HasBuild reports whether a replica with a software version may receive requests now or later.
+func (v *View) HasBuild(build catalog.BuildID) bool {
+	for _, r := range v.sorted {
+		if r.info.BuildID() != build {
+			continue
+		}
+		switch v.unusable(r, Request{}, 0) {
+		case Unlisted, Leaving, Evacuated:
+		default:
+			return true
+		}
+	}
+	return false
+}
+
 // Usable returns the incarnations that may receive a request, whatever their load.
 func (v *View) Usable(req Request, now time.Duration) (out []string) {
 	for _, r := range v.sorted {
--- a/placement/request.go
+++ b/placement/request.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/havenrudder/havenrudder/catalog"
+)
 
 // Segment is a segment of a prompt that requests may share.
 type Segment struct {
@@ -11,14 +15,15 @@
 // Request is the input of a placement decision.
 type Request struct {
 	Service       string
-	Key           string        // of the request itself; spreads requests without shared segments
-	Segments      []Segment     // shared segments of the prompt, in order
-	Prompt        int           // tokens of the prompt; 0 for a plain service
-	AnswerTokens  int           // expected tokens of the answer
-	GapTarget     time.Duration // latency target between two events of a stream; 0 for none
-	Tried         []string      // incarnations that must not receive it again
-	StepsPerEvent float64       // engine steps per event of the stream; 0 if unknown
-	Rank          float64       // from 0 for the most urgent requests of the service to 1 for the least
+	Key           string          // of the request itself; spreads requests without shared segments
+	Segments      []Segment       // shared segments of the prompt, in order
+	Prompt        int             // tokens of the prompt; 0 for a plain service
+	AnswerTokens  int             // expected tokens of the answer
+	GapTarget     time.Duration   // latency target between two events of a stream; 0 for none
+	Build         catalog.BuildID // software version at which its stream began; 0 for any
+	Tried         []string        // incarnations that must not receive it again
+	StepsPerEvent float64         // engine steps per event of the stream; 0 if unknown
+	Rank          float64         // from 0 for the most urgent requests of the service to 1 for the least
 }
 
 // UniqueTokens returns the number of prompt tokens outside shared segments.
