--- a/node/node.go
+++ b/node/node.go
@@ -223,6 +223,7 @@
 		Call:         n.meter.StoreCall,
 		Invalid:      n.recordBadValue,
 		UnknownEntry: n.recordForeignEntry,
+		Restored:     n.recordRestored,
 	}))
 }
 
--- a/node/pull.go
+++ b/node/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -231,6 +232,16 @@
 	})
 }
 
+// recordRestored logs that the publisher came back from an older copy.
+func (n *Node) recordRestored(era int64) {
+	n.record(decision.Event{
+		Kind:     decision.Belief,
+		Upstream: "store",
+		Reason:   "publisher came back from an older copy",
+		Detail:   fmt.Sprint("era ", era),
+	})
+}
+
 // recordForeignEntry logs an entry that names no replica: another program, or a replica of another
 // version, wrote it.
 func (n *Node) recordForeignEntry(name string, err error) {
--- a/node/settings.go
+++ b/node/settings.go
@@ -77,4 +77,5 @@
 	Call         func(kind, result string)    // for every call
 	Invalid      func(name string, err error) // for an invalid value; the last valid one stays
 	UnknownEntry func(name string, err error) // for an entry that names no replica
+	Restored     func(era int64)              // when the source comes back from an older copy; its revisions of an era say nothing of those of another
 }
