--- a/node/dump.go
+++ b/node/dump.go
@@ -71,6 +71,7 @@
 	Slow        float64 `json:"slow"`
 	ReportAgeMs int64   `json:"word_age_ms,omitempty"` // of its last load report, where boxes use these
 	Revision    int64   `json:"revision"`
+	Unusable    string  `json:"unusable,omitempty"` // why it receives no requests
 
 	Limit      *float64 `json:"limit_per_s,omitempty"`  // requests per second that it names in its answers; nil for none
 	LimitAgeMs int64    `json:"limit_age_ms,omitempty"` // since its last answer with that limit
@@ -142,6 +143,7 @@
 			Slow:         r.Slowness(now),
 			ReportAgeMs:  max(0, r.ReportAge(now).Milliseconds()),
 			Revision:     r.Info().Revision,
+			Unusable:     string(s.view.Unusable(r, now)),
 			SaysLeaving:  r.SaysLeaving(),
 			DeferredForS: r.RetryWait(now).Seconds(),
 		}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -269,6 +269,9 @@
 	return None
 }
 
+// Unusable returns why a replica receives no requests whatever its load, or None.
+func (v *View) Unusable(r *Replica, now time.Duration) Reason { return v.unusable(r, Request{}, now) }
+
 // HasBuild reports whether a replica with a software version may receive requests now or later.
 func (v *View) HasBuild(build catalog.BuildID) bool {
 	for _, r := range v.sorted {
