catalog, platform: Order revisions by the era of the store

Cause: revisions were compared as if they only rose. A store that came back from an older copy gave them out again:

a large catalog asked for the highest revision alone. Class: an order of versions without the epoch that gives them out.

A revision of the catalog now holds the era above 42 bits, set where the store's answers are read, so that all comparisons, those between boxes included, put a later era first. A watch whose answer is of another era than its revision fails like one without history, and all is read. A box that brings changes of an earlier era is passed over. What boxes know better than an older copy stays: a replica that leaves does so for good; one that was removed, and an evacuation that is missing, are kept so for 6 s unless they are written again; a configuration never goes back; an entry that is the same as before makes no replica cold again.

--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -68,6 +68,7 @@
 	revisionIndex revisionIndex // of replicas
 	changeLog     changeLog
 	builds        buildIndex
+	restoration   restoration
 	now           func() time.Time
 }
 
@@ -86,7 +87,11 @@
 
 func (c *Content) put(r Replica) {
 	c.clearUnconfirmed(r.ID)
+	c.putOffRestored(r)
 	was, known := c.replicas[r.ID]
+	if known && was.Leaving && (EraOf(r.Revision) > EraOf(was.Revision) || r.Revision == was.Revision) && isSameIncarnation(r.StartedAt, was.StartedAt) {
+		r.Leaving = true // an older copy may lack it
+	}
 	if was == r {
 		return
 	}
@@ -101,6 +106,7 @@
 
 func (c *Content) drop(id string) {
 	c.clearUnconfirmed(id)
+	delete(c.restoration.putOff, id)
 	was, ok := c.replicas[id]
 	if !ok {
 		return
@@ -140,8 +146,12 @@
 func (c *Content) Apply(u Update) bool {
 	c.RecordPolicyVersion(u.PolicyVersion)
 	if u.Snapshot == nil {
+		era := c.restoration.era
+		c.beginEra(u.Revision)
 		for _, ch := range u.Changes {
-			c.apply(ch, u)
+			if ch.Policy != nil || EraOf(ch.Revision) >= era { // the sender may have been cut off since an earlier one
+				c.apply(ch, u)
+			}
 		}
 		c.mergeUnconfirmed(u.UnconfirmedRemovals)
 		c.setNewest(max(c.newest, u.Revision))
@@ -158,6 +168,10 @@
 
 func (c *Content) replace(s Snapshot, u Update) {
 	recorded := c.Revision() // missing entries were removed after this revision
+	if EraOf(s.Revision) > EraOf(recorded) {
+		recorded = s.Revision
+	}
+	c.beginEra(s.Revision)
 	c.history.recordSnapshot(c.newest, s.Revision)
 	c.read = s.Revision
 	c.policies.add(s.Policy)
@@ -214,6 +228,7 @@
 
 func (c *Content) replaceEvacuated(s Snapshot) {
 	published := make(map[string]bool, len(s.Evacuated))
+	clear(c.restoration.evacuated)
 	for _, d := range s.Evacuated {
 		published[d] = true
 		if !c.evacuated[d] {
@@ -221,7 +236,12 @@
 		}
 	}
 	for d := range c.evacuated {
-		if !published[d] {
+		switch {
+		case published[d]:
+		case c.keepsEvacuation(d):
+			published[d] = true
+			c.restoration.evacuated[d] = true
+		default:
 			c.history.recordEvacuation(d, false, s.Revision)
 		}
 	}
@@ -242,9 +262,11 @@
 		c.drop(ch.Removed)
 		c.history.recordRemoval(ch.Removed, ch.Revision, len(c.replicas))
 	case ch.Evacuated != "" && ch.Revision > c.read:
+		delete(c.restoration.evacuated, ch.Evacuated)
 		c.evacuated[ch.Evacuated] = true
 		c.history.recordEvacuation(ch.Evacuated, true, ch.Revision)
 	case ch.Unevacuated != "" && ch.Revision > c.read:
+		delete(c.restoration.evacuated, ch.Unevacuated)
 		delete(c.evacuated, ch.Unevacuated)
 		c.history.recordEvacuation(ch.Unevacuated, false, ch.Revision)
 	}
--- a/catalog/unconfirmed.go
+++ b/catalog/unconfirmed.go
@@ -100,10 +100,11 @@
 // UnconfirmedRemovals returns the replicas with an unconfirmed removal, sorted.
 func (c *Content) UnconfirmedRemovals() []string { return slices.Sorted(maps.Keys(c.unconfirmed)) }
 
-// ConfirmRemovals confirms the removals whose time is over and reports whether there were any.
+// ConfirmRemovals confirms the removals whose time is over, and what a publisher that came back from
+// an older copy has not written again in time. It reports whether there was any.
 // This needs no further read, which followers make rarely.
 func (c *Content) ConfirmRemovals() bool {
-	settled := false
+	settled := c.endRestoration()
 	for _, id := range slices.Sorted(maps.Keys(c.unconfirmed)) { // sorted for a deterministic order of the confirmed removals
 		d := c.unconfirmed[id]
 		if c.now().Before(d.until) {
--- a/placement/index.go
+++ b/placement/index.go
@@ -23,6 +23,7 @@
 	listed      map[string]int        // number of listed replicas by service
 	unlisted    map[string]*Replica   // incarnations that the catalog no longer holds, or not yet
 	unconfirmed []*Replica
+	putOff      []*Replica // with an entry that an older copy brought back
 	sweptAt     time.Duration
 }
 
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -253,7 +253,7 @@
 		return Unlisted
 	case r.info.Leaving, r.saidLeaving:
 		return Leaving
-	case r.unconfirmed:
+	case r.unconfirmed, r.putOff:
 		return Unconfirmed
 	case v.evacuated[r.info.Domain]:
 		return Evacuated
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -59,6 +59,7 @@
 	service     *catalog.Service // nil while the policy doesn't define it
 	listed      bool             // in the catalog
 	unconfirmed bool             // removal from the catalog is unconfirmed
+	putOff      bool             // it had been removed before the publisher came back from an older copy
 	own         Load
 	peerLoads   map[string]peerLoad // by box
 	selfReport  peerLoad            // requests of other boxes, by its latest response
--- a/placement/unconfirmed.go
+++ b/placement/unconfirmed.go
@@ -7,6 +7,21 @@
 // not the replicas.
 const maxUnconfirmedShare = 0.1
 
+// updatePutOff marks the replicas that may be gone although the publisher lists them.
+func (v *View) updatePutOff(c *catalog.Content) {
+	e := &v.index
+	for _, r := range e.putOff {
+		r.putOff = false
+	}
+	e.putOff = e.putOff[:0]
+	for _, id := range c.PutOff() {
+		for _, r := range e.byID[id] {
+			r.putOff = true
+			e.putOff = append(e.putOff, r)
+		}
+	}
+}
+
 // updateUnconfirmed marks the replicas whose removal from the catalog is unconfirmed.
 func (v *View) updateUnconfirmed(c *catalog.Content) {
 	e := &v.index
--- a/placement/view.go
+++ b/placement/view.go
@@ -162,6 +162,7 @@
 	}
 	v.evictUnlisted(now)
 	v.updateUnconfirmed(c)
+	v.updatePutOff(c)
 	return v.applyEvacuated(changes, c, now)
 }
 
@@ -194,7 +195,7 @@
 func (v *View) applyReplica(changes []Change, info catalog.Replica, now time.Duration) []Change {
 	incarnation := info.Incarnation()
 	r, ok := v.getOrAdd(info, now)
-	changed := info.Revision != r.info.Revision || !ok
+	changed := !ok || info.IsChangeOf(r.info)
 	leaves := info.Leaving && !r.info.Leaving
 	info.Leaving = info.Leaving || r.info.Leaving // leaving is final
 	v.markListed(r, info)
