node: Let requests that take up one stream together share a query

Two requests of a caller that take the same stream up at one box at the same time: the answers went to the later query alone, and the first was refused after half a second. Found by reading; the test failed before.

--- a/node/builds.go
+++ b/node/builds.go
@@ -156,6 +156,9 @@
 	if build := s.knownBuild(ask, copyAge, now); build != 0 {
 		return build, nil
 	}
+	if q, ok := s.builds.queries[d.Stream]; ok {
+		return 0, q // of another request that takes up the same stream
+	}
 	q := &buildQuery{
 		ask:     ask,
 		unknown: make(map[string]bool),
--- a/node/builds_test.go
+++ b/node/builds_test.go
@@ -276,6 +276,30 @@
 	}
 }
 
+// Guards against a query whose answer goes to a later one alone.
+func TestRequestsThatTakeUpOneStreamTogetherAllLearnItsVersion(t *testing.T) {
+	is := is.New(t)
+	s := newBuildScene(0, simRegions, 3)
+	first, next := s.machines[0], s.machines[4]
+	s.begin(1, func(m *machine) bool { return m == first })
+	next.state.builds = newBuildState() // it may have received the record
+	var queries []*buildQuery
+	for n := range 2 {
+		_, q := next.state.startBuildQuery(ingress.BuildQuery{
+			Route:   route(),
+			Service: service,
+			Request: fmt.Sprint("again-", n),
+			Resumes: "r-0",
+		}, 0, next.age(s.installation))
+		s.post(next, q.packets)
+		queries = append(queries, q)
+	}
+	s.run(queryInterval)
+	for _, q := range queries {
+		is.Equal(q.build, s.began["r-0"])
+	}
+}
+
 // Guards against records of streams that take more than control may send.
 func TestTheRecordsOfStreamsStayWithinTheBytesOfControl(t *testing.T) {
 	is := is.New(t)
