catalog: Keep replicas put off when another older copy follows

A replica that had been removed and that an older copy listed again could be used once a second copy came, however soon: each era began with an empty list. Found by reading; the test failed before.

--- a/catalog/era.go
+++ b/catalog/era.go
@@ -64,15 +64,17 @@
 	if EraOf(revision) <= c.restoration.era && c.newest > 0 {
 		return
 	}
-	c.restoration = restoration{
+	next := restoration{
 		era:       EraOf(revision),
 		first:     revision,
 		putOff:    make(map[string]bool),
 		evacuated: make(map[string]bool),
 	}
 	if c.newest > 0 {
-		c.restoration.until = c.now().Add(restoredTime)
+		next.until = c.now().Add(restoredTime)
+		maps.Copy(next.putOff, c.restoration.putOff)
 	}
+	c.restoration = next
 }
 
 // putOffRestored records whether an entry that is about to be added is that of a removed replica,
--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -99,6 +99,17 @@
 	}
 }
 
+func TestAnEntryThatWasPutOffStaysSoWhenAnotherOlderCopyFollows(t *testing.T) {
+	is := is.New(t)
+	c := catalog.NewContent()
+	c.Apply(snapshot(in(0, 9), true, plainReplica("a", in(0, 7)), plainReplica("b", in(0, 8))))
+	c.Apply(changed(in(0, 10), true, catalog.Change{Revision: in(0, 10), Removed: "a"}))
+	for era := range int64(3) {
+		c.Apply(snapshot(in(1+era, 8), true, plainReplica("a", in(1+era, 7)), plainReplica("b", in(1+era, 8))))
+		is.Equal(usableIDs(c), []string{"b"})
+	}
+}
+
 func TestAnEvacuationThatAnOlderCopyLacksEndsLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
