--- a/node/builds.go
+++ b/node/builds.go
@@ -1,32 +1,22 @@
 package node
 
 import (
-	"context"
 	"maps"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
-	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/rendezvous"
-	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/ingress"
 	"github.com/havenrudder/havenrudder/origin"
 	"github.com/havenrudder/havenrudder/roster"
 )
 
 const (
-	recordCopyRate   = 18.0                   // records per second that a box sends, while each stream's goes to one box at least
-	recordCopyBurst  = 90.0                   // records at once
-	recordGroups     = 2                      // groups of boxes besides the own one that receive a record
-	queryGroups      = recordGroups + 1       // the group of the box that began a stream is not known
-	queryBoxes       = 2                      // of each group; a box may have joined or left since the record was sent
-	queryInterval    = 250 * time.Millisecond // a round trip to another region takes 160 ms
-	queryRounds      = 2                      // datagrams may be lost
-	soleBuildTries   = 2                      // timeouts of a route within which callers take its streams up
-	minSoleBuildTime = 10 * time.Second       // the same for routes with short timeouts
-	maxSoleBuildAge  = 3 * time.Second        // of a catalog copy that shows all software versions; followers read after 2.2 s
+	recordCopyRate  = 18.0 // records per second that a box sends, while each stream's goes to one box at least
+	recordCopyBurst = 90.0 // records at once
+	recordGroups    = 2    // groups of boxes besides the own one that receive a record
 )
 
 // buildState is what a box records of the software versions of streams.
@@ -45,25 +35,6 @@
 	}
 }
 
-// buildQuery is a pending query for the software version of a stream.
-type buildQuery struct {
-	ask     ingress.BuildQuery
-	packets []roster.Packet
-	unknown map[string]bool // addresses of boxes that do not know it
-	over    chan struct{}   // closed when the version is known, or no box knows it
-	build   catalog.BuildID // 0 until it is known
-}
-
-// end ends the query, once.
-func (q *buildQuery) end(build catalog.BuildID) {
-	select {
-	case <-q.over:
-	default:
-		q.build = build
-		close(q.over)
-	}
-}
-
 // hasBuild reports whether a replica that a request may reach, in this region or another, has the
 // software version at which its stream began.
 func (s *state) hasBuild(ask ingress.TargetQuery) bool {
@@ -139,197 +110,9 @@
 	return domains, s.settings.Domain
 }
 
-// startBuildQuery returns the software version at which a stream began if this box knows it, or
-// else a query of other boxes; neither if there is no box to ask.
-func (s *state) startBuildQuery(ask ingress.BuildQuery, copyAge, now time.Duration) (catalog.BuildID, *buildQuery) {
-	d := origin.Datagram{
-		Operation: origin.AskStream,
-		Stream:    origin.StreamOf(ask.Resumes),
-	}
-	if ask.Resumes == "" {
-		d = origin.Datagram{
-			Operation: origin.AskService,
-			Stream:    origin.StreamOf(ask.Request),
-			Service:   origin.ServiceOf(ask.Service),
-		}
-	}
-	if build := s.knownBuild(ask, copyAge, now); build != 0 {
-		return build, nil
-	}
-	if q, ok := s.builds.queries[d.Stream]; ok {
-		return 0, q // of another request that takes up the same stream
-	}
-	q := &buildQuery{
-		ask:     ask,
-		unknown: make(map[string]bool),
-		over:    make(chan struct{}),
-	}
-	for _, addr := range s.buildHolders(d.Stream, queryGroups, queryBoxes, now) {
-		q.packets = append(q.packets, roster.Packet{
-			Addr: addr,
-			Buf:  d.Encode(),
-		})
-	}
-	if len(q.packets) == 0 || (ask.Resumes == "" && !s.hasSoleBuild(ask, copyAge)) {
-		return 0, nil
-	}
-	s.builds.queries[d.Stream] = q
-	return 0, q
-}
-
-// knownBuild returns the software version at which a stream began if this box knows it.
-func (s *state) knownBuild(ask ingress.BuildQuery, copyAge, now time.Duration) catalog.BuildID {
-	if ask.Resumes != "" {
-		build, _ := s.builds.records.Find(origin.StreamOf(ask.Resumes), now)
-		return build
-	}
-	if build, held := s.soleBuild(ask.Service, copyAge); held >= soleBuildTime(ask.Route) {
-		return build
-	}
-	return 0
-}
-
-// hasSoleBuild reports whether this box knows of one software version of a service alone. A caller
-// that does not name its stream goes on only there.
-func (s *state) hasSoleBuild(ask ingress.BuildQuery, copyAge time.Duration) bool {
-	build, _ := s.soleBuild(ask.Service, copyAge)
-	return build != 0
-}
-
-// soleBuild returns the software version that all replicas of a service have, and for how long
-// this box has known no other; 0 if there are several or the copy of the catalog is old.
-func (s *state) soleBuild(service string, copyAge time.Duration) (catalog.BuildID, time.Duration) {
-	if copyAge > maxSoleBuildAge {
-		return 0, 0
-	}
-	build, since := s.content.SoleBuild(service)
-	return build, clock.Since(since)
-}
-
-// soleBuildTime returns for how long a service must have had one software version alone, so that
-// all streams of a route that callers may take up have it.
-func soleBuildTime(route *catalog.Route) time.Duration {
-	return max(minSoleBuildTime, soleBuildTries*route.Timeout.Duration())
-}
-
-// receiveBuild applies a datagram on a software version, and returns the answer to a query.
-func (s *state) receiveBuild(d origin.Datagram, from string, copyAge, now time.Duration) (answer *origin.Datagram) {
-	switch d.Operation {
-	case origin.Record:
-		s.builds.records.Add(d.Stream, d.Build, now)
-	case origin.AskStream:
-		build, _ := s.builds.records.Find(d.Stream, now)
-		return &origin.Datagram{
-			Operation: origin.StreamAnswer,
-			Stream:    d.Stream,
-			Build:     build,
-		}
-	case origin.AskService:
-		build, held := s.soleBuild(s.serviceOf(d.Service), copyAge)
-		return &origin.Datagram{
-			Operation: origin.ServiceAnswer,
-			Stream:    d.Stream,
-			Build:     build,
-			For:       held,
-		}
-	case origin.StreamAnswer, origin.ServiceAnswer:
-		s.receiveBuildAnswer(d, from, copyAge)
-	}
-	return nil
-}
-
-// serviceOf returns the name of a service; empty if there is none.
-func (s *state) serviceOf(id uint64) string {
-	if s.table == nil {
-		return ""
-	}
-	for _, svc := range s.table.Policy().Services {
-		if origin.ServiceOf(svc.Name) == id {
-			return svc.Name
-		}
-	}
-	return ""
-}
-
-func (s *state) receiveBuildAnswer(d origin.Datagram, from string, copyAge time.Duration) {
-	q, ok := s.builds.queries[d.Stream]
-	if !ok || (d.Operation == origin.ServiceAnswer) != (q.ask.Resumes == "") {
-		return
-	}
-	known := d.Build != 0
-	if d.Operation == origin.ServiceAnswer {
-		here, _ := s.soleBuild(q.ask.Service, copyAge)
-		known = known && d.Build == here && d.For >= soleBuildTime(q.ask.Route)
-	}
-	if known {
-		q.end(d.Build)
-		return
-	}
-	q.unknown[from] = true
-	if len(q.unknown) >= len(q.packets) {
-		q.end(0)
-	}
-}
-
-// findBuild returns the software version at which a stream began that a caller takes up; 0 if no
-// box that this one reaches knows it.
-func (n *Node) findBuild(ctx context.Context, ask ingress.BuildQuery) (build catalog.BuildID) {
-	var q *buildQuery
-	_ = n.state.Do(func(s *state) { build, q = s.startBuildQuery(ask, n.catalogAge(), n.now()) }) // it fails only when the box has ended
-	if q == nil {
-		return build
-	}
-	for range queryRounds {
-		n.sendPackets(q.packets)
-		if isOver(ctx, q.over) {
-			break
-		}
-	}
-	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
-		q.end(0)
-		build = q.build
-		maps.DeleteFunc(s.builds.queries, func(_ origin.StreamID, o *buildQuery) bool { return o == q })
-	})
-	return build
-}
-
-// isOver waits for the end of a query for queryInterval, and reports whether to wait no longer.
-func isOver(ctx context.Context, over <-chan struct{}) bool {
-	timer := time.NewTimer(queryInterval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return true
-	case <-over:
-		return true
-	case <-timer.C:
-		return false
-	}
-}
-
 // recordBuild records the software version at which a request begins a stream.
 func (n *Node) recordBuild(request string, build catalog.BuildID) {
 	var out []roster.Packet
 	_ = n.state.Do(func(s *state) { out = s.recordBuild(request, build, n.now()) }) // it fails only when the box has ended
 	n.sendPackets(out)
 }
-
-func (n *Node) receiveBuild(buf []byte, from string) {
-	d, err := origin.Decode(buf)
-	if err != nil {
-		n.record(decision.Event{
-			Kind:   decision.Belief,
-			Reason: "malformed datagram passed over",
-			Detail: err.Error() + " from " + from,
-		})
-		return
-	}
-	var answer *origin.Datagram
-	_ = n.state.Do(func(s *state) { answer = s.receiveBuild(d, from, n.catalogAge(), n.now()) }) // it fails only when the box has ended
-	if answer != nil {
-		n.sendPacket(roster.Packet{
-			Addr: from,
-			Buf:  answer.Encode(),
-		})
-	}
-}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -266,3 +266,11 @@
 		Sharers:  sharing,
 	})
 }
+
+func (n *Node) recordMalformedDatagram(from string, err error) {
+	n.record(decision.Event{
+		Kind:   decision.Belief,
+		Reason: "malformed datagram passed over",
+		Detail: err.Error() + " from " + from,
+	})
+}
--- a/node/signalgossip.go
+++ b/node/signalgossip.go
@@ -4,7 +4,6 @@
 	"maps"
 	"time"
 
-	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/pacing"
 	"github.com/havenrudder/havenrudder/placement"
 	"github.com/havenrudder/havenrudder/roster"
@@ -288,11 +287,7 @@
 func (n *Node) receiveSignals(buf []byte, from string) {
 	d, err := signal.Decode(buf)
 	if err != nil {
-		n.record(decision.Event{
-			Kind:   decision.Belief,
-			Reason: "malformed datagram passed over",
-			Detail: err.Error() + " from " + from,
-		})
+		n.recordMalformedDatagram(from, err)
 		return
 	}
 	var replies []roster.Packet
