catalog, node: Treat the software version of a replica that is not published yet as unknown

A later start at a replica's address, or another replica there, was taken in while the store was away with the version of the one before, so that a stream could begin at one version and be recorded as of another. Its version is now unknown until its entry is written: streams that begin there are not resumed, and none goes on there. Found by reading; both tests failed before. The stand-in in ingress tells a version.

--- a/catalog/build.go
+++ b/catalog/build.go
@@ -10,12 +10,15 @@
 // value stands for none.
 type BuildID uint64
 
-// BuildOf returns the ID of a version of a service's software.
+// BuildOf returns the ID of a version of a service's software; 0 for an empty one, which is unknown.
 func BuildOf(service, version string) BuildID {
+	if version == "" {
+		return 0
+	}
 	return max(BuildID(xxhash.Sum64String(service+"\x00"+version)), 1)
 }
 
-// BuildID returns the ID of the replica's software version.
+// BuildID returns the ID of the replica's software version; 0 if that is unknown.
 func (r Replica) BuildID() BuildID { return BuildOf(r.Service, r.Build) }
 
 // buildIndex counts the replicas of each software version.
--- a/ingress/build.go
+++ b/ingress/build.go
@@ -12,7 +12,7 @@
 // decimal catalog.BuildID.
 const headerBuild = "Rudder-Build"
 
-// build returns the software version at which a stream runs; 0 if a box does not report it.
+// build returns the software version at which a stream runs; 0 if that is unknown.
 func (a *attempt) build(answer *exchange.Response) catalog.BuildID {
 	if a.target.Box == "" {
 		return catalog.BuildOf(a.call.service, a.target.Choice.Build)
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -25,16 +25,19 @@
 const (
 	eventEvery = 100 * time.Millisecond
 	eventCount = 20
+
+	softwareVersion = "v1"
 )
 
 // upstream is a replica of a streaming service.
 type upstream struct {
 	id, addr string
-	box      bool // it is a box of another region in front of one replica
-	hung     bool // it sends nothing any more
-	noIDs    bool // its events have no IDs
-	abortAt  int  // event before which it aborts its streams; 0 for never
-	pauseAt  int  // event before which it pauses; 0 for never
+	version  string // of its software; empty if unknown
+	box      bool   // it is a box of another region in front of one replica
+	hung     bool   // it sends nothing any more
+	noIDs    bool   // its events have no IDs
+	abortAt  int    // event before which it aborts its streams; 0 for never
+	pauseAt  int    // event before which it pauses; 0 for never
 	pause    time.Duration
 	mu       sync.Mutex
 	runs     int
@@ -48,7 +51,7 @@
 	if u.box {
 		w.Header().Set(headerResult, resultAnswer)
 		w.Header().Set(headerSent, "1")
-		w.Header().Set(headerBuild, strconv.FormatUint(uint64(catalog.BuildOf("engine", "")), 10))
+		w.Header().Set(headerBuild, strconv.FormatUint(uint64(catalog.BuildOf("engine", softwareVersion)), 10))
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := after + 1; i <= eventCount; i++ {
@@ -155,7 +158,8 @@
 	}
 	for i := range replicas {
 		u := &upstream{
-			id: fmt.Sprint("r-", i),
+			id:      fmt.Sprint("r-", i),
+			version: softwareVersion,
 		}
 		l, err := g.link.net.Listen(u.id)("tcp", "")
 		if err != nil {
@@ -194,6 +198,7 @@
 				return Target{
 					Choice: placement.Choice{
 						Incarnation: u.id,
+						Build:       u.version,
 						Addr:        u.addr,
 						Expect:      eventEvery,
 					},
@@ -259,7 +264,7 @@
 	})
 	return Hooks{
 		StreamBegan: func(string, catalog.BuildID) {},
-		FindBuild:   func(context.Context, BuildQuery) catalog.BuildID { return catalog.BuildOf("engine", "") },
+		FindBuild:   func(context.Context, BuildQuery) catalog.BuildID { return catalog.BuildOf("engine", softwareVersion) },
 		Table: func() *catalog.Table {
 			if clock.Since(g.began) < g.policyAfter {
 				return nil
--- a/node/identity.go
+++ b/node/identity.go
@@ -118,6 +118,7 @@
 	now.ID = id.ID
 	now.StartedAt = id.StartedAt
 	now.SelfReported = true
+	now.Build = "" // it may differ
 	now.Leaving = false
 	now.ColdRemaining = catalog.Millis(id.ColdRemaining.Milliseconds())
 	if now.ColdRemaining == 0 {
--- a/node/incarnation_test.go
+++ b/node/incarnation_test.go
@@ -140,6 +140,23 @@
 	is.Equal(len(listedIncarnations(b, first.ID)), 1)
 }
 
+// Guards against taking a later start, or another replica at the address, for one of the same software version.
+func TestAReplicaThatIsNotPublishedYetHasNoKnownSoftwareVersion(t *testing.T) {
+	for _, id := range []string{"a-0", "other"} {
+		is := is.New(t)
+		b := newBox("box-1", "a", 1)
+		first := publishRestart(b, firstStartMs, 101)
+		first.Build = "v1"
+		b.applyUpdate(replacementUpdate(first, b.table.Service(first.Service), Identity{
+			ID:        id,
+			StartedAt: secondStartMs,
+		}), start)
+		r, ok := b.content.Replica(id)
+		is.True(ok)
+		is.Equal(r.BuildID(), catalog.BuildID(0))
+	}
+}
+
 // Guards against an incarnation reported only by the replica that overrides later entries of the store.
 func TestTheStoreOverrulesAStartThatOnlyTheReplicaTold(t *testing.T) {
 	is := is.New(t)
