--- a/node/builds_test.go
+++ b/node/builds_test.go
@@ -320,3 +320,11 @@
 		is.True(datagrams >= streams) // each stream has a record elsewhere
 	}
 }
+
+// BenchmarkRecordBuild measures what a stream that begins costs a box of the design size.
+func BenchmarkRecordBuild(b *testing.B) {
+	box := fleetBox(designBoxes)
+	for n := range b.N {
+		box.recordBuild(fmt.Sprint("r-", n), 1, start)
+	}
+}
