--- a/node/builds.go
+++ b/node/builds.go
@@ -98,16 +98,20 @@
 // recordGroups returns the serving boxes by groups that fail apart from each other, without this
 // one, and its own group: regions, or failure domains where there is one region alone.
 func (s *state) recordGroups(now time.Duration) (byGroup map[string][]string, own string) {
-	regions := make(map[string][]string)
-	domains := make(map[string][]string)
-	for m := range s.roster.AllServing("", now) {
-		regions[m.Status.Region] = append(regions[m.Status.Region], m.Status.Box)
-		domains[m.Status.Domain] = append(domains[m.Status.Domain], m.Status.Box)
-	}
+	regions := s.serversBy(func(m *roster.Member) string { return m.Status.Region }, now)
 	if _, same := regions[s.settings.Region]; len(regions) > 1 || (len(regions) == 1 && !same) {
 		return regions, s.settings.Region
 	}
-	return domains, s.settings.Domain
+	return s.serversBy(func(m *roster.Member) string { return m.Status.Domain }, now), s.settings.Domain
+}
+
+// serversBy returns the other serving boxes by a group.
+func (s *state) serversBy(group func(*roster.Member) string, now time.Duration) map[string][]string {
+	out := make(map[string][]string)
+	for m := range s.roster.AllServing("", now) {
+		out[group(m)] = append(out[group(m)], m.Status.Box)
+	}
+	return out
 }
 
 // recordBuild records the software version at which a request begins a stream.
