--- a/origin/origin.go
+++ b/origin/origin.go
@@ -38,7 +38,6 @@
 
 // Add records the software version of a stream. The first one stays.
 func (r *Records) Add(stream StreamID, build catalog.BuildID, now time.Duration) {
-	r.rotate(now)
 	if _, ok := r.Find(stream, now); !ok {
 		r.newest[stream] = build
 	}
