node: Ask for a software version in one place, and address datagrams in one

startBuildQuery built its datagram before it knew whether to ask, encoded it for each box and ranked the boxes before the check that makes them needless; relayed observations wrote the same loop over addresses. No behaviour changes.

--- a/node/buildqueries.go
+++ b/node/buildqueries.go
@@ -44,41 +44,44 @@
 // startBuildQuery returns the software version at which a stream began if this box knows it, or
 // else a query of other boxes; neither if there is no box to ask.
 func (s *state) startBuildQuery(ask ingress.BuildQuery, copyAge, now time.Duration) (catalog.BuildID, *buildQuery) {
-	d := origin.Datagram{
-		Operation: origin.AskStream,
-		Stream:    origin.StreamOf(ask.Resumes),
-	}
-	if ask.Resumes == "" {
-		d = origin.Datagram{
-			Operation: origin.AskService,
-			Stream:    origin.StreamOf(ask.Request),
-			Service:   origin.ServiceOf(ask.Service),
-		}
-	}
 	if build := s.knownBuild(ask, copyAge, now); build != 0 {
 		return build, nil
 	}
+	if ask.Resumes == "" && !s.hasSoleBuild(ask, copyAge) {
+		return 0, nil
+	}
+	d := queryDatagram(ask)
 	if q, ok := s.builds.queries[d.Stream]; ok {
 		return 0, q // of another request that takes up the same stream
 	}
 	q := &buildQuery{
 		ask:     ask,
+		packets: packetsTo(s.buildHolders(d.Stream, queryGroups, queryBoxes, now), d.Encode()),
 		unknown: make(map[string]bool),
 		over:    make(chan struct{}),
 	}
-	for _, addr := range s.buildHolders(d.Stream, queryGroups, queryBoxes, now) {
-		q.packets = append(q.packets, roster.Packet{
-			Addr: addr,
-			Buf:  d.Encode(),
-		})
-	}
-	if len(q.packets) == 0 || (ask.Resumes == "" && !s.hasSoleBuild(ask, copyAge)) {
+	if len(q.packets) == 0 {
 		return 0, nil
 	}
 	s.builds.queries[d.Stream] = q
 	return 0, q
 }
 
+// queryDatagram returns the question for the stream that a caller names, or else for its service.
+func queryDatagram(ask ingress.BuildQuery) origin.Datagram {
+	if ask.Resumes != "" {
+		return origin.Datagram{
+			Operation: origin.AskStream,
+			Stream:    origin.StreamOf(ask.Resumes),
+		}
+	}
+	return origin.Datagram{
+		Operation: origin.AskService,
+		Stream:    origin.StreamOf(ask.Request),
+		Service:   origin.ServiceOf(ask.Service),
+	}
+}
+
 // knownBuild returns the software version at which a stream began if this box knows it.
 func (s *state) knownBuild(ask ingress.BuildQuery, copyAge, now time.Duration) catalog.BuildID {
 	if ask.Resumes != "" {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -267,6 +267,17 @@
 	})
 }
 
+// packetsTo returns one datagram to each of some addresses.
+func packetsTo(addrs []string, buf []byte) (out []roster.Packet) {
+	for _, addr := range addrs {
+		out = append(out, roster.Packet{
+			Addr: addr,
+			Buf:  buf,
+		})
+	}
+	return out
+}
+
 func (n *Node) recordMalformedDatagram(from string, err error) {
 	n.record(decision.Event{
 		Kind:   decision.Belief,
--- a/node/signalgossip.go
+++ b/node/signalgossip.go
@@ -74,20 +74,13 @@
 }
 
 // observationPackets returns the datagrams with up to limit observations for boxes, others each time.
-func (s *state) observationPackets(observations []placement.Observation, limit int, addrs []string, now time.Duration) (out []roster.Packet) {
+func (s *state) observationPackets(observations []placement.Observation, limit int, addrs []string, now time.Duration) []roster.Packet {
 	if len(observations) == 0 || len(addrs) == 0 {
 		return nil
 	}
 	d := s.signalDatagram(now)
 	d.Observations = s.wireObservations(observations, limit, now)
-	buf := d.Encode()
-	for _, addr := range addrs {
-		out = append(out, roster.Packet{
-			Addr: addr,
-			Buf:  buf,
-		})
-	}
-	return out
+	return packetsTo(addrs, d.Encode())
 }
 
 // newBoxes returns the addresses of boxes of the region that have just started and that this
