review: Show that a rejection that comes twice makes orders run twice

Case 1 is new: a replica rejects an order and sends the rejection once more where its next answer is due. The box has sent the order again by then, over the same connection and with the same id, and takes the copy for the answer to that.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,10 +20,10 @@
 
 // cases returns whether the rule held.
 var cases = map[string]func(*world) (held bool, err error){
-	"reclaim":           reclaim,
-	"half-close":        halfClose,
-	"long-bodies":       longBodies,
-	"too-many-replicas": tooManyReplicas,
+	"reclaim":     reclaim,
+	"half-close":  halfClose,
+	"long-bodies": longBodies,
+	"repeated":    repeated,
 }
 
 func main() {
