ingress: Log on which send and connection a response came

A request may be sent to a replica again under its ID, and the log could not show which send a response was taken for. The line of an attempt now has the number of the send, the connection, the status, and how many responses to other requests were discarded before. explain prints them.

--- a/control/explain_test.go
+++ b/control/explain_test.go
@@ -174,8 +174,12 @@
 		TookMs: 90,
 		SentMs: 3,
 		HeadMs: 70,
+
+		Send:      2,
+		Conn:      27,
+		Discarded: 1,
 	}
-	is.Equal(inputs(&e), "took=90ms sent=3ms head=70ms")
+	is.Equal(inputs(&e), "took=90ms sent=3ms head=70ms send=2 conn=27 discarded=1")
 	e = decision.Event{
 		Kind:    decision.End,
 		FirstMs: 130,
--- a/decision/event.go
+++ b/decision/event.go
@@ -111,6 +111,10 @@
 	Digest   string    `json:"digest,omitempty"` // of what the request asks, the same whenever it comes again
 	Region   string    `json:"region,omitempty"`
 
+	Send      int    `json:"send,omitempty"`      // number of the send among those of the request by this box, from 1
+	Conn      uint64 `json:"conn,omitempty"`      // number of the connection on which the response came, among those of this box to replicas, or to boxes
+	Discarded int    `json:"discarded,omitempty"` // responses to other requests that came there in its place
+
 	SpeedAgeMs   int64  `json:"speed_age_ms,omitempty"` // age of what Speed is by
 	SpeedSource  string `json:"speed_source,omitempty"` // what Speed is by
 	Organisation string `json:"organisation,omitempty"` // of the caller
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -109,6 +109,10 @@
 		Digest:   "50fd6db2",
 		Region:   "eu",
 
+		Send:      2,
+		Conn:      27,
+		Discarded: 1,
+
 		SpeedAgeMs:   83,
 		SpeedSource:  "requests",
 		Organisation: "bakers",
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -26,6 +26,7 @@
 	resp           *http.Response
 	closeRequested bool // the request has Connection: close
 	reused         bool
+	discarded      int
 	complete       bool
 	err            error
 	closed         bool
@@ -40,6 +41,7 @@
 		resp:           resp,
 		closeRequested: req.wantsClose(),
 		reused:         c.reused,
+		discarded:      c.discarded,
 	}
 	if resp.Body == http.NoBody {
 		a.complete = true
@@ -91,6 +93,17 @@
 	return a.reused
 }
 
+// Conn returns the number of the connection among those of its pool, from 1.
+func (a *Response) Conn() uint64 {
+	return a.conn.number
+}
+
+// Discarded returns the number of responses to other requests that the connection has carried in
+// place of this one.
+func (a *Response) Discarded() int {
+	return a.discarded
+}
+
 // SetUserTimeout sets the TCP user timeout of the connection for the rest of the response.
 // It is meant for pools without WithBusyUserTimeout.
 func (a *Response) SetUserTimeout(d time.Duration) { a.conn.setConnTimeout(d) }
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -35,11 +35,13 @@
 // conn is one connection. Between acquire or connect and release it belongs to one exchange.
 type conn struct {
 	pool       *Pool
+	number     uint64 // among the connections of the pool, from 1
 	addr       string
 	nc         net.Conn
 	reader     *bufio.Reader
 	headerLeft int64 // bytes of a header that may still be read
 	written    int64 // bytes of the current request accepted by the kernel
+	discarded  int   // responses to other requests that were read in place of the current one's
 	writeErr   error
 	reused     bool
 	sentHEAD   bool
@@ -51,6 +53,7 @@
 func newConn(p *Pool, addr string, nc net.Conn) *conn {
 	c := &conn{
 		pool:       p,
+		number:     p.opened.Add(1),
 		addr:       addr,
 		nc:         nc,
 		headerLeft: math.MaxInt64,
@@ -106,7 +109,7 @@
 // readResponse reads the header of the response to req. It skips 1xx responses and one
 // response to another request, if its body has a definite length.
 func (c *conn) readResponse(req *Request) (*http.Response, Stage, error) {
-	discarded := false
+	c.discarded = 0
 	for range maxResponses {
 		resp, err := c.readHeader(req.Method)
 		if err != nil {
@@ -121,10 +124,10 @@
 		if req.Matches == nil || req.Matches(resp.Header) {
 			return resp, StageResponse, nil
 		}
-		if discarded || !c.discardBody(resp) {
+		if c.discarded > 0 || !c.discardBody(resp) {
 			return nil, StageMismatch, errMismatch
 		}
-		discarded = true
+		c.discarded++
 	}
 	return nil, StageResponse, errTooManyInformational
 }
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,7 @@
 	idleTime    time.Duration
 	busyTimeout time.Duration // TCP user timeout of a busy connection; 0 for the dialer's
 	activity    activity
+	opened      atomic.Uint64 // connections
 
 	mu      sync.Mutex
 	addrs   map[string]*addrConns
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -59,6 +59,10 @@
 	result         placement.Result
 	writtenAfter   atomic.Int64  // nanoseconds until the request was written; 0 before
 	unread         atomic.Value  // a func() bool that reports whether unread bytes of the response have arrived
+	number         int           // number of this send of the request, from 1; 0 before it is written
+	status         int           // of the response; 0 before
+	conn           uint64        // number of the connection on which the response came
+	discarded      int           // responses to other requests that came there in its place
 	headAfter      time.Duration // time until the head of the response; 0 before
 	lastReceived   atomic.Int64  // nanoseconds until bytes of the response last arrived, with the resolution of receivedInterval
 	reportedSilent atomic.Bool
@@ -129,7 +133,7 @@
 		return a.sendFailed(ctx, err)
 	}
 	defer func() { _ = answer.Close() }()
-	a.headAfter = clock.Since(a.sent)
+	a.noteHead(answer)
 	executed := c.server.codec.Executed(answer.Status(), answer.Header())
 	a.readLoad(answer) // before the head: the load explains the time that it took
 	c.server.core.HeadReceived(&a.target.Choice, Head{
@@ -152,17 +156,40 @@
 	a.unread.Store(unread)
 	took := clock.Since(a.sent)
 	a.writtenAfter.Store(max(int64(took), 1))
+	a.countSend()
 	if clock.Since(a.target.asked) < lateWriteThreshold {
 		return nil
 	}
 	if !a.call.server.core.MayWrite(&a.target.Choice) {
 		a.writtenAfter.Store(0)
+		a.uncountSend()
 		return errDeclined
 	}
 	a.call.server.core.RequestWritten(&a.target.Choice)
 	return nil
 }
 
+// countSend numbers this send of the request. Another connection after a failed one counts as the same send.
+func (a *attempt) countSend() {
+	if a.number == 0 {
+		a.call.sends++
+		a.number = a.call.sends
+	}
+}
+
+func (a *attempt) uncountSend() {
+	a.call.sends--
+	a.number = 0
+}
+
+// noteHead records the head of the response and the connection on which it came.
+func (a *attempt) noteHead(answer *exchange.Response) {
+	a.headAfter = clock.Since(a.sent)
+	a.status = answer.Status()
+	a.conn = answer.Conn()
+	a.discarded = answer.Discarded()
+}
+
 // readLoad reports the load that the replica names in the head of its answer.
 func (a *attempt) readLoad(answer *exchange.Response) {
 	server := a.call.server
@@ -299,18 +326,22 @@
 		parts = c.partIDs()                  // the same for a part of prompts
 	}
 	c.record(decision.Event{
-		Kind:     decision.Try,
-		Upstream: a.target.Choice.Incarnation + a.target.Box,
-		Outcome:  outcome,
-		Reason:   a.why,
-		Digest:   digest,
-		Parts:    parts,
-		Tries:    c.sent,
-		SentMs:   time.Duration(a.writtenAfter.Load()).Milliseconds(),
-		HeadMs:   a.headAfter.Milliseconds(),
-		TookMs:   clock.Since(a.sent).Milliseconds(),
-		Framing:  string(a.framing),
-		Rest:     a.rest,
+		Kind:      decision.Try,
+		Upstream:  a.target.Choice.Incarnation + a.target.Box,
+		Outcome:   outcome,
+		Reason:    a.why,
+		Status:    a.status,
+		Send:      a.number,
+		Conn:      a.conn,
+		Discarded: a.discarded,
+		Digest:    digest,
+		Parts:     parts,
+		Tries:     c.sent,
+		SentMs:    time.Duration(a.writtenAfter.Load()).Milliseconds(),
+		HeadMs:    a.headAfter.Milliseconds(),
+		TookMs:    clock.Since(a.sent).Milliseconds(),
+		Framing:   string(a.framing),
+		Rest:      a.rest,
 	})
 }
 
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -65,6 +65,7 @@
 
 	state           state
 	sent            int          // number of replicas that the request was sent to
+	sends           int          // number of times that this box wrote it to a replica or box
 	reportedSent    atomic.Int64 // the same as last reported by the box that the request was forwarded to
 	received        bool         // some replica received it
 	tried           []string     // replicas
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -66,7 +66,7 @@
 	}
 	defer func() { _ = answer.Close() }()
 	a.receivedBytes += headerBytes(answer.Header())
-	a.headAfter = clock.Since(a.sent)
+	a.noteHead(answer)
 	a.noteReceived()
 	answer.SetUserTimeout(boxUnackedTimeout)
 	remoteSent := remoteSentCount(answer.Header())
