exchange: Don't send a request again over a connection that has carried it

Callers got 503 for orders that ran, and some orders ran twice. A replica that rejects a request may send the rejection once more where its next answer is due. A waiting request goes to that replica again, over the connection on top of the pool: the one of the rejection. Both sends have the same ID, so the copy was taken for the answer to the second send. The same holds for a failure that is retried at its replica, for a stream that resumes there, and for callers that repeat an ID.

Connections now remember the IDs of their last 16 requests, and a request uses another idle connection or a new one. A copy can only come on the connection of its first response, so no other send can receive it; one that comes for another request has another ID and is discarded, as before.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,12 @@
 	errMismatch             = errors.New("response belongs to another request")
 )
 
+// maxCarried is the number of requests that a connection remembers.
+const maxCarried = 16
+
+// requestKey is the hash of a request's ID; 0 for none.
+type requestKey uint64
+
 // conn is one connection. Between acquire or connect and release it belongs to one exchange.
 type conn struct {
 	pool       *Pool
@@ -45,9 +52,11 @@
 	writeErr   error
 	reused     bool
 	sentHEAD   bool
-	extended   bool      // its TCP user timeout differs from the dialer's
-	expiresAt  time.Time // end of its idle time; guarded by pool.mu
-	closed     bool      // guarded by pool.mu
+	carried    [maxCarried]requestKey // of the last requests, in a ring
+	requests   int                    // number of requests that it has carried
+	extended   bool                   // its TCP user timeout differs from the dialer's
+	expiresAt  time.Time              // end of its idle time; guarded by pool.mu
+	closed     bool                   // guarded by pool.mu
 }
 
 func newConn(p *Pool, addr string, nc net.Conn) *conn {
@@ -62,6 +71,17 @@
 	return c
 }
 
+// noteCarried records a request that is about to be written.
+func (c *conn) noteCarried(key requestKey) {
+	c.carried[c.requests%maxCarried] = key
+	c.requests++
+}
+
+// hasCarried reports whether the connection has recently carried a request with this key.
+func (c *conn) hasCarried(key requestKey) bool {
+	return key != 0 && slices.Contains(c.carried[:], key)
+}
+
 // Read reads from the connection, up to the limit of a header.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headerLeft <= 0 {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -38,6 +38,11 @@
 	Header http.Header // sent as is, without a default User-Agent
 	Body   []byte
 
+	// ID identifies the request; empty for none. A connection that has carried one of the same ID among its
+	// last 16 requests is not used: the server may send another copy of that response, which Matches can't
+	// tell from the response to this request.
+	ID string
+
 	// Matches reports whether a response with these header fields belongs to this request.
 	// If nil, every response does.
 	Matches func(h http.Header) bool
@@ -114,7 +119,7 @@
 			err:   err,
 		}
 	}
-	if c := p.acquire(req.Addr); c != nil {
+	if c := p.acquire(req.Addr, p.keyOf(req.ID)); c != nil {
 		a, fault := roundTrip(ctx, &req, c)
 		if fault == nil {
 			return a, nil
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -302,6 +303,48 @@
 	}
 }
 
+// Guards against a second copy of a response that is taken for that to a later send of the same request.
+func TestAConnectionThatHasCarriedARequestIsNotUsedForItAgain(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, respondWith(okResponse))
+	p := newTestPool(t)
+	send := func(id string) (conn uint64) {
+		req := get(s.addr)
+		req.ID = id
+		a, _, err := fetch(p, req)
+		is.NoErr(err)
+		return a.Conn()
+	}
+	is.Equal(send("a"), uint64(1))
+	is.Equal(send("b"), uint64(1))
+	is.Equal(send("a"), uint64(2))
+	is.Equal(send("b"), uint64(2)) // the most recently used one that has not carried it
+	is.Equal(send("a"), uint64(3))
+	is.Equal(send("b"), uint64(3))
+	is.Equal(send(""), uint64(3))
+	is.Equal(send(""), uint64(3)) // requests without an ID use any
+	is.Equal(send("b"), uint64(4))
+	is.Equal(p.OpenConns(s.addr), 4)
+}
+
+func TestAConnectionIsUsedForARequestAgainAfterManyOthers(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, respondWith(okResponse))
+	p := newTestPool(t)
+	for i := range maxCarried + 1 {
+		req := get(s.addr)
+		req.ID = strconv.Itoa(i)
+		_, _, err := fetch(p, req)
+		is.NoErr(err)
+	}
+	req := get(s.addr)
+	req.ID = "0"
+	a, _, err := fetch(p, req)
+	is.NoErr(err)
+	is.True(a.Reused())
+	is.Equal(s.conns.Load(), int32(1))
+}
+
 func TestTheEndOfTheContextEndsAnExchangeAtOnce(t *testing.T) {
 	head := "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"
 	for _, size := range []int{0, 10 << 20} {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
@@ -33,6 +34,7 @@
 	idleTime    time.Duration
 	busyTimeout time.Duration // TCP user timeout of a busy connection; 0 for the dialer's
 	activity    activity
+	seed        maphash.Seed  // of the keys of requests
 	opened      atomic.Uint64 // connections
 
 	mu      sync.Mutex
@@ -96,6 +98,7 @@
 		idleLimit: defaultIdleLimit,
 		idleTime:  defaultIdleTime,
 		addrs:     make(map[string]*addrConns),
+		seed:      maphash.MakeSeed(),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -214,10 +217,19 @@
 	return true
 }
 
-// acquire returns a usable idle connection to addr, or nil.
-func (p *Pool) acquire(addr string) *conn {
+// keyOf returns the key of a request's ID.
+func (p *Pool) keyOf(id string) requestKey {
+	if id == "" {
+		return 0
+	}
+	return requestKey(max(maphash.String(p.seed, id), 1))
+}
+
+// acquire returns a usable idle connection to addr that has not recently carried a request with the
+// same key, or nil.
+func (p *Pool) acquire(addr string, key requestKey) *conn {
 	for {
-		c, usable := p.popIdle(addr)
+		c, usable := p.popIdle(addr, key)
 		if c == nil {
 			return nil
 		}
@@ -237,20 +249,22 @@
 	}
 }
 
-// popIdle removes the most recently used idle connection, the likeliest to be still open,
-// and reports whether its idle time has not expired.
-func (p *Pool) popIdle(addr string) (c *conn, usable bool) {
+// popIdle removes the most recently used idle connection that has not carried the key, the likeliest to
+// be still open, and reports whether its idle time has not expired.
+func (p *Pool) popIdle(addr string, key requestKey) (c *conn, usable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.addrs[addr]
-	if m == nil || len(m.idle) == 0 {
+	if m == nil {
 		return nil, false
 	}
-	last := len(m.idle) - 1
-	c = m.idle[last]
-	m.idle[last] = nil
-	m.idle = m.idle[:last]
-	return c, clock.Now().Before(c.expiresAt)
+	for i, c := range slices.Backward(m.idle) {
+		if !c.hasCarried(key) {
+			m.idle = slices.Delete(m.idle, i, i+1)
+			return c, clock.Now().Before(c.expiresAt)
+		}
+	}
+	return nil, false
 }
 
 // release returns the connection to the pool for at most idleTime.
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -125,6 +125,7 @@
 		Host:        c.r.Host,
 		Header:      h,
 		Body:        c.body,
+		ID:          c.facts.ID,
 		Matches:     func(h http.Header) bool { return c.server.codec.MatchesRequest(h, c.facts.ID) },
 		OnWrite:     a.noteSent,
 		DialTimeout: c.dialTimeout(replicaDialTimeout),
