gateway: Send a request again over a connection of its own

The same fault as in exchange: callers choose the ID of a request, and one who repeats it could get a second copy of the earlier answer from a kept connection. Calls that may run once had one already.

--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -291,6 +291,16 @@
 
 // raw is an upstream that answers each connection with bytes of its own.
 func raw(t *testing.T, answer func(id string, nc net.Conn)) string {
+	return serving(t, func(nc net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(nc))
+		if err == nil {
+			answer(r.Header.Get(HeaderRequestID), nc)
+		}
+	})
+}
+
+// serving is an upstream that handles each connection and closes it then. It returns its URL.
+func serving(t *testing.T, handle func(nc net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -304,10 +314,7 @@
 			}
 			go func() {
 				defer func() { _ = nc.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(nc))
-				if err == nil {
-					answer(r.Header.Get(HeaderRequestID), nc)
-				}
+				handle(nc)
 			}()
 		}
 	}()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/common/recent"
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/ticket"
 	"github.com/havenrudder/havenrudder/wire"
@@ -65,6 +66,7 @@
 	once   *http.Client // a connection a call, so that nothing is sent twice below us
 	newID  func() string
 	scheme string // of other boxes
+	sends  sends
 	mux    *http.ServeMux
 }
 
@@ -106,6 +108,9 @@
 		newID:  newID,
 		scheme: "http://",
 		mux:    http.NewServeMux(),
+		sends: sends{
+			recent: recent.NewSet[send](maxRecentSends),
+		},
 	}
 	shared := http.DefaultTransport.(*http.Transport).Clone()
 	shared.MaxResponseHeaderBytes = maxHeaderBytes
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -278,6 +278,9 @@
 		return nil, errors.Wrap(err, "gateway")
 	}
 	q.fillHeader(r.Header, resume)
+	if s.sends.isRepeat(p.URL, q.id) {
+		client = s.once
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway")
