--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,7 @@
 	core   Core
 	log    logrus.FieldLogger
 	http   *http.Client // keeps connections, for calls that may be repeated
-	once   *http.Client // a connection a call, so that nothing is sent twice below us
+	once   *http.Client // a connection a call, so that nothing is sent twice below us and each answer is to that call
 	newID  func() string
 	scheme string // of other boxes
 	sends  sends
--- a/gateway/sends_test.go
+++ b/gateway/sends_test.go
@@ -9,6 +9,9 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/fleet"
+	"github.com/havenrudder/havenrudder/wire"
 )
 
 // copying is an upstream that sends each answer once more where the next one of the connection is due.
@@ -43,3 +46,22 @@
 		is.Equal(w.Body.String(), fmt.Sprint("run ", n+1))
 	}
 }
+
+// Guards against an answer to another request that is taken for what became of a call.
+func TestASecondCopyOfAnAnswerIsNotTakenForWhatBecameOfACall(t *testing.T) {
+	is := is.New(t)
+	url := copying(t)
+	s := overSockets(t, url)
+	w, _ := sent{http.MethodGet, "/s/shop/x", "", header(HeaderOrg, "free")}.to(s)
+	is.Equal(w.Body.String(), "run 1")
+	q := &query{
+		service: wire.Service{
+			Lookup: "/ticket/{ticket}",
+		},
+		ticket: "t-1",
+	}
+	_, result := s.lookUp(q, fleet.Placement{
+		URL: url,
+	})
+	is.Equal(string(result.Body), "run 2")
+}
