ingress: Log the last event of streams that callers take up

Callers of the deployments don't name the stream that they take up, so the log showed no difference between a request and a take-up. The lines of the placement and of the end now have last_event.

--- a/control/explain_test.go
+++ b/control/explain_test.go
@@ -167,8 +167,10 @@
 		Memory:   40_000,
 		Unread:   3000,
 		Sharers:  22,
+
+		LastEvent: "12",
 	}
-	is.Equal(inputs(&e), "upstream=i-1 build=v1.2 resumes=r-0 took=120ms prompt=9000 tokens=500 copy_from=192.0.2.1:80 in_flight=7 memory=40000 unread=3000 sharers=22")
+	is.Equal(inputs(&e), "upstream=i-1 build=v1.2 resumes=r-0 last_event=12 took=120ms prompt=9000 tokens=500 copy_from=192.0.2.1:80 in_flight=7 memory=40000 unread=3000 sharers=22")
 	e = decision.Event{
 		Kind:   decision.Try,
 		TookMs: 90,
--- a/control/explanation.go
+++ b/control/explanation.go
@@ -164,6 +164,7 @@
 	text("upstream", e.Upstream)
 	text("build", e.Build)
 	text("resumes", e.Resumes)
+	text("last_event", e.LastEvent)
 	text("region", e.Region)
 	text("organisation", e.Organisation)
 	number("age", e.AgeMs, "ms")
--- a/decision/event.go
+++ b/decision/event.go
@@ -111,9 +111,10 @@
 	Digest   string    `json:"digest,omitempty"` // of what the request asks, the same whenever it comes again
 	Region   string    `json:"region,omitempty"`
 
-	Send      int    `json:"send,omitempty"`      // number of the send among those of the request by this box, from 1
-	Conn      uint64 `json:"conn,omitempty"`      // number of the connection on which the response came, among those of this box to replicas, or to boxes
-	Discarded int    `json:"discarded,omitempty"` // responses to other requests that came there in its place
+	LastEvent string `json:"last_event,omitempty"` // ID of the last event that the caller has of the stream that it takes up
+	Send      int    `json:"send,omitempty"`       // number of the send among those of the request by this box, from 1
+	Conn      uint64 `json:"conn,omitempty"`       // number of the connection on which the response came, among those of this box to replicas, or to boxes
+	Discarded int    `json:"discarded,omitempty"`  // responses to other requests that came there in its place
 
 	SpeedAgeMs   int64  `json:"speed_age_ms,omitempty"` // age of what Speed is by
 	SpeedSource  string `json:"speed_source,omitempty"` // what Speed is by
@@ -159,6 +160,7 @@
 	e.Upstream = cut(e.Upstream)
 	e.Build = cut(e.Build)
 	e.Resumes = cut(e.Resumes)
+	e.LastEvent = cut(e.LastEvent)
 	e.Outcome = Outcome(cut(string(e.Outcome)))
 	e.Reason = cut(e.Reason)
 	e.Signal = Signal(cut(string(e.Signal)))
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -76,6 +76,7 @@
 	l.number("first_ms", e.FirstMs)
 	l.number("pause_ms", e.PauseMs)
 	l.text("framing", e.Framing)
+	l.text("last_event", e.LastEvent)
 	l.number("send", int64(e.Send))
 	l.number("conn", int64(e.Conn))
 	l.number("discarded", int64(e.Discarded))
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -109,6 +109,7 @@
 		Digest:   "50fd6db2",
 		Region:   "eu",
 
+		LastEvent: "12",
 		Send:      2,
 		Conn:      27,
 		Discarded: 1,
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -273,6 +273,8 @@
 		SpeedAgeMs:  t.Choice.Speed.Age.Milliseconds(),
 		SpeedSource: string(t.Choice.Speed.Source),
 
+		LastEvent: c.facts.LastEventID,
+
 		LossHere:    math.Round(w.LossHere),
 		LossThere:   math.Round(w.LossThere),
 		LinkCost:    math.Round(w.LinkCost),
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -247,6 +247,8 @@
 		FirstMs:  c.firstEventAfter.Milliseconds(),
 		PauseMs:  c.maxGap.Milliseconds(),
 
+		LastEvent: c.facts.LastEventID,
+
 		Ahead:      c.loggedAhead(),
 		Urgency:    c.loggedUrgency(c.refusedByQueue),
 		ExpectedMs: c.loggedExpected().Milliseconds(),
