box: Wait for the requests in flight at a planned stop

Callers of the product's own interface lost all requests that were in flight 6 s after the order to stop: the connection was closed without an answer, also for calls that may not be repeated. The server's Serve returns when its shutdown begins, and Run ended the box then, so that limits.drain_ms (120 s by default) never applied. It now waits for the stop to be complete.

TestARequestThatEndsWithinAPlannedStopIsServed (a stream of 20 s that begins 3 s into a stop with 36 s) failed before: the stream was cut.

--- a/box/box_test.go
+++ b/box/box_test.go
@@ -203,6 +203,21 @@
 	}, "a", "b")
 }
 
+// Guards against requests that are cut off while a planned stop has time for them.
+func TestARequestThatEndsWithinAPlannedStopIsServed(t *testing.T) {
+	run(t, func(d *domain) {
+		d.engine.Leave()
+		d.upstream("engine-2", "engine", fakes.NewEngine("engine-2", fakes.WithTokens(20, time.Second, time.Second)))
+		d.publishFleet()
+		d.wait(5 * time.Second)
+		d.boxes["a"].box.Leave()
+		d.wait(3 * time.Second)
+		r := d.send(http.MethodPost, "a", "/v1/chat/completions", `{"model":"m","stream":true,"messages":[]}`, http.Header{})
+		d.is.True(strings.HasSuffix(r.body, "data: [DONE]\n\n")) // after 20 s, of 36 s less 3
+		d.is.NoErr(<-d.boxes["a"].done)
+	}, "a", "b")
+}
+
 func TestAnUpstreamThatLeavesGetsNoNewWork(t *testing.T) {
 	run(t, func(d *domain) {
 		ask := func() reply {
--- a/box/serve.go
+++ b/box/serve.go
@@ -95,6 +95,7 @@
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		cancel(errors.Wrap(err, "callers"))
 	}
+	<-ctx.Done() // a planned stop still waits for the requests in flight
 }
 
 // drain waits for a planned stop, or the end of ctx, and stops server.
