gateway: Answer or refuse what can't end before a planned stop

A request of the product's own interface whose deadline lies beyond the end of a planned stop was cut there without an answer. Its time is bounded by that end now, so that its caller gets 504, and a request is refused unsent (leaving, 503, ran: not_run) if less than 1.5 times the usual time of its service is left.

TestARequestThatOutlastsAPlannedStopGetsAnAnswer failed before: no answer, connection closed.

--- a/box/box.go
+++ b/box/box.go
@@ -47,7 +47,8 @@
 	tickets  *cell.Cell[ticketState]
 	policy   atomic.Pointer[bundle.Policy] // in force, nil until the box serves
 	leaving  atomic.Bool
-	listed   atomic.Bool // the list of its own failure domain is known
+	leftAt   atomic.Int64 // time from the start to the order to stop, in nanoseconds
+	listed   atomic.Bool  // the list of its own failure domain is known
 	peers    *peer.Pool
 	platform *configstore.Client
 	upstream *http.Client
@@ -247,6 +248,7 @@
 func (b *Box) Leave() {
 	b.once.Do(func() {
 		b.log.Info("leaving")
+		b.leftAt.Store(int64(time.Since(b.started)))
 		b.leaving.Store(true)
 		_ = b.tickets.Do(func(s *ticketState) { s.owner.CloseUnused() })
 		_ = b.fleet.Do((*fleet.Fleet).StopWaiting)
@@ -259,6 +261,7 @@
 	return gateway.Core{
 		Policy:       b.policy.Load,
 		Leaving:      b.leaving.Load,
+		StopDeadline: b.stopDeadline,
 		Place:        b.place,
 		Await:        b.await,
 		Start:        b.start,
--- a/box/box_test.go
+++ b/box/box_test.go
@@ -218,6 +218,35 @@
 	}, "a", "b")
 }
 
+// Guards against requests that are cut off without an answer at the end of a planned stop.
+func TestARequestThatOutlastsAPlannedStopGetsAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := emptyDomain(t)
+		defer d.end()
+		d.fleets["d"].Upstreams = nil
+		slots := fakes.NewService(d.ledger, 0)
+		d.upstream("slow-1", "slots", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, "/v1/slots") {
+				<-r.Context().Done()
+				return
+			}
+			slots.ServeHTTP(w, r)
+		}))
+		d.open("a", "b")
+		answer := make(chan reply, 1)
+		d.boxes["a"].box.Leave()
+		go func() {
+			answer <- d.send(http.MethodGet, "a", "/s/slots/v1/slots", "", http.Header{
+				gateway.HeaderDeadline: {"600000"},
+			})
+		}()
+		r := <-answer
+		d.is.Equal(r.status, http.StatusGatewayTimeout)
+		d.is.Equal(r.refusal.Ran, wire.RanUnknown)
+		d.is.NoErr(<-d.boxes["a"].done)
+	})
+}
+
 func TestAnUpstreamThatLeavesGetsNoNewWork(t *testing.T) {
 	run(t, func(d *domain) {
 		ask := func() reply {
--- a/box/serve.go
+++ b/box/serve.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	leaveGrace = 6 * time.Second // callers may hold an answer to "which box" this long
+	leaveGrace = 6 * time.Second        // callers may hold an answer to "which box" this long
+	stopMargin = 250 * time.Millisecond // between the last answer of a planned stop and its end
 	readSlack  = 30 * time.Second
 )
 
@@ -121,6 +122,15 @@
 	cancel(ending.ErrPlanned)
 }
 
+// stopDeadline returns until when answers are due in a planned stop; false if none has begun.
+func (b *Box) stopDeadline() (time.Time, bool) {
+	if !b.leaving.Load() {
+		return time.Time{}, false
+	}
+	limit := leaveGrace + time.Duration(b.settings.Limits.DrainMs)*time.Millisecond
+	return b.started.Add(time.Duration(b.leftAt.Load()) + limit - stopMargin), true
+}
+
 func (b *Box) serveBoxes(ctx context.Context, cancel context.CancelCauseFunc) {
 	if err := peer.Serve(ctx, b.listeners[1], b.handlePeer, b.metrics.countControl); err != nil {
 		cancel(err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/common/average"
 	"github.com/havenrudder/havenrudder/common/recent"
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/ticket"
@@ -34,18 +35,19 @@
 
 // Core is the box behind the front. Its fields are the seams between them.
 type Core struct {
-	Policy     func() *bundle.Policy // nil until the box serves
-	Leaving    func() bool
-	Place      func(fleet.Request) (fleet.Placement, *fleet.Refused)
-	Await      func(context.Context, fleet.Request) (fleet.Placement, *fleet.Refused) // Place for a request that waits in order
-	Start      func(fleet.Placement, fleet.Started)
-	Finish     func(fleet.Placement, fleet.Finish)
-	WhichBox   func(org wire.Organisation, service wire.Service, prefix string) []string
-	Away       func(org wire.Organisation, service wire.Service, homeOnly bool) []fleet.Box
-	RegionLoad func() float64 // requests over slots in this region
-	LearnLoad  func(region string, load float64)
-	Owner      func(name string) (fleet.Box, bool)
-	Suspected  func(name string) bool // whether a box has not been heard of for some time
+	Policy       func() *bundle.Policy // nil until the box serves
+	Leaving      func() bool
+	StopDeadline func() (time.Time, bool) // until when answers are due, if a planned stop has begun
+	Place        func(fleet.Request) (fleet.Placement, *fleet.Refused)
+	Await        func(context.Context, fleet.Request) (fleet.Placement, *fleet.Refused) // Place for a request that waits in order
+	Start        func(fleet.Placement, fleet.Started)
+	Finish       func(fleet.Placement, fleet.Finish)
+	WhichBox     func(org wire.Organisation, service wire.Service, prefix string) []string
+	Away         func(org wire.Organisation, service wire.Service, homeOnly bool) []fleet.Box
+	RegionLoad   func() float64 // requests over slots in this region
+	LearnLoad    func(region string, load float64)
+	Owner        func(name string) (fleet.Box, bool)
+	Suspected    func(name string) bool // whether a box has not been heard of for some time
 
 	IssueTicket  func(service, org string, life time.Duration) (wire.Ticket, bool)
 	ClaimTicket  func(ctx context.Context, t wire.Ticket, fingerprint uint64) Claim
@@ -67,7 +69,9 @@
 	newID  func() string
 	scheme string // of other boxes
 	sends  sends
-	mux    *http.ServeMux
+
+	usualTimes average.Durations // of served requests, by service
+	mux        *http.ServeMux
 }
 
 // Option changes a Server.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -64,8 +64,9 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	core := Core{
-		Policy:  func() *bundle.Policy { return policy },
-		Leaving: func() bool { return false },
+		Policy:       func() *bundle.Policy { return policy },
+		Leaving:      func() bool { return false },
+		StopDeadline: func() (time.Time, bool) { return time.Time{}, false },
 		Place: func(fleet.Request) (fleet.Placement, *fleet.Refused) {
 			*open++
 			return fleet.Placement{
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -99,6 +99,7 @@
 	s.core.FinishTicket(t.ID, ran, result)
 	switch ran {
 	case wire.RanRan:
+		s.recordTime(q)
 		s.describe(w.Header(), q, p)
 		s.answerHeld(w, q, result)
 	case wire.RanNotRun:
@@ -111,7 +112,7 @@
 // runOnce sends the call to one replica. Only while the connection could not
 // even be made is another one tried. It waits for capacity until its caller leaves.
 func (s *Server) runOnce(ctx, caller context.Context, q *query) (wire.Ran, ticket.Result, fleet.Placement) {
-	for len(q.tried) < maxTries && ctx.Err() == nil {
+	for len(q.tried) < maxTries && ctx.Err() == nil && !s.endsAfterStop(q) {
 		p, refused := s.place(q, q.tried, fleet.InTurn)
 		if refused != nil {
 			p, refused = s.await(caller, q, refused)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -80,6 +80,10 @@
 
 // serveRepeatable relays a request that may be tried again.
 func (s *Server) serveRepeatable(w http.ResponseWriter, r *http.Request, q *query) {
+	if s.endsAfterStop(q) {
+		s.refuse(w, q, *refusal(codeLeaving, "this box is about to end", retrySoon))
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	if q.stream {
@@ -341,6 +345,7 @@
 	q.frame(h, len(a.body), a.unframed)
 	w.WriteHeader(a.status)
 	_, _ = w.Write(a.body)
+	s.recordTime(q)
 	s.core.Observe.Request(q.service.Name, codeOK, time.Since(q.start))
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -161,6 +161,7 @@
 		return refusal(codeHeader, "header "+HeaderDeadline+" must be 1 to 3600000", 0)
 	}
 	q.deadline = q.start.Add(deadline)
+	s.boundByStop(q)
 	return nil
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -215,6 +215,7 @@
 // end.
 func (st *stream) token(data []byte) (whole bool, err error) {
 	if bytes.Equal(data, dataDone) {
+		st.server.recordTime(st.q)
 		st.server.core.Observe.Request(st.q.service.Name, codeOK, time.Since(st.q.start))
 		return true, st.write(dataDone)
 	}
