box: Wait for the end of a stop where the box ends

No behaviour changes. serveCallers waited for the context, after which the cancel in Run did nothing; Run waits in its place. The limit of a stop and the clock of the box, which stood twice, are one function each.

--- a/box/box.go
+++ b/box/box.go
@@ -182,7 +182,7 @@
 	b.tasks.Go(func() { b.runWaiting(ctx) })
 	b.tasks.Go(func() { b.serveOperators(ctx, cancel, tlsConfig) })
 	b.serveCallers(ctx, cancel, tlsConfig)
-	cancel(nil)
+	<-ctx.Done() // a planned stop still waits for the requests in flight
 	b.tasks.Wait()
 	b.upstream.CloseIdleConnections()
 	return ending.Cause(ctx)
@@ -248,7 +248,7 @@
 func (b *Box) Leave() {
 	b.once.Do(func() {
 		b.log.Info("leaving")
-		b.leftAt.Store(int64(time.Since(b.started)))
+		b.leftAt.Store(int64(b.now()))
 		b.leaving.Store(true)
 		_ = b.tickets.Do(func(s *ticketState) { s.owner.CloseUnused() })
 		_ = b.fleet.Do((*fleet.Fleet).StopWaiting)
--- a/box/serve.go
+++ b/box/serve.go
@@ -96,7 +96,6 @@
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		cancel(errors.Wrap(err, "callers"))
 	}
-	<-ctx.Done() // a planned stop still waits for the requests in flight
 }
 
 // drain waits for a planned stop, or the end of ctx, and stops server.
@@ -112,8 +111,7 @@
 		}
 	}
 	sleep.For(ctx, leaveGrace)
-	limit := time.Duration(b.settings.Limits.DrainMs) * time.Millisecond
-	bounded, stop := context.WithTimeout(ctx, limit)
+	bounded, stop := context.WithTimeout(ctx, b.drainLimit())
 	defer stop()
 	if err := ending.Shutdown(bounded, server); err != nil {
 		b.log.WithError(err).Warn("planned stop cut off requests")
@@ -127,8 +125,13 @@
 	if !b.leaving.Load() {
 		return time.Time{}, false
 	}
-	limit := leaveGrace + time.Duration(b.settings.Limits.DrainMs)*time.Millisecond
-	return b.started.Add(time.Duration(b.leftAt.Load()) + limit - stopMargin), true
+	end := time.Duration(b.leftAt.Load()) + leaveGrace + b.drainLimit()
+	return b.started.Add(end - stopMargin), true
+}
+
+// drainLimit returns how long a planned stop waits for requests in flight, after leaveGrace.
+func (b *Box) drainLimit() time.Duration {
+	return time.Duration(b.settings.Limits.DrainMs) * time.Millisecond
 }
 
 func (b *Box) serveBoxes(ctx context.Context, cancel context.CancelCauseFunc) {
