--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -54,6 +54,8 @@
 	OnWrite func(unread func() bool) error
 
 	DialTimeout time.Duration // 500 ms when 0
+
+	key requestKey // of ID
 }
 
 func (r *Request) prepare() error {
@@ -119,7 +121,8 @@
 			err:   err,
 		}
 	}
-	if c := p.acquire(req.Addr, p.keyOf(req.ID)); c != nil {
+	req.key = p.keyOf(req.ID)
+	if c := p.acquire(req.Addr, req.key); c != nil {
 		a, fault := roundTrip(ctx, &req, c)
 		if fault == nil {
 			return a, nil
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -40,7 +40,7 @@
 	s := &requestWrite{
 		done: make(chan struct{}),
 	}
-	c.noteCarried(c.pool.keyOf(req.ID))
+	c.noteCarried(req.key)
 	c.written = 0
 	c.writeErr = nil
 	if req.Method == http.MethodHead {
