ending: Keep the time that a request needs before a stop in one place

No behaviour changes. ingress and gateway each had the slack and the product with the average; both now ask ending.UsualTimes, which takes the place of common/average.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,7 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/havenrudder/havenrudder/bundle"
-	"github.com/havenrudder/havenrudder/common/average"
+	"github.com/havenrudder/havenrudder/common/ending"
 	"github.com/havenrudder/havenrudder/common/recent"
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/ticket"
@@ -70,7 +70,7 @@
 	scheme string // of other boxes
 	sends  sends
 
-	usualTimes average.Durations // of served requests, by service
+	usualTimes ending.UsualTimes // of served requests, by service
 	mux        *http.ServeMux
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -4,9 +4,6 @@
 	"time"
 )
 
-// stopSlack is the multiple of the usual time of a request that must be left before a planned stop ends.
-const stopSlack = 1.5
-
 // boundByStop bounds the time of a request by the planned stop of this box, so that its caller gets an
 // answer and not a closed connection.
 func (s *Server) boundByStop(q *query) {
@@ -19,7 +16,7 @@
 // stop of this box.
 func (s *Server) endsAfterStop(q *query) bool {
 	end, stopping := s.core.StopDeadline()
-	return stopping && time.Until(end) < time.Duration(stopSlack*float64(s.usualTimes.Of(q.service.Name)))
+	return stopping && time.Until(end) < s.usualTimes.Needed(q.service.Name)
 }
 
 // recordTime records the time that a request took which was served.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/havenrudder/havenrudder/catalog"
-	"github.com/havenrudder/havenrudder/common/average"
 	"github.com/havenrudder/havenrudder/common/clock"
+	"github.com/havenrudder/havenrudder/common/ending"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/placement"
@@ -212,7 +212,7 @@
 	boxes    *exchange.Pool
 	memory   bufferMemory
 
-	usualTimes average.Durations // of served requests without tokens, by service
+	usualTimes ending.UsualTimes // of served requests without tokens, by service
 
 	maxAnswer int64 // bytes of an answer that announces no length
 
--- a/ingress/stop.go
+++ b/ingress/stop.go
@@ -6,9 +6,6 @@
 	"github.com/havenrudder/havenrudder/common/clock"
 )
 
-// stopSlack is the multiple of the usual time of a request that must be left before a planned stop ends.
-const stopSlack = 1.5
-
 // endsAfterStop reports whether the request is not expected to end before the planned stop of this box, so
 // that it is better sent by another one. A stream that has begun goes on for as long as it can.
 func (c *call) endsAfterStop() bool {
@@ -24,7 +21,7 @@
 	if c.facts.PromptTokens > 0 {
 		return c.server.core.StreamTime(c.newQuery().Request) // whose output is estimated with a margin
 	}
-	return time.Duration(stopSlack * float64(c.server.usualTimes.Of(c.service)))
+	return c.server.usualTimes.Needed(c.service)
 }
 
 // recordTime records the time that a request took which was served.
