exchange: Keep all sends of a request on different connections

A connection remembered its last 16 requests, so that a waiting request which its replica had rejected could go there again over the connection of the rejection after that one had carried 16 others. A second copy of the rejection that comes then was taken for the answer to the second send: 503 for a request that ran.

A call now hands the connections that have carried it to each of its sends, however many other requests they have carried since. The 16 last IDs stay for requests of different callers with the same ID.

TestAConnectionIsNotUsedAgainForASendOfTheSameRequestAfterManyOthers fails without the check: connection 1 carries the request again after 17 others.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -72,14 +72,18 @@
 }
 
 // noteCarried records a request that is about to be written.
-func (c *conn) noteCarried(key requestKey) {
-	c.carried[c.requests%maxCarried] = key
+func (c *conn) noteCarried(req *Request) {
+	c.carried[c.requests%maxCarried] = req.key
 	c.requests++
+	if req.Carriers != nil {
+		req.Carriers.add(c)
+	}
 }
 
-// hasCarried reports whether the connection has recently carried a request with this key.
-func (c *conn) hasCarried(key requestKey) bool {
-	return key != 0 && slices.Contains(c.carried[:], key)
+// hasCarried reports whether the connection has carried an earlier send of the request, or recently another
+// request with its ID.
+func (c *conn) hasCarried(req *Request) bool {
+	return (req.key != 0 && slices.Contains(c.carried[:], req.key)) || (req.Carriers != nil && req.Carriers.has(c))
 }
 
 // Read reads from the connection, up to the limit of a header.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -43,6 +43,10 @@
 	// tell from the response to this request.
 	ID string
 
+	// Carriers are the connections that have carried earlier sends of the request, which are not used either,
+	// however many other requests they have carried since. Do adds the one that carries it now. Nil for none.
+	Carriers *Carriers
+
 	// Matches reports whether a response with these header fields belongs to this request.
 	// If nil, every response does.
 	Matches func(h http.Header) bool
@@ -122,7 +126,7 @@
 		}
 	}
 	req.key = p.keyOf(req.ID)
-	if c := p.acquire(req.Addr, req.key); c != nil {
+	if c := p.acquire(&req); c != nil {
 		a, fault := roundTrip(ctx, &req, c)
 		if fault == nil {
 			return a, nil
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -345,6 +345,28 @@
 	is.Equal(s.conns.Load(), int32(1))
 }
 
+// Guards against a second copy that comes after many other responses of its connection.
+func TestAConnectionIsNotUsedAgainForASendOfTheSameRequestAfterManyOthers(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, respondWith(okResponse))
+	p := newTestPool(t)
+	var carriers Carriers
+	send := func(id string, carriers *Carriers) (conn uint64) {
+		req := get(s.addr)
+		req.ID = id
+		req.Carriers = carriers
+		a, _, err := fetch(p, req)
+		is.NoErr(err)
+		return a.Conn()
+	}
+	is.Equal(send("a", &carriers), uint64(1))
+	for i := range maxCarried + 1 {
+		is.Equal(send(strconv.Itoa(i), nil), uint64(1))
+	}
+	is.Equal(send("a", &carriers), uint64(2))
+	is.Equal(send("a", &carriers), uint64(3))
+}
+
 func TestTheEndOfTheContextEndsAnExchangeAtOnce(t *testing.T) {
 	head := "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"
 	for _, size := range []int{0, 10 << 20} {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -225,11 +225,10 @@
 	return requestKey(max(maphash.String(p.seed, id), 1))
 }
 
-// acquire returns a usable idle connection to addr that has not recently carried a request with the
-// same key, or nil.
-func (p *Pool) acquire(addr string, key requestKey) *conn {
+// acquire returns a usable idle connection that may carry the request, or nil.
+func (p *Pool) acquire(req *Request) *conn {
 	for {
-		c, usable := p.popIdle(addr, key)
+		c, usable := p.popIdle(req)
 		if c == nil {
 			return nil
 		}
@@ -249,17 +248,17 @@
 	}
 }
 
-// popIdle removes the most recently used idle connection that has not carried the key, the likeliest to
-// be still open, and reports whether its idle time has not expired.
-func (p *Pool) popIdle(addr string, key requestKey) (c *conn, usable bool) {
+// popIdle removes the most recently used idle connection that may carry the request, the likeliest to be
+// still open, and reports whether its idle time has not expired.
+func (p *Pool) popIdle(req *Request) (c *conn, usable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m := p.addrs[addr]
+	m := p.addrs[req.Addr]
 	if m == nil {
 		return nil, false
 	}
 	for i, c := range slices.Backward(m.idle) {
-		if !c.hasCarried(key) {
+		if !c.hasCarried(req) {
 			m.idle = slices.Delete(m.idle, i, i+1)
 			return c, clock.Now().Before(c.expiresAt)
 		}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -40,7 +40,7 @@
 	s := &requestWrite{
 		done: make(chan struct{}),
 	}
-	c.noteCarried(req.key)
+	c.noteCarried(req)
 	c.written = 0
 	c.writeErr = nil
 	if req.Method == http.MethodHead {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -126,6 +126,7 @@
 		Header:      h,
 		Body:        c.body,
 		ID:          c.facts.ID,
+		Carriers:    &c.carriers,
 		Matches:     func(h http.Header) bool { return c.server.codec.MatchesRequest(h, c.facts.ID) },
 		OnWrite:     a.noteSent,
 		DialTimeout: c.dialTimeout(replicaDialTimeout),
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -12,6 +12,7 @@
 	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/placement"
 	"github.com/havenrudder/havenrudder/poison"
 	"github.com/havenrudder/havenrudder/queue"
@@ -64,11 +65,12 @@
 	suspectPart  poison.Digest // for which the request is quarantined
 
 	state           state
-	sent            int          // number of replicas that the request was sent to
-	sends           int          // number of times that this box wrote it to a replica or box
-	reportedSent    atomic.Int64 // the same as last reported by the box that the request was forwarded to
-	received        bool         // some replica received it
-	tried           []string     // replicas
+	sent            int               // number of replicas that the request was sent to
+	sends           int               // number of times that this box wrote it to a replica or box
+	carriers        exchange.Carriers // connections to replicas that carried it
+	reportedSent    atomic.Int64      // the same as last reported by the box that the request was forwarded to
+	received        bool              // some replica received it
+	tried           []string          // replicas
 	triedBoxes      []string
 	noRegions       []string // regions that refused the request or were unreachable
 	receivers       []string // replicas of tried that received the request
