ingress: Number only the sends of which a byte was written

A line try with the outcome not_run had a number of its send also where the connection took no byte of the request, so that the log could not tell a request that another box may hold from one that never left.

TestASendOfWhichNoByteWasWrittenHasNoNumber failed before: [1 2] in place of [0 1].

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -164,7 +164,6 @@
 	}
 	if !a.call.server.core.MayWrite(&a.target.Choice) {
 		a.writtenAfter.Store(0)
-		a.uncountSend()
 		return errDeclined
 	}
 	a.call.server.core.RequestWritten(&a.target.Choice)
@@ -179,9 +178,12 @@
 	}
 }
 
+// uncountSend takes the number back of a send of which no byte was written.
 func (a *attempt) uncountSend() {
-	a.call.sends--
-	a.number = 0
+	if a.number > 0 {
+		a.call.sends--
+		a.number = 0
+	}
 }
 
 // noteHead records the head of the response and the connection on which it came.
@@ -249,6 +251,7 @@
 	if sent {
 		a.call.noteReceiver(a.target.Choice.Incarnation)
 	} else {
+		a.uncountSend()
 		a.call.tried = append(a.call.tried, a.target.Choice.Incarnation)
 	}
 	stalled := errors.Is(context.Cause(ctx), errStalled)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -93,6 +93,7 @@
 	var e *exchange.Error
 	if errors.As(err, &e) && !e.Sent() {
 		a.forwardedBytes = 0
+		a.uncountSend()
 		if ctx.Err() != nil {
 			return abandoned
 		}
--- a/ingress/unreachable_test.go
+++ b/ingress/unreachable_test.go
@@ -1,11 +1,17 @@
 package ingress
 
 import (
+	"context"
+	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/havenrudder/havenrudder/decision"
+	"github.com/havenrudder/havenrudder/exchange"
 )
 
 // Guards against a retry that spends another dial timeout on a target that the stall watch has
@@ -59,3 +65,38 @@
 	t.Cleanup(func() { _ = l.Close() })
 	return l.Addr().String()
 }
+
+// unwritableConn is a connection that accepts no byte.
+type unwritableConn struct {
+	net.Conn
+}
+
+// Write writes nothing.
+func (unwritableConn) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
+// Guards against log lines that don't tell whether a replica may have received a request.
+func TestASendOfWhichNoByteWasWrittenHasNoNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegion(t, 2)
+		dials := 0
+		pool := exchange.NewPool(exchange.WithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := g.link.dial(ctx, network, addr)
+			if dials++; dials == 1 && err == nil {
+				return unwritableConn{
+					Conn: nc,
+				}, nil
+			}
+			return nc, err
+		}))
+		defer pool.Close()
+		is.True(receive(t, g.box(pool)).complete)
+		var sends []int
+		for _, e := range g.events {
+			if e.Kind == decision.Try {
+				sends = append(sends, e.Send)
+			}
+		}
+		is.Equal(sends, []int{0, 1})
+	})
+}
