exchange, gateway: Don't join the start of an answer to the next one

A replica that cuts an extra answer in its head, where the next answer of the connection is due, sends the start of one head directly before another. net/http reads both as one: the status line, or the fields, of the answer that was cut, with the ID, seal and body of the next one, so that matching by ID does not help.

- 421, or 503 with Havenrudder-Not-Executed, before a 200: the order is taken for one that the replica did not run, and runs at another one; a call that ran at both is refused with 503.
- 500 before a 200: a failure with the seal of a success.
In gateway, 404 with the body of a 200.
- The start of the ID's field: the answer is discarded, and the request waits until its time is up.

Now a head that holds the first line of another one, in its reason phrase, a field or the names of its trailers, belongs to no request: the request may have run, and the connection is closed. The first line of the next answer is always whole in such a head, wherever the first one was cut, so none is missed; a cut in the name of a field was already an error. heads.Joined does it for exchange (replicas, boxes, the store) and for gateway (upstreams, boxes, what became of a call).

A head that names a whole first line in a field of its own, as "X: HTTP/1.1 200 OK", is now rejected too.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/havenrudder/havenrudder/common/heads"
 )
 
 const (
@@ -31,6 +33,7 @@
 	errTooManyInformational = errors.New("too many 1xx answers")
 	errProtocolSwitch       = errors.New("server switched protocols without an upgrade request")
 	errMismatch             = errors.New("response belongs to another request")
+	errJoinedHeads          = errors.New("the answer's header holds the start of another answer")
 )
 
 // maxCarried is the number of requests that a connection remembers.
@@ -135,6 +138,9 @@
 		if err != nil {
 			return nil, StageResponse, err
 		}
+		if heads.Joined(resp) {
+			return nil, StageMismatch, errJoinedHeads
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, StageResponse, errProtocolSwitch
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -66,7 +66,7 @@
 		return errors.Wrap(err, "gateway: forward")
 	}
 	q.fillForward(r.Header, s.hop())
-	resp, err := s.http.Do(r)
+	resp, err := roundTrip(s.http, r)
 	if err != nil {
 		return errors.Wrap(err, "gateway: forward")
 	}
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -36,7 +36,7 @@
 		return wire.RanUnknown, ticket.Result{}
 	}
 	r.Header.Set(HeaderOrg, q.org.Name)
-	resp, err := s.once.Do(r) // a kept connection may bring an answer to an earlier request
+	resp, err := roundTrip(s.once, r) // a kept connection may bring an answer to an earlier request
 	if err != nil {
 		return wire.RanUnknown, ticket.Result{}
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/havenrudder/havenrudder/bundle"
+	"github.com/havenrudder/havenrudder/common/heads"
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/routing"
 	"github.com/havenrudder/havenrudder/wire"
@@ -237,8 +238,23 @@
 	unframed bool // the body ended with its connection
 }
 
-// ErrCrossed marks an answer that belongs to another request.
-var errCrossed = errors.New("gateway: answer to another request")
+var (
+	errCrossed = errors.New("gateway: answer to another request")
+	errJoined  = errors.New("gateway: head holds the start of another answer")
+)
+
+// roundTrip sends a request and returns its answer, unless its head is joined from those of two.
+func roundTrip(client *http.Client, r *http.Request) (*http.Response, error) {
+	resp, err := client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if heads.Joined(resp) {
+		_ = resp.Body.Close()
+		return nil, errJoined
+	}
+	return resp, nil
+}
 
 // call sends q to a placement and returns its whole answer.
 func (s *Server) call(ctx context.Context, client *http.Client, q *query, p fleet.Placement) (answer, error) {
@@ -285,7 +301,7 @@
 	if s.sends.isRepeat(p.URL, q.id) {
 		client = s.once
 	}
-	resp, err := client.Do(r)
+	resp, err := roundTrip(client, r)
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway")
 	}
