gateway: Don't say of a request that it did not run after another box may have run it

A request that may be repeated and finds no replica goes to a box of another region. If that box's answer broke off, callers got 503 and "ran: not_run", though the box may have run it: the refusal was that of this box's own queue, which knows nothing of the other box. "Not run" must be true.

Now such a request is answered 502 and "ran: unknown", as one whose replica's answer broke off. The time after which to try again stays.

--- a/gateway/cuthead_test.go
+++ b/gateway/cuthead_test.go
@@ -168,6 +168,11 @@
 	return s
 }
 
+// Guards against requests that are said not to have run although the other box may have run them.
+func TestAnotherBoxsAnswerThatIsCutAnywhereIsNotPassedOn(t *testing.T) {
+	eachCut(t, overBox)
+}
+
 // Guards against callers who get the status of one answer with the body of another.
 func TestTheStartOfAnAnswerIsNotJoinedToTheAnswerAfterIt(t *testing.T) {
 	const started = "HTTP/1.1 404 Not Found\r\nContent-Type: text/plain\r\n"
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -33,7 +33,9 @@
 		if err == nil {
 			return true
 		}
-		if !q.idempotent() && !unreached(err) && !errors.Is(err, errNotRun) {
+		mayHaveRun := !unreached(err) && !errors.Is(err, errNotRun)
+		q.mayHaveRun = q.mayHaveRun || mayHaveRun
+		if !q.idempotent() && mayHaveRun {
 			f := *refusal(codeUpstream, "no upstream gave a whole answer", retrySoon)
 			f.Ran = wire.RanUnknown // nobody said that it may be run twice
 			s.refuse(w, q, f)
@@ -48,6 +50,10 @@
 	message := cmp.Or(refused.Reason, "no replica can take the request in time")
 	retry := cmp.Or(refused.RetryAfter, admission.RetryAfter(refused.Wait, q.spread())) // those of a queue differ already
 	f := *refusal(refused.Code, message, retry)
+	if q.mayHaveRun {
+		f = *refusal(codeUpstream, "no upstream gave a whole answer", retry)
+		f.Ran = wire.RanUnknown
+	}
 	if q.explain {
 		w.Header().Set(HeaderExplain, explain(refused.Choice))
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -79,7 +79,9 @@
 	retry    time.Duration // when a queue that refused it expects free capacity for it, 0 for none
 	stream   bool
 	begun    bool // a part of the stream was sent
-	start    time.Time
+
+	mayHaveRun bool // another box got it, and its answer is lost
+	start      time.Time
 }
 
 // identify finds the policy, organisation and service of a request.
