gateway: Don't let net/http send a forwarded call again

A POST that brings Idempotency-Key and is forwarded to another box goes over a kept connection. If that ends without a byte of an answer, as that of a box that is killed does, net/http sends the call once more by itself, since it takes the key for a promise that the call may be repeated: a call that nobody said may be run twice ran at the other box twice. Calls to upstreams have a client that keeps no connection for this reason; forwarded calls had not.

Now the key is sent under its name in lower case, which is the same to whoever reads it, and net/http does not know it. A connection for each forwarded call would cost a round trip between regions.

--- a/gateway/cuthead_test.go
+++ b/gateway/cuthead_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"github.com/havenrudder/havenrudder/fleet"
 	"github.com/havenrudder/havenrudder/wire"
 )
@@ -23,6 +25,7 @@
 	mu     sync.Mutex
 	script func(id string) (answer string, whole bool)
 	runs   map[string]int // by request
+	key    string         // that came with the last request
 }
 
 func newScripted(t *testing.T) *scripted {
@@ -55,6 +58,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.runs[id]++
+	u.key = r.Header.Get(headerKey)
 	return u.script(id)
 }
 
@@ -173,6 +177,24 @@
 	eachCut(t, overBox)
 }
 
+// Guards against a call that nobody said may be run twice and that net/http sends again, as a kept
+// connection ends without an answer.
+func TestACallIsForwardedOnceOverAConnectionThatEndsWithoutAnAnswer(t *testing.T) {
+	is := is.New(t)
+	u := newScripted(t)
+	s := overBox(t, u.url)
+	ask := func(id string) int {
+		w, _ := sent{http.MethodPost, "/s/shop/x", "{}", header(HeaderOrg, "free", HeaderRequest, id, headerKey, id)}.to(s)
+		return w.Code
+	}
+	u.set(func(id string) (string, bool) { return answerOf("200 OK", id, "Content-Length: 2\r\n\r\nok"), true })
+	is.Equal(ask("id-1"), http.StatusOK)
+	u.set(func(string) (string, bool) { return "", false })
+	is.Equal(ask("id-2"), http.StatusBadGateway)
+	is.Equal(u.ran("id-2"), 1)
+	is.Equal(u.key, "id-2") // it still arrives
+}
+
 // Guards against callers who get the status of one answer with the body of another.
 func TestTheStartOfAnAnswerIsNotJoinedToTheAnswerAfterIt(t *testing.T) {
 	const started = "HTTP/1.1 404 Not Found\r\nContent-Type: text/plain\r\n"
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -93,12 +93,20 @@
 	HeaderOrg, HeaderService, HeaderResidency, HeaderTicket, HeaderPrefix, HeaderExplain,
 }
 
+// unseenKey is headerKey in a form that net/http does not recognise. It would take the request for one that
+// it may send again if a kept connection ends without an answer.
+const unseenKey = "idempotency-key"
+
 func (q *query) fillForward(h http.Header, hop string) {
 	for _, name := range forwarded {
 		if v := q.header.Get(name); v != "" {
 			h.Set(name, v)
 		}
 	}
+	if key := h[headerKey]; key != nil && !q.idempotent() {
+		delete(h, headerKey)
+		h[unseenKey] = key
+	}
 	h.Set(HeaderService, q.service.Name)
 	h.Set(HeaderRequest, q.id)
 	h.Set(HeaderPath, strings.Join(append(q.path[:len(q.path):len(q.path)], hop), ","))
