--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -33,7 +33,9 @@
 		if err == nil {
 			return true
 		}
-		if !q.idempotent() && !unreached(err) && !errors.Is(err, errNotRun) {
+		mayHaveRun := !unreached(err) && !errors.Is(err, errNotRun)
+		q.mayHaveRun = q.mayHaveRun || mayHaveRun
+		if !q.idempotent() && mayHaveRun {
 			f := *refusal(codeUpstream, "no upstream gave a whole answer", retrySoon)
 			f.Ran = wire.RanUnknown // nobody said that it may be run twice
 			s.refuse(w, q, f)
@@ -48,6 +50,10 @@
 	message := cmp.Or(refused.Reason, "no replica can take the request in time")
 	retry := cmp.Or(refused.RetryAfter, admission.RetryAfter(refused.Wait, q.spread())) // those of a queue differ already
 	f := *refusal(refused.Code, message, retry)
+	if q.mayHaveRun {
+		f = *refusal(codeUpstream, "no upstream gave a whole answer", retry)
+		f.Ran = wire.RanUnknown
+	}
 	if q.explain {
 		w.Header().Set(HeaderExplain, explain(refused.Choice))
 	}
@@ -66,7 +72,7 @@
 		return errors.Wrap(err, "gateway: forward")
 	}
 	q.fillForward(r.Header, s.hop())
-	resp, err := s.http.Do(r)
+	resp, err := roundTrip(s.http, r)
 	if err != nil {
 		return errors.Wrap(err, "gateway: forward")
 	}
@@ -87,12 +93,20 @@
 	HeaderOrg, HeaderService, HeaderResidency, HeaderTicket, HeaderPrefix, HeaderExplain,
 }
 
+// unseenKey is headerKey in a form that net/http does not recognise. It would take the request for one that
+// it may send again if a kept connection ends without an answer.
+const unseenKey = "idempotency-key"
+
 func (q *query) fillForward(h http.Header, hop string) {
 	for _, name := range forwarded {
 		if v := q.header.Get(name); v != "" {
 			h.Set(name, v)
 		}
 	}
+	if key := h[headerKey]; key != nil && !q.idempotent() {
+		delete(h, headerKey)
+		h[unseenKey] = key
+	}
 	h.Set(HeaderService, q.service.Name)
 	h.Set(HeaderRequest, q.id)
 	h.Set(HeaderPath, strings.Join(append(q.path[:len(q.path):len(q.path)], hop), ","))
