--- a/exchange/cutbody_test.go
+++ b/exchange/cutbody_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -37,3 +39,18 @@
 		})
 	}
 }
+
+// Guards against a rejection that is read from the body of the answer, whose head was taken for the rest of
+// a response to another request.
+func TestARejectionWithinABodyIsNotTakenForTheAnswer(t *testing.T) {
+	const (
+		body = "HTTP/1.1 503 Service Unavailable\r\nId: 2\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		sent = "hello"
+	)
+	own := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: %d\r\n\r\n", len(body))
+	cut := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n", len(sent)+len(own))
+	a, _, _, err := bring(t, []byte(cut+sent+own+body))
+	if err == nil && a.Status() != http.StatusOK {
+		t.Errorf("%d %v", a.Status(), a.Header())
+	}
+}
