gateway: Don't take a failed redial for a request that was never sent

A box that had read a forwarded request and then ended made callers read 503 and "ran: not_run". net/http sends a request again by itself where its kept connection ended without an answer, and the error that it returns is that of the new connection, which the refused dial made look like a request that no box received.

An error now counts as unsent only if the request never had a connection, as told by httptrace.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -239,13 +241,22 @@
 }
 
 var (
-	errCrossed = errors.New("gateway: answer to another request")
-	errJoined  = errors.New("gateway: head holds the start of another answer")
+	errCrossed   = errors.New("gateway: answer to another request")
+	errJoined    = errors.New("gateway: head holds the start of another answer")
+	errConnected = errors.New("gateway: request had a connection")
 )
 
-// roundTrip sends a request and returns its answer, unless its head is joined from those of two.
+// roundTrip sends a request and returns its answer, unless its head is joined from those of two. Errors
+// after the request had a connection are marked with errConnected.
 func roundTrip(client *http.Client, r *http.Request) (*http.Response, error) {
-	resp, err := client.Do(r)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	resp, err := client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil && connected.Load() {
+		err = errors.Mark(err, errConnected)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -385,9 +396,9 @@
 	return string(data)
 }
 
-// unreached says whether err proves that no byte of a request left: the
-// connection was never made.
+// unreached says whether err proves that no byte of a request left: no connection was made. A failed dial
+// alone does not, since net/http sends a request again whose kept connection ended without an answer.
 func unreached(err error) bool {
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	return errors.As(err, &op) && op.Op == "dial" && !errors.Is(err, errConnected)
 }
