ingress: Cut the connection of a caller that seems to have left

A caller that ended its sending side after an order and still read got "200 OK" with an empty body and no seal, while its replica was cancelled: net/http ends the request's context then, and answers 200 for a handler that has written nothing. The connection is cut now, as in the middle of a response.

TestACallerThatEndsItsSideOfTheConnectionGetsNoSuccessWithoutASeal failed before, in the box's region and through another one (a review's test). TestARetryIsReturnedIfTheQueueRefusesItsRequest expected that implied 200 of a caller that left; it expects the cut now, and the other cases the same as before.

--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -42,6 +42,7 @@
 			c.unreserve()
 		}
 		c.recordEnd(decision.Left, 0, string(reasonCallerLeft))
+		panic(http.ErrAbortHandler) // net/http would send 200 to a caller that has closed only its sending side
 	case c.failure != nil:
 		c.answer(*c.failure, reasonReplicaFailure)
 	case c.state == stateMaybeRan && late:
