exchange: Don't read the next answer as the rest of one that was cut

A response to another request that was cut within its body, directly before the answer, had the head of that answer read as the rest of its body: the request waited until its time was up although its answer had come, and text of the answer's own body could be read as a rejection.

A discarded body that holds the first line of a response now fails the exchange at once, as one that may have run.

--- a/common/heads/heads.go
+++ b/common/heads/heads.go
@@ -2,10 +2,13 @@
 package heads
 
 import (
+	"bytes"
 	"net/http"
 	"regexp"
 	"slices"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
 // statusLine matches the first line of a response (RFC 9112, section 4).
@@ -34,3 +37,24 @@
 func holdsStatusLine(s string) bool {
 	return strings.Contains(s, "HTTP/") && statusLine.MatchString(s)
 }
+
+// ErrStatusLine is the error of a Finder that has received the first line of a response.
+var ErrStatusLine = errors.New("a body holds the first line of a response")
+
+// maxStatusLine is the length of what statusLine matches.
+const maxStatusLine = len("HTTP/1.1 200 ")
+
+// Finder is a writer that fails with ErrStatusLine once the first line of a response has been written to it.
+type Finder struct {
+	end []byte // of what was written
+}
+
+// Write looks for the first line of a response in p and what was written before.
+func (f *Finder) Write(p []byte) (int, error) {
+	f.end = append(f.end, p...)
+	if bytes.Contains(f.end, []byte("HTTP/")) && statusLine.Match(f.end) {
+		return 0, ErrStatusLine
+	}
+	f.end = append(f.end[:0], f.end[max(len(f.end)-maxStatusLine+1, 0):]...)
+	return len(p), nil
+}
--- a/common/heads/heads_test.go
+++ b/common/heads/heads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -36,3 +37,25 @@
 		})
 	}
 }
+
+func TestAFirstLineIsFoundHoweverABodyIsRead(t *testing.T) {
+	const body = "abc HTTP/1.1 HTTP/1.1 503 Service Unavailable\r\n"
+	for size := 1; size <= len(body); size++ {
+		is := is.New(t)
+		var f Finder
+		var err error
+		for rest := body; rest != "" && err == nil; rest = rest[min(size, len(rest)):] {
+			_, err = f.Write([]byte(rest[:min(size, len(rest))]))
+		}
+		is.Equal(err, ErrStatusLine)
+	}
+}
+
+func TestABodyWithoutAFirstLineIsWrittenToItsEnd(t *testing.T) {
+	is := is.New(t)
+	var f Finder
+	n, err := io.Copy(&f, strings.NewReader(strings.Repeat("HTTP/1.1 ok ", 10_000)))
+	is.NoErr(err)
+	is.Equal(n, int64(120_000))
+	is.True(len(f.end) < maxStatusLine)
+}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -172,11 +172,12 @@
 
 // discardBody reads the body of a response to another request, and reports whether another
 // response can follow. After a HEAD request the length of the body is unknown, since the
-// response may belong to that request.
+// response may belong to that request. A body that was cut holds the head of the next response.
 func (c *conn) discardBody(resp *http.Response) bool {
 	if c.sentHEAD || resp.Close {
 		return false
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscarded+1))
+	var f heads.Finder
+	n, err := io.Copy(&f, io.LimitReader(resp.Body, maxDiscarded+1))
 	return err == nil && n <= maxDiscarded
 }
