exchange: Remember a reset that the check for unread bytes has received

The kernel reports a reset once, to whichever call comes first. While a response is read, hasUnread may be called by another goroutine (the watch of a stalled attempt): if it gets the reset, the reader sees a regular end. A reset that the writer received was already remembered.

Now hasUnread records an error of the connection, and a body that ends with it is truncated.

That callers saw it is concluded by reading: the watch checks a silent attempt every poll interval, also while its reader waits for a slow caller or for the processor.

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -140,15 +140,15 @@
 }
 
 // truncated reports whether a body that ends with the connection was cut off by a reset.
-// The kernel reports a reset only once; if the writer received it, the reader sees a
-// regular EOF.
+// The kernel reports a reset only once; if the writer or hasUnread received it, the reader sees
+// a regular EOF.
 func (a *Response) truncated() bool {
 	if a.Framing() != FramedByClose {
 		return false
 	}
 	a.conn.close()
 	<-a.write.done
-	return a.write.err != nil && !errors.Is(a.write.err, net.ErrClosed)
+	return a.conn.broken.Load() || (a.write.err != nil && !errors.Is(a.write.err, net.ErrClosed))
 }
 
 // Close ends the exchange. The connection returns to the pool if both the request and
--- a/exchange/answer_test.go
+++ b/exchange/answer_test.go
@@ -292,3 +292,37 @@
 		is.Equal(ok, tc.ok)
 	}
 }
+
+// Guards against a body that was reset and looks complete, as the kernel reports a reset only once, and
+// then to the check for unread bytes.
+func TestAResetReportedToTheCheckForUnreadBytesIsNotEOF(t *testing.T) {
+	is := is.New(t)
+	read := make(chan struct{})
+	reset := make(chan struct{})
+	s := newServer(t, func(c *peer) {
+		_, _ = c.request()
+		c.send("HTTP/1.1 200 OK\r\n\r\nabc")
+		<-read
+		c.reset()
+		close(reset)
+	})
+	req := get(s.addr)
+	var unread func() bool
+	req.OnWrite = func(f func() bool) error {
+		unread = f
+		return nil
+	}
+	a, err := newTestPool(t).Do(t.Context(), req)
+	is.NoErr(err)
+	_, err = io.ReadFull(a, make([]byte, 3))
+	is.NoErr(err)
+	close(read)
+	<-reset
+	for !unread() { // also true once the connection has ended
+		time.Sleep(time.Millisecond)
+	}
+	_, err = a.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.True(err != io.EOF)
+	is.NoErr(a.Close())
+}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,7 @@
 	written    int64 // bytes of the current request accepted by the kernel
 	discarded  int   // responses to other requests that were read in place of the current one's
 	writeErr   error
+	broken     atomic.Bool // hasUnread has received an error of the connection
 	reused     bool
 	sentHEAD   bool
 	carried    [maxCarried]requestKey // of the last requests, in a ring
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -154,7 +154,7 @@
 	if r.OnWrite == nil {
 		return nil
 	}
-	return r.OnWrite(func() bool { return hasUnread(c.nc) })
+	return r.OnWrite(c.hasUnread)
 }
 
 // roundTrip sends the request on c and reads the response header. After a failure c is
--- a/exchange/socket.go
+++ b/exchange/socket.go
@@ -76,9 +76,10 @@
 }
 
 // hasUnread reports whether the connection has unread bytes or was closed by the peer.
-// Unlike isHealthy it doesn't wait for a concurrent read.
-func hasUnread(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
+// Unlike isHealthy it doesn't wait for a concurrent read. It records a reset, which the kernel
+// reports only once.
+func (c *conn) hasUnread() bool {
+	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -88,6 +89,9 @@
 	}
 	peekErr := error(syscall.EAGAIN)
 	err = raw.Control(func(fd uintptr) { peekErr = peek(int(fd)) })
+	if peekErr != nil && peekErr != syscall.EAGAIN {
+		c.broken.Store(true)
+	}
 	return err == nil && peekErr == nil
 }
 
