ingress: Announce each further replica of a forwarded request to the box that forwarded it

A box tells how many replicas it has sent a forwarded request to in the head of its response. Streams that have begun announce each further replica already.

Now a box announces it before the head too, in an informational response (103 with Rudder-Sent) that is written before the request is sent on. The first box counts what was announced if the head doesn't come. Boxes without this skip such responses, so that both may run beside each other. Costs some 50 bytes a retry of a forwarded request.

An announcement that is lost on the way is not known: a cut link, or a cut in the announcement itself.

--- a/exchange/answer_test.go
+++ b/exchange/answer_test.go
@@ -326,3 +326,15 @@
 	is.True(err != io.EOF)
 	is.NoErr(a.Close())
 }
+
+func TestTheHeadersOfInformationalResponsesAreReported(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, respondWith("HTTP/1.1 103 Early Hints\r\nSent: 2\r\n\r\nHTTP/1.1 103 Early Hints\r\nSent: 3\r\n\r\n"+okResponse))
+	var got []string
+	req := get(s.addr)
+	req.OnInformational = func(h http.Header) { got = append(got, h.Get("Sent")) }
+	_, body, err := fetch(newTestPool(t), req)
+	is.NoErr(err)
+	is.Equal(body, "ok")
+	is.Equal(got, []string{"2", "3"})
+}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -151,6 +151,7 @@
 			return nil, StageResponse, errProtocolSwitch
 		}
 		if resp.StatusCode < http.StatusOK {
+			req.noteInformational(resp)
 			continue
 		}
 		if req.Matches == nil || req.Matches(resp.Header) {
@@ -164,6 +165,12 @@
 	return nil, StageResponse, errTooManyInformational
 }
 
+func (r *Request) noteInformational(resp *http.Response) {
+	if r.OnInformational != nil {
+		r.OnInformational(resp.Header)
+	}
+}
+
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	c.headerLeft = maxHeaderBytes
 	defer func() { c.headerLeft = math.MaxInt64 }()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -57,6 +57,9 @@
 	// not read yet; it may be called until Do has failed or the response is closed.
 	OnWrite func(unread func() bool) error
 
+	// OnInformational, if not nil, is called with the header of each 1xx response, by the goroutine of Do.
+	OnInformational func(h http.Header)
+
 	DialTimeout time.Duration // 500 ms when 0
 
 	key requestKey // of ID
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -71,6 +71,7 @@
 	why            string // why there is no complete response
 	framing        exchange.Framing
 	rest           int  // bytes of a stream after its last whole event
+	announcedSent  int  // number of replicas that another box has announced to send the request to
 	forwardedBytes int  // bytes of the request to another box
 	receivedBytes  int  // bytes of the response, with its headers if it is another box's
 	uncertain      bool // the body ended with its connection, and it is not known whether the replica lives
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -66,6 +66,7 @@
 
 	state           state
 	sent            int               // number of replicas that the request was sent to
+	announcedSent   int               // of them, those of this box that were announced to the box that forwarded the request
 	sends           int               // number of times that this box wrote it to a replica or box
 	carriers        exchange.Carriers // connections to replicas that carried it
 	reportedSent    atomic.Int64      // the same as last reported by the box that the request was forwarded to
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -198,11 +198,15 @@
 // replicas the request was sent to so far.
 const sentCountPrefix = ":rudder-sent "
 
-// sendSentCount reports the number before the stream resumes at one more replica, and again if
-// that one was not reached. If it came with the first event from there, the other box could
-// meanwhile retry and exceed the limit of attempts.
+// sendSentCount reports the number before the request is sent to one more replica. A stream that
+// resumes reports it again if that one was not reached. If it came with the first event from there,
+// the other box could meanwhile retry and exceed the limit of attempts.
 func (c *call) sendSentCount(sent int) {
-	if c.relay == nil || c.state != stateStarted {
+	if c.relay == nil {
+		return
+	}
+	if c.state != stateStarted {
+		c.announceSent(sent)
 		return
 	}
 	_, _ = fmt.Fprintf(c.w, "%s%d\n\n", sentCountPrefix, sent) // fails only if the other box has closed the connection
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -60,6 +60,8 @@
 		Body:        c.body,
 		OnWrite:     a.noteSent,
 		DialTimeout: c.dialTimeout(boxDialTimeout),
+
+		OnInformational: a.noteAnnouncedSent,
 	})
 	if err != nil {
 		return a.forwardFailed(ctx, err)
@@ -101,7 +103,7 @@
 		c.noteFailedDial()
 		return unsent
 	}
-	c.sent++ // the box may have sent it to a replica
+	c.sent += max(a.announcedSent, 1) // the box may have sent it to a replica, and announces each further one
 	c.budgetCounted = true
 	c.received = true
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -15,7 +15,7 @@
 const (
 	headerRelay  = "Rudder-Relay"  // a relay, in JSON
 	headerResult = "Rudder-Result" // in responses: one of the results below
-	headerSent   = "Rudder-Sent"   // in responses: number of replicas that the request was sent to
+	headerSent   = "Rudder-Sent"   // in responses: number of replicas that the request was sent to, or is about to be if the response is informational
 )
 
 // Results that a box reports to the box that forwarded the request.
@@ -87,6 +87,32 @@
 	_, _ = w.Write([]byte(reason)) // fails only if the other box has closed the connection
 }
 
+// maxAnnounced bounds the informational responses to another box, of which exchange reads a few only.
+const maxAnnounced = 8
+
+// announceSent reports to the other box that the request is about to be sent to one more replica, in an
+// informational response. If this box is lost, the other one would otherwise exceed the limit of attempts.
+func (c *call) announceSent(sent int) {
+	n := sent - c.relay.Sent
+	if n <= max(c.announcedSent, 1) || n > maxAnnounced {
+		return // the other box takes the first one for sent
+	}
+	c.announcedSent = n
+	h := c.w.Header()
+	h.Set(headerSent, strconv.Itoa(n))
+	c.w.WriteHeader(http.StatusEarlyHints)
+	h.Del(headerSent)
+}
+
+// noteAnnouncedSent reads the number of replicas that another box is about to have sent the request to.
+func (a *attempt) noteAnnouncedSent(h http.Header) {
+	n, err := strconv.Atoi(h.Get(headerSent))
+	if err != nil {
+		return // it announces nothing
+	}
+	a.announcedSent = max(a.announcedSent, n)
+}
+
 // remoteSentCount returns the number of replicas that another box reports to have sent the
 // request to.
 func remoteSentCount(h http.Header) int {
