catalog, node: Take streams up after a read that begins after the request

Cause: a box let a stream that its caller does not name go on at a version if its copy of the catalog was up to 3 s old and had shown no other version for two timeouts of the route. While replicas of a new version joined, a box that was cut off or stood still did not know them, and streams that had begun there through other boxes went on at the old version (ORDER). The age of a read counts from its end, so that a box which stood still while it read took its copy for new after any time.

Callers that name the stream were never joined.

Change: Feed.Sync asks the publisher for its newest revision, and reads what the copy lacks, by a call that begins after the request came. Whatever version a box began a stream at, it had been read from the publisher before, so that this read shows it.

TestACallerThatNamesNoStreamGoesOnOnlyWhereAServiceHasHadOneVersionAlone asked for a refusal where the copy is over 3 s old. It asks for one where no read began after the request, or its revision has not arrived, which is stricter.

--- a/catalog/era.go
+++ b/catalog/era.go
@@ -58,6 +58,9 @@
 	evacuated map[string]bool // failure domains that the publisher does not list
 }
 
+// IsRestored reports whether a publisher that came back from an older copy may still lack entries.
+func (c *Content) IsRestored() bool { return c.now().Before(c.restoration.until) }
+
 // beginEra records the first revision of a later era. The first era of a copy begins without
 // anything to keep.
 func (c *Content) beginEra(revision int64) {
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -95,12 +95,14 @@
 	replicas    atomic.Int64              // number at the last read
 	at          chan int64                // revisions from which the watch resumes
 	rereadNow   chan struct{}             // requests a full read
+	syncWanted  chan struct{}             // requests pendingSync
 	forceFull   atomic.Bool               // forces a full read even of a large catalog
 
 	mu          sync.Mutex
 	unavailable bool      // the last full read failed
 	failedAt    time.Time // time of that failure
 	settled     time.Time // time until which expired entries may reappear
+	pendingSync *syncRead // nil if none is requested
 
 	confirmation confirmation
 
@@ -159,12 +161,13 @@
 		mustConfirm: func() bool { return false },
 		onConfirmed: func(int, time.Time) {},
 
-		readGate:  func(context.Context, time.Duration, bool) error { return nil },
-		refresh:   func(context.Context) {},
-		age:       func() time.Duration { return neverRead },
-		behind:    make(chan struct{}, 1),
-		at:        make(chan int64, 1),
-		rereadNow: make(chan struct{}, 1),
+		readGate:   func(context.Context, time.Duration, bool) error { return nil },
+		refresh:    func(context.Context) {},
+		age:        func() time.Duration { return neverRead },
+		behind:     make(chan struct{}, 1),
+		at:         make(chan int64, 1),
+		rereadNow:  make(chan struct{}, 1),
+		syncWanted: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -207,6 +210,7 @@
 func (d *Feed) Run(ctx context.Context) {
 	var watching sync.WaitGroup
 	watching.Go(func() { d.watch(ctx) })
+	watching.Go(func() { d.sync(ctx) })
 	defer watching.Wait()
 	if d.source.KeepAlive != nil {
 		watching.Go(func() { d.keepAlive(ctx) })
--- a/node/buildqueries.go
+++ b/node/buildqueries.go
@@ -19,7 +19,7 @@
 	queryRounds      = 2                      // datagrams may be lost
 	soleBuildTries   = 2                      // timeouts of a route within which callers take its streams up
 	minSoleBuildTime = 10 * time.Second       // the same for routes with short timeouts
-	maxSoleBuildAge  = 3 * time.Second        // of a catalog copy that shows all software versions; followers read after 2.2 s
+	maxSoleBuildAge  = 3 * time.Second        // of a catalog copy from which other boxes are answered; followers read after 2.2 s
 )
 
 // buildQuery is a pending query for the software version of a stream.
@@ -31,6 +31,12 @@
 	build   catalog.BuildID // 0 until it is known
 }
 
+// copyTimes are the times for which the copy of the catalog tells the software versions in service.
+type copyTimes struct {
+	synced int64         // revision that a read found which began after the request came; 0 for none
+	age    time.Duration // since the copy was confirmed
+}
+
 // end ends the query, once.
 func (q *buildQuery) end(build catalog.BuildID) {
 	select {
@@ -43,11 +49,14 @@
 
 // startBuildQuery returns the software version at which a stream began if this box knows it, or
 // else a query of other boxes; neither if there is no box to ask.
-func (s *state) startBuildQuery(ask ingress.BuildQuery, copyAge, now time.Duration) (catalog.BuildID, *buildQuery) {
-	if build := s.knownBuild(ask, copyAge, now); build != 0 {
+func (s *state) startBuildQuery(ask ingress.BuildQuery, at copyTimes, now time.Duration) (catalog.BuildID, *buildQuery) {
+	if ask.Resumes == "" && !s.hasSynced(at.synced) {
+		return 0, nil
+	}
+	if build := s.knownBuild(ask, at, now); build != 0 {
 		return build, nil
 	}
-	if ask.Resumes == "" && !s.hasSoleBuild(ask, copyAge) {
+	if ask.Resumes == "" && !s.hasSoleBuild(ask.Service) {
 		return 0, nil
 	}
 	d := queryDatagram(ask)
@@ -67,6 +76,12 @@
 	return 0, q
 }
 
+// hasSynced reports whether the copy shows all software versions that were in service when a
+// request came: it has the revision that a read found which began later.
+func (s *state) hasSynced(revision int64) bool {
+	return revision > 0 && s.content.NewestRevision() >= revision && !s.content.IsRestored()
+}
+
 // queryDatagram returns the question for the stream that a caller names, or else for its service.
 func queryDatagram(ask ingress.BuildQuery) origin.Datagram {
 	if ask.Resumes != "" {
@@ -83,21 +98,21 @@
 }
 
 // knownBuild returns the software version at which a stream began if this box knows it.
-func (s *state) knownBuild(ask ingress.BuildQuery, copyAge, now time.Duration) catalog.BuildID {
+func (s *state) knownBuild(ask ingress.BuildQuery, at copyTimes, now time.Duration) catalog.BuildID {
 	if ask.Resumes != "" {
 		build, _ := s.builds.records.Find(origin.StreamOf(ask.Resumes), now)
 		return build
 	}
-	if build, held := s.soleBuild(ask.Service, copyAge); held >= soleBuildTime(ask.Route) {
+	if build, since := s.content.SoleBuild(ask.Service); clock.Since(since) >= soleBuildTime(ask.Route) {
 		return build
 	}
 	return 0
 }
 
-// hasSoleBuild reports whether this box knows of one software version of a service alone. A caller
-// that does not name its stream goes on only there.
-func (s *state) hasSoleBuild(ask ingress.BuildQuery, copyAge time.Duration) bool {
-	build, _ := s.soleBuild(ask.Service, copyAge)
+// hasSoleBuild reports whether a service has one software version alone. A caller that does not
+// name its stream goes on only there.
+func (s *state) hasSoleBuild(service string) bool {
+	build, _ := s.content.SoleBuild(service)
 	return build != 0
 }
 
@@ -118,7 +133,7 @@
 }
 
 // receiveBuild applies a datagram on a software version, and returns the answer to a query.
-func (s *state) receiveBuild(d origin.Datagram, from string, copyAge, now time.Duration) (answer *origin.Datagram) {
+func (s *state) receiveBuild(d origin.Datagram, from string, at copyTimes, now time.Duration) (answer *origin.Datagram) {
 	switch d.Operation {
 	case origin.Record:
 		s.builds.records.Add(d.Stream, d.Build, now)
@@ -130,7 +145,7 @@
 			Build:     build,
 		}
 	case origin.AskService:
-		build, held := s.soleBuild(s.serviceOf(d.Service), copyAge)
+		build, held := s.soleBuild(s.serviceOf(d.Service), at.age)
 		return &origin.Datagram{
 			Operation: origin.ServiceAnswer,
 			Stream:    d.Stream,
@@ -138,7 +153,7 @@
 			For:       held,
 		}
 	case origin.StreamAnswer, origin.ServiceAnswer:
-		s.receiveBuildAnswer(d, from, copyAge)
+		s.receiveBuildAnswer(d, from, at.age)
 	}
 	return nil
 }
@@ -179,8 +194,10 @@
 // findBuild returns the software version at which a stream began that a caller takes up; 0 if no
 // box that this one reaches knows it.
 func (n *Node) findBuild(ctx context.Context, ask ingress.BuildQuery) (build catalog.BuildID) {
+	clock.Check()
 	var q *buildQuery
-	_ = n.state.Do(func(s *state) { build, q = s.startBuildQuery(ask, n.catalogAge(), n.now()) }) // it fails only when the box has ended
+	synced := n.syncFor(ctx, ask)
+	_ = n.state.Do(func(s *state) { build, q = s.startBuildQuery(ask, n.copyTimes(synced), n.now()) }) // it fails only when the box has ended
 	if q == nil {
 		return build
 	}
@@ -198,6 +215,28 @@
 	return build
 }
 
+// syncFor makes the copy of the catalog show all software versions that are in service, if a stream
+// that its caller does not name may go on. It returns the newest revision; 0 if that is not known in time.
+func (n *Node) syncFor(ctx context.Context, ask ingress.BuildQuery) int64 {
+	if ask.Resumes != "" {
+		return 0
+	}
+	hasSole := false
+	_ = n.state.Do(func(s *state) { hasSole = s.hasSoleBuild(ask.Service) }) // it fails only when the box has ended
+	if !hasSole {
+		return 0
+	}
+	return n.feed.Sync(ctx)
+}
+
+// copyTimes returns the times for which the copy tells the software versions in service.
+func (n *Node) copyTimes(synced int64) copyTimes {
+	return copyTimes{
+		synced: synced,
+		age:    n.catalogAge(),
+	}
+}
+
 // isOver waits for the end of a query for queryInterval, and reports whether to wait no longer.
 func isOver(ctx context.Context, over <-chan struct{}) bool {
 	timer := time.NewTimer(queryInterval)
@@ -218,8 +257,9 @@
 		n.recordMalformedDatagram(from, err)
 		return
 	}
+	clock.Check()
 	var answer *origin.Datagram
-	_ = n.state.Do(func(s *state) { answer = s.receiveBuild(d, from, n.catalogAge(), n.now()) }) // it fails only when the box has ended
+	_ = n.state.Do(func(s *state) { answer = s.receiveBuild(d, from, n.copyTimes(0), n.now()) }) // it fails only when the box has ended
 	if answer != nil {
 		n.sendPacket(roster.Packet{
 			Addr: from,
--- a/node/builds_test.go
+++ b/node/builds_test.go
@@ -103,7 +103,7 @@
 		Service: service,
 		Request: "again " + id,
 		Resumes: id,
-	}, 0, m.age(s.installation))
+	}, copyTimes{}, m.age(s.installation))
 	if q == nil {
 		s.resumed[id] = build
 		return
@@ -240,25 +240,31 @@
 		two[1].Build = "v2"
 		two[1].Revision = 3
 		b := newBox("box", "a", 0)
-		find := func(copyAge time.Duration) catalog.BuildID {
+		find := func(at copyTimes) catalog.BuildID {
 			build, _ := b.startBuildQuery(ingress.BuildQuery{
 				Route:   route(),
 				Service: service,
 				Request: "r-1",
-			}, copyAge, start)
+			}, at, start)
 			return build
 		}
+		at := func(synced int64) copyTimes {
+			return copyTimes{
+				synced: synced,
+			}
+		}
 		b.publish(2, policy(1), one)
-		is.Equal(find(0), catalog.BuildID(0)) // streams may have begun at a version that is gone
+		is.Equal(find(at(2)), catalog.BuildID(0)) // streams may have begun at a version that is gone
 		time.Sleep(soleBuildTime(route()))
-		is.Equal(find(0), catalog.BuildOf(service, "v1"))
-		is.Equal(find(maxSoleBuildAge+time.Millisecond), catalog.BuildID(0)) // another version may have come since
+		is.Equal(find(at(2)), catalog.BuildOf(service, "v1"))
+		is.Equal(find(at(0)), catalog.BuildID(0)) // another version may have come before the request
+		is.Equal(find(at(3)), catalog.BuildID(0)) // what a read found has not arrived
 		b.publish(3, policy(1), two)
-		is.Equal(find(0), catalog.BuildID(0))
+		is.Equal(find(at(3)), catalog.BuildID(0))
 		b.publish(4, policy(1), one[:1])
-		is.Equal(find(0), catalog.BuildID(0))
+		is.Equal(find(at(4)), catalog.BuildID(0))
 		time.Sleep(soleBuildTime(route()))
-		is.Equal(find(0), catalog.BuildOf(service, "v1"))
+		is.Equal(find(at(4)), catalog.BuildOf(service, "v1"))
 	})
 }
 
@@ -290,7 +296,7 @@
 			Service: service,
 			Request: fmt.Sprint("again-", n),
 			Resumes: "r-0",
-		}, 0, next.age(s.installation))
+		}, copyTimes{}, next.age(s.installation))
 		s.post(next, q.packets)
 		queries = append(queries, q)
 	}
--- a/node/installation_test.go
+++ b/node/installation_test.go
@@ -272,7 +272,7 @@
 		if err != nil {
 			panic(err) // as above
 		}
-		if answer := to.state.receiveBuild(d, from.addr, 0, now); answer != nil {
+		if answer := to.state.receiveBuild(d, from.addr, copyTimes{}, now); answer != nil {
 			in.post(to, []roster.Packet{{Addr: from.addr, Buf: answer.Encode()}})
 		}
 		return
--- a/node/listing_test.go
+++ b/node/listing_test.go
@@ -30,6 +30,7 @@
 	compactedTo int64 // newest revision that history lacks
 	down        bool
 	rejects     map[string]bool // boxes
+	silent      map[string]bool // boxes whose watches receive no changes
 	changed     change.Signal
 	calls       int
 	stalledAt   int64                                                // last revision that watches receive while they are stalled
@@ -47,6 +48,7 @@
 		policy:   policy(1),
 		replicas: make(map[string]catalog.Replica),
 		rejects:  make(map[string]bool),
+		silent:   make(map[string]bool),
 	}
 	for _, r := range list {
 		l.replicas[r.ID] = r
@@ -118,6 +120,14 @@
 	l.changed.Tell()
 }
 
+// setSilent stops changes from reaching the watches of a box, or ends that.
+func (l *listing) setSilent(box string, silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent[box] = silent
+	l.changed.Tell()
+}
+
 // isDown reports whether the listing is unavailable for all boxes.
 func (l *listing) isDown() bool {
 	l.mu.Lock()
@@ -254,6 +264,9 @@
 	if after < l.compactedTo {
 		return nil, catalog.ErrHistoryGone
 	}
+	if l.silent[box] {
+		return nil, nil
+	}
 	for _, c := range l.history {
 		if c.Revision > after && (!l.stalled || c.Revision <= l.stalledAt) {
 			changes = append(changes, c)
--- a/node/simulation_test.go
+++ b/node/simulation_test.go
@@ -22,6 +22,7 @@
 	"github.com/havenrudder/havenrudder/common/sleep"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/meter"
+	"github.com/havenrudder/havenrudder/origin"
 	"github.com/havenrudder/havenrudder/quota"
 	"github.com/havenrudder/havenrudder/roster"
 )
@@ -69,6 +70,7 @@
 	links          atomic.Pointer[links] // of the boxes, nil for unlimited ones
 	lastTraceLine  map[string]string     // last log line about the traced replica, by box
 	cut            atomic.Pointer[func(from, to *simBox) bool]
+	halts          *halt // machines that stand still
 
 	connections sync.Map // of connection
 	decoded     sync.Map // decoded catalogs, by the first byte of their encoding
@@ -100,6 +102,7 @@
 		removed:        make(map[string]time.Time),
 		left:           make(map[string]bool),
 		expiring:       make(map[string]bool),
+		halts:          newHalt(),
 	}
 	f.listing = newListing(list, f.jitter)
 	f.system = cell.NewSystem(slog.New(slog.DiscardHandler), func(reason any) { panic(reason) }, cell.InPlace())
@@ -149,8 +152,12 @@
 	n.lastRead.Store(-int64(neverReadAge))
 	n.isReader.Store(true)
 	n.state = cell.New(context.WithoutCancel(f.ctx), f.system, "state", newState(n.settings, n.status(), n.now()))
-	n.feed = n.newFeed(f.tracedSource(b.settings.Box, f.listing.source(b.settings.Box)))
+	n.feed = n.newFeed(f.halts.source(b.settings.Box, f.tracedSource(b.settings.Box, f.listing.source(b.settings.Box))))
 	n.fetchChanges = func(ctx context.Context, addr string, after int64) (catalog.ChangeSet, error) {
+		if to := f.byAddr[addr]; to != nil && f.partitioned(b, to) {
+			<-ctx.Done()
+			return catalog.ChangeSet{}, ctx.Err()
+		}
 		changes, err := f.fetchChanges(ctx, addr, after)
 		f.printTraced(b.settings.Box, "asked", addr, "after", after, "received up to", changes.Revision, changes.Snapshot != nil, changesOfTraced(changes.Changes, changes.UnconfirmedRemovals), err)
 		return changes, err
@@ -259,6 +266,10 @@
 		if n == nil {
 			return
 		}
+		if p.Buf[0] == origin.DatagramType {
+			n.receiveBuild(p.Buf, addr)
+			return
+		}
 		if !roster.IsCompact(p.Buf) {
 			if g, err := roster.Decode(p.Buf); err == nil {
 				n.receive(f.ctx, g)
