node: Ask all boxes whether a service had another version of late

Cause: a box that is too young to know for how long a version has been alone asked others, and the first that knew the version alone for long enough decided, whatever the others knew. A box that had seen another version leave answered with a shorter time, which counted as not knowing.

Change: a box answers with a version that it knows beside another, alone for no time, and not at all while it is as young itself.

The datagrams are the same: boxes of the builds before answer 0 for several versions, which decides nothing.

--- a/catalog/build.go
+++ b/catalog/build.go
@@ -26,6 +26,7 @@
 	byService map[string]map[BuildID]int
 	byRegion  map[BuildID]map[string]int // without leaving replicas
 	changed   map[string]time.Time       // when the set of a service's versions last changed
+	first     map[string]time.Time       // when it became known
 }
 
 func newBuildIndex() buildIndex {
@@ -33,6 +34,7 @@
 		byService: make(map[string]map[BuildID]int),
 		byRegion:  make(map[BuildID]map[string]int),
 		changed:   make(map[string]time.Time),
+		first:     make(map[string]time.Time),
 	}
 }
 
@@ -41,6 +43,9 @@
 	if addTo(x.byService, r.Service, build, 1) {
 		x.changed[r.Service] = now
 	}
+	if _, ok := x.first[r.Service]; !ok {
+		x.first[r.Service] = now
+	}
 	if !r.Leaving {
 		addTo(x.byRegion, build, r.Region, 1)
 	}
@@ -87,14 +92,26 @@
 	return false
 }
 
-// SoleBuild returns the software version that all replicas of a service have, and since when this
-// copy holds no other; 0 if they have several or there are none.
-func (c *Content) SoleBuild(service string) (BuildID, time.Time) {
-	if len(c.builds.byService[service]) != 1 {
-		return 0, time.Time{}
+// BuildUse is what a copy knows of the software versions of a service.
+type BuildUse struct {
+	Build BuildID       // one of them; 0 if there are none
+	Sole  time.Duration // for which it is known to be the only one; 0 if there are others
+	Since time.Duration // for which the copy has known the service
+}
+
+// BuildUse returns what the copy knows of the software versions of a service.
+func (c *Content) BuildUse(service string) (use BuildUse) {
+	builds := c.builds.byService[service]
+	if len(builds) == 0 {
+		return BuildUse{}
+	}
+	for build := range builds {
+		use.Build = max(use.Build, build)
 	}
-	for build := range c.builds.byService[service] {
-		return build, c.builds.changed[service]
+	now := c.now()
+	use.Since = now.Sub(c.builds.first[service])
+	if len(builds) == 1 {
+		use.Sole = now.Sub(c.builds.changed[service])
 	}
-	return 0, time.Time{}
+	return use
 }
--- a/node/buildqueries.go
+++ b/node/buildqueries.go
@@ -24,11 +24,12 @@
 
 // buildQuery is a pending query for the software version of a stream.
 type buildQuery struct {
-	ask     ingress.BuildQuery
-	packets []roster.Packet
-	unknown map[string]bool // addresses of boxes that do not know it
-	over    chan struct{}   // closed when the version is known, or no box knows it
-	build   catalog.BuildID // 0 until it is known
+	ask      ingress.BuildQuery
+	packets  []roster.Packet
+	answered map[string]bool // addresses of boxes whose answers left it open
+	over     chan struct{}   // closed when the version is known, or no box knows it
+	build    catalog.BuildID // 0 until it is known
+	alone    catalog.BuildID // the only version of the service, as a box says; 0 for none
 }
 
 // copyTimes are the times for which the copy of the catalog tells the software versions in service.
@@ -64,10 +65,10 @@
 		return 0, q // of another request that takes up the same stream
 	}
 	q := &buildQuery{
-		ask:     ask,
-		packets: packetsTo(s.buildHolders(d.Stream, queryGroups, queryBoxes, now), d.Encode()),
-		unknown: make(map[string]bool),
-		over:    make(chan struct{}),
+		ask:      ask,
+		packets:  packetsTo(s.buildHolders(d.Stream, queryGroups, queryBoxes, now), d.Encode()),
+		answered: make(map[string]bool),
+		over:     make(chan struct{}),
 	}
 	if len(q.packets) == 0 {
 		return 0, nil
@@ -103,8 +104,8 @@
 		build, _ := s.builds.records.Find(origin.StreamOf(ask.Resumes), now)
 		return build
 	}
-	if build, since := s.content.SoleBuild(ask.Service); clock.Since(since) >= soleBuildTime(ask.Route) {
-		return build
+	if use := s.content.BuildUse(ask.Service); use.Sole >= soleBuildTime(ask.Route) {
+		return use.Build
 	}
 	return 0
 }
@@ -112,18 +113,19 @@
 // hasSoleBuild reports whether a service has one software version alone. A caller that does not
 // name its stream goes on only there.
 func (s *state) hasSoleBuild(service string) bool {
-	build, _ := s.content.SoleBuild(service)
-	return build != 0
+	use := s.content.BuildUse(service)
+	return use.Build != 0 && use.Sole > 0
 }
 
-// soleBuild returns the software version that all replicas of a service have, and for how long
-// this box has known no other; 0 if there are several or the copy of the catalog is old.
-func (s *state) soleBuild(service string, copyAge time.Duration) (catalog.BuildID, time.Duration) {
-	if copyAge > maxSoleBuildAge {
+// buildAnswer returns what this box answers of the software versions of a service: one of them and for
+// how long it has been the only one, or 0 if the copy of the catalog is old or too young to tell.
+func (s *state) buildAnswer(service string, at copyTimes) (catalog.BuildID, time.Duration) {
+	use := s.content.BuildUse(service)
+	isYoung := use.Sole > 0 && use.Sole < minSoleBuildTime && use.Sole == use.Since
+	if at.age > maxSoleBuildAge || isYoung {
 		return 0, 0
 	}
-	build, since := s.content.SoleBuild(service)
-	return build, clock.Since(since)
+	return use.Build, use.Sole
 }
 
 // soleBuildTime returns for how long a service must have had one software version alone, so that
@@ -145,15 +147,15 @@
 			Build:     build,
 		}
 	case origin.AskService:
-		build, held := s.soleBuild(s.serviceOf(d.Service), at.age)
+		build, sole := s.buildAnswer(s.serviceOf(d.Service), at)
 		return &origin.Datagram{
 			Operation: origin.ServiceAnswer,
 			Stream:    d.Stream,
 			Build:     build,
-			For:       held,
+			For:       sole,
 		}
 	case origin.StreamAnswer, origin.ServiceAnswer:
-		s.receiveBuildAnswer(d, from, at.age)
+		s.receiveBuildAnswer(d, from)
 	}
 	return nil
 }
@@ -171,23 +173,25 @@
 	return ""
 }
 
-func (s *state) receiveBuildAnswer(d origin.Datagram, from string, copyAge time.Duration) {
+func (s *state) receiveBuildAnswer(d origin.Datagram, from string) {
 	q, ok := s.builds.queries[d.Stream]
 	if !ok || (d.Operation == origin.ServiceAnswer) != (q.ask.Resumes == "") {
 		return
 	}
-	known := d.Build != 0
-	if d.Operation == origin.ServiceAnswer {
-		here, _ := s.soleBuild(q.ask.Service, copyAge)
-		known = known && d.Build == here && d.For >= soleBuildTime(q.ask.Route)
-	}
-	if known {
+	if d.Operation == origin.StreamAnswer && d.Build != 0 {
 		q.end(d.Build)
 		return
 	}
-	q.unknown[from] = true
-	if len(q.unknown) >= len(q.packets) {
-		q.end(0)
+	if d.Build != 0 {
+		q.alone = d.Build
+		if d.Build != s.content.BuildUse(q.ask.Service).Build || d.For < soleBuildTime(q.ask.Route) {
+			q.end(0) // another version was in service of late
+			return
+		}
+	}
+	q.answered[from] = true
+	if len(q.answered) >= len(q.packets) {
+		q.end(q.alone)
 	}
 }
 
@@ -208,7 +212,7 @@
 		}
 	}
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
-		q.end(0)
+		q.end(q.alone)
 		build = q.build
 		maps.DeleteFunc(s.builds.queries, func(_ origin.StreamID, o *buildQuery) bool { return o == q })
 	})
--- a/node/builds_test.go
+++ b/node/builds_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/ingress"
+	"github.com/havenrudder/havenrudder/origin"
 )
 
 const (
@@ -268,6 +269,67 @@
 	})
 }
 
+// Guards against a young box that believes any one box that has not heard of another version.
+func TestABoxThatIsYoungTakesAStreamUpOnlyIfNoOtherBoxKnowsAnotherVersion(t *testing.T) {
+	v1, v2 := catalog.BuildOf(service, "v1"), catalog.BuildOf(service, "v2")
+	long := soleBuildTime(route())
+	answers := []struct {
+		name  string
+		list  []origin.Datagram
+		takes bool
+	}{
+		{"all know it alone", []origin.Datagram{serviceAnswer(v1, long), serviceAnswer(v1, time.Hour)}, true},
+		{"one is young too", []origin.Datagram{serviceAnswer(0, 0), serviceAnswer(v1, long)}, true},
+		{"the first knows of two", []origin.Datagram{serviceAnswer(v2, 0), serviceAnswer(v1, long)}, false},
+		{"the last knows of two", []origin.Datagram{serviceAnswer(v1, long), serviceAnswer(v1, 0)}, false},
+		{"one saw another leave", []origin.Datagram{serviceAnswer(v1, long), serviceAnswer(v1, long-time.Second)}, false},
+		{"one knows another", []origin.Datagram{serviceAnswer(v1, long), serviceAnswer(v2, long)}, false},
+		{"all are young", []origin.Datagram{serviceAnswer(0, 0), serviceAnswer(0, 0)}, false},
+		{"one does not answer", []origin.Datagram{serviceAnswer(v1, long)}, true},
+		{"none answers", nil, false},
+	}
+	for _, c := range answers {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				build := youngBoxTakesUp(t, c.list)
+				is.Equal(build == v1, c.takes)
+				is.Equal(build == 0, !c.takes)
+			})
+		})
+	}
+}
+
+func serviceAnswer(build catalog.BuildID, alone time.Duration) origin.Datagram {
+	return origin.Datagram{
+		Operation: origin.ServiceAnswer,
+		Stream:    origin.StreamOf("again-young"),
+		Build:     build,
+		For:       alone,
+	}
+}
+
+// youngBoxTakesUp returns the version at which a stream goes on at a box that has just started, once
+// the two boxes that it asks have answered.
+func youngBoxTakesUp(t *testing.T, answers []origin.Datagram) catalog.BuildID {
+	f := newSimulation(t.Context(), 1, simRegions*2)
+	defer f.end()
+	f.versionOne(smallCopy)
+	f.pass(settleTime)
+	young := f.boxes[0]
+	n := young.node.Load()
+	f.cutOff(young) // the answers are those of the test
+	for i, d := range answers {
+		from := fmt.Sprint("box-", i)
+		f.after(queryInterval/2+time.Duration(i)*10*time.Millisecond, func() { n.receiveBuild(d.Encode(), from) })
+	}
+	build, took := young.takeUp(t.Context(), "again-young")
+	if took > takeUpTime {
+		t.Errorf("%v until it is known", took)
+	}
+	return build
+}
+
 // Guards against a stream that goes on where its software version cannot be known.
 func TestABoxThatReachesNoOtherRefusesStreamsThatItDidNotBegin(t *testing.T) {
 	is := is.New(t)
