node: Count no time for which a copy was not confirmed

Cause: the time for which a box had seen one software version alone ran on while it was cut off or stood still. Of a version that came and went meanwhile it saw nothing, and streams that had begun there went on at the other one.

Change: where a copy was not confirmed for 9 s, more than the longest interval between reads, the time starts anew. The box then asks others, as a young one does. A confirmation never makes a copy older.

Shorter times without a confirmation still count.

--- a/node/buildqueries.go
+++ b/node/buildqueries.go
@@ -20,6 +20,7 @@
 	soleBuildTries   = 2                      // timeouts of a route within which callers take its streams up
 	minSoleBuildTime = 10 * time.Second       // the same for routes with short timeouts
 	maxSoleBuildAge  = 3 * time.Second        // of a catalog copy from which other boxes are answered; followers read after 2.2 s
+	maxUnconfirmed   = 9 * time.Second        // between two confirmations of a copy that misses no version in between; some boxes read after 7.5 s
 )
 
 // buildQuery is a pending query for the software version of a stream.
@@ -36,6 +37,7 @@
 type copyTimes struct {
 	synced int64         // revision that a read found which began after the request came; 0 for none
 	age    time.Duration // since the copy was confirmed
+	held   time.Duration // for which it has been confirmed at least every maxUnconfirmed
 }
 
 // end ends the query, once.
@@ -104,7 +106,7 @@
 		build, _ := s.builds.records.Find(origin.StreamOf(ask.Resumes), now)
 		return build
 	}
-	if use := s.content.BuildUse(ask.Service); use.Sole >= soleBuildTime(ask.Route) {
+	if use := s.content.BuildUse(ask.Service); min(use.Sole, at.held) >= soleBuildTime(ask.Route) {
 		return use.Build
 	}
 	return 0
@@ -121,11 +123,12 @@
 // how long it has been the only one, or 0 if the copy of the catalog is old or too young to tell.
 func (s *state) buildAnswer(service string, at copyTimes) (catalog.BuildID, time.Duration) {
 	use := s.content.BuildUse(service)
-	isYoung := use.Sole > 0 && use.Sole < minSoleBuildTime && use.Sole == use.Since
+	sole := min(use.Sole, at.held)
+	isYoung := use.Sole > 0 && sole < minSoleBuildTime && (use.Sole == use.Since || at.held < use.Sole)
 	if at.age > maxSoleBuildAge || isYoung {
 		return 0, 0
 	}
-	return use.Build, use.Sole
+	return use.Build, sole
 }
 
 // soleBuildTime returns for how long a service must have had one software version alone, so that
@@ -238,6 +241,7 @@
 	return copyTimes{
 		synced: synced,
 		age:    n.catalogAge(),
+		held:   n.now() - time.Duration(n.confirmedSince.Load()),
 	}
 }
 
--- a/node/builds_test.go
+++ b/node/builds_test.go
@@ -252,6 +252,7 @@
 		at := func(synced int64) copyTimes {
 			return copyTimes{
 				synced: synced,
+				held:   time.Hour,
 			}
 		}
 		b.publish(2, policy(1), one)
@@ -260,6 +261,10 @@
 		is.Equal(find(at(2)), catalog.BuildOf(service, "v1"))
 		is.Equal(find(at(0)), catalog.BuildID(0)) // another version may have come before the request
 		is.Equal(find(at(3)), catalog.BuildID(0)) // what a read found has not arrived
+		is.Equal(find(copyTimes{
+			synced: 2,
+			held:   soleBuildTime(route()) - time.Millisecond,
+		}), catalog.BuildID(0)) // one may have come and gone while the copy was old
 		b.publish(3, policy(1), two)
 		is.Equal(find(at(3)), catalog.BuildID(0))
 		b.publish(4, policy(1), one[:1])
--- a/node/follow.go
+++ b/node/follow.go
@@ -129,7 +129,13 @@
 func (n *Node) confirmAt(at time.Duration) {
 	for {
 		was := n.lastRead.Load()
-		if int64(at) <= was || n.lastRead.CompareAndSwap(was, int64(at)) {
+		if int64(at) <= was {
+			return
+		}
+		if n.lastRead.CompareAndSwap(was, int64(at)) {
+			if at-time.Duration(was) > maxUnconfirmed {
+				n.confirmedSince.Store(int64(at))
+			}
 			return
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,7 @@
 	state           *cell.Cell[state]
 	table           atomic.Pointer[catalog.Table]
 	lastRead        atomic.Int64 // when this box or its source last read the catalog, in nanoseconds since the start
+	confirmedSince  atomic.Int64 // since when the copy has been confirmed at least every maxUnconfirmed, in nanoseconds since the start
 	isReader        atomic.Bool  // this box reads the catalog on behalf of others
 	isFollower      atomic.Bool  // other boxes watch and read the catalog on behalf of this one
 	sendsAge        atomic.Bool  // this box sends the age of its catalog
--- a/node/outofstep_test.go
+++ b/node/outofstep_test.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// leaveAgain removes the replicas of the second software version.
+func (f *simulation) leaveAgain() {
+	for n := range simRegions {
+		f.listing.drop(fmt.Sprintf("region-%d-0-next", n))
+	}
+}
+
 // takeUp returns the version at which a stream goes on whose caller does not name it, and how long
 // the box took to find it.
 func (b *simBox) takeUp(ctx context.Context, request string) (catalog.BuildID, time.Duration) {
@@ -230,6 +237,48 @@
 	}
 }
 
+// Guards against a stream of a version that came and went while the box heard of nothing.
+func TestABoxThatWasAwayTakesNoStreamUpOfAVersionThatCameAndWentMeanwhile(t *testing.T) {
+	t.Parallel()
+	for _, boxes := range []int{9, 30} {
+		for _, listed := range []int{smallCopy, listedReplicas} {
+			t.Run(fmt.Sprintf("%d boxes, %d replicas", boxes, listed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { cameAndWent(t, boxes, listed) })
+			})
+		}
+	}
+}
+
+func cameAndWent(t *testing.T, boxes, listed int) {
+	is := is.New(t)
+	f := newSimulation(t.Context(), 1, boxes)
+	defer f.end()
+	f.versionOne(listed)
+	f.pass(knownAlone)
+	away := f.boxes[simRegions]
+	f.listing.setRejects(away.settings.Box, true)
+	f.cutOff(away)
+	f.pass(time.Second)
+	f.join()
+	f.pass(8 * time.Second)
+	f.leaveAgain()
+	f.pass(2 * time.Second)
+	f.listing.setRejects(away.settings.Box, false)
+	f.cut.Store(nil)
+	began := time.Now()
+	goesOn := func() bool {
+		build, _ := away.takeUp(t.Context(), fmt.Sprint("at ", time.Now()))
+		return build != 0
+	}
+	for time.Since(began) < soleBuildTime(route())-3*time.Second { // since it left
+		is.True(!goesOn())
+		time.Sleep(200 * time.Millisecond)
+	}
+	f.pass(soleBuildTime(route()))
+	is.True(goesOn()) // the first version has been alone for long enough
+}
+
 // Guards against a publisher that lacks a version since it came back from an older copy.
 func TestNoStreamGoesOnWhileAPublisherThatCameBackMayLackEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/pull.go
+++ b/node/pull.go
@@ -210,7 +210,7 @@
 func (n *Node) recordStoreHealth(err error) {
 	ok := err == nil
 	if ok {
-		n.lastRead.Store(int64(n.now()))
+		n.confirmAt(n.now())
 	}
 	if n.storeOK.Swap(ok) == ok {
 		return
