--- a/node/buildqueries.go
+++ b/node/buildqueries.go
@@ -19,16 +19,25 @@
 	queryRounds      = 2                      // datagrams may be lost
 	soleBuildTries   = 2                      // timeouts of a route within which callers take its streams up
 	minSoleBuildTime = 10 * time.Second       // the same for routes with short timeouts
-	maxSoleBuildAge  = 3 * time.Second        // of a catalog copy that shows all software versions; followers read after 2.2 s
+	maxSoleBuildAge  = 3 * time.Second        // of a catalog copy from which other boxes are answered; followers read after 2.2 s
+	maxUnconfirmed   = 9 * time.Second        // between two confirmations of a copy that misses no version in between; some boxes read after 7.5 s
 )
 
 // buildQuery is a pending query for the software version of a stream.
 type buildQuery struct {
-	ask     ingress.BuildQuery
-	packets []roster.Packet
-	unknown map[string]bool // addresses of boxes that do not know it
-	over    chan struct{}   // closed when the version is known, or no box knows it
-	build   catalog.BuildID // 0 until it is known
+	ask      ingress.BuildQuery
+	packets  []roster.Packet
+	answered map[string]bool // addresses of boxes whose answers left it open
+	over     chan struct{}   // closed when the version is known, or no box knows it
+	build    catalog.BuildID // 0 until it is known
+	alone    catalog.BuildID // the only version of the service, as a box says; 0 for none
+}
+
+// copyTimes are the times for which the copy of the catalog tells the software versions in service.
+type copyTimes struct {
+	synced int64         // revision that a read found which began after the request came; 0 for none
+	age    time.Duration // since the copy was confirmed
+	held   time.Duration // for which it has been confirmed at least every maxUnconfirmed
 }
 
 // end ends the query, once.
@@ -43,11 +52,14 @@
 
 // startBuildQuery returns the software version at which a stream began if this box knows it, or
 // else a query of other boxes; neither if there is no box to ask.
-func (s *state) startBuildQuery(ask ingress.BuildQuery, copyAge, now time.Duration) (catalog.BuildID, *buildQuery) {
-	if build := s.knownBuild(ask, copyAge, now); build != 0 {
+func (s *state) startBuildQuery(ask ingress.BuildQuery, at copyTimes, now time.Duration) (catalog.BuildID, *buildQuery) {
+	if ask.Resumes == "" && !s.hasSynced(at.synced) {
+		return 0, nil
+	}
+	if build := s.knownBuild(ask, at, now); build != 0 {
 		return build, nil
 	}
-	if ask.Resumes == "" && !s.hasSoleBuild(ask, copyAge) {
+	if ask.Resumes == "" && !s.hasSoleBuild(ask.Service) {
 		return 0, nil
 	}
 	d := queryDatagram(ask)
@@ -55,10 +67,10 @@
 		return 0, q // of another request that takes up the same stream
 	}
 	q := &buildQuery{
-		ask:     ask,
-		packets: packetsTo(s.buildHolders(d.Stream, queryGroups, queryBoxes, now), d.Encode()),
-		unknown: make(map[string]bool),
-		over:    make(chan struct{}),
+		ask:      ask,
+		packets:  packetsTo(s.buildHolders(d.Stream, queryGroups, queryBoxes, now), d.Encode()),
+		answered: make(map[string]bool),
+		over:     make(chan struct{}),
 	}
 	if len(q.packets) == 0 {
 		return 0, nil
@@ -67,6 +79,12 @@
 	return 0, q
 }
 
+// hasSynced reports whether the copy shows all software versions that were in service when a
+// request came: it has the revision that a read found which began later.
+func (s *state) hasSynced(revision int64) bool {
+	return revision > 0 && s.content.NewestRevision() >= revision && !s.content.IsRestored()
+}
+
 // queryDatagram returns the question for the stream that a caller names, or else for its service.
 func queryDatagram(ask ingress.BuildQuery) origin.Datagram {
 	if ask.Resumes != "" {
@@ -83,32 +101,34 @@
 }
 
 // knownBuild returns the software version at which a stream began if this box knows it.
-func (s *state) knownBuild(ask ingress.BuildQuery, copyAge, now time.Duration) catalog.BuildID {
+func (s *state) knownBuild(ask ingress.BuildQuery, at copyTimes, now time.Duration) catalog.BuildID {
 	if ask.Resumes != "" {
 		build, _ := s.builds.records.Find(origin.StreamOf(ask.Resumes), now)
 		return build
 	}
-	if build, held := s.soleBuild(ask.Service, copyAge); held >= soleBuildTime(ask.Route) {
-		return build
+	if use := s.content.BuildUse(ask.Service); min(use.Sole, at.held) >= soleBuildTime(ask.Route) {
+		return use.Build
 	}
 	return 0
 }
 
-// hasSoleBuild reports whether this box knows of one software version of a service alone. A caller
-// that does not name its stream goes on only there.
-func (s *state) hasSoleBuild(ask ingress.BuildQuery, copyAge time.Duration) bool {
-	build, _ := s.soleBuild(ask.Service, copyAge)
-	return build != 0
+// hasSoleBuild reports whether a service has one software version alone. A caller that does not
+// name its stream goes on only there.
+func (s *state) hasSoleBuild(service string) bool {
+	use := s.content.BuildUse(service)
+	return use.Build != 0 && use.Sole > 0
 }
 
-// soleBuild returns the software version that all replicas of a service have, and for how long
-// this box has known no other; 0 if there are several or the copy of the catalog is old.
-func (s *state) soleBuild(service string, copyAge time.Duration) (catalog.BuildID, time.Duration) {
-	if copyAge > maxSoleBuildAge {
+// buildAnswer returns what this box answers of the software versions of a service: one of them and for
+// how long it has been the only one, or 0 if the copy of the catalog is old or too young to tell.
+func (s *state) buildAnswer(service string, at copyTimes) (catalog.BuildID, time.Duration) {
+	use := s.content.BuildUse(service)
+	sole := min(use.Sole, at.held)
+	isYoung := use.Sole > 0 && sole < minSoleBuildTime && (use.Sole == use.Since || at.held < use.Sole)
+	if at.age > maxSoleBuildAge || isYoung {
 		return 0, 0
 	}
-	build, since := s.content.SoleBuild(service)
-	return build, clock.Since(since)
+	return use.Build, sole
 }
 
 // soleBuildTime returns for how long a service must have had one software version alone, so that
@@ -118,7 +138,7 @@
 }
 
 // receiveBuild applies a datagram on a software version, and returns the answer to a query.
-func (s *state) receiveBuild(d origin.Datagram, from string, copyAge, now time.Duration) (answer *origin.Datagram) {
+func (s *state) receiveBuild(d origin.Datagram, from string, at copyTimes, now time.Duration) (answer *origin.Datagram) {
 	switch d.Operation {
 	case origin.Record:
 		s.builds.records.Add(d.Stream, d.Build, now)
@@ -130,15 +150,15 @@
 			Build:     build,
 		}
 	case origin.AskService:
-		build, held := s.soleBuild(s.serviceOf(d.Service), copyAge)
+		build, sole := s.buildAnswer(s.serviceOf(d.Service), at)
 		return &origin.Datagram{
 			Operation: origin.ServiceAnswer,
 			Stream:    d.Stream,
 			Build:     build,
-			For:       held,
+			For:       sole,
 		}
 	case origin.StreamAnswer, origin.ServiceAnswer:
-		s.receiveBuildAnswer(d, from, copyAge)
+		s.receiveBuildAnswer(d, from)
 	}
 	return nil
 }
@@ -156,31 +176,35 @@
 	return ""
 }
 
-func (s *state) receiveBuildAnswer(d origin.Datagram, from string, copyAge time.Duration) {
+func (s *state) receiveBuildAnswer(d origin.Datagram, from string) {
 	q, ok := s.builds.queries[d.Stream]
 	if !ok || (d.Operation == origin.ServiceAnswer) != (q.ask.Resumes == "") {
 		return
 	}
-	known := d.Build != 0
-	if d.Operation == origin.ServiceAnswer {
-		here, _ := s.soleBuild(q.ask.Service, copyAge)
-		known = known && d.Build == here && d.For >= soleBuildTime(q.ask.Route)
-	}
-	if known {
+	if d.Operation == origin.StreamAnswer && d.Build != 0 {
 		q.end(d.Build)
 		return
 	}
-	q.unknown[from] = true
-	if len(q.unknown) >= len(q.packets) {
-		q.end(0)
+	if d.Build != 0 {
+		q.alone = d.Build
+		if d.Build != s.content.BuildUse(q.ask.Service).Build || d.For < soleBuildTime(q.ask.Route) {
+			q.end(0) // another version was in service of late
+			return
+		}
+	}
+	q.answered[from] = true
+	if len(q.answered) >= len(q.packets) {
+		q.end(q.alone)
 	}
 }
 
 // findBuild returns the software version at which a stream began that a caller takes up; 0 if no
 // box that this one reaches knows it.
 func (n *Node) findBuild(ctx context.Context, ask ingress.BuildQuery) (build catalog.BuildID) {
+	clock.Check()
 	var q *buildQuery
-	_ = n.state.Do(func(s *state) { build, q = s.startBuildQuery(ask, n.catalogAge(), n.now()) }) // it fails only when the box has ended
+	synced := n.syncFor(ctx, ask)
+	_ = n.state.Do(func(s *state) { build, q = s.startBuildQuery(ask, n.copyTimes(synced), n.now()) }) // it fails only when the box has ended
 	if q == nil {
 		return build
 	}
@@ -191,13 +215,36 @@
 		}
 	}
 	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
-		q.end(0)
+		q.end(q.alone)
 		build = q.build
 		maps.DeleteFunc(s.builds.queries, func(_ origin.StreamID, o *buildQuery) bool { return o == q })
 	})
 	return build
 }
 
+// syncFor makes the copy of the catalog show all software versions that are in service, if a stream
+// that its caller does not name may go on. It returns the newest revision; 0 if that is not known in time.
+func (n *Node) syncFor(ctx context.Context, ask ingress.BuildQuery) int64 {
+	if ask.Resumes != "" {
+		return 0
+	}
+	hasSole := false
+	_ = n.state.Do(func(s *state) { hasSole = s.hasSoleBuild(ask.Service) }) // it fails only when the box has ended
+	if !hasSole {
+		return 0
+	}
+	return n.feed.Sync(ctx)
+}
+
+// copyTimes returns the times for which the copy tells the software versions in service.
+func (n *Node) copyTimes(synced int64) copyTimes {
+	return copyTimes{
+		synced: synced,
+		age:    n.catalogAge(),
+		held:   n.now() - time.Duration(n.confirmedSince.Load()),
+	}
+}
+
 // isOver waits for the end of a query for queryInterval, and reports whether to wait no longer.
 func isOver(ctx context.Context, over <-chan struct{}) bool {
 	timer := time.NewTimer(queryInterval)
@@ -218,8 +265,9 @@
 		n.recordMalformedDatagram(from, err)
 		return
 	}
+	clock.Check()
 	var answer *origin.Datagram
-	_ = n.state.Do(func(s *state) { answer = s.receiveBuild(d, from, n.catalogAge(), n.now()) }) // it fails only when the box has ended
+	_ = n.state.Do(func(s *state) { answer = s.receiveBuild(d, from, n.copyTimes(0), n.now()) }) // it fails only when the box has ended
 	if answer != nil {
 		n.sendPacket(roster.Packet{
 			Addr: from,
--- a/node/builds_test.go
+++ b/node/builds_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/havenrudder/havenrudder/catalog"
 	"github.com/havenrudder/havenrudder/ingress"
+	"github.com/havenrudder/havenrudder/origin"
 )
 
 const (
@@ -103,7 +104,7 @@
 		Service: service,
 		Request: "again " + id,
 		Resumes: id,
-	}, 0, m.age(s.installation))
+	}, copyTimes{}, m.age(s.installation))
 	if q == nil {
 		s.resumed[id] = build
 		return
@@ -240,28 +241,100 @@
 		two[1].Build = "v2"
 		two[1].Revision = 3
 		b := newBox("box", "a", 0)
-		find := func(copyAge time.Duration) catalog.BuildID {
+		find := func(at copyTimes) catalog.BuildID {
 			build, _ := b.startBuildQuery(ingress.BuildQuery{
 				Route:   route(),
 				Service: service,
 				Request: "r-1",
-			}, copyAge, start)
+			}, at, start)
 			return build
 		}
+		at := func(synced int64) copyTimes {
+			return copyTimes{
+				synced: synced,
+				held:   time.Hour,
+			}
+		}
 		b.publish(2, policy(1), one)
-		is.Equal(find(0), catalog.BuildID(0)) // streams may have begun at a version that is gone
+		is.Equal(find(at(2)), catalog.BuildID(0)) // streams may have begun at a version that is gone
 		time.Sleep(soleBuildTime(route()))
-		is.Equal(find(0), catalog.BuildOf(service, "v1"))
-		is.Equal(find(maxSoleBuildAge+time.Millisecond), catalog.BuildID(0)) // another version may have come since
+		is.Equal(find(at(2)), catalog.BuildOf(service, "v1"))
+		is.Equal(find(at(0)), catalog.BuildID(0)) // another version may have come before the request
+		is.Equal(find(at(3)), catalog.BuildID(0)) // what a read found has not arrived
+		is.Equal(find(copyTimes{
+			synced: 2,
+			held:   soleBuildTime(route()) - time.Millisecond,
+		}), catalog.BuildID(0)) // one may have come and gone while the copy was old
 		b.publish(3, policy(1), two)
-		is.Equal(find(0), catalog.BuildID(0))
+		is.Equal(find(at(3)), catalog.BuildID(0))
 		b.publish(4, policy(1), one[:1])
-		is.Equal(find(0), catalog.BuildID(0))
+		is.Equal(find(at(4)), catalog.BuildID(0))
 		time.Sleep(soleBuildTime(route()))
-		is.Equal(find(0), catalog.BuildOf(service, "v1"))
+		is.Equal(find(at(4)), catalog.BuildOf(service, "v1"))
 	})
 }
 
+// Guards against a young box that believes any one box that has not heard of another version.
+func TestABoxThatIsYoungTakesAStreamUpOnlyIfNoOtherBoxKnowsAnotherVersion(t *testing.T) {
+	v1, v2 := catalog.BuildOf(service, "v1"), catalog.BuildOf(service, "v2")
+	long := soleBuildTime(route())
+	answers := []struct {
+		name  string
+		list  []origin.Datagram
+		takes bool
+	}{
+		{"all know it alone", []origin.Datagram{serviceAnswer(v1, long), serviceAnswer(v1, time.Hour)}, true},
+		{"one is young too", []origin.Datagram{serviceAnswer(0, 0), serviceAnswer(v1, long)}, true},
+		{"the first knows of two", []origin.Datagram{serviceAnswer(v2, 0), serviceAnswer(v1, long)}, false},
+		{"the last knows of two", []origin.Datagram{serviceAnswer(v1, long), serviceAnswer(v1, 0)}, false},
+		{"one saw another leave", []origin.Datagram{serviceAnswer(v1, long), serviceAnswer(v1, long-time.Second)}, false},
+		{"one knows another", []origin.Datagram{serviceAnswer(v1, long), serviceAnswer(v2, long)}, false},
+		{"all are young", []origin.Datagram{serviceAnswer(0, 0), serviceAnswer(0, 0)}, false},
+		{"one does not answer", []origin.Datagram{serviceAnswer(v1, long)}, true},
+		{"none answers", nil, false},
+	}
+	for _, c := range answers {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				build := youngBoxTakesUp(t, c.list)
+				is.Equal(build == v1, c.takes)
+				is.Equal(build == 0, !c.takes)
+			})
+		})
+	}
+}
+
+func serviceAnswer(build catalog.BuildID, alone time.Duration) origin.Datagram {
+	return origin.Datagram{
+		Operation: origin.ServiceAnswer,
+		Stream:    origin.StreamOf("again-young"),
+		Build:     build,
+		For:       alone,
+	}
+}
+
+// youngBoxTakesUp returns the version at which a stream goes on at a box that has just started, once
+// the two boxes that it asks have answered.
+func youngBoxTakesUp(t *testing.T, answers []origin.Datagram) catalog.BuildID {
+	f := newSimulation(t.Context(), 1, simRegions*2)
+	defer f.end()
+	f.versionOne(smallCopy)
+	f.pass(settleTime)
+	young := f.boxes[0]
+	n := young.node.Load()
+	f.cutOff(young) // the answers are those of the test
+	for i, d := range answers {
+		from := fmt.Sprint("box-", i)
+		f.after(queryInterval/2+time.Duration(i)*10*time.Millisecond, func() { n.receiveBuild(d.Encode(), from) })
+	}
+	build, took := young.takeUp(t.Context(), "again-young")
+	if took > takeUpTime {
+		t.Errorf("%v until it is known", took)
+	}
+	return build
+}
+
 // Guards against a stream that goes on where its software version cannot be known.
 func TestABoxThatReachesNoOtherRefusesStreamsThatItDidNotBegin(t *testing.T) {
 	is := is.New(t)
@@ -290,7 +363,7 @@
 			Service: service,
 			Request: fmt.Sprint("again-", n),
 			Resumes: "r-0",
-		}, 0, next.age(s.installation))
+		}, copyTimes{}, next.age(s.installation))
 		s.post(next, q.packets)
 		queries = append(queries, q)
 	}
