ingress: Turn away a request for a replica that has the address of this box

Callers saw 504 after 2.5 s, and each of their requests went round hundreds of times, each time with a connection of its own, where another writer had left entries of replicas with the addresses at which boxes take requests, and no other replica was there: a box placed the request at itself, or at another box, which took it for a new request of a caller and placed it again, until its deadline (870 and 811 lines about one request at two boxes). Beside a sound replica a request went round some times before it arrived there.

A box that sends a request to a replica names the replica's id. A box now answers 421, with the request's id and the word that it was not run, when the entry of the id that is named has its own address. The sender takes the replica for misdirected, as it does where an address is used again, and tries another one. A caller who names a replica by that header is served as before.

--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -38,6 +38,11 @@
 		c.reject(http.StatusBadRequest, err.Error())
 		return false
 	}
+	if c.isMisdirected() {
+		c.server.codec.WriteMisdirected(c.w.Header(), c.facts.ID)
+		c.reject(http.StatusMisdirectedRequest, reasonMisdirected)
+		return false
+	}
 	c.version = table.Version()
 	if !c.findRoute(table) {
 		return false
@@ -67,6 +72,13 @@
 	return true
 }
 
+// isMisdirected reports whether a box sent the request to a replica that has the address of this
+// box by its entry. To place it again would send it round until its deadline.
+func (c *call) isMisdirected() bool {
+	id := c.facts.ExpectedReplica
+	return id != "" && c.server.core.IsOwnAddress(id)
+}
+
 // awaitTable returns the policy in force. Just after start-up it waits briefly for the
 // first one, which is faster than a retry by the caller.
 func (c *call) awaitTable() *catalog.Table {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -36,6 +36,7 @@
 	Credentials          string          // credentials of the caller; empty for none
 	Key                  catalog.Key     // API key of the caller
 	HasKey               bool            // Key is set: the request has a well-formed key
+	ExpectedReplica      string          // instance ID of the replica that the sender expects at this address; empty for none
 }
 
 // ReplicaHeaders holds the values that a replica receives besides the caller's own headers.
@@ -54,6 +55,7 @@
 	ReadFacts           func(h http.Header) (Facts, error)
 	RemoveKey           func(h http.Header) // removes the key, which neither replicas nor other boxes receive
 	WriteReplicaHeaders func(h http.Header, s ReplicaHeaders)
+	WriteMisdirected    func(h http.Header, id string)                             // marks an answer to the request with that ID as one by which it was not run
 	MatchesRequest      func(h http.Header, id string) bool                        // reports whether a response belongs to the request with that ID
 	Executed            func(status int, h http.Header) bool                       // false if the replica reports that it did not run the request
 	FromReplica         func(h http.Header) bool                                   // reports whether a successful response was made by a replica
@@ -142,6 +144,7 @@
 	Uptime          func() time.Duration                                    // since the start of the box
 	CatalogFresh    func() bool                                             // the published catalog was read recently
 	Leaving         func() bool                                             // a planned stop has begun
+	IsOwnAddress    func(replica string) bool                               // the published address of a replica is this box's own
 	AcceptsStreams  func() bool                                             // a new stream has time to complete
 	OtherBoxServing func() bool                                             // another box of the region is serving
 	StopDeadline    func() (time.Time, bool)                                // when a planned stop ends, if one has begun
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -20,6 +20,7 @@
 	reasonReplicaFailure placement.Reason = "a replica's own failure, and no more tries"
 	reasonDeadline       placement.Reason = whyDeadline
 	reasonCallerLeft     placement.Reason = whyCallerLeft
+	reasonMisdirected                     = "sent to a replica that has the address of this box"
 )
 
 const (
--- a/node/core.go
+++ b/node/core.go
@@ -16,6 +16,7 @@
 		Uptime:          n.now,
 		CatalogFresh:    n.hasCurrentPolicy,
 		Leaving:         n.leaving.Load,
+		IsOwnAddress:    n.isOwnAddress,
 		AcceptsStreams:  n.acceptsStreams,
 		OtherBoxServing: n.anotherBoxServes,
 		StopDeadline:    n.answerDeadline,
@@ -72,6 +73,16 @@
 	return n.storeOK.Load() && due == 0
 }
 
+// isOwnAddress reports whether the published address of a replica is that at which this box accepts
+// callers.
+func (n *Node) isOwnAddress(replica string) (own bool) {
+	_ = n.state.Do(func(s *state) { // it fails only when the box has ended
+		r, ok := s.content.Replica(replica)
+		own = ok && r.Addr == n.settings.CallerAddr
+	})
+	return own
+}
+
 // recordPolicyVersion records the policy version of a box that forwarded a request. A follower
 // fetches a newer policy from other boxes: a read per request would fill its link.
 func (n *Node) recordPolicyVersion(version int) {
