catalog: Send names with signs of HTML in one byte each

The encoder writes these signs as they are now. Decoders of earlier builds take either.

TestFourThousandReplicasWithTheLongestNamesReachFollowers fails before with < and &; quotes, backslashes and signs of more bytes were well before, and are guarded.

--- a/catalog/compress.go
+++ b/catalog/compress.go
@@ -66,7 +66,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "press")
 	}
-	if err := json.NewEncoder(w).Encode(v); err != nil {
+	e := json.NewEncoder(w)
+	e.SetEscapeHTML(false) // each of these signs takes six bytes
+	if err := e.Encode(v); err != nil {
 		return nil, errors.Wrap(err, "press")
 	}
 	if err := w.Close(); err != nil {
--- a/catalog/compress_test.go
+++ b/catalog/compress_test.go
@@ -73,3 +73,30 @@
 		is.Equal(err == nil, bytes < most)
 	}
 }
+
+const longestName = 200 // bytes of a published name at most
+
+func TestFourThousandReplicasWithTheLongestNamesReachFollowers(t *testing.T) {
+	for _, sign := range []string{"x", "<", "&", `"`, `\`, "\u2028"} {
+		t.Run(sign, func(t *testing.T) {
+			is := is.New(t)
+			name := strings.Repeat(sign, longestName/len(sign))
+			var all catalog.Snapshot
+			for n := range 4000 {
+				all.Replicas = append(all.Replicas, catalog.Replica{
+					ID:      fmt.Sprint(n, strings.Repeat("<", 40)),
+					Service: name,
+					Build:   name,
+					Addr:    "127.0.0.1:1",
+					Domain:  "hall",
+					Region:  "north",
+				})
+			}
+			got, _ := transfer(t, catalog.ChangeSet{
+				Snapshot: &all,
+			})
+			is.Equal(len(got.Snapshot.Replicas), len(all.Replicas))
+			is.Equal(got.Snapshot.Replicas[0], all.Replicas[0])
+		})
+	}
+}
