--- a/exchange/carriers.go
+++ b/exchange/carriers.go
@@ -2,12 +2,12 @@
 
 import "slices"
 
-// Carriers is the set of connections that have carried the sends of one request. The zero value is empty. It is
-// not safe for concurrent use.
+// Carriers is the set of connections of one Pool that have carried the sends of a request. The zero value is
+// empty. It is not safe for concurrent use.
 type Carriers struct {
 	numbers []uint64
 }
 
-func (s *Carriers) add(c *conn) { s.numbers = append(s.numbers, c.number) }
+func (cs *Carriers) add(c *conn) { cs.numbers = append(cs.numbers, c.number) }
 
-func (s *Carriers) has(c *conn) bool { return slices.Contains(s.numbers, c.number) }
+func (cs *Carriers) has(c *conn) bool { return slices.Contains(cs.numbers, c.number) }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -93,9 +93,9 @@
 	HeaderOrg, HeaderService, HeaderResidency, HeaderTicket, HeaderPrefix, HeaderExplain,
 }
 
-// unseenKey is headerKey in a form that net/http does not recognise. It would take the request for one that
+// lowerCaseKey is headerKey in a form that net/http does not recognise. It would take the request for one that
 // it may send again if a kept connection ends without an answer.
-const unseenKey = "idempotency-key"
+const lowerCaseKey = "idempotency-key"
 
 func (q *query) fillForward(h http.Header, hop string) {
 	for _, name := range forwarded {
@@ -105,7 +105,7 @@
 	}
 	if key := h[headerKey]; key != nil && !q.idempotent() {
 		delete(h, headerKey)
-		h[unseenKey] = key
+		h[lowerCaseKey] = key
 	}
 	h.Set(HeaderService, q.service.Name)
 	h.Set(HeaderRequest, q.id)
