--- a/common/heads/heads.go
+++ b/common/heads/heads.go
@@ -14,14 +14,6 @@
 // statusLine matches the first line of a response (RFC 9112, section 4).
 var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}( |$)`)
 
-// statusLines matches the first line of each response in the bytes of a head.
-var statusLines = regexp.MustCompile(`HTTP/\d\.\d \d{3}[ \r\n]`)
-
-// JoinedBytes is Joined for the bytes of a head. It also sees the fields that net/http leaves out.
-func JoinedBytes(head []byte) bool {
-	return bytes.Count(head, []byte("HTTP/")) > 1 && len(statusLines.FindAllIndex(head, 2)) > 1
-}
-
 // Joined reports whether a head holds the first line of another one, in its reason phrase or its
 // fields. A server that cuts a response and continues with the next one on the same connection sends
 // such heads: the status, or some fields, belong to the response that was cut.
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,10 +50,9 @@
 	addr       string
 	nc         net.Conn
 	reader     *bufio.Reader
-	headerLeft int64         // bytes of a header that may still be read
-	head       *bytes.Buffer // what was read since the header began; nil between headers
-	written    int64         // bytes of the current request accepted by the kernel
-	discarded  int           // responses to other requests that were read in place of the current one's
+	headerLeft int64 // bytes of a header that may still be read
+	written    int64 // bytes of the current request accepted by the kernel
+	discarded  int   // responses to other requests that were read in place of the current one's
 	writeErr   error
 	broken     atomic.Bool // hasUnread has received an error of the connection
 	reused     bool
@@ -104,9 +101,6 @@
 		c.pool.activity.record(c.addr)
 	}
 	c.headerLeft -= int64(n)
-	if c.head != nil {
-		c.head.Write(p[:max(n, 0)])
-	}
 	return n, err
 }
 
@@ -147,12 +141,12 @@
 	c.discarded = 0
 	for range maxResponses {
 		resp, err := c.readHeader(req.Method)
-		if errors.Is(err, errJoinedHeads) {
-			return nil, StageMismatch, err
-		}
 		if err != nil {
 			return nil, StageResponse, err
 		}
+		if heads.Joined(resp) {
+			return nil, StageMismatch, errJoinedHeads
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, StageResponse, errProtocolSwitch
 		}
@@ -179,28 +173,10 @@
 
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	c.headerLeft = maxHeaderBytes
-	buf := headPool.Get().(*bytes.Buffer)
-	defer headPool.Put(buf)
-	buf.Reset()
-	buffered, _ := c.reader.Peek(c.reader.Buffered()) // doesn't fail
-	buf.Write(buffered)
-	c.head = buf
-	defer func() {
-		c.headerLeft = math.MaxInt64
-		c.head = nil
-	}()
-	resp, err := http.ReadResponse(c.reader, &http.Request{
+	defer func() { c.headerLeft = math.MaxInt64 }()
+	return http.ReadResponse(c.reader, &http.Request{
 		Method: method,
 	})
-	if err == nil && heads.JoinedBytes(buf.Bytes()[:buf.Len()-c.reader.Buffered()]) {
-		return nil, errJoinedHeads
-	}
-	return resp, err
-}
-
-// headPool holds the bytes of heads while they are read.
-var headPool = sync.Pool{
-	New: func() any { return new(bytes.Buffer) },
 }
 
 // discardBody reads the body of a response to another request, and reports whether another
