exchange: Don't write a request once its context has ended

The end of a context closes the connection in a goroutine of its own, and nothing looked at the context between the choice of a connection, or its dial, and the write. A request of which the caller had left in between was written.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -164,7 +164,11 @@
 // closed, unless the request was declined, and the request's body is no longer read.
 func roundTrip(ctx context.Context, req *Request, c *conn) (*Response, *Error) {
 	stop := context.AfterFunc(ctx, c.close)
-	if err := req.onWrite(c); err != nil {
+	err := req.onWrite(c)
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
 		if stop() {
 			c.pool.release(c, c.pool.idleTime) // nothing was written
 		} else {
@@ -178,7 +182,7 @@
 	}
 	s := c.send(req)
 	stage := StageWrite
-	err := s.immediateErr
+	err = s.immediateErr
 	var resp *http.Response
 	if err == nil {
 		resp, stage, err = c.readResponse(req)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -487,3 +487,29 @@
 	is.Equal(calls, 1)
 	is.Equal(received.Load(), int64(0))
 }
+
+// Guards against a request that is written although its context has ended while it waited for a connection.
+func TestARequestIsNotWrittenOnceItsContextHasEnded(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan bool, 1)
+	s := newServer(t, func(c *peer) {
+		_, err := c.request()
+		arrived <- err == nil
+	})
+	for range 20 {
+		p := newTestPool(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		req := get(s.addr)
+		req.OnWrite = func(func() bool) error {
+			cancel()
+			return nil
+		}
+		_, err := p.Do(ctx, req)
+		is.True(errors.Is(err, context.Canceled))
+		sent, stage := errorDetails(t, err)
+		is.True(!sent)
+		is.Equal(stage, StageWrite)
+		p.Close()
+		is.True(!<-arrived)
+	}
+}
