exchange: Don't deliver the rest of a request that was given up

Closing a connection doesn't take back what the kernel has accepted: a request whose replica or link is slow was delivered after its caller had left. A connection with bytes that the peer has not acknowledged is reset now, which discards them. Once all is acknowledged, it is closed as before, since a lost reset is not sent again.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -123,6 +123,16 @@
 	_ = c.nc.Close()
 }
 
+// abort closes the connection of a request that was given up. Bytes that the peer has not acknowledged
+// are discarded: the kernel would otherwise deliver them later. The close is a reset then, which may be
+// lost, so that it is not used once all of the request has arrived.
+func (c *conn) abort() {
+	if l, ok := c.nc.(interface{ SetLinger(seconds int) error }); ok && unsent(c.nc) > 0 {
+		_ = l.SetLinger(0) // fails only if the connection is closed
+	}
+	c.close()
+}
+
 func (c *conn) setConnTimeout(d time.Duration) {
 	setConnTimeout(c.nc, d)
 	c.extended = true
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -163,7 +163,7 @@
 // roundTrip sends the request on c and reads the response header. After a failure c is
 // closed, unless the request was declined, and the request's body is no longer read.
 func roundTrip(ctx context.Context, req *Request, c *conn) (*Response, *Error) {
-	stop := context.AfterFunc(ctx, c.close)
+	stop := context.AfterFunc(ctx, c.abort)
 	err := req.onWrite(c)
 	if err == nil {
 		err = ctx.Err()
