ingress: Look at the caller and at the clock right before a request is written

A request was written after its caller had closed the connection: net/http notices the close in a goroutine of its own, which runs late while the box lacks processor time, and nothing else looked. A box that reads a request a second late, writes it before the goroutine has its turn. The same for a deadline that passed while the machine was suspended, when the context's timer stands still.

The connection of the caller, or of the box that forwarded the request, is looked at before each write now (one system call), and the deadline by the clock that counts suspensions. A request that is not written for this is neither a failure of its replica nor of its box, and is logged as unsent with "caller left" or "time is up".

--- a/exchange/server_test.go
+++ b/exchange/server_test.go
@@ -159,7 +159,8 @@
 		t.Fatal(err)
 	}
 	err = raw.Read(func(fd uintptr) bool {
-		return peek(int(fd)) != syscall.EAGAIN
+		_, err := peek(int(fd))
+		return err != syscall.EAGAIN
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/exchange/socket.go
+++ b/exchange/socket.go
@@ -69,7 +69,7 @@
 	}
 	var peekErr error
 	err = raw.Read(func(fd uintptr) bool {
-		peekErr = peek(int(fd))
+		_, peekErr = peek(int(fd))
 		return true // don't wait for bytes
 	})
 	return err == nil && peekErr == syscall.EAGAIN
@@ -88,21 +88,38 @@
 		return false
 	}
 	peekErr := error(syscall.EAGAIN)
-	err = raw.Control(func(fd uintptr) { peekErr = peek(int(fd)) })
+	err = raw.Control(func(fd uintptr) { _, peekErr = peek(int(fd)) })
 	if peekErr != nil && peekErr != syscall.EAGAIN {
 		c.broken.Store(true)
 	}
 	return err == nil && peekErr == nil
 }
 
+// ClosedByPeer reports whether the peer has closed or reset a connection. Unread bytes hide a close, but
+// not a reset. It does not wait for a concurrent read.
+func ClosedByPeer(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	n := 0
+	var peekErr error
+	err = raw.Control(func(fd uintptr) { n, peekErr = peek(int(fd)) })
+	return err != nil || (peekErr == nil && n == 0) || (peekErr != nil && peekErr != syscall.EAGAIN)
+}
+
 // peek checks for unread bytes without consuming them. It returns EAGAIN if there are
-// none, and nil if there are some or the peer has closed the connection.
-func peek(fd int) error {
+// none, their number, at most 1, if there are some, and 0 if the peer has closed the connection.
+func peek(fd int) (n int, err error) {
 	var buf [1]byte
 	for {
-		_, _, err := syscall.Recvfrom(fd, buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err = syscall.Recvfrom(fd, buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		if err != syscall.EINTR {
-			return err
+			return n, err
 		}
 	}
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -152,10 +152,19 @@
 	return a.pass(ctx, answer)
 }
 
-// errDeclined reports that the replica has asked for no request since it was chosen.
-var errDeclined = errors.New("ingress: replica wants no request any more")
+var (
+	errDeclined       = errors.New("ingress: replica wants no request any more") // since it was chosen
+	errDeadlinePassed = errors.New("ingress: deadline passed")
+)
 
+// noteSent is called right before the request is written, and returns why it may not be.
 func (a *attempt) noteSent(unread func() bool) error {
+	if a.call.hasLeft() {
+		return errCallerLeft
+	}
+	if a.call.deadlinePassed() {
+		return errDeadlinePassed
+	}
 	a.unread.Store(unread)
 	took := clock.Since(a.sent)
 	a.writtenAfter.Store(max(int64(took), 1))
@@ -261,7 +270,7 @@
 	case ctx.Err() != nil && !stalled && sent:
 		a.call.state = max(a.call.state, stateMaybeRan)
 		return abandoned
-	case ctx.Err() != nil && !stalled:
+	case (ctx.Err() != nil && !stalled) || isUseless(err):
 		a.result = placement.Unsent
 		return abandoned
 	case errors.Is(err, errDeclined):
@@ -279,6 +288,11 @@
 	return unknown
 }
 
+// isUseless reports whether a request was not written since nobody waits for its response any more.
+func isUseless(err error) bool {
+	return errors.Is(err, errCallerLeft) || errors.Is(err, errDeadlinePassed)
+}
+
 // hasNoResponse reports whether the replica gave no response or an incomplete one.
 func (a *attempt) hasNoResponse() bool {
 	return a.result == placement.NoResponse || a.result == placement.TimedOut
@@ -304,9 +318,9 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errStalled):
 		a.why = whySilent
-	case a.call.r.Context().Err() != nil:
+	case a.call.callerLeft():
 		a.why = whyCallerLeft
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, errDeadlinePassed):
 		a.why = whyDeadline
 	case a.tooLong:
 		a.why = whyAnswerTooLong
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -65,6 +66,7 @@
 	suspectPart  poison.Digest // for which the request is quarantined
 
 	state           state
+	left            bool              // the caller was found to have closed its connection
 	sent            int               // number of replicas that the request was sent to
 	announcedSent   int               // of them, those of this box that were announced to the box that forwarded the request
 	sends           int               // number of times that this box wrote it to a replica or box
@@ -173,6 +175,17 @@
 // timer stops while the machine is suspended.
 func (c *call) deadlinePassed() bool { return clock.Until(c.deadline) <= 0 }
 
+// callerLeft reports whether the caller is known to have left.
+func (c *call) callerLeft() bool { return c.left || c.r.Context().Err() != nil }
+
+// hasLeft looks whether the caller has left. net/http notices it in a goroutine of its own, which
+// runs late while the box lacks processor time, and not at all after bytes beyond the request.
+func (c *call) hasLeft() bool {
+	nc, ok := c.r.Context().Value(connKey{}).(net.Conn)
+	c.left = c.left || (ok && exchange.ClosedByPeer(nc))
+	return c.callerLeft()
+}
+
 // place returns the next target. A stream that has started waits until there is one, for it
 // would be interrupted otherwise.
 func (c *call) place(ctx context.Context) Target {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -96,7 +96,7 @@
 	if errors.As(err, &e) && !e.Sent() {
 		a.forwardedBytes = 0
 		a.uncountSend()
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || isUseless(err) {
 			return abandoned
 		}
 		c.server.core.BoxUnreachable(a.target.Box)
--- a/ingress/framing.go
+++ b/ingress/framing.go
@@ -15,7 +15,7 @@
 
 type connKey struct{}
 
-// ConnContext adds a caller's connection to the context of its requests. It is meant for http.Server.
+// ConnContext adds the connection of a caller or box to the context of its requests. It is meant for http.Server.
 func ConnContext(ctx context.Context, nc net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, nc)
 }
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -38,7 +38,7 @@
 	case c.done:
 	case c.state == stateStarted:
 		c.abortResponse(c.abortReason(ctx))
-	case c.r.Context().Err() != nil:
+	case c.callerLeft():
 		if c.state == stateNotRun {
 			c.unreserve()
 		}
@@ -77,7 +77,7 @@
 
 func (c *call) abortReason(ctx context.Context) placement.Reason {
 	switch {
-	case c.r.Context().Err() != nil:
+	case c.callerLeft():
 		return reasonCallerLeft
 	case ctx.Err() != nil, c.deadlinePassed():
 		return reasonDeadline
--- a/node/serve.go
+++ b/node/serve.go
@@ -87,6 +87,7 @@
 	callers := newServer(path.Callers())
 	callers.ConnContext = ingress.ConnContext
 	boxes := newServer(path.Boxes())
+	boxes.ConnContext = ingress.ConnContext
 	servers := []*http.Server{callers, boxes}
 	n.serveOn(cancel, callers, n.listeners.callers)
 	n.serveOn(cancel, boxes, n.listeners.boxes)
