ingress: Compute the time that is left when a request is written

A replica and another box were given the time that was left before the dial, which may take 0.25 s and, on a congested link, 2 s: a replica worked on after its caller's deadline, and the other box took the request for younger than it was.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -52,7 +52,7 @@
 	Matches func(h http.Header) bool
 
 	// OnWrite, if not nil, is called before each write of the request to a connection, so
-	// twice on a retry. If it returns an error, nothing is written and Do fails with it.
+	// twice on a retry. It may change Header. If it returns an error, nothing is written and Do fails with it.
 	// unread reports whether the connection has received bytes that are
 	// not read yet; it may be called until Do has failed or the response is closed.
 	OnWrite func(unread func() bool) error
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -110,15 +110,6 @@
 	c := a.call
 	c.noteSent()
 	h := c.endToEndHeaders()
-	c.server.codec.WriteReplicaHeaders(h, ReplicaHeaders{
-		Replica:     a.target.Choice.ID,
-		TimeLeft:    clock.Until(c.deadline),
-		Urgency:     min(c.urgency, maxUrgency),
-		LastEventID: c.lastEvent,
-		CopyFrom:    a.target.Choice.CopyFrom,
-
-		Organisation: c.organisation,
-	})
 	answer, err := c.server.replicas.Do(ctx, exchange.Request{
 		Addr:        a.target.Choice.Addr,
 		Method:      c.r.Method,
@@ -129,8 +120,11 @@
 		ID:          c.facts.ID,
 		Carriers:    &c.carriers,
 		Matches:     func(h http.Header) bool { return c.server.codec.MatchesRequest(h, c.facts.ID) },
-		OnWrite:     a.noteSent,
 		DialTimeout: c.dialTimeout(replicaDialTimeout),
+		OnWrite: func(unread func() bool) error {
+			a.writeReplicaHeaders(h)
+			return a.noteSent(unread)
+		},
 	})
 	if err != nil {
 		return a.sendFailed(ctx, err)
@@ -152,6 +146,21 @@
 	return a.pass(ctx, answer)
 }
 
+// writeReplicaHeaders sets the headers for the replica. The time left is that of the write, as the connection
+// may have taken long.
+func (a *attempt) writeReplicaHeaders(h http.Header) {
+	c := a.call
+	c.server.codec.WriteReplicaHeaders(h, ReplicaHeaders{
+		Replica:     a.target.Choice.ID,
+		TimeLeft:    clock.Until(c.deadline),
+		Urgency:     min(c.urgency, maxUrgency),
+		LastEventID: c.lastEvent,
+		CopyFrom:    a.target.Choice.CopyFrom,
+
+		Organisation: c.organisation,
+	})
+}
+
 var (
 	errDeclined       = errors.New("ingress: replica wants no request any more") // since it was chosen
 	errDeadlinePassed = errors.New("ingress: deadline passed")
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -49,8 +49,6 @@
 func (a *attempt) forward(ctx context.Context) attemptOutcome {
 	c := a.call
 	h := c.endToEndHeaders()
-	h.Set(headerRelay, c.newRelay().encode())
-	a.forwardedBytes = headerBytes(h) + len(c.body)
 	answer, err := c.server.boxes.Do(ctx, exchange.Request{
 		Addr:        a.target.BoxAddr,
 		Method:      c.r.Method,
@@ -58,8 +56,12 @@
 		Host:        c.r.Host,
 		Header:      h,
 		Body:        c.body,
-		OnWrite:     a.noteSent,
 		DialTimeout: c.dialTimeout(boxDialTimeout),
+		OnWrite: func(unread func() bool) error {
+			h.Set(headerRelay, c.newRelay().encode()) // with the time left after the dial
+			a.forwardedBytes = headerBytes(h) + len(c.body)
+			return a.noteSent(unread)
+		},
 
 		OnInformational: a.noteAnnouncedSent,
 	})
--- a/ingress/left_test.go
+++ b/ingress/left_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -141,3 +142,29 @@
 		is.Equal(g.results["r-0"], placement.Unsent)
 	})
 }
+
+// Guards against a replica that is given the time that its request had left before a slow dial.
+func TestAReplicaIsGivenTheTimeThatIsLeftAfterTheDial(t *testing.T) {
+	const (
+		deadline = 15 * time.Second
+		dialTime = 200 * time.Millisecond
+		timeLeft = "Time-Left"
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegion(t, 1)
+		pool := exchange.NewPool(exchange.WithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+			time.Sleep(dialTime)
+			return g.link.dial(ctx, network, addr)
+		}))
+		defer pool.Close()
+		var left time.Duration
+		codec := testCodec(deadline)
+		codec.WriteReplicaHeaders = func(h http.Header, s ReplicaHeaders) {
+			left = s.TimeLeft
+			h.Set(timeLeft, strconv.Itoa(int(s.TimeLeft.Milliseconds())))
+		}
+		is.True(receive(t, New("box", "a", codec, g.core(), pool, pool).Callers()).complete)
+		is.Equal(left, deadline-dialTime)
+	})
+}
