catalog, node: Date the copy of the catalog to the start of the call that showed it

The age of a copy, which other boxes rely on, counted from the end of a call, or from the use of an earlier read of the policy. A read's revision also counted as delivered, and a copy as confirmed, before the update was applied.

The feed reports the time at which the call began, after the update is applied. A read of the policy that is used later no longer counts as contact with the publisher.

--- a/catalog/confirm.go
+++ b/catalog/confirm.go
@@ -73,6 +73,7 @@
 	d.mu.Unlock()
 	if s.Revision <= d.delivered.Load() {
 		d.health(nil)
+		d.confirmed(began)
 	}
 	return confirmInterval
 }
@@ -84,10 +85,10 @@
 	}
 }
 
-// recentlyConfirmed returns the newest revision as of the last confirming read; false if that
-// is too old.
-func (d *Feed) recentlyConfirmed() (int64, bool) {
+// recentlyConfirmed returns the newest revision as of the last confirming read, and when that began; false
+// if that is too long ago.
+func (d *Feed) recentlyConfirmed() (revision int64, at time.Time, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.confirmation.revision, !d.confirmation.at.IsZero() && d.now().Sub(d.confirmation.at) < confirmationTTL
+	return d.confirmation.revision, d.confirmation.at, !d.confirmation.at.IsZero() && d.now().Sub(d.confirmation.at) < confirmationTTL
 }
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -79,6 +79,7 @@
 	source      Source
 	update      func(Update)
 	health      func(err error)
+	confirmed   func(at time.Time)
 	now         func() time.Time
 	jitter      func() float64
 	interval    time.Duration
@@ -116,6 +117,10 @@
 // WithHealth sets a function that receives the result of each call; nil is success.
 func WithHealth(f func(err error)) FeedOption { return func(d *Feed) { d.health = f } }
 
+// WithConfirmed sets a function that receives times at which the copy is known to have had the newest
+// revision: those at which the calls that showed it began.
+func WithConfirmed(f func(at time.Time)) FeedOption { return func(d *Feed) { d.confirmed = f } }
+
 // WithJitter sets the source of jitter, from 0 up to 1.
 func WithJitter(f func() float64) FeedOption { return func(d *Feed) { d.jitter = f } }
 
@@ -152,6 +157,7 @@
 		source:     source,
 		update:     update,
 		health:     func(error) {},
+		confirmed:  func(time.Time) {},
 		now:        clock.Now,
 		jitter:     func() float64 { return 0.5 },
 		interval:   rereadInterval,
@@ -237,6 +243,7 @@
 // read makes a full read and delivers it, unless another box has sent the state meanwhile. It
 // returns whether missing entries are known to be removed.
 func (d *Feed) read(ctx context.Context) (settled bool, err error) {
+	began := d.now()
 	s, err := d.readOnce(ctx)
 	if errors.Is(err, ErrReceivedFromPeer) {
 		d.reportFreshness(s)
@@ -255,6 +262,7 @@
 		Snapshot: &s,
 		Revision: s.Revision,
 	})
+	d.confirmed(began)
 	d.reportFreshness(s)
 	d.resumeWatch(s.Revision)
 	return settled, nil
@@ -281,8 +289,8 @@
 // deliver passes an update on. It returns whether missing entries are known to be removed.
 func (d *Feed) deliver(u Update) (settled bool) {
 	u.Settled, u.SettlesIn = d.isSettled()
-	d.recordDelivered(u.Revision) // a concurrent lower revision only costs one more call
 	d.update(u)
+	d.recordDelivered(u.Revision) // not before, as it counts as applied
 	return u.Settled
 }
 
--- a/catalog/reread.go
+++ b/catalog/reread.go
@@ -135,15 +135,17 @@
 
 // isCurrent asks for the newest revision and reports whether the copy has it.
 func (d *Feed) isCurrent(ctx context.Context) bool {
-	rev, ok := d.recentlyConfirmed()
+	rev, at, ok := d.recentlyConfirmed()
 	if !ok && d.source.Newest == nil {
 		return false
 	}
 	if !ok {
+		at = d.now()
 		var err error
 		if rev, err = d.source.Newest(ctx); err != nil {
 			return false // the full read fails too and reports it
 		}
+		d.health(nil)
 	}
 	if rev > d.delivered.Load() {
 		sleep.For(ctx, behindDelay) // the watch, or another box, may be about to deliver it
@@ -154,7 +156,7 @@
 	if rev > d.delivered.Load() {
 		return false
 	}
-	d.health(nil)
+	d.confirmed(at)
 	return true
 }
 
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -77,6 +77,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
+	began := d.now()
 	rev, err := d.source.Newest(ctx)
 	if err != nil {
 		return 0
@@ -87,5 +88,6 @@
 	if settled, _ := d.isSettled(); !settled || rev > d.delivered.Load() {
 		return 0
 	}
+	d.confirmed(began)
 	return rev
 }
--- a/node/node.go
+++ b/node/node.go
@@ -246,6 +246,7 @@
 func (n *Node) newFeed(source catalog.Source) *catalog.Feed {
 	return catalog.NewFeed(source, n.applyUpdate,
 		catalog.WithHealth(n.recordStoreHealth),
+		catalog.WithConfirmed(func(at time.Time) { n.confirmAt(at.Sub(n.started)) }),
 		catalog.WithReader(n.isReader.Load),
 		catalog.WithFollowing(n.isFollower.Load, n.catalogAge),
 		catalog.WithConfirming(n.confirmsPolicy, n.recordProof),
--- a/node/pull.go
+++ b/node/pull.go
@@ -209,9 +209,6 @@
 
 func (n *Node) recordStoreHealth(err error) {
 	ok := err == nil
-	if ok {
-		n.confirmAt(n.now())
-	}
 	if n.storeOK.Swap(ok) == ok {
 		return
 	}
