ingress, node: Check an old copy before saying that there is no route

A box said 404 as long as its last call to the publisher had succeeded, however long ago that was: with a publisher that falls silent, 404 for a new route until 5.5 s after it was published, where it is to be in force after 4 s. Callers don't come back after 404.

A copy of more than 3 s is checked by one call, which may bring the route; without an answer the request is refused with 503 and the time to come back.

--- a/ingress/auth.go
+++ b/ingress/auth.go
@@ -26,7 +26,7 @@
 // Keys holds the functions that give access to organisations, their keys and quotas.
 type Keys struct {
 	WithinLease  func() bool                                                                                            // the table contains no key that was revoked too long ago; called before the table is read
-	CatalogFresh func() bool                                                                                            // the table contains all keys but those of the last seconds
+	CatalogFresh func(ctx context.Context) bool                                                                         // the table contains all keys but those of the last seconds
 	Reserve      func(ctx context.Context, organisation string, tokens int) (cost float64, wait time.Duration, ok bool) // subtracts the cost of a request from the quota of its organisation, or returns when to retry
 	Release      func(organisation string, cost float64)                                                                // adds the cost of a request that is known not to have run back to the quota
 }
@@ -77,7 +77,7 @@
 // resolveUnknownKey handles a request whose key is unknown. While this box may lack the
 // newest policy, it waits for it or answers with a temporary refusal.
 func (c *call) resolveUnknownKey() bool {
-	for !c.server.core.Keys.CatalogFresh() {
+	for !c.server.core.Keys.CatalogFresh(c.r.Context()) {
 		if clock.Since(c.start) > keyWaitTimeout || c.r.Context().Err() != nil {
 			c.refuse(reasonStalePolicy, keyRetryAfter)
 			return false
--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -43,8 +43,7 @@
 		c.reject(http.StatusMisdirectedRequest, reasonMisdirected)
 		return false
 	}
-	c.version = table.Version()
-	if !c.findRoute(table) {
+	if table = c.findRoute(table); table == nil {
 		return false
 	}
 	if !c.authenticate(table) {
@@ -92,9 +91,11 @@
 	}
 }
 
-// findRoute looks up the route. A request that another box forwarded keeps the route of
-// that box, so that callers never see an older policy after a newer one.
-func (c *call) findRoute(table *catalog.Table) bool {
+// findRoute looks up the route and returns the policy that has it, which may be newer than table; nil if there
+// is none. A request that another box forwarded keeps the route of that box, so that callers never see an older
+// policy after a newer one.
+func (c *call) findRoute(table *catalog.Table) *catalog.Table {
+	c.version = table.Version()
 	if c.relay != nil {
 		c.route = c.relay.Route
 		c.service = c.relay.Service
@@ -105,19 +106,21 @@
 			c.server.core.NewerPolicySeen(c.relay.Version)
 		}
 		c.version = c.relay.Version
-		return true
+		return table
 	}
-	route, ok := table.Find(c.r.Host, c.r.URL.Path)
-	switch {
-	case ok:
+	if route, ok := table.Find(c.r.Host, c.r.URL.Path); ok {
 		c.route = route
-		return true
-	case c.server.core.CatalogFresh():
-		c.reject(http.StatusNotFound, "no route")
-	default:
+		return table
+	}
+	if !c.server.core.CatalogFresh(c.r.Context()) {
 		c.refuse(reasonStalePolicy, retryAfterStarting) // a newer policy may contain the route
+		return nil
+	}
+	if newer := c.server.core.Table(); newer != table {
+		return c.findRoute(newer)
 	}
-	return false
+	c.reject(http.StatusNotFound, "no route")
+	return nil
 }
 
 // setDeadline sets the earliest of the caller's deadline, the route's timeout and the
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -142,7 +142,7 @@
 type Hooks struct {
 	Table           func() *catalog.Table                                   // nil until a policy is known
 	Uptime          func() time.Duration                                    // since the start of the box
-	CatalogFresh    func() bool                                             // the published catalog was read recently
+	CatalogFresh    func(ctx context.Context) bool                          // the policy of Table was checked recently; it may be checked, and replaced, for this
 	Leaving         func() bool                                             // a planned stop has begun
 	IsOwnAddress    func(replica string) bool                               // the published address of a replica is this box's own
 	AcceptsStreams  func() bool                                             // a new stream has time to complete
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -280,7 +280,7 @@
 			return table
 		},
 		Uptime:          func() time.Duration { return g.uptime + clock.Since(g.began) },
-		CatalogFresh:    func() bool { return true },
+		CatalogFresh:    func(context.Context) bool { return true },
 		Leaving:         func() bool { return false },
 		AcceptsStreams:  func() bool { return true },
 		OtherBoxServing: func() bool { return true },
--- a/node/core.go
+++ b/node/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/ingress"
 	"github.com/havenrudder/havenrudder/placement"
@@ -65,12 +66,25 @@
 	}
 }
 
-// hasCurrentPolicy reports whether this box can read the catalog and has no record of a newer
-// policy than its own.
-func (n *Node) hasCurrentPolicy() bool {
+// maxNoRouteAge is the age of the copy of the catalog up to which a request is answered that there is no
+// route. The shortest bound on configurations is 4 s.
+const maxNoRouteAge = 3 * time.Second
+
+// hasCurrentPolicy reports whether the policy was checked recently, by this box or another one, and this box
+// has no record of a newer one. It checks an older copy first, which may bring a newer policy.
+func (n *Node) hasCurrentPolicy(ctx context.Context) bool {
+	clock.Check()
+	if !n.storeOK.Load() || n.missesPolicy() {
+		return false
+	}
+	return n.catalogAge() <= maxNoRouteAge || (n.feed.Sync(ctx) > 0 && !n.missesPolicy())
+}
+
+// missesPolicy reports whether other boxes have a newer policy.
+func (n *Node) missesPolicy() bool {
 	due := 0
 	_ = n.state.Do(func(s *state) { due = s.content.MissingPolicyVersion() }) // it fails only when the box has ended
-	return n.storeOK.Load() && due == 0
+	return due > 0
 }
 
 // isOwnAddress reports whether the published address of a replica is that at which this box accepts
--- a/node/forwardedpolicy_test.go
+++ b/node/forwardedpolicy_test.go
@@ -24,7 +24,7 @@
 			if got > 2 {
 				t.Fatalf("%d calls of the listing for 6 requests in 0.3 s", got)
 			}
-			if n.hasCurrentPolicy() {
+			if n.hasCurrentPolicy(t.Context()) {
 				t.Error("the box reports its policy as current")
 			}
 			return
--- a/node/lease.go
+++ b/node/lease.go
@@ -64,13 +64,11 @@
 }
 
 // keysCurrent reports whether an unknown key belongs to no organisation.
-func (n *Node) keysCurrent() bool {
+func (n *Node) keysCurrent(ctx context.Context) bool {
 	if n.settings.Bounds.RevocationTimeout == 0 {
-		return n.hasCurrentPolicy()
+		return n.hasCurrentPolicy(ctx)
 	}
-	due := 0
-	_ = n.state.Do(func(s *state) { due = s.content.MissingPolicyVersion() }) // it fails only after the box has stopped
-	return due == 0 && n.leaseAge() <= unknownKeyMaxAge
+	return !n.missesPolicy() && n.leaseAge() <= unknownKeyMaxAge
 }
 
 // recordProof records that a policy version was the newest at a time.
--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -281,10 +281,10 @@
 		is := is.New(t)
 		k := newKeyring(t, 1, 9)
 		k.watch(8*time.Second, anyBox)
-		is.True(k.boxes[4].node.Load().keysCurrent())
+		is.True(k.boxes[4].node.Load().keysCurrent(t.Context()))
 		k.listing.setDown(true)
 		k.watch(4*time.Second, func(*simBox) bool { return false })
-		is.True(!k.boxes[4].node.Load().keysCurrent())
+		is.True(!k.boxes[4].node.Load().keysCurrent(t.Context()))
 		k.end()
 	})
 }
