node, decision: Log how a policy arrived and when the process was held up

The log told neither by which way a box had learned of a version, nor whether a box that sent a request late had lacked processor time, so that the hypotheses of the incident couldn't be told apart.

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -33,6 +33,7 @@
 // Update returns the catalog update as an update of a box's copy.
 func (n ChangeSet) Update() Update {
 	return Update{
+		Channel:             ByBox,
 		Snapshot:            n.Snapshot,
 		Changes:             n.Changes,
 		UnconfirmedRemovals: n.UnconfirmedRemovals,
--- a/catalog/confirm.go
+++ b/catalog/confirm.go
@@ -61,7 +61,7 @@
 	}
 	if s.Policy != nil && s.Policy.Version > d.confirmation.version {
 		d.confirmation.version = s.Policy.Version
-		d.update(PolicyUpdate(s.Policy))
+		d.update(PolicyUpdate(s.Policy, ByCheck))
 	}
 	d.reportFreshness(s)
 	if s.Revision == 0 {
--- a/catalog/feed.go
+++ b/catalog/feed.go
@@ -51,6 +51,17 @@
 	Confirm func(ctx context.Context) (Snapshot, error)
 }
 
+// Channel is the way by which an update arrived.
+type Channel string
+
+// The channels.
+const (
+	ByRead  Channel = "read"  // a full read of the publisher
+	ByWatch Channel = "watch" // a watch there
+	ByCheck Channel = "check" // a read of the policy, or of what a copy lacks, there
+	ByBox   Channel = "box"   // another box
+)
+
 // Update is what a feed delivers: a full snapshot, or changes up to a revision.
 type Update struct {
 	Snapshot            *Snapshot
@@ -60,11 +71,13 @@
 	Revision            int64
 	Settled             bool          // false while entries may be missing after an outage of the publisher
 	SettlesIn           time.Duration // remaining time until settled, if known
+	Channel             Channel
 }
 
 // PolicyUpdate returns an update with a policy alone.
-func PolicyUpdate(p *Policy) Update {
+func PolicyUpdate(p *Policy, by Channel) Update {
 	return Update{
+		Channel: by,
 		Changes: []Change{{
 			Policy: p,
 		}},
@@ -259,6 +272,7 @@
 	d.readSucceeded()
 	d.replicas.Store(int64(len(s.Replicas)))
 	settled = d.deliver(Update{
+		Channel:  ByRead,
 		Snapshot: &s,
 		Revision: s.Revision,
 	})
@@ -278,7 +292,7 @@
 	began := d.now()
 	return d.source.InitialRead(ctx, func(read Snapshot) error {
 		if first && read.Policy != nil {
-			d.update(PolicyUpdate(read.Policy))
+			d.update(PolicyUpdate(read.Policy, ByRead))
 		}
 		isFirstCall := first
 		first = false
@@ -415,6 +429,7 @@
 		at = max(at, rev)
 		if len(changes) > 0 {
 			d.deliver(Update{
+				Channel:  ByWatch,
 				Changes:  changes,
 				Revision: rev,
 			})
--- a/catalog/reread.go
+++ b/catalog/reread.go
@@ -173,6 +173,7 @@
 		last = max(last, ch.Revision)
 	}
 	d.deliver(Update{
+		Channel:  ByCheck,
 		Changes:  changes,
 		Revision: last,
 	})
--- a/decision/event.go
+++ b/decision/event.go
@@ -110,6 +110,7 @@
 	Parts    string    `json:"parts,omitempty"`  // IDs of the shared parts of the prompt, in order
 	Digest   string    `json:"digest,omitempty"` // of what the request asks, the same whenever it comes again
 	Region   string    `json:"region,omitempty"`
+	Channel  string    `json:"channel,omitempty"` // by which a policy arrived: read, watch or check of the publisher, or box
 
 	LastEvent string `json:"last_event,omitempty"` // ID of the last event that the caller has of the stream that it takes up
 	Send      int    `json:"send,omitempty"`       // number of the send among those of the request by this box, from 1
--- a/decision/lines.go
+++ b/decision/lines.go
@@ -94,6 +94,7 @@
 	l.text("parts", e.Parts)
 	l.text("digest", e.Digest)
 	l.text("region", e.Region)
+	l.text("channel", e.Channel)
 	l.text("organisation", e.Organisation)
 	l.number("waited_ms", e.WaitedMs)
 	l.number("ahead", int64(e.Ahead))
--- a/decision/log_test.go
+++ b/decision/log_test.go
@@ -108,6 +108,7 @@
 		Parts:    "5c1e07a2,91bd3f06",
 		Digest:   "50fd6db2",
 		Region:   "eu",
+		Channel:  "watch",
 
 		LastEvent: "12",
 		Send:      2,
--- a/meter/count.go
+++ b/meter/count.go
@@ -90,5 +90,8 @@
 // Cleared counts a request that was cleared by a complete response.
 func (m *Meter) Cleared() { m.cleared.Inc() }
 
+// Delayed adds a time by which the process was held up.
+func (m *Meter) Delayed(d time.Duration) { m.delayed.Add(d.Seconds()) }
+
 // Suspended adds a period for which the machine was suspended.
 func (m *Meter) Suspended(d time.Duration) { m.suspended.Add(d.Seconds()) }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -41,6 +41,7 @@
 	cleared        prometheus.Counter
 	trials         prometheus.Counter
 	suspended      prometheus.Counter
+	delayed        prometheus.Counter
 	queueWaiting   *prometheus.GaugeVec
 	queueWait      *prometheus.HistogramVec
 	queueRefused   *prometheus.CounterVec
@@ -140,6 +141,7 @@
 	m.foreignEntries = m.counter("foreign_entries_total", "Entries of the store that name no replica, once for each revision.")
 	m.trials = m.counter("trial_runs_total", "Runs of requests that ended the same replicas as others, apart from these.")
 	m.cleared = m.counter("cleared_requests_total", "Requests under which replicas had ended and that one then answered whole.")
+	m.delayed = m.counter("held_up_seconds_total", "Time by which heartbeats were late by 0.2 s or more, since the process lacked processor time.")
 	m.suspended = m.counter("suspended_seconds_total", "Time for which the machine was suspended while this process ran.")
 	m.dials = m.counter("upstream_dials_total", "Connections opened to upstreams.")
 	m.queueWaiting = m.gauges("queue_waiting_requests", "Requests that wait for capacity, by service and urgency.", "service", "level")
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -68,6 +68,7 @@
 	m.Cleared()
 	m.Trial()
 	m.Suspended(8 * time.Second)
+	m.Delayed(500 * time.Millisecond)
 	m.FirstByte("chat", 100*time.Millisecond)
 	m.Response("chat", 3*time.Second)
 	return m
@@ -121,6 +122,7 @@
 		`havenrudder_cleared_requests_total 1`,
 		`havenrudder_trial_runs_total 1`,
 		`havenrudder_suspended_seconds_total 8`,
+		`havenrudder_held_up_seconds_total 0.5`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.05"} 0`,
 		`havenrudder_first_byte_seconds_bucket{service="chat",le="0.2"} 1`,
 		`havenrudder_first_byte_seconds_sum{service="chat"} 0.1`,
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -48,7 +48,9 @@
 func (n *Node) runHeartbeats(ctx context.Context) {
 	n.notifyAll(true)
 	for ctx.Err() == nil {
+		began := time.Now()
 		sleep.For(ctx, roster.Tick)
+		n.recordDelay(time.Since(began) - roster.Tick)
 		n.recordSuspension()
 		n.sendHeartbeats()
 		n.applyExpired()
@@ -68,6 +70,23 @@
 	}
 }
 
+// minLoggedDelay is how late a heartbeat is from which that is logged: requests and the ends of their
+// connections are noticed as late.
+const minLoggedDelay = 200 * time.Millisecond
+
+// recordDelay records how late a timer fired because the process lacked processor time.
+func (n *Node) recordDelay(late time.Duration) {
+	if late < minLoggedDelay {
+		return
+	}
+	n.meter.Delayed(late)
+	n.record(decision.Event{
+		Kind:   decision.Belief,
+		Reason: "process was held up",
+		ForMs:  late.Milliseconds(),
+	})
+}
+
 // recordSuspension records a suspension of the machine. Its duration counts in the age of
 // all records.
 func (n *Node) recordSuspension() {
--- a/node/policies.go
+++ b/node/policies.go
@@ -175,7 +175,7 @@
 		return 0
 	}
 	n.policySources.reset()
-	n.applyUpdate(catalog.PolicyUpdate(p))
+	n.applyUpdate(catalog.PolicyUpdate(p, catalog.ByBox))
 	return 0
 }
 
--- a/node/pull.go
+++ b/node/pull.go
@@ -200,6 +200,7 @@
 			Upstream: b.Subject,
 			Reason:   b.Reason,
 			Signal:   b.Signal,
+			Channel:  b.Channel,
 			Limit:    b.Limit,
 			ForMs:    b.For.Milliseconds(),
 			Revision: b.Rev,
--- a/node/state.go
+++ b/node/state.go
@@ -127,6 +127,7 @@
 		out = append(out, placement.Change{
 			Reason:  "policy in force",
 			Subject: fmt.Sprint(p.Version),
+			Channel: string(u.Channel),
 		})
 	}
 	if !applied {
--- a/placement/view.go
+++ b/placement/view.go
@@ -140,6 +140,7 @@
 	Signal  decision.Signal // what a replica reported of itself; empty for other changes
 	For     time.Duration   // how long the replica defers requests; only with a Signal of decision.RetryAfter
 	Limit   float64         // requests per second that the replica names; only with a Signal of decision.Limit
+	Channel string          // by which a policy arrived; empty for other changes
 }
 
 // Apply applies the changes of the catalog since the last call.
