common/sched, ingress, node: Refuse requests while the box lacks processor time

Each then waited its turn for the processor at some six steps (read, choice, dial, write, answer, end), 0.1 to 1 s at each, while its caller gave up and came back. Nothing measured or bounded that wait.

A box measures for how long its goroutines wait until they run (runtime/metrics), and refuses a share of the new requests that grows while that is above 80 ms, with 503 and a time to come back of ten times the wait.

--- a/commands/box.go
+++ b/commands/box.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/havenrudder/havenrudder/common/sched"
 	"github.com/havenrudder/havenrudder/node"
 	"github.com/havenrudder/havenrudder/platform"
 )
@@ -52,7 +53,7 @@
 	if c.metrics != "" {
 		settings.MetricsAddr = net.JoinHostPort(settings.IP, c.metrics)
 	}
-	n, err := node.New(settings, adapter, node.WithOutput(os.Stdout))
+	n, err := node.New(settings, adapter, node.WithOutput(os.Stdout), node.WithLatencyWatch(sched.Watch))
 	if err != nil {
 		return Fail(err)
 	}
--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -46,6 +46,10 @@
 	if table = c.findRoute(table); table == nil {
 		return false
 	}
+	if wait, sheds := c.server.core.Shed(); sheds {
+		c.refuse(reasonBusy, wait)
+		return false
+	}
 	if !c.authenticate(table) {
 		return false
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -144,6 +144,7 @@
 	Uptime          func() time.Duration                                    // since the start of the box
 	CatalogFresh    func(ctx context.Context) bool                          // the policy of Table was checked recently; it may be checked, and replaced, for this
 	Leaving         func() bool                                             // a planned stop has begun
+	Shed            func() (retryAfter time.Duration, sheds bool)           // the box lacks processor time and is to refuse a new request
 	IsOwnAddress    func(replica string) bool                               // the published address of a replica is this box's own
 	AcceptsStreams  func() bool                                             // a new stream has time to complete
 	OtherBoxServing func() bool                                             // another box of the region is serving
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -15,6 +15,7 @@
 const (
 	reasonStarting       placement.Reason = "no policy known yet"
 	reasonStalePolicy    placement.Reason = "no route in a policy that may be old"
+	reasonBusy           placement.Reason = "box lacks processor time"
 	reasonUnknownBuild   placement.Reason = "software version of the stream not known"
 	reasonBudget         placement.Reason = "no more tries"
 	reasonReplicaFailure placement.Reason = "a replica's own failure, and no more tries"
--- a/ingress/region_test.go
+++ b/ingress/region_test.go
@@ -282,6 +282,7 @@
 		Uptime:          func() time.Duration { return g.uptime + clock.Since(g.began) },
 		CatalogFresh:    func(context.Context) bool { return true },
 		Leaving:         func() bool { return false },
+		Shed:            func() (time.Duration, bool) { return 0, false },
 		AcceptsStreams:  func() bool { return true },
 		OtherBoxServing: func() bool { return true },
 		StopDeadline:    func() (time.Time, bool) { return time.Time{}, false },
--- a/node/core.go
+++ b/node/core.go
@@ -17,6 +17,7 @@
 		Uptime:          n.now,
 		CatalogFresh:    n.hasCurrentPolicy,
 		Leaving:         n.leaving.Load,
+		Shed:            func() (time.Duration, bool) { return n.shedder.Sheds(n.jitter) },
 		IsOwnAddress:    n.isOwnAddress,
 		AcceptsStreams:  n.acceptsStreams,
 		OtherBoxServing: n.anotherBoxServes,
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/havenrudder/havenrudder/common/cell"
 	"github.com/havenrudder/havenrudder/common/clock"
 	"github.com/havenrudder/havenrudder/common/ending"
+	"github.com/havenrudder/havenrudder/common/sched"
 	"github.com/havenrudder/havenrudder/decision"
 	"github.com/havenrudder/havenrudder/exchange"
 	"github.com/havenrudder/havenrudder/ingress"
@@ -101,6 +102,8 @@
 	reloadRequests chan struct{} // signals a reload of the settings
 	bounds         Bounds        // in force; owned by the reload task
 	reloadFailed   bool          // the last reload failed; owned by the reload task
+	shedder        sched.Shedder
+	watchLatency   func(ctx context.Context, report func(latency time.Duration))
 	suspended      time.Duration // of the machine, as last recorded; owned by the heartbeat task
 	misdirectedIDs chan string   // ids of replicas whose addresses other replicas have
 	stop           chan struct{} // closed when a planned stop begins
@@ -120,6 +123,12 @@
 	return func(n *Node) { n.dialBox = dial }
 }
 
+// WithLatencyWatch sets a function that reports the scheduling latency of the process at intervals. While that
+// is too long, the box refuses a part of the requests. Without it, it refuses none for this.
+func WithLatencyWatch(watch func(ctx context.Context, report func(latency time.Duration))) Option {
+	return func(n *Node) { n.watchLatency = watch }
+}
+
 // New returns a box with open listeners.
 func New(s Settings, a Adapter, opts ...Option) (*Node, error) {
 	n := &Node{
@@ -134,6 +143,7 @@
 		dialBox:        exchange.NewDialer().DialContext,
 		draw:           rand.IntN,
 		jitter:         rand.Float64,
+		watchLatency:   func(context.Context, func(time.Duration)) {},
 
 		deltas:        catalog.NewDeltas(),
 		snapshotCache: newSnapshotCache(),
@@ -189,6 +199,7 @@
 	})
 	n.runGossip(ctx) // before the feed, whose first update is sent to other boxes
 	n.tasks.Go(func() { n.feed.Run(ctx) })
+	n.tasks.Go(func() { n.watchLatency(ctx, n.shedder.Adjust) })
 	n.runReload(ctx)
 	n.runIdentity(ctx)
 	n.runUsageReports(ctx)
