--- a/node/gossip.go
+++ b/node/gossip.go
@@ -48,9 +48,9 @@
 func (n *Node) runHeartbeats(ctx context.Context) {
 	n.notifyAll(true)
 	for ctx.Err() == nil {
-		began := time.Now()
+		began := clock.Now()
 		sleep.For(ctx, roster.Tick)
-		n.recordDelay(time.Since(began) - roster.Tick)
+		n.recordDelay(clock.Since(began) - roster.Tick)
 		n.recordSuspension()
 		n.sendHeartbeats()
 		n.applyExpired()
