--- a/demo/tour.go
+++ b/demo/tour.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -66,14 +67,19 @@
 	tokens  []string
 	whole   bool // the end of a stream was marked
 	refusal wire.Refusal
+	took    time.Duration
 }
 
-func (t *tour) chat(ctx context.Context, name, org, text string) (reply, error) {
+// chat sends a request of an organisation to a box, with a deadline; 0 for that of the service.
+func (t *tour) chat(ctx context.Context, name, org, text string, deadline time.Duration) (reply, error) {
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":%s}`, t.user.model, messages(text))
 	h := http.Header{
 		gateway.HeaderOrg: {org},
 		"Content-Type":    {"application/json"},
 	}
+	if deadline > 0 {
+		h.Set(gateway.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	}
 	return send(ctx, http.MethodPost, "http://"+t.callers(name)+"/v1/chat/completions", body, h)
 }
 
@@ -87,6 +93,7 @@
 		return reply{}, errors.Wrap(err, "request")
 	}
 	r.Header = h
+	began := time.Now()
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return reply{}, errors.Wrap(err, "request")
@@ -100,6 +107,7 @@
 		status: resp.StatusCode,
 		header: resp.Header,
 		body:   data,
+		took:   time.Since(began),
 	}
 	if resp.StatusCode != http.StatusOK {
 		_ = json.Unmarshal(data, &out.refusal)
@@ -131,6 +139,9 @@
 		}
 		var e event
 		if err := json.Unmarshal([]byte(data), &e); err != nil || len(e.Choices) != 1 {
+			if json.Unmarshal([]byte(data), &r.refusal) == nil && r.refusal.Ran != "" {
+				return nil // the stream ends with why it is not whole
+			}
 			return errors.Newf("event %q", data)
 		}
 		r.tokens = append(r.tokens, e.Choices[0].Delta.Content)
@@ -153,7 +164,7 @@
 func (t *tour) streamed(ctx context.Context) error {
 	const text = "replace the oat milk"
 	start := time.Now()
-	r, err := t.chat(ctx, t.user.abroad, t.user.any, text)
+	r, err := t.chat(ctx, t.user.abroad, t.user.any, text, 0)
 	if err != nil {
 		return err
 	}
@@ -166,13 +177,13 @@
 
 func (t *tour) resumed(ctx context.Context) error {
 	const text = "what can stand in for leeks"
-	first, err := t.chat(ctx, t.user.home, t.user.bound, text)
+	first, err := t.chat(ctx, t.user.home, t.user.bound, text, 0)
 	if err != nil {
 		return err
 	}
 	name := first.header.Get(gateway.HeaderUpstream)
 	t.site.Engine(name).BreakNext(tokens / 2) // the same prompt goes there again, for its prefix is cached
-	r, err := t.chat(ctx, t.user.home, t.user.bound, text)
+	r, err := t.chat(ctx, t.user.home, t.user.bound, text, 0)
 	if err != nil {
 		return err
 	}
@@ -218,7 +229,7 @@
 }
 
 func (t *tour) residency(ctx context.Context) error {
-	r, err := t.chat(ctx, t.user.abroad, t.user.bound, "stay at home")
+	r, err := t.chat(ctx, t.user.abroad, t.user.bound, "stay at home", 0)
 	if err != nil {
 		return err
 	}
@@ -229,35 +240,64 @@
 	return nil
 }
 
-const crowd = 80 // more than a home holds
+const (
+	crowdRounds    = 6   // requests of the crowd, for each place at home
+	deadlineRounds = 2.5 // of a request of the crowd, in durations of an answer
+)
 
+// fullHome sends more requests at once than the engines at home can answer before their deadline. Those that
+// can be answered in time wait for a place there.
 func (t *tour) fullHome(ctx context.Context) error {
+	began := time.Now()
+	if err := t.comeBack(ctx, t.user.home); err != nil {
+		return err
+	}
+	duration := time.Since(began)
+	deadline := time.Duration(deadlineRounds * float64(duration))
+	places := t.places()
+	crowd := crowdRounds * places
 	before := t.finished(false)
-	replies, err := t.many(ctx, crowd, func(i int) string {
+	replies, err := t.many(ctx, crowd, deadline, func(i int) string {
 		return [...]string{t.user.home, t.user.sibling}[i%2]
 	})
 	if err != nil {
 		return err
 	}
-	answered := 0
-	refused := 0
+	var answered, refused, late int
+	var slowest time.Duration // refusal
 	for i, r := range replies {
 		switch {
 		case expectWhole(r, crowdText(i)) == nil:
 			answered++
 		case r.refusal.Ran == wire.RanNotRun && r.refusal.RetryAfterMs > 0:
 			refused++
+			slowest = max(slowest, r.took)
+		case r.refusal.Ran != "":
+			late++ // it began in time and did not end
 		default:
 			return errors.Newf("status %d: %s", r.status, r.body)
 		}
 	}
-	if away := t.finished(false) - before; away != 0 || refused == 0 || answered == 0 {
-		return errors.Newf("%d answered, %d refused, %d ran away from home", answered, refused, away)
+	got := fmt.Sprintf("of %d requests at once for %d places %d were answered whole, %d refused as not run with a time to come back, within %v, and %d cut at their deadline of %v; %d ran away from home",
+		crowd, places, answered, refused, slowest.Round(time.Millisecond), late, deadline.Round(time.Millisecond), t.finished(false)-before)
+	if t.finished(false) != before || answered <= places || refused == 0 || late > places || slowest >= deadline {
+		return errors.Newf("want more answers than places, refusals before the deadline, no more cut than there are places, and nothing away from home: %s", got)
 	}
-	t.sayf("of %d requests at once %d were answered whole, %d refused as not run with a time to come back, none was sent away", crowd, answered, refused)
+	t.sayf("%s", got)
 	return nil
 }
 
+// places returns how many requests the engines at home run at once.
+func (t *tour) places() (n int) {
+	domain := t.site.Box(t.user.home).Dump().Domain
+	for name, e := range t.site.Engines() {
+		if strings.Contains(name, domain) {
+			n += e.Counts().Slots
+		}
+	}
+	return n
+}
+
 func crowdText(i int) string { return fmt.Sprintf("list %d", i) }
 
 // finished returns the answers that engines finished at the home of the bound
@@ -273,13 +313,13 @@
 	return n
 }
 
-// many sends n requests of the bound organisation at once.
-func (t *tour) many(ctx context.Context, n int, box func(i int) string) ([]reply, error) {
+// many sends n requests of the bound organisation at once, with a deadline; 0 for that of the service.
+func (t *tour) many(ctx context.Context, n int, deadline time.Duration, box func(i int) string) ([]reply, error) {
 	replies := make([]reply, n)
 	errs := make([]error, n)
 	var wg sync.WaitGroup
 	for i := range n {
-		wg.Go(func() { replies[i], errs[i] = t.chat(ctx, box(i), t.user.bound, crowdText(i)) })
+		wg.Go(func() { replies[i], errs[i] = t.chat(ctx, box(i), t.user.bound, crowdText(i), deadline) })
 	}
 	wg.Wait()
 	return replies, errors.Join(errs...)
@@ -303,10 +343,12 @@
 
 const inFlight = 6
 
+const maxComeBacks = 80
+
 // comeBack does as a refusal says: it waits and asks again, until it is served.
 func (t *tour) comeBack(ctx context.Context, name string) error {
-	for range crowd {
-		r, err := t.chat(ctx, name, t.user.bound, "are you there")
+	for range maxComeBacks {
+		r, err := t.chat(ctx, name, t.user.bound, "are you there", 0)
 		if err != nil || r.status == http.StatusOK {
 			return err
 		}
@@ -330,7 +372,7 @@
 		t.site.Box(name).Leave()
 		stopped <- t.site.Wait(name)
 	}()
-	replies, err := t.many(ctx, inFlight, func(int) string { return name })
+	replies, err := t.many(ctx, inFlight, 0, func(int) string { return name })
 	if err != nil {
 		return err
 	}
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -80,6 +80,7 @@
 
 // EngineCounts is what an engine has done.
 type EngineCounts struct {
+	Slots     int // requests that run at once
 	Running   int
 	Finished  int
 	Cancelled int
@@ -90,6 +91,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return EngineCounts{
+		Slots:     e.slots,
 		Running:   e.running,
 		Finished:  e.finished,
 		Cancelled: e.cancelled,
