--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -123,7 +123,7 @@
 		DialTimeout: c.dialTimeout(replicaDialTimeout),
 		OnWrite: func(unread func() bool) error {
 			a.writeReplicaHeaders(h)
-			return a.noteSent(unread)
+			return a.beforeWrite(unread)
 		},
 	})
 	if err != nil {
@@ -166,9 +166,9 @@
 	errDeadlinePassed = errors.New("ingress: deadline passed")
 )
 
-// noteSent is called right before the request is written, and returns why it may not be.
-func (a *attempt) noteSent(unread func() bool) error {
-	if a.call.hasLeft() {
+// beforeWrite records that the request is about to be written, or returns why it may not be.
+func (a *attempt) beforeWrite(unread func() bool) error {
+	if a.call.detectLeft() {
 		return errCallerLeft
 	}
 	if a.call.deadlinePassed() {
@@ -279,7 +279,7 @@
 	case ctx.Err() != nil && !stalled && sent:
 		a.call.state = max(a.call.state, stateMaybeRan)
 		return abandoned
-	case (ctx.Err() != nil && !stalled) || isUseless(err):
+	case (ctx.Err() != nil && !stalled) || isSkipped(err):
 		a.result = placement.Unsent
 		return abandoned
 	case errors.Is(err, errDeclined):
@@ -297,8 +297,8 @@
 	return unknown
 }
 
-// isUseless reports whether a request was not written since nobody waits for its response any more.
-func isUseless(err error) bool {
+// isSkipped reports whether a request was not written since nobody waits for its response any more.
+func isSkipped(err error) bool {
 	return errors.Is(err, errCallerLeft) || errors.Is(err, errDeadlinePassed)
 }
 
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -178,9 +178,10 @@
 // callerLeft reports whether the caller is known to have left.
 func (c *call) callerLeft() bool { return c.left || c.r.Context().Err() != nil }
 
-// hasLeft looks whether the caller has left. net/http notices it in a goroutine of its own, which
-// runs late while the box lacks processor time, and not at all after bytes beyond the request.
-func (c *call) hasLeft() bool {
+// detectLeft looks at the caller's connection and reports whether the caller has left. net/http notices that in
+// a goroutine of its own, which runs late while the box lacks processor time, and not at all after bytes beyond
+// the request.
+func (c *call) detectLeft() bool {
 	nc, ok := c.r.Context().Value(connKey{}).(net.Conn)
 	c.left = c.left || (ok && exchange.ClosedByPeer(nc))
 	return c.callerLeft()
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -60,7 +60,7 @@
 		OnWrite: func(unread func() bool) error {
 			h.Set(headerRelay, c.newRelay().encode()) // with the time left after the dial
 			a.forwardedBytes = headerBytes(h) + len(c.body)
-			return a.noteSent(unread)
+			return a.beforeWrite(unread)
 		},
 
 		OnInformational: a.noteAnnouncedSent,
@@ -98,7 +98,7 @@
 	if errors.As(err, &e) && !e.Sent() {
 		a.forwardedBytes = 0
 		a.uncountSend()
-		if ctx.Err() != nil || isUseless(err) {
+		if ctx.Err() != nil || isSkipped(err) {
 			return abandoned
 		}
 		c.server.core.BoxUnreachable(a.target.Box)
