--- a/exchange/socket.go
+++ b/exchange/socket.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -47,13 +49,24 @@
 }
 
 func setConnTimeout(nc net.Conn, d time.Duration) {
+	if runtime.GOOS == "linux" {
+		_ = control(nc, func(fd int) { setUserTimeout(uintptr(fd), d) }) // fails if the connection is already closed
+	}
+}
+
+var errNoDescriptor = errors.New("exchange: connection without a file descriptor")
+
+// control calls f with the file descriptor of a connection. It does not wait for a concurrent read.
+func control(nc net.Conn, f func(fd int)) error {
 	sc, ok := nc.(syscall.Conn)
-	if !ok || runtime.GOOS != "linux" {
-		return
+	if !ok {
+		return errNoDescriptor
 	}
-	if raw, err := sc.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { setUserTimeout(fd, d) }) // fails if the connection is already closed
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
 	}
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 // isHealthy reports whether the connection is open and has no unread bytes. Connections
@@ -79,16 +92,8 @@
 // Unlike isHealthy it doesn't wait for a concurrent read. It records a reset, which the kernel
 // reports only once.
 func (c *conn) hasUnread() bool {
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	peekErr := error(syscall.EAGAIN)
-	err = raw.Control(func(fd uintptr) { _, peekErr = peek(int(fd)) })
+	err := control(c.nc, func(fd int) { _, peekErr = peek(fd) })
 	if peekErr != nil && peekErr != syscall.EAGAIN {
 		c.broken.Store(true)
 	}
@@ -98,18 +103,18 @@
 // ClosedByPeer reports whether the peer has closed or reset a connection. Unread bytes hide a close, but
 // not a reset. It does not wait for a concurrent read.
 func ClosedByPeer(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
+	n := 0
+	var peekErr error
+	err := control(nc, func(fd int) { n, peekErr = peek(fd) })
+	switch {
+	case errors.Is(err, errNoDescriptor):
 		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	case err != nil:
 		return true
+	case peekErr != nil:
+		return peekErr != syscall.EAGAIN
 	}
-	n := 0
-	var peekErr error
-	err = raw.Control(func(fd uintptr) { n, peekErr = peek(int(fd)) })
-	return err != nil || (peekErr == nil && n == 0) || (peekErr != nil && peekErr != syscall.EAGAIN)
+	return n == 0
 }
 
 // peek checks for unread bytes without consuming them. It returns EAGAIN if there are
